Lay out the workspace, the inner protocol, HTTP edges and shared types

Cause: nothing existed; the crates and shared types come first so that the parts can be built side by side.

The inner protocol is prost frames on multiplexed TCP links: types generated by tools/codegen and committed, so the build needs no generator. tarpc was left for control calls: a token stream has no reply per message, and a link must notice silence for all its requests at once.

Ruled out: reading bodies lazily in the HTTP server. async-h1 takes a body cut short as whole, so a request is only known to be whole at its end.

--- /dev/null
+++ b/crates/config/src/findings.rs
@@ -0,0 +1,86 @@
+//! What was found wrong in a file, and where.
+//!
+//! A check goes on after its first finding, so that an operator mends a file
+//! in one round.
+
+use std::{error, fmt};
+
+/// One thing wrong, with its place.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Finding {
+    /// Name of the file as the operator gave it.
+    pub file: String,
+    /// Line counted from 1; none where the thing is missing.
+    pub line: Option<usize>,
+    /// Section, without brackets.
+    pub section: String,
+    /// Key; empty where the whole section is meant.
+    pub key: String,
+    /// What is wrong, with the value, the range and the unit.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.file)?;
+        if let Some(line) = self.line {
+            write!(f, ":{line}")?;
+        }
+        write!(f, ": [{}]", self.section)?;
+        if !self.key.is_empty() {
+            write!(f, " {}", self.key)?;
+        }
+        write!(f, ": {}", self.message)
+    }
+}
+
+/// Everything found wrong; never empty when returned as an error.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Findings {
+    findings: Vec<Finding>,
+}
+
+impl Findings {
+    /// No findings yet.
+    pub fn new() -> Findings {
+        Findings::default()
+    }
+
+    /// Adds one.
+    pub fn push(&mut self, finding: Finding) {
+        self.findings.push(finding);
+    }
+
+    /// Whether nothing was found wrong.
+    pub fn is_empty(&self) -> bool {
+        self.findings.is_empty()
+    }
+
+    /// The findings in the order they were met.
+    pub fn iter(&self) -> std::slice::Iter<'_, Finding> {
+        self.findings.iter()
+    }
+
+    /// `value` when nothing was found wrong.
+    ///
+    /// # Errors
+    ///
+    /// The findings, if there are any.
+    pub fn or_ok<T>(self, value: T) -> Result<T, Findings> {
+        if self.is_empty() { Ok(value) } else { Err(self) }
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.findings.iter().enumerate() {
+            if index > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl error::Error for Findings {}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,284 @@
+//! Calls to one server over kept connections.
+//!
+//! An answer is whole only when its length matches what the server stated;
+//! `async-h1` alone takes a shorter one without an error. An error says
+//! whether the server may have got the request, which decides whether a
+//! non-idempotent call may be made again.
+
+use std::{
+    error, fmt, io,
+    net::SocketAddr,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use async_io::Timer;
+use futures_lite::{AsyncReadExt as _, FutureExt as _};
+use http_types::{Request, Response};
+
+use crate::stream::SharedStream;
+
+/// Idle connections kept to one server.
+const MAX_IDLE: usize = 64;
+
+/// Why a call has no answer.
+#[derive(Debug)]
+#[non_exhaustive]
+pub enum ClientError {
+    /// The server was not reached: it did not get the request.
+    NotSent {
+        /// Address of the server.
+        address: SocketAddr,
+        /// What went wrong.
+        source: io::Error,
+    },
+    /// The connection broke after the request was sent: it may have run.
+    Lost {
+        /// Address of the server.
+        address: SocketAddr,
+        /// What went wrong.
+        detail: String,
+    },
+    /// No whole answer came in time; the request may have run.
+    Timeout {
+        /// Address of the server.
+        address: SocketAddr,
+        /// Time given, in milliseconds.
+        limit_ms: u64,
+    },
+    /// The answer is longer than the limit.
+    TooLong {
+        /// Address of the server.
+        address: SocketAddr,
+        /// Longest answer taken, in bytes.
+        limit_bytes: usize,
+    },
+}
+
+impl ClientError {
+    /// Whether the server may have got the request.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self, ClientError::NotSent { .. })
+    }
+}
+
+impl fmt::Display for ClientError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ClientError::NotSent { address, source } => {
+                write!(f, "{address} was not reached: {source}")
+            }
+            ClientError::Lost { address, detail } => {
+                write!(f, "{address} gave no whole answer: {detail}")
+            }
+            ClientError::Timeout { address, limit_ms } => {
+                write!(f, "{address} gave no answer within {limit_ms} ms")
+            }
+            ClientError::TooLong { address, limit_bytes } => write!(
+                f,
+                "the answer of {address} is longer than {limit_bytes} bytes"
+            ),
+        }
+    }
+}
+
+impl error::Error for ClientError {
+    fn source(&self) -> Option<&(dyn error::Error + 'static)> {
+        match self {
+            ClientError::NotSent { source, .. } => Some(source),
+            _ => None,
+        }
+    }
+}
+
+/// Limits of a client, set by chained methods.
+#[derive(Clone, Debug)]
+pub struct ClientOptions {
+    connect_timeout: Duration,
+    max_answer_bytes: usize,
+    idle_timeout: Duration,
+}
+
+impl Default for ClientOptions {
+    fn default() -> ClientOptions {
+        ClientOptions {
+            connect_timeout: Duration::from_millis(500),
+            max_answer_bytes: 64 << 20,
+            idle_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+impl ClientOptions {
+    /// The shipped settings.
+    pub fn new() -> ClientOptions {
+        ClientOptions::default()
+    }
+
+    /// How long dialling may take.
+    pub fn connect_timeout(mut self, timeout: Duration) -> ClientOptions {
+        self.connect_timeout = timeout;
+        self
+    }
+
+    /// Longest answer taken.
+    pub fn max_answer_bytes(mut self, limit: usize) -> ClientOptions {
+        self.max_answer_bytes = limit;
+        self
+    }
+
+    /// How long an idle connection is kept.
+    pub fn idle_timeout(mut self, timeout: Duration) -> ClientOptions {
+        self.idle_timeout = timeout;
+        self
+    }
+}
+
+/// A client of one server.
+#[derive(Debug)]
+pub struct Client {
+    address: SocketAddr,
+    options: ClientOptions,
+    idle: Mutex<Vec<(SharedStream, Instant)>>,
+}
+
+impl Client {
+    /// A client without connections.
+    pub fn new(address: SocketAddr, options: ClientOptions) -> Client {
+        Client { address, options, idle: Mutex::default() }
+    }
+
+    /// The server's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and takes the whole answer. Build the request with
+    /// [`Client::url`].
+    ///
+    /// # Errors
+    ///
+    /// See [`ClientError`]; any HTTP status is an answer, not an error.
+    pub async fn send(
+        &self,
+        request: Request,
+        timeout: Duration,
+    ) -> Result<(Response, Vec<u8>), ClientError> {
+        let call = self.send_untimed(request);
+        let limit = async {
+            Timer::after(timeout).await;
+            let limit_ms = timeout.as_millis() as u64;
+            Err(ClientError::Timeout { address: self.address, limit_ms })
+        };
+        call.or(limit).await
+    }
+
+    /// The URL of a target ("/path?query") at the server.
+    ///
+    /// # Errors
+    ///
+    /// The target is no path.
+    pub fn url(&self, target: &str) -> Result<http_types::Url, url::Error> {
+        url::parse(self.address, target)
+    }
+
+    async fn send_untimed(
+        &self,
+        request: Request,
+    ) -> Result<(Response, Vec<u8>), ClientError> {
+        let stream = match self.take_idle() {
+            Some(stream) => stream,
+            None => self.dial().await?,
+        };
+        let mut response = async_h1::connect(stream.clone(), request)
+            .await
+            .map_err(|e| self.lost(&e.to_string()))?;
+        let body = self.read_body(&mut response).await?;
+        let is_last = response
+            .header("connection")
+            .is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
+        if !is_last {
+            self.keep(stream);
+        }
+        Ok((response, body))
+    }
+
+    async fn read_body(
+        &self,
+        response: &mut Response,
+    ) -> Result<Vec<u8>, ClientError> {
+        let stated = response.len();
+        let limit_bytes = self.options.max_answer_bytes;
+        let mut body = Vec::with_capacity(stated.unwrap_or(0).min(1 << 20));
+        let reader = response.take_body();
+        let mut limited = reader.take(limit_bytes as u64 + 1);
+        limited
+            .read_to_end(&mut body)
+            .await
+            .map_err(|e| self.lost(&e.to_string()))?;
+        if body.len() > limit_bytes {
+            let address = self.address;
+            return Err(ClientError::TooLong { address, limit_bytes });
+        }
+        match stated {
+            Some(length) if length != body.len() => {
+                let detail = format!("{} of {length} bytes", body.len());
+                Err(self.lost(&detail))
+            }
+            _ => Ok(body),
+        }
+    }
+
+    async fn dial(&self) -> Result<SharedStream, ClientError> {
+        let dial = SharedStream::connect(self.address);
+        let limit = async {
+            Timer::after(self.options.connect_timeout).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        dial.or(limit).await.map_err(|source| ClientError::NotSent {
+            address: self.address,
+            source,
+        })
+    }
+
+    /// A kept connection that still looks open.
+    fn take_idle(&self) -> Option<SharedStream> {
+        let mut idle = self.idle.lock().expect("no holder panics");
+        while let Some((stream, since)) = idle.pop() {
+            let is_fresh = since.elapsed() < self.options.idle_timeout;
+            if is_fresh && stream.is_idle() {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, stream: SharedStream) {
+        let mut idle = self.idle.lock().expect("no holder panics");
+        if idle.len() < MAX_IDLE {
+            idle.push((stream, Instant::now()));
+        }
+    }
+
+    fn lost(&self, detail: &str) -> ClientError {
+        let detail = detail.to_owned();
+        ClientError::Lost { address: self.address, detail }
+    }
+}
+
+mod url {
+    //! Targets at a server.
+
+    use std::net::SocketAddr;
+
+    use http_types::Url;
+
+    pub use http_types::url::ParseError as Error;
+
+    pub(super) fn parse(
+        address: SocketAddr,
+        target: &str,
+    ) -> Result<Url, Error> {
+        Url::parse(&format!("http://{address}"))?.join(target)
+    }
+}
--- /dev/null
+++ b/crates/http/src/head.rs
@@ -0,0 +1,197 @@
+//! Checks of a request head before it is handled.
+//!
+//! `async-h1` closes the connection on a malformed head without an answer
+//! and takes the last of two different lengths. Both are refused here, with
+//! the published status, before the library sees the request.
+
+use std::{error, fmt};
+
+/// Longest head taken, in bytes; `async-h1` refuses 8192 without an answer.
+pub const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
+/// Most header lines taken; the limit of `async-h1`.
+pub const MAX_HEADERS: usize = 128;
+
+/// How the end of a request's body is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyFraming {
+    /// There is no body.
+    None,
+    /// The body has this many bytes.
+    Length(u64),
+    /// The body comes in chunks.
+    Chunked,
+}
+
+/// What a well-formed head says of its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HeadFacts {
+    /// How the body's end is known.
+    pub framing: BodyFraming,
+    /// The caller waits for `100 Continue` before it sends the body.
+    pub expects_continue: bool,
+    /// The caller wants the connection closed after the answer.
+    pub is_last: bool,
+}
+
+/// A request that is refused unhandled.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RequestError {
+    /// Status of the answer.
+    pub status: u16,
+    /// What was wrong, for the caller.
+    pub message: String,
+}
+
+impl RequestError {
+    pub(crate) fn new(status: u16, message: &str) -> RequestError {
+        RequestError { status, message: message.to_owned() }
+    }
+}
+
+impl fmt::Display for RequestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.status, self.message)
+    }
+}
+
+impl error::Error for RequestError {}
+
+/// Checks a whole head, up to and with its empty line.
+///
+/// # Errors
+///
+/// The head is malformed (400), of another HTTP version (505), or has a
+/// transfer coding that is not known (501).
+pub fn check(head: &[u8]) -> Result<HeadFacts, RequestError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(head) {
+        Ok(status) if status.is_complete() => {}
+        Ok(_) => return Err(malformed("the head is not complete")),
+        Err(httparse::Error::TooManyHeaders) => {
+            let message = format!("more than {MAX_HEADERS} header lines");
+            return Err(RequestError::new(431, &message));
+        }
+        Err(e) => return Err(malformed(&e.to_string())),
+    }
+    if request.version != Some(1) {
+        let message = "only HTTP/1.1 is served here";
+        return Err(RequestError::new(505, message));
+    }
+    let mut found = Found::default();
+    for header in request.headers.iter() {
+        found.add(header)?;
+    }
+    found.into_facts()
+}
+
+/// Overwrites the value of each `Expect` header by blanks. `async-h1` would
+/// answer it from an executor of its own; the server answers it itself.
+pub(crate) fn blank_expect(head: &mut [u8]) {
+    let mut line_start = 0;
+    for index in 0..head.len() {
+        if head[index] != b'\n' {
+            continue;
+        }
+        let line = &mut head[line_start..index];
+        line_start = index + 1;
+        let Some(colon) = line.iter().position(|b| *b == b':') else {
+            continue;
+        };
+        if line[..colon].eq_ignore_ascii_case(b"expect") {
+            let value = &mut line[colon + 1..];
+            let end = value.len() - usize::from(value.ends_with(b"\r"));
+            value[..end].fill(b' ');
+        }
+    }
+}
+
+/// The headers that matter for framing, as they are met.
+#[derive(Default)]
+struct Found {
+    length: Option<u64>,
+    is_chunked: bool,
+    expects_continue: bool,
+    is_last: bool,
+    host_count: usize,
+}
+
+impl Found {
+    fn add(
+        &mut self,
+        header: &httparse::Header<'_>,
+    ) -> Result<(), RequestError> {
+        let value = std::str::from_utf8(header.value).map_err(|_| {
+            malformed(&format!("header {} is not UTF-8", header.name))
+        })?;
+        match header.name.to_ascii_lowercase().as_str() {
+            "content-length" => self.add_length(value)?,
+            "transfer-encoding" => self.add_coding(value)?,
+            "host" => self.host_count += 1,
+            "expect" => self.expects_continue = is_continue(value)?,
+            "connection" => self.is_last |= has_token(value, "close"),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn add_length(&mut self, value: &str) -> Result<(), RequestError> {
+        // `parse` alone would take a sign.
+        let is_digits = value.bytes().all(|b| b.is_ascii_digit());
+        let length = value.parse().ok().filter(|_| is_digits);
+        let length = length.ok_or_else(|| {
+            malformed(&format!("content-length {value:?} is no length"))
+        })?;
+        if self.length.is_some_and(|first| first != length) {
+            return Err(malformed("two different content-length headers"));
+        }
+        self.length = Some(length);
+        Ok(())
+    }
+
+    fn add_coding(&mut self, value: &str) -> Result<(), RequestError> {
+        if self.is_chunked || !value.eq_ignore_ascii_case("chunked") {
+            let message = format!("transfer coding {value:?} is not known");
+            return Err(RequestError::new(501, &message));
+        }
+        self.is_chunked = true;
+        Ok(())
+    }
+
+    fn into_facts(self) -> Result<HeadFacts, RequestError> {
+        if self.host_count != 1 {
+            return Err(malformed("exactly one host header is needed"));
+        }
+        let framing = match (self.length, self.is_chunked) {
+            (Some(_), true) => {
+                return Err(malformed(
+                    "content-length and transfer-encoding together",
+                ));
+            }
+            (None, true) => BodyFraming::Chunked,
+            (None, false) | (Some(0), false) => BodyFraming::None,
+            (Some(length), false) => BodyFraming::Length(length),
+        };
+        Ok(HeadFacts {
+            framing,
+            expects_continue: self.expects_continue,
+            is_last: self.is_last,
+        })
+    }
+}
+
+fn is_continue(value: &str) -> Result<bool, RequestError> {
+    if value.eq_ignore_ascii_case("100-continue") {
+        return Ok(true);
+    }
+    let message = format!("expectation {value:?} is not known");
+    Err(RequestError::new(417, &message))
+}
+
+fn has_token(value: &str, token: &str) -> bool {
+    value.split(',').any(|part| part.trim().eq_ignore_ascii_case(token))
+}
+
+fn malformed(message: &str) -> RequestError {
+    RequestError::new(400, message)
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,35 @@
+//! HTTP/1.1 at the edges of a process, over `async-h1`.
+//!
+//! `async-h1` reads and writes the messages; this crate closes the gaps that
+//! were measured in it. A body shorter than its stated length is an error on
+//! both sides, conflicting lengths and malformed heads get an answer, a
+//! caller that hangs up is noticed while the handler works, and a streamed
+//! body that fails ends without the last chunk.
+//!
+//! | module | what it holds |
+//! |---|---|
+//! | [`server`] | serving one accepted connection |
+//! | [`head`] | checks of a request head before it is handled |
+//! | [`body`] | bodies that are written while they are sent |
+//! | [`client`] | calls to one server over kept connections |
+//! | [`stream`] | the shared socket under both |
+//!
+//! # Example
+//!
+//! ```
+//! use chestnutreach_http::head::{BodyFraming, check};
+//!
+//! let head = b"POST /v1/x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\n";
+//! let facts = check(head).unwrap();
+//! assert_eq!(facts.framing, BodyFraming::Length(3));
+//! ```
+
+pub mod body;
+pub mod client;
+pub mod head;
+pub mod server;
+pub mod stream;
+
+pub use client::{Client, ClientError, ClientOptions};
+pub use server::{Received, ServerOptions, serve_connection};
+pub use stream::SharedStream;
--- /dev/null
+++ b/crates/http/src/stream.rs
@@ -0,0 +1,111 @@
+//! A TCP socket that several tasks may hold.
+
+use std::{
+    io,
+    net::{SocketAddr, TcpStream},
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use async_io::{Async, Timer};
+use futures_lite::{AsyncRead, AsyncWrite};
+
+/// How often a connection with unread bytes is looked at again for its end.
+const HANG_UP_POLL: Duration = Duration::from_millis(100);
+
+/// A handle to a connection; clones read and write the same socket.
+#[derive(Clone, Debug)]
+pub struct SharedStream {
+    socket: Arc<Async<TcpStream>>,
+}
+
+impl SharedStream {
+    /// Wraps an open connection and turns off Nagle's algorithm.
+    ///
+    /// # Errors
+    ///
+    /// The socket does not take the option.
+    pub fn new(socket: Async<TcpStream>) -> io::Result<SharedStream> {
+        socket.get_ref().set_nodelay(true)?;
+        Ok(SharedStream { socket: Arc::new(socket) })
+    }
+
+    /// Dials an address.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be reached.
+    pub async fn connect(address: SocketAddr) -> io::Result<SharedStream> {
+        SharedStream::new(Async::<TcpStream>::connect(address).await?)
+    }
+
+    /// The address of the other end.
+    ///
+    /// # Errors
+    ///
+    /// The connection has ended.
+    pub fn peer_address(&self) -> io::Result<SocketAddr> {
+        self.socket.get_ref().peer_addr()
+    }
+
+    /// Waits until the other end has closed the connection. A half-closed
+    /// connection counts as closed.
+    pub async fn hung_up(&self) {
+        let mut byte = [0];
+        loop {
+            match self.socket.peek(&mut byte).await {
+                Ok(0) | Err(_) => return,
+                // Unread bytes of a next request keep the socket readable.
+                Ok(_) => {
+                    Timer::after(HANG_UP_POLL).await;
+                }
+            }
+        }
+    }
+
+    /// Whether an idle connection can still be used: it has neither ended nor
+    /// has the other end sent something unasked.
+    pub(crate) fn is_idle(&self) -> bool {
+        let mut byte = [0];
+        match self.socket.get_ref().peek(&mut byte) {
+            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+            Ok(_) => false,
+        }
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.socket).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.socket).poll_write(cx, buf)
+    }
+
+    fn poll_flush(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.socket).poll_flush(cx)
+    }
+
+    fn poll_close(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.socket).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/link/connection.rs
@@ -0,0 +1,326 @@
+//! One connection to a peer.
+//!
+//! Sending never waits: a frame is encoded into the link's buffer and, when
+//! nothing is queued before it, written to the socket at once. What the
+//! socket does not take is left to the link's writer task. A peer that does
+//! not read loses its link when the buffer passes its limit, so that one slow
+//! process cannot hold the memory of another.
+
+use std::{
+    error, fmt,
+    io::{self, Write as _},
+    net::{Shutdown, SocketAddr, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Instant,
+};
+
+use async_io::Async;
+use futures_lite::AsyncWriteExt as _;
+
+use crate::{
+    codec,
+    wire::{Hello, frame::Body},
+};
+
+/// Why a link ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CloseReason {
+    /// The peer closed it, or the network reported an error.
+    Lost,
+    /// Nothing was heard for longer than the silence limit.
+    Silent,
+    /// The peer did not read what was sent to it.
+    Overrun,
+    /// The peer broke the protocol.
+    Protocol,
+    /// This process closed it.
+    Local,
+}
+
+/// A frame could not be sent, or a peer not reached.
+#[derive(Clone, Debug)]
+#[non_exhaustive]
+pub enum LinkError {
+    /// The link has ended.
+    Closed(CloseReason),
+    /// The address does not answer in its time.
+    Timeout(SocketAddr),
+    /// The address cannot be reached.
+    Unreachable(SocketAddr, String),
+    /// The peer refused the connection, for instance by protocol version.
+    Refused(SocketAddr, String),
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LinkError::Closed(why) => write!(f, "link is closed: {why:?}"),
+            LinkError::Timeout(at) => write!(f, "{at} did not answer"),
+            LinkError::Unreachable(at, why) => {
+                write!(f, "{at} cannot be reached: {why}")
+            }
+            LinkError::Refused(at, why) => {
+                write!(f, "{at} refused the connection: {why}")
+            }
+        }
+    }
+}
+
+impl error::Error for LinkError {}
+
+/// One open connection; clones are handles to the same one.
+#[derive(Clone)]
+pub struct Link {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    id: u64,
+    peer: Hello,
+    dialled: Option<SocketAddr>,
+    socket: Async<TcpStream>,
+    epoch: Instant,
+    last_heard_ms: AtomicU64,
+    last_asked_ms: AtomicU64,
+    busy: AtomicUsize,
+    busy_since_ms: AtomicU64,
+    is_closed: AtomicBool,
+    queue_limit_bytes: usize,
+    outgoing: Mutex<Outgoing>,
+    writable: async_channel::Sender<()>,
+}
+
+#[derive(Default)]
+struct Outgoing {
+    buffer: Vec<u8>,
+    has_writer: bool,
+    closed: Option<CloseReason>,
+}
+
+/// What a link is made of, before it is opened.
+pub(crate) struct LinkParts {
+    pub(crate) id: u64,
+    pub(crate) peer: Hello,
+    pub(crate) dialled: Option<SocketAddr>,
+    pub(crate) socket: Async<TcpStream>,
+    pub(crate) queue_limit_bytes: usize,
+}
+
+impl Link {
+    /// The link, and the signal that its writer task waits for.
+    pub(crate) fn open(
+        parts: LinkParts,
+    ) -> (Link, async_channel::Receiver<()>) {
+        let (writable, wake) = async_channel::bounded(1);
+        let shared = Shared {
+            id: parts.id,
+            peer: parts.peer,
+            dialled: parts.dialled,
+            socket: parts.socket,
+            epoch: Instant::now(),
+            last_heard_ms: AtomicU64::new(0),
+            last_asked_ms: AtomicU64::new(0),
+            busy: AtomicUsize::new(0),
+            busy_since_ms: AtomicU64::new(0),
+            is_closed: AtomicBool::new(false),
+            queue_limit_bytes: parts.queue_limit_bytes,
+            outgoing: Mutex::default(),
+            writable,
+        };
+        (Link { shared: Arc::new(shared) }, wake)
+    }
+
+    /// Number of the link in this process, never used twice.
+    pub fn id(&self) -> u64 {
+        self.shared.id
+    }
+
+    /// What the peer said of itself when the link opened.
+    pub fn peer(&self) -> &Hello {
+        &self.shared.peer
+    }
+
+    /// The address that was dialled; none for an accepted link.
+    pub fn dialled(&self) -> Option<SocketAddr> {
+        self.shared.dialled
+    }
+
+    /// Whether the link has ended.
+    pub fn is_closed(&self) -> bool {
+        self.shared.is_closed.load(Ordering::Acquire)
+    }
+
+    /// Sends one frame without waiting.
+    ///
+    /// # Errors
+    ///
+    /// The link has ended. A frame that was taken may still be lost with the
+    /// connection.
+    pub fn send(&self, body: Body) -> Result<(), LinkError> {
+        let mut outgoing = self.shared.lock_outgoing();
+        if let Some(reason) = outgoing.closed {
+            return Err(LinkError::Closed(reason));
+        }
+        codec::encode(body, &mut outgoing.buffer);
+        if outgoing.has_writer {
+            if outgoing.buffer.len() > self.shared.queue_limit_bytes {
+                drop(outgoing);
+                self.close(CloseReason::Overrun);
+                return Err(LinkError::Closed(CloseReason::Overrun));
+            }
+            return Ok(());
+        }
+        match self.shared.write_now(&mut outgoing.buffer) {
+            Ok(true) => Ok(()),
+            Ok(false) => {
+                outgoing.has_writer = true;
+                let _ = self.shared.writable.try_send(());
+                Ok(())
+            }
+            Err(_) => {
+                drop(outgoing);
+                self.close(CloseReason::Lost);
+                Err(LinkError::Closed(CloseReason::Lost))
+            }
+        }
+    }
+
+    /// Counts one more request in flight: the link is watched closely until
+    /// the guard is dropped.
+    pub fn busy(&self) -> BusyGuard {
+        if self.shared.busy.fetch_add(1, Ordering::AcqRel) == 0 {
+            let now_ms = self.shared.now_ms();
+            self.shared.busy_since_ms.store(now_ms, Ordering::Release);
+        }
+        BusyGuard { link: self.clone() }
+    }
+
+    /// Whether a request is in flight on the link.
+    pub fn is_busy(&self) -> bool {
+        self.shared.busy.load(Ordering::Acquire) > 0
+    }
+
+    /// Ends the link; the first reason given is the one that counts.
+    pub fn close(&self, reason: CloseReason) {
+        let mut outgoing = self.shared.lock_outgoing();
+        outgoing.closed.get_or_insert(reason);
+        outgoing.buffer = Vec::new();
+        drop(outgoing);
+        self.shared.is_closed.store(true, Ordering::Release);
+        // The reader task sees the end of the stream and reports the close.
+        let _ = self.shared.socket.get_ref().shutdown(Shutdown::Both);
+        self.shared.writable.close();
+    }
+
+    /// The reason the link ended, or `Lost` while none is known.
+    pub(crate) fn close_reason(&self) -> CloseReason {
+        let outgoing = self.shared.lock_outgoing();
+        outgoing.closed.unwrap_or(CloseReason::Lost)
+    }
+
+    pub(crate) fn socket(&self) -> &Async<TcpStream> {
+        &self.shared.socket
+    }
+
+    pub(crate) fn note_heard(&self) {
+        let now_ms = self.shared.now_ms();
+        self.shared.last_heard_ms.store(now_ms, Ordering::Release);
+    }
+
+    /// How long nothing was heard, in milliseconds, counted from when the
+    /// link last became busy if that is later.
+    pub(crate) fn quiet_ms(&self) -> u64 {
+        let heard_ms = self.shared.last_heard_ms.load(Ordering::Acquire);
+        let busy_ms = self.shared.busy_since_ms.load(Ordering::Acquire);
+        self.shared.now_ms().saturating_sub(heard_ms.max(busy_ms))
+    }
+
+    /// Whether the peer may be asked again; true at most once an interval.
+    pub(crate) fn take_ask(&self, interval_ms: u64) -> bool {
+        let now_ms = self.shared.now_ms();
+        let asked_ms = self.shared.last_asked_ms.load(Ordering::Acquire);
+        if now_ms.saturating_sub(asked_ms) < interval_ms {
+            return false;
+        }
+        self.shared.last_asked_ms.store(now_ms, Ordering::Release);
+        true
+    }
+
+    /// Writes what `send` could not, until the link ends.
+    pub(crate) async fn run_writer(
+        self,
+        wake: async_channel::Receiver<()>,
+    ) -> io::Result<()> {
+        let mut chunk = Vec::new();
+        while wake.recv().await.is_ok() {
+            while self.take_chunk(&mut chunk) {
+                (&self.shared.socket).write_all(&chunk).await?;
+                chunk.clear();
+            }
+        }
+        Ok(())
+    }
+
+    /// Moves queued bytes to `chunk`; false when none are left, from when on
+    /// `send` writes to the socket itself again.
+    fn take_chunk(&self, chunk: &mut Vec<u8>) -> bool {
+        let mut outgoing = self.shared.lock_outgoing();
+        if outgoing.buffer.is_empty() {
+            outgoing.has_writer = false;
+            return false;
+        }
+        std::mem::swap(&mut outgoing.buffer, chunk);
+        true
+    }
+}
+
+impl fmt::Debug for Link {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Link")
+            .field("id", &self.shared.id)
+            .field("peer_vm", &self.shared.peer.vm)
+            .field("dialled", &self.shared.dialled)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Shared {
+    fn now_ms(&self) -> u64 {
+        self.epoch.elapsed().as_millis() as u64
+    }
+
+    fn lock_outgoing(&self) -> std::sync::MutexGuard<'_, Outgoing> {
+        self.outgoing.lock().expect("no send panics")
+    }
+
+    /// Writes as much as the socket takes; true when all is written.
+    fn write_now(&self, buffer: &mut Vec<u8>) -> io::Result<bool> {
+        let mut written = 0;
+        while written < buffer.len() {
+            match self.socket.get_ref().write(&buffer[written..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => written += count,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        buffer.drain(..written);
+        Ok(buffer.is_empty())
+    }
+}
+
+/// One request in flight on a link.
+#[derive(Debug)]
+pub struct BusyGuard {
+    link: Link,
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.link.shared.busy.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
