--- /dev/null
+++ b/crates/entry/src/answer.rs
@@ -0,0 +1,134 @@
+//! Outcomes as statuses, headers and error objects.
+
+use chestnutreach_http::head::RequestError;
+use chestnutreach_protocol::RequestId;
+use chestnutreach_state::{NotRunReason, Outcome};
+use http_types::{Response, StatusCode};
+
+use crate::session::{Cause, Ending};
+
+/// Header that tells the outcome.
+pub(crate) const OUTCOME_HEADER: &str = "chestnutreach-outcome";
+/// Header that tells the request's identity.
+pub(crate) const REQUEST_HEADER: &str = "x-request-id";
+/// Header by which published client libraries decide on asking again.
+const SHOULD_RETRY_HEADER: &str = "x-should-retry";
+
+/// The answer to a request without a whole answer.
+pub(crate) fn ended(
+    ending: &Ending,
+    request: Option<RequestId>,
+    is_idempotent: bool,
+) -> Response {
+    let mut response = Response::new(status(ending));
+    response.insert_header(OUTCOME_HEADER, ending.outcome.as_str());
+    if let Some(request) = request {
+        response.insert_header(REQUEST_HEADER, request.to_string());
+    }
+    if let Some(after_ms) = retry_after_ms(ending) {
+        let after_s = after_ms.div_ceil(1_000).max(1);
+        response.insert_header("retry-after", after_s.to_string());
+        response.insert_header("retry-after-ms", after_ms.to_string());
+    }
+    let again = may_ask_again(ending, is_idempotent);
+    response.insert_header(SHOULD_RETRY_HEADER, again.to_string());
+    response.set_body(error_object(ending).to_string());
+    response.insert_header("content-type", "application/json");
+    response
+}
+
+/// Whether the same request may be sent again by itself.
+fn may_ask_again(ending: &Ending, is_idempotent: bool) -> bool {
+    match ending.outcome {
+        Outcome::Completed => false,
+        Outcome::NotRun { retry_after_ms, .. } => retry_after_ms.is_some(),
+        Outcome::Failed => is_idempotent && ending.cause != Cause::Request,
+        Outcome::Unknown => is_idempotent,
+    }
+}
+
+fn retry_after_ms(ending: &Ending) -> Option<u64> {
+    match ending.outcome {
+        Outcome::NotRun { retry_after_ms, .. } => retry_after_ms,
+        _ => None,
+    }
+}
+
+/// The published error object, with the outcome beside it.
+pub(crate) fn error_object(ending: &Ending) -> serde_json::Value {
+    let (kind, code) = match ending.outcome {
+        Outcome::NotRun { reason: NotRunReason::BadRequest, .. } => {
+            ("invalid_request_error", "bad_request")
+        }
+        Outcome::NotRun { reason, .. } => ("not_run", reason.as_str()),
+        Outcome::Failed => ("server_error", "failed"),
+        Outcome::Unknown => ("server_error", "unknown"),
+        Outcome::Completed => ("server_error", "completed"),
+    };
+    serde_json::json!({
+        "error": {
+            "message": ending.detail,
+            "type": kind,
+            "param": null,
+            "code": code,
+            "outcome": ending.outcome.as_str(),
+            "retry_after_ms": retry_after_ms(ending),
+        }
+    })
+}
+
+fn status(ending: &Ending) -> StatusCode {
+    match (ending.outcome, ending.cause) {
+        (Outcome::NotRun { reason, .. }, _) => match reason {
+            NotRunReason::BadRequest => StatusCode::BadRequest,
+            NotRunReason::Share => StatusCode::TooManyRequests,
+            NotRunReason::KeyReused => StatusCode::UnprocessableEntity,
+            NotRunReason::InProgress => StatusCode::Conflict,
+            NotRunReason::Full
+            | NotRunReason::TooLate
+            | NotRunReason::NoChain
+            | NotRunReason::StoreDown
+            | NotRunReason::Stopping => StatusCode::ServiceUnavailable,
+        },
+        (_, Cause::Request) => StatusCode::BadRequest,
+        (_, Cause::Deadline) => StatusCode::GatewayTimeout,
+        (_, Cause::Backend) => StatusCode::BadGateway,
+    }
+}
+
+/// An answer with the published error object, for requests that are refused
+/// before anything is done.
+pub(crate) fn refusal(
+    status: StatusCode,
+    kind: &str,
+    code: &str,
+    param: Option<&str>,
+    message: &str,
+) -> Response {
+    let mut response = Response::new(status);
+    let object = serde_json::json!({
+        "error": {
+            "message": message,
+            "type": kind,
+            "param": param,
+            "code": code,
+            "outcome": "not-run",
+        }
+    });
+    response.set_body(object.to_string());
+    response.insert_header("content-type", "application/json");
+    response.insert_header(OUTCOME_HEADER, "not-run");
+    response.insert_header(SHOULD_RETRY_HEADER, "false");
+    response
+}
+
+/// The answer to a request that the HTTP layer refuses.
+pub(crate) fn http_refusal(error: &RequestError) -> Response {
+    let status =
+        StatusCode::try_from(error.status).unwrap_or(StatusCode::BadRequest);
+    let kind = "invalid_request_error";
+    let mut response =
+        refusal(status, kind, "bad_http", None, &error.message);
+    response.insert_header("connection", "close");
+    response
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! The role `entry`: speaks HTTP to callers and owns their answers.
+//!
+//! | module | what it holds |
+//! |---|---|
+//! | [`node`] | the process as a whole |
+//! | `view` | the manifest in force, made ready for requests |
+//! | `peers` | links to side processes, and what they say |
+//! | `session` | one request over all its attempts |
+//! | `keyed` | requests with an idempotency key |
+//! | `api` | which request goes where, and who may send it |
+//! | `openai` | the published shapes of requests and answers |
+//! | `language` | requests for a model |
+//! | `plain` | requests for a plain service |
+//! | `answer` | outcomes as statuses, headers and error objects |
+
+mod answer;
+mod api;
+mod keyed;
+mod language;
+pub mod node;
+mod openai;
+mod peers;
+mod plain;
+mod session;
+mod view;
+
+pub use node::Entry;
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,276 @@
+//! The process as a whole: its view, requests and links.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    future::Future,
+    net::TcpListener,
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+};
+
+use arc_swap::ArcSwap;
+use async_executor::Executor;
+use async_io::Async;
+use chestnutreach_config::{Manifest, settings::EntrySettings};
+use chestnutreach_node::Clock;
+use chestnutreach_platform::ClaimStore;
+use chestnutreach_protocol::{
+    CloseReason, Identity, Link, LinkEvent, Links, RequestId,
+    wire::{self, frame::Body},
+};
+use chestnutreach_telemetry::{Event, Metrics, emit};
+
+use crate::{api, peers::Peers, session::SessionEvent, view::View};
+
+/// Parts of the map of open requests, each under a lock of its own.
+const SESSION_SHARDS: usize = 16;
+
+/// The role `entry` of a process; clones are handles to the same one.
+#[derive(Clone)]
+pub struct Entry {
+    shared: Arc<Shared>,
+}
+
+/// What all parts of the process share.
+pub(crate) struct Shared {
+    pub(crate) settings: EntrySettings,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) view: ArcSwap<View>,
+    pub(crate) peers: Peers,
+    pub(crate) claims: ClaimStore,
+    executor: Arc<Executor<'static>>,
+    links: OnceLock<Links>,
+    sessions: [Mutex<Sessions>; SESSION_SHARDS],
+    in_flight: AtomicUsize,
+    is_leaving: AtomicBool,
+}
+
+type Sessions = BTreeMap<u128, async_channel::Sender<SessionEvent>>;
+
+/// What an entry is made of.
+pub struct EntryParts {
+    /// Its settings.
+    pub settings: EntrySettings,
+    /// Who it is.
+    pub identity: Identity,
+    /// Where it counts.
+    pub metrics: Arc<Metrics>,
+    /// Claims of keyed requests.
+    pub claims: ClaimStore,
+    /// Runs its tasks.
+    pub executor: Arc<Executor<'static>>,
+    /// Where callers connect.
+    pub http: Async<TcpListener>,
+    /// Where other processes of the system connect.
+    pub inner: Async<TcpListener>,
+}
+
+impl Entry {
+    /// Starts the role; it serves nothing until a manifest is applied.
+    pub fn start(parts: EntryParts) -> Entry {
+        let options =
+            chestnutreach_node::links::options(&parts.settings.node.links);
+        let shared = Arc::new(Shared {
+            settings: parts.settings,
+            clock: Clock::new(),
+            metrics: parts.metrics,
+            view: ArcSwap::from_pointee(View::empty()),
+            peers: Peers::default(),
+            claims: parts.claims,
+            executor: parts.executor.clone(),
+            links: OnceLock::new(),
+            sessions: std::array::from_fn(|_| Mutex::default()),
+            in_flight: AtomicUsize::new(0),
+            is_leaving: AtomicBool::new(false),
+        });
+        let handler = {
+            let shared = shared.clone();
+            Arc::new(move |event| shared.handle(event))
+        };
+        let links =
+            Links::new(parts.identity, options, parts.executor, handler);
+        shared.links.set(links.clone()).ok();
+        links.listen(parts.inner);
+        shared.spawn(api::serve(shared.clone(), parts.http));
+        Entry { shared }
+    }
+
+    /// Puts a manifest in force.
+    pub fn apply(&self, generation: u64, manifest: &Manifest) {
+        let shared = &self.shared;
+        let old = shared.view.load();
+        let view = View::new(
+            generation,
+            manifest,
+            &shared.settings.node.data_centre,
+            shared.settings.retry_budget_percent,
+            &old,
+        );
+        shared.view.store(Arc::new(view));
+        shared.links().set_generation(generation);
+        shared.follow_sides();
+    }
+
+    /// Takes over which VMs the platform lists as leaving.
+    pub fn set_vms_leaving(&self, vms: BTreeSet<String>) {
+        self.shared.vms_leaving(vms);
+    }
+
+    /// Closes callers' connections after their next answer from now on.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.shared.is_leaving.store(is_leaving, Ordering::Release);
+    }
+
+    /// Whether the process is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.shared.is_leaving()
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.load(Ordering::Acquire)
+    }
+
+    /// The process's links.
+    pub fn links(&self) -> &Links {
+        self.shared.links()
+    }
+
+    /// Explains the choice for a described request, as JSON.
+    ///
+    /// # Errors
+    ///
+    /// The service is not in the manifest in force.
+    pub fn explain(
+        &self,
+        service: &str,
+        shape: &chestnutreach_routing::chain::Shape,
+    ) -> Result<String, String> {
+        let view = self.shared.view.load();
+        let Some(service) = view.services.get(service) else {
+            return Err(format!("service {service:?} is not known"));
+        };
+        let explanation = chestnutreach_routing::chain::explain(
+            &service.fleet,
+            &service.live,
+            shape,
+            &view.policy,
+            &[],
+            service.data_centre,
+            self.shared.clock.now_ms(),
+            &mut fastrand::Rng::new(),
+        );
+        serde_json::to_string(&explanation).map_err(|e| e.to_string())
+    }
+}
+
+/// Counts one request in flight until it is dropped.
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Shared {
+    pub(crate) fn links(&self) -> &Links {
+        self.links.get().expect("set before anything is served")
+    }
+
+    pub(crate) fn spawn(
+        &self,
+        task: impl Future<Output = ()> + Send + 'static,
+    ) {
+        self.executor.spawn(task).detach();
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
+    /// Counts a request; none when as many as allowed are in flight.
+    pub(crate) fn enter(self: &Arc<Self>) -> Option<InFlight> {
+        let limit = self.settings.max_requests_in_flight;
+        if self.in_flight.fetch_add(1, Ordering::AcqRel) >= limit {
+            self.in_flight.fetch_sub(1, Ordering::AcqRel);
+            return None;
+        }
+        Some(InFlight { shared: self.clone() })
+    }
+
+    /// Sends the frames of a request to this channel.
+    pub(crate) fn register(
+        &self,
+        request: RequestId,
+        sender: async_channel::Sender<SessionEvent>,
+    ) {
+        self.shard(request).insert(request.as_u128(), sender);
+    }
+
+    pub(crate) fn unregister(&self, request: RequestId) {
+        self.shard(request).remove(&request.as_u128());
+    }
+
+    fn shard(&self, request: RequestId) -> MutexGuard<'_, Sessions> {
+        let at = request.as_u128() as usize % SESSION_SHARDS;
+        self.sessions[at].lock().expect("no holder panics")
+    }
+
+    fn handle(self: &Arc<Self>, event: LinkEvent) {
+        match event {
+            LinkEvent::Opened(link) => {
+                emit(Event::LinkOpened, &[("vm", &link.peer().vm)]);
+            }
+            LinkEvent::Frame(link, body) => self.handle_frame(&link, body),
+            LinkEvent::Closed(link, reason) => {
+                self.link_closed(&link, reason);
+            }
+        }
+    }
+
+    fn handle_frame(&self, link: &Link, body: Body) {
+        let request = match &body {
+            Body::Status(m) => return self.side_loads(link, &m.loads),
+            Body::Heartbeat(m) => return self.side_loads(link, &m.loads),
+            Body::Accepted(m) => m.request,
+            Body::Output(m) => m.request,
+            Body::Finished(m) => m.request,
+            Body::Failed(m) => m.request,
+            Body::Refused(m) => m.request,
+            Body::QueryAnswer(m) => m.request,
+            // These are for side processes, or the link has dealt with them.
+            _ => return,
+        };
+        if let Some(request) = request {
+            self.route(request, link, body);
+        }
+    }
+
+    /// Hands a frame to its request; one that has ended wants none.
+    fn route(&self, request: wire::RequestId, link: &Link, body: Body) {
+        let request = RequestId::from(request);
+        let sender = self.shard(request).get(&request.as_u128()).cloned();
+        if let Some(sender) = sender {
+            let link_id = link.id();
+            let event = SessionEvent::Frame { link_id, body };
+            let _ = sender.try_send(event);
+        }
+    }
+
+    fn link_closed(&self, link: &Link, reason: CloseReason) {
+        self.side_lost(link, reason);
+        for shard in &self.sessions {
+            let sessions = shard.lock().expect("no holder panics");
+            for sender in sessions.values() {
+                let closed = SessionEvent::Closed { link_id: link.id() };
+                let _ = sender.try_send(closed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,186 @@
+//! Links to side processes, and what they say.
+//!
+//! A backend server takes new work only while its side process can be
+//! reached, says so itself, and the platform does not list its VM as
+//! leaving: whichever of the three knows first that it leaves, wins.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use async_io::Timer;
+use chestnutreach_protocol::{
+    CloseReason, Link,
+    wire::BackendLoad,
+};
+use chestnutreach_routing::live::{LoadReport, Presence};
+use chestnutreach_telemetry::{Event, emit};
+
+use crate::{node::Shared, view::Beside};
+
+/// First and longest wait between two tries to reach a side process.
+const REDIAL_MIN_MS: u64 = 50;
+const REDIAL_MAX_MS: u64 = 2_000;
+
+/// The side processes of the view in force.
+#[derive(Default)]
+pub(crate) struct Peers {
+    sides: Mutex<BTreeMap<SocketAddr, Vec<Beside>>>,
+    /// Addresses that a task keeps a link to.
+    kept: Mutex<BTreeSet<SocketAddr>>,
+    /// VMs that the platform lists as leaving.
+    leaving_vms: Mutex<BTreeSet<String>>,
+}
+
+impl Peers {
+    fn beside(&self, address: SocketAddr) -> Option<Vec<Beside>> {
+        let sides = self.sides.lock().expect("no holder panics");
+        sides.get(&address).cloned()
+    }
+
+    fn is_listed_leaving(&self, vm: &str) -> bool {
+        let vms = self.leaving_vms.lock().expect("no holder panics");
+        vms.contains(vm)
+    }
+}
+
+impl Shared {
+    /// Follows the side processes of a new view.
+    pub(crate) fn follow_sides(self: &Arc<Self>) {
+        let sides = self.view.load().sides();
+        let addresses: Vec<SocketAddr> = sides.keys().copied().collect();
+        *self.peers.sides.lock().expect("no holder panics") = sides;
+        for address in addresses {
+            // A link that is open already says nothing of its own accord.
+            if let Some(link) = self.links().existing(address) {
+                self.set_present(&link, address);
+            }
+            let mut kept = self.peers.kept.lock().expect("no holder panics");
+            if kept.insert(address) {
+                let task = self.clone().keep_link(address);
+                self.spawn(task);
+            }
+        }
+    }
+
+    /// Keeps a link to a side process for as long as the view names it.
+    async fn keep_link(self: Arc<Self>, address: SocketAddr) {
+        let mut wait_ms = REDIAL_MIN_MS;
+        while self.peers.beside(address).is_some() {
+            match self.links().connect(address).await {
+                Ok(link) => {
+                    wait_ms = REDIAL_MIN_MS;
+                    self.set_present(&link, address);
+                    link.closed().await;
+                }
+                Err(_) => {
+                    self.set_presence(address, Presence::Absent);
+                    let spread = fastrand::u64(wait_ms / 2..=wait_ms);
+                    Timer::after(Duration::from_millis(spread)).await;
+                    wait_ms = (wait_ms * 2).min(REDIAL_MAX_MS);
+                }
+            }
+        }
+        let mut kept = self.peers.kept.lock().expect("no holder panics");
+        kept.remove(&address);
+    }
+
+    fn set_present(&self, link: &Link, address: SocketAddr) {
+        if self.peers.is_listed_leaving(&link.peer().vm) {
+            self.set_presence(address, Presence::Leaving);
+            return;
+        }
+        let since_ms = self.clock.now_ms();
+        for beside in self.peers.beside(address).unwrap_or_default() {
+            let live = &beside.service.live;
+            // A ramp that runs already is not begun again.
+            if live.presence(beside.index) == Presence::Absent {
+                live.set_presence(
+                    beside.index,
+                    Presence::Joining { since_ms },
+                );
+            }
+        }
+    }
+
+    fn set_presence(&self, address: SocketAddr, presence: Presence) {
+        for beside in self.peers.beside(address).unwrap_or_default() {
+            beside.service.live.set_presence(beside.index, presence);
+        }
+    }
+
+    /// A dialled link has closed.
+    pub(crate) fn side_lost(&self, link: &Link, reason: CloseReason) {
+        emit(
+            Event::LinkLost,
+            &[("vm", &link.peer().vm), ("reason", &format!("{reason:?}"))],
+        );
+        if let Some(address) = link.dialled() {
+            self.set_presence(address, Presence::Absent);
+        }
+    }
+
+    /// A side process tells the load of its backend servers.
+    pub(crate) fn side_loads(&self, link: &Link, loads: &[BackendLoad]) {
+        let Some(address) = link.dialled() else {
+            return;
+        };
+        let beside = self.peers.beside(address).unwrap_or_default();
+        let is_listed = self.peers.is_listed_leaving(&link.peer().vm);
+        for load in loads {
+            let at = beside.iter().find(|b| {
+                b.service.fleet.spec(b.index).name == load.backend
+            });
+            if let Some(beside) = at {
+                self.one_load(beside, load, load.is_leaving || is_listed);
+            }
+        }
+    }
+
+    fn one_load(&self, beside: &Beside, load: &BackendLoad, leaves: bool) {
+        let now_ms = self.clock.now_ms();
+        let live = &beside.service.live;
+        live.report(beside.index, &to_report(load), now_ms);
+        if leaves {
+            live.set_presence(beside.index, Presence::Leaving);
+        } else if live.presence(beside.index) == Presence::Leaving {
+            let joining = Presence::Joining { since_ms: now_ms };
+            live.set_presence(beside.index, joining);
+        }
+    }
+
+    /// The platform's list of VMs has been read.
+    pub(crate) fn vms_leaving(&self, leaving: BTreeSet<String>) {
+        let fresh: Vec<String> = {
+            let mut vms =
+                self.peers.leaving_vms.lock().expect("no holder panics");
+            let fresh = leaving.difference(&vms).cloned().collect();
+            *vms = leaving;
+            fresh
+        };
+        for link in self.links().open() {
+            if fresh.contains(&link.peer().vm)
+                && let Some(address) = link.dialled()
+            {
+                emit(Event::VmLeaving, &[("vm", &link.peer().vm)]);
+                self.set_presence(address, Presence::Leaving);
+            }
+        }
+    }
+}
+
+fn to_report(load: &BackendLoad) -> LoadReport {
+    LoadReport {
+        running: load.running,
+        queued: load.queued,
+        pending_tokens: load.pending_tokens,
+        prompt_tokens_per_s: load.prompt_tokens_per_s,
+        output_tokens_per_s: load.output_tokens_per_s,
+        cache_used_permille: load.cache_used_permille,
+        is_healthy: load.is_healthy,
+        queue_wait_ms: load.queue_wait_ms,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/view.rs
@@ -0,0 +1,250 @@
+//! The manifest in force, made ready for requests.
+//!
+//! A view never changes; a new generation makes a new one. What is learned
+//! of a service's backend servers lives on while the service's set of them
+//! stays the same.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use chestnutreach_config::{
+    Manifest,
+    manifest::{Account, BackendServer, Service, ServiceKind},
+};
+use chestnutreach_routing::{
+    chain::Policy,
+    fleet::{BackendIndex, BackendSpec, Fleet, Network},
+    live::Live,
+    retry::RetryBudget,
+};
+
+/// A generation, ready for requests.
+pub(crate) struct View {
+    pub(crate) generation: u64,
+    accounts: BTreeMap<String, Arc<AccountView>>,
+    models: BTreeMap<String, Arc<ServiceView>>,
+    paths: BTreeMap<String, Arc<ServiceView>>,
+    pub(crate) services: BTreeMap<String, Arc<ServiceView>>,
+    pub(crate) policy: Policy,
+}
+
+/// A client account.
+pub(crate) struct AccountView {
+    pub(crate) name: String,
+    pub(crate) account: Account,
+}
+
+/// A service with its backend servers.
+pub(crate) struct ServiceView {
+    pub(crate) name: String,
+    pub(crate) service: Service,
+    pub(crate) fleet: Fleet,
+    pub(crate) live: Arc<Live>,
+    pub(crate) budget: Arc<RetryBudget>,
+    /// Side process of each backend server, by its index.
+    pub(crate) sides: Vec<SocketAddr>,
+    /// Data centre of this entry, as the fleet counts them.
+    pub(crate) data_centre: u32,
+    specs: Vec<BackendServer>,
+}
+
+impl View {
+    /// A view without services.
+    pub(crate) fn empty() -> View {
+        View {
+            generation: 0,
+            accounts: BTreeMap::new(),
+            models: BTreeMap::new(),
+            paths: BTreeMap::new(),
+            services: BTreeMap::new(),
+            policy: Policy::default(),
+        }
+    }
+
+    /// The view of a manifest, with what `old` has learned.
+    pub(crate) fn new(
+        generation: u64,
+        manifest: &Manifest,
+        data_centre: &str,
+        retry_budget_percent: u32,
+        old: &View,
+    ) -> View {
+        let weight = manifest.deployment.recovery_weight_percent;
+        let mut view = View {
+            generation,
+            policy: Policy::default().recovery_weight_percent(weight),
+            ..View::empty()
+        };
+        for (name, account) in &manifest.accounts {
+            let (name, account) = (name.clone(), account.clone());
+            let account = Arc::new(AccountView { name, account });
+            for digest in &account.account.key_digests {
+                view.accounts.insert(digest.clone(), account.clone());
+            }
+        }
+        let places = Places::new(manifest, data_centre);
+        for (name, service) in &manifest.services {
+            let old = old.services.get(name);
+            let budget = old.map(|o| o.budget.clone()).unwrap_or_else(|| {
+                Arc::new(RetryBudget::new(retry_budget_percent))
+            });
+            let service =
+                places.service_view(manifest, name, service, old, budget);
+            view.insert(Arc::new(service));
+        }
+        view
+    }
+
+    fn insert(&mut self, service: Arc<ServiceView>) {
+        match &service.service.kind {
+            ServiceKind::Language { model, .. } => {
+                self.models.insert(model.clone(), service.clone());
+            }
+            ServiceKind::Plain { path } => {
+                self.paths.insert(path.clone(), service.clone());
+            }
+        }
+        self.services.insert(service.name.clone(), service);
+    }
+
+    /// The account of a bearer key's digest.
+    pub(crate) fn account(&self, digest: &str) -> Option<&Arc<AccountView>> {
+        self.accounts.get(digest)
+    }
+
+    /// The service of a model.
+    pub(crate) fn model(&self, model: &str) -> Option<&Arc<ServiceView>> {
+        self.models.get(model)
+    }
+
+    /// Models by name.
+    pub(crate) fn models(
+        &self,
+    ) -> impl Iterator<Item = (&String, &Arc<ServiceView>)> {
+        self.models.iter()
+    }
+
+    /// The plain service whose path holds this one, and the rest of it.
+    pub(crate) fn plain<'a>(
+        &self,
+        path: &'a str,
+    ) -> Option<(&Arc<ServiceView>, &'a str)> {
+        self.paths.iter().rev().find_map(|(prefix, service)| {
+            let rest = path.strip_prefix(prefix.as_str())?;
+            let is_whole = rest.is_empty() || rest.starts_with('/');
+            is_whole.then_some((service, rest))
+        })
+    }
+
+    /// Addresses of all side processes.
+    pub(crate) fn sides(&self) -> BTreeMap<SocketAddr, Vec<Beside>> {
+        let mut sides: BTreeMap<SocketAddr, Vec<Beside>> = BTreeMap::new();
+        for service in self.services.values() {
+            for (at, address) in service.sides.iter().enumerate() {
+                let index = BackendIndex(at as u32);
+                let beside = Beside { service: service.clone(), index };
+                sides.entry(*address).or_default().push(beside);
+            }
+        }
+        sides
+    }
+}
+
+/// A backend server beside a side process.
+#[derive(Clone)]
+pub(crate) struct Beside {
+    pub(crate) service: Arc<ServiceView>,
+    pub(crate) index: BackendIndex,
+}
+
+/// Data centres by the numbers that fleets use.
+struct Places {
+    numbers: BTreeMap<String, u32>,
+    network: Network,
+    here: u32,
+}
+
+impl Places {
+    fn new(manifest: &Manifest, data_centre: &str) -> Places {
+        let names = manifest.data_centres.keys();
+        let numbers: BTreeMap<String, u32> =
+            names.zip(0..).map(|(name, n)| (name.clone(), n)).collect();
+        let mut network = Network::new(numbers.len() as u32);
+        for ((a, b), path) in &manifest.paths {
+            network.set_path(
+                numbers[a],
+                numbers[b],
+                path.latency_us,
+                path.bandwidth_mbit_per_s,
+            );
+        }
+        // An entry outside the manifest's data centres counts as in the
+        // first; the check of its settings cannot know the manifest.
+        let here = numbers.get(data_centre).copied().unwrap_or(0);
+        Places { numbers, network, here }
+    }
+
+    fn service_view(
+        &self,
+        manifest: &Manifest,
+        name: &str,
+        service: &Service,
+        old: Option<&Arc<ServiceView>>,
+        budget: Arc<RetryBudget>,
+    ) -> ServiceView {
+        let (names, servers): (Vec<&String>, Vec<&BackendServer>) = manifest
+            .backend_servers
+            .iter()
+            .filter(|(_, server)| server.service == name)
+            .unzip();
+        let specs: Vec<BackendServer> =
+            servers.iter().map(|s| (*s).clone()).collect();
+        let layer_count = match service.kind {
+            ServiceKind::Language { layer_count, .. } => layer_count,
+            ServiceKind::Plain { .. } => 0,
+        };
+        let backends = names
+            .iter()
+            .zip(&servers)
+            .map(|(name, server)| self.backend_spec(manifest, name, server))
+            .collect();
+        let fleet =
+            Fleet::try_new(layer_count, backends, self.network.clone())
+                .expect("an accepted manifest tiles its layers");
+        let kept = old.filter(|o| o.specs == specs);
+        let live = kept
+            .map(|o| o.live.clone())
+            .unwrap_or_else(|| Arc::new(Live::new(specs.len())));
+        ServiceView {
+            name: name.to_owned(),
+            service: service.clone(),
+            fleet,
+            live,
+            budget,
+            sides: servers.iter().map(|s| s.side_address).collect(),
+            data_centre: self.here,
+            specs,
+        }
+    }
+
+    fn backend_spec(
+        &self,
+        manifest: &Manifest,
+        name: &str,
+        server: &BackendServer,
+    ) -> BackendSpec {
+        let kind = server.accelerator.as_ref();
+        let kind = kind.and_then(|k| manifest.accelerators.get(k));
+        BackendSpec {
+            name: name.to_owned(),
+            data_centre: self.numbers[&server.data_centre],
+            first_layer: server.first_layer,
+            end_layer: server.end_layer,
+            price_micros_per_hour: kind
+                .map_or(0, |k| k.price_micros_per_hour),
+            prompt_tokens_per_s: kind.map_or(0, |k| k.prompt_tokens_per_s),
+            output_tokens_per_s: kind.map_or(0, |k| k.output_tokens_per_s),
+            max_running: server.max_running,
+            cache_tokens: server.cache_tokens,
+        }
+    }
+}
--- a/crates/protocol/src/link/connection.rs
+++ b/crates/protocol/src/link/connection.rs
@@ -91,6 +91,8 @@
     queue_limit_bytes: usize,
     outgoing: Mutex<Outgoing>,
     writable: async_channel::Sender<()>,
+    ended: async_channel::Receiver<()>,
+    _ended_sender: async_channel::Sender<()>,
 }
 
 #[derive(Default)]
@@ -115,6 +117,7 @@
         parts: LinkParts,
     ) -> (Link, async_channel::Receiver<()>) {
         let (writable, wake) = async_channel::bounded(1);
+        let (_ended_sender, ended) = async_channel::bounded(1);
         let shared = Shared {
             id: parts.id,
             peer: parts.peer,
@@ -129,6 +132,8 @@
             queue_limit_bytes: parts.queue_limit_bytes,
             outgoing: Mutex::default(),
             writable,
+            ended,
+            _ended_sender,
         };
         (Link { shared: Arc::new(shared) }, wake)
     }
@@ -203,6 +208,12 @@
         self.shared.busy.load(Ordering::Acquire) > 0
     }
 
+    /// Waits until the link has ended.
+    pub async fn closed(&self) {
+        // Nothing is ever sent over this channel; it closes with the link.
+        let _ = self.shared.ended.recv().await;
+    }
+
     /// Ends the link; the first reason given is the one that counts.
     pub fn close(&self, reason: CloseReason) {
         let mut outgoing = self.shared.lock_outgoing();
@@ -213,6 +224,7 @@
         // The reader task sees the end of the stream and reports the close.
         let _ = self.shared.socket.get_ref().shutdown(Shutdown::Both);
         self.shared.writable.close();
+        self.shared.ended.close();
     }
 
     /// The reason the link ended, or `Lost` while none is known.
--- /dev/null
+++ b/crates/side/src/backend.rs
@@ -0,0 +1,358 @@
+//! One backend server: what it serves, who waits for it, whether it answers.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwapOption;
+use async_io::Timer;
+use chestnutreach_config::{
+    Manifest,
+    manifest::{BackendServer, ServiceKind},
+    settings::SideSettings,
+};
+use chestnutreach_engine::{
+    EngineClient, EngineError, SequenceId, SequenceStep,
+};
+use chestnutreach_http::{Client, ClientOptions};
+use chestnutreach_routing::admission::Speed;
+use chestnutreach_state::RunOnceTable;
+use chestnutreach_telemetry::{Event, emit};
+use futures_lite::FutureExt as _;
+
+use crate::{
+    gate::Gate,
+    node::Shared,
+    steps::{Batch, Owner, StepQueue},
+};
+
+/// How often a backend server that does not answer is asked again, and one
+/// with a call outstanding is asked whether it is still there.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Missed answers in a row after which a call is given up.
+const PROBE_MISSES: u32 = 2;
+/// Sequences freed in one call.
+const RELEASE_BATCH: usize = 256;
+
+/// What the manifest has a backend server do.
+pub(crate) struct Assigned {
+    pub(crate) service: String,
+    pub(crate) first_layer: u32,
+    pub(crate) end_layer: u32,
+    pub(crate) server: Server,
+}
+
+/// How the backend server is spoken to.
+pub(crate) enum Server {
+    /// An engine that holds a range of layers.
+    Engine(Arc<EngineClient>),
+    /// A plain service.
+    Plain(Arc<Client>),
+}
+
+/// A backend server beside this process.
+pub(crate) struct Backend {
+    pub(crate) name: String,
+    address: SocketAddr,
+    assigned: ArcSwapOption<Assigned>,
+    pub(crate) gate: Gate,
+    pub(crate) steps: StepQueue,
+    table: Mutex<RunOnceTable>,
+    is_healthy: AtomicBool,
+    is_leaving: AtomicBool,
+    releases: async_channel::Sender<SequenceId>,
+    released: async_channel::Receiver<SequenceId>,
+}
+
+impl Backend {
+    pub(crate) fn new(
+        name: &str,
+        address: SocketAddr,
+        settings: &SideSettings,
+    ) -> Backend {
+        let (releases, released) = async_channel::unbounded();
+        let table = RunOnceTable::new(
+            settings.run_once_capacity,
+            settings.run_once_retention_ms,
+        );
+        Backend {
+            name: name.to_owned(),
+            address,
+            assigned: ArcSwapOption::empty(),
+            gate: Gate::new(settings.queue_limit_tokens),
+            steps: StepQueue::new(settings.engine_calls),
+            table: Mutex::new(table),
+            is_healthy: AtomicBool::new(true),
+            is_leaving: AtomicBool::new(false),
+            releases,
+            released,
+        }
+    }
+
+    pub(crate) fn assigned(&self) -> Option<Arc<Assigned>> {
+        self.assigned.load_full()
+    }
+
+    pub(crate) fn table(&self) -> MutexGuard<'_, RunOnceTable> {
+        self.table.lock().expect("no holder panics")
+    }
+
+    pub(crate) fn is_healthy(&self) -> bool {
+        self.is_healthy.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_leaving(&self, is_leaving: bool) {
+        self.is_leaving.store(is_leaving, Ordering::Release);
+    }
+
+    /// Has the engine free what it holds for a sequence, soon.
+    pub(crate) fn release_sequence(&self, sequence: SequenceId) {
+        let _ = self.releases.try_send(sequence);
+    }
+
+    /// Takes over what a manifest says of it; nothing if it says nothing.
+    pub(crate) fn apply(&self, manifest: &Manifest) {
+        let Some(server) = manifest.backend_servers.get(&self.name) else {
+            self.assigned.store(None);
+            return;
+        };
+        let Some(service) = manifest.services.get(&server.service) else {
+            return;
+        };
+        self.apply_places(manifest, server);
+        if self.is_assigned_as(server) {
+            return;
+        }
+        let server_client = match &service.kind {
+            ServiceKind::Language { model, .. } => {
+                let client = EngineClient::new(self.address, model);
+                Server::Engine(Arc::new(client))
+            }
+            ServiceKind::Plain { .. } => {
+                let options = ClientOptions::new();
+                Server::Plain(Arc::new(Client::new(self.address, options)))
+            }
+        };
+        self.assigned.store(Some(Arc::new(Assigned {
+            service: server.service.clone(),
+            first_layer: server.first_layer,
+            end_layer: server.end_layer,
+            server: server_client,
+        })));
+    }
+
+    fn apply_places(&self, manifest: &Manifest, server: &BackendServer) {
+        let kind = server.accelerator.as_ref();
+        let speed = kind.and_then(|k| manifest.accelerators.get(k)).map_or(
+            Speed::new(0.0, 0.0),
+            |a| {
+                Speed::new(
+                    a.prompt_tokens_per_s as f32,
+                    a.output_tokens_per_s as f32,
+                )
+            },
+        );
+        self.gate.set_places(server.max_running, speed);
+        for (name, account) in &manifest.accounts {
+            if account.services.contains(&server.service) {
+                self.gate.set_weight(name, account.weight);
+            }
+        }
+    }
+
+    fn is_assigned_as(&self, server: &BackendServer) -> bool {
+        self.assigned().is_some_and(|a| {
+            a.service == server.service
+                && a.first_layer == server.first_layer
+                && a.end_layer == server.end_layer
+        })
+    }
+}
+
+impl Shared {
+    /// Starts the tasks that call a backend server's engine.
+    pub(crate) fn start_backend(self: &Arc<Self>, backend: &Arc<Backend>) {
+        for _ in 0..self.settings.engine_calls {
+            let (side, backend) = (self.clone(), backend.clone());
+            self.spawn(async move { side.run_steps(&backend).await });
+        }
+        let backend = backend.clone();
+        self.spawn(async move { run_releases(&backend).await });
+    }
+
+    async fn run_steps(self: &Arc<Self>, backend: &Arc<Backend>) {
+        let limit = self.settings.max_batch;
+        loop {
+            let batch = backend.steps.next(limit).await;
+            let is_first = batch.is_first;
+            self.run_batch(backend, batch).await;
+            if is_first {
+                backend.steps.first_call_ended();
+            }
+        }
+    }
+
+    async fn run_batch(self: &Arc<Self>, backend: &Arc<Backend>, b: Batch) {
+        let is_first = b.is_first;
+        let (owners, steps): (Vec<Owner>, Vec<SequenceStep>) =
+            b.steps.into_iter().map(|s| (s.owner, s.step)).unzip();
+        self.metrics.batch(steps.len());
+        match self.call_engine(backend, &steps, is_first).await {
+            Ok(results) => {
+                for ((owner, step), result) in
+                    owners.iter().zip(&steps).zip(results)
+                {
+                    let at = step.position;
+                    match owner {
+                        Owner::Run(run) => self.own_step_done(run, at, result),
+                        Owner::Seat(seat) => {
+                            self.seat_step_done(seat, at, result);
+                        }
+                    }
+                }
+            }
+            Err(error) => {
+                self.note_down(backend, &error);
+                for owner in &owners {
+                    match owner {
+                        Owner::Run(run) => {
+                            self.own_step_lost(run, is_first, &error);
+                        }
+                        Owner::Seat(seat) => {
+                            self.seat_step_lost(seat, &error);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    async fn call_engine(
+        &self,
+        backend: &Backend,
+        steps: &[SequenceStep],
+        is_first: bool,
+    ) -> Result<EngineResults, EngineError> {
+        let assigned = backend.assigned();
+        let Some((assigned, engine)) =
+            assigned.as_ref().and_then(|a| match &a.server {
+                Server::Engine(engine) => Some((a, engine)),
+                Server::Plain(_) => None,
+            })
+        else {
+            let detail = "no longer an engine in the manifest";
+            return Err(EngineError::Protocol(detail.to_owned()));
+        };
+        let timeout_ms = if is_first {
+            self.settings.prefill_timeout_ms
+        } else {
+            self.settings.step_timeout_ms
+        };
+        let timeout = Duration::from_millis(timeout_ms);
+        let (first, end) = (assigned.first_layer, assigned.end_layer);
+        let call = engine.infer(first, end, steps, timeout);
+        call.or(watch_engine(engine)).await
+    }
+
+    /// Notes that a backend server does not answer, and asks it until it
+    /// does.
+    pub(crate) fn note_down(
+        self: &Arc<Self>,
+        backend: &Arc<Backend>,
+        error: &dyn std::fmt::Display,
+    ) {
+        if !backend.is_healthy.swap(false, Ordering::AcqRel) {
+            return;
+        }
+        emit(
+            Event::BackendDown,
+            &[("backend", &backend.name), ("error", error)],
+        );
+        self.send_status();
+        let (side, backend) = (self.clone(), backend.clone());
+        self.spawn(async move {
+            while !is_back(&backend).await {
+                Timer::after(PROBE_INTERVAL).await;
+            }
+            backend.is_healthy.store(true, Ordering::Release);
+            emit(Event::BackendBack, &[("backend", &backend.name)]);
+            side.send_status();
+        });
+    }
+}
+
+/// An engine's answers to the steps of one call, in order.
+pub(crate) type EngineResults = Vec<
+    Result<
+        chestnutreach_engine::SequenceOutput,
+        chestnutreach_engine::SequenceError,
+    >,
+>;
+
+/// Ends with an error when an engine stops answering at all: a frozen engine
+/// is noticed long before the time that a long prompt may take.
+async fn watch_engine(
+    engine: &EngineClient,
+) -> Result<EngineResults, EngineError> {
+    let mut misses = 0;
+    while misses < PROBE_MISSES {
+        Timer::after(PROBE_INTERVAL).await;
+        let is_there = is_ready_soon(engine).await;
+        misses = if is_there { 0 } else { misses + 1 };
+    }
+    let detail = format!("{PROBE_MISSES} health checks missed in a row");
+    Err(EngineError::Timeout(detail))
+}
+
+async fn is_ready_soon(engine: &EngineClient) -> bool {
+    let limit = async {
+        Timer::after(PROBE_INTERVAL).await;
+        false
+    };
+    engine.is_ready().or(limit).await
+}
+
+async fn is_back(backend: &Backend) -> bool {
+    match backend.assigned().as_deref() {
+        Some(Assigned { server: Server::Engine(engine), .. }) => {
+            is_ready_soon(engine).await
+        }
+        // A plain service has no common health check; that it takes a
+        // connection is what can be asked without running anything.
+        _ => {
+            let connect =
+                chestnutreach_http::SharedStream::connect(backend.address);
+            let limit = async {
+                Timer::after(PROBE_INTERVAL).await;
+                Err(std::io::ErrorKind::TimedOut.into())
+            };
+            connect.or(limit).await.is_ok()
+        }
+    }
+}
+
+async fn run_releases(backend: &Backend) {
+    while let Ok(first) = backend.released.recv().await {
+        let mut batch = vec![first];
+        while batch.len() < RELEASE_BATCH
+            && let Ok(next) = backend.released.try_recv()
+        {
+            batch.push(next);
+        }
+        if let Some(assigned) = backend.assigned()
+            && let Server::Engine(engine) = &assigned.server
+        {
+            // An engine that does not answer has lost its sequences anyway.
+            let _ = engine.release(&batch).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/side/src/frames.rs
@@ -0,0 +1,101 @@
+//! What arrives on links.
+
+use std::sync::Arc;
+
+use chestnutreach_protocol::{
+    CloseReason, Link, LinkEvent, RequestId,
+    wire::{FailureReason, frame::Body},
+};
+use chestnutreach_telemetry::{Event, emit};
+
+use crate::{node::Shared, run::Run, seat::Seat};
+
+impl Shared {
+    /// Handles an event of any link.
+    pub(crate) fn handle(self: &Arc<Self>, event: LinkEvent) {
+        match event {
+            LinkEvent::Opened(link) => self.link_opened(&link),
+            LinkEvent::Frame(link, body) => self.handle_frame(&link, body),
+            LinkEvent::Closed(link, reason) => {
+                self.link_closed(&link, reason);
+            }
+        }
+    }
+
+    fn handle_frame(self: &Arc<Self>, link: &Link, body: Body) {
+        match body {
+            Body::Run(m) => self.handle_run(link, m),
+            Body::Reserve(m) => self.handle_reserve(link, m),
+            Body::Reserved(m) => self.handle_reserved(&m),
+            Body::Refused(m) => self.handle_stage_refused(link, &m),
+            Body::Step(m) => self.handle_step(m),
+            Body::StepResult(m) => self.handle_step_result(m),
+            Body::StepFailed(m) => self.handle_step_failed(&m),
+            Body::Cancel(m) => self.handle_cancel(&m),
+            Body::Release(m) => {
+                let id =
+                    m.request.map_or(0, |id| RequestId::from(id).as_u128());
+                self.release_seats(id, m.attempt);
+            }
+            Body::Query(m) => self.handle_query(link, &m),
+            // The link has dealt with these, or they are for an entry.
+            Body::Hello(_)
+            | Body::HelloRefused(_)
+            | Body::Heartbeat(_)
+            | Body::Status(_)
+            | Body::Accepted(_)
+            | Body::Output(_)
+            | Body::Finished(_)
+            | Body::Failed(_)
+            | Body::QueryAnswer(_) => {}
+        }
+    }
+
+    fn link_opened(&self, link: &Link) {
+        let _ = link.send(self.status());
+        emit(Event::LinkOpened, &[("vm", &link.peer().vm)]);
+    }
+
+    fn link_closed(self: &Arc<Self>, link: &Link, reason: CloseReason) {
+        emit(
+            Event::LinkLost,
+            &[("vm", &link.peer().vm), ("reason", &format!("{reason:?}"))],
+        );
+        let seats: Vec<Arc<Seat>> =
+            self.lock_seats().values().cloned().collect();
+        for seat in seats {
+            if seat.is_held_by(link) {
+                self.release_seat(&seat);
+            } else if seat.sends_over(link) {
+                self.seat_next_lost(&seat);
+            }
+        }
+        let runs: Vec<Arc<Run>> =
+            self.lock_runs().values().cloned().collect();
+        for run in runs {
+            self.run_lost_link(&run, link);
+        }
+    }
+
+    fn run_lost_link(self: &Arc<Self>, run: &Arc<Run>, link: &Link) {
+        let lost_stage = {
+            let mut state = run.lock();
+            let is_entry = state
+                .entry
+                .as_ref()
+                .is_some_and(|(entry, _)| entry.id() == link.id());
+            if is_entry {
+                state.entry = None;
+                let limit_ms = self.settings.orphan_limit_ms;
+                let until_ms = self.clock.now_ms() + limit_ms;
+                state.orphan_until_ms = Some(until_ms);
+            }
+            state.stage_of(link.id())
+        };
+        if let Some(index) = lost_stage {
+            let backend = run.chain[index].backend.clone();
+            let detail = "the connection to the stage was lost";
+            self.stop(run, FailureReason::StageLost, &backend, detail);
+        }
+    }
+}
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! The role `side`: the only way to the backend servers beside it.
+//!
+//! Whatever needs an exact count or an exact order is decided here, in
+//! memory: admission, fair shares, run-once and the order of steps.
+//!
+//! | module | what it holds |
+//! |---|---|
+//! | [`node`] | the process as a whole |
+//! | `backend` | one backend server: what it serves, its health |
+//! | `gate` | who may run on it now, and who waits |
+//! | `steps` | steps that wait for an engine, and calls to it |
+//! | `run` | a request whose first stage is here |
+//! | `seat` | a request whose later stage is here |
+//! | `plain` | a request for a plain service |
+//! | `ended` | answers kept for who asks again |
+//! | `frames` | what arrives on links |
+//! | `sweep` | deadlines, lost entries, load reports |
+
+mod backend;
+mod ended;
+mod frames;
+mod gate;
+pub mod node;
+mod plain;
+mod run;
+mod seat;
+mod steps;
+mod sweep;
+
+pub use node::Side;
--- /dev/null
+++ b/crates/side/src/seat.rs
@@ -0,0 +1,464 @@
+//! A request whose later stage is here.
+//!
+//! The first stage's process reserves a place, the stage before sends the
+//! steps, and each is taken only in its order. A place is freed by a release
+//! from the first stage, or when the connection to it is lost.
+
+use std::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicBool, Ordering},
+};
+
+use chestnutreach_engine::{
+    EngineError, SequenceError, SequenceId, SequenceOutput, SequenceStep,
+    StepInput, StepOutput,
+};
+use chestnutreach_protocol::{
+    Link, RequestId,
+    link::BusyGuard,
+    wire::{
+        self, FailureReason, FinishReason, RefusalReason, Stage, StepFailed,
+        frame::Body,
+    },
+};
+use chestnutreach_state::{Admission, StepGate, StepRefusal};
+use chestnutreach_telemetry::{Event, emit};
+
+use crate::{
+    backend::Backend,
+    node::{Shared, Target},
+    run::{step_priority, to_priority},
+    steps::{Owner, QueuedStep},
+};
+
+/// A place held for one attempt of a request.
+pub(crate) struct Seat {
+    pub(crate) request: u128,
+    pub(crate) attempt: u32,
+    stage_index: u32,
+    stage: Stage,
+    next: Option<Stage>,
+    priority: u8,
+    cost_tokens: u64,
+    pub(crate) backend: Arc<Backend>,
+    first: Link,
+    _first_guard: BusyGuard,
+    is_released: AtomicBool,
+    state: Mutex<State>,
+}
+
+struct State {
+    gate: StepGate,
+    next_link: Option<(Link, BusyGuard)>,
+    /// Sampling settings, handed to the engine with the first step.
+    parameters_json: Vec<u8>,
+}
+
+impl Seat {
+    pub(crate) fn is_released(&self) -> bool {
+        self.is_released.load(Ordering::Acquire)
+    }
+
+    /// Whether the place is of no use once this link is lost.
+    pub(crate) fn is_held_by(&self, link: &Link) -> bool {
+        self.first.id() == link.id()
+    }
+
+    /// Whether steps leave over this link.
+    pub(crate) fn sends_over(&self, link: &Link) -> bool {
+        let state = self.lock();
+        state.next_link.as_ref().is_some_and(|(l, _)| l.id() == link.id())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    fn wire_id(&self) -> Option<wire::RequestId> {
+        Some(RequestId::from_u128(self.request).into())
+    }
+
+    fn sequence(&self) -> SequenceId {
+        SequenceId { request: self.request, attempt: self.attempt }
+    }
+
+    fn key(&self) -> (u128, u32) {
+        (self.request, self.stage.first_layer)
+    }
+}
+
+impl Shared {
+    /// Holds a place for a later stage, or refuses.
+    pub(crate) fn handle_reserve(
+        self: &Arc<Self>,
+        link: &Link,
+        m: wire::Reserve,
+    ) {
+        let (request, attempt) = (m.request, m.attempt);
+        match self.try_seat(link, m) {
+            Ok(seat) => self.connect_next(seat),
+            Err(refusal) => {
+                let reason = refusal.reason;
+                self.metrics.refusal(reason.as_str_name());
+                let _ = link.send(Body::Refused(wire::Refused {
+                    request,
+                    attempt,
+                    reason: reason.into(),
+                    backend: refusal.backend,
+                    retry_after_ms: refusal.retry_after_ms as u32,
+                    load: None,
+                }));
+            }
+        }
+    }
+
+    fn try_seat(
+        self: &Arc<Self>,
+        link: &Link,
+        m: wire::Reserve,
+    ) -> Result<Arc<Seat>, SeatRefusal> {
+        let index = m.stage_index as usize;
+        let (Some(stage), Some(request)) = (m.chain.get(index), m.request)
+        else {
+            return Err(SeatRefusal::new(RefusalReason::WrongTarget, ""));
+        };
+        let target =
+            Target { stage, service: &m.service, account: &m.account };
+        let backend = self.find_target(&target).map_err(|reason| {
+            let retry_after_ms = self.retry_after_ms(reason);
+            SeatRefusal { retry_after_ms, ..SeatRefusal::at(reason, stage) }
+        })?;
+        let id = RequestId::from(request).as_u128();
+        self.admit_seat(&backend, id, &m)
+            .map_err(|reason| SeatRefusal::at(reason, stage))?;
+        let cost_tokens = u64::from(m.prompt_tokens_estimate)
+            + u64::from(m.max_tokens);
+        if let Err(retry_after_ms) = backend.gate.try_take(cost_tokens) {
+            backend.table().refuse(id, m.attempt, self.clock.now_ms());
+            let reason = RefusalReason::Full;
+            let refusal = SeatRefusal::at(reason, stage);
+            return Err(SeatRefusal { retry_after_ms, ..refusal });
+        }
+        let priority = step_priority(to_priority(m.priority()));
+        let state = State {
+            gate: StepGate::new(m.attempt, stage.first_layer),
+            next_link: None,
+            parameters_json: m.parameters_json,
+        };
+        let seat = Arc::new(Seat {
+            request: id,
+            attempt: m.attempt,
+            stage_index: m.stage_index,
+            stage: stage.clone(),
+            next: m.chain.get(index + 1).cloned(),
+            priority,
+            cost_tokens,
+            backend,
+            first: link.clone(),
+            _first_guard: link.busy(),
+            is_released: AtomicBool::new(false),
+            state: Mutex::new(state),
+        });
+        self.lock_seats().insert(seat.key(), seat.clone());
+        Ok(seat)
+    }
+
+    /// Passes the run-once table of the backend server.
+    fn admit_seat(
+        self: &Arc<Self>,
+        backend: &Arc<Backend>,
+        id: u128,
+        m: &wire::Reserve,
+    ) -> Result<(), RefusalReason> {
+        let now_ms = self.clock.now_ms();
+        let admission =
+            backend.table().admit(id, m.attempt, m.is_idempotent, now_ms);
+        match admission {
+            Admission::Run { superseded: None } => Ok(()),
+            Admission::Run { superseded: Some(old) } => {
+                self.release_seats(id, old);
+                Ok(())
+            }
+            Admission::Fenced => Err(RefusalReason::Fenced),
+            Admission::AlreadyRun => Err(RefusalReason::AlreadyRun),
+            Admission::TableFull => Err(RefusalReason::TableFull),
+        }
+    }
+
+    /// Connects to the next stage if there is one, then confirms.
+    fn connect_next(self: &Arc<Self>, seat: Arc<Seat>) {
+        let Some(next) = &seat.next else {
+            self.confirm(&seat);
+            return;
+        };
+        let stages = std::slice::from_ref(next);
+        if let Some(links) = self.existing_links(stages) {
+            self.set_next(&seat, &links[0]);
+            return;
+        }
+        let side = self.clone();
+        self.spawn(async move {
+            let Some(next) = seat.next.clone() else {
+                return;
+            };
+            match side.dial_links(std::slice::from_ref(&next)).await {
+                Ok(links) => side.set_next(&seat, &links[0]),
+                Err(backend) => side.refuse_seat(&seat, &backend),
+            }
+        });
+    }
+
+    fn set_next(self: &Arc<Self>, seat: &Arc<Seat>, link: &Link) {
+        seat.lock().next_link = Some((link.clone(), link.busy()));
+        self.confirm(seat);
+    }
+
+    fn confirm(&self, seat: &Seat) {
+        let _ = seat.first.send(Body::Reserved(wire::Reserved {
+            request: seat.wire_id(),
+            attempt: seat.attempt,
+            stage_index: seat.stage_index,
+        }));
+    }
+
+    fn refuse_seat(self: &Arc<Self>, seat: &Arc<Seat>, backend: &str) {
+        let _ = seat.first.send(Body::Refused(wire::Refused {
+            request: seat.wire_id(),
+            attempt: seat.attempt,
+            reason: RefusalReason::StageUnreachable.into(),
+            backend: backend.to_owned(),
+            retry_after_ms: 0,
+            load: None,
+        }));
+        self.release_seat(seat);
+    }
+
+    /// Takes a step from the stage before.
+    pub(crate) fn handle_step(self: &Arc<Self>, m: wire::Step) {
+        let id = m.request.map_or(0, |id| RequestId::from(id).as_u128());
+        let seat = self.lock_seats().get(&(id, m.first_layer)).cloned();
+        let Some(seat) = seat else {
+            self.note_refused_step("no_reservation");
+            return;
+        };
+        let (taken, is_first, parameters_json) = {
+            let mut state = seat.lock();
+            let is_first = state.gate.next_position() == 0;
+            let taken = state.gate.take(
+                m.attempt,
+                m.first_layer,
+                m.position,
+                m.span,
+            );
+            let parameters = if taken.is_ok() {
+                std::mem::take(&mut state.parameters_json)
+            } else {
+                Vec::new()
+            };
+            (taken, is_first, parameters)
+        };
+        if let Err(refusal) = taken {
+            self.note_refused_step(refusal.as_str());
+            if refusal == StepRefusal::Gap {
+                let detail = format!("position {} after a gap", m.position);
+                let reason = FailureReason::Sequence;
+                self.fail_seat(&seat, reason, &seat.stage.backend, &detail);
+            }
+            return;
+        }
+        if is_first && !seat.backend.table().begin(id, m.attempt) {
+            self.note_refused_step("fenced");
+            return;
+        }
+        let step = SequenceStep {
+            sequence: seat.sequence(),
+            position: m.position,
+            priority: seat.priority,
+            input: StepInput::Activation {
+                span: m.span,
+                bytes: m.activation,
+            },
+            parameters_json,
+        };
+        let owner = Owner::Seat(seat.clone());
+        seat.backend.steps.push(QueuedStep { owner, step, is_first });
+    }
+
+    /// The engine has answered a step of a later stage.
+    pub(crate) fn seat_step_done(
+        self: &Arc<Self>,
+        seat: &Arc<Seat>,
+        position: u32,
+        result: Result<SequenceOutput, SequenceError>,
+    ) {
+        if seat.is_released() {
+            return;
+        }
+        let output = match result {
+            Ok(output) => output,
+            Err(e) => {
+                let reason = FailureReason::BackendError;
+                let detail = format!("{e:?}");
+                self.fail_seat(seat, reason, &seat.stage.backend, &detail);
+                return;
+            }
+        };
+        match output.output {
+            StepOutput::Activation(activation) => {
+                self.send_next(seat, position, output.span, activation);
+            }
+            StepOutput::Token { token, text, is_stop } => {
+                let finish = if is_stop {
+                    FinishReason::Stop
+                } else {
+                    FinishReason::Unspecified
+                };
+                let result = wire::StepResult {
+                    request: seat.wire_id(),
+                    attempt: seat.attempt,
+                    position: position + output.span,
+                    token,
+                    text,
+                    finish: finish.into(),
+                };
+                let _ = seat.first.send(Body::StepResult(result));
+            }
+        }
+    }
+
+    fn send_next(
+        self: &Arc<Self>,
+        seat: &Arc<Seat>,
+        position: u32,
+        span: u32,
+        activation: Vec<u8>,
+    ) {
+        let state = seat.lock();
+        let Some((link, _)) = &state.next_link else {
+            drop(state);
+            let detail = "no token from the last stage";
+            let reason = FailureReason::Sequence;
+            self.fail_seat(seat, reason, &seat.stage.backend, detail);
+            return;
+        };
+        let message = wire::Step {
+            request: seat.wire_id(),
+            attempt: seat.attempt,
+            position,
+            span,
+            first_layer: seat.stage.end_layer,
+            activation,
+        };
+        // A lost link is noticed by its close.
+        let _ = link.send(Body::Step(message));
+    }
+
+    /// The engine gave no answer to a step of a later stage.
+    pub(crate) fn seat_step_lost(
+        self: &Arc<Self>,
+        seat: &Arc<Seat>,
+        error: &EngineError,
+    ) {
+        let reason = match error {
+            EngineError::Timeout(..) => FailureReason::BackendSilent,
+            _ => FailureReason::BackendError,
+        };
+        let detail = error.to_string();
+        self.fail_seat(seat, reason, &seat.stage.backend, &detail);
+    }
+
+    /// The link to the next stage was lost.
+    pub(crate) fn seat_next_lost(self: &Arc<Self>, seat: &Arc<Seat>) {
+        let backend = seat.next.as_ref().map_or("", |next| &next.backend);
+        let detail = "the connection to the next stage was lost";
+        self.fail_seat(seat, FailureReason::StageLost, backend, detail);
+    }
+
+    /// Tells the first stage that this one cannot go on, and frees the place.
+    fn fail_seat(
+        self: &Arc<Self>,
+        seat: &Arc<Seat>,
+        reason: FailureReason,
+        backend: &str,
+        detail: &str,
+    ) {
+        if seat.is_released() {
+            return;
+        }
+        emit(
+            Event::AttemptFailed,
+            &[
+                ("request", &RequestId::from_u128(seat.request)),
+                ("attempt", &seat.attempt),
+                ("reason", &reason.as_str_name()),
+                ("backend", &backend),
+                ("detail", &detail),
+            ],
+        );
+        let _ = seat.first.send(Body::StepFailed(StepFailed {
+            request: seat.wire_id(),
+            attempt: seat.attempt,
+            reason: reason.into(),
+            backend: backend.to_owned(),
+            detail: detail.to_owned(),
+        }));
+        self.release_seat(seat);
+    }
+
+    /// Frees the places of a request for every attempt up to this one.
+    pub(crate) fn release_seats(self: &Arc<Self>, id: u128, attempt: u32) {
+        let held: Vec<Arc<Seat>> = self
+            .lock_seats()
+            .range((id, 0)..=(id, u32::MAX))
+            .map(|(_, seat)| seat.clone())
+            .filter(|seat| seat.attempt <= attempt)
+            .collect();
+        for seat in held {
+            self.release_seat(&seat);
+        }
+    }
+
+    /// Frees one place.
+    pub(crate) fn release_seat(self: &Arc<Self>, seat: &Arc<Seat>) {
+        if seat.is_released.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        {
+            let mut seats = self.lock_seats();
+            let is_current = seats
+                .get(&seat.key())
+                .is_some_and(|held| Arc::ptr_eq(held, seat));
+            if is_current {
+                seats.remove(&seat.key());
+            }
+        }
+        // Whether the request was whole is the first stage's to know; here
+        // it only counts that it began.
+        seat.backend.table().fail(seat.request, seat.attempt, now_ms);
+        seat.lock().next_link = None;
+        seat.backend.release_sequence(seat.sequence());
+        let gate = &seat.backend.gate;
+        if let Some(next) = gate.give_back(seat.cost_tokens, now_ms) {
+            self.reserve(&next);
+        }
+    }
+}
+
+/// Why no place is held.
+struct SeatRefusal {
+    reason: RefusalReason,
+    backend: String,
+    retry_after_ms: u64,
+}
+
+impl SeatRefusal {
+    fn new(reason: RefusalReason, backend: &str) -> SeatRefusal {
+        let backend = backend.to_owned();
+        SeatRefusal { reason, backend, retry_after_ms: 0 }
+    }
+
+    fn at(reason: RefusalReason, stage: &Stage) -> SeatRefusal {
+        SeatRefusal::new(reason, &stage.backend)
+    }
+}
--- /dev/null
+++ b/crates/side/src/steps.rs
@@ -0,0 +1,144 @@
+//! Steps that wait for an engine, and the calls that run them.
+//!
+//! Steps of many requests go to the engine in one call, since an engine runs
+//! a batch in about the time of one. A call holds either first steps or
+//! single tokens: a first step runs a whole prompt and would hold up every
+//! token behind it. One call is always left free for tokens.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use chestnutreach_engine::SequenceStep;
+
+use crate::{run::Run, seat::Seat};
+
+/// Whose step it is.
+#[derive(Clone)]
+pub(crate) enum Owner {
+    /// A request whose first stage is here.
+    Run(Arc<Run>),
+    /// A request whose later stage is here.
+    Seat(Arc<Seat>),
+}
+
+impl Owner {
+    /// Whether the step would still be used.
+    pub(crate) fn is_wanted(&self) -> bool {
+        match self {
+            Owner::Run(run) => !run.is_ended(),
+            Owner::Seat(seat) => !seat.is_released(),
+        }
+    }
+}
+
+/// A step that waits for its engine.
+pub(crate) struct QueuedStep {
+    pub(crate) owner: Owner,
+    pub(crate) step: SequenceStep,
+    pub(crate) is_first: bool,
+}
+
+/// The waiting steps of one engine.
+pub(crate) struct StepQueue {
+    state: Mutex<State>,
+    wake: async_channel::Sender<()>,
+    woken: async_channel::Receiver<()>,
+    max_first_calls: usize,
+}
+
+#[derive(Default)]
+struct State {
+    /// By falling priority and then by arrival.
+    tokens: BTreeMap<(u8, u64), QueuedStep>,
+    firsts: BTreeMap<(u8, u64), QueuedStep>,
+    next_number: u64,
+    first_calls: usize,
+}
+
+/// Steps for one call to the engine.
+pub(crate) struct Batch {
+    pub(crate) steps: Vec<QueuedStep>,
+    pub(crate) is_first: bool,
+}
+
+impl StepQueue {
+    /// A queue for an engine that takes `engine_calls` calls at once.
+    pub(crate) fn new(engine_calls: usize) -> StepQueue {
+        let (wake, woken) = async_channel::unbounded();
+        StepQueue {
+            state: Mutex::default(),
+            wake,
+            woken,
+            max_first_calls: engine_calls.saturating_sub(1).max(1),
+        }
+    }
+
+    /// Adds a step.
+    pub(crate) fn push(&self, step: QueuedStep) {
+        let mut state = self.lock();
+        let number = state.next_number;
+        state.next_number += 1;
+        let key = (u8::MAX - step.step.priority, number);
+        if step.is_first {
+            state.firsts.insert(key, step);
+        } else {
+            state.tokens.insert(key, step);
+        }
+        drop(state);
+        let _ = self.wake.try_send(());
+    }
+
+    /// Waits for steps and takes up to `limit` of them.
+    pub(crate) async fn next(&self, limit: usize) -> Batch {
+        loop {
+            if let Some(batch) = self.take(limit) {
+                return batch;
+            }
+            // The queue holds both ends of the channel, so it cannot close.
+            let _ = self.woken.recv().await;
+        }
+    }
+
+    /// Says that a call with first steps has ended.
+    pub(crate) fn first_call_ended(&self) {
+        self.lock().first_calls -= 1;
+        let _ = self.wake.try_send(());
+    }
+
+    /// Steps that wait.
+    pub(crate) fn len(&self) -> usize {
+        let state = self.lock();
+        state.tokens.len() + state.firsts.len()
+    }
+
+    fn take(&self, limit: usize) -> Option<Batch> {
+        let mut state = self.lock();
+        let is_first = state.tokens.is_empty();
+        if is_first && state.first_calls >= self.max_first_calls {
+            return None;
+        }
+        let queue =
+            if is_first { &mut state.firsts } else { &mut state.tokens };
+        let mut steps = Vec::new();
+        while steps.len() < limit
+            && let Some((_, step)) = queue.pop_first()
+        {
+            if step.owner.is_wanted() {
+                steps.push(step);
+            }
+        }
+        if steps.is_empty() {
+            return None;
+        }
+        if is_first {
+            state.first_calls += 1;
+        }
+        Some(Batch { steps, is_first })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
--- /dev/null
+++ b/crates/side/src/sweep.rs
@@ -0,0 +1,65 @@
+//! What comes with time: deadlines, requests without an entry, load reports.
+
+use std::{sync::Arc, time::Duration};
+
+use async_io::Timer;
+use chestnutreach_protocol::wire::{FailureReason, RefusalReason};
+
+use crate::{
+    node::Shared,
+    run::{Phase, Run},
+};
+
+/// Time between two looks; a deadline may pass by this much.
+const INTERVAL: Duration = Duration::from_millis(20);
+/// Looks between two load reports.
+const LOAD_EVERY: u32 = 10;
+
+impl Shared {
+    /// Looks at all requests again and again.
+    pub(crate) async fn sweep(self: Arc<Self>) {
+        let mut count: u32 = 0;
+        loop {
+            Timer::after(INTERVAL).await;
+            let now_ms = self.clock.now_ms();
+            self.expire_queues(now_ms);
+            self.expire_runs(now_ms);
+            self.lock_ended().expire(now_ms);
+            count = count.wrapping_add(1);
+            if count.is_multiple_of(LOAD_EVERY) {
+                self.links().set_loads(self.loads());
+                self.note_gauges();
+            }
+        }
+    }
+
+    fn expire_queues(self: &Arc<Self>, now_ms: u64) {
+        for backend in self.backends.values() {
+            for run in backend.gate.expire(now_ms) {
+                self.refuse(&run, RefusalReason::TooLate, "", 0);
+            }
+        }
+    }
+
+    fn expire_runs(self: &Arc<Self>, now_ms: u64) {
+        let runs: Vec<Arc<Run>> =
+            self.lock_runs().values().cloned().collect();
+        for run in runs {
+            if now_ms >= run.deadline_at_ms {
+                let detail = "the deadline has passed";
+                self.stop(&run, FailureReason::Deadline, "", detail);
+            } else if self.is_orphan(&run, now_ms) {
+                let detail = "its entry has gone";
+                self.stop(&run, FailureReason::Cancelled, "", detail);
+            }
+        }
+    }
+
+    /// Whether nobody has asked for a request in time. One that is kept runs
+    /// on once it has begun: its answer will be asked for by its key.
+    fn is_orphan(&self, run: &Run, now_ms: u64) -> bool {
+        let state = run.lock();
+        let is_past = state.orphan_until_ms.is_some_and(|t| now_ms >= t);
+        is_past && !(run.is_kept && state.phase == Phase::Running)
+    }
+}
