routing: choose chains, queue fairly and bound the throughput

Cause: the entry and the side process need their decisions as pure functions of passed time and randomness.

--- /dev/null
+++ b/crates/routing/src/admission.rs
@@ -0,0 +1,185 @@
+//! Whether a request can finish in time, decided at the side process.
+//!
+//! Speeds are learned by the length of the prompt, because long prompts run
+//! at another speed than short ones on the same hardware. A length that was
+//! never seen takes the nearest one learned, and the first guess until then.
+
+use std::fmt;
+
+use crate::{chain::Shape, cost::step_share};
+
+const MS_PER_S: f64 = 1_000.0;
+const SMOOTHING: f64 = 0.1;
+/// Prompts up to these lengths are learned apart from longer ones.
+const PROMPT_CLASSES_TOKENS: [u32; 3] = [256, 2_048, 16_384];
+const CLASS_COUNT: usize = PROMPT_CLASSES_TOKENS.len() + 1;
+const MIN_TOKENS_PER_S: f64 = 0.001;
+const MIN_RETRY_MS: u64 = 100;
+const MAX_RETRY_MS: u64 = 60_000;
+
+/// Learned speeds of one backend server through its own layers.
+#[derive(Clone, Debug)]
+pub struct Speed {
+    guess: Pair,
+    places: u32,
+    prompt: [Option<f64>; CLASS_COUNT],
+    output: [Option<f64>; CLASS_COUNT],
+}
+
+/// Tokens a second.
+#[derive(Clone, Copy, Debug)]
+struct Pair {
+    prompt: f64,
+    output: f64,
+}
+
+impl Speed {
+    /// A first guess: prompt tokens a second, and output tokens a second of
+    /// all sequences together.
+    pub fn new(prompt_tokens_per_s: f64, output_tokens_per_s: f64) -> Speed {
+        let guess = Pair {
+            prompt: prompt_tokens_per_s.max(MIN_TOKENS_PER_S),
+            output: output_tokens_per_s.max(MIN_TOKENS_PER_S),
+        };
+        Speed {
+            guess,
+            places: 1,
+            prompt: [None; CLASS_COUNT],
+            output: [None; CLASS_COUNT],
+        }
+    }
+
+    /// How many requests the server runs at the same time; 0 counts as 1.
+    pub fn places(mut self, max_running: u32) -> Speed {
+        self.places = max_running.max(1);
+        self
+    }
+
+    /// Learns from `tokens` of prompts of about `prompt_tokens` length, which
+    /// kept the server busy for `busy_ms`.
+    pub fn learn_prompt(
+        &mut self,
+        prompt_tokens: u32,
+        tokens: u64,
+        busy_ms: f64,
+    ) {
+        learn(&mut self.prompt[class(prompt_tokens)], tokens, busy_ms);
+    }
+
+    /// Learns from `tokens` of output, all sequences together, of requests
+    /// with prompts of about `prompt_tokens` length.
+    pub fn learn_output(
+        &mut self,
+        prompt_tokens: u32,
+        tokens: u64,
+        busy_ms: f64,
+    ) {
+        learn(&mut self.output[class(prompt_tokens)], tokens, busy_ms);
+    }
+
+    /// Speed of a prompt of that length.
+    pub fn prompt_tokens_per_s(&self, prompt_tokens: u32) -> f64 {
+        let learned = nearest(&self.prompt, class(prompt_tokens));
+        learned.unwrap_or(self.guess.prompt)
+    }
+
+    /// Speed of all output together, beside a prompt of that length.
+    pub fn output_tokens_per_s(&self, prompt_tokens: u32) -> f64 {
+        let learned = nearest(&self.output, class(prompt_tokens));
+        learned.unwrap_or(self.guess.output)
+    }
+
+    /// Whether any output was measured.
+    pub fn is_learned(&self) -> bool {
+        self.output.iter().any(Option::is_some)
+    }
+}
+
+/// Wait behind `pending_tokens` of work, taken as output at the speed of
+/// short prompts: an upper limit, as prompts run faster.
+pub fn expected_wait_ms(pending_tokens: u64, speed: &Speed) -> u64 {
+    let per_s = speed.output_tokens_per_s(0);
+    (pending_tokens as f64 * MS_PER_S / per_s).ceil() as u64
+}
+
+/// Time that a request takes on a server of which the share `in_use`, 0 to
+/// 1, is taken.
+pub fn run_ms(shape: &Shape, speed: &Speed, in_use: f64) -> u64 {
+    let prompt_tokens = shape.prompt_tokens;
+    let prompt_s =
+        f64::from(prompt_tokens) / speed.prompt_tokens_per_s(prompt_tokens);
+    let places = f64::from(speed.places);
+    let full_step_s = places / speed.output_tokens_per_s(prompt_tokens);
+    let step_s = full_step_s * step_share(places, in_use);
+    let output_s = f64::from(shape.output_tokens) * step_s;
+    ((prompt_s + output_s) * MS_PER_S).ceil() as u64
+}
+
+/// A request that cannot finish within its deadline.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TooLate {
+    /// What it would need.
+    pub needed_ms: u64,
+}
+
+impl fmt::Display for TooLate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the request needs {} ms", self.needed_ms)
+    }
+}
+
+impl std::error::Error for TooLate {}
+
+/// Whether a request can finish within the `deadline_ms` that are left to
+/// it, after `wait_ms` and alone on the server. The most favourable run is
+/// assumed: only what is surely too late is turned away.
+pub fn can_finish(
+    shape: &Shape,
+    wait_ms: u64,
+    speed: &Speed,
+    deadline_ms: u64,
+) -> Result<(), TooLate> {
+    let needed_ms = wait_ms.saturating_add(run_ms(shape, speed, 0.0));
+    if needed_ms > deadline_ms {
+        return Err(TooLate { needed_ms });
+    }
+    Ok(())
+}
+
+/// When a refused caller should come back: when about half of the queue is
+/// done, and spread over as long again so that callers don't come together.
+pub fn retry_after_ms(
+    pending_tokens: u64,
+    speed: &Speed,
+    rng: &mut fastrand::Rng,
+) -> u64 {
+    let half_ms = expected_wait_ms(pending_tokens, speed) / 2;
+    let base_ms = half_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS);
+    base_ms + rng.u64(0..=base_ms)
+}
+
+fn class(prompt_tokens: u32) -> usize {
+    PROMPT_CLASSES_TOKENS
+        .iter()
+        .position(|&limit| prompt_tokens <= limit)
+        .unwrap_or(PROMPT_CLASSES_TOKENS.len())
+}
+
+fn learn(slot: &mut Option<f64>, tokens: u64, busy_ms: f64) {
+    if tokens == 0 || busy_ms.is_nan() || busy_ms <= 0.0 {
+        return;
+    }
+    let seen = tokens as f64 * MS_PER_S / busy_ms;
+    *slot = Some(match *slot {
+        Some(old) => old + SMOOTHING * (seen - old),
+        None => seen,
+    });
+}
+
+fn nearest(learned: &[Option<f64>], class: usize) -> Option<f64> {
+    let distance = |at: &usize| at.abs_diff(class);
+    (0..learned.len())
+        .filter(|&at| learned[at].is_some())
+        .min_by_key(distance)
+        .and_then(|at| learned[at])
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,79 @@
-//! Placeholder.
+//! Routing decisions: which backend servers, in which order, and whether.
+//!
+//! Nothing here reads a clock or does I/O. Time comes in as milliseconds of a
+//! monotonic clock (`now_ms`), randomness as a `fastrand::Rng`.
+//!
+//! | module | decides |
+//! |---|---|
+//! | [`priority`] | the order of requests |
+//! | [`fleet`], [`network`] | what the manifest says of a service's servers |
+//! | [`live`], [`health`] | what this process knows of each one now |
+//! | [`policy`], [`chain`], [`explain`] | the chain of a request, and why |
+//! | [`retry`] | whether a failure may be tried again |
+//! | [`fair`], [`admission`] | who goes next, and who can finish in time |
+//! | [`flow`] | the most tokens a second the hardware allows |
+//!
+//! ```
+//! use chestnutreach_routing::{
+//!     BackendSpec, Fleet, Live, Network, Policy, Presence, Shape, choose,
+//! };
+//!
+//! let half = |name: &str, first_layer, end_layer| BackendSpec {
+//!     name: name.to_string(),
+//!     data_centre: 0,
+//!     first_layer,
+//!     end_layer,
+//!     price_micros_per_hour: 900_000,
+//!     prompt_tokens_per_s: 8_000,
+//!     output_tokens_per_s: 1_200,
+//!     max_running: 16,
+//!     cache_tokens: 400_000,
+//! };
+//! let specs = vec![half("lower", 0, 16), half("upper", 16, 32)];
+//! let fleet = Fleet::try_new(32, specs, Network::new(1))?;
+//! let live = Live::new(fleet.len());
+//! for index in fleet.indices() {
+//!     live.set_presence(index, Presence::Serving);
+//! }
+//!
+//! let shape = Shape::new(500, 100).deadline_ms(20_000);
+//! let mut rng = fastrand::Rng::with_seed(7);
+//! let policy = Policy::default();
+//! let choice =
+//!     choose(&fleet, &live, &shape, &policy, &[], 0, 1_000, &mut rng)?;
+//! let names: Vec<&str> =
+//!     choice.stages.iter().map(|&i| fleet.spec(i).name.as_str()).collect();
+//! assert_eq!(names, ["lower", "upper"]);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+pub mod admission;
+pub mod chain;
+mod cost;
+pub mod explain;
+pub mod fair;
+pub mod fleet;
+pub mod flow;
+pub mod health;
+pub mod live;
+pub mod network;
+pub mod policy;
+pub mod priority;
+pub mod retry;
+mod search;
+mod server;
+
+pub use admission::{
+    Speed, TooLate, can_finish, expected_wait_ms, retry_after_ms,
+};
+pub use chain::{Choice, Chooser, NoChain, NoChainReason, Shape, choose};
+pub use explain::{Candidate, CostParts, Explanation, LeftOut, explain};
+pub use fair::{FairQueue, Popped, PushRefusal, PushRefusalReason};
+pub use fleet::{BackendIndex, BackendSpec, Fleet, FleetError, FleetFinding};
+pub use flow::{Mix, throughput_bound};
+pub use health::{Health, HealthState};
+pub use live::{Ended, Live, LoadReport, Presence};
+pub use network::Network;
+pub use policy::Policy;
+pub use priority::Priority;
+pub use retry::RetryBudget;
--- /dev/null
+++ b/crates/routing/src/live.rs
@@ -0,0 +1,298 @@
+//! What this process knows of each backend server now.
+//!
+//! Written by many threads with atomics and read by every choice; no locks.
+//! A reading joins the last load report with what this process sent and saw
+//! ended since, so that a stale report does not draw all requests to one
+//! server. A server without a recent report counts as loaded as the fleet is
+//! on average, never as idle.
+//!
+//! A new manifest generation has its own [`Live`], made by
+//! [`Live::carried`]. Servers that stay share their state with the old one,
+//! so a request that was sent under one generation may end under another.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicI64, Ordering::Relaxed},
+};
+
+use serde::Serialize;
+
+use crate::{
+    fleet::{BackendIndex, Fleet},
+    health::HealthState,
+    server::Server,
+};
+
+/// What a side process tells of its backend server's load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// Requests that hold a reservation.
+    pub running: u32,
+    /// Requests that wait for admission.
+    pub queued: u32,
+    /// Work that both still need.
+    pub pending_tokens: u64,
+    /// Learned through the server's own layers; 0 where unknown.
+    pub prompt_tokens_per_s: f32,
+    /// Likewise, all sequences together.
+    pub output_tokens_per_s: f32,
+    /// Cache memory in use, in parts of 1000.
+    pub cache_used_permille: u32,
+    /// The backend server answers its calls.
+    pub is_healthy: bool,
+    /// Expected wait of a new request.
+    pub queue_wait_ms: u32,
+}
+
+/// Whether a backend server is there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Presence {
+    /// Not connected, or out of reach.
+    Absent,
+    /// New: takes a growing share.
+    Joining {
+        /// When it came.
+        since_ms: u64,
+    },
+    /// Takes its full share.
+    Serving,
+    /// Takes nothing new.
+    Leaving,
+}
+
+/// How a request that was sent to a server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// Answered whole.
+    Completed {
+        /// Length of the prompt.
+        prompt_tokens: u32,
+        /// Length of the answer.
+        output_tokens: u32,
+        /// From dispatch to the first token.
+        first_token_ms: u32,
+        /// From dispatch to the end.
+        total_ms: u32,
+    },
+    /// Not run: the side process had no room.
+    Refused,
+    /// The server, its side process or the link to it failed.
+    Failed,
+    /// Given up by the caller; tells nothing of the server.
+    Cancelled,
+}
+
+/// What this process knows of each backend server of a fleet.
+#[derive(Debug)]
+pub struct Live {
+    servers: Vec<Arc<Server>>,
+    typical: Arc<Typical>,
+}
+
+/// Sums over the last report of every server.
+#[derive(Debug, Default)]
+struct Typical {
+    reports: AtomicI64,
+    requests: AtomicI64,
+    wait_ms: AtomicI64,
+}
+
+/// Means over the fleet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TypicalLoad {
+    pub(crate) requests: f64,
+    pub(crate) wait_ms: f64,
+}
+
+impl Typical {
+    fn replace(&self, old: Option<(u32, u32)>, new: Option<(u32, u32)>) {
+        let part = |told: Option<(u32, u32)>| {
+            let (requests, wait_ms) = told.unwrap_or_default();
+            let count = i64::from(told.is_some());
+            (count, i64::from(requests), i64::from(wait_ms))
+        };
+        let (old, new) = (part(old), part(new));
+        self.reports.fetch_add(new.0 - old.0, Relaxed);
+        self.requests.fetch_add(new.1 - old.1, Relaxed);
+        self.wait_ms.fetch_add(new.2 - old.2, Relaxed);
+    }
+
+    fn load(&self) -> TypicalLoad {
+        let count = self.reports.load(Relaxed).max(1) as f64;
+        let mean = |sum: &AtomicI64| sum.load(Relaxed).max(0) as f64 / count;
+        TypicalLoad {
+            requests: mean(&self.requests),
+            wait_ms: mean(&self.wait_ms),
+        }
+    }
+}
+
+impl Live {
+    /// `len` absent servers of which nothing is known.
+    pub fn new(len: usize) -> Live {
+        Live {
+            servers: (0..len).map(|_| Arc::new(Server::new())).collect(),
+            typical: Arc::default(),
+        }
+    }
+
+    /// The state for a new generation: servers of the same name share theirs
+    /// with this one, new ones are absent, and those that went are absent
+    /// here too.
+    pub fn carried(&self, from: &Fleet, to: &Fleet) -> Live {
+        let carry = |spec_name: &str| match from.find(spec_name) {
+            Some(old) => Arc::clone(&self.servers[old.at()]),
+            None => Arc::new(Server::new()),
+        };
+        let servers =
+            to.indices().map(|index| carry(&to.spec(index).name)).collect();
+        for index in from.indices() {
+            if to.find(&from.spec(index).name).is_none() {
+                let told = self.servers[index.at()].withdraw();
+                self.typical.replace(told, None);
+            }
+        }
+        Live { servers, typical: Arc::clone(&self.typical) }
+    }
+
+    /// How many servers there are.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether there is no server.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    /// Takes a load report.
+    pub fn report(
+        &self,
+        index: BackendIndex,
+        report: &LoadReport,
+        now_ms: u64,
+    ) {
+        let server = self.server(index);
+        if server.is_withdrawn.load(Relaxed) {
+            return;
+        }
+        let old = server.report(report, now_ms);
+        let requests = report.running.saturating_add(report.queued);
+        self.typical.replace(old, Some((requests, report.queue_wait_ms)));
+    }
+
+    /// Sets whether a server is there.
+    pub fn set_presence(&self, index: BackendIndex, presence: Presence) {
+        self.server(index).set_presence(presence);
+    }
+
+    /// Whether a server is there.
+    pub fn presence(&self, index: BackendIndex) -> Presence {
+        self.server(index).presence()
+    }
+
+    /// Notes that a request was sent, with the tokens it is expected to take.
+    pub fn dispatched(&self, index: BackendIndex, tokens: u32, now_ms: u64) {
+        self.server(index).note_sent(tokens, now_ms);
+    }
+
+    /// Notes how a request ended, with the tokens given to
+    /// [`Live::dispatched`].
+    pub fn ended(
+        &self,
+        index: BackendIndex,
+        tokens: u32,
+        ended: &Ended,
+        now_ms: u64,
+    ) {
+        let server = self.server(index);
+        match ended {
+            Ended::Completed { total_ms, .. } => {
+                server.note_ended(tokens);
+                server.note_answer_ms(*total_ms);
+                server.health.note_success(now_ms);
+            }
+            Ended::Refused => {
+                server.note_refused();
+                server.health.note_neutral();
+            }
+            Ended::Failed => {
+                server.note_ended(tokens);
+                server.health.note_failure(now_ms);
+            }
+            Ended::Cancelled => {
+                server.note_ended(tokens);
+                server.health.note_neutral();
+            }
+        }
+    }
+
+    /// Notes the answer of a health probe.
+    pub fn probed(&self, index: BackendIndex, is_alive: bool, now_ms: u64) {
+        let health = &self.server(index).health;
+        if is_alive {
+            health.note_success(now_ms);
+        } else {
+            health.note_failure(now_ms);
+        }
+    }
+
+    /// Whether a server may be sent a request: there, and not suspect. A
+    /// choice takes suspect ones too where a boundary has no others.
+    pub fn is_eligible(&self, index: BackendIndex, now_ms: u64) -> bool {
+        self.is_present(index) && !self.server(index).is_suspect(now_ms)
+    }
+
+    /// State of a server's circuit.
+    pub fn health(&self, index: BackendIndex, now_ms: u64) -> HealthState {
+        self.server(index).health.state(now_ms)
+    }
+
+    /// Requests that this process has in flight at a server.
+    pub fn in_flight(&self, index: BackendIndex) -> u32 {
+        self.server(index).read().in_flight
+    }
+
+    /// Notes that a server's cache holds a prefix, from its own cache events
+    /// or because a request with the prefix completed there.
+    pub fn note_prefix(&self, index: BackendIndex, prefix: u64) {
+        self.server(index).note_prefix(mix(prefix));
+    }
+
+    /// Whether a server's cache is believed to hold a prefix.
+    pub fn has_prefix(&self, index: BackendIndex, prefix: u64) -> bool {
+        self.server(index).has_prefix(mix(prefix))
+    }
+
+    /// Forgets the prefixes of a server, which has started anew.
+    pub fn forget_prefixes(&self, index: BackendIndex) {
+        self.server(index).forget_prefixes();
+    }
+
+    pub(crate) fn is_present(&self, index: BackendIndex) -> bool {
+        match self.presence(index) {
+            Presence::Joining { .. } | Presence::Serving => true,
+            Presence::Absent | Presence::Leaving => false,
+        }
+    }
+
+    pub(crate) fn is_suspect(&self, index: BackendIndex, now: u64) -> bool {
+        self.server(index).is_suspect(now)
+    }
+
+    pub(crate) fn typical(&self) -> TypicalLoad {
+        self.typical.load()
+    }
+
+    pub(crate) fn server(&self, index: BackendIndex) -> &Server {
+        &self.servers[index.at()]
+    }
+}
+
+/// Spreads the bits of a prefix's key (the finalizer of SplitMix64).
+pub(crate) fn mix(key: u64) -> u64 {
+    let key = (key ^ (key >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let key = (key ^ (key >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    key ^ (key >> 31)
+}
--- /dev/null
+++ b/crates/routing/src/retry.rs
@@ -0,0 +1,54 @@
+//! A budget of further attempts, so that a failure is not multiplied.
+//!
+//! A token bucket that requests fill and retries empty: each request adds
+//! `percent` hundredths of an attempt, each retry takes a whole one. The
+//! bucket starts with [`FLOOR_ATTEMPTS`], without which a quiet entry could
+//! not retry at all, and holds at most [`CAPACITY_ATTEMPTS`], so that a calm
+//! hour does not pay for a storm. Over any run from the start, retries are
+//! at most `FLOOR_ATTEMPTS + requests * percent / 100`.
+
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+/// Attempts that are there at the start.
+pub const FLOOR_ATTEMPTS: u64 = 3;
+/// Most attempts that the bucket holds.
+pub const CAPACITY_ATTEMPTS: u64 = 100;
+
+const CENTS_PER_ATTEMPT: u64 = 100;
+const MAX_PERCENT: u32 = 100;
+
+/// Token bucket of further attempts, shared by all threads.
+#[derive(Debug)]
+pub struct RetryBudget {
+    percent: u64,
+    cents: AtomicU64,
+}
+
+impl RetryBudget {
+    /// Allows `percent` further attempts for a hundred requests; more than
+    /// 100 counts as 100.
+    pub fn new(percent: u32) -> RetryBudget {
+        RetryBudget {
+            percent: u64::from(percent.min(MAX_PERCENT)),
+            cents: AtomicU64::new(FLOOR_ATTEMPTS * CENTS_PER_ATTEMPT),
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn note_request(&self) {
+        let limit = CAPACITY_ATTEMPTS * CENTS_PER_ATTEMPT;
+        let add = |cents: u64| Some((cents + self.percent).min(limit));
+        let _ = self.cents.fetch_update(Relaxed, Relaxed, add);
+    }
+
+    /// Takes one further attempt, where there is one.
+    pub fn take(&self) -> bool {
+        let sub = |cents: u64| cents.checked_sub(CENTS_PER_ATTEMPT);
+        self.cents.fetch_update(Relaxed, Relaxed, sub).is_ok()
+    }
+
+    /// Whole attempts that are left.
+    pub fn left(&self) -> u64 {
+        self.cents.load(Relaxed) / CENTS_PER_ATTEMPT
+    }
+}
--- /dev/null
+++ b/crates/routing/src/search.rs
@@ -0,0 +1,432 @@
+//! The cheapest tiling through sampled candidates.
+//!
+//! Boundaries are visited from layer 0 up. Each holds the cheapest partial
+//! chains that reach it, at most one for each data centre they end in (the
+//! next link depends on that alone) and [`BEAM`] in all. Partial chains that
+//! are too dear are dropped, boundaries never are, so a tiling through the
+//! candidates is found whenever there is one.
+//!
+//! Two of the candidates are the homes of the request's prefix: places that
+//! every entry derives from the prefix alone, so that requests with the same
+//! prefix meet without shared state. They win only by their cost.
+
+use crate::{
+    chain::NoChainReason,
+    cost::{Pricing, StageCost},
+    explain::{Candidate, LeftOut},
+    fleet::BackendIndex,
+    live::mix,
+};
+
+const BEAM: usize = 4;
+const HOME_COUNT: u64 = 2;
+/// Draws for each wanted candidate before the boundary is scanned.
+const DRAWS_PER_SAMPLE: usize = 2;
+const NO_PARENT: u32 = u32::MAX;
+
+/// How many servers of a boundary are looked at.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Reach {
+    Sampled,
+    All,
+}
+
+/// Buffers of a search, kept between choices.
+#[derive(Debug, Default)]
+pub(crate) struct Search {
+    labels: Vec<Label>,
+    beams: Vec<Beam>,
+    picked: Vec<BackendIndex>,
+    suspects: Vec<BackendIndex>,
+    /// Every candidate that was looked at, when a caller wants to know.
+    pub(crate) record: Option<Vec<Candidate>>,
+}
+
+/// A whole chain.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Found {
+    label: u32,
+    pub(crate) first_token_ms: f64,
+    pub(crate) total_ms: f64,
+    pub(crate) price_micros: f64,
+    pub(crate) cost: f64,
+}
+
+/// A partial chain.
+#[derive(Clone, Copy, Debug)]
+struct Label {
+    cost: f64,
+    wait_ms: f64,
+    /// Prompt through all stages so far, with links.
+    prompt_ms: f64,
+    /// One output token through all stages so far, with links.
+    step_ms: f64,
+    price_micros: f64,
+    first_data_centre: u32,
+    data_centre: u32,
+    parent: u32,
+    backend: BackendIndex,
+}
+
+/// The partial chains that reach a boundary.
+#[derive(Clone, Copy, Debug, Default)]
+struct Beam {
+    labels: [u32; BEAM],
+    len: usize,
+}
+
+impl Beam {
+    fn as_slice(&self) -> &[u32] {
+        &self.labels[..self.len]
+    }
+}
+
+impl Search {
+    /// Finds the cheapest chain.
+    pub(crate) fn run(
+        &mut self,
+        pricing: &Pricing<'_>,
+        avoid: &[BackendIndex],
+        entry: u32,
+        reach: Reach,
+        rng: &mut fastrand::Rng,
+    ) -> Result<Found, NoChainReason> {
+        let fleet = pricing.fleet;
+        let goal = fleet.boundaries().len();
+        if goal == 0 {
+            return Err(NoChainReason::NoCandidate { first_layer: 0 });
+        }
+        self.labels.clear();
+        self.beams.clear();
+        self.beams.resize(goal + 1, Beam::default());
+        let mut stuck = None;
+        for boundary in 0..goal {
+            if boundary > 0 && self.beams[boundary].len == 0 {
+                continue;
+            }
+            self.pick(pricing, avoid, boundary, reach, rng);
+            if self.picked.is_empty() {
+                stuck = stuck.or(Some(boundary));
+            }
+            self.extend(pricing, entry, boundary, rng);
+        }
+        self.best(pricing, entry)
+            .ok_or_else(|| no_candidate(pricing, avoid, stuck))
+    }
+
+    /// The servers of a chain that was found last.
+    pub(crate) fn stages(&self, found: &Found) -> Vec<BackendIndex> {
+        let mut stages = Vec::with_capacity(8);
+        let mut at = found.label;
+        while at != NO_PARENT {
+            let label = &self.labels[at as usize];
+            stages.push(label.backend);
+            at = label.parent;
+        }
+        stages.reverse();
+        stages
+    }
+
+    /// Fills `picked` with candidates of a boundary.
+    fn pick(
+        &mut self,
+        pricing: &Pricing<'_>,
+        avoid: &[BackendIndex],
+        boundary: usize,
+        reach: Reach,
+        rng: &mut fastrand::Rng,
+    ) {
+        self.picked.clear();
+        self.suspects.clear();
+        let members = pricing.fleet.members(boundary);
+        let wanted = match reach {
+            Reach::Sampled => pricing.policy.sample_count,
+            Reach::All => members.len(),
+        };
+        if wanted < members.len() {
+            self.draw(pricing, avoid, members, wanted, rng);
+        }
+        if self.picked.is_empty() {
+            self.scan(pricing, avoid, members, wanted, rng);
+        }
+        if self.picked.is_empty() {
+            std::mem::swap(&mut self.picked, &mut self.suspects);
+        }
+    }
+
+    fn draw(
+        &mut self,
+        pricing: &Pricing<'_>,
+        avoid: &[BackendIndex],
+        members: &[BackendIndex],
+        wanted: usize,
+        rng: &mut fastrand::Rng,
+    ) {
+        if let Some(prefix) = pricing.shape.prefix {
+            for home in 0..HOME_COUNT {
+                let at = mix(prefix ^ home) % members.len() as u64;
+                self.consider_once(pricing, avoid, members[at as usize]);
+            }
+        }
+        for _ in 0..wanted * DRAWS_PER_SAMPLE {
+            if self.picked.len() >= wanted {
+                return;
+            }
+            let at = rng.usize(..members.len());
+            self.consider_once(pricing, avoid, members[at]);
+        }
+    }
+
+    /// From a random place on, so that entries do not meet at the first.
+    fn scan(
+        &mut self,
+        pricing: &Pricing<'_>,
+        avoid: &[BackendIndex],
+        members: &[BackendIndex],
+        wanted: usize,
+        rng: &mut fastrand::Rng,
+    ) {
+        self.suspects.clear();
+        let start = rng.usize(..members.len());
+        let (before, after) = members.split_at(start);
+        for &index in after.iter().chain(before) {
+            if self.picked.len() >= wanted {
+                return;
+            }
+            self.consider(pricing, avoid, index);
+        }
+        self.suspects.truncate(wanted);
+    }
+
+    fn consider_once(
+        &mut self,
+        pricing: &Pricing<'_>,
+        avoid: &[BackendIndex],
+        index: BackendIndex,
+    ) {
+        if !self.picked.contains(&index) {
+            self.consider(pricing, avoid, index);
+        }
+    }
+
+    fn consider(
+        &mut self,
+        pricing: &Pricing<'_>,
+        avoid: &[BackendIndex],
+        index: BackendIndex,
+    ) {
+        let left_out = if avoid.contains(&index) {
+            Some(LeftOut::Avoided)
+        } else if !pricing.live.is_present(index) {
+            Some(LeftOut::NotPresent)
+        } else if pricing.live.is_suspect(index, pricing.now_ms) {
+            self.suspects.push(index);
+            Some(LeftOut::Suspect)
+        } else {
+            None
+        };
+        match left_out {
+            None => self.picked.push(index),
+            Some(reason) => self.record_left_out(pricing, index, reason),
+        }
+    }
+
+    /// Extends every partial chain at a boundary by every candidate.
+    fn extend(
+        &mut self,
+        pricing: &Pricing<'_>,
+        entry: u32,
+        boundary: usize,
+        rng: &mut fastrand::Rng,
+    ) {
+        let beam = self.beams[boundary];
+        for at in 0..self.picked.len() {
+            let index = self.picked[at];
+            let jitter =
+                if pricing.weights.band > 0.0 { rng.f64() } else { 0.0 };
+            let stage = pricing.stage(index, jitter);
+            let next = pricing.fleet.facts(index).next_boundary as usize;
+            self.record_candidate(pricing, index, &stage);
+            if boundary == 0 {
+                let label = begin(pricing, entry, index, &stage);
+                self.insert(next, label);
+                continue;
+            }
+            for &parent in beam.as_slice() {
+                let label = self.follow(pricing, parent, index, &stage);
+                self.insert(next, label);
+            }
+        }
+    }
+
+    fn follow(
+        &self,
+        pricing: &Pricing<'_>,
+        parent: u32,
+        index: BackendIndex,
+        stage: &StageCost,
+    ) -> Label {
+        let before = &self.labels[parent as usize];
+        let data_centre = pricing.fleet.facts(index).data_centre;
+        let path =
+            pricing.fleet.network().path(before.data_centre, data_centre);
+        let token = f64::from(pricing.policy.activation_bytes_per_token);
+        let prompt = f64::from(pricing.shape.prompt_tokens);
+        let output = f64::from(pricing.shape.output_tokens);
+        let prompt_link_ms = path.transfer_ms(prompt * token);
+        let step_link_ms = path.transfer_ms(token);
+        let link_ms = prompt_link_ms + output * step_link_ms;
+        let wait_ms = before.wait_ms.max(stage.wait_ms);
+        let weights = &pricing.weights;
+        let is_crossing = before.data_centre != data_centre;
+        let crossing = if is_crossing { weights.crossing_ms } else { 0.0 };
+        Label {
+            cost: before.cost
+                + (wait_ms - before.wait_ms)
+                + stage.weighted
+                + weights.time * link_ms
+                + weights.stage_ms
+                + crossing,
+            wait_ms,
+            prompt_ms: before.prompt_ms + prompt_link_ms + stage.prompt_ms,
+            step_ms: before.step_ms + step_link_ms + stage.step_ms,
+            price_micros: before.price_micros + stage.price_micros,
+            first_data_centre: before.first_data_centre,
+            data_centre,
+            parent,
+            backend: index,
+        }
+    }
+
+    fn insert(&mut self, boundary: usize, label: Label) {
+        let beam = &mut self.beams[boundary];
+        let mut dearest = 0;
+        let mut dearest_cost = f64::MIN;
+        for (at, &other) in beam.as_slice().iter().enumerate() {
+            let other = &self.labels[other as usize];
+            if other.data_centre == label.data_centre {
+                dearest = at;
+                dearest_cost = other.cost;
+                break;
+            }
+            if beam.len == BEAM && other.cost > dearest_cost {
+                dearest = at;
+                dearest_cost = other.cost;
+            }
+        }
+        let id = self.labels.len() as u32;
+        if dearest_cost == f64::MIN {
+            beam.labels[beam.len] = id;
+            beam.len += 1;
+        } else if label.cost < dearest_cost {
+            beam.labels[dearest] = id;
+        } else {
+            return;
+        }
+        self.labels.push(label);
+    }
+
+    /// The cheapest whole chain, rather one in time than one too late.
+    fn best(&self, pricing: &Pricing<'_>, entry: u32) -> Option<Found> {
+        let deadline_ms = pricing.shape.deadline_ms as f64;
+        let rank = |found: &Found| (found.total_ms > deadline_ms, found.cost);
+        let goal = self.beams.last()?;
+        goal.as_slice()
+            .iter()
+            .map(|&label| self.finish(pricing, entry, label))
+            .min_by(|a, b| {
+                let (a, b) = (rank(a), rank(b));
+                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+            })
+    }
+
+    /// Adds the way back of each token to the first stage, and to the entry.
+    fn finish(&self, pricing: &Pricing<'_>, entry: u32, label: u32) -> Found {
+        let last = &self.labels[label as usize];
+        let network = pricing.fleet.network();
+        let is_chain = last.parent != NO_PARENT;
+        let back_ms = if is_chain {
+            network.path(last.data_centre, last.first_data_centre).latency_ms
+        } else {
+            0.0
+        };
+        let home_ms = network.path(last.first_data_centre, entry).latency_ms;
+        let output = f64::from(pricing.shape.output_tokens);
+        let links_ms = output * back_ms + home_ms;
+        let first_token_ms =
+            last.wait_ms + last.prompt_ms + last.step_ms + back_ms + home_ms;
+        let total_ms =
+            last.wait_ms + last.prompt_ms + output * last.step_ms + links_ms;
+        Found {
+            label,
+            first_token_ms: first_token_ms.min(total_ms),
+            total_ms,
+            price_micros: last.price_micros,
+            cost: last.cost + pricing.weights.time * links_ms,
+        }
+    }
+
+    fn record_left_out(
+        &mut self,
+        pricing: &Pricing<'_>,
+        index: BackendIndex,
+        reason: LeftOut,
+    ) {
+        if let Some(record) = &mut self.record {
+            let spec = pricing.fleet.spec(index);
+            record.push(Candidate::left_out(index, spec, reason));
+        }
+    }
+
+    fn record_candidate(
+        &mut self,
+        pricing: &Pricing<'_>,
+        index: BackendIndex,
+        stage: &StageCost,
+    ) {
+        if let Some(record) = &mut self.record {
+            let spec = pricing.fleet.spec(index);
+            record.push(Candidate::weighed(index, spec, stage.parts()));
+        }
+    }
+}
+
+fn begin(
+    pricing: &Pricing<'_>,
+    entry: u32,
+    index: BackendIndex,
+    stage: &StageCost,
+) -> Label {
+    let data_centre = pricing.fleet.facts(index).data_centre;
+    let link_ms = pricing.fleet.network().path(entry, data_centre).latency_ms;
+    Label {
+        cost: stage.wait_ms + stage.weighted + pricing.weights.time * link_ms,
+        wait_ms: stage.wait_ms,
+        prompt_ms: link_ms + stage.prompt_ms,
+        step_ms: stage.step_ms,
+        price_micros: stage.price_micros,
+        first_data_centre: data_centre,
+        data_centre,
+        parent: NO_PARENT,
+        backend: index,
+    }
+}
+
+/// Why there is no chain: where servers are there, they were all avoided.
+fn no_candidate(
+    pricing: &Pricing<'_>,
+    avoid: &[BackendIndex],
+    stuck: Option<usize>,
+) -> NoChainReason {
+    let boundary = stuck.unwrap_or(0);
+    let is_avoided_only = pricing
+        .fleet
+        .members(boundary)
+        .iter()
+        .any(|&i| avoid.contains(&i) && pricing.live.is_present(i));
+    if is_avoided_only {
+        return NoChainReason::AllAvoided;
+    }
+    let first_layer = pricing.fleet.boundaries()[boundary].first_layer;
+    NoChainReason::NoCandidate { first_layer }
+}
