--- /dev/null
+++ b/crates/telemetry/src/event.rs
@@ -0,0 +1,282 @@
+//! The numbered events of the logs.
+//!
+//! The number of an event never changes and is never used again, so that an
+//! alert or a search may rely on it. The first digit tells the area: 1 the
+//! process, 2 the manifest and the platform, 3 links between processes, 4
+//! requests at an entry, 5 work at a side process, 6 backend servers, 7
+//! drains, 8 the ports of the process.
+
+use std::{
+    fmt::{self, Display, Write as _},
+    panic::Location,
+};
+
+use log::{
+    Level::{Debug, Error, Info, Warn},
+    Record,
+    kv::Value,
+};
+
+/// Target of every event in the logs.
+pub const TARGET: &str = "chestnutreach";
+
+/// What the catalogue holds of one event.
+struct Entry {
+    number: u32,
+    name: &'static str,
+    level: log::Level,
+    fields: &'static [&'static str],
+    description: &'static str,
+}
+
+/// One row an event; the enum, its list and its lookup are made from it, so
+/// that none can be forgotten.
+macro_rules! events {
+    ($($variant:ident = $number:literal, $name:literal, $level:ident,
+        [$($field:literal),*], $description:literal;)*) => {
+        /// Something that an operator may want to know.
+        #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+        #[non_exhaustive]
+        pub enum Event {
+            $(#[doc = $description] $variant,)*
+        }
+
+        impl Event {
+            /// Every event, in the order of the catalogue.
+            pub const ALL: &[Event] = &[$(Event::$variant),*];
+
+            fn entry(self) -> Entry {
+                match self {
+                    $(Event::$variant => Entry {
+                        number: $number,
+                        name: $name,
+                        level: $level,
+                        fields: &[$($field),*],
+                        description: $description,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    DaemonStarted = 101, "daemon_started", Info,
+        ["role", "vm", "data_centre", "boot_id"],
+        "The process has started and listens.";
+    DaemonStopping = 102, "daemon_stopping", Info,
+        ["cause", "in_flight"],
+        "The process was told to stop and drains.";
+    DaemonStopped = 103, "daemon_stopped", Info,
+        ["cut", "elapsed_ms"],
+        "The process ends.";
+    SettingsRefused = 104, "settings_refused", Error,
+        ["findings"],
+        "The settings are wrong; the process does not start.";
+    TaskFailed = 105, "task_failed", Error,
+        ["task", "error"],
+        "A lasting task of the process ended and is started again.";
+    TimeJumped = 106, "time_jumped", Warn,
+        ["paused_ms"],
+        "The process stood still; what depends on time is checked again.";
+
+    ManifestInForce = 201, "manifest_in_force", Info,
+        ["generation", "submission", "source", "elapsed_ms"],
+        "A new generation of the manifest is in force here.";
+    ManifestFetchFailed = 202, "manifest_fetch_failed", Warn,
+        ["generation", "source", "error"],
+        "A newer generation is known but could not be fetched.";
+    ManifestUnusable = 203, "manifest_unusable", Error,
+        ["generation", "findings"],
+        "An accepted manifest could not be read; the old one stays in force.";
+    StoreUnavailable = 204, "store_unavailable", Warn,
+        ["store", "error"],
+        "A service of the platform does not answer.";
+    StoreBack = 205, "store_back", Info,
+        ["store", "down_ms"],
+        "A service of the platform answers again.";
+    LeaseTaken = 206, "lease_taken", Info,
+        ["service", "fence"],
+        "This process holds the lease that plans a service's orders.";
+    LeaseLost = 207, "lease_lost", Warn,
+        ["service", "fence", "cause"],
+        "This process stopped planning a service's orders.";
+    OrderSent = 208, "order_sent", Info,
+        ["service", "backend", "order", "fence"],
+        "A backend server was given an order.";
+    OrderRefused = 209, "order_refused", Warn,
+        ["backend", "order", "fence", "reason"],
+        "An order was refused, by a newer fencing number or a backend server.";
+    VmLeaving = 210, "vm_leaving", Info,
+        ["vm", "source"],
+        "A VM is leaving and gets no new work.";
+
+    LinkOpened = 301, "link_opened", Info,
+        ["peer_vm", "peer_address", "peer_boot_id"],
+        "A link to another process is open.";
+    LinkLost = 302, "link_lost", Warn,
+        ["peer_vm", "peer_address", "cause", "in_flight"],
+        "A link to another process ended or went silent.";
+    LinkRefused = 303, "link_refused", Warn,
+        ["peer_address", "reason"],
+        "Two processes could not agree on a link.";
+    PeerRestarted = 304, "peer_restarted", Info,
+        ["peer_vm", "old_boot_id", "boot_id"],
+        "Another process has started anew, with an empty memory.";
+
+    RequestEnded = 401, "request_ended", Debug,
+        ["request", "service", "account", "outcome", "reason", "attempts",
+         "tokens", "elapsed_ms"],
+        "A request has its one outcome.";
+    RequestRefused = 402, "request_refused", Debug,
+        ["request", "service", "account", "reason", "retry_after_ms"],
+        "A request was not run.";
+    AttemptFailed = 403, "attempt_failed", Warn,
+        ["request", "attempt", "backend", "reason", "detail"],
+        "An attempt began and could not go on.";
+    RequestResumed = 404, "request_resumed", Info,
+        ["request", "attempt", "position", "recovery_ms"],
+        "A request goes on after a failure, from its last position.";
+    ClaimUnsettled = 405, "claim_unsettled", Warn,
+        ["request", "account", "error"],
+        "Whether a claim of a key was written is not known.";
+    OutcomeUnknown = 406, "outcome_unknown", Warn,
+        ["request", "service", "account", "side_vm"],
+        "A non-idempotent request may or may not have run.";
+    CallerGone = 407, "caller_gone", Debug,
+        ["request", "position"],
+        "A caller hung up; its request is cancelled.";
+    RetryBudgetSpent = 408, "retry_budget_spent", Warn,
+        ["service"],
+        "A service has no retries left; failures go to callers.";
+
+    StepRefused = 501, "step_refused", Warn,
+        ["request", "attempt", "position", "expected_position", "reason"],
+        "A step that is not the next of its attempt was refused.";
+    RunOnceTableFull = 502, "run_once_table_full", Error,
+        ["capacity"],
+        "The run-once table is full; new work is refused.";
+    RequestOrphaned = 503, "request_orphaned", Info,
+        ["request", "attempt", "entry_vm"],
+        "The entry of a running request was lost.";
+    AttemptFenced = 504, "attempt_fenced", Info,
+        ["request", "attempt", "newest_attempt"],
+        "Work of an older attempt was stopped.";
+
+    BackendDown = 601, "backend_down", Error,
+        ["backend", "error", "in_flight"],
+        "A backend server does not answer.";
+    BackendBack = 602, "backend_back", Info,
+        ["backend", "down_ms"],
+        "A backend server answers again.";
+    BackendMismatch = 603, "backend_mismatch", Error,
+        ["backend", "expected", "found"],
+        "A backend server does not hold what the manifest says.";
+
+    DrainStarted = 701, "drain_started", Info,
+        ["backend", "cause", "in_flight", "limit_ms"],
+        "New work is refused while the work in progress ends.";
+    DrainEnded = 702, "drain_ended", Info,
+        ["backend", "elapsed_ms"],
+        "The work in progress has ended.";
+    DrainCut = 703, "drain_cut", Error,
+        ["backend", "in_flight", "limit_ms"],
+        "The limit of a drain has passed and work in progress was cut.";
+    DrainCancelled = 704, "drain_cancelled", Info,
+        ["backend"],
+        "An operator ended a drain; new work is taken again.";
+
+    HttpConnectionFailed = 801, "http_connection_failed", Debug,
+        ["port", "peer_address", "error"],
+        "An HTTP connection broke.";
+    AcceptFailed = 802, "accept_failed", Warn,
+        ["port", "error"],
+        "A port could not take a connection.";
+    ConnectionLimitReached = 803, "connection_limit_reached", Warn,
+        ["port", "limit"],
+        "A port has all the connections it may have.";
+    ControlCallRefused = 804, "control_call_refused", Warn,
+        ["peer_address", "call", "reason"],
+        "A control call was refused.";
+}
+
+impl Event {
+    /// The fixed number.
+    pub fn number(self) -> u32 {
+        self.entry().number
+    }
+
+    /// The fixed name.
+    pub fn name(self) -> &'static str {
+        self.entry().name
+    }
+
+    /// How important it is.
+    pub fn level(self) -> log::Level {
+        self.entry().level
+    }
+
+    /// Names of the fields that come with it, where they are known.
+    pub fn fields(self) -> &'static [&'static str] {
+        self.entry().fields
+    }
+
+    /// What has happened.
+    pub fn description(self) -> &'static str {
+        self.entry().description
+    }
+}
+
+/// Writes an event to the logs.
+#[track_caller]
+pub fn emit(event: Event, fields: &[(&'static str, &dyn Display)]) {
+    let entry = event.entry();
+    if entry.level > log::max_level() {
+        return;
+    }
+    let fields: Vec<_> =
+        fields.iter().map(|(k, v)| (*k, OneLine(*v))).collect();
+    let mut pairs = Vec::with_capacity(fields.len() + 2);
+    pairs.push(("event", Value::from(entry.number)));
+    pairs.push(("name", Value::from(entry.name)));
+    for (key, value) in &fields {
+        pairs.push((*key, Value::from_dyn_display(value)));
+    }
+    let place = Location::caller();
+    let logger = log::logger();
+    logger.log(
+        &Record::builder()
+            .args(format_args!("{}", entry.description))
+            .level(entry.level)
+            .target(TARGET)
+            .file_static(Some(place.file()))
+            .line(Some(place.line()))
+            .key_values(&pairs)
+            .build(),
+    );
+}
+
+/// A value without control characters: what a peer or caller sent must not be
+/// able to begin a line of its own in the logs.
+struct OneLine<'a>(&'a dyn Display);
+
+impl Display for OneLine<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(Escaping(f), "{}", self.0)
+    }
+}
+
+struct Escaping<'a, 'b>(&'a mut fmt::Formatter<'b>);
+
+impl fmt::Write for Escaping<'_, '_> {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        for part in text.split_inclusive(char::is_control) {
+            let plain = part.trim_end_matches(char::is_control);
+            self.0.write_str(plain)?;
+            for control in part[plain.len()..].chars() {
+                write!(self.0, "{}", control.escape_default())?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/ops.rs
@@ -0,0 +1,200 @@
+//! The operators' HTTP port.
+//!
+//! | path | answer |
+//! |---|---|
+//! | `/metrics` | all metrics in the text format of Prometheus |
+//! | `/ready` | 200, or 503 with what the process waits for |
+//! | `/live` | 200 while the process answers |
+//! | `/status` | what the process knows of itself, as JSON |
+//!
+//! A connection carries one request and lives for a bounded time: a scraper
+//! that went silent then holds nothing for long. Dialling for each scrape
+//! costs little at the rate of scrapes.
+
+use std::{
+    future::Future,
+    io,
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use chestnutreach_http::{Received, ServerOptions, serve_connection};
+use futures_lite::FutureExt as _;
+use http_types::{Method, Response, StatusCode};
+use serde_json::json;
+
+use crate::{
+    event::{Event, emit},
+    metrics::Metrics,
+    readiness::Readiness,
+};
+
+/// Connections at once; further ones are closed.
+pub const MAX_CONNECTIONS: usize = 64;
+/// Longest life of a connection.
+pub const CONNECTION_LIMIT: Duration = Duration::from_secs(30);
+
+/// Longest body; requests to this port have none that matters.
+const MAX_BODY_BYTES: usize = 1024;
+/// Time given to a request to arrive.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Wait after a connection could not be taken, for example because the
+/// process has no file descriptor left.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+/// Name of the port in events.
+const PORT: &str = "ops";
+/// Type of the text format of Prometheus.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
+/// Type of JSON answers.
+const JSON_TYPE: &str = "application/json";
+
+/// Makes the answer of `/status`.
+pub type StatusFn = Box<dyn Fn() -> serde_json::Value + Send + Sync>;
+
+/// What the port shows.
+pub struct OpsState {
+    /// Answer of `/metrics`.
+    pub metrics: Arc<Metrics>,
+    /// Answer of `/ready`.
+    pub readiness: Arc<Readiness>,
+    /// Answer of `/status`.
+    pub status: StatusFn,
+}
+
+/// Serves the port until the future is dropped.
+pub async fn serve_ops(
+    listener: Async<TcpListener>,
+    executor: Arc<Executor<'static>>,
+    ops: Arc<OpsState>,
+) {
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        let (socket, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                emit(Event::AcceptFailed, &[("port", &PORT), ("error", &e)]);
+                Timer::after(ACCEPT_RETRY).await;
+                continue;
+            }
+        };
+        match Slot::take(&open) {
+            Some(slot) => {
+                let serving = serve(socket, peer, ops.clone(), slot);
+                executor.spawn(serving).detach();
+            }
+            None => emit(
+                Event::ConnectionLimitReached,
+                &[("port", &PORT), ("limit", &MAX_CONNECTIONS)],
+            ),
+        }
+    }
+}
+
+/// One of the connections that may be open.
+struct Slot(Arc<AtomicUsize>);
+
+impl Slot {
+    fn take(open: &Arc<AtomicUsize>) -> Option<Slot> {
+        let slot = Slot(open.clone());
+        let others = open.fetch_add(1, Ordering::Relaxed);
+        (others < MAX_CONNECTIONS).then_some(slot)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(
+    socket: Async<TcpStream>,
+    peer: SocketAddr,
+    ops: Arc<OpsState>,
+    _slot: Slot,
+) {
+    let options = ServerOptions::new()
+        .max_body_bytes(MAX_BODY_BYTES)
+        .idle_timeout(READ_TIMEOUT)
+        .read_timeout(READ_TIMEOUT);
+    let serving =
+        serve_connection(socket, &options, |received| answer(received, &ops));
+    if let Err(e) = within_limit(serving).await {
+        emit(
+            Event::HttpConnectionFailed,
+            &[("port", &PORT), ("peer_address", &peer), ("error", &e)],
+        );
+    }
+}
+
+async fn within_limit(
+    serving: impl Future<Output = io::Result<()>>,
+) -> io::Result<()> {
+    let limit = async {
+        Timer::after(CONNECTION_LIMIT).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    serving.or(limit).await
+}
+
+async fn answer(received: Received, ops: &OpsState) -> Response {
+    let method = received.request.method();
+    let mut response = match method {
+        Method::Get | Method::Head => {
+            answer_path(received.request.url().path(), ops)
+        }
+        _ => {
+            let mut response = Response::new(StatusCode::MethodNotAllowed);
+            response.insert_header("allow", "GET, HEAD");
+            response
+        }
+    };
+    response.insert_header("connection", "close");
+    response
+}
+
+fn answer_path(path: &str, ops: &OpsState) -> Response {
+    match path {
+        "/metrics" => metrics(ops),
+        "/ready" => ready(ops),
+        "/live" => json_response(StatusCode::Ok, &json!({"is_live": true})),
+        "/status" => json_response(StatusCode::Ok, &(ops.status)()),
+        _ => Response::new(StatusCode::NotFound),
+    }
+}
+
+fn metrics(ops: &OpsState) -> Response {
+    match ops.metrics.to_text() {
+        Ok(text) => response_with(StatusCode::Ok, text, METRICS_TYPE),
+        Err(e) => {
+            let error = json!({"error": e.to_string()});
+            json_response(StatusCode::InternalServerError, &error)
+        }
+    }
+}
+
+fn ready(ops: &OpsState) -> Response {
+    let reasons = ops.readiness.reasons();
+    let is_ready = reasons.is_empty();
+    let status =
+        if is_ready { StatusCode::Ok } else { StatusCode::ServiceUnavailable };
+    let body = json!({"is_ready": is_ready, "reasons": reasons});
+    json_response(status, &body)
+}
+
+fn json_response(status: StatusCode, body: &serde_json::Value) -> Response {
+    response_with(status, body.to_string(), JSON_TYPE)
+}
+
+fn response_with(status: StatusCode, body: String, kind: &str) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(body);
+    response.insert_header("content-type", kind);
+    response
+}
