Check the catalogues of events and metrics against the code

Cause: an operator looks up a number or a name; the page must be right.

Found while testing: both forms of the logs already escape control characters in values, so that the escaping in emit was dropped again; and the registry writes the labels that all metrics share in no fixed order, so that tests sort them.

--- /dev/null
+++ b/crates/telemetry/examples/token_cost.rs
@@ -0,0 +1,39 @@
+//! Prints what counting one token costs, on one thread and on several.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use chestnutreach_telemetry::Metrics;
+
+const TOKENS: u32 = 2_000_000;
+
+fn main() {
+    for threads in [1, 4] {
+        let metrics = Metrics::new("entry", "vm-1");
+        let longest = thread::scope(|scope| {
+            let runs: Vec<_> = (0..threads)
+                .map(|_| scope.spawn(|| count(&metrics)))
+                .collect();
+            let times = runs.into_iter().map(|r| r.join().unwrap());
+            times.max().unwrap_or_default()
+        });
+        let per_token_ns = longest.as_nanos() as f64 / f64::from(TOKENS);
+        println!("{threads} threads: {per_token_ns:.0} ns a token");
+    }
+}
+
+/// Counts tokens as an entry does: for the service, for the account, and the
+/// time since the token before.
+fn count(metrics: &Metrics) -> Duration {
+    let service = metrics.service("letters");
+    let account = metrics.account("halls");
+    let start = Instant::now();
+    for _ in 0..TOKENS {
+        service.tokens_delivered.inc();
+        account.tokens_delivered.inc();
+        service.time_between_tokens.observe(0.02);
+    }
+    start.elapsed()
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -6,10 +6,7 @@
 //! requests at an entry, 5 work at a side process, 6 backend servers, 7
 //! drains, 8 the ports of the process.
 
-use std::{
-    fmt::{self, Display, Write as _},
-    panic::Location,
-};
+use std::{fmt::Display, panic::Location};
 
 use log::{
     Level::{Debug, Error, Info, Warn},
@@ -227,20 +224,19 @@
     }
 }
 
-/// Writes an event to the logs.
+/// Writes an event to the logs. Both forms of the logs escape control
+/// characters in values, so that one event is always one line.
 #[track_caller]
 pub fn emit(event: Event, fields: &[(&'static str, &dyn Display)]) {
     let entry = event.entry();
     if entry.level > log::max_level() {
         return;
     }
-    let fields: Vec<_> =
-        fields.iter().map(|(k, v)| (*k, OneLine(*v))).collect();
     let mut pairs = Vec::with_capacity(fields.len() + 2);
     pairs.push(("event", Value::from(entry.number)));
     pairs.push(("name", Value::from(entry.name)));
-    for (key, value) in &fields {
-        pairs.push((*key, Value::from_dyn_display(value)));
+    for (key, value) in fields {
+        pairs.push((*key, Value::from_dyn_display(*value)));
     }
     let place = Location::caller();
     let logger = log::logger();
@@ -255,28 +251,3 @@
             .build(),
     );
 }
-
-/// A value without control characters: what a peer or caller sent must not be
-/// able to begin a line of its own in the logs.
-struct OneLine<'a>(&'a dyn Display);
-
-impl Display for OneLine<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(Escaping(f), "{}", self.0)
-    }
-}
-
-struct Escaping<'a, 'b>(&'a mut fmt::Formatter<'b>);
-
-impl fmt::Write for Escaping<'_, '_> {
-    fn write_str(&mut self, text: &str) -> fmt::Result {
-        for part in text.split_inclusive(char::is_control) {
-            let plain = part.trim_end_matches(char::is_control);
-            self.0.write_str(plain)?;
-            for control in part[plain.len()..].chars() {
-                write!(self.0, "{}", control.escape_default())?;
-            }
-        }
-        Ok(())
-    }
-}
--- /dev/null
+++ b/crates/telemetry/tests/metrics.rs
@@ -0,0 +1,124 @@
+//! What is counted shows under its name and labels.
+
+use std::time::Duration;
+
+use chestnutreach_telemetry::{
+    Metrics,
+    metrics::{ClaimResult, MAX_ACCOUNTS, OTHER, TableOperation, TableResult},
+};
+use rstest::rstest;
+
+struct Case {
+    name: &'static str,
+    act: fn(&Metrics),
+    line: &'static str,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "request",
+        act: |m| {
+            let elapsed = Duration::from_millis(20);
+            m.service("letters").request_ended("not-run", "full", elapsed);
+        },
+        line: "chestnutreach_requests_total{outcome=\"not-run\",\
+               reason=\"full\",role=\"side\",service=\"letters\",\
+               vm=\"vm-1\"} 1",
+    },
+    Case {
+        name: "time of a request",
+        act: |m| {
+            let elapsed = Duration::from_millis(20);
+            m.service("letters").request_ended("completed", "", elapsed);
+        },
+        line: "chestnutreach_request_seconds_bucket{role=\"side\",\
+               service=\"letters\",vm=\"vm-1\",le=\"0.03\"} 1",
+    },
+    Case {
+        name: "refused attempt",
+        act: |m| m.service("letters").attempt_refused("share"),
+        line: "chestnutreach_attempt_refusals_total{reason=\"share\",\
+               role=\"side\",service=\"letters\",vm=\"vm-1\"} 1",
+    },
+    Case {
+        name: "tokens of an account",
+        act: |m| m.account("halls").tokens_delivered.inc_by(7),
+        line: "chestnutreach_account_tokens_delivered_total{\
+               account=\"halls\",role=\"side\",vm=\"vm-1\"} 7",
+    },
+    Case {
+        name: "same handle twice",
+        act: |m| {
+            m.backend("b-1").steps.inc();
+            m.backend("b-1").steps.inc();
+        },
+        line: "chestnutreach_backend_steps_total{backend=\"b-1\",\
+               role=\"side\",vm=\"vm-1\"} 2",
+    },
+    Case {
+        name: "refused step",
+        act: |m| m.step_refused("fenced"),
+        line: "chestnutreach_step_refusals_total{reason=\"fenced\",\
+               role=\"side\",vm=\"vm-1\"} 1",
+    },
+    Case {
+        name: "table service",
+        act: |m| {
+            m.table_operation(TableOperation::Write, TableResult::Unknown);
+        },
+        line: "chestnutreach_table_operations_total{operation=\"write\",\
+               result=\"unknown\",role=\"side\",vm=\"vm-1\"} 1",
+    },
+    Case {
+        name: "claim",
+        act: |m| m.claim(ClaimResult::KeyReused),
+        line: "chestnutreach_claims_total{result=\"key_reused\",\
+               role=\"side\",vm=\"vm-1\"} 1",
+    },
+    Case {
+        name: "generation",
+        act: |m| m.generation.set(12),
+        line: "chestnutreach_manifest_generation{role=\"side\",\
+               vm=\"vm-1\"} 12",
+    },
+];
+
+/// A line with its labels sorted: the registry keeps the labels that all
+/// metrics have in no fixed order.
+fn sorted(line: &str) -> String {
+    let Some((name, rest)) = line.split_once('{') else {
+        return line.to_owned();
+    };
+    let (labels, value) = rest.split_once('}').unwrap();
+    let mut labels: Vec<_> = labels.split(',').collect();
+    labels.sort_unstable();
+    format!("{name}{{{}}}{value}", labels.join(","))
+}
+
+#[test]
+fn counts_show_in_the_text() {
+    for case in CASES {
+        let metrics = Metrics::new("side", "vm-1");
+        (case.act)(&metrics);
+        let text = metrics.to_text().unwrap();
+        let line = sorted(case.line);
+        let found = text.lines().any(|l| sorted(l) == line);
+        assert!(found, "{}: no {:?} in\n{text}", case.name, case.line);
+    }
+}
+
+#[rstest]
+#[case::before_the_bound(MAX_ACCOUNTS - 1, false)]
+#[case::past_the_bound(MAX_ACCOUNTS, true)]
+fn accounts_are_bounded(#[case] others: usize, #[case] is_shared: bool) {
+    let metrics = Metrics::new("entry", "vm-1");
+    for number in 0..others {
+        metrics.account(&format!("account-{number}"));
+    }
+    metrics.account("last").requests.inc();
+    let text = metrics.to_text().unwrap();
+    let has = |name: &str| text.contains(&format!("account=\"{name}\""));
+    assert_eq!(has(OTHER), is_shared);
+    assert_eq!(has("last"), !is_shared);
+    assert!(has("account-0"));
+}
