--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,9 @@
 //! | `openai` | the published shapes of requests and answers |
 //! | `language` | requests for a model |
 //! | `plain` | requests for a plain service |
+//! | `source` | where the progress of a request comes from |
+//! | `tally` | what is counted and logged of a request |
+//! | `outage` | how long the platform's store has been failing |
 //! | `answer` | outcomes as statuses, headers and error objects |
 
 mod answer;
@@ -19,9 +22,12 @@
 mod language;
 pub mod node;
 mod openai;
+mod outage;
 mod peers;
 mod plain;
 mod session;
+mod source;
+mod tally;
 mod view;
 
-pub use node::Entry;
+pub use node::{Entry, EntryParts};
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -22,7 +22,9 @@
 };
 use chestnutreach_telemetry::{Event, Metrics, emit};
 
-use crate::{api, peers::Peers, session::SessionEvent, view::View};
+use crate::{
+    api, outage::Outage, peers::Peers, session::SessionEvent, view::View,
+};
 
 /// Parts of the map of open requests, each under a lock of its own.
 const SESSION_SHARDS: usize = 16;
@@ -41,6 +43,7 @@
     pub(crate) view: ArcSwap<View>,
     pub(crate) peers: Peers,
     pub(crate) claims: ClaimStore,
+    pub(crate) store_outage: Outage,
     executor: Arc<Executor<'static>>,
     links: OnceLock<Links>,
     sessions: [Mutex<Sessions>; SESSION_SHARDS],
@@ -73,9 +76,11 @@
     pub fn start(parts: EntryParts) -> Entry {
         let options =
             chestnutreach_node::links::options(&parts.settings.node.links);
+        let clock = Clock::new();
         let shared = Arc::new(Shared {
             settings: parts.settings,
-            clock: Clock::new(),
+            clock,
+            store_outage: Outage::new(clock),
             metrics: parts.metrics,
             view: ArcSwap::from_pointee(View::empty()),
             peers: Peers::default(),
@@ -194,14 +199,16 @@
         self.is_leaving.load(Ordering::Acquire)
     }
 
-    /// Counts a request; none when as many as allowed are in flight.
-    pub(crate) fn enter(self: &Arc<Self>) -> Option<InFlight> {
+    /// Whether as many requests as allowed are in flight.
+    pub(crate) fn is_full(&self) -> bool {
         let limit = self.settings.max_requests_in_flight;
-        if self.in_flight.fetch_add(1, Ordering::AcqRel) >= limit {
-            self.in_flight.fetch_sub(1, Ordering::AcqRel);
-            return None;
-        }
-        Some(InFlight { shared: self.clone() })
+        self.in_flight.load(Ordering::Acquire) >= limit
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        InFlight { shared: self.clone() }
     }
 
     /// Sends the frames of a request to this channel.
@@ -213,6 +220,11 @@
         self.shard(request).insert(request.as_u128(), sender);
     }
 
+    /// Whether a request is under way here.
+    pub(crate) fn is_registered(&self, request: RequestId) -> bool {
+        self.shard(request).contains_key(&request.as_u128())
+    }
+
     pub(crate) fn unregister(&self, request: RequestId) {
         self.shard(request).remove(&request.as_u128());
     }
@@ -225,7 +237,7 @@
     fn handle(self: &Arc<Self>, event: LinkEvent) {
         match event {
             LinkEvent::Opened(link) => {
-                emit(Event::LinkOpened, &[("vm", &link.peer().vm)]);
+                emit(Event::LinkOpened, &[("peer_vm", &link.peer().vm)]);
             }
             LinkEvent::Frame(link, body) => self.handle_frame(&link, body),
             LinkEvent::Closed(link, reason) => {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -116,7 +116,7 @@
     pub(crate) fn side_lost(&self, link: &Link, reason: CloseReason) {
         emit(
             Event::LinkLost,
-            &[("vm", &link.peer().vm), ("reason", &format!("{reason:?}"))],
+            &[("peer_vm", &link.peer().vm), ("cause", &format!("{reason:?}"))],
         );
         if let Some(address) = link.dialled() {
             self.set_presence(address, Presence::Absent);
--- /dev/null
+++ b/crates/entry/src/plain.rs
@@ -0,0 +1,152 @@
+//! Requests for a plain service.
+
+use std::sync::Arc;
+
+use chestnutreach_protocol::wire;
+use chestnutreach_state::Outcome;
+use futures_lite::FutureExt as _;
+use http_types::{Method, Request, Response, StatusCode};
+
+use crate::{
+    answer::{self, OUTCOME_HEADER, REQUEST_HEADER},
+    api::Call,
+    language::deadline,
+    node::Shared,
+    session::{Job, JobWork, Progress},
+    source::Source,
+    tally::Tally,
+};
+
+/// Headers that end at the entry: of the connection, of the account's key,
+/// and of the router itself.
+const OWN_HEADERS: [&str; 9] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+const OWN_PREFIX: &str = "chestnutreach-";
+
+/// Serves a request for a plain service; `rest` is the path below its own.
+pub(crate) async fn serve(
+    entry: &Arc<Shared>,
+    mut call: Call,
+    rest: &str,
+) -> Result<Response, Response> {
+    let method = call.received.request.method();
+    let is_once = call
+        .terms
+        .is_non_idempotent
+        .unwrap_or_else(|| !is_idempotent(method));
+    let is_idempotent = !is_once && call.terms.key.is_none();
+    let plain_call = wire::PlainCall {
+        method: method.to_string(),
+        target: target(&call.received.request, rest),
+        headers: headers(&call.received.request),
+        body: call.received.body.clone(),
+    };
+    let job = Job {
+        request: call.request,
+        service: call.service.clone(),
+        account: call.account.name.clone(),
+        priority: call.terms.priority,
+        is_idempotent,
+        deadline: deadline(&call),
+        work: JobWork::PlainCall(plain_call),
+    };
+    let mut tally = Tally::new(entry, &call);
+    let mut source = Source::start(entry, &call, job);
+    call.received.body = Vec::new();
+    let mut response = Response::new(StatusCode::Ok);
+    let mut body = Vec::new();
+    loop {
+        let connection = &call.received.connection;
+        let next = async { Some(source.next().await) };
+        let gone = async {
+            connection.hung_up().await;
+            None
+        };
+        match next.or(gone).await {
+            None => {
+                tally.caller_gone();
+                return Err(Response::new(StatusCode::BadRequest));
+            }
+            Some(Progress::Head(head)) => {
+                tally.part(0);
+                response = to_response(&head);
+            }
+            Some(Progress::Data(data)) => body.extend_from_slice(&data),
+            Some(Progress::Whole(_)) => break,
+            Some(Progress::Ended(ending)) => {
+                tally.ended(&ending);
+                let request = Some(call.request);
+                return Err(answer::ended(&ending, request, is_idempotent));
+            }
+            Some(Progress::Token(_) | Progress::Held(_)) => {}
+        }
+    }
+    tally.completed();
+    let outcome = Outcome::Completed.as_str();
+    response.insert_header(OUTCOME_HEADER, outcome);
+    response.insert_header(REQUEST_HEADER, call.request.to_string());
+    // A body sets the content type, which is the service's to say.
+    let content_type = response.header("content-type").cloned();
+    response.set_body(body);
+    if let Some(content_type) = content_type {
+        response.insert_header("content-type", &content_type);
+    }
+    Ok(response)
+}
+
+/// Whether HTTP itself calls a method idempotent.
+fn is_idempotent(method: Method) -> bool {
+    matches!(
+        method,
+        Method::Get
+            | Method::Head
+            | Method::Put
+            | Method::Delete
+            | Method::Options
+            | Method::Trace
+    )
+}
+
+fn target(request: &Request, rest: &str) -> String {
+    let path = if rest.is_empty() { "/" } else { rest };
+    match request.url().query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    }
+}
+
+fn headers(request: &Request) -> Vec<wire::Header> {
+    let mut headers = Vec::new();
+    for (name, values) in request.iter() {
+        let name = name.as_str().to_ascii_lowercase();
+        let is_own = OWN_HEADERS.contains(&name.as_str())
+            || name.starts_with(OWN_PREFIX);
+        if is_own {
+            continue;
+        }
+        for value in values.iter() {
+            let (name, value) = (name.clone(), value.as_str().to_owned());
+            headers.push(wire::Header { name, value });
+        }
+    }
+    headers
+}
+
+fn to_response(head: &wire::PlainHead) -> Response {
+    let status = StatusCode::try_from(head.status as u16)
+        .unwrap_or(StatusCode::BadGateway);
+    let mut response = Response::new(status);
+    for header in &head.headers {
+        response.append_header(header.name.as_str(), header.value.as_str());
+    }
+    response
+}
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -17,7 +17,7 @@
 use std::{
     collections::VecDeque,
     sync::Arc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use async_io::Timer;
@@ -41,7 +41,7 @@
 use futures_lite::FutureExt as _;
 
 use crate::{
-    keyed::{Hold, KeyedRequest},
+    keyed::{Hold, KeyedRequest, in_progress_ms},
     node::Shared,
     view::ServiceView,
 };
@@ -139,6 +139,10 @@
         Ending::new(outcome, Cause::Backend, detail)
     }
 
+    pub(crate) fn failed(detail: &str) -> Ending {
+        Ending::new(Outcome::Failed, Cause::Backend, detail)
+    }
+
     fn new(outcome: Outcome, cause: Cause, detail: &str) -> Ending {
         Ending { outcome, cause, detail: detail.to_owned() }
     }
@@ -148,8 +152,7 @@
 struct Attempt {
     stages: Vec<BackendIndex>,
     chain: Vec<wire::Stage>,
-    link: Link,
-    _guard: BusyGuard,
+    link: Option<(Link, BusyGuard)>,
     is_accepted: bool,
     cost_tokens: u32,
     started: Instant,
@@ -179,6 +182,7 @@
     deadline: Timer,
     phase: Phase,
     attempt_number: u32,
+    attempt_count: u32,
     attempt: Option<Attempt>,
     /// Whether any attempt may have begun.
     may_have_begun: bool,
@@ -207,6 +211,7 @@
             events,
             phase: Phase::Idle,
             attempt_number: 0,
+            attempt_count: 0,
             attempt: None,
             may_have_begun: false,
             avoid: Vec::new(),
@@ -217,17 +222,50 @@
         }
     }
 
-    pub(crate) fn job(&self) -> &Job {
-        &self.job
+    /// The key and its claim, to note how the request ended.
+    pub(crate) fn take_keyed(&mut self) -> Option<KeyedRequest> {
+        self.keyed.take()
     }
 
-    pub(crate) fn keyed(&self) -> Option<&KeyedRequest> {
-        self.keyed.as_ref()
+    /// Goes on in place of an earlier request of the same key that surely
+    /// did not run.
+    pub(crate) fn take_over(&mut self, held: Claim) {
+        if let Some(keyed) = &mut self.keyed {
+            keyed.replace_claim(held, self.job.request);
+        }
+        self.phase = Phase::Idle;
     }
 
-    /// Attempts made.
-    pub(crate) fn attempts(&self) -> u32 {
-        self.attempt_number
+    /// Goes on as an earlier request of the same key whose entry has gone:
+    /// asks the side process that its claim names.
+    pub(crate) fn ask_for(&mut self, held: Claim) {
+        self.entry.unregister(self.job.request);
+        self.job.request = RequestId::from_u128(held.request);
+        let (sender, events) = async_channel::unbounded();
+        self.entry.register(self.job.request, sender);
+        self.events = events;
+        // Above every attempt that the other entry can have made.
+        self.attempt_number = unix_s();
+        let first = wire::Stage {
+            side_address: held.side_address.to_string(),
+            side_boot_id: held.side_boot_id,
+            ..wire::Stage::default()
+        };
+        self.attempt = Some(Attempt {
+            stages: Vec::new(),
+            chain: vec![first],
+            link: None,
+            is_accepted: false,
+            cost_tokens: 0,
+            started: Instant::now(),
+            first_output: None,
+            first_position: 0,
+            has_begun_before: false,
+        });
+        if let Some(keyed) = &mut self.keyed {
+            keyed.replace_claim(held, self.job.request);
+        }
+        self.phase = Phase::Lost;
     }
 
     /// Waits for the next thing that happens.
@@ -241,9 +279,7 @@
                 Phase::Waiting => self.wait().await,
                 Phase::Lost => self.recover().await,
                 Phase::Over => {
-                    let detail = "the request has ended";
-                    let ending =
-                        Ending::new(Outcome::Failed, Cause::Backend, detail);
+                    let ending = Ending::failed("the request has ended");
                     return Progress::Ended(ending);
                 }
             }
@@ -288,7 +324,7 @@
             self.give_up(Cause::Deadline, "the time was over");
             return;
         }
-        if self.attempt_number > 0 && !self.may_try_again() {
+        if self.attempt_count > 0 && !self.may_try_again() {
             self.give_up(Cause::Backend, "no attempts are left");
             return;
         }
@@ -303,6 +339,7 @@
             return;
         }
         self.attempt_number += 1;
+        self.attempt_count += 1;
         let run = self.run_message(&chain);
         let guard = link.busy();
         if link.send(Body::Run(run)).is_err() {
@@ -319,8 +356,7 @@
         self.attempt = Some(Attempt {
             stages,
             chain,
-            link,
-            _guard: guard,
+            link: Some((link, guard)),
             is_accepted: false,
             cost_tokens,
             started: Instant::now(),
@@ -332,7 +368,7 @@
     }
 
     fn may_try_again(&self) -> bool {
-        self.attempt_number < self.entry.settings.max_attempts
+        self.attempt_count < self.entry.settings.max_attempts
             && self.job.service.budget.take()
     }
 
@@ -500,7 +536,8 @@
     }
 
     fn is_current(&self, link_id: u64) -> bool {
-        self.attempt.as_ref().is_some_and(|a| a.link.id() == link_id)
+        let link = self.attempt.as_ref().and_then(|a| a.link.as_ref());
+        link.is_some_and(|(link, _)| link.id() == link_id)
     }
 
     fn time_over(&mut self) {
@@ -519,8 +556,9 @@
 
     /// Tells the first stage that nobody waits any more.
     fn cancel(&self) {
-        if let Some(attempt) = &self.attempt {
-            let _ = attempt.link.send(Body::Cancel(wire::Cancel {
+        let attempt = self.attempt.as_ref();
+        if let Some((link, _)) = attempt.and_then(|a| a.link.as_ref()) {
+            let _ = link.send(Body::Cancel(wire::Cancel {
                 request: Some(self.job.request.into()),
                 attempt: self.attempt_number,
             }));
@@ -642,7 +680,8 @@
         self.may_have_begun = attempt.has_begun_before;
         let at_fault = self.job.service.fleet.find(&m.backend);
         self.note_ended(&attempt, &Ended::Refused, at_fault);
-        self.avoid.push(at_fault.unwrap_or(attempt.stages[0]));
+        let first = attempt.stages.first().copied();
+        self.avoid.extend(at_fault.or(first));
         self.last_refusal = Some(to_ending(m));
     }
 
@@ -654,9 +693,9 @@
         };
         self.may_have_begun = true;
         let at_fault = self.job.service.fleet.find(backend);
-        let fault = at_fault.unwrap_or(attempt.stages[0]);
-        self.note_ended(&attempt, &Ended::Failed, Some(fault));
-        self.avoid.push(fault);
+        let fault = at_fault.or(attempt.stages.first().copied());
+        self.note_ended(&attempt, &Ended::Failed, fault);
+        self.avoid.extend(fault);
         let cause = match reason {
             FailureReason::Deadline => Cause::Deadline,
             FailureReason::BadRequest => Cause::Request,
@@ -709,8 +748,8 @@
         let is_accepted =
             self.attempt.as_ref().is_some_and(|a| a.is_accepted);
         if let Some(attempt) = self.attempt.take() {
-            let first = attempt.stages[0];
-            self.note_ended(&attempt, &Ended::Failed, Some(first));
+            let first = attempt.stages.first().copied();
+            self.note_ended(&attempt, &Ended::Failed, first);
         }
         let outcome =
             if is_accepted { Outcome::Failed } else { Outcome::Unknown };
@@ -745,8 +784,7 @@
             from_position: self.next_position,
             backend: first.backend.clone(),
         };
-        attempt._guard = link.busy();
-        attempt.link = link.clone();
+        attempt.link = Some((link.clone(), link.busy()));
         if link.send(Body::Query(query)).is_err() {
             return Asked::NoAnswer;
         }
@@ -785,6 +823,14 @@
 
     fn recovered(&mut self, answer: wire::QueryAnswer) {
         self.phase = Phase::Waiting;
+        let has_run = !matches!(
+            answer.state(),
+            RunState::NeverSeen | RunState::Refused
+        );
+        if has_run && self.attempt_count == 0 {
+            // The attempt of the entry that has gone.
+            self.attempt_number = answer.attempt;
+        }
         match answer.state() {
             RunState::NeverSeen | RunState::Refused => {
                 let backend = self.first_backend();
@@ -811,6 +857,17 @@
                 self.outputs(answer.outputs);
                 self.failed(reason, &backend, "the attempt had failed");
             }
+            RunState::Running if self.attempt_count == 0 => {
+                let detail = "a request with this idempotency key runs now";
+                let ending = Ending::not_run(
+                    NotRunReason::InProgress,
+                    Some(in_progress_ms()),
+                    detail,
+                );
+                self.keyed = None;
+                self.attempt = None;
+                self.end(ending);
+            }
             RunState::Running | RunState::Unspecified => self.answer_gone(),
         }
     }
@@ -885,3 +942,8 @@
         format!("{} refused: {}", m.backend, m.reason().as_str_name());
     Ending::not_run(reason, Some(retry_after_ms), &detail)
 }
+
+fn unix_s() -> u32 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_secs() as u32)
+}
--- /dev/null
+++ b/crates/entry/src/source.rs
@@ -0,0 +1,60 @@
+//! Where the progress of a request comes from.
+
+use std::sync::Arc;
+
+use crate::{
+    api::Call,
+    keyed::{self, KeyedRequest},
+    node::Shared,
+    session::{Ending, Job, Progress, Session},
+};
+
+/// A request under way, as its handler sees it.
+pub(crate) enum Source {
+    /// Driven by whoever asks for the next thing.
+    Direct(Box<Session>),
+    /// Driven by a task of its own, since it has a key.
+    Keyed(async_channel::Receiver<Progress>),
+}
+
+impl Source {
+    /// Starts a request.
+    pub(crate) fn start(entry: &Arc<Shared>, call: &Call, job: Job) -> Source {
+        let Some(key) = &call.terms.key else {
+            return Source::Direct(Box::new(Session::new(entry, job, None)));
+        };
+        let account = &call.account.name;
+        let digest = digest(call);
+        let keyed =
+            KeyedRequest::new(entry, account, key, digest, call.request);
+        Source::Keyed(keyed::start(entry, job, keyed))
+    }
+
+    /// Waits for the next thing that happens.
+    pub(crate) async fn next(&mut self) -> Progress {
+        match self {
+            Source::Direct(session) => session.next().await,
+            Source::Keyed(progress) => {
+                progress.recv().await.unwrap_or_else(|_| {
+                    Progress::Ended(Ending::failed("the request has ended"))
+                })
+            }
+        }
+    }
+}
+
+/// Digest of all that makes a repeat the same request.
+fn digest(call: &Call) -> [u8; 32] {
+    let request = &call.received.request;
+    let mut hasher = blake3::Hasher::new();
+    for part in [
+        request.method().to_string().as_bytes(),
+        request.url().path().as_bytes(),
+        request.url().query().unwrap_or("").as_bytes(),
+        &call.received.body,
+    ] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    *hasher.finalize().as_bytes()
+}
--- a/crates/side/src/backend.rs
+++ b/crates/side/src/backend.rs
@@ -6,7 +6,7 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwapOption;
@@ -22,7 +22,7 @@
 use chestnutreach_http::{Client, ClientOptions};
 use chestnutreach_routing::admission::Speed;
 use chestnutreach_state::RunOnceTable;
-use chestnutreach_telemetry::{Event, emit};
+use chestnutreach_telemetry::{Event, emit, metrics::BackendMetrics};
 use futures_lite::FutureExt as _;
 
 use crate::{
@@ -36,6 +36,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Missed answers in a row after which a call is given up.
 const PROBE_MISSES: u32 = 2;
+/// Guess of a speed that nobody states: nothing is too late by it.
+const UNKNOWN: f64 = 1e9;
 /// Sequences freed in one call.
 const RELEASE_BATCH: usize = 256;
 
@@ -62,6 +64,7 @@
     assigned: ArcSwapOption<Assigned>,
     pub(crate) gate: Gate,
     pub(crate) steps: StepQueue,
+    pub(crate) metrics: Arc<BackendMetrics>,
     table: Mutex<RunOnceTable>,
     is_healthy: AtomicBool,
     is_leaving: AtomicBool,
@@ -74,6 +77,7 @@
         name: &str,
         address: SocketAddr,
         settings: &SideSettings,
+        metrics: Arc<BackendMetrics>,
     ) -> Backend {
         let (releases, released) = async_channel::unbounded();
         let table = RunOnceTable::new(
@@ -86,6 +90,7 @@
             assigned: ArcSwapOption::empty(),
             gate: Gate::new(settings.queue_limit_tokens),
             steps: StepQueue::new(settings.engine_calls),
+            metrics,
             table: Mutex::new(table),
             is_healthy: AtomicBool::new(true),
             is_leaving: AtomicBool::new(false),
@@ -152,15 +157,15 @@
 
     fn apply_places(&self, manifest: &Manifest, server: &BackendServer) {
         let kind = server.accelerator.as_ref();
-        let speed = kind.and_then(|k| manifest.accelerators.get(k)).map_or(
-            Speed::new(0.0, 0.0),
-            |a| {
-                Speed::new(
-                    a.prompt_tokens_per_s as f32,
-                    a.output_tokens_per_s as f32,
-                )
-            },
-        );
+        let kind = kind.and_then(|k| manifest.accelerators.get(k));
+        let speed = kind.map_or(Speed::new(UNKNOWN, UNKNOWN), |kind| {
+            let share = layer_share(manifest, server);
+            Speed::new(
+                f64::from(kind.prompt_tokens_per_s) / share,
+                f64::from(kind.output_tokens_per_s) / share,
+            )
+        });
+        let speed = speed.places(server.max_running);
         self.gate.set_places(server.max_running, speed);
         for (name, account) in &manifest.accounts {
             if account.services.contains(&server.service) {
@@ -169,6 +174,30 @@
         }
     }
 
+    /// Learns the speed from a call that was answered.
+    fn note_call(
+        &self,
+        steps: &[SequenceStep],
+        results: &EngineResults,
+        is_first: bool,
+        started: Instant,
+    ) {
+        let took = started.elapsed();
+        self.metrics.steps.inc_by(steps.len() as u64);
+        self.metrics.step_time.observe(took.as_secs_f64());
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        let spans = results.iter().flatten().map(|output| {
+            output.span.saturating_sub(output.cached_tokens)
+        });
+        if is_first {
+            let longest = spans.clone().max().unwrap_or(0);
+            let tokens = spans.map(u64::from).sum();
+            self.gate.learn_prompt(longest, tokens, took_ms);
+        } else {
+            self.gate.learn_output(steps.len() as u64, took_ms);
+        }
+    }
+
     fn is_assigned_as(&self, server: &BackendServer) -> bool {
         self.assigned().is_some_and(|a| {
             a.service == server.service
@@ -205,9 +234,11 @@
         let is_first = b.is_first;
         let (owners, steps): (Vec<Owner>, Vec<SequenceStep>) =
             b.steps.into_iter().map(|s| (s.owner, s.step)).unzip();
-        self.metrics.batch(steps.len());
+        backend.metrics.batch_size.observe(steps.len() as f64);
+        let started = Instant::now();
         match self.call_engine(backend, &steps, is_first).await {
             Ok(results) => {
+                backend.note_call(&steps, &results, is_first, started);
                 for ((owner, step), result) in
                     owners.iter().zip(&steps).zip(results)
                 {
@@ -290,6 +321,18 @@
     }
 }
 
+/// Share of a service's layers that a backend server holds.
+fn layer_share(manifest: &Manifest, server: &BackendServer) -> f64 {
+    let service = manifest.services.get(&server.service);
+    match service.map(|service| &service.kind) {
+        Some(ServiceKind::Language { layer_count, .. }) => {
+            let layers = server.end_layer - server.first_layer;
+            f64::from(layers) / f64::from(*layer_count)
+        }
+        _ => 1.0,
+    }
+}
+
 /// An engine's answers to the steps of one call, in order.
 pub(crate) type EngineResults = Vec<
     Result<
--- a/crates/side/src/frames.rs
+++ b/crates/side/src/frames.rs
@@ -53,13 +53,13 @@
 
     fn link_opened(&self, link: &Link) {
         let _ = link.send(self.status());
-        emit(Event::LinkOpened, &[("vm", &link.peer().vm)]);
+        emit(Event::LinkOpened, &[("peer_vm", &link.peer().vm)]);
     }
 
     fn link_closed(self: &Arc<Self>, link: &Link, reason: CloseReason) {
         emit(
             Event::LinkLost,
-            &[("vm", &link.peer().vm), ("reason", &format!("{reason:?}"))],
+            &[("peer_vm", &link.peer().vm), ("cause", &format!("{reason:?}"))],
         );
         let seats: Vec<Arc<Seat>> =
             self.lock_seats().values().cloned().collect();
--- a/crates/side/src/gate.rs
+++ b/crates/side/src/gate.rs
@@ -151,19 +151,14 @@
         self.lock().queue.expire(now_ms)
     }
 
-    /// Learns from an ended request.
-    pub(crate) fn learn(
-        &self,
-        prompt: Option<(u32, u64)>,
-        output: Option<(u32, u64)>,
-    ) {
-        let mut state = self.lock();
-        if let Some((tokens, time_ms)) = prompt {
-            state.speed.note_prompt(tokens, time_ms);
-        }
-        if let Some((tokens, time_ms)) = output {
-            state.speed.note_output(tokens, time_ms);
-        }
+    /// Learns from a call that ran first steps with these tokens.
+    pub(crate) fn learn_prompt(&self, longest: u32, tokens: u64, ms: f64) {
+        self.lock().speed.learn_prompt(longest, tokens, ms);
+    }
+
+    /// Learns from a call that ran one token of each of some requests.
+    pub(crate) fn learn_output(&self, tokens: u64, ms: f64) {
+        self.lock().speed.learn_output(0, tokens, ms);
     }
 
     /// Charges an account for tokens that the estimate missed.
@@ -179,8 +174,8 @@
             queued: state.queue.len() as u32,
             pending_tokens: state.queue.pending_tokens()
                 + state.running_tokens,
-            prompt_tokens_per_s: state.speed.prompt_tokens_per_s(),
-            output_tokens_per_s: state.speed.output_tokens_per_s(),
+            prompt_tokens_per_s: state.speed.prompt_tokens_per_s(0) as f32,
+            output_tokens_per_s: state.speed.output_tokens_per_s(0) as f32,
             queue_wait_ms: state.wait_ms(),
         }
     }
--- a/crates/side/src/node.rs
+++ b/crates/side/src/node.rs
@@ -90,7 +90,12 @@
             .backends
             .iter()
             .map(|b| {
-                let backend = Backend::new(&b.name, b.address, &settings);
+                let backend = Backend::new(
+                    &b.name,
+                    b.address,
+                    &settings,
+                    metrics.backend(&b.name),
+                );
                 (b.name.clone(), Arc::new(backend))
             })
             .collect();
@@ -360,14 +365,23 @@
 
     /// Counts a step that was not taken.
     pub(crate) fn note_refused_step(&self, reason: &'static str) {
-        self.metrics.step_refusal(reason);
+        self.metrics.step_refused(reason);
         emit(Event::StepRefused, &[("reason", &reason)]);
     }
 
+    /// Sets the gauges of the backend servers.
     pub(crate) fn note_gauges(&self) {
-        let queued: usize =
-            self.backends.values().map(|b| b.steps.len()).sum();
-        self.metrics.steps_queued.set(queued as i64);
+        let mut records = 0;
+        for backend in self.backends.values() {
+            records += backend.table().len();
+            let load = backend.gate.load();
+            let metrics = &backend.metrics;
+            metrics.is_healthy.set(backend.is_healthy().into());
+            metrics.running.set(load.running.into());
+            metrics.queued.set(load.queued.into());
+            metrics.queue_tokens.set(load.pending_tokens as i64);
+        }
+        self.metrics.run_once_records.set(records as i64);
     }
 }
 
--- a/crates/side/src/run.rs
+++ b/crates/side/src/run.rs
@@ -91,8 +91,6 @@
     /// Links to stages 1.. in order.
     stages: Vec<(Link, BusyGuard)>,
     missing: BTreeSet<u32>,
-    began_ms: u64,
-    first_token_ms: Option<u64>,
     /// Positions of the first step: prompt and delivered tokens.
     first_span: Option<u32>,
     prompt_tokens: u32,
@@ -225,8 +223,6 @@
             orphan_until_ms: None,
             stages: Vec::new(),
             missing: (1..m.chain.len() as u32).collect(),
-            began_ms: 0,
-            first_token_ms: None,
             first_span: None,
             prompt_tokens: 0,
             cached_tokens: 0,
@@ -398,7 +394,6 @@
                 return;
             }
             state.phase = Phase::Running;
-            state.began_ms = self.clock.now_ms();
             let request = run.wire_id();
             let attempt = run.attempt;
             state.send_entry(Body::Accepted(Accepted { request, attempt }));
@@ -536,7 +531,6 @@
             }
             return;
         }
-        state.first_token_ms.get_or_insert(self.clock.now_ms());
         state.produced += 1;
         let number = run.delivered() + state.produced - 1;
         let bytes = token.text.len() + TOKEN_OVERHEAD_BYTES;
@@ -550,7 +544,6 @@
         };
         state.output(output, bytes);
         drop(state);
-        self.metrics.tokens_delivered.inc();
         if token.is_stop {
             self.finish(run, FinishReason::Stop);
         } else if number + 1 >= run.max_tokens() {
@@ -600,7 +593,7 @@
         // The table first: whoever sees the answer finds it recorded.
         run.backend.table().finish(run.id, run.attempt, now_ms);
         state.send_entry(Body::Finished(finished));
-        self.learn(run, &state, now_ms);
+        self.charge(run, &state);
         drop(state);
         self.end(run);
     }
@@ -686,7 +679,8 @@
             load,
         }));
         drop(state);
-        self.metrics.refusal(reason.as_str_name());
+        let metrics = self.metrics.service(&run.service);
+        metrics.attempt_refused(reason.as_str_name());
         if was_queued {
             run.backend.gate.remove(run);
             run.is_ended.store(true, Ordering::Release);
@@ -735,15 +729,8 @@
         }
     }
 
-    fn learn(&self, run: &Run, state: &State, now_ms: u64) {
-        let Some(first_ms) = state.first_token_ms else {
-            return;
-        };
-        let fresh = state.prompt_tokens.saturating_sub(state.cached_tokens);
-        let prompt = (fresh + run.delivered(), first_ms - state.began_ms);
-        let output = (state.produced - 1, now_ms - first_ms);
-        let has_output = state.produced > 1;
-        run.backend.gate.learn(Some(prompt), has_output.then_some(output));
+    /// Corrects what the account was charged by what was really used.
+    fn charge(&self, run: &Run, state: &State) {
         let used = state.prompt_tokens + state.produced;
         let missed = i64::from(used) - run.cost_tokens as i64;
         run.backend.gate.charge(&run.account, missed);
@@ -777,7 +764,10 @@
         };
         let id = RequestId::from(request).as_u128();
         let open = self.find_run(id);
-        let answer = match open.filter(|run| run.backend.name == m.backend) {
+        let is_meant = |run: &Arc<Run>| {
+            m.backend.is_empty() || run.backend.name == m.backend
+        };
+        let answer = match open.filter(is_meant) {
             Some(run) => self.query_open(&run, link, m),
             None => self.query_ended(id, m),
         };
@@ -822,12 +812,7 @@
             attempt: m.attempt,
             ..wire::QueryAnswer::default()
         };
-        let Some(backend) = self.backends.get(&m.backend) else {
-            // It was never beside this process, so nothing has run on it.
-            answer.state = wire::RunState::NeverSeen.into();
-            return answer;
-        };
-        let mut known = backend.table().query(id, m.attempt, now_ms);
+        let mut known = self.query_tables(id, m, now_ms);
         if let Some(run) = ended {
             let state = run.lock();
             answer.attempt = run.attempt;
@@ -844,6 +829,32 @@
     }
 }
 
+impl Shared {
+    /// Asks the table of the backend server meant, or of all if none is
+    /// named, and takes the answer that says most.
+    fn query_tables(
+        &self,
+        id: u128,
+        m: &wire::Query,
+        now_ms: u64,
+    ) -> run_once::RunState {
+        self.backends
+            .values()
+            .filter(|b| m.backend.is_empty() || b.name == m.backend)
+            .map(|b| b.table().query(id, m.attempt, now_ms))
+            .max_by_key(|state| match state {
+                run_once::RunState::NeverSeen => 0,
+                run_once::RunState::Refused => 1,
+                run_once::RunState::Failed => 2,
+                run_once::RunState::Finished => 3,
+                _ => 4,
+            })
+            // A backend server that was never beside this process has run
+            // nothing here.
+            .unwrap_or(run_once::RunState::NeverSeen)
+    }
+}
+
 /// A token as an engine gave it.
 struct Token {
     token: u32,
--- a/crates/side/src/seat.rs
+++ b/crates/side/src/seat.rs
@@ -95,11 +95,12 @@
         m: wire::Reserve,
     ) {
         let (request, attempt) = (m.request, m.attempt);
+        let metrics = self.metrics.service(&m.service);
         match self.try_seat(link, m) {
             Ok(seat) => self.connect_next(seat),
             Err(refusal) => {
                 let reason = refusal.reason;
-                self.metrics.refusal(reason.as_str_name());
+                metrics.attempt_refused(reason.as_str_name());
                 let _ = link.send(Body::Refused(wire::Refused {
                     request,
                     attempt,
