--- /dev/null
+++ b/crates/config/src/fields.rs
@@ -0,0 +1,300 @@
+//! The keys of a section, their ranges and defaults.
+//!
+//! One constant describes a key: the reader checks against it, the operators'
+//! pages are tested against it, and the default stands in it. So there is
+//! one place where a range or a default changes.
+
+/// A section that a file may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct SectionTable {
+    /// First word of the heading.
+    pub word: &'static str,
+    /// Names that follow the word, as the pages write them.
+    pub names: &'static [&'static str],
+    /// Its keys; more than one table where keys depend on another key.
+    pub tables: &'static [&'static [Field]],
+}
+
+impl SectionTable {
+    /// The heading as the pages write it, without brackets.
+    pub fn heading(&self) -> String {
+        let mut heading = self.word.to_owned();
+        for name in self.names {
+            heading.push(' ');
+            heading.push_str(name);
+        }
+        heading
+    }
+
+    /// All keys.
+    pub fn fields(&self) -> impl Iterator<Item = &'static Field> {
+        self.tables.iter().flat_map(|table| table.iter())
+    }
+}
+
+/// A key of a section.
+#[derive(Clone, Copy, Debug)]
+pub enum Field {
+    /// A whole number with a unit.
+    Integer(IntegerField),
+    /// One of a few words.
+    Choice(ChoiceField),
+    /// An address.
+    Address(AddressField),
+    /// A name, or another short text of a given form.
+    Text(TextField),
+    /// A list with commas.
+    List(ListField),
+}
+
+impl Field {
+    /// The key as it is written.
+    pub fn key(&self) -> &'static str {
+        match self {
+            Field::Integer(field) => field.key,
+            Field::Choice(field) => field.key,
+            Field::Address(field) => field.key,
+            Field::Text(field) => field.key,
+            Field::List(field) => field.key,
+        }
+    }
+
+    /// The unit; none for what isn't a number.
+    pub fn unit(&self) -> Option<&'static str> {
+        match self {
+            Field::Integer(field) => Some(field.unit),
+            _ => None,
+        }
+    }
+
+    /// What a value may be.
+    pub fn range(&self) -> String {
+        match self {
+            Field::Integer(field) => field.range(),
+            Field::Choice(field) => field.words.join(", "),
+            Field::Address(_) => "ip:port".to_owned(),
+            Field::Text(field) => field.form.describe().to_owned(),
+            Field::List(field) => {
+                format!("list of {}", field.form.describe())
+            }
+        }
+    }
+
+    /// What holds where the key is missing; none where it's required.
+    pub fn default(&self) -> Option<String> {
+        match self {
+            Field::Integer(field) => {
+                field.default.map(|value| value.to_string())
+            }
+            Field::Choice(field) => field.default.map(str::to_owned),
+            Field::Text(field) => field.default.map(str::to_owned),
+            Field::Address(_) | Field::List(_) => None,
+        }
+    }
+}
+
+/// A whole number.
+#[derive(Clone, Copy, Debug)]
+pub struct IntegerField {
+    /// The key.
+    pub key: &'static str,
+    /// Least value.
+    pub min: u64,
+    /// Greatest value.
+    pub max: u64,
+    /// Unit of the value.
+    pub unit: &'static str,
+    /// Value where the key is missing.
+    pub default: Option<u64>,
+}
+
+impl IntegerField {
+    /// A required number.
+    pub(crate) const fn new(
+        key: &'static str,
+        min: u64,
+        max: u64,
+        unit: &'static str,
+    ) -> IntegerField {
+        IntegerField { key, min, max, unit, default: None }
+    }
+
+    /// The same with a default.
+    pub(crate) const fn or(mut self, default: u64) -> IntegerField {
+        self.default = Some(default);
+        self
+    }
+
+    /// The range as the pages write it.
+    pub(crate) fn range(&self) -> String {
+        format!("{}..={}", self.min, self.max)
+    }
+}
+
+/// One of a few words.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceField {
+    /// The key.
+    pub key: &'static str,
+    /// The words.
+    pub words: &'static [&'static str],
+    /// Word where the key is missing.
+    pub default: Option<&'static str>,
+}
+
+impl ChoiceField {
+    /// A required choice.
+    pub(crate) const fn new(
+        key: &'static str,
+        words: &'static [&'static str],
+    ) -> ChoiceField {
+        ChoiceField { key, words, default: None }
+    }
+
+    /// The same with a default.
+    pub(crate) const fn or(mut self, default: &'static str) -> ChoiceField {
+        self.default = Some(default);
+        self
+    }
+}
+
+/// Who uses an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AddressUse {
+    /// This process listens there; every local address is allowed.
+    Listen,
+    /// Others connect there, so it must be a definite one.
+    Connect,
+}
+
+/// An address, always required.
+#[derive(Clone, Copy, Debug)]
+pub struct AddressField {
+    /// The key.
+    pub key: &'static str,
+    /// Who uses it.
+    pub address_use: AddressUse,
+}
+
+impl AddressField {
+    /// An address to listen at.
+    pub(crate) const fn listen(key: &'static str) -> AddressField {
+        AddressField { key, address_use: AddressUse::Listen }
+    }
+
+    /// An address to connect to.
+    pub(crate) const fn connect(key: &'static str) -> AddressField {
+        AddressField { key, address_use: AddressUse::Connect }
+    }
+}
+
+/// Form of a short text.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TextForm {
+    /// Name of a VM, a service and the like.
+    Name,
+    /// Name of a model, as its publisher writes it.
+    Model,
+    /// Path prefix of a URL.
+    Path,
+    /// Digest of a key.
+    KeyDigest,
+}
+
+/// Most characters of a name, a model or a path.
+pub const TEXT_LIMIT_CHARS: usize = 128;
+
+impl TextForm {
+    /// The form in words.
+    pub fn describe(self) -> &'static str {
+        match self {
+            TextForm::Name => "name (letters, digits, `-`, `_`, `.`)",
+            TextForm::Model => "model (printable ASCII, no space or comma)",
+            TextForm::Path => "path (`/`, then names parted by `/`)",
+            TextForm::KeyDigest => "key digest (64 hexadecimal digits)",
+        }
+    }
+
+    /// `text` as it is held.
+    pub(crate) fn normalised(self, text: &str) -> String {
+        match self {
+            TextForm::KeyDigest => text.to_ascii_lowercase(),
+            _ => text.to_owned(),
+        }
+    }
+
+    /// Whether `text` has the form.
+    pub fn matches(self, text: &str) -> bool {
+        match self {
+            TextForm::Name => is_name(text),
+            TextForm::Model => is_model(text),
+            TextForm::Path => is_path(text),
+            TextForm::KeyDigest => crate::keys::is_key_digest(text),
+        }
+    }
+}
+
+/// A short text.
+#[derive(Clone, Copy, Debug)]
+pub struct TextField {
+    /// The key.
+    pub key: &'static str,
+    /// Its form.
+    pub form: TextForm,
+    /// Text where the key is missing.
+    pub default: Option<&'static str>,
+}
+
+impl TextField {
+    /// A required text.
+    pub(crate) const fn new(key: &'static str, form: TextForm) -> TextField {
+        TextField { key, form, default: None }
+    }
+
+    /// The same with a default.
+    pub(crate) const fn or(mut self, default: &'static str) -> TextField {
+        self.default = Some(default);
+        self
+    }
+}
+
+/// A list with commas, always required, never empty.
+#[derive(Clone, Copy, Debug)]
+pub struct ListField {
+    /// The key.
+    pub key: &'static str,
+    /// Form of each item.
+    pub form: TextForm,
+}
+
+impl ListField {
+    /// A list of items of a form.
+    pub(crate) const fn new(key: &'static str, form: TextForm) -> ListField {
+        ListField { key, form }
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let is_allowed = |byte: u8| {
+        byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.')
+    };
+    has_allowed_length(text)
+        && text.as_bytes()[0].is_ascii_alphanumeric()
+        && text.bytes().all(is_allowed)
+}
+
+fn is_model(text: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_graphic() && byte != b',';
+    has_allowed_length(text) && text.bytes().all(is_allowed)
+}
+
+fn is_path(text: &str) -> bool {
+    let Some(segments) = text.strip_prefix('/') else {
+        return false;
+    };
+    has_allowed_length(text) && segments.split('/').all(is_name)
+}
+
+fn has_allowed_length(text: &str) -> bool {
+    (1..=TEXT_LIMIT_CHARS).contains(&text.len())
+}
--- a/crates/config/src/findings.rs
+++ b/crates/config/src/findings.rs
@@ -12,7 +12,7 @@
     pub file: String,
     /// Line counted from 1; none where the thing is missing.
     pub line: Option<usize>,
-    /// Section, without brackets.
+    /// Section, without brackets; empty where no section is meant.
     pub section: String,
     /// Key; empty where the whole section is meant.
     pub key: String,
@@ -26,7 +26,9 @@
         if let Some(line) = self.line {
             write!(f, ":{line}")?;
         }
-        write!(f, ": [{}]", self.section)?;
+        if !self.section.is_empty() {
+            write!(f, ": [{}]", self.section)?;
+        }
         if !self.key.is_empty() {
             write!(f, " {}", self.key)?;
         }
@@ -56,11 +58,17 @@
         self.findings.is_empty()
     }
 
-    /// The findings in the order they were met.
+    /// The findings; those of a parsed file in the order of its lines.
     pub fn iter(&self) -> std::slice::Iter<'_, Finding> {
         self.findings.iter()
     }
 
+    /// Puts them in the order of the lines; what is missing comes last.
+    pub(crate) fn sort(&mut self) {
+        self.findings
+            .sort_by_key(|finding| (finding.line.is_none(), finding.line));
+    }
+
     /// `value` when nothing was found wrong.
     ///
     /// # Errors
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,13 +6,49 @@
 //! | module | what it holds |
 //! |---|---|
 //! | [`findings`] | what was found wrong, and where |
+//! | [`fields`] | the keys of a section, their ranges and defaults |
 //! | [`settings`] | the settings of one daemon |
 //! | [`manifest`] | what the fleet serves, checked as a whole |
+//! | [`parts`] | a manifest split for storing and sending |
+//! | [`keys`] | digests of the keys of client accounts |
+//!
+//! # Example
+//!
+//! ```
+//! use chestnutreach_config::Manifest;
+//!
+//! let text = "\
+//! [deployment]
+//! name = kaolack
+//! recovery-weight-percent = 130
+//! colour = blue
+//! ";
+//! let findings = Manifest::try_parse("kaolack.ini", text).unwrap_err();
+//! let lines: Vec<String> =
+//!     findings.iter().map(|finding| finding.to_string()).collect();
+//! assert_eq!(
+//!     lines,
+//!     [
+//!         "kaolack.ini:3: [deployment] recovery-weight-percent: \
+//!          130 is out of range; it must be 0..=100 %",
+//!         "kaolack.ini:4: [deployment] colour: unknown key",
+//!     ],
+//! );
+//! ```
 
+pub mod fields;
 pub mod findings;
+pub mod keys;
 pub mod manifest;
+pub mod parts;
 pub mod settings;
 
+mod document;
+mod sheet;
+mod values;
+
 pub use findings::{Finding, Findings};
+pub use keys::key_digest;
 pub use manifest::Manifest;
+pub use parts::Parts;
 pub use settings::DaemonSettings;
--- a/crates/config/src/manifest.rs
+++ b/crates/config/src/manifest.rs
@@ -2,12 +2,33 @@
 //!
 //! An accepted manifest is the whole truth, so it is checked as a whole
 //! before it is accepted; what is held here is always consistent.
+//!
+//! | module | what it holds |
+//! |---|---|
+//! | [`tables`] | the keys of each section |
+//! | `read` | text to sections to a manifest |
+//! | `checks` | what must hold across sections |
+//! | `layers` | whether layer ranges can tile a model |
+//! | `sections` | a manifest as canonical sections |
+//! | `difference` | two manifests side by side |
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
 };
 
+use crate::findings::Findings;
+
+mod checks;
+mod difference;
+mod layers;
+mod read;
+mod sections;
+pub mod tables;
+
+pub use difference::{Difference, SectionChange, diff};
+pub use sections::sections_to_ini;
+
 /// A checked manifest.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Manifest {
@@ -25,6 +46,62 @@
     pub accounts: BTreeMap<String, Account>,
     /// Backend servers by name.
     pub backend_servers: BTreeMap<String, BackendServer>,
+    /// Objectives that differ from the service's own, by service and class
+    /// of account.
+    pub objectives: BTreeMap<(String, String), Objective>,
+}
+
+impl Manifest {
+    /// Reads and checks `text`; `file` names it in findings.
+    ///
+    /// # Errors
+    ///
+    /// Everything found wrong.
+    pub fn try_parse(file: &str, text: &str) -> Result<Manifest, Findings> {
+        read::manifest(file, text)
+    }
+
+    /// Reads and checks what [`Manifest::to_sections`] gave.
+    ///
+    /// # Errors
+    ///
+    /// Everything found wrong.
+    pub fn try_from_sections(
+        file: &str,
+        sections: &BTreeMap<String, String>,
+    ) -> Result<Manifest, Findings> {
+        Manifest::try_parse(file, &sections_to_ini(sections))
+    }
+
+    /// The canonical sections: heading without brackets to body. Two equal
+    /// manifests give equal texts, whatever was written in their files.
+    pub fn to_sections(&self) -> BTreeMap<String, String> {
+        sections::from_manifest(self)
+    }
+
+    /// The canonical text.
+    pub fn to_ini(&self) -> String {
+        sections_to_ini(&self.to_sections())
+    }
+
+    /// The network between two data centres, in either order; none within
+    /// one and where the manifest says nothing.
+    pub fn path(&self, a: &str, b: &str) -> Option<&NetworkPath> {
+        self.paths.get(&path_key(a, b))
+    }
+
+    /// The objective for a service and a class of account.
+    pub fn objective(&self, service: &str, class: &str) -> Option<Objective> {
+        let key = (service.to_owned(), class.to_owned());
+        let own = || self.services.get(service).map(Service::objective);
+        self.objectives.get(&key).copied().or_else(own)
+    }
+}
+
+/// The two names in order, as paths are held by them.
+fn path_key(a: &str, b: &str) -> (String, String) {
+    let (first, second) = if a <= b { (a, b) } else { (b, a) };
+    (first.to_owned(), second.to_owned())
 }
 
 /// The deployment as a whole.
@@ -81,6 +158,25 @@
     pub first_token_objective_ms: u64,
 }
 
+impl Service {
+    /// The objective for accounts whose class has none of its own.
+    pub fn objective(&self) -> Objective {
+        Objective {
+            objective_per_10000: self.objective_per_10000,
+            first_token_objective_ms: self.first_token_objective_ms,
+        }
+    }
+}
+
+/// What is promised to the accounts of a class.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Objective {
+    /// Share of requests answered whole, in parts of 10,000.
+    pub objective_per_10000: u32,
+    /// Time to the first token or the answer.
+    pub first_token_objective_ms: u64,
+}
+
 /// What answers a service.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ServiceKind {
@@ -109,6 +205,11 @@
     pub weight: u32,
     /// Services it may use.
     pub services: BTreeSet<String>,
+    /// Class for objectives and reports.
+    pub class: String,
+    /// Least share of each of its services when all accounts ask at once.
+    /// The weights must give it; the manifest is refused where they don't.
+    pub guaranteed_percent: u32,
 }
 
 /// A backend server.
--- /dev/null
+++ b/crates/config/src/manifest/checks.rs
@@ -0,0 +1,108 @@
+//! What must hold across the sections of a manifest.
+//!
+//! Each check names the section that an operator would change. Where a
+//! section couldn't be read, checks that need all of its kind don't run, so
+//! that one fault isn't told twice.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Manifest, tables::*};
+use crate::{findings::Findings, sheet::Sheet};
+
+mod accounts;
+mod servers;
+mod services;
+
+/// Runs every check.
+pub(super) fn check(
+    manifest: &Manifest,
+    sheet: &Sheet<'_>,
+    findings: &mut Findings,
+) {
+    let mut checker = Checker { manifest, sheet, findings };
+    checker.check_paths();
+    checker.check_services();
+    checker.check_accounts();
+    checker.check_objectives();
+    checker.check_servers();
+    checker.check_coverage();
+}
+
+struct Checker<'a> {
+    manifest: &'a Manifest,
+    sheet: &'a Sheet<'a>,
+    findings: &'a mut Findings,
+}
+
+impl Checker<'_> {
+    fn report(&mut self, heading: &str, key: &str, message: String) {
+        let finding = self.sheet.place(heading).finding(key, message);
+        self.findings.push(finding);
+    }
+
+    /// Reports a reference to a section that the file doesn't have. One that
+    /// is there and wrong itself counts as known.
+    fn check_reference(
+        &mut self,
+        heading: &str,
+        key: &str,
+        word: &str,
+        name: &str,
+    ) {
+        if !self.sheet.has(&format!("{word} {name}")) {
+            let message =
+                format!("unknown {}: {name}", word.replace('-', " "));
+            self.report(heading, key, message);
+        }
+    }
+
+    /// Whether every section with `word` was read.
+    fn is_complete(&self, word: &str, read: usize) -> bool {
+        self.sheet.names(word).len() == read
+    }
+
+    fn check_paths(&mut self) {
+        for (a, b) in self.manifest.paths.keys() {
+            let written = format!("{PATH_WORD} {a} {b}");
+            let reversed = format!("{PATH_WORD} {b} {a}");
+            let is_written = self.sheet.has(&written);
+            let heading = if is_written { written } else { reversed };
+            if a == b {
+                let message = "a path needs two data centres".to_owned();
+                self.report(&heading, "", message);
+            }
+            for name in BTreeSet::from([a, b]) {
+                self.check_reference(&heading, "", DATA_CENTRE_WORD, name);
+            }
+        }
+    }
+
+    fn check_objectives(&mut self) {
+        let manifest = self.manifest;
+        let accounts = &manifest.accounts;
+        let classes: BTreeSet<&str> =
+            accounts.values().map(|account| account.class.as_str()).collect();
+        let knows_classes = self.is_complete(ACCOUNT_WORD, accounts.len());
+        for (service, class) in manifest.objectives.keys() {
+            let heading = format!("{OBJECTIVE_WORD} {service} {class}");
+            self.check_reference(&heading, "", SERVICE_WORD, service);
+            if knows_classes && !classes.contains(class.as_str()) {
+                let message = format!("no account has the class {class}");
+                self.report(&heading, "", message);
+            }
+        }
+    }
+}
+
+/// The first user of each value; a later one is told who that is.
+#[derive(Default)]
+struct Users<'a> {
+    first: BTreeMap<&'a str, &'a str>,
+}
+
+impl<'a> Users<'a> {
+    fn add(&mut self, value: &'a str, user: &'a str) -> Option<&'a str> {
+        let first = self.first.entry(value).or_insert(user);
+        (*first != user).then_some(*first)
+    }
+}
--- /dev/null
+++ b/crates/config/src/manifest/checks/accounts.rs
@@ -0,0 +1,101 @@
+//! Checks of client accounts.
+//!
+//! Capacity is shared by weight, so a guaranteed share is no mechanism of
+//! its own: it is a promise that the weights must keep, and that is a matter
+//! of the manifest alone.
+
+use super::{Checker, Users};
+use crate::manifest::{Account, tables::*};
+
+/// All of a service's capacity.
+const WHOLE_PERCENT: u64 = 100;
+
+impl Checker<'_> {
+    pub(super) fn check_accounts(&mut self) {
+        self.check_account_services();
+        self.check_key_digests();
+        for service in self.manifest.services.keys() {
+            self.check_shares(service);
+        }
+    }
+
+    fn check_account_services(&mut self) {
+        for (name, account) in &self.manifest.accounts {
+            let heading = format!("{ACCOUNT_WORD} {name}");
+            for service in &account.services {
+                let key = SERVICES.key;
+                self.check_reference(&heading, key, SERVICE_WORD, service);
+            }
+        }
+    }
+
+    fn check_key_digests(&mut self) {
+        let mut users = Users::default();
+        for (name, account) in &self.manifest.accounts {
+            for digest in &account.key_digests {
+                if let Some(other) = users.add(digest, name) {
+                    let heading = format!("{ACCOUNT_WORD} {name}");
+                    let message =
+                        format!("{digest} is also a key of [account {other}]");
+                    self.report(&heading, KEY_DIGESTS.key, message);
+                }
+            }
+        }
+    }
+
+    fn check_shares(&mut self, service: &str) {
+        let accounts = &self.manifest.accounts;
+        let users: Vec<(&String, &Account)> = accounts
+            .iter()
+            .filter(|(_, account)| account.services.contains(service))
+            .collect();
+        if !self.check_guaranteed_sum(service, &users) {
+            return;
+        }
+        let weights = users.iter().map(|(_, user)| u64::from(user.weight));
+        let total_weight: u64 = weights.sum();
+        for (name, account) in users {
+            self.check_share(service, name, account, total_weight);
+        }
+    }
+
+    /// Whether the guaranteed shares leave room for each other.
+    fn check_guaranteed_sum(
+        &mut self,
+        service: &str,
+        users: &[(&String, &Account)],
+    ) -> bool {
+        let shares =
+            users.iter().map(|(_, user)| u64::from(user.guaranteed_percent));
+        let sum: u64 = shares.sum();
+        if sum > WHOLE_PERCENT {
+            let message = format!(
+                "guaranteed-percent of its accounts adds up to {sum} %; \
+                 it must be at most {WHOLE_PERCENT} %",
+            );
+            self.report(&format!("{SERVICE_WORD} {service}"), "", message);
+        }
+        sum <= WHOLE_PERCENT
+    }
+
+    fn check_share(
+        &mut self,
+        service: &str,
+        name: &str,
+        account: &Account,
+        total_weight: u64,
+    ) {
+        let weight = u64::from(account.weight);
+        let guaranteed_percent = u64::from(account.guaranteed_percent);
+        if weight * WHOLE_PERCENT >= guaranteed_percent * total_weight {
+            return;
+        }
+        let given_percent = weight * WHOLE_PERCENT / total_weight;
+        let message = format!(
+            "{guaranteed_percent} % is more than the {given_percent} % of \
+             {service} that weight {weight} of {total_weight} gives",
+        );
+        let heading = format!("{ACCOUNT_WORD} {name}");
+        self.report(&heading, GUARANTEED_PERCENT.key, message);
+    }
+}
--- /dev/null
+++ b/crates/config/src/manifest/checks/servers.rs
@@ -0,0 +1,142 @@
+//! Checks of backend servers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use super::{Checker, Users};
+use crate::manifest::{BackendServer, ServiceKind, layers, tables::*};
+
+impl Checker<'_> {
+    pub(super) fn check_servers(&mut self) {
+        for (name, server) in &self.manifest.backend_servers {
+            let heading = heading(name);
+            self.check_server_references(&heading, server);
+            self.check_layer_range(&heading, server);
+        }
+        self.check_side_addresses();
+        self.check_vms();
+    }
+
+    fn check_server_references(
+        &mut self,
+        heading: &str,
+        server: &BackendServer,
+    ) {
+        let key = BACKEND_SERVICE.key;
+        self.check_reference(heading, key, SERVICE_WORD, &server.service);
+        let key = BACKEND_DATA_CENTRE.key;
+        let word = DATA_CENTRE_WORD;
+        self.check_reference(heading, key, word, &server.data_centre);
+        if let Some(accelerator) = &server.accelerator {
+            let key = BACKEND_ACCELERATOR.key;
+            self.check_reference(heading, key, ACCELERATOR_WORD, accelerator);
+        }
+    }
+
+    fn check_layer_range(&mut self, heading: &str, server: &BackendServer) {
+        let service = self.manifest.services.get(&server.service);
+        let Some(ServiceKind::Language {
+            layer_count,
+            max_context_tokens,
+            ..
+        }) = service.map(|service| &service.kind)
+        else {
+            return;
+        };
+        let (first, end) = (server.first_layer, server.end_layer);
+        if first >= end {
+            let message = format!("the layer range {first}..{end} is empty");
+            self.report(heading, END_LAYER.key, message);
+        }
+        if end > *layer_count {
+            let message = format!(
+                "the layer range {first}..{end} is longer than the model, \
+                 0..{layer_count}",
+            );
+            self.report(heading, END_LAYER.key, message);
+        }
+        let cache_tokens = server.cache_tokens;
+        if cache_tokens < u64::from(*max_context_tokens) {
+            let message = format!(
+                "{cache_tokens} tokens don't hold one request of \
+                 max-context-tokens, {max_context_tokens} tokens",
+            );
+            self.report(heading, CACHE_TOKENS.key, message);
+        }
+    }
+
+    /// A side process may stand beside several backend servers, but it runs
+    /// on one VM.
+    fn check_side_addresses(&mut self) {
+        let mut first: BTreeMap<SocketAddr, (&str, &str)> = BTreeMap::new();
+        for (name, server) in &self.manifest.backend_servers {
+            let address = server.side_address;
+            let (other, vm) =
+                *first.entry(address).or_insert((name, &server.vm));
+            if vm != server.vm {
+                let message = format!(
+                    "{address} is on the VM {} here and on {vm} in \
+                     [backend-server {other}]",
+                    server.vm,
+                );
+                self.report(&heading(name), SIDE_ADDRESS.key, message);
+            }
+        }
+    }
+
+    fn check_vms(&mut self) {
+        let mut places = Users::default();
+        for (name, server) in &self.manifest.backend_servers {
+            let other = places.add(&server.vm, &server.data_centre);
+            if let Some(other) = other {
+                let message = format!(
+                    "the VM {} is in {} here and elsewhere in {other}",
+                    server.vm, server.data_centre,
+                );
+                self.report(&heading(name), BACKEND_DATA_CENTRE.key, message);
+            }
+        }
+    }
+
+    pub(super) fn check_coverage(&mut self) {
+        let servers = &self.manifest.backend_servers;
+        if !self.is_complete(BACKEND_SERVER_WORD, servers.len()) {
+            return;
+        }
+        for (name, service) in &self.manifest.services {
+            match &service.kind {
+                ServiceKind::Language { layer_count, .. } => {
+                    self.check_tiling(name, *layer_count);
+                }
+                ServiceKind::Plain { .. } => self.check_is_served(name),
+            }
+        }
+    }
+
+    fn check_tiling(&mut self, service: &str, layer_count: u32) {
+        let servers = self.manifest.backend_servers.values();
+        let ranges: BTreeSet<(u32, u32)> = servers
+            .filter(|server| server.service == service)
+            .map(|server| (server.first_layer, server.end_layer))
+            .filter(|(first, end)| first < end && *end <= layer_count)
+            .collect();
+        for fault in layers::faults(&ranges, layer_count) {
+            let heading = format!("{SERVICE_WORD} {service}");
+            self.report(&heading, "", fault.to_string());
+        }
+    }
+
+    fn check_is_served(&mut self, service: &str) {
+        let mut servers = self.manifest.backend_servers.values();
+        if !servers.any(|server| server.service == service) {
+            let message = "no backend server answers it".to_owned();
+            self.report(&format!("{SERVICE_WORD} {service}"), "", message);
+        }
+    }
+}
+
+fn heading(name: &str) -> String {
+    format!("{BACKEND_SERVER_WORD} {name}")
+}
--- /dev/null
+++ b/crates/config/src/manifest/difference.rs
@@ -0,0 +1,142 @@
+//! Two manifests side by side.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
+
+/// What became of a section.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SectionChange {
+    /// Only the new manifest has it.
+    Added {
+        /// Heading without brackets.
+        name: String,
+        /// Its body.
+        body: String,
+    },
+    /// Only the old manifest has it.
+    Removed {
+        /// Heading without brackets.
+        name: String,
+        /// Its body.
+        body: String,
+    },
+    /// Both have it, with different bodies.
+    Changed {
+        /// Heading without brackets.
+        name: String,
+        /// Body in the old manifest.
+        old: String,
+        /// Body in the new manifest.
+        new: String,
+    },
+}
+
+impl SectionChange {
+    /// Heading without brackets.
+    pub fn name(&self) -> &str {
+        match self {
+            SectionChange::Added { name, .. }
+            | SectionChange::Removed { name, .. }
+            | SectionChange::Changed { name, .. } => name,
+        }
+    }
+}
+
+impl fmt::Display for SectionChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SectionChange::Added { name, body } => {
+                write!(f, "+ [{name}]")?;
+                write_entries(f, '+', body)
+            }
+            SectionChange::Removed { name, body } => {
+                write!(f, "- [{name}]")?;
+                write_entries(f, '-', body)
+            }
+            SectionChange::Changed { name, old, new } => {
+                write!(f, "~ [{name}]")?;
+                write_changed(f, old, new)
+            }
+        }
+    }
+}
+
+/// Changes as an operator reads them, one entry a line.
+#[derive(Clone, Copy, Debug)]
+pub struct Difference<'a>(pub &'a [SectionChange]);
+
+impl fmt::Display for Difference<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.0.is_empty() {
+            return f.write_str("no difference");
+        }
+        for (index, change) in self.0.iter().enumerate() {
+            if index > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{change}")?;
+        }
+        Ok(())
+    }
+}
+
+/// What changed from `old` to `new`, in the order of the headings.
+pub fn diff(
+    old: &BTreeMap<String, String>,
+    new: &BTreeMap<String, String>,
+) -> Vec<SectionChange> {
+    let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    let change = |name: &String| match (old.get(name), new.get(name)) {
+        (Some(old), Some(new)) => changed(name, old, new),
+        (Some(body), None) => Some(SectionChange::Removed {
+            name: name.clone(),
+            body: body.clone(),
+        }),
+        (None, Some(body)) => Some(SectionChange::Added {
+            name: name.clone(),
+            body: body.clone(),
+        }),
+        (None, None) => None,
+    };
+    names.into_iter().filter_map(change).collect()
+}
+
+fn changed(name: &str, old: &str, new: &str) -> Option<SectionChange> {
+    if old == new {
+        return None;
+    }
+    Some(SectionChange::Changed {
+        name: name.to_owned(),
+        old: old.to_owned(),
+        new: new.to_owned(),
+    })
+}
+
+fn write_entries(
+    f: &mut fmt::Formatter<'_>,
+    sign: char,
+    body: &str,
+) -> fmt::Result {
+    for line in body.lines() {
+        write!(f, "\n{sign}   {line}")?;
+    }
+    Ok(())
+}
+
+fn write_changed(
+    f: &mut fmt::Formatter<'_>,
+    old: &str,
+    new: &str,
+) -> fmt::Result {
+    let old_lines: BTreeSet<&str> = old.lines().collect();
+    let new_lines: BTreeSet<&str> = new.lines().collect();
+    for line in old_lines.difference(&new_lines) {
+        write!(f, "\n-   {line}")?;
+    }
+    for line in new_lines.difference(&old_lines) {
+        write!(f, "\n+   {line}")?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/config/src/manifest/read.rs
@@ -0,0 +1,341 @@
+//! Reads a manifest section by section, then has it checked as a whole.
+
+use std::collections::BTreeMap;
+
+use super::{
+    Accelerator, Account, BackendServer, DataCentre, Deployment, Manifest,
+    NetworkPath, Objective, Service, ServiceKind, checks, path_key, tables::*,
+};
+use crate::{
+    document::Document,
+    fields::Field,
+    findings::Findings,
+    sheet::{SectionReader, Sheet},
+};
+
+/// Reads and checks `text`.
+pub(super) fn manifest(file: &str, text: &str) -> Result<Manifest, Findings> {
+    let mut findings = Findings::new();
+    let document = Document::parse(file, text, &mut findings);
+    let sheet = Sheet::new(file, &document, SECTIONS, &mut findings);
+    let mut reader = ManifestReader { sheet: &sheet, findings: &mut findings };
+    let manifest = reader.read();
+    checks::check(&manifest, &sheet, &mut findings);
+    findings.sort();
+    findings.or_ok(manifest)
+}
+
+struct ManifestReader<'a> {
+    sheet: &'a Sheet<'a>,
+    findings: &'a mut Findings,
+}
+
+impl ManifestReader<'_> {
+    /// What could be read. Whatever couldn't has left a finding, so that a
+    /// manifest with something left out is never given to a caller.
+    fn read(&mut self) -> Manifest {
+        let services = self.all(SERVICE_WORD, SERVICE_TABLES, service);
+        Manifest {
+            deployment: self.deployment(),
+            data_centres: self.all(
+                DATA_CENTRE_WORD,
+                &[DATA_CENTRE],
+                data_centre,
+            ),
+            paths: self.paths(),
+            accelerators: self.all(
+                ACCELERATOR_WORD,
+                &[ACCELERATOR],
+                accelerator,
+            ),
+            accounts: self.all(ACCOUNT_WORD, &[ACCOUNT], account),
+            objectives: self.objectives(),
+            backend_servers: self.backend_servers(&services),
+            services,
+        }
+    }
+
+    fn section<'b>(
+        &'b mut self,
+        heading: &'b str,
+        tables: &[&[Field]],
+    ) -> SectionReader<'b> {
+        self.sheet.read(heading, tables, self.findings)
+    }
+
+    fn all<T>(
+        &mut self,
+        word: &str,
+        tables: &[&[Field]],
+        read: fn(&mut SectionReader<'_>) -> Option<T>,
+    ) -> BTreeMap<String, T> {
+        let mut values = BTreeMap::new();
+        for name in self.sheet.names(word) {
+            let heading = format!("{word} {name}");
+            if let Some(value) = read(&mut self.section(&heading, tables)) {
+                values.insert(name.to_owned(), value);
+            }
+        }
+        values
+    }
+
+    fn deployment(&mut self) -> Deployment {
+        let mut reader = self.section(DEPLOYMENT_WORD, &[DEPLOYMENT]);
+        let name = reader.text(&NAME);
+        let recovery_weight_percent = reader.integer(&RECOVERY_WEIGHT_PERCENT);
+        Deployment {
+            name: name.unwrap_or_default(),
+            recovery_weight_percent: recovery_weight_percent
+                .unwrap_or_default(),
+        }
+    }
+
+    fn paths(&mut self) -> BTreeMap<(String, String), NetworkPath> {
+        let mut paths = BTreeMap::new();
+        for (names, path) in self.all(PATH_WORD, &[PATH], network_path) {
+            let (a, b) = two_names(&names);
+            if paths.insert(path_key(a, b), path).is_some() {
+                self.report_doubled_path(a, b);
+            }
+        }
+        paths
+    }
+
+    fn report_doubled_path(&mut self, a: &str, b: &str) {
+        let heading = format!("{PATH_WORD} {a} {b}");
+        let message = format!("the same path as [{PATH_WORD} {b} {a}]");
+        let finding = self.sheet.place(&heading).finding("", message);
+        self.findings.push(finding);
+    }
+
+    fn objectives(&mut self) -> BTreeMap<(String, String), Objective> {
+        let objectives = self.all(OBJECTIVE_WORD, &[OBJECTIVE], objective);
+        let by_names = |(names, objective): (String, Objective)| {
+            let (service, class) = two_names(&names);
+            ((service.to_owned(), class.to_owned()), objective)
+        };
+        objectives.into_iter().map(by_names).collect()
+    }
+
+    fn backend_servers(
+        &mut self,
+        services: &BTreeMap<String, Service>,
+    ) -> BTreeMap<String, BackendServer> {
+        let mut servers = BTreeMap::new();
+        for name in self.sheet.names(BACKEND_SERVER_WORD) {
+            let heading = format!("{BACKEND_SERVER_WORD} {name}");
+            let place = self.sheet.place(&heading);
+            let service = place.value(BACKEND_SERVICE.key);
+            let service = service.and_then(|name| services.get(name));
+            let kind = BackendKind::of(service);
+            let mut reader = self.section(&heading, kind.tables());
+            if let Some(server) = backend_server(&mut reader, kind) {
+                servers.insert(name.to_owned(), server);
+            }
+        }
+        servers
+    }
+}
+
+/// The tables of a service whose kind isn't known yet.
+const SERVICE_TABLES: &[&[Field]] =
+    &[SERVICE, LANGUAGE_SERVICE, PLAIN_SERVICE];
+
+/// Which keys a backend server has.
+#[derive(Clone, Copy)]
+enum BackendKind {
+    Language,
+    Plain,
+    /// Its service is unknown or wrong itself, so nothing is said about
+    /// the keys that depend on it.
+    Unknown,
+}
+
+impl BackendKind {
+    fn of(service: Option<&Service>) -> BackendKind {
+        match service.map(|service| &service.kind) {
+            Some(ServiceKind::Language { .. }) => BackendKind::Language,
+            Some(ServiceKind::Plain { .. }) => BackendKind::Plain,
+            None => BackendKind::Unknown,
+        }
+    }
+
+    fn tables(self) -> &'static [&'static [Field]] {
+        match self {
+            BackendKind::Plain => &[BACKEND_SERVER],
+            BackendKind::Language | BackendKind::Unknown => {
+                &[BACKEND_SERVER, LANGUAGE_BACKEND_SERVER]
+            }
+        }
+    }
+}
+
+/// The two names of a heading; headings were checked to have two.
+fn two_names(names: &str) -> (&str, &str) {
+    names.split_once(' ').unwrap_or((names, ""))
+}
+
+fn data_centre(reader: &mut SectionReader<'_>) -> Option<DataCentre> {
+    let region = reader.text(&REGION)?;
+    Some(DataCentre { region })
+}
+
+fn network_path(reader: &mut SectionReader<'_>) -> Option<NetworkPath> {
+    let latency_us = reader.integer(&LATENCY_US);
+    let bandwidth_mbit_per_s = reader.integer(&BANDWIDTH_MBIT_PER_S);
+    Some(NetworkPath {
+        latency_us: latency_us?,
+        bandwidth_mbit_per_s: bandwidth_mbit_per_s?,
+    })
+}
+
+fn accelerator(reader: &mut SectionReader<'_>) -> Option<Accelerator> {
+    let price_micros_per_hour = reader.integer(&PRICE_MICROS_PER_HOUR);
+    let prompt_tokens_per_s = reader.integer(&PROMPT_TOKENS_PER_S);
+    let output_tokens_per_s = reader.integer(&OUTPUT_TOKENS_PER_S);
+    Some(Accelerator {
+        price_micros_per_hour: price_micros_per_hour?,
+        prompt_tokens_per_s: prompt_tokens_per_s?,
+        output_tokens_per_s: output_tokens_per_s?,
+    })
+}
+
+fn service(reader: &mut SectionReader<'_>) -> Option<Service> {
+    let kind = service_kind(reader);
+    let default_deadline_ms = reader.integer(&DEFAULT_DEADLINE_MS);
+    let max_deadline_ms = reader.integer(&MAX_DEADLINE_MS);
+    let objective_per_10000 = reader.integer(&OBJECTIVE_PER_10000);
+    let first_token_objective_ms = reader.integer(&FIRST_TOKEN_OBJECTIVE_MS);
+    Some(Service {
+        kind: kind?,
+        default_deadline_ms: default_deadline_ms?,
+        max_deadline_ms: max_deadline_ms?,
+        objective_per_10000: objective_per_10000?,
+        first_token_objective_ms: first_token_objective_ms?,
+    })
+}
+
+/// The words of `kind`.
+enum Kind {
+    Language,
+    Plain,
+}
+
+fn kind_from_word(word: &str) -> Option<Kind> {
+    match word {
+        "language" => Some(Kind::Language),
+        "plain" => Some(Kind::Plain),
+        _ => None,
+    }
+}
+
+fn service_kind(reader: &mut SectionReader<'_>) -> Option<ServiceKind> {
+    match reader.choice(&KIND, kind_from_word)? {
+        Kind::Language => language_kind(reader),
+        Kind::Plain => plain_kind(reader),
+    }
+}
+
+fn language_kind(reader: &mut SectionReader<'_>) -> Option<ServiceKind> {
+    reader.refuse(PLAIN_SERVICE);
+    let model = reader.text(&MODEL);
+    let layer_count = reader.integer(&LAYER_COUNT);
+    let max_context_tokens = reader.integer(&MAX_CONTEXT_TOKENS);
+    Some(ServiceKind::Language {
+        model: model?,
+        layer_count: layer_count?,
+        max_context_tokens: max_context_tokens?,
+    })
+}
+
+fn plain_kind(reader: &mut SectionReader<'_>) -> Option<ServiceKind> {
+    reader.refuse(LANGUAGE_SERVICE);
+    let path = reader.text(&PATH_PREFIX)?;
+    Some(ServiceKind::Plain { path })
+}
+
+fn account(reader: &mut SectionReader<'_>) -> Option<Account> {
+    let key_digests = reader.list(&KEY_DIGESTS);
+    let weight = reader.integer(&WEIGHT);
+    let services = reader.list(&SERVICES);
+    let class = reader.text(&CLASS);
+    let guaranteed_percent = reader.integer(&GUARANTEED_PERCENT);
+    Some(Account {
+        key_digests: key_digests?.into_iter().collect(),
+        weight: weight?,
+        services: services?.into_iter().collect(),
+        class: class?,
+        guaranteed_percent: guaranteed_percent?,
+    })
+}
+
+fn objective(reader: &mut SectionReader<'_>) -> Option<Objective> {
+    let objective_per_10000 = reader.integer(&CLASS_OBJECTIVE_PER_10000);
+    let first_token_objective_ms =
+        reader.integer(&CLASS_FIRST_TOKEN_OBJECTIVE_MS);
+    Some(Objective {
+        objective_per_10000: objective_per_10000?,
+        first_token_objective_ms: first_token_objective_ms?,
+    })
+}
+
+/// What only the backend servers of a language service have.
+#[derive(Default)]
+struct Engine {
+    accelerator: Option<String>,
+    first_layer: u32,
+    end_layer: u32,
+    cache_tokens: u64,
+    checks_fencing: bool,
+}
+
+fn engine(reader: &mut SectionReader<'_>) -> Option<Engine> {
+    let accelerator = reader.text(&BACKEND_ACCELERATOR);
+    let first_layer = reader.integer(&FIRST_LAYER);
+    let end_layer = reader.integer(&END_LAYER);
+    let cache_tokens = reader.integer(&CACHE_TOKENS);
+    let checks_fencing = reader.choice(&CHECKS_FENCING, bool_from_word);
+    Some(Engine {
+        accelerator: Some(accelerator?),
+        first_layer: first_layer?,
+        end_layer: end_layer?,
+        cache_tokens: cache_tokens?,
+        checks_fencing: checks_fencing?,
+    })
+}
+
+fn bool_from_word(word: &str) -> Option<bool> {
+    match word {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
+fn backend_server(
+    reader: &mut SectionReader<'_>,
+    kind: BackendKind,
+) -> Option<BackendServer> {
+    let service = reader.text(&BACKEND_SERVICE);
+    let data_centre = reader.text(&BACKEND_DATA_CENTRE);
+    let vm = reader.text(&VM);
+    let side_address = reader.address(&SIDE_ADDRESS);
+    let max_running = reader.integer(&MAX_RUNNING);
+    let engine = match kind {
+        BackendKind::Language => engine(reader),
+        BackendKind::Plain | BackendKind::Unknown => Some(Engine::default()),
+    };
+    let engine = engine?;
+    Some(BackendServer {
+        service: service?,
+        data_centre: data_centre?,
+        vm: vm?,
+        side_address: side_address?,
+        accelerator: engine.accelerator,
+        first_layer: engine.first_layer,
+        end_layer: engine.end_layer,
+        max_running: max_running?,
+        cache_tokens: engine.cache_tokens,
+        checks_fencing: engine.checks_fencing,
+    })
+}
--- /dev/null
+++ b/crates/config/src/manifest/tables.rs
@@ -0,0 +1,198 @@
+//! The keys of a manifest.
+
+use crate::fields::{
+    AddressField, ChoiceField, Field, IntegerField, ListField, SectionTable,
+    TextField, TextForm,
+};
+
+/// First word of `[deployment]`.
+pub(super) const DEPLOYMENT_WORD: &str = "deployment";
+/// First word of `[data-centre NAME]`.
+pub(super) const DATA_CENTRE_WORD: &str = "data-centre";
+/// First word of `[path A B]`.
+pub(super) const PATH_WORD: &str = "path";
+/// First word of `[accelerator NAME]`.
+pub(super) const ACCELERATOR_WORD: &str = "accelerator";
+/// First word of `[service NAME]`.
+pub(super) const SERVICE_WORD: &str = "service";
+/// First word of `[account NAME]`.
+pub(super) const ACCOUNT_WORD: &str = "account";
+/// First word of `[objective SERVICE CLASS]`.
+pub(super) const OBJECTIVE_WORD: &str = "objective";
+/// First word of `[backend-server NAME]`.
+pub(super) const BACKEND_SERVER_WORD: &str = "backend-server";
+
+const ONE_NAME: &[&str] = &["NAME"];
+
+/// Every section of a manifest.
+pub const SECTIONS: &[SectionTable] = &[
+    SectionTable { word: DEPLOYMENT_WORD, names: &[], tables: &[DEPLOYMENT] },
+    SectionTable {
+        word: DATA_CENTRE_WORD,
+        names: ONE_NAME,
+        tables: &[DATA_CENTRE],
+    },
+    SectionTable { word: PATH_WORD, names: &["A", "B"], tables: &[PATH] },
+    SectionTable {
+        word: ACCELERATOR_WORD,
+        names: ONE_NAME,
+        tables: &[ACCELERATOR],
+    },
+    SectionTable {
+        word: SERVICE_WORD,
+        names: ONE_NAME,
+        tables: &[SERVICE, LANGUAGE_SERVICE, PLAIN_SERVICE],
+    },
+    SectionTable { word: ACCOUNT_WORD, names: ONE_NAME, tables: &[ACCOUNT] },
+    SectionTable {
+        word: OBJECTIVE_WORD,
+        names: &["SERVICE", "CLASS"],
+        tables: &[OBJECTIVE],
+    },
+    SectionTable {
+        word: BACKEND_SERVER_WORD,
+        names: ONE_NAME,
+        tables: &[BACKEND_SERVER, LANGUAGE_BACKEND_SERVER],
+    },
+];
+
+/// Greatest layer count, and so the greatest end of a range.
+const MAX_LAYERS: u64 = 10_000;
+
+pub(super) const NAME: TextField = TextField::new("name", TextForm::Name);
+pub(super) const RECOVERY_WEIGHT_PERCENT: IntegerField =
+    IntegerField::new("recovery-weight-percent", 0, 100, "%").or(50);
+
+pub(super) const DEPLOYMENT: &[Field] =
+    &[Field::Text(NAME), Field::Integer(RECOVERY_WEIGHT_PERCENT)];
+
+pub(super) const REGION: TextField = TextField::new("region", TextForm::Name);
+
+pub(super) const DATA_CENTRE: &[Field] = &[Field::Text(REGION)];
+
+pub(super) const LATENCY_US: IntegerField =
+    IntegerField::new("latency-us", 0, 10_000_000, "us");
+pub(super) const BANDWIDTH_MBIT_PER_S: IntegerField =
+    IntegerField::new("bandwidth-mbit-per-s", 1, 10_000_000, "Mbit/s");
+
+pub(super) const PATH: &[Field] =
+    &[Field::Integer(LATENCY_US), Field::Integer(BANDWIDTH_MBIT_PER_S)];
+
+pub(super) const PRICE_MICROS_PER_HOUR: IntegerField =
+    IntegerField::new("price-micros-per-hour", 0, 1_000_000_000_000, "micros");
+pub(super) const PROMPT_TOKENS_PER_S: IntegerField =
+    IntegerField::new("prompt-tokens-per-s", 1, 1_000_000_000, "tokens/s");
+pub(super) const OUTPUT_TOKENS_PER_S: IntegerField =
+    IntegerField::new("output-tokens-per-s", 1, 1_000_000_000, "tokens/s");
+
+pub(super) const ACCELERATOR: &[Field] = &[
+    Field::Integer(PRICE_MICROS_PER_HOUR),
+    Field::Integer(PROMPT_TOKENS_PER_S),
+    Field::Integer(OUTPUT_TOKENS_PER_S),
+];
+
+pub(super) const KIND: ChoiceField =
+    ChoiceField::new("kind", &["language", "plain"]);
+pub(super) const DEFAULT_DEADLINE_MS: IntegerField =
+    IntegerField::new("default-deadline-ms", 1, 3_600_000, "ms").or(60_000);
+pub(super) const MAX_DEADLINE_MS: IntegerField =
+    IntegerField::new("max-deadline-ms", 1, 3_600_000, "ms").or(300_000);
+pub(super) const OBJECTIVE_PER_10000: IntegerField =
+    IntegerField::new("objective-per-10000", 0, 10_000, "parts of 10,000")
+        .or(9_900);
+pub(super) const FIRST_TOKEN_OBJECTIVE_MS: IntegerField =
+    IntegerField::new("first-token-objective-ms", 1, 3_600_000, "ms")
+        .or(2_000);
+
+pub(super) const SERVICE: &[Field] = &[
+    Field::Choice(KIND),
+    Field::Integer(DEFAULT_DEADLINE_MS),
+    Field::Integer(MAX_DEADLINE_MS),
+    Field::Integer(OBJECTIVE_PER_10000),
+    Field::Integer(FIRST_TOKEN_OBJECTIVE_MS),
+];
+
+pub(super) const MODEL: TextField = TextField::new("model", TextForm::Model);
+pub(super) const LAYER_COUNT: IntegerField =
+    IntegerField::new("layer-count", 1, MAX_LAYERS, "layers");
+pub(super) const MAX_CONTEXT_TOKENS: IntegerField =
+    IntegerField::new("max-context-tokens", 1, 100_000_000, "tokens");
+
+pub(super) const LANGUAGE_SERVICE: &[Field] = &[
+    Field::Text(MODEL),
+    Field::Integer(LAYER_COUNT),
+    Field::Integer(MAX_CONTEXT_TOKENS),
+];
+
+pub(super) const PATH_PREFIX: TextField =
+    TextField::new("path", TextForm::Path);
+
+pub(super) const PLAIN_SERVICE: &[Field] = &[Field::Text(PATH_PREFIX)];
+
+pub(super) const KEY_DIGESTS: ListField =
+    ListField::new("key-digests", TextForm::KeyDigest);
+pub(super) const WEIGHT: IntegerField =
+    IntegerField::new("weight", 1, 10_000, "shares").or(100);
+pub(super) const SERVICES: ListField =
+    ListField::new("services", TextForm::Name);
+pub(super) const CLASS: TextField =
+    TextField::new("class", TextForm::Name).or("standard");
+pub(super) const GUARANTEED_PERCENT: IntegerField =
+    IntegerField::new("guaranteed-percent", 0, 100, "%").or(0);
+
+pub(super) const ACCOUNT: &[Field] = &[
+    Field::List(KEY_DIGESTS),
+    Field::Integer(WEIGHT),
+    Field::List(SERVICES),
+    Field::Text(CLASS),
+    Field::Integer(GUARANTEED_PERCENT),
+];
+
+/// The same two keys as a service's, but without defaults: a section that
+/// says nothing would be a mistake.
+pub(super) const CLASS_OBJECTIVE_PER_10000: IntegerField =
+    IntegerField { default: None, ..OBJECTIVE_PER_10000 };
+pub(super) const CLASS_FIRST_TOKEN_OBJECTIVE_MS: IntegerField =
+    IntegerField { default: None, ..FIRST_TOKEN_OBJECTIVE_MS };
+
+pub(super) const OBJECTIVE: &[Field] = &[
+    Field::Integer(CLASS_OBJECTIVE_PER_10000),
+    Field::Integer(CLASS_FIRST_TOKEN_OBJECTIVE_MS),
+];
+
+pub(super) const BACKEND_SERVICE: TextField =
+    TextField::new("service", TextForm::Name);
+pub(super) const BACKEND_DATA_CENTRE: TextField =
+    TextField::new("data-centre", TextForm::Name);
+pub(super) const VM: TextField = TextField::new("vm", TextForm::Name);
+pub(super) const SIDE_ADDRESS: AddressField =
+    AddressField::connect("side-address");
+pub(super) const MAX_RUNNING: IntegerField =
+    IntegerField::new("max-running", 1, 100_000, "requests");
+
+pub(super) const BACKEND_SERVER: &[Field] = &[
+    Field::Text(BACKEND_SERVICE),
+    Field::Text(BACKEND_DATA_CENTRE),
+    Field::Text(VM),
+    Field::Address(SIDE_ADDRESS),
+    Field::Integer(MAX_RUNNING),
+];
+
+pub(super) const BACKEND_ACCELERATOR: TextField =
+    TextField::new("accelerator", TextForm::Name);
+pub(super) const FIRST_LAYER: IntegerField =
+    IntegerField::new("first-layer", 0, MAX_LAYERS, "layers");
+pub(super) const END_LAYER: IntegerField =
+    IntegerField::new("end-layer", 0, MAX_LAYERS, "layers");
+pub(super) const CACHE_TOKENS: IntegerField =
+    IntegerField::new("cache-tokens", 1, 1_000_000_000_000, "tokens");
+pub(super) const CHECKS_FENCING: ChoiceField =
+    ChoiceField::new("checks-fencing", &["yes", "no"]);
+
+pub(super) const LANGUAGE_BACKEND_SERVER: &[Field] = &[
+    Field::Text(BACKEND_ACCELERATOR),
+    Field::Integer(FIRST_LAYER),
+    Field::Integer(END_LAYER),
+    Field::Integer(CACHE_TOKENS),
+    Field::Choice(CHECKS_FENCING),
+];
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,6 +1,15 @@
 //! The settings of one daemon.
+//!
+//! Everything but names and addresses has a default. Ranges are checked here,
+//! also across keys, so that no other crate has to.
 
-use std::net::SocketAddr;
+use std::{fs, net::SocketAddr, path::Path};
+
+use crate::findings::{Finding, Findings};
+
+mod read;
+mod sections;
+pub mod tables;
 
 /// Settings of a daemon in one of its roles.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -12,6 +21,31 @@
 }
 
 impl DaemonSettings {
+    /// Reads the settings from `text`; `file` names it in findings.
+    ///
+    /// # Errors
+    ///
+    /// Everything found wrong.
+    pub fn try_parse(
+        file: &str,
+        text: &str,
+    ) -> Result<DaemonSettings, Findings> {
+        read::daemon(file, text)
+    }
+
+    /// Reads the settings from the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Everything found wrong; also that the file can't be read.
+    pub fn try_load(path: &Path) -> Result<DaemonSettings, Findings> {
+        let file = path.display().to_string();
+        match fs::read_to_string(path) {
+            Ok(text) => DaemonSettings::try_parse(&file, &text),
+            Err(error) => Err(unreadable(file, error)),
+        }
+    }
+
     /// What both roles have.
     pub fn node(&self) -> &NodeSettings {
         match self {
@@ -21,6 +55,18 @@
     }
 }
 
+fn unreadable(file: String, error: std::io::Error) -> Findings {
+    let mut findings = Findings::new();
+    findings.push(Finding {
+        file,
+        line: None,
+        section: String::new(),
+        key: String::new(),
+        message: format!("can't be read: {error}"),
+    });
+    findings
+}
+
 /// What both roles have.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct NodeSettings {
--- /dev/null
+++ b/crates/config/src/settings/tables.rs
@@ -0,0 +1,175 @@
+//! The keys of a daemon's settings.
+
+use crate::fields::{
+    AddressField, ChoiceField, Field, IntegerField, SectionTable, TextField,
+    TextForm,
+};
+
+/// First word of `[node]`.
+pub(super) const NODE_WORD: &str = "node";
+/// First word of `[log]`.
+pub(super) const LOG_WORD: &str = "log";
+/// First word of `[links]`.
+pub(super) const LINKS_WORD: &str = "links";
+/// First word of `[platform]`.
+pub(super) const PLATFORM_WORD: &str = "platform";
+/// First word of `[entry]`.
+pub(super) const ENTRY_WORD: &str = "entry";
+/// First word of `[side]`.
+pub(super) const SIDE_WORD: &str = "side";
+/// First word of `[backend-server NAME]`.
+pub(super) const BACKEND_SERVER_WORD: &str = "backend-server";
+
+/// Every section of a daemon's settings.
+pub const SECTIONS: &[SectionTable] = &[
+    SectionTable { word: NODE_WORD, names: &[], tables: &[NODE] },
+    SectionTable { word: LOG_WORD, names: &[], tables: &[LOG] },
+    SectionTable { word: LINKS_WORD, names: &[], tables: &[LINKS] },
+    SectionTable { word: PLATFORM_WORD, names: &[], tables: &[PLATFORM] },
+    SectionTable { word: ENTRY_WORD, names: &[], tables: &[ENTRY] },
+    SectionTable { word: SIDE_WORD, names: &[], tables: &[SIDE] },
+    SectionTable {
+        word: BACKEND_SERVER_WORD,
+        names: &["NAME"],
+        tables: &[BACKEND_SERVER],
+    },
+];
+
+pub(super) const ROLE: ChoiceField =
+    ChoiceField::new("role", &["entry", "side"]);
+pub(super) const VM: TextField = TextField::new("vm", TextForm::Name);
+pub(super) const DATA_CENTRE: TextField =
+    TextField::new("data-centre", TextForm::Name);
+pub(super) const INNER_ADDRESS: AddressField =
+    AddressField::listen("inner-address");
+pub(super) const OPS_ADDRESS: AddressField =
+    AddressField::listen("ops-address");
+pub(super) const CONTROL_ADDRESS: AddressField =
+    AddressField::listen("control-address");
+pub(super) const THREADS: IntegerField =
+    IntegerField::new("threads", 1, 256, "threads").or(4);
+pub(super) const DRAIN_LIMIT_MS: IntegerField =
+    IntegerField::new("drain-limit-ms", 1_000, 3_600_000, "ms").or(60_000);
+
+pub(super) const NODE: &[Field] = &[
+    Field::Choice(ROLE),
+    Field::Text(VM),
+    Field::Text(DATA_CENTRE),
+    Field::Address(INNER_ADDRESS),
+    Field::Address(OPS_ADDRESS),
+    Field::Address(CONTROL_ADDRESS),
+    Field::Integer(THREADS),
+    Field::Integer(DRAIN_LIMIT_MS),
+];
+
+pub(super) const LOG_FORMAT: ChoiceField =
+    ChoiceField::new("format", &["text", "json"]).or("json");
+pub(super) const LOG_LEVEL: ChoiceField =
+    ChoiceField::new("level", &["error", "warn", "info", "debug"]).or("info");
+
+pub(super) const LOG: &[Field] =
+    &[Field::Choice(LOG_FORMAT), Field::Choice(LOG_LEVEL)];
+
+pub(super) const CONNECT_TIMEOUT_MS: IntegerField =
+    IntegerField::new("connect-timeout-ms", 10, 60_000, "ms").or(500);
+pub(super) const BUSY_INTERVAL_MS: IntegerField =
+    IntegerField::new("busy-interval-ms", 10, 60_000, "ms").or(200);
+pub(super) const IDLE_INTERVAL_MS: IntegerField =
+    IntegerField::new("idle-interval-ms", 10, 600_000, "ms").or(2_000);
+pub(super) const SILENCE_LIMIT_MS: IntegerField =
+    IntegerField::new("silence-limit-ms", 20, 120_000, "ms").or(800);
+
+pub(super) const LINKS: &[Field] = &[
+    Field::Integer(CONNECT_TIMEOUT_MS),
+    Field::Integer(BUSY_INTERVAL_MS),
+    Field::Integer(IDLE_INTERVAL_MS),
+    Field::Integer(SILENCE_LIMIT_MS),
+];
+
+pub(super) const TABLE_ADDRESS: AddressField =
+    AddressField::connect("table-address");
+pub(super) const OBJECT_ADDRESS: AddressField =
+    AddressField::connect("object-address");
+pub(super) const VM_LIST_ADDRESS: AddressField =
+    AddressField::connect("vm-list-address");
+pub(super) const REQUEST_TIMEOUT_MS: IntegerField =
+    IntegerField::new("request-timeout-ms", 10, 60_000, "ms").or(500);
+pub(super) const MANIFEST_POLL_MS: IntegerField =
+    IntegerField::new("manifest-poll-ms", 100, 60_000, "ms").or(1_000);
+pub(super) const VM_LIST_POLL_MS: IntegerField =
+    IntegerField::new("vm-list-poll-ms", 100, 60_000, "ms").or(1_000);
+
+pub(super) const PLATFORM: &[Field] = &[
+    Field::Address(TABLE_ADDRESS),
+    Field::Address(OBJECT_ADDRESS),
+    Field::Address(VM_LIST_ADDRESS),
+    Field::Integer(REQUEST_TIMEOUT_MS),
+    Field::Integer(MANIFEST_POLL_MS),
+    Field::Integer(VM_LIST_POLL_MS),
+];
+
+pub(super) const HTTP_ADDRESS: AddressField =
+    AddressField::listen("http-address");
+pub(super) const MAX_BODY_BYTES: IntegerField =
+    IntegerField::new("max-body-bytes", 1_024, 67_108_864, "bytes")
+        .or(1_048_576);
+pub(super) const MAX_REQUESTS_IN_FLIGHT: IntegerField =
+    IntegerField::new("max-requests-in-flight", 1, 1_000_000, "requests")
+        .or(10_000);
+pub(super) const MAX_ATTEMPTS: IntegerField =
+    IntegerField::new("max-attempts", 1, 100, "attempts").or(4);
+pub(super) const RETRY_BUDGET_PERCENT: IntegerField =
+    IntegerField::new("retry-budget-percent", 0, 100, "%").or(20);
+pub(super) const RECOVER_LIMIT_MS: IntegerField =
+    IntegerField::new("recover-limit-ms", 100, 600_000, "ms").or(5_000);
+pub(super) const CLAIM_FLUSH_MS: IntegerField =
+    IntegerField::new("claim-flush-ms", 1, 1_000, "ms").or(10);
+pub(super) const CLAIM_BATCH: IntegerField =
+    IntegerField::new("claim-batch", 1, 10_000, "claims").or(50);
+
+pub(super) const ENTRY: &[Field] = &[
+    Field::Address(HTTP_ADDRESS),
+    Field::Integer(MAX_BODY_BYTES),
+    Field::Integer(MAX_REQUESTS_IN_FLIGHT),
+    Field::Integer(MAX_ATTEMPTS),
+    Field::Integer(RETRY_BUDGET_PERCENT),
+    Field::Integer(RECOVER_LIMIT_MS),
+    Field::Integer(CLAIM_FLUSH_MS),
+    Field::Integer(CLAIM_BATCH),
+];
+
+pub(super) const RUN_ONCE_CAPACITY: IntegerField =
+    IntegerField::new("run-once-capacity", 1_000, 10_000_000, "requests")
+        .or(200_000);
+pub(super) const RUN_ONCE_RETENTION_MS: IntegerField =
+    IntegerField::new("run-once-retention-ms", 60_000, 86_400_000, "ms")
+        .or(600_000);
+pub(super) const STEP_TIMEOUT_MS: IntegerField =
+    IntegerField::new("step-timeout-ms", 10, 60_000, "ms").or(1_000);
+pub(super) const PREFILL_TIMEOUT_MS: IntegerField =
+    IntegerField::new("prefill-timeout-ms", 10, 600_000, "ms").or(20_000);
+pub(super) const MAX_BATCH: IntegerField =
+    IntegerField::new("max-batch", 1, 4_096, "requests").or(32);
+pub(super) const ENGINE_CALLS: IntegerField =
+    IntegerField::new("engine-calls", 1, 256, "calls").or(4);
+pub(super) const QUEUE_LIMIT_TOKENS: IntegerField =
+    IntegerField::new("queue-limit-tokens", 1, 1_000_000_000, "tokens")
+        .or(200_000);
+pub(super) const ORPHAN_LIMIT_MS: IntegerField =
+    IntegerField::new("orphan-limit-ms", 0, 60_000, "ms").or(3_000);
+
+pub(super) const SIDE: &[Field] = &[
+    Field::Integer(RUN_ONCE_CAPACITY),
+    Field::Integer(RUN_ONCE_RETENTION_MS),
+    Field::Integer(STEP_TIMEOUT_MS),
+    Field::Integer(PREFILL_TIMEOUT_MS),
+    Field::Integer(MAX_BATCH),
+    Field::Integer(ENGINE_CALLS),
+    Field::Integer(QUEUE_LIMIT_TOKENS),
+    Field::Integer(ORPHAN_LIMIT_MS),
+];
+
+pub(super) const BACKEND_ADDRESS: AddressField =
+    AddressField::connect("address");
+
+pub(super) const BACKEND_SERVER: &[Field] = &[Field::Address(BACKEND_ADDRESS)];
