--- a/crates/side/src/backend.rs
+++ b/crates/side/src/backend.rs
@@ -19,7 +19,7 @@
 use chestnutreach_engine::{
     EngineClient, EngineError, SequenceId, SequenceStep,
 };
-use chestnutreach_http::{Client, ClientOptions};
+use chestnutreach_http::{Client, ClientError, ClientOptions};
 use chestnutreach_routing::admission::Speed;
 use chestnutreach_state::RunOnceTable;
 use chestnutreach_telemetry::{Event, emit, metrics::BackendMetrics};
@@ -352,8 +352,9 @@
         let is_there = is_ready_soon(engine).await;
         misses = if is_there { 0 } else { misses + 1 };
     }
-    let detail = format!("{PROBE_MISSES} health checks missed in a row");
-    Err(EngineError::Timeout(detail))
+    let limit_ms = PROBE_INTERVAL.as_millis() as u64 * u64::from(misses) * 2;
+    let address = engine.address();
+    Err(EngineError::Timeout(ClientError::Timeout { address, limit_ms }))
 }
 
 async fn is_ready_soon(engine: &EngineClient) -> bool {
--- a/crates/side/src/run.rs
+++ b/crates/side/src/run.rs
@@ -166,8 +166,8 @@
         self.failure
     }
 
-    /// Name of the stage that a link leads to.
-    fn stage_of(&self, link_id: u64) -> Option<usize> {
+    /// Index of the stage that a link leads to.
+    pub(crate) fn stage_of(&self, link_id: u64) -> Option<usize> {
         let at = self.stages.iter().position(|(l, _)| l.id() == link_id)?;
         Some(at + 1)
     }
