--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -7,7 +7,7 @@
 };
 
 use async_io::{Async, Timer};
-use chestnutreach_config::manifest::key_digest;
+use chestnutreach_config::key_digest;
 use chestnutreach_http::{Received, ServerOptions, serve_connection};
 use chestnutreach_protocol::RequestId;
 use chestnutreach_routing::Priority;
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -16,12 +16,9 @@
 };
 
 use async_io::Timer;
-use chestnutreach_platform::{
-    Claim,
-    claims::{
-        ClaimError, ClaimKey, ClaimState, Claimed, Owner, Repeat,
-        StoredAnswer, decide,
-    },
+use chestnutreach_platform::claims::{
+    Claim, ClaimError, ClaimKey, ClaimState, Claimed, Owner, Repeat,
+    StoredAnswer, decide,
 };
 use chestnutreach_protocol::{
     RequestId,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -158,7 +158,7 @@
         let Some(service) = view.services.get(service) else {
             return Err(format!("service {service:?} is not known"));
         };
-        let explanation = chestnutreach_routing::chain::explain(
+        let explanation = chestnutreach_routing::explain(
             &service.fleet,
             &service.live,
             shape,
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -21,7 +21,7 @@
 };
 
 use async_io::Timer;
-use chestnutreach_platform::Claim;
+use chestnutreach_platform::claims::Claim;
 use chestnutreach_protocol::{
     Link, RequestId,
     link::BusyGuard,
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -11,10 +11,7 @@
     manifest::{Account, BackendServer, Service, ServiceKind},
 };
 use chestnutreach_routing::{
-    chain::Policy,
-    fleet::{BackendIndex, BackendSpec, Fleet, Network},
-    live::Live,
-    retry::RetryBudget,
+    BackendIndex, BackendSpec, Fleet, Live, Network, Policy, RetryBudget,
 };
 
 /// A generation, ready for requests.
