Add stand-ins for model engines and plain services

Tests of the chain need engines whose answer shows any layer or position that is missed, doubled or reordered, and which can fail on demand. The toy model feeds each layer its own output at the position before, so that this holds for every position and not only the last. A fixed answer per prompt was ruled out: it would hide such faults. What the last layer must know of the prompt travels in the header of the activation, not in the sampling settings, so that no router has to carry it.

--- /dev/null
+++ b/crates/standins/src/faults.rs
@@ -0,0 +1,94 @@
+//! Faults switched on and off while a stand-in runs.
+//!
+//! `PUT /faults` replaces all of them; what the body leaves out is off. The
+//! paths `/faults`, `/record` and `/stats` work whatever is switched on.
+
+use std::{
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+/// The faults of a stand-in.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Closes connections when a call comes.
+    pub down: bool,
+    /// Reads calls and never answers.
+    pub silent: bool,
+    /// Delay of answers, after the run.
+    pub slow_ms: u64,
+    /// Of a thousand calls, how many are answered 500 without a run.
+    pub error_permille: u32,
+    /// Goes down after so many more positions have been run.
+    pub fail_after_positions: Option<u64>,
+    /// Runs calls and closes the connection in place of an answer.
+    pub lose_answers: bool,
+}
+
+/// What happens to a call before it is run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Before {
+    Run,
+    Close,
+    StaySilent,
+    Fail,
+}
+
+/// The switches of one stand-in.
+#[derive(Debug, Default)]
+pub(crate) struct FaultSwitches {
+    faults: Mutex<Faults>,
+}
+
+impl FaultSwitches {
+    fn lock(&self) -> MutexGuard<'_, Faults> {
+        self.faults.lock().expect("no holder panics")
+    }
+
+    pub(crate) fn read(&self) -> Faults {
+        self.lock().clone()
+    }
+
+    pub(crate) fn replace(&self, faults: Faults) {
+        *self.lock() = faults;
+    }
+
+    pub(crate) fn before_run(&self) -> Before {
+        let faults = self.lock();
+        if faults.down {
+            Before::Close
+        } else if faults.silent {
+            Before::StaySilent
+        } else if fastrand::u32(0..1000) < faults.error_permille {
+            Before::Fail
+        } else {
+            Before::Run
+        }
+    }
+
+    /// Whether the answer of a call that was run is lost.
+    pub(crate) fn loses_answer(&self) -> bool {
+        let faults = self.lock();
+        faults.down || faults.lose_answers
+    }
+
+    pub(crate) fn delay(&self) -> Duration {
+        Duration::from_millis(self.lock().slow_ms)
+    }
+
+    pub(crate) fn is_down(&self) -> bool {
+        self.lock().down
+    }
+
+    /// Counts positions that were run towards `fail_after_positions`.
+    pub(crate) fn count_positions(&self, count: u32) {
+        let mut faults = self.lock();
+        let Some(left) = faults.fail_after_positions else { return };
+        let left = left.saturating_sub(count.into());
+        faults.fail_after_positions = Some(left);
+        faults.down |= left == 0;
+    }
+}
--- /dev/null
+++ b/crates/standins/src/running.rs
@@ -0,0 +1,86 @@
+//! A stand-in on a thread of the calling process.
+//!
+//! Tests that need no process of their own use it; dropping it closes the
+//! listener and every connection, as the death of a process would.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::Arc,
+    thread::{self, JoinHandle},
+};
+
+use async_executor::Executor;
+use async_io::{Async, block_on};
+use futures_lite::FutureExt as _;
+
+use crate::{
+    engine::{self, EngineOptions},
+    plain,
+};
+
+/// A running stand-in; it stops when dropped.
+#[derive(Debug)]
+pub struct Running {
+    address: SocketAddr,
+    stop: async_channel::Sender<()>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Starts an engine at a free port.
+    ///
+    /// # Errors
+    ///
+    /// There is no free port, or no thread.
+    pub fn engine(options: EngineOptions) -> io::Result<Running> {
+        Running::start(|executor, listener| {
+            engine::serve(executor, listener, options)
+        })
+    }
+
+    /// Starts a plain service at a free port.
+    ///
+    /// # Errors
+    ///
+    /// There is no free port, or no thread.
+    pub fn plain() -> io::Result<Running> {
+        Running::start(plain::serve)
+    }
+
+    fn start<S, F>(serve: S) -> io::Result<Running>
+    where
+        S: FnOnce(Arc<Executor<'static>>, Async<TcpListener>) -> F,
+        S: Send + 'static,
+        F: Future<Output = io::Result<()>>,
+    {
+        let listener = Async::<TcpListener>::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let address = listener.get_ref().local_addr()?;
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let run = move || {
+            let executor = Arc::new(Executor::new());
+            let serving = serve(executor.clone(), listener);
+            let until_stopped = async {
+                let _ = stopped.recv().await;
+                Ok(())
+            };
+            let _ = block_on(executor.run(serving.or(until_stopped)));
+        };
+        let thread = thread::Builder::new().spawn(run)?;
+        Ok(Running { address, stop, thread: Some(thread) })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop.close();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/engine/main.rs
@@ -0,0 +1,6 @@
+//! The engine stand-in, driven by the client of its protocol.
+
+mod chain;
+mod common;
+mod faults;
+mod steps;
