--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,90 @@
-//! Placeholder.
+//! The daemon of chestnutreach, in the role `entry` or `side`.
+//!
+//! Exit codes: 0 after a stop that cut nothing, 1 when the daemon could not
+//! start or go on, 2 when the command line or the settings are wrong, 3 when
+//! a stop reached its bound and cut requests.
 
-fn main() {}
+mod drain;
+mod listen;
+mod roles;
+mod signals;
+
+use std::{path::PathBuf, process::ExitCode};
+
+use chestnutreach_config::DaemonSettings;
+use chestnutreach_telemetry::{Event, emit};
+use clap::{Arg, ArgAction, Command, value_parser};
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_SETTINGS: u8 = 2;
+const EXIT_CUT: u8 = 3;
+
+fn main() -> ExitCode {
+    let arguments = command().get_matches();
+    let path: &PathBuf =
+        arguments.get_one("settings").expect("clap asks for it");
+    let settings = match DaemonSettings::try_load(path) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.get_flag("check") {
+        println!("{}: no findings", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(drain::Stopped::Whole) => ExitCode::SUCCESS,
+        Ok(drain::Stopped::Cut) => ExitCode::from(EXIT_CUT),
+        Err(e) => {
+            eprintln!("chestnutreachd: {e:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn command() -> Command {
+    Command::new("chestnutreachd")
+        .version(clap::crate_version!())
+        .about("Routes requests to model pipelines and plain services")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .required(true)
+                .help("Settings of this daemon, an INI file"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings, print every finding, and end"),
+        )
+        .after_help(
+            "Exit codes: 0 clean stop, 1 failure, 2 wrong settings, \
+             3 requests were cut at the bound of a stop",
+        )
+}
+
+fn run(settings: DaemonSettings) -> anyhow::Result<drain::Stopped> {
+    let log = settings.node().log;
+    chestnutreach_telemetry::log::init(log.format, log.level)?;
+    let executor = roles::start_threads(settings.node())?;
+    let stopped = async_io::block_on(async {
+        match settings {
+            DaemonSettings::Entry(entry) => {
+                roles::run_entry(entry, executor).await
+            }
+            DaemonSettings::Side(side) => {
+                roles::run_side(side, executor).await
+            }
+        }
+    })?;
+    emit(
+        Event::DaemonStopped,
+        &[("cut", &(stopped == drain::Stopped::Cut))],
+    );
+    Ok(stopped)
+}
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -14,7 +14,7 @@
 use async_executor::Executor;
 use async_io::Async;
 use chestnutreach_config::{Manifest, settings::EntrySettings};
-use chestnutreach_node::Clock;
+use chestnutreach_node::{Clock, Heard};
 use chestnutreach_platform::ClaimStore;
 use chestnutreach_protocol::{
     CloseReason, Identity, Link, LinkEvent, Links, RequestId,
@@ -40,6 +40,7 @@
     pub(crate) settings: EntrySettings,
     pub(crate) clock: Clock,
     pub(crate) metrics: Arc<Metrics>,
+    heard: Arc<Heard>,
     pub(crate) view: ArcSwap<View>,
     pub(crate) peers: Peers,
     pub(crate) claims: ClaimStore,
@@ -61,6 +62,8 @@
     pub identity: Identity,
     /// Where it counts.
     pub metrics: Arc<Metrics>,
+    /// What peers tell of the manifest.
+    pub heard: Arc<Heard>,
     /// Claims of keyed requests.
     pub claims: ClaimStore,
     /// Runs its tasks.
@@ -82,6 +85,7 @@
             clock,
             store_outage: Outage::new(clock),
             metrics: parts.metrics,
+            heard: parts.heard,
             view: ArcSwap::from_pointee(View::empty()),
             peers: Peers::default(),
             claims: parts.claims,
@@ -139,6 +143,25 @@
         self.shared.in_flight.load(Ordering::Acquire)
     }
 
+    /// State of the process, for operators.
+    pub fn status(&self) -> serde_json::Value {
+        let view = self.shared.view.load();
+        let services: serde_json::Map<String, serde_json::Value> = view
+            .services
+            .iter()
+            .map(|(name, service)| (name.clone(), service.status()))
+            .collect();
+        serde_json::json!({
+            "vm": self.links().identity().vm,
+            "role": "entry",
+            "boot_id": self.links().identity().boot_id,
+            "generation": view.generation,
+            "is_leaving": self.is_leaving(),
+            "in_flight": self.in_flight(),
+            "services": services,
+        })
+    }
+
     /// The process's links.
     pub fn links(&self) -> &Links {
         self.shared.links()
@@ -237,6 +260,7 @@
     fn handle(self: &Arc<Self>, event: LinkEvent) {
         match event {
             LinkEvent::Opened(link) => {
+                self.heard.note(link.peer().generation);
                 emit(Event::LinkOpened, &[("peer_vm", &link.peer().vm)]);
             }
             LinkEvent::Frame(link, body) => self.handle_frame(&link, body),
@@ -248,8 +272,14 @@
 
     fn handle_frame(&self, link: &Link, body: Body) {
         let request = match &body {
-            Body::Status(m) => return self.side_loads(link, &m.loads),
-            Body::Heartbeat(m) => return self.side_loads(link, &m.loads),
+            Body::Status(m) => {
+                self.heard.note(m.generation);
+                return self.side_loads(link, &m.loads);
+            }
+            Body::Heartbeat(m) => {
+                self.heard.note(m.generation);
+                return self.side_loads(link, &m.loads);
+            }
             Body::Accepted(m) => m.request,
             Body::Output(m) => m.request,
             Body::Finished(m) => m.request,
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -146,6 +146,27 @@
     }
 }
 
+impl ServiceView {
+    /// Presence of each backend server, for operators.
+    pub(crate) fn status(&self) -> serde_json::Value {
+        let backends: serde_json::Map<String, serde_json::Value> = self
+            .fleet
+            .indices()
+            .map(|index| {
+                let name = self.fleet.spec(index).name.clone();
+                let presence = self.live.presence(index);
+                let in_flight = self.live.in_flight(index);
+                let state = serde_json::json!({
+                    "presence": presence,
+                    "in_flight": in_flight,
+                });
+                (name, state)
+            })
+            .collect();
+        backends.into()
+    }
+}
+
 /// A backend server beside a side process.
 #[derive(Clone)]
 pub(crate) struct Beside {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,11 +3,16 @@
 //! | module | what it holds |
 //! |---|---|
 //! | [`clock`] | the monotonic clock of a process |
+//! | [`follow`] | following the manifest and the list of VMs |
+//! | [`heard`] | generations that peers have told of |
 //! | [`links`] | link options from settings |
 //! | [`threads`] | the threads that run its tasks |
 
 pub mod clock;
+pub mod follow;
+pub mod heard;
 pub mod links;
 pub mod threads;
 
 pub use clock::Clock;
+pub use heard::Heard;
--- a/crates/side/src/frames.rs
+++ b/crates/side/src/frames.rs
@@ -38,11 +38,11 @@
                 self.release_seats(id, m.attempt);
             }
             Body::Query(m) => self.handle_query(link, &m),
+            Body::Heartbeat(m) => self.heard.note(m.generation),
+            Body::Status(m) => self.heard.note(m.generation),
             // The link has dealt with these, or they are for an entry.
             Body::Hello(_)
             | Body::HelloRefused(_)
-            | Body::Heartbeat(_)
-            | Body::Status(_)
             | Body::Accepted(_)
             | Body::Output(_)
             | Body::Finished(_)
@@ -53,6 +53,7 @@
 
     fn link_opened(&self, link: &Link) {
         let _ = link.send(self.status());
+        self.heard.note(link.peer().generation);
         emit(Event::LinkOpened, &[("peer_vm", &link.peer().vm)]);
     }
 
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -27,4 +27,4 @@
 mod steps;
 mod sweep;
 
-pub use node::Side;
+pub use node::{InFlight, Side, SideParts};
--- a/crates/side/src/node.rs
+++ b/crates/side/src/node.rs
@@ -14,7 +14,7 @@
 use async_executor::Executor;
 use async_io::Async;
 use chestnutreach_config::{Manifest, settings::SideSettings};
-use chestnutreach_node::Clock;
+use chestnutreach_node::{Clock, Heard};
 use chestnutreach_protocol::{
     Identity, Link, LinkOptions, Links, RequestId,
     wire::{self, BackendLoad, RefusalReason, Stage, Status, frame::Body},
@@ -34,11 +34,28 @@
     shared: Arc<Shared>,
 }
 
+/// What a side is made of.
+pub struct SideParts {
+    /// Its settings.
+    pub settings: SideSettings,
+    /// Who it is.
+    pub identity: Identity,
+    /// Where it counts.
+    pub metrics: Arc<Metrics>,
+    /// What peers tell of the manifest.
+    pub heard: Arc<Heard>,
+    /// Runs its tasks.
+    pub executor: Arc<Executor<'static>>,
+    /// Where other processes of the system connect.
+    pub inner: Async<TcpListener>,
+}
+
 /// What all parts of the process share.
 pub(crate) struct Shared {
     pub(crate) settings: SideSettings,
     pub(crate) clock: Clock,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) heard: Arc<Heard>,
     pub(crate) backends: BTreeMap<String, Arc<Backend>>,
     executor: Arc<Executor<'static>>,
     links: OnceLock<Links>,
@@ -79,13 +96,8 @@
 impl Side {
     /// Starts the role on an executor; it serves nothing until a manifest is
     /// applied.
-    pub fn start(
-        settings: SideSettings,
-        identity: Identity,
-        metrics: Arc<Metrics>,
-        executor: Arc<Executor<'static>>,
-        listener: Async<TcpListener>,
-    ) -> Side {
+    pub fn start(parts: SideParts) -> Side {
+        let SideParts { settings, metrics, executor, .. } = parts;
         let backends = settings
             .backends
             .iter()
@@ -104,6 +116,7 @@
             settings,
             clock: Clock::new(),
             metrics,
+            heard: parts.heard,
             backends,
             executor: executor.clone(),
             links: OnceLock::new(),
@@ -118,13 +131,13 @@
             let shared = shared.clone();
             Arc::new(move |event| shared.handle(event))
         };
-        let links = Links::new(identity, options, executor, handler);
+        let links = Links::new(parts.identity, options, executor, handler);
         shared.links.set(links.clone()).ok();
         for backend in shared.backends.values() {
             shared.start_backend(backend);
         }
         shared.spawn(shared.clone().sweep());
-        links.listen(listener);
+        links.listen(parts.inner);
         Side { shared }
     }
 
@@ -180,6 +193,23 @@
         self.shared.loads()
     }
 
+    /// State of the process, for operators.
+    pub fn status(&self) -> serde_json::Value {
+        let held = self.in_flight();
+        let backends: Vec<serde_json::Value> =
+            self.loads().iter().map(load_status).collect();
+        serde_json::json!({
+            "vm": self.links().identity().vm,
+            "role": "side",
+            "boot_id": self.links().identity().boot_id,
+            "generation": self.shared.generation.load(Ordering::Acquire),
+            "is_leaving": self.is_leaving(None),
+            "runs": held.runs,
+            "seats": held.seats,
+            "backends": backends,
+        })
+    }
+
     /// Whether the process or the backend server is leaving.
     pub fn is_leaving(&self, backend: Option<&str>) -> bool {
         let is_leaving = self.shared.is_leaving.load(Ordering::Acquire);
@@ -385,6 +415,17 @@
     }
 }
 
+fn load_status(load: &BackendLoad) -> serde_json::Value {
+    serde_json::json!({
+        "name": load.backend,
+        "running": load.running,
+        "queued": load.queued,
+        "pending_tokens": load.pending_tokens,
+        "is_healthy": load.is_healthy,
+        "is_leaving": load.is_leaving,
+    })
+}
+
 fn link_options(settings: &SideSettings) -> LinkOptions {
     chestnutreach_node::links::options(&settings.node.links)
 }
--- a/crates/side/src/steps.rs
+++ b/crates/side/src/steps.rs
@@ -107,12 +107,6 @@
         let _ = self.wake.try_send(());
     }
 
-    /// Steps that wait.
-    pub(crate) fn len(&self) -> usize {
-        let state = self.lock();
-        state.tokens.len() + state.firsts.len()
-    }
-
     fn take(&self, limit: usize) -> Option<Batch> {
         let mut state = self.lock();
         let is_first = state.tokens.is_empty();
