Test settings and manifests by tables of faults, and write their pages

Ruled out: pages without a check. A test compares each row's key, range, unit and default in SETTINGS.md and MANIFEST.md with the tables of keys.

Found by the tests and mended: a finding without a section was shown as "file:1 key" without the colon after the line.

--- a/crates/config/src/findings.rs
+++ b/crates/config/src/findings.rs
@@ -26,13 +26,18 @@
         if let Some(line) = self.line {
             write!(f, ":{line}")?;
         }
-        if !self.section.is_empty() {
-            write!(f, ": [{}]", self.section)?;
+        f.write_str(": ")?;
+        let section = match self.section.as_str() {
+            "" => String::new(),
+            section => format!("[{section}]"),
+        };
+        let place = [section.as_str(), &self.key];
+        let place: Vec<&str> =
+            place.into_iter().filter(|part| !part.is_empty()).collect();
+        if !place.is_empty() {
+            write!(f, "{}: ", place.join(" "))?;
         }
-        if !self.key.is_empty() {
-            write!(f, " {}", self.key)?;
-        }
-        write!(f, ": {}", self.message)
+        f.write_str(&self.message)
     }
 }
 
--- a/crates/config/src/sheet.rs
+++ b/crates/config/src/sheet.rs
@@ -208,8 +208,9 @@
         let default = field.default.and_then(from_word);
         let read = |text: &str| {
             let words = field.words.join(", ");
-            from_word(text)
-                .ok_or_else(|| format!("{text} is not one of {words}"))
+            from_word(text).ok_or_else(|| {
+                format!("{} is not one of {words}", shortened(text))
+            })
         };
         self.value(field.key, default, read)
     }
--- /dev/null
+++ b/crates/config/tests/pages.rs
@@ -0,0 +1,57 @@
+//! The operators' pages say what the tables of keys say.
+
+use chestnutreach_config::{
+    fields::{Field, SectionTable},
+    manifest, settings,
+};
+
+#[test]
+fn pages_have_every_key() {
+    struct Case {
+        page: &'static str,
+        text: &'static str,
+        sections: &'static [SectionTable],
+    }
+    let cases = [
+        Case {
+            page: "SETTINGS.md",
+            text: include_str!("../../../docs/SETTINGS.md"),
+            sections: settings::tables::SECTIONS,
+        },
+        Case {
+            page: "MANIFEST.md",
+            text: include_str!("../../../docs/MANIFEST.md"),
+            sections: manifest::tables::SECTIONS,
+        },
+    ];
+    for case in cases {
+        for section in case.sections {
+            let rows = rows_of(case.text, &section.heading());
+            let expected: Vec<String> = section.fields().map(row).collect();
+            assert_eq!(rows, expected, "{} {}", case.page, section.heading());
+        }
+    }
+}
+
+/// The rows under a heading, without the meaning.
+fn rows_of(page: &str, heading: &str) -> Vec<String> {
+    let start = format!("## [{heading}]\n");
+    let (_, rest) = page.split_once(&start).expect(heading);
+    let section = rest.split("\n## ").next().unwrap();
+    let rows = section.lines().filter(|line| line.starts_with("| `"));
+    rows.map(without_meaning).collect()
+}
+
+fn without_meaning(row: &str) -> String {
+    let cells: Vec<&str> = row.split(" | ").collect();
+    let (meaning, cells) = cells.split_last().unwrap();
+    assert!(meaning.len() > " |".len(), "{row}");
+    cells.join(" | ")
+}
+
+fn row(field: &Field) -> String {
+    let unit = field.unit().unwrap_or("-");
+    let default = field.default().unwrap_or("required".to_owned());
+    let range = field.range();
+    format!("| `{}` | {range} | {unit} | {default}", field.key())
+}
--- /dev/null
+++ b/crates/config/tests/settings.rs
@@ -0,0 +1,271 @@
+//! Settings: defaults, ranges and checks across keys.
+
+use std::path::Path;
+
+use chestnutreach_config::{
+    DaemonSettings,
+    settings::{
+        BackendSettings, EntrySettings, LinkSettings, LogFormat, LogLevel,
+        LogSettings, NodeSettings, PlatformSettings, SideSettings,
+    },
+};
+
+const ENTRY: &str = "\
+[node]
+role = entry
+vm = vm-1
+data-centre = hall-a
+inner-address = 10.0.0.1:1
+ops-address = 10.0.0.1:2
+control-address = 10.0.0.1:3
+[platform]
+table-address = 10.0.9.1:1
+object-address = 10.0.9.1:2
+vm-list-address = 10.0.9.1:3
+[entry]
+http-address = 10.0.0.1:80
+";
+
+fn side() -> String {
+    let text = ENTRY.replace("role = entry", "role = side");
+    let (shared, _) = text.split_once("[entry]").unwrap();
+    format!("{shared}[backend-server e1]\naddress = 127.0.0.1:9\n")
+}
+
+fn node() -> NodeSettings {
+    NodeSettings {
+        vm: "vm-1".to_owned(),
+        data_centre: "hall-a".to_owned(),
+        inner_address: "10.0.0.1:1".parse().unwrap(),
+        ops_address: "10.0.0.1:2".parse().unwrap(),
+        control_address: "10.0.0.1:3".parse().unwrap(),
+        threads: 4,
+        drain_limit_ms: 60_000,
+        log: LogSettings { format: LogFormat::Json, level: LogLevel::Info },
+        links: LinkSettings {
+            connect_timeout_ms: 500,
+            busy_interval_ms: 200,
+            idle_interval_ms: 2_000,
+            silence_limit_ms: 800,
+        },
+        platform: PlatformSettings {
+            table_address: "10.0.9.1:1".parse().unwrap(),
+            object_address: "10.0.9.1:2".parse().unwrap(),
+            vm_list_address: "10.0.9.1:3".parse().unwrap(),
+            request_timeout_ms: 500,
+            manifest_poll_ms: 1_000,
+            vm_list_poll_ms: 1_000,
+        },
+    }
+}
+
+#[test]
+fn entry_has_defaults() {
+    let expected = EntrySettings {
+        node: node(),
+        http_address: "10.0.0.1:80".parse().unwrap(),
+        max_body_bytes: 1_048_576,
+        max_requests_in_flight: 10_000,
+        max_attempts: 4,
+        retry_budget_percent: 20,
+        recover_limit_ms: 5_000,
+        claim_flush_ms: 10,
+        claim_batch: 50,
+    };
+    let settings = DaemonSettings::try_parse("e.ini", ENTRY).unwrap();
+    assert_eq!(settings, DaemonSettings::Entry(expected));
+}
+
+#[test]
+fn side_has_defaults() {
+    let backend = BackendSettings {
+        name: "e1".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+    };
+    let expected = SideSettings {
+        node: node(),
+        backends: vec![backend],
+        run_once_capacity: 200_000,
+        run_once_retention_ms: 600_000,
+        step_timeout_ms: 1_000,
+        prefill_timeout_ms: 20_000,
+        max_batch: 32,
+        engine_calls: 4,
+        queue_limit_tokens: 200_000,
+        orphan_limit_ms: 3_000,
+    };
+    let settings = DaemonSettings::try_parse("s.ini", &side()).unwrap();
+    assert_eq!(settings, DaemonSettings::Side(expected));
+}
+
+fn findings(text: &str) -> Vec<String> {
+    match DaemonSettings::try_parse("f.ini", text) {
+        Ok(_) => Vec::new(),
+        Err(findings) => {
+            findings.iter().map(|finding| finding.to_string()).collect()
+        }
+    }
+}
+
+#[test]
+fn faults_are_found_with_their_place() {
+    struct Case {
+        /// A text of the entry's settings and what stands in its place.
+        change: (&'static str, &'static str),
+        findings: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            change: ("role = entry", "role = boss"),
+            findings: &[
+                "f.ini:2: [node] role: boss is not one of entry, side",
+            ],
+        },
+        Case {
+            change: ("vm = vm-1", "vm = vm 1\nthreads = 0\nthread = 4"),
+            findings: &[
+                "f.ini:3: [node] vm: \"vm 1\" is not a name \
+                 (letters, digits, `-`, `_`, `.`)",
+                "f.ini:4: [node] threads: 0 is out of range; \
+                 it must be 1..=256 threads",
+                "f.ini:5: [node] thread: unknown key",
+            ],
+        },
+        Case {
+            change: ("inner-address = 10.0.0.1:1", "inner-address = host:1"),
+            findings: &[
+                "f.ini:5: [node] inner-address: \"host:1\" is not ip:port",
+            ],
+        },
+        Case {
+            change: ("10.0.0.1:2", "10.0.0.1:1"),
+            findings: &["f.ini:6: [node] ops-address: 10.0.0.1:1 is also \
+                 [node] inner-address"],
+        },
+        Case {
+            change: ("10.0.0.1:2", "10.0.0.1:0"),
+            findings: &[
+                "f.ini:6: [node] ops-address: 10.0.0.1:0 has port 0; \
+                 it must be 1..=65535",
+            ],
+        },
+        Case {
+            change: ("10.0.9.1:1", "0.0.0.0:1"),
+            findings: &["f.ini:9: [platform] table-address: \
+                 0.0.0.0:1 is no address to connect to"],
+        },
+        Case {
+            change: ("[entry]", "[links]\nsilence-limit-ms = 399\n[entry]"),
+            findings: &["f.ini:13: [links] silence-limit-ms: 399 ms is too \
+                 short; it must be at least 400 ms, twice busy-interval-ms"],
+        },
+        Case {
+            change: ("[entry]", "[links]\nidle-interval-ms = 199\n[entry]"),
+            findings: &["f.ini:13: [links] idle-interval-ms: 199 ms is too \
+                 short; it must be at least 200 ms, busy-interval-ms"],
+        },
+        Case {
+            change: ("[entry]", "[entry]\nclaim-batch = 1e3\nclaim-batch=5"),
+            findings: &[
+                "f.ini:13: [entry] claim-batch: \"1e3\" is not a whole \
+                 number; it must be 1..=10000 claims",
+                "f.ini:14: [entry] claim-batch: doubled key; \
+                 the first is on line 13",
+            ],
+        },
+        Case {
+            change: (
+                "[entry]",
+                "[entry]\nmax-attempts = 18446744073709551616",
+            ),
+            findings: &["f.ini:13: [entry] max-attempts: \
+                 18446744073709551616 is out of range; \
+                 it must be 1..=100 attempts"],
+        },
+        Case {
+            change: ("[entry]", "[entry]\n[side]\n[entry]\n[gate]\n[log x]"),
+            findings: &[
+                "f.ini:12: [entry] http-address: missing key",
+                "f.ini:13: [side]: section is not for the role entry",
+                "f.ini:14: [entry]: doubled section; \
+                 the first is on line 12",
+                "f.ini:15: [gate]: unknown section",
+                "f.ini:16: [log x]: must be written [log]",
+            ],
+        },
+        Case {
+            change: ("[entry]", "[entry\nnonsense\n\u{1}\na = \\\n[entry]"),
+            findings: &[
+                "f.ini:12: not a heading such as [service NAME]",
+                "f.ini:13: not a heading, an entry or a comment",
+                "f.ini:14: holds a control character",
+                "f.ini:15: holds a backslash; \
+                 values can't be escaped or continued",
+            ],
+        },
+        Case {
+            change: ("[node]", "early = 1\n[node]\nBig = 1"),
+            findings: &[
+                "f.ini:1: early: stands before the first section",
+                "f.ini:3: [node] Big: not a key: a-z, 0-9 and - only",
+            ],
+        },
+    ];
+    for case in cases {
+        let (from, to) = case.change;
+        assert!(ENTRY.contains(from), "{from}");
+        let found = findings(&ENTRY.replacen(from, to, 1));
+        assert_eq!(found, case.findings, "{to}");
+    }
+}
+
+#[test]
+fn side_faults_are_found() {
+    let text = side() + "[backend-server e2]\naddress = 127.0.0.1:9\n";
+    let text = text + "[side]\nrun-once-retention-ms = 59999\n";
+    let text = text + "step-timeout-ms = 500\nprefill-timeout-ms = 400\n";
+    let expected = [
+        "f.ini:15: [backend-server e2] address: 127.0.0.1:9 is also \
+         [backend-server e1] address",
+        "f.ini:17: [side] run-once-retention-ms: 59999 is out of range; \
+         it must be 60000..=86400000 ms",
+        "f.ini:19: [side] prefill-timeout-ms: 400 ms is too short; \
+         it must be at least 500 ms, step-timeout-ms",
+    ];
+    assert_eq!(findings(&text), expected);
+}
+
+#[test]
+fn missing_keys_have_no_line_without_their_section() {
+    let expected = [
+        "f.ini: [platform] table-address: missing key",
+        "f.ini: [platform] object-address: missing key",
+        "f.ini: [platform] vm-list-address: missing key",
+        "f.ini: [node] role: missing key",
+        "f.ini: [node] vm: missing key",
+        "f.ini: [node] data-centre: missing key",
+        "f.ini: [node] inner-address: missing key",
+        "f.ini: [node] ops-address: missing key",
+        "f.ini: [node] control-address: missing key",
+    ];
+    assert_eq!(findings(""), expected);
+}
+
+#[test]
+fn form_of_the_file_is_free() {
+    let text = ENTRY
+        .replace("role = entry", "; comment\n\n   role:entry")
+        .replace("[node]", "\u{feff}  [ node ]  ")
+        .replace('\n', "\r\n");
+    let expected = DaemonSettings::try_parse("f.ini", ENTRY);
+    assert_eq!(DaemonSettings::try_parse("f.ini", &text), expected);
+}
+
+#[test]
+fn unreadable_file_is_a_finding() {
+    let path = Path::new("no/such/file.ini");
+    let findings = DaemonSettings::try_load(path).unwrap_err();
+    let finding = findings.iter().next().unwrap();
+    assert_eq!(finding.file, "no/such/file.ini");
+    assert!(finding.message.starts_with("can't be read: "));
+}
