--- a/crates/routing/src/chain.rs
+++ b/crates/routing/src/chain.rs
@@ -10,6 +10,7 @@
 //! | no healthy candidate drawn at a boundary | that boundary is scanned |
 //! | none healthy at all | suspect ones are taken (the floor of `health`) |
 //! | no tiling through the candidates | all boundaries are scanned |
+//! | none through healthy ones | suspect ones are taken, as few as can be |
 //! | the cheapest tiling is too late | the fastest is looked for |
 //! | that one is too late as well | [`NoChainReason::TooLate`] |
 
@@ -251,12 +252,11 @@
         entry: u32,
         rng: &mut fastrand::Rng,
     ) -> Result<Found, NoChainReason> {
-        let sampled =
-            self.search.run(pricing, avoid, entry, Reach::Sampled, rng);
-        if sampled.is_ok() {
-            return sampled;
-        }
-        self.search.run(pricing, avoid, entry, Reach::All, rng)
+        let mut run =
+            |reach| self.search.run(pricing, avoid, entry, reach, rng);
+        run(Reach::Sampled)
+            .or_else(|_| run(Reach::All))
+            .or_else(|_| run(Reach::AllAndSuspect))
     }
 
     fn choice(&self, found: &Found) -> Choice {
--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -122,6 +122,9 @@
         let is_recent = reading.reported_ms.is_some_and(|at| {
             self.now_ms.saturating_sub(at) <= self.policy.report_limit_ms
         });
+        if !is_recent {
+            self.live.leave_mean(index);
+        }
         let told = f64::from(reading.reported_requests);
         let change = f64::from(reading.request_change);
         let known = (told + change).max(f64::from(reading.in_flight));
--- a/crates/routing/src/fair.rs
+++ b/crates/routing/src/fair.rs
@@ -28,12 +28,13 @@
 //!
 //! `push` and `pop` take `O(log n)`; `remove` looks at every item.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    fmt,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::priority::Priority;
+use crate::{
+    fair_account::{Account, LEVEL_COUNT, Sequence, VirtualTime},
+    fair_refusal::{PushRefusal, PushRefusalReason},
+    priority::Priority,
+};
 
 /// Lead of an account's place for each level above low, over its weight.
 pub const LEAD_TOKENS: u64 = 4_096;
@@ -42,14 +43,7 @@
 /// An account may hold this many times the free room.
 pub const SHARE_OF_FREE: u64 = 8;
 
-const DEFAULT_WEIGHT: u32 = 1;
-/// Virtual time of one token at weight 1: fine enough for any weight.
-const SCALE: i128 = 1 << 20;
-const LEVEL_COUNT: usize = Priority::ALL.len();
-
-type Sequence = u64;
 type AccountIndex = usize;
-type VirtualTime = i128;
 
 /// Queue of one backend server; used by one thread at a time.
 #[derive(Debug)]
@@ -68,17 +62,6 @@
     by_served: BTreeSet<(VirtualTime, AccountIndex)>,
 }
 
-#[derive(Debug)]
-struct Account {
-    name: String,
-    weight: u32,
-    served: VirtualTime,
-    pending_tokens: u64,
-    lanes: [BTreeSet<Sequence>; LEVEL_COUNT],
-    /// Its entry in `by_place`, while it is backlogged.
-    place: Option<VirtualTime>,
-}
-
 #[derive(Debug)]
 struct Item<T> {
     account: AccountIndex,
@@ -106,59 +89,6 @@
     pub waited_ms: u64,
 }
 
-/// An item that was not taken.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PushRefusal<T> {
-    /// What was pushed.
-    pub item: T,
-    /// Why it was not taken.
-    pub reason: PushRefusalReason,
-}
-
-/// Why an item was not taken.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[non_exhaustive]
-pub enum PushRefusalReason {
-    /// The queue is full.
-    Full {
-        /// Work that is queued.
-        pending_tokens: u64,
-        /// Most that may be.
-        limit_tokens: u64,
-    },
-    /// The account holds all that is allowed to it while others need room.
-    AccountFull {
-        /// Its work that is queued.
-        pending_tokens: u64,
-        /// Most that may be now.
-        allowed_tokens: u64,
-    },
-    /// The deadline has passed.
-    Expired,
-}
-
-impl fmt::Display for PushRefusalReason {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            PushRefusalReason::Full { pending_tokens, limit_tokens } => {
-                write!(
-                    f,
-                    "the queue holds {pending_tokens} of {limit_tokens} tokens"
-                )
-            }
-            PushRefusalReason::AccountFull {
-                pending_tokens,
-                allowed_tokens,
-            } => write!(
-                f,
-                "the account holds {pending_tokens} of {allowed_tokens} \
-                 tokens"
-            ),
-            PushRefusalReason::Expired => f.write_str("the deadline passed"),
-        }
-    }
-}
-
 impl<T> FairQueue<T> {
     /// An empty queue for so many tokens of work.
     pub fn new(limit_tokens: u64) -> Self {
@@ -392,35 +322,3 @@
         Some(item)
     }
 }
-
-impl Account {
-    fn new(name: &str, served: VirtualTime) -> Account {
-        Account {
-            name: name.to_string(),
-            weight: DEFAULT_WEIGHT,
-            served,
-            pending_tokens: 0,
-            lanes: Default::default(),
-            place: None,
-        }
-    }
-
-    fn is_idle(&self) -> bool {
-        self.lanes.iter().all(BTreeSet::is_empty)
-    }
-
-    fn charge(&mut self, tokens: i128) {
-        self.served += self.virtual_tokens(tokens);
-    }
-
-    fn virtual_tokens(&self, tokens: i128) -> VirtualTime {
-        tokens * SCALE / VirtualTime::from(self.weight)
-    }
-
-    /// Its place while it is backlogged: by the highest priority it has.
-    fn next_place(&self) -> Option<VirtualTime> {
-        let level = self.lanes.iter().rposition(|lane| !lane.is_empty())?;
-        let lead = i128::from(LEAD_TOKENS) * level as i128;
-        Some(self.served - self.virtual_tokens(lead))
-    }
-}
--- /dev/null
+++ b/crates/routing/src/label.rs
@@ -0,0 +1,105 @@
+//! A partial chain, and the few that are kept at a layer boundary.
+
+use crate::{
+    cost::{Pricing, StageCost},
+    fleet::BackendIndex,
+};
+
+/// Partial chains kept at a boundary.
+pub(crate) const BEAM: usize = 4;
+/// Parent of a first stage.
+pub(crate) const NO_PARENT: u32 = u32::MAX;
+
+/// A partial chain.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Label {
+    pub(crate) cost: f64,
+    pub(crate) wait_ms: f64,
+    /// Prompt through all stages so far, with links.
+    pub(crate) prompt_ms: f64,
+    /// One output token through all stages so far, with links.
+    pub(crate) step_ms: f64,
+    pub(crate) price_micros: f64,
+    pub(crate) first_data_centre: u32,
+    pub(crate) data_centre: u32,
+    pub(crate) parent: u32,
+    pub(crate) backend: BackendIndex,
+}
+
+/// The partial chains that reach a boundary.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Beam {
+    pub(crate) labels: [u32; BEAM],
+    pub(crate) len: usize,
+}
+
+impl Beam {
+    pub(crate) fn as_slice(&self) -> &[u32] {
+        &self.labels[..self.len]
+    }
+}
+
+impl Label {
+    /// The first stage.
+    pub(crate) fn begin(
+        pricing: &Pricing<'_>,
+        entry: u32,
+        index: BackendIndex,
+        stage: &StageCost,
+    ) -> Label {
+        let data_centre = pricing.fleet.facts(index).data_centre;
+        let link_ms =
+            pricing.fleet.network().path(entry, data_centre).latency_ms;
+        Label {
+            cost: stage.wait_ms
+                + stage.weighted
+                + pricing.weights.time * link_ms,
+            wait_ms: stage.wait_ms,
+            prompt_ms: link_ms + stage.prompt_ms,
+            step_ms: stage.step_ms,
+            price_micros: stage.price_micros,
+            first_data_centre: data_centre,
+            data_centre,
+            parent: NO_PARENT,
+            backend: index,
+        }
+    }
+
+    /// One more stage.
+    pub(crate) fn extended(
+        &self,
+        pricing: &Pricing<'_>,
+        parent: u32,
+        index: BackendIndex,
+        stage: &StageCost,
+    ) -> Label {
+        let data_centre = pricing.fleet.facts(index).data_centre;
+        let path = pricing.fleet.network().path(self.data_centre, data_centre);
+        let token = f64::from(pricing.policy.activation_bytes_per_token);
+        let prompt = f64::from(pricing.shape.prompt_tokens);
+        let output = f64::from(pricing.shape.output_tokens);
+        let prompt_link_ms = path.transfer_ms(prompt * token);
+        let step_link_ms = path.transfer_ms(token);
+        let link_ms = prompt_link_ms + output * step_link_ms;
+        let wait_ms = self.wait_ms.max(stage.wait_ms);
+        let weights = &pricing.weights;
+        let is_crossing = self.data_centre != data_centre;
+        let crossing = if is_crossing { weights.crossing_ms } else { 0.0 };
+        Label {
+            cost: self.cost
+                + (wait_ms - self.wait_ms)
+                + stage.weighted
+                + weights.time * link_ms
+                + weights.stage_ms
+                + crossing,
+            wait_ms,
+            prompt_ms: self.prompt_ms + prompt_link_ms + stage.prompt_ms,
+            step_ms: self.step_ms + step_link_ms + stage.step_ms,
+            price_micros: self.price_micros + stage.price_micros,
+            first_data_centre: self.first_data_centre,
+            data_centre,
+            parent,
+            backend: index,
+        }
+    }
+}
--- a/crates/routing/src/live.rs
+++ b/crates/routing/src/live.rs
@@ -20,7 +20,7 @@
 use crate::{
     fleet::{BackendIndex, Fleet},
     health::HealthState,
-    server::Server,
+    server::{Server, Told},
 };
 
 /// What a side process tells of its backend server's load.
@@ -90,7 +90,7 @@
     typical: Arc<Typical>,
 }
 
-/// Sums over the last report of every server.
+/// Sums over the last reports of the servers.
 #[derive(Debug, Default)]
 struct Typical {
     reports: AtomicI64,
@@ -106,16 +106,17 @@
 }
 
 impl Typical {
-    fn replace(&self, old: Option<(u32, u32)>, new: Option<(u32, u32)>) {
-        let part = |told: Option<(u32, u32)>| {
-            let (requests, wait_ms) = told.unwrap_or_default();
-            let count = i64::from(told.is_some());
-            (count, i64::from(requests), i64::from(wait_ms))
-        };
-        let (old, new) = (part(old), part(new));
-        self.reports.fetch_add(new.0 - old.0, Relaxed);
-        self.requests.fetch_add(new.1 - old.1, Relaxed);
-        self.wait_ms.fetch_add(new.2 - old.2, Relaxed);
+    fn add(&self, told: Told) {
+        self.reports.fetch_add(1, Relaxed);
+        self.requests.fetch_add(i64::from(told.requests), Relaxed);
+        self.wait_ms.fetch_add(i64::from(told.wait_ms), Relaxed);
+    }
+
+    fn take(&self, told: Option<Told>) {
+        let Some(told) = told else { return };
+        self.reports.fetch_sub(1, Relaxed);
+        self.requests.fetch_sub(i64::from(told.requests), Relaxed);
+        self.wait_ms.fetch_sub(i64::from(told.wait_ms), Relaxed);
     }
 
     fn load(&self) -> TypicalLoad {
@@ -149,8 +150,7 @@
             to.indices().map(|index| carry(&to.spec(index).name)).collect();
         for index in from.indices() {
             if to.find(&from.spec(index).name).is_none() {
-                let told = self.servers[index.at()].withdraw();
-                self.typical.replace(told, None);
+                self.typical.take(self.server(index).withdraw());
             }
         }
         Live { servers, typical: Arc::clone(&self.typical) }
@@ -177,9 +177,8 @@
         if server.is_withdrawn.load(Relaxed) {
             return;
         }
-        let old = server.report(report, now_ms);
-        let requests = report.running.saturating_add(report.queued);
-        self.typical.replace(old, Some((requests, report.queue_wait_ms)));
+        self.typical.add(Told::new(report));
+        self.typical.take(server.report(report, now_ms));
     }
 
     /// Sets whether a server is there.
@@ -281,6 +280,16 @@
         self.server(index).is_suspect(now)
     }
 
+    /// Takes a server whose report is old out of the mean. While most reports
+    /// are old they stay: a mean over few is worse than one that is late.
+    pub(crate) fn leave_mean(&self, index: BackendIndex) {
+        let server = self.server(index);
+        let count = self.typical.reports.load(Relaxed).max(0) as usize;
+        if server.is_in_mean() && count * 2 > self.servers.len() {
+            self.typical.take(server.leave_mean());
+        }
+    }
+
     pub(crate) fn typical(&self) -> TypicalLoad {
         self.typical.load()
     }
--- a/crates/routing/src/search.rs
+++ b/crates/routing/src/search.rs
@@ -6,29 +6,34 @@
 //! are too dear are dropped, boundaries never are, so a tiling through the
 //! candidates is found whenever there is one.
 //!
-//! Two of the candidates are the homes of the request's prefix: places that
-//! every entry derives from the prefix alone, so that requests with the same
-//! prefix meet without shared state. They win only by their cost.
+//! Two of the candidates are found by hashing the request's prefix, the same
+//! at every entry, so that requests with the same prefix meet without shared
+//! state. They win only by their cost.
 
 use crate::{
     chain::NoChainReason,
     cost::{Pricing, StageCost},
     explain::{Candidate, LeftOut},
     fleet::BackendIndex,
+    label::{BEAM, Beam, Label, NO_PARENT},
     live::mix,
 };
 
-const BEAM: usize = 4;
-const HOME_COUNT: u64 = 2;
+const RENDEZVOUS_COUNT: u64 = 2;
 /// Draws for each wanted candidate before the boundary is scanned.
 const DRAWS_PER_SAMPLE: usize = 2;
-const NO_PARENT: u32 = u32::MAX;
+/// Dearer than any detour over servers that are not suspect.
+const SUSPECT_PENALTY_MS: f64 = 1e6;
 
 /// How many servers of a boundary are looked at.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Reach {
+    /// A few of those that may be used.
     Sampled,
+    /// All of those.
     All,
+    /// Suspect ones as well, at [`SUSPECT_PENALTY_MS`] each.
+    AllAndSuspect,
 }
 
 /// Buffers of a search, kept between choices.
@@ -52,35 +57,6 @@
     pub(crate) cost: f64,
 }
 
-/// A partial chain.
-#[derive(Clone, Copy, Debug)]
-struct Label {
-    cost: f64,
-    wait_ms: f64,
-    /// Prompt through all stages so far, with links.
-    prompt_ms: f64,
-    /// One output token through all stages so far, with links.
-    step_ms: f64,
-    price_micros: f64,
-    first_data_centre: u32,
-    data_centre: u32,
-    parent: u32,
-    backend: BackendIndex,
-}
-
-/// The partial chains that reach a boundary.
-#[derive(Clone, Copy, Debug, Default)]
-struct Beam {
-    labels: [u32; BEAM],
-    len: usize,
-}
-
-impl Beam {
-    fn as_slice(&self) -> &[u32] {
-        &self.labels[..self.len]
-    }
-}
-
 impl Search {
     /// Finds the cheapest chain.
     pub(crate) fn run(
@@ -108,7 +84,7 @@
             if self.picked.is_empty() {
                 stuck = stuck.or(Some(boundary));
             }
-            self.extend(pricing, entry, boundary, rng);
+            self.extend(pricing, entry, boundary, reach, rng);
         }
         self.best(pricing, entry)
             .ok_or_else(|| no_candidate(pricing, avoid, stuck))
@@ -141,7 +117,7 @@
         let members = pricing.fleet.members(boundary);
         let wanted = match reach {
             Reach::Sampled => pricing.policy.sample_count,
-            Reach::All => members.len(),
+            Reach::All | Reach::AllAndSuspect => members.len(),
         };
         if wanted < members.len() {
             self.draw(pricing, avoid, members, wanted, rng);
@@ -149,8 +125,8 @@
         if self.picked.is_empty() {
             self.scan(pricing, avoid, members, wanted, rng);
         }
-        if self.picked.is_empty() {
-            std::mem::swap(&mut self.picked, &mut self.suspects);
+        if self.picked.is_empty() || reach == Reach::AllAndSuspect {
+            self.picked.append(&mut self.suspects);
         }
     }
 
@@ -163,8 +139,8 @@
         rng: &mut fastrand::Rng,
     ) {
         if let Some(prefix) = pricing.shape.prefix {
-            for home in 0..HOME_COUNT {
-                let at = mix(prefix ^ home) % members.len() as u64;
+            for turn in 0..RENDEZVOUS_COUNT {
+                let at = mix(prefix ^ turn) % members.len() as u64;
                 self.consider_once(pricing, avoid, members[at as usize]);
             }
         }
@@ -237,6 +213,7 @@
         pricing: &Pricing<'_>,
         entry: u32,
         boundary: usize,
+        reach: Reach,
         rng: &mut fastrand::Rng,
     ) {
         let beam = self.beams[boundary];
@@ -244,60 +221,27 @@
             let index = self.picked[at];
             let jitter =
                 if pricing.weights.band > 0.0 { rng.f64() } else { 0.0 };
-            let stage = pricing.stage(index, jitter);
+            let mut stage = pricing.stage(index, jitter);
+            if reach == Reach::AllAndSuspect
+                && pricing.live.is_suspect(index, pricing.now_ms)
+            {
+                stage.weighted += SUSPECT_PENALTY_MS;
+            }
             let next = pricing.fleet.facts(index).next_boundary as usize;
             self.record_candidate(pricing, index, &stage);
             if boundary == 0 {
-                let label = begin(pricing, entry, index, &stage);
+                let label = Label::begin(pricing, entry, index, &stage);
                 self.insert(next, label);
                 continue;
             }
             for &parent in beam.as_slice() {
-                let label = self.follow(pricing, parent, index, &stage);
+                let before = &self.labels[parent as usize];
+                let label = before.extended(pricing, parent, index, &stage);
                 self.insert(next, label);
             }
         }
     }
 
-    fn follow(
-        &self,
-        pricing: &Pricing<'_>,
-        parent: u32,
-        index: BackendIndex,
-        stage: &StageCost,
-    ) -> Label {
-        let before = &self.labels[parent as usize];
-        let data_centre = pricing.fleet.facts(index).data_centre;
-        let path =
-            pricing.fleet.network().path(before.data_centre, data_centre);
-        let token = f64::from(pricing.policy.activation_bytes_per_token);
-        let prompt = f64::from(pricing.shape.prompt_tokens);
-        let output = f64::from(pricing.shape.output_tokens);
-        let prompt_link_ms = path.transfer_ms(prompt * token);
-        let step_link_ms = path.transfer_ms(token);
-        let link_ms = prompt_link_ms + output * step_link_ms;
-        let wait_ms = before.wait_ms.max(stage.wait_ms);
-        let weights = &pricing.weights;
-        let is_crossing = before.data_centre != data_centre;
-        let crossing = if is_crossing { weights.crossing_ms } else { 0.0 };
-        Label {
-            cost: before.cost
-                + (wait_ms - before.wait_ms)
-                + stage.weighted
-                + weights.time * link_ms
-                + weights.stage_ms
-                + crossing,
-            wait_ms,
-            prompt_ms: before.prompt_ms + prompt_link_ms + stage.prompt_ms,
-            step_ms: before.step_ms + step_link_ms + stage.step_ms,
-            price_micros: before.price_micros + stage.price_micros,
-            first_data_centre: before.first_data_centre,
-            data_centre,
-            parent,
-            backend: index,
-        }
-    }
-
     fn insert(&mut self, boundary: usize, label: Label) {
         let beam = &mut self.beams[boundary];
         let mut dearest = 0;
@@ -350,11 +294,11 @@
         } else {
             0.0
         };
-        let home_ms = network.path(last.first_data_centre, entry).latency_ms;
+        let return_ms = network.path(last.first_data_centre, entry).latency_ms;
         let output = f64::from(pricing.shape.output_tokens);
-        let links_ms = output * back_ms + home_ms;
+        let links_ms = output * back_ms + return_ms;
         let first_token_ms =
-            last.wait_ms + last.prompt_ms + last.step_ms + back_ms + home_ms;
+            last.wait_ms + last.prompt_ms + last.step_ms + back_ms + return_ms;
         let total_ms =
             last.wait_ms + last.prompt_ms + output * last.step_ms + links_ms;
         Found {
@@ -391,27 +335,6 @@
     }
 }
 
-fn begin(
-    pricing: &Pricing<'_>,
-    entry: u32,
-    index: BackendIndex,
-    stage: &StageCost,
-) -> Label {
-    let data_centre = pricing.fleet.facts(index).data_centre;
-    let link_ms = pricing.fleet.network().path(entry, data_centre).latency_ms;
-    Label {
-        cost: stage.wait_ms + stage.weighted + pricing.weights.time * link_ms,
-        wait_ms: stage.wait_ms,
-        prompt_ms: link_ms + stage.prompt_ms,
-        step_ms: stage.step_ms,
-        price_micros: stage.price_micros,
-        first_data_centre: data_centre,
-        data_centre,
-        parent: NO_PARENT,
-        backend: index,
-    }
-}
-
 /// Why there is no chain: where servers are there, they were all avoided.
 fn no_candidate(
     pricing: &Pricing<'_>,
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -24,6 +24,8 @@
     presence: AtomicU64,
     /// Time of the last report plus 1; 0 for none.
     reported: AtomicU64,
+    /// What counts in the fleet's mean, see [`Told`]; 0 for nothing.
+    told: AtomicU64,
     /// Queued and running.
     load: AtomicU64,
     /// Bits of the two speeds.
@@ -61,12 +63,39 @@
     pub(crate) cache_used_permille: u32,
 }
 
+/// Part of a report that counts in the fleet's mean. It is swapped as one
+/// word, so that what is added is taken away again exactly.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Told {
+    pub(crate) requests: u32,
+    pub(crate) wait_ms: u32,
+}
+
+impl Told {
+    pub(crate) fn new(report: &LoadReport) -> Told {
+        let requests = report.running.saturating_add(report.queued);
+        // One is added when packed.
+        let requests = requests.min(u32::MAX - 1);
+        Told { requests, wait_ms: report.queue_wait_ms }
+    }
+
+    fn pack(self) -> u64 {
+        pack(self.requests + 1, self.wait_ms)
+    }
+
+    fn unpack(packed: u64) -> Option<Told> {
+        let requests = high(packed).checked_sub(1)?;
+        Some(Told { requests, wait_ms: low(packed) })
+    }
+}
+
 impl Server {
     pub(crate) fn new() -> Server {
         Server {
             health: Health::new(),
             presence: AtomicU64::new(pack_presence(Presence::Absent)),
             reported: AtomicU64::new(0),
+            told: AtomicU64::new(0),
             load: AtomicU64::new(0),
             speeds: AtomicU64::new(0),
             gauges: AtomicU64::new(0),
@@ -94,37 +123,43 @@
             || !self.health.is_open_to_requests(now_ms)
     }
 
-    /// Takes a report; gives back what was told of load and wait before.
+    /// Takes a report; gives back what counted in the mean before.
     pub(crate) fn report(
         &self,
         report: &LoadReport,
         now_ms: u64,
-    ) -> Option<(u32, u32)> {
+    ) -> Option<Told> {
         let load = pack(report.queued, report.running);
         let speeds = pack(
             clean(report.prompt_tokens_per_s).to_bits(),
             clean(report.output_tokens_per_s).to_bits(),
         );
         let gauges = pack(report.queue_wait_ms, report.cache_used_permille);
-        let old_load = self.load.swap(load, Relaxed);
-        let old_gauges = self.gauges.swap(gauges, Relaxed);
+        self.load.store(load, Relaxed);
+        self.gauges.store(gauges, Relaxed);
         self.speeds.store(speeds, Relaxed);
         self.is_healthy.store(report.is_healthy, Relaxed);
         self.request_change.store(0, Relaxed);
         self.token_change.store(0, Relaxed);
         self.sent.store(0, Relaxed);
-        let old = self.reported.swap(now_ms + 1, Relaxed);
-        (old > 0).then(|| (requests(old_load), high(old_gauges)))
+        self.reported.store(now_ms + 1, Relaxed);
+        Told::unpack(self.told.swap(Told::new(report).pack(), Relaxed))
+    }
+
+    /// Takes the server out of the mean; gives back what counted there.
+    pub(crate) fn leave_mean(&self) -> Option<Told> {
+        Told::unpack(self.told.swap(0, Relaxed))
     }
 
-    /// Takes the last report back; gives what it told of load and wait.
-    pub(crate) fn withdraw(&self) -> Option<(u32, u32)> {
+    pub(crate) fn is_in_mean(&self) -> bool {
+        self.told.load(Relaxed) != 0
+    }
+
+    /// Takes a server out that the manifest no longer has.
+    pub(crate) fn withdraw(&self) -> Option<Told> {
         self.is_withdrawn.store(true, Relaxed);
         self.set_presence(Presence::Absent);
-        let old = self.reported.swap(0, Relaxed);
-        let load = self.load.load(Relaxed);
-        let gauges = self.gauges.load(Relaxed);
-        (old > 0).then(|| (requests(load), high(gauges)))
+        self.leave_mean()
     }
 
     pub(crate) fn note_sent(&self, tokens: u32, now_ms: u64) {
--- /dev/null
+++ b/crates/routing/tests/guards.rs
@@ -0,0 +1,179 @@
+//! Retry budget, health, admission and the bound of the throughput.
+
+mod common;
+
+use chestnutreach_routing::{
+    Health, HealthState, Live, Mix, Presence, RetryBudget, Shape, Speed,
+    can_finish, expected_wait_ms, health, retry, retry_after_ms,
+    throughput_bound,
+};
+use common::{fleet, numbered, serving, spec};
+use rstest::rstest;
+
+#[rstest]
+#[case::none(0)]
+#[case::few(10)]
+#[case::all(100)]
+fn retries_stay_within_their_percent(#[case] percent: u32) {
+    let budget = RetryBudget::new(percent);
+    let mut rng = fastrand::Rng::with_seed(u64::from(percent));
+    let (mut requests, mut retries) = (0_u64, 0_u64);
+    for _ in 0..20_000 {
+        if rng.bool() {
+            budget.note_request();
+            requests += 1;
+        }
+        // Everything fails: ask for more than there is.
+        for _ in 0..rng.u32(0..3) {
+            retries += u64::from(budget.take());
+        }
+        let earned = requests * u64::from(percent) / 100;
+        assert!(retries <= retry::FLOOR_ATTEMPTS + earned);
+    }
+}
+
+#[test]
+fn a_calm_hour_does_not_pay_for_a_storm() {
+    let budget = RetryBudget::new(100);
+    (0..100_000).for_each(|_| budget.note_request());
+    let retries = (0..100_000).filter(|_| budget.take()).count() as u64;
+    assert_eq!(retries, retry::CAPACITY_ATTEMPTS);
+}
+
+#[test]
+fn health_opens_backs_off_and_comes_back() {
+    let health = Health::new();
+    let fail = |now_ms| health.note_failure(now_ms);
+    (1..health::FAILURE_LIMIT).for_each(|_| fail(0));
+    assert_eq!(health.state(0), HealthState::Closed);
+    fail(0);
+    let until_ms = health::FIRST_BACKOFF_MS;
+    assert_eq!(health.state(0), HealthState::Open { until_ms });
+    assert!(!health.is_open_to_requests(until_ms - 1));
+
+    // One trial at a time; its failure doubles the wait.
+    assert!(health.is_open_to_requests(until_ms));
+    health.note_sent(until_ms);
+    assert!(!health.is_open_to_requests(until_ms));
+    fail(until_ms);
+    let until_ms = until_ms + 2 * health::FIRST_BACKOFF_MS;
+    assert_eq!(health.state(until_ms - 1), HealthState::Open { until_ms });
+
+    // A trial that never ends bars the next one only for a while.
+    health.note_sent(until_ms);
+    let later_ms = until_ms + health::TRIAL_LIMIT_MS;
+    assert!(health.is_open_to_requests(later_ms));
+    for _ in 0..health::SUCCESS_LIMIT {
+        assert_eq!(health.state(later_ms), HealthState::HalfOpen);
+        health.note_sent(later_ms);
+        health.note_success(later_ms);
+    }
+    assert_eq!(health.state(later_ms), HealthState::Closed);
+}
+
+#[test]
+fn the_backoff_has_a_limit() {
+    let health = Health::new();
+    let mut now_ms = 0;
+    for _ in 0..100 {
+        health.note_failure(now_ms);
+        if let HealthState::Open { until_ms } = health.state(now_ms) {
+            assert!(until_ms - now_ms <= health::MAX_BACKOFF_MS);
+            now_ms = until_ms;
+        }
+    }
+}
+
+#[test]
+fn admission_follows_the_learned_speed() {
+    let mut speed = Speed::new(1_000.0, 100.0).places(4);
+    let shape = Shape::new(1_000, 100);
+    assert_eq!(expected_wait_ms(1_000, &speed), 10_000);
+    // 1 s of prompt and 100 steps of 20 ms on an empty server.
+    assert_eq!(can_finish(&shape, 0, &speed, 3_000), Ok(()));
+    let late = can_finish(&shape, 1_000, &speed, 3_000).unwrap_err();
+    assert_eq!(late.needed_ms, 4_000);
+    for _ in 0..100 {
+        speed.learn_prompt(1_000, 2_000, 1_000.0);
+        speed.learn_output(1_000, 400, 1_000.0);
+    }
+    assert!((speed.prompt_tokens_per_s(1_000) - 2_000.0).abs() < 1.0);
+    assert_eq!(can_finish(&shape, 1_900, &speed, 3_000), Ok(()));
+    assert!(expected_wait_ms(1_000, &speed) < 2_600);
+}
+
+#[test]
+fn refused_callers_come_back_apart() {
+    let speed = Speed::new(1_000.0, 100.0);
+    let mut rng = fastrand::Rng::with_seed(2);
+    let mut times_ms: Vec<u64> =
+        (0..200).map(|_| retry_after_ms(2_000, &speed, &mut rng)).collect();
+    times_ms.sort_unstable();
+    assert!(times_ms[0] >= 10_000 && times_ms[199] <= 20_000);
+    times_ms.dedup();
+    assert!(times_ms.len() > 150);
+}
+
+struct BoundCase {
+    layer_count: u32,
+    /// First layer, end layer, output tokens a second through all layers.
+    servers: &'static [(u32, u32, u32)],
+    expected_tokens_per_s: f64,
+}
+
+#[rstest]
+#[case::plain(BoundCase {
+    layer_count: 0,
+    servers: &[(0, 0, 100), (0, 0, 50)],
+    expected_tokens_per_s: 150.0,
+})]
+#[case::two_halves(BoundCase {
+    layer_count: 8,
+    servers: &[(0, 4, 100), (4, 8, 100)],
+    expected_tokens_per_s: 200.0,
+})]
+#[case::bottleneck(BoundCase {
+    layer_count: 8,
+    servers: &[(0, 4, 100), (0, 4, 100), (4, 8, 60)],
+    expected_tokens_per_s: 120.0,
+})]
+#[case::no_tiling(BoundCase {
+    layer_count: 8,
+    servers: &[(0, 4, 100), (5, 8, 100)],
+    expected_tokens_per_s: 0.0,
+})]
+// Through 2: 0..2 gives 400, 2..8 only 133.3; through 6: 0..6 gives 133.3
+// and 6..8 gives 400; 2..6 gives 200 more from what 0..2 has left, of which
+// 6..8 can take 200.
+#[case::crossed(BoundCase {
+    layer_count: 8,
+    servers: &[
+        (0, 2, 100), (0, 6, 100), (2, 6, 100), (2, 8, 100), (6, 8, 100),
+    ],
+    expected_tokens_per_s: 400.0 / 3.0 + 400.0 / 3.0 + 200.0,
+})]
+fn the_bound_is_the_maximum_flow(#[case] case: BoundCase) {
+    let specs = case.servers.iter().enumerate().map(|(at, server)| {
+        let mut spec = spec(&format!("s{at}"), server.0, server.1);
+        spec.output_tokens_per_s = server.2;
+        spec
+    });
+    let fleet = fleet(case.layer_count, specs.collect());
+    let mix = Mix { prompt_tokens: 0, output_tokens: 100 };
+    let bound = throughput_bound(&fleet, None, &mix);
+    let off = (bound - case.expected_tokens_per_s).abs();
+    assert!(off < 1e-6, "{bound}");
+}
+
+#[test]
+fn the_bound_follows_presence_and_learned_speed() {
+    let fleet = fleet(0, numbered(&[(0, 0), (0, 0)]));
+    let live: Live = serving(&fleet, 0);
+    let mix = Mix { prompt_tokens: 800, output_tokens: 160 };
+    // 0.1 s of prompt and 0.1 s of output on each.
+    let bound = |live| throughput_bound(&fleet, Some(live), &mix);
+    assert!((bound(&live) - 9_600.0).abs() < 1e-6);
+    let first = fleet.find("server-0").expect("there");
+    live.set_presence(first, Presence::Absent);
+    assert!((bound(&live) - 4_800.0).abs() < 1e-6);
+}
--- /dev/null
+++ b/crates/routing/tests/stampede.rs
@@ -0,0 +1,115 @@
+//! Entries with the same stale view do not all go to one server.
+
+mod common;
+
+use chestnutreach_routing::{
+    BackendIndex, Fleet, Live, Policy, Presence, Shape, choose,
+};
+use common::{NOW_MS, fleet, numbered, report};
+use rstest::rstest;
+
+const ENTRY_COUNT: u64 = 30;
+const SERVER_COUNT: usize = 40;
+const REQUESTS_PER_ENTRY: usize = 40;
+/// Most times the average that the newcomer may get.
+const LIMIT: f64 = 2.0;
+
+/// All but the newcomer have told of the same load.
+fn view(fleet: &Fleet, newcomer: Presence, has_report: bool) -> Live {
+    let live = Live::new(fleet.len());
+    for index in fleet.indices() {
+        live.set_presence(index, Presence::Serving);
+        live.report(index, &report(8), NOW_MS);
+    }
+    live.set_presence(BackendIndex(0), newcomer);
+    if has_report {
+        live.report(BackendIndex(0), &report(0), NOW_MS);
+    }
+    live
+}
+
+/// What the newcomer gets, in times the average.
+fn newcomer_share(newcomer: Presence, has_report: bool, weight: u32) -> f64 {
+    let fleet = fleet(0, numbered(&[(0, 0); SERVER_COUNT]));
+    let policy = Policy::default()
+        .entry_count(ENTRY_COUNT as u32)
+        .recovery_weight_percent(weight);
+    let shape = Shape::new(500, 100);
+    let mut sent = [0; SERVER_COUNT];
+    for entry in 0..ENTRY_COUNT {
+        let live = view(&fleet, newcomer, has_report);
+        let mut rng = fastrand::Rng::with_seed(entry);
+        for at in 0..REQUESTS_PER_ENTRY {
+            let now_ms = NOW_MS + at as u64;
+            let choice = choose(
+                &fleet,
+                &live,
+                &shape,
+                &policy,
+                &[],
+                0,
+                now_ms,
+                &mut rng,
+            );
+            let stage = choice.expect("a chain").stages[0];
+            live.dispatched(stage, shape.tokens(), now_ms);
+            sent[stage.0 as usize] += 1;
+        }
+    }
+    let total = ENTRY_COUNT as f64 * REQUESTS_PER_ENTRY as f64;
+    f64::from(sent[0]) * SERVER_COUNT as f64 / total
+}
+
+struct Case {
+    newcomer: Presence,
+    has_report: bool,
+    recovery_weight_percent: u32,
+}
+
+#[rstest]
+#[case::just_joined(Case {
+    newcomer: Presence::Joining { since_ms: NOW_MS },
+    has_report: true,
+    recovery_weight_percent: 50,
+})]
+#[case::joined_for_throughput(Case {
+    newcomer: Presence::Joining { since_ms: NOW_MS },
+    has_report: true,
+    recovery_weight_percent: 0,
+})]
+#[case::joined_for_recovery(Case {
+    newcomer: Presence::Joining { since_ms: NOW_MS },
+    has_report: true,
+    recovery_weight_percent: 100,
+})]
+#[case::joined_without_report(Case {
+    newcomer: Presence::Joining { since_ms: NOW_MS },
+    has_report: false,
+    recovery_weight_percent: 50,
+})]
+#[case::idle_and_known(Case {
+    newcomer: Presence::Serving,
+    has_report: true,
+    recovery_weight_percent: 50,
+})]
+fn a_newcomer_gets_a_bounded_share(#[case] case: Case) {
+    let share = newcomer_share(
+        case.newcomer,
+        case.has_report,
+        case.recovery_weight_percent,
+    );
+    println!("{share:.2} times the average");
+    assert!(share <= LIMIT, "{share:.2} times the average");
+    assert!(share > 0.0, "it never gets any");
+}
+
+#[test]
+fn the_ramp_lets_the_share_grow() {
+    let share = |age_ms: u64| {
+        let since_ms = NOW_MS - age_ms;
+        newcomer_share(Presence::Joining { since_ms }, true, 50)
+    };
+    let (first, last) = (share(0), share(29_000));
+    println!("{first:.2} at first, {last:.2} at last");
+    assert!(first <= last, "{first:.2} at first, {last:.2} at last");
+}
