Add control calls over tarpc, and a bounded port for both servers

Cause: the operators' tool and peers need to ask a daemon for its state, give it drains and fetch parts of a manifest.

A client drives its own connection while a call runs, so that it needs no executor and leaves no task behind; a failed call closes it, since a connection that went silent may stay so. A server answers one call after another on a connection, with bounds on frames, connections, the time to agree on the protocol and the time without a call.

Found while testing: tarpc panics on a deadline that a peer chooses out of range (overflow of the instant, or an invalid entry of its timer); such a panic now ends the connection and not the thread.

Ruled out: bincode 1, which nobody maintains, for JSON with bytes as base64; running the calls of a connection side by side, since the handlers answer from memory.

--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -195,6 +195,12 @@
     ControlCallRefused = 804, "control_call_refused", Warn,
         ["peer_address", "call", "reason"],
         "A control call was refused.";
+    ControlConnectionFailed = 805, "control_connection_failed", Debug,
+        ["peer_address", "error"],
+        "A control connection broke or went silent.";
+    ControlTaskPanicked = 806, "control_task_panicked", Error,
+        ["peer_address"],
+        "A call or its handler panicked; its connection ended.";
 }
 
 impl Event {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`event`] | the numbered events of the logs |
 //! | [`log`] | setting up the logs |
 //! | [`metrics`] | what is counted and measured |
+//! | [`port`] | a listening port with a bound on its connections |
 //! | [`readiness`] | whether the process should get work |
 //! | [`ops`] | the operators' HTTP port |
 //!
@@ -29,10 +30,12 @@
 pub mod log;
 pub mod metrics;
 pub mod ops;
+pub mod port;
 pub mod readiness;
 
 pub use event::{Event, emit};
 pub use family::{Family, FamilyKind};
 pub use metrics::{AccountMetrics, BackendMetrics, Metrics, ServiceMetrics};
 pub use ops::{OpsState, serve_ops};
+pub use port::{Accepted, Port};
 pub use readiness::Readiness;
--- a/crates/telemetry/src/ops.rs
+++ b/crates/telemetry/src/ops.rs
@@ -11,16 +11,7 @@
 //! that went silent then holds nothing for long. Dialling for each scrape
 //! costs little at the rate of scrapes.
 
-use std::{
-    future::Future,
-    io,
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::{future::Future, io, net::TcpListener, sync::Arc, time::Duration};
 
 use async_executor::Executor;
 use async_io::{Async, Timer};
@@ -32,6 +23,7 @@
 use crate::{
     event::{Event, emit},
     metrics::Metrics,
+    port::{Accepted, Port},
     readiness::Readiness,
 };
 
@@ -44,9 +36,6 @@
 const MAX_BODY_BYTES: usize = 1024;
 /// Time given to a request to arrive.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
-/// Wait after a connection could not be taken, for example because the
-/// process has no file descriptor left.
-const ACCEPT_RETRY: Duration = Duration::from_millis(100);
 /// Name of the port in events.
 const PORT: &str = "ops";
 /// Type of the text format of Prometheus.
@@ -73,52 +62,15 @@
     executor: Arc<Executor<'static>>,
     ops: Arc<OpsState>,
 ) {
-    let open = Arc::new(AtomicUsize::new(0));
+    let port = Port::new(listener, PORT, MAX_CONNECTIONS);
     loop {
-        let (socket, peer) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(e) => {
-                emit(Event::AcceptFailed, &[("port", &PORT), ("error", &e)]);
-                Timer::after(ACCEPT_RETRY).await;
-                continue;
-            }
-        };
-        match Slot::take(&open) {
-            Some(slot) => {
-                let serving = serve(socket, peer, ops.clone(), slot);
-                executor.spawn(serving).detach();
-            }
-            None => emit(
-                Event::ConnectionLimitReached,
-                &[("port", &PORT), ("limit", &MAX_CONNECTIONS)],
-            ),
-        }
-    }
-}
-
-/// One of the connections that may be open.
-struct Slot(Arc<AtomicUsize>);
-
-impl Slot {
-    fn take(open: &Arc<AtomicUsize>) -> Option<Slot> {
-        let slot = Slot(open.clone());
-        let others = open.fetch_add(1, Ordering::Relaxed);
-        (others < MAX_CONNECTIONS).then_some(slot)
+        let accepted = port.accept().await;
+        executor.spawn(serve(accepted, ops.clone())).detach();
     }
 }
 
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-async fn serve(
-    socket: Async<TcpStream>,
-    peer: SocketAddr,
-    ops: Arc<OpsState>,
-    _slot: Slot,
-) {
+async fn serve(accepted: Accepted, ops: Arc<OpsState>) {
+    let Accepted { socket, peer, slot: _slot } = accepted;
     let options = ServerOptions::new()
         .max_body_bytes(MAX_BODY_BYTES)
         .idle_timeout(READ_TIMEOUT)
