--- a/crates/side/src/gate.rs
+++ b/crates/side/src/gate.rs
@@ -7,8 +7,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use chestnutreach_routing::{
+    FairQueue, PushRefusal,
     admission::{self, Speed},
-    fair::{FairQueue, PushRefusal},
 };
 
 use crate::run::Run;
