--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,635 @@
+//! Starting and stopping a fleet.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write as _,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context as _, bail};
+use chestnutreach_config::{Manifest, key_digest};
+use chestnutreach_platform::{ManifestStore, ObjectClient, TableClient};
+use chestnutreach_standins::{plain::PlainRecord, record::Numbered};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::{
+    client::Caller, plan::Plan, ports::free_address, process::Process,
+    record::Ran,
+};
+
+/// Time that a fleet may take to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+/// Time that a process may take to stop when asked to.
+const STOP_LIMIT: Duration = Duration::from_secs(30);
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(10);
+/// Data centres of the fleet.
+const HALLS: [&str; 3] = ["hall-medina", "hall-leona", "hall-ndorong"];
+
+/// Keys of the fleet's client accounts, with their weights.
+pub const ACCOUNTS: [(&str, &str, u32); 3] = [
+    ("caisse-medina", "demo-key-caisse-medina", 30),
+    ("caisse-leona", "demo-key-caisse-leona", 10),
+    ("terrain-ndorong", "demo-key-terrain-ndorong", 10),
+];
+
+/// Addresses of a daemon.
+#[derive(Clone, Copy, Debug)]
+struct Daemon {
+    inner: SocketAddr,
+    ops: SocketAddr,
+    control: SocketAddr,
+}
+
+impl Daemon {
+    fn new() -> Daemon {
+        Daemon {
+            inner: free_address(),
+            ops: free_address(),
+            control: free_address(),
+        }
+    }
+}
+
+/// Addresses of the platform's stand-ins.
+#[derive(Clone, Copy, Debug)]
+struct Platform {
+    table: SocketAddr,
+    objects: SocketAddr,
+    vm_list: SocketAddr,
+}
+
+/// A running fleet; dropping it ends its processes.
+pub struct Fleet {
+    plan: Plan,
+    programs: PathBuf,
+    dir: TempDir,
+    processes: BTreeMap<String, Process>,
+    platform: Platform,
+    entries: Vec<(Daemon, SocketAddr)>,
+    sides: BTreeMap<String, Daemon>,
+    servers: BTreeMap<String, SocketAddr>,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until its entries reach all of it.
+    ///
+    /// # Errors
+    ///
+    /// A program is missing, or the fleet is not ready in time.
+    pub fn start(plan: Plan) -> anyhow::Result<Fleet> {
+        let mut fleet = Fleet::start_platform(plan)?;
+        for name in fleet.plan.engine_names() {
+            fleet.start_engine(&name)?;
+            fleet.start_side(&name)?;
+        }
+        for name in fleet.plan.plain_names() {
+            fleet.start_plain(&name)?;
+            fleet.start_side(&name)?;
+        }
+        for number in 0..fleet.plan.entries {
+            fleet.start_entry(number)?;
+        }
+        fleet.apply(0)?;
+        fleet.wait_until_ready()?;
+        Ok(fleet)
+    }
+
+    fn start_platform(plan: Plan) -> anyhow::Result<Fleet> {
+        let mut fleet = Fleet {
+            plan,
+            programs: programs()?,
+            dir: tempfile::tempdir()?,
+            processes: BTreeMap::new(),
+            platform: Platform {
+                table: free_address(),
+                objects: free_address(),
+                vm_list: free_address(),
+            },
+            entries: Vec::new(),
+            sides: BTreeMap::new(),
+            servers: BTreeMap::new(),
+        };
+        let Platform { table, objects, vm_list } = fleet.platform;
+        for (name, address) in
+            [("table", table), ("objects", objects), ("vm-list", vm_list)]
+        {
+            fleet.servers.insert(name.to_owned(), address);
+            fleet.start_standin(name, name, address, &[])?;
+        }
+        Ok(fleet)
+    }
+
+    fn start_standin(
+        &mut self,
+        name: &str,
+        kind: &str,
+        address: SocketAddr,
+        more: &[String],
+    ) -> anyhow::Result<()> {
+        let mut arguments = vec![
+            kind.to_owned(),
+            "--listen".to_owned(),
+            address.to_string(),
+        ];
+        arguments.extend_from_slice(more);
+        self.start_process(name, "chestnutreach-standin", &arguments)
+    }
+
+    fn start_process(
+        &mut self,
+        name: &str,
+        program: &str,
+        arguments: &[String],
+    ) -> anyhow::Result<()> {
+        let program = self.programs.join(program);
+        let log = self.dir.path().join(format!("{name}.log"));
+        let process = Process::start(name, &program, arguments, &log)?;
+        self.processes.insert(name.to_owned(), process);
+        Ok(())
+    }
+
+    fn start_engine(&mut self, name: &str) -> anyhow::Result<()> {
+        let address = free_address();
+        self.servers.insert(name.to_owned(), address);
+        let (first, end) = self.layers(name);
+        let mut arguments = vec![
+            format!("--first-layer={first}"),
+            format!("--end-layer={end}"),
+            format!("--layer-count={}", self.plan.layer_count),
+        ];
+        arguments.extend(self.plan.engine_arguments.iter().cloned());
+        self.start_standin(name, "engine", address, &arguments)
+    }
+
+    fn layers(&self, name: &str) -> (u32, u32) {
+        let stages = 0..self.plan.stages.len();
+        stages
+            .filter(|at| self.plan.stage_names(*at).iter().any(|n| n == name))
+            .map(|at| &self.plan.stages[at])
+            .map(|stage| (stage.first_layer, stage.end_layer))
+            .next()
+            .unwrap_or((0, 0))
+    }
+
+    fn start_plain(&mut self, name: &str) -> anyhow::Result<()> {
+        let address = free_address();
+        self.servers.insert(name.to_owned(), address);
+        self.start_standin(name, "plain", address, &[])
+    }
+
+    fn start_side(&mut self, server: &str) -> anyhow::Result<()> {
+        let daemon = Daemon::new();
+        self.sides.insert(server.to_owned(), daemon);
+        let name = side_name(server);
+        let address = self.servers[server];
+        let mut more = self.section("side");
+        let _ = write!(
+            more,
+            "\n[backend-server {server}]\naddress = {address}\n"
+        );
+        let text = self.settings("side", &name, daemon, &more);
+        self.start_daemon(&name, &text)
+    }
+
+    fn start_entry(&mut self, number: usize) -> anyhow::Result<()> {
+        let daemon = Daemon::new();
+        let http = free_address();
+        self.entries.push((daemon, http));
+        let name = entry_name(number);
+        let more = format!(
+            "{}http-address = {http}\n",
+            self.section("entry")
+        );
+        let text = self.settings("entry", &name, daemon, &more);
+        self.start_daemon(&name, &text)
+    }
+
+    fn start_daemon(&mut self, name: &str, text: &str) -> anyhow::Result<()> {
+        let path = self.dir.path().join(format!("{name}.ini"));
+        std::fs::write(&path, text)?;
+        let arguments =
+            ["--settings".to_owned(), path.display().to_string()];
+        self.start_process(name, "chestnutreachd", &arguments)
+    }
+
+    fn settings(
+        &self,
+        role: &str,
+        vm: &str,
+        daemon: Daemon,
+        more: &str,
+    ) -> String {
+        let Platform { table, objects, vm_list } = self.platform;
+        let Daemon { inner, ops, control } = daemon;
+        format!(
+            "{}role = {role}\nvm = {vm}\ndata-centre = {}\n\
+             inner-address = {inner}\nops-address = {ops}\n\
+             control-address = {control}\n\n\
+             {}level = {}\n\n\
+             {}\n\
+             {}table-address = {table}\nobject-address = {objects}\n\
+             vm-list-address = {vm_list}\n\n{more}",
+            self.section("node"),
+            HALLS[0],
+            self.section("log"),
+            self.plan.log_level,
+            self.section("links"),
+            self.section("platform"),
+        )
+    }
+
+    /// Heading and planned settings of a section.
+    fn section(&self, name: &str) -> String {
+        let mut text = format!("[{name}]\n");
+        for (key, value) in self.plan.settings.get(name).into_iter().flatten()
+        {
+            let _ = writeln!(text, "{key} = {value}");
+        }
+        text
+    }
+
+    /// The fleet's manifest.
+    pub fn manifest_text(&self) -> String {
+        let mut text = format!(
+            "[deployment]\nname = kaolack-small\n\
+             recovery-weight-percent = 20\n\n\
+             [accelerator a40]\nprice-micros-per-hour = 1100000\n\
+             prompt-tokens-per-s = 1000000\noutput-tokens-per-s = 100000\n\n\
+             [service desk-llm]\nkind = language\nmodel = desk-llm\n\
+             layer-count = {}\nmax-context-tokens = 16384\n\
+             default-deadline-ms = 20000\nmax-deadline-ms = 60000\n\
+             objective-per-10000 = 9950\nfirst-token-objective-ms = 900\n\n",
+            self.plan.layer_count
+        );
+        if self.plan.plain_servers > 0 {
+            text.push_str(
+                "[service ledger-app]\nkind = plain\npath = /ledger-app\n\
+                 default-deadline-ms = 5000\nmax-deadline-ms = 30000\n\
+                 objective-per-10000 = 9990\n\
+                 first-token-objective-ms = 500\n\n",
+            );
+        }
+        self.write_places(&mut text);
+        self.write_accounts(&mut text);
+        self.write_servers(&mut text);
+        text
+    }
+
+    fn write_places(&self, text: &mut String) {
+        for hall in HALLS {
+            let _ = write!(
+                text,
+                "[data-centre {hall}]\nregion = kaolack\n\n"
+            );
+        }
+        for (at, a) in HALLS.iter().enumerate() {
+            for b in &HALLS[at + 1..] {
+                let _ = write!(
+                    text,
+                    "[path {a} {b}]\nlatency-us = 200\n\
+                     bandwidth-mbit-per-s = 10000\n\n"
+                );
+            }
+        }
+    }
+
+    fn write_accounts(&self, text: &mut String) {
+        let services = if self.plan.plain_servers > 0 {
+            "desk-llm, ledger-app"
+        } else {
+            "desk-llm"
+        };
+        for (name, key, weight) in ACCOUNTS {
+            let _ = write!(
+                text,
+                "[account {name}]\nkey-digests = {}\nweight = {weight}\n\
+                 services = {services}\n\n",
+                key_digest(key)
+            );
+        }
+    }
+
+    fn write_servers(&self, text: &mut String) {
+        for (at, (server, daemon)) in self.sides.iter().enumerate() {
+            let (first, end) = self.layers(server);
+            let is_plain = end == 0;
+            let service = if is_plain { "ledger-app" } else { "desk-llm" };
+            let _ = write!(
+                text,
+                "[backend-server {server}]\nservice = {service}\n\
+                 data-centre = {}\nvm = {}\nside-address = {}\n\
+                 max-running = {}\n",
+                HALLS[at % HALLS.len()],
+                side_name(server),
+                daemon.inner,
+                self.plan.max_running,
+            );
+            if !is_plain {
+                let _ = write!(
+                    text,
+                    "accelerator = a40\nfirst-layer = {first}\n\
+                     end-layer = {end}\ncache-tokens = 1000000\n\
+                     checks-fencing = yes\n"
+                );
+            }
+            text.push('\n');
+        }
+    }
+
+    /// Accepts the fleet's manifest after this generation.
+    ///
+    /// # Errors
+    ///
+    /// The manifest has findings, or the store does not take it.
+    pub fn apply(&self, base_generation: u64) -> anyhow::Result<u64> {
+        self.apply_text(base_generation, &self.manifest_text())
+    }
+
+    /// Accepts a manifest after this generation.
+    ///
+    /// # Errors
+    ///
+    /// As of [`Fleet::apply`].
+    pub fn apply_text(
+        &self,
+        base_generation: u64,
+        text: &str,
+    ) -> anyhow::Result<u64> {
+        let manifest = Manifest::try_parse("manifest", text)
+            .with_context(|| format!("the manifest:\n{text}"))?;
+        let timeout = Duration::from_secs(2);
+        let Platform { table, objects, .. } = self.platform;
+        let store = ManifestStore::new(
+            Arc::new(TableClient::new(table, timeout)),
+            Arc::new(ObjectClient::new(objects, timeout)),
+        );
+        let submission = format!("{:032x}", fastrand::u128(..));
+        let accepted = async_io::block_on(store.submit(
+            base_generation,
+            &manifest.to_sections(),
+            &submission,
+        ))?;
+        Ok(accepted.generation)
+    }
+
+    fn wait_until_ready(&mut self) -> anyhow::Result<()> {
+        let names = self.sides.len();
+        for number in 0..self.entries.len() {
+            self.wait_for(&format!("entry {number} to reach all"), |f| {
+                f.present(number).len() == names
+            })?;
+        }
+        let sides: Vec<String> = self.sides.keys().cloned().collect();
+        for side in sides {
+            self.wait_for(&format!("the side of {side}"), |fleet| {
+                fleet.side_status(&side)["generation"].as_u64() >= Some(1)
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Waits until something is true of the fleet.
+    ///
+    /// # Errors
+    ///
+    /// It is not true in time.
+    pub fn wait_for(
+        &mut self,
+        what: &str,
+        is_true: impl Fn(&Fleet) -> bool,
+    ) -> anyhow::Result<()> {
+        let started = Instant::now();
+        while !is_true(self) {
+            if started.elapsed() > READY_LIMIT {
+                bail!("waited in vain for {what}; {}", self.states());
+            }
+            thread::sleep(LOOK);
+        }
+        Ok(())
+    }
+
+    /// Which processes run, and the last lines that the others wrote.
+    pub fn states(&mut self) -> String {
+        let mut text = String::new();
+        for (name, process) in &mut self.processes {
+            let state =
+                if process.is_running() { "runs" } else { "has ended" };
+            let _ = writeln!(text, "{name} {state}");
+            let log = process.log_text();
+            let lines: Vec<&str> = log.lines().collect();
+            for line in &lines[lines.len().saturating_sub(5)..] {
+                let _ = writeln!(text, "    {line}");
+            }
+        }
+        text
+    }
+
+    /// Backend servers that an entry gives work.
+    pub fn present(&self, entry: usize) -> Vec<String> {
+        let status = self.entry_status(entry);
+        let Some(services) = status["services"].as_object() else {
+            return Vec::new();
+        };
+        let servers = services.values().filter_map(Value::as_object);
+        servers
+            .flatten()
+            .filter(|(_, state)| {
+                let presence = &state["presence"];
+                presence != "absent" && presence != "leaving"
+            })
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// State of an entry as it shows it to operators; null if it does not.
+    pub fn entry_status(&self, entry: usize) -> Value {
+        status(self.entries[entry].0.ops)
+    }
+
+    /// State of the side process of a backend server.
+    pub fn side_status(&self, server: &str) -> Value {
+        status(self.sides[server].ops)
+    }
+
+    /// Where callers reach an entry.
+    pub fn entry_address(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].1
+    }
+
+    /// Where operators reach the processes, by name.
+    pub fn control_addresses(&self) -> BTreeMap<String, SocketAddr> {
+        let entries = self.entries.iter().enumerate();
+        let entries = entries.map(|(n, (d, _))| (entry_name(n), d.control));
+        let sides = self.sides.iter();
+        let sides = sides.map(|(n, d)| (side_name(n), d.control));
+        entries.chain(sides).collect()
+    }
+
+    /// Where the metrics of the processes are, by name.
+    pub fn ops_addresses(&self) -> BTreeMap<String, SocketAddr> {
+        let entries = self.entries.iter().enumerate();
+        let entries = entries.map(|(n, (d, _))| (entry_name(n), d.ops));
+        let sides = self.sides.iter().map(|(n, d)| (side_name(n), d.ops));
+        entries.chain(sides).collect()
+    }
+
+    /// Address of a stand-in: `table`, `objects`, `vm-list`, or the name of
+    /// a backend server.
+    pub fn standin_address(&self, name: &str) -> SocketAddr {
+        self.servers[name]
+    }
+
+    /// A caller of an entry with the first account's key.
+    pub fn caller(&self, entry: usize) -> Caller {
+        Caller::new(self.entry_address(entry), ACCOUNTS[0].1)
+    }
+
+    /// A process: `table`, `entry-0`, `side-desk-0a`, `desk-0a`.
+    ///
+    /// # Panics
+    ///
+    /// The fleet has no such process.
+    pub fn process(&mut self, name: &str) -> &mut Process {
+        self.processes
+            .get_mut(name)
+            .unwrap_or_else(|| panic!("the fleet has no process {name:?}"))
+    }
+
+    /// Sets the faults of a stand-in.
+    ///
+    /// # Panics
+    ///
+    /// The stand-in does not take them.
+    pub fn set_faults(&self, name: &str, faults: &Value) {
+        let answer = self.standin(name).call(
+            "PUT",
+            "/faults",
+            &faults.to_string(),
+        );
+        assert!(
+            (200..300).contains(&answer.status),
+            "faults of {name}: {answer:?}"
+        );
+    }
+
+    /// Sets which VMs the platform lists as leaving; all others are live.
+    pub fn list_leaving(&self, leaving: &[&str]) {
+        let names = self.sides.keys().map(|name| side_name(name));
+        let entries: Vec<Value> = names
+            .map(|vm| {
+                let is_leaving = leaving.contains(&vm.as_str());
+                let state = if is_leaving { "leaving" } else { "live" };
+                json!({"vm": vm, "state": state})
+            })
+            .collect();
+        let body = Value::from(entries).to_string();
+        self.standin("vm-list").call("PUT", "/vms", &body);
+    }
+
+    /// A stand-in's counts.
+    pub fn stats(&self, name: &str) -> Value {
+        self.standin(name).call("GET", "/stats", "").json()
+    }
+
+    fn standin(&self, name: &str) -> Caller {
+        Caller::new(self.servers[name], "")
+    }
+
+    /// What each engine has run. One that does not answer has lost its
+    /// record with its memory and is left out.
+    pub fn engine_records(&self) -> BTreeMap<String, Vec<Ran>> {
+        let names = self.plan.engine_names();
+        let records = names.into_iter().map(|name| {
+            let runs = self.engine_record(&name);
+            (name, runs)
+        });
+        records.collect()
+    }
+
+    /// What one engine has run.
+    pub fn engine_record(&self, name: &str) -> Vec<Ran> {
+        self.record_lines(name)
+    }
+
+    /// What a plain server has run.
+    pub fn plain_record(&self, name: &str) -> Vec<Numbered<PlainRecord>> {
+        self.record_lines(name)
+    }
+
+    fn record_lines<T: serde::de::DeserializeOwned>(
+        &self,
+        name: &str,
+    ) -> Vec<T> {
+        let answer = self.standin(name).call("GET", "/record", "");
+        let lines = answer.text.lines();
+        lines.filter_map(|line| serde_json::from_str(line).ok()).collect()
+    }
+
+    /// Stops the daemons as an operator would, entries first; their names
+    /// with their exit codes.
+    ///
+    /// # Errors
+    ///
+    /// One does not stop in time.
+    pub fn stop_daemons(
+        &mut self,
+    ) -> anyhow::Result<BTreeMap<String, Option<i32>>> {
+        let mut codes = BTreeMap::new();
+        for prefix in ["entry-", "side-"] {
+            let mut group: Vec<&mut Process> = self
+                .processes
+                .iter_mut()
+                .filter(|(name, _)| name.starts_with(prefix))
+                .map(|(_, process)| process)
+                .collect();
+            for process in &mut group {
+                process.terminate();
+            }
+            for process in group {
+                if process.is_running() {
+                    let status = process.wait(STOP_LIMIT)?;
+                    codes.insert(process.name().to_owned(), status.code());
+                }
+            }
+        }
+        Ok(codes)
+    }
+
+    /// Directory with the fleet's settings and logs.
+    pub fn directory(&self) -> &Path {
+        self.dir.path()
+    }
+}
+
+/// Name of the side process of a backend server, and of its VM.
+pub fn side_name(server: &str) -> String {
+    format!("side-{server}")
+}
+
+/// Name of an entry, and of its VM.
+pub fn entry_name(number: usize) -> String {
+    format!("entry-{number}")
+}
+
+fn status(ops: SocketAddr) -> Value {
+    Caller::new(ops, "").call("GET", "/status", "").json()
+}
+
+/// Directory of the built programs: that of the running one, or above it for
+/// a test.
+fn programs() -> anyhow::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let dirs = own.ancestors().skip(1).take(2);
+    for dir in dirs {
+        if dir.join("chestnutreachd").exists() {
+            return Ok(dir.to_owned());
+        }
+    }
+    bail!("chestnutreachd is not built; run cargo build --workspace")
+}
