--- a/crates/routing/examples/decision_time.rs
+++ b/crates/routing/examples/decision_time.rs
@@ -4,8 +4,8 @@
 //!
 //! The fleets of a way are measured in turns, so that their ratios hold on a
 //! busy machine too. Times are of single decisions, in nanoseconds, and
-//! include one reading of the clock. "half out" has half of the servers absent;
-//! the mean cost tells what sampling gives away against a full scan.
+//! include one reading of the clock. "half out" has half of the servers
+//! absent; the mean cost tells what sampling gives away against a full scan.
 
 use std::{hint::black_box, time::Instant};
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,7 +8,7 @@
 //! | [`priority`] | the order of requests |
 //! | [`fleet`], [`network`] | what the manifest says of a service's servers |
 //! | [`live`], [`health`] | what this process knows of each one now |
-//! | [`policy`], [`chain`], [`mod@explain`] | the chain of a request, and why |
+//! | [`policy`], [`chain`], [`mod@explain`] | the chain of a request, why |
 //! | [`retry`] | whether a failure may be tried again |
 //! | [`fair`], [`admission`] | who goes next, and who can finish in time |
 //! | [`flow`] | the most tokens a second the hardware allows |
