--- a/crates/routing/examples/decision_time.rs
+++ b/crates/routing/examples/decision_time.rs
@@ -4,8 +4,8 @@
 //!
 //! The fleets of a way are measured in turns, so that their ratios hold on a
 //! busy machine too. Times are of single decisions, in nanoseconds, and
-//! include one reading of the clock. "half out" has half of the servers absent;
-//! the mean cost tells what sampling gives away against a full scan.
+//! include one reading of the clock. "half out" has half of the servers
+//! absent; the mean cost tells what sampling gives away against a full scan.
 
 use std::{hint::black_box, time::Instant};
 
@@ -99,7 +99,7 @@
     for index in fleet.indices() {
         // By rounds over the parts, so that every part keeps some.
         let round = index.0 as usize / part_count();
-        let is_absent = way.has_half_out && round % 2 > 0;
+        let is_absent = way.has_half_out && !round.is_multiple_of(2);
         if !is_absent {
             live.set_presence(index, Presence::Serving);
         }
