--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -82,9 +82,6 @@
             }
         }
     })?;
-    emit(
-        Event::DaemonStopped,
-        &[("cut", &(stopped == drain::Stopped::Cut))],
-    );
+    emit(Event::DaemonStopped, &[("cut", &(stopped == drain::Stopped::Cut))]);
     Ok(stopped)
 }
--- a/crates/daemon/src/roles.rs
+++ b/crates/daemon/src/roles.rs
@@ -147,15 +147,10 @@
     let claim_options = ClaimOptions::new()
         .batch(settings.claim_batch)
         .flush_ms(settings.claim_flush_ms)
-        .claim_timeout(Duration::from_millis(
-            node.platform.request_timeout_ms,
-        ))
+        .claim_timeout(Duration::from_millis(node.platform.request_timeout_ms))
         .objects(common.objects.clone());
-    let claims = ClaimStore::new(
-        common.table.clone(),
-        claim_options,
-        executor.clone(),
-    );
+    let claims =
+        ClaimStore::new(common.table.clone(), claim_options, executor.clone());
     let http = listen("callers", settings.http_address)?;
     let inner = listen("inner connections", node.inner_address)?;
     let entry = Entry::start(EntryParts {
@@ -178,10 +173,8 @@
     executor.spawn(follow).detach();
     let list = {
         let entry = entry.clone();
-        let timeout =
-            Duration::from_millis(node.platform.request_timeout_ms);
-        let client =
-            VmListClient::new(node.platform.vm_list_address, timeout);
+        let timeout = Duration::from_millis(node.platform.request_timeout_ms);
+        let client = VmListClient::new(node.platform.vm_list_address, timeout);
         let poll_ms = node.platform.vm_list_poll_ms;
         follow_vm_list(client, poll_ms, move |vms| entry.set_vms_leaving(vms))
     };
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -127,8 +127,7 @@
     let status =
         StatusCode::try_from(error.status).unwrap_or(StatusCode::BadRequest);
     let kind = "invalid_request_error";
-    let mut response =
-        refusal(status, kind, "bad_http", None, &error.message);
+    let mut response = refusal(status, kind, "bad_http", None, &error.message);
     response.insert_header("connection", "close");
     response
 }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -16,8 +16,7 @@
 use http_types::{Method, Request, Response, StatusCode};
 
 use crate::{
-    answer,
-    language,
+    answer, language,
     node::Shared,
     openai::Endpoint,
     plain,
@@ -41,10 +40,7 @@
 const BUSY_RETRY_MS: u64 = 1_000;
 
 /// Serves callers until the process ends.
-pub(crate) async fn serve(
-    entry: Arc<Shared>,
-    listener: Async<TcpListener>,
-) {
+pub(crate) async fn serve(entry: Arc<Shared>, listener: Async<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
@@ -52,10 +48,7 @@
                 entry.spawn(task);
             }
             Err(e) => {
-                emit(
-                    Event::AcceptFailed,
-                    &[("port", &"http"), ("error", &e)],
-                );
+                emit(Event::AcceptFailed, &[("port", &"http"), ("error", &e)]);
                 Timer::after(ACCEPT_PAUSE).await;
             }
         }
@@ -74,10 +67,7 @@
     .await;
     entry.metrics.caller_connections.dec();
     if let Err(e) = served {
-        emit(
-            Event::HttpConnectionFailed,
-            &[("port", &"http"), ("error", &e)],
-        );
+        emit(Event::HttpConnectionFailed, &[("port", &"http"), ("error", &e)]);
     }
 }
 
@@ -139,8 +129,7 @@
                 .ok_or_else(|| not_found("not_found", other))?;
             let service = allowed(&account, service)?;
             let rest = rest.to_owned();
-            let call =
-                admit(entry, account, service, received, arrived)?;
+            let call = admit(entry, account, service, received, arrived)?;
             plain::serve(entry, call, &rest).await
         }
     }
@@ -310,8 +299,7 @@
             None => None,
             Some(text) if is_key(text) => Some(text.to_owned()),
             Some(text) => {
-                let range =
-                    format!("1 to {MAX_KEY_BYTES} visible characters");
+                let range = format!("1 to {MAX_KEY_BYTES} visible characters");
                 return Err(wrong_header(KEY_HEADER, text, &range));
             }
         };
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -248,8 +248,7 @@
 
     fn into_answer(self, finished: &wire::Finished) -> StoredAnswer {
         if let Some(head) = self.head {
-            let headers =
-                head.headers.into_iter().map(|h| (h.name, h.value));
+            let headers = head.headers.into_iter().map(|h| (h.name, h.value));
             return StoredAnswer {
                 status: head.status as u16,
                 headers: headers.collect(),
@@ -274,9 +273,10 @@
 
 /// A kept answer as the progress that it once was.
 fn replay(answer: &StoredAnswer) -> Vec<Progress> {
-    let kept = answer.headers.contains_key(KEPT_TEXT_HEADER).then(|| {
-        serde_json::from_slice::<KeptText>(&answer.body).ok()
-    });
+    let kept = answer
+        .headers
+        .contains_key(KEPT_TEXT_HEADER)
+        .then(|| serde_json::from_slice::<KeptText>(&answer.body).ok());
     if let Some(Some(kept)) = kept {
         let finish = if kept.is_length {
             FinishReason::Length
@@ -385,14 +385,10 @@
     Ask,
 }
 
-fn resolve(
-    entry: &Arc<Shared>,
-    held: &Claim,
-    digest: &[u8; 32],
-) -> Resolved {
+fn resolve(entry: &Arc<Shared>, held: &Claim, digest: &[u8; 32]) -> Resolved {
     let identity = entry.links().identity();
-    let is_mine = held.entry_vm == identity.vm
-        && held.entry_boot_id == identity.boot_id;
+    let is_mine =
+        held.entry_vm == identity.vm && held.entry_boot_id == identity.boot_id;
     let request = RequestId::from_u128(held.request);
     let owner = match (is_mine, entry.is_registered(request)) {
         (_, true) => Owner::Running,
--- a/crates/entry/src/language.rs
+++ b/crates/entry/src/language.rs
@@ -98,8 +98,7 @@
         account: call.account.name.clone(),
         priority: call.terms.priority,
         is_idempotent,
-        deadline: call.arrived
-            + Duration::from_millis(call.terms.deadline_ms),
+        deadline: call.arrived + Duration::from_millis(call.terms.deadline_ms),
         work,
     };
     let tally = Tally::new(entry, &call);
@@ -154,8 +153,7 @@
                         Outcome::Completed.as_str(),
                     );
                     response.set_body(object.to_string());
-                    response
-                        .insert_header("content-type", "application/json");
+                    response.insert_header("content-type", "application/json");
                     return Ok(response);
                 }
                 Progress::Ended(ending) => {
@@ -167,9 +165,7 @@
                         self.is_idempotent,
                     ));
                 }
-                Progress::Head(_)
-                | Progress::Data(_)
-                | Progress::Held(_) => {}
+                Progress::Head(_) | Progress::Data(_) | Progress::Held(_) => {}
             }
         }
     }
@@ -253,8 +249,7 @@
                 }
                 Progress::Whole(finished) => {
                     self.answering.tally.completed();
-                    let usage =
-                        self.includes_usage.then(|| usage(&finished));
+                    let usage = self.includes_usage.then(|| usage(&finished));
                     let closing =
                         self.chunks.closing(finished.finish(), usage);
                     self.writer.write(closing);
@@ -270,9 +265,7 @@
                     // answer that is not whole must not look like one.
                     return;
                 }
-                Progress::Head(_)
-                | Progress::Data(_)
-                | Progress::Held(_) => {}
+                Progress::Head(_) | Progress::Data(_) | Progress::Held(_) => {}
             }
             progress = self.next().await;
         }
--- a/crates/entry/src/openai.rs
+++ b/crates/entry/src/openai.rs
@@ -190,10 +190,8 @@
         };
         ShapeError { param, message }
     })?;
-    json.end().map_err(|e| ShapeError {
-        param: None,
-        message: e.to_string(),
-    })?;
+    json.end()
+        .map_err(|e| ShapeError { param: None, message: e.to_string() })?;
     Ok(value)
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -12,10 +12,7 @@
 };
 
 use async_io::Timer;
-use chestnutreach_protocol::{
-    CloseReason, Link,
-    wire::BackendLoad,
-};
+use chestnutreach_protocol::{CloseReason, Link, wire::BackendLoad};
 use chestnutreach_routing::live::{LoadReport, Presence};
 use chestnutreach_telemetry::{Event, emit};
 
@@ -131,9 +128,9 @@
         let beside = self.peers.beside(address).unwrap_or_default();
         let is_listed = self.peers.is_listed_leaving(&link.peer().vm);
         for load in loads {
-            let at = beside.iter().find(|b| {
-                b.service.fleet.spec(b.index).name == load.backend
-            });
+            let at = beside
+                .iter()
+                .find(|b| b.service.fleet.spec(b.index).name == load.backend);
             if let Some(beside) = at {
                 self.one_load(beside, load, load.is_leaving || is_listed);
             }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -39,10 +39,8 @@
     rest: &str,
 ) -> Result<Response, Response> {
     let method = call.received.request.method();
-    let is_once = call
-        .terms
-        .is_non_idempotent
-        .unwrap_or_else(|| !is_idempotent(method));
+    let is_once =
+        call.terms.is_non_idempotent.unwrap_or_else(|| !is_idempotent(method));
     let is_idempotent = !is_once && call.terms.key.is_none();
     let plain_call = wire::PlainCall {
         method: method.to_string(),
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -313,8 +313,7 @@
     }
 
     fn rest_ms(&self) -> u64 {
-        let rest =
-            self.job.deadline.saturating_duration_since(Instant::now());
+        let rest = self.job.deadline.saturating_duration_since(Instant::now());
         rest.as_millis() as u64
     }
 
@@ -542,8 +541,7 @@
 
     fn time_over(&mut self) {
         self.cancel();
-        let is_accepted =
-            self.attempt.as_ref().is_some_and(|a| a.is_accepted);
+        let is_accepted = self.attempt.as_ref().is_some_and(|a| a.is_accepted);
         if is_accepted || self.attempt.is_none() {
             self.give_up(Cause::Deadline, "the time was over");
         } else {
@@ -745,8 +743,7 @@
             self.failed(FailureReason::StageLost, &backend, detail);
             return;
         }
-        let is_accepted =
-            self.attempt.as_ref().is_some_and(|a| a.is_accepted);
+        let is_accepted = self.attempt.as_ref().is_some_and(|a| a.is_accepted);
         if let Some(attempt) = self.attempt.take() {
             let first = attempt.stages.first().copied();
             self.note_ended(&attempt, &Ended::Failed, first);
@@ -823,10 +820,8 @@
 
     fn recovered(&mut self, answer: wire::QueryAnswer) {
         self.phase = Phase::Waiting;
-        let has_run = !matches!(
-            answer.state(),
-            RunState::NeverSeen | RunState::Refused
-        );
+        let has_run =
+            !matches!(answer.state(), RunState::NeverSeen | RunState::Refused);
         if has_run && self.attempt_count == 0 {
             // The attempt of the entry that has gone.
             self.attempt_number = answer.attempt;
@@ -927,9 +922,7 @@
 /// What a caller is told when the last attempt ends with this refusal.
 fn to_ending(m: &wire::Refused) -> Ending {
     let reason = match m.reason() {
-        RefusalReason::Full | RefusalReason::TableFull => {
-            NotRunReason::Full
-        }
+        RefusalReason::Full | RefusalReason::TableFull => NotRunReason::Full,
         RefusalReason::Share => NotRunReason::Share,
         RefusalReason::TooLate => NotRunReason::TooLate,
         _ => NotRunReason::NoChain,
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -257,8 +257,7 @@
             data_centre: self.numbers[&server.data_centre],
             first_layer: server.first_layer,
             end_layer: server.end_layer,
-            price_micros_per_hour: kind
-                .map_or(0, |k| k.price_micros_per_hour),
+            price_micros_per_hour: kind.map_or(0, |k| k.price_micros_per_hour),
             prompt_tokens_per_s: kind.map_or(0, |k| k.prompt_tokens_per_s),
             output_tokens_per_s: kind.map_or(0, |k| k.output_tokens_per_s),
             max_running: server.max_running,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -132,11 +132,8 @@
         address: SocketAddr,
         more: &[String],
     ) -> anyhow::Result<()> {
-        let mut arguments = vec![
-            kind.to_owned(),
-            "--listen".to_owned(),
-            address.to_string(),
-        ];
+        let mut arguments =
+            vec![kind.to_owned(), "--listen".to_owned(), address.to_string()];
         arguments.extend_from_slice(more);
         self.start_process(name, "chestnutreach-standin", &arguments)
     }
@@ -189,10 +186,8 @@
         let name = side_name(server);
         let address = self.servers[server];
         let mut more = self.section("side");
-        let _ = write!(
-            more,
-            "\n[backend-server {server}]\naddress = {address}\n"
-        );
+        let _ =
+            write!(more, "\n[backend-server {server}]\naddress = {address}\n");
         let text = self.settings("side", &name, daemon, &more);
         self.start_daemon(&name, &text)
     }
@@ -202,10 +197,7 @@
         let http = free_address();
         self.entries.push((daemon, http));
         let name = entry_name(number);
-        let more = format!(
-            "{}http-address = {http}\n",
-            self.section("entry")
-        );
+        let more = format!("{}http-address = {http}\n", self.section("entry"));
         let text = self.settings("entry", &name, daemon, &more);
         self.start_daemon(&name, &text)
     }
@@ -213,8 +205,7 @@
     fn start_daemon(&mut self, name: &str, text: &str) -> anyhow::Result<()> {
         let path = self.dir.path().join(format!("{name}.ini"));
         std::fs::write(&path, text)?;
-        let arguments =
-            ["--settings".to_owned(), path.display().to_string()];
+        let arguments = ["--settings".to_owned(), path.display().to_string()];
         self.start_process(name, "chestnutreachd", &arguments)
     }
 
@@ -283,10 +274,7 @@
 
     fn write_places(&self, text: &mut String) {
         for hall in HALLS {
-            let _ = write!(
-                text,
-                "[data-centre {hall}]\nregion = kaolack\n\n"
-            );
+            let _ = write!(text, "[data-centre {hall}]\nregion = kaolack\n\n");
         }
         for (at, a) in HALLS.iter().enumerate() {
             for b in &HALLS[at + 1..] {
@@ -507,11 +495,8 @@
     ///
     /// The stand-in does not take them.
     pub fn set_faults(&self, name: &str, faults: &Value) {
-        let answer = self.standin(name).call(
-            "PUT",
-            "/faults",
-            &faults.to_string(),
-        );
+        let answer =
+            self.standin(name).call("PUT", "/faults", &faults.to_string());
         assert!(
             (200..300).contains(&answer.status),
             "faults of {name}: {answer:?}"
@@ -592,7 +577,7 @@
                 process.terminate();
             }
             for process in group {
-                if process.is_running() {
+                if process.has_started() {
                     let status = process.wait(STOP_LIMIT)?;
                     codes.insert(process.name().to_owned(), status.code());
                 }
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -1,10 +1,7 @@
 //! The demo: a small Kaolack fleet of separate processes, used once.
 
 use std::{
-    collections::BTreeMap,
-    process::ExitCode,
-    sync::mpsc,
-    thread,
+    collections::BTreeMap, process::ExitCode, sync::mpsc, thread,
     time::Duration,
 };
 
@@ -119,8 +116,7 @@
 
 fn lookup(fleet: &Fleet) -> anyhow::Result<()> {
     println!("\nA schedule lookup at the plain service:");
-    let answer =
-        fleet.caller(1).call("GET", "/ledger-app/schedules/2417", "");
+    let answer = fleet.caller(1).call("GET", "/ledger-app/schedules/2417", "");
     show_plain(&answer)
 }
 
@@ -188,13 +184,13 @@
     chain
 }
 
-fn check_records(
-    records: &BTreeMap<String, Vec<Ran>>,
-) -> anyhow::Result<()> {
+fn check_records(records: &BTreeMap<String, Vec<Ran>>) -> anyhow::Result<()> {
     let broken = broken_promises(records);
     ensure!(broken.is_empty(), "promises broken: {broken:#?}");
     let runs: usize = records.values().map(Vec::len).sum();
-    println!("\n{runs} steps on engines: no layer ran twice, none was missed.");
+    println!(
+        "\n{runs} steps on engines: no layer ran twice, none was missed."
+    );
     Ok(())
 }
 
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -82,6 +82,11 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Whether it has been started and its end not been waited for.
+    pub fn has_started(&self) -> bool {
+        self.child.is_some()
+    }
+
     /// Whether it runs.
     pub fn is_running(&mut self) -> bool {
         self.child
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -37,7 +37,9 @@
 }
 
 /// Highest attempt that ran of each request.
-pub fn attempts(records: &BTreeMap<String, Vec<Ran>>) -> BTreeMap<String, u32> {
+pub fn attempts(
+    records: &BTreeMap<String, Vec<Ran>>,
+) -> BTreeMap<String, u32> {
     let mut highest = BTreeMap::new();
     for ran in records.values().flatten() {
         let attempt = highest.entry(ran.entry.request.clone()).or_insert(0);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -112,10 +112,8 @@
     H: Fn(Received) -> F,
     F: Future<Output = Response>,
 {
-    let mut connection = Connection {
-        stream: SharedStream::new(socket)?,
-        unread: Vec::new(),
-    };
+    let mut connection =
+        Connection { stream: SharedStream::new(socket)?, unread: Vec::new() };
     loop {
         let (received, is_last) = match connection.receive(options).await {
             Ok(Some(next)) => next,
@@ -375,8 +373,8 @@
 }
 
 fn plain_error(error: &RequestError) -> Response {
-    let status = StatusCode::try_from(error.status)
-        .unwrap_or(StatusCode::BadRequest);
+    let status =
+        StatusCode::try_from(error.status).unwrap_or(StatusCode::BadRequest);
     let mut response = Response::new(status);
     response.set_body(error.message.as_str());
     response.insert_header("connection", "close");
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -109,10 +109,7 @@
             }
             Err(findings) => emit(
                 Event::ManifestUnusable,
-                &[
-                    ("generation", &head.generation),
-                    ("findings", &findings),
-                ],
+                &[("generation", &head.generation), ("findings", &findings)],
             ),
         }
     }
--- a/crates/node/src/threads.rs
+++ b/crates/node/src/threads.rs
@@ -11,7 +11,10 @@
 /// # Errors
 ///
 /// The system gives no more threads.
-pub fn start(executor: &Arc<Executor<'static>>, count: usize) -> io::Result<()> {
+pub fn start(
+    executor: &Arc<Executor<'static>>,
+    count: usize,
+) -> io::Result<()> {
     for index in 0..count {
         let executor = executor.clone();
         let run = move || {
--- a/crates/protocol/src/link/mod.rs
+++ b/crates/protocol/src/link/mod.rs
@@ -46,6 +46,8 @@
 /// What happens on links. Handlers run on the link's reader task: they must
 /// not block, and frames of one link arrive in order.
 #[derive(Debug)]
+// A box would cost an allocation for each token; events are moved, not kept.
+#[allow(clippy::large_enum_variant)]
 pub enum LinkEvent {
     /// A link is open, dialled or accepted.
     Opened(Link),
@@ -390,9 +392,7 @@
 }
 
 impl Shared {
-    fn lock_open(
-        &self,
-    ) -> std::sync::MutexGuard<'_, BTreeMap<u64, Link>> {
+    fn lock_open(&self) -> std::sync::MutexGuard<'_, BTreeMap<u64, Link>> {
         self.open.lock().expect("no holder panics")
     }
 }
--- a/crates/side/src/backend.rs
+++ b/crates/side/src/backend.rs
@@ -186,9 +186,10 @@
         self.metrics.steps.inc_by(steps.len() as u64);
         self.metrics.step_time.observe(took.as_secs_f64());
         let took_ms = took.as_secs_f64() * 1_000.0;
-        let spans = results.iter().flatten().map(|output| {
-            output.span.saturating_sub(output.cached_tokens)
-        });
+        let spans = results
+            .iter()
+            .flatten()
+            .map(|output| output.span.saturating_sub(output.cached_tokens));
         if is_first {
             let longest = spans.clone().max().unwrap_or(0);
             let tokens = spans.map(u64::from).sum();
--- a/crates/side/src/frames.rs
+++ b/crates/side/src/frames.rs
@@ -71,8 +71,7 @@
                 self.seat_next_lost(&seat);
             }
         }
-        let runs: Vec<Arc<Run>> =
-            self.lock_runs().values().cloned().collect();
+        let runs: Vec<Arc<Run>> = self.lock_runs().values().cloned().collect();
         for run in runs {
             self.run_lost_link(&run, link);
         }
--- a/crates/side/src/gate.rs
+++ b/crates/side/src/gate.rs
@@ -200,8 +200,7 @@
     }
 
     fn retry_after_ms(&self) -> u64 {
-        let pending_tokens =
-            self.queue.pending_tokens() + self.running_tokens;
+        let pending_tokens = self.queue.pending_tokens() + self.running_tokens;
         let mut rng = fastrand::Rng::new();
         admission::retry_after_ms(pending_tokens, &self.speed, &mut rng)
     }
--- a/crates/side/src/run.rs
+++ b/crates/side/src/run.rs
@@ -334,8 +334,7 @@
         if state.phase != Phase::Reserving {
             return;
         }
-        state.stages =
-            links.iter().map(|l| (l.clone(), l.busy())).collect();
+        state.stages = links.iter().map(|l| (l.clone(), l.busy())).collect();
         drop(state);
         let now_ms = self.clock.now_ms();
         for (at, link) in links.iter().enumerate() {
@@ -501,10 +500,7 @@
     }
 
     /// The last stage has a token.
-    pub(crate) fn handle_step_result(
-        self: &Arc<Self>,
-        m: wire::StepResult,
-    ) {
+    pub(crate) fn handle_step_result(self: &Arc<Self>, m: wire::StepResult) {
         let Some(run) = self.current_run(m.request, m.attempt) else {
             self.note_refused_step("no_run");
             return;
@@ -534,8 +530,7 @@
         state.produced += 1;
         let number = run.delivered() + state.produced - 1;
         let bytes = token.text.len() + TOKEN_OVERHEAD_BYTES;
-        let wire_token =
-            wire::Token { token: token.token, text: token.text };
+        let wire_token = wire::Token { token: token.token, text: token.text };
         let output = Output {
             request: run.wire_id(),
             attempt: run.attempt,
@@ -783,8 +778,7 @@
         let mut state = run.lock();
         let is_free = match &state.entry {
             Some((old, _)) => {
-                old.is_closed()
-                    || old.peer().boot_id == link.peer().boot_id
+                old.is_closed() || old.peer().boot_id == link.peer().boot_id
             }
             None => true,
         };
@@ -868,8 +862,7 @@
             wire::run::Work::Generate(g) => Work::Generate(g),
             wire::run::Work::PlainCall(c) => Work::PlainCall(c),
         };
-        let is_sound =
-            message.request.is_some() && !message.chain.is_empty();
+        let is_sound = message.request.is_some() && !message.chain.is_empty();
         is_sound.then_some(Asked { message, work })
     }
 }
@@ -923,16 +916,10 @@
     (shape, cost.max(PLAIN_COST_TOKENS))
 }
 
-fn reserve_message(
-    run: &Run,
-    stage_index: u32,
-    now_ms: u64,
-) -> wire::Reserve {
+fn reserve_message(run: &Run, stage_index: u32, now_ms: u64) -> wire::Reserve {
     let rest_ms = run.deadline_at_ms.saturating_sub(now_ms);
     let (model, parameters_json) = match &run.work {
-        Work::Generate(g) => {
-            (g.model.clone(), parameters_of(&g.request_json))
-        }
+        Work::Generate(g) => (g.model.clone(), parameters_of(&g.request_json)),
         Work::PlainCall(_) => (String::new(), Vec::new()),
     };
     wire::Reserve {
--- a/crates/side/src/seat.rs
+++ b/crates/side/src/seat.rs
@@ -132,8 +132,8 @@
         let id = RequestId::from(request).as_u128();
         self.admit_seat(&backend, id, &m)
             .map_err(|reason| SeatRefusal::at(reason, stage))?;
-        let cost_tokens = u64::from(m.prompt_tokens_estimate)
-            + u64::from(m.max_tokens);
+        let cost_tokens =
+            u64::from(m.prompt_tokens_estimate) + u64::from(m.max_tokens);
         if let Err(retry_after_ms) = backend.gate.try_take(cost_tokens) {
             backend.table().refuse(id, m.attempt, self.clock.now_ms());
             let reason = RefusalReason::Full;
@@ -245,12 +245,8 @@
         let (taken, is_first, parameters_json) = {
             let mut state = seat.lock();
             let is_first = state.gate.next_position() == 0;
-            let taken = state.gate.take(
-                m.attempt,
-                m.first_layer,
-                m.position,
-                m.span,
-            );
+            let taken =
+                state.gate.take(m.attempt, m.first_layer, m.position, m.span);
             let parameters = if taken.is_ok() {
                 std::mem::take(&mut state.parameters_json)
             } else {
@@ -275,10 +271,7 @@
             sequence: seat.sequence(),
             position: m.position,
             priority: seat.priority,
-            input: StepInput::Activation {
-                span: m.span,
-                bytes: m.activation,
-            },
+            input: StepInput::Activation { span: m.span, bytes: m.activation },
             parameters_json,
         };
         let owner = Owner::Seat(seat.clone());
--- a/crates/side/src/sweep.rs
+++ b/crates/side/src/sweep.rs
@@ -42,8 +42,7 @@
     }
 
     fn expire_runs(self: &Arc<Self>, now_ms: u64) {
-        let runs: Vec<Arc<Run>> =
-            self.lock_runs().values().cloned().collect();
+        let runs: Vec<Arc<Run>> = self.lock_runs().values().cloned().collect();
         for run in runs {
             if now_ms >= run.deadline_at_ms {
                 let detail = "the deadline has passed";
--- a/crates/state/src/run_once.rs
+++ b/crates/state/src/run_once.rs
@@ -112,8 +112,7 @@
             return Admission::TableFull;
         }
         let state = RunState::Admitted;
-        let record =
-            Record { attempt, state, is_idempotent, ended_ms: None };
+        let record = Record { attempt, state, is_idempotent, ended_ms: None };
         self.records.insert(request, record);
         Admission::Run { superseded }
     }
