--- a/crates/control/src/transport.rs
+++ b/crates/control/src/transport.rs
@@ -5,15 +5,18 @@
 //! `tarpc`'s futures must itself run inside `Compat`, or it panics for want
 //! of a timer.
 
-use std::{io, net::TcpStream};
+use std::{io, net::TcpStream, pin::Pin};
 
 use async_compat::Compat;
 use async_io::Async;
 use serde::{Serialize, de::DeserializeOwned};
 use tarpc::{
     serde_transport::{self, Transport},
-    tokio_serde::formats::Json,
-    tokio_util::codec::length_delimited::LengthDelimitedCodec,
+    tokio_serde::{Deserializer, Serializer},
+    tokio_util::{
+        bytes::{Bytes, BytesMut},
+        codec::length_delimited::LengthDelimitedCodec,
+    },
 };
 
 /// Longest frame; a longer one ends its connection.
@@ -26,8 +29,7 @@
 type Stream = Compat<Async<TcpStream>>;
 
 /// Takes messages of one type and sends those of another.
-pub(crate) type JsonTransport<In, Out> =
-    Transport<Stream, In, Out, Json<In, Out>>;
+pub(crate) type JsonTransport<In, Out> = Transport<Stream, In, Out, JsonCodec>;
 
 pub(crate) fn transport<In, Out>(
     socket: Async<TcpStream>,
@@ -40,5 +42,31 @@
     let framed = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
         .new_framed(Compat::new(socket));
-    Ok(serde_transport::new(framed, Json::default()))
+    Ok(serde_transport::new(framed, JsonCodec))
+}
+
+/// Messages as JSON. The codec of `tokio-serde` reads a frame byte by byte
+/// through a reader; this one reads the slice it has.
+pub(crate) struct JsonCodec;
+
+impl<T: DeserializeOwned> Deserializer<T> for JsonCodec {
+    type Error = serde_json::Error;
+
+    fn deserialize(
+        self: Pin<&mut Self>,
+        frame: &BytesMut,
+    ) -> Result<T, serde_json::Error> {
+        serde_json::from_slice(frame)
+    }
+}
+
+impl<T: Serialize> Serializer<T> for JsonCodec {
+    type Error = serde_json::Error;
+
+    fn serialize(
+        self: Pin<&mut Self>,
+        message: &T,
+    ) -> Result<Bytes, serde_json::Error> {
+        serde_json::to_vec(message).map(Bytes::from)
+    }
 }
