--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -19,8 +19,8 @@
     ending: &Ending,
     request: Option<RequestId>,
     is_idempotent: bool,
-) -> Response {
-    let mut response = Response::new(status(ending));
+) -> Box<Response> {
+    let mut response = Box::new(Response::new(status(ending)));
     response.insert_header(OUTCOME_HEADER, ending.outcome.as_str());
     if let Some(request) = request {
         response.insert_header(REQUEST_HEADER, request.to_string());
@@ -104,8 +104,8 @@
     code: &str,
     param: Option<&str>,
     message: &str,
-) -> Response {
-    let mut response = Response::new(status);
+) -> Box<Response> {
+    let mut response = Box::new(Response::new(status));
     let object = serde_json::json!({
         "error": {
             "message": message,
@@ -129,5 +129,5 @@
     let kind = "invalid_request_error";
     let mut response = refusal(status, kind, "bad_http", None, &error.message);
     response.insert_header("connection", "close");
-    response
+    *response
 }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -73,7 +73,8 @@
 
 async fn respond(entry: &Arc<Shared>, received: Received) -> Response {
     let mut response = match route(entry, received).await {
-        Ok(response) | Err(response) => response,
+        Ok(response) => response,
+        Err(refusal) => *refusal,
     };
     if entry.is_leaving() {
         response.insert_header("connection", "close");
@@ -100,7 +101,7 @@
     pub(crate) key: Option<String>,
 }
 
-type Routed = Result<Response, Response>;
+type Routed = Result<Response, Box<Response>>;
 
 async fn route(entry: &Arc<Shared>, received: Received) -> Routed {
     let arrived = Instant::now();
@@ -160,7 +161,7 @@
     service: Arc<ServiceView>,
     received: Received,
     arrived: Instant,
-) -> Result<Call, Response> {
+) -> Result<Call, Box<Response>> {
     let terms = Terms::try_new(&received.request, &service)?;
     let request = RequestId::random();
     if entry.is_full() {
@@ -177,7 +178,7 @@
 fn authenticate(
     view: &View,
     request: &Request,
-) -> Result<Arc<AccountView>, Response> {
+) -> Result<Arc<AccountView>, Box<Response>> {
     let header = request.header("authorization");
     let key = header.and_then(|values| {
         let (scheme, key) = values.as_str().split_once(' ')?;
@@ -200,7 +201,7 @@
 fn allowed(
     account: &AccountView,
     service: &Arc<ServiceView>,
-) -> Result<Arc<ServiceView>, Response> {
+) -> Result<Arc<ServiceView>, Box<Response>> {
     if account.account.services.contains(&service.name) {
         return Ok(service.clone());
     }
@@ -213,7 +214,7 @@
     ))
 }
 
-fn only(method: Method, expected: Method) -> Result<(), Response> {
+fn only(method: Method, expected: Method) -> Result<(), Box<Response>> {
     if method == expected {
         return Ok(());
     }
@@ -229,7 +230,7 @@
     Err(response)
 }
 
-fn not_found(code: &str, what: &str) -> Response {
+fn not_found(code: &str, what: &str) -> Box<Response> {
     answer::refusal(
         StatusCode::NotFound,
         "invalid_request_error",
@@ -263,7 +264,7 @@
     fn try_new(
         request: &Request,
         service: &ServiceView,
-    ) -> Result<Terms, Response> {
+    ) -> Result<Terms, Box<Response>> {
         let max_ms = service.service.max_deadline_ms;
         let deadline_ms = match value(request, DEADLINE_HEADER) {
             None => service.service.default_deadline_ms,
@@ -316,7 +317,7 @@
     (1..=MAX_KEY_BYTES).contains(&text.len()) && is_visible
 }
 
-fn wrong_header(name: &str, value: &str, range: &str) -> Response {
+fn wrong_header(name: &str, value: &str, range: &str) -> Box<Response> {
     answer::refusal(
         StatusCode::BadRequest,
         "invalid_request_error",
--- a/crates/entry/src/language.rs
+++ b/crates/entry/src/language.rs
@@ -34,7 +34,7 @@
 pub(crate) fn parse(
     endpoint: Endpoint,
     body: &[u8],
-) -> Result<Asked, Response> {
+) -> Result<Asked, Box<Response>> {
     Asked::try_parse(endpoint, body).map_err(|e| {
         answer::refusal(
             StatusCode::BadRequest,
@@ -54,7 +54,7 @@
 pub(crate) fn check_size(
     asked: &Asked,
     service: &ServiceView,
-) -> Result<(), Response> {
+) -> Result<(), Box<Response>> {
     let ServiceKind::Language { max_context_tokens, .. } =
         service.service.kind
     else {
@@ -83,7 +83,7 @@
     mut call: Call,
     endpoint: Endpoint,
     asked: Asked,
-) -> Result<Response, Response> {
+) -> Result<Response, Box<Response>> {
     let is_once = call.terms.is_non_idempotent.unwrap_or(false);
     let is_idempotent = !is_once && call.terms.key.is_none();
     let work = JobWork::Generate {
@@ -128,7 +128,7 @@
 
 impl Answering {
     /// Answers with one JSON object.
-    async fn whole(mut self, call: &Call) -> Result<Response, Response> {
+    async fn whole(mut self, call: &Call) -> Result<Response, Box<Response>> {
         let mut text = String::new();
         loop {
             let Some(progress) = self.next(&call.received.connection).await
@@ -176,7 +176,7 @@
         entry: &Arc<Shared>,
         call: &Call,
         includes_usage: bool,
-    ) -> Result<Response, Response> {
+    ) -> Result<Response, Box<Response>> {
         let connection = call.received.connection.clone();
         let Some(first) = self.next(&connection).await else {
             return Err(self.caller_gone());
@@ -212,9 +212,9 @@
         next.or(gone).await
     }
 
-    fn caller_gone(&mut self) -> Response {
+    fn caller_gone(&mut self) -> Box<Response> {
         self.tally.caller_gone();
-        Response::new(StatusCode::BadRequest)
+        Box::new(Response::new(StatusCode::BadRequest))
     }
 
     fn response(&self, call: &Call) -> Response {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -37,7 +37,7 @@
     entry: &Arc<Shared>,
     mut call: Call,
     rest: &str,
-) -> Result<Response, Response> {
+) -> Result<Response, Box<Response>> {
     let method = call.received.request.method();
     let is_once =
         call.terms.is_non_idempotent.unwrap_or_else(|| !is_idempotent(method));
@@ -72,7 +72,7 @@
         match next.or(gone).await {
             None => {
                 tally.caller_gone();
-                return Err(Response::new(StatusCode::BadRequest));
+                return Err(Box::new(Response::new(StatusCode::BadRequest)));
             }
             Some(Progress::Head(head)) => {
                 tally.part(0);
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -55,6 +55,8 @@
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
 
 /// What reaches a session from links.
+// A box would cost an allocation for each token.
+#[allow(clippy::large_enum_variant)]
 pub(crate) enum SessionEvent {
     /// A frame of the request.
     Frame {
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -140,7 +140,7 @@
     }
 
     fn send(&self, signal: Signal) {
-        let pid = self.child.as_ref().map(|child| Pid::from_child(child));
+        let pid = self.child.as_ref().map(Pid::from_child);
         if let Some(pid) = pid {
             // A process that has ended already wants no signal.
             let _ = kill_process(pid, signal);
--- a/crates/side/src/gate.rs
+++ b/crates/side/src/gate.rs
@@ -91,7 +91,7 @@
             let retry_after_ms = state.retry_after_ms();
             return Offer::TooLate { retry_after_ms };
         }
-        if state.running < state.max_running && state.queue.len() == 0 {
+        if state.running < state.max_running && state.queue.is_empty() {
             state.take(run.cost_tokens);
             return Offer::Admitted;
         }
@@ -192,7 +192,7 @@
     }
 
     fn wait_ms(&self) -> u64 {
-        if self.running < self.max_running && self.queue.len() == 0 {
+        if self.running < self.max_running && self.queue.is_empty() {
             return 0;
         }
         let pending_tokens = self.queue.pending_tokens();
