--- a/crates/engine/src/wire.rs
+++ b/crates/engine/src/wire.rs
@@ -12,6 +12,8 @@
 use std::{error, fmt};
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
+use serde::Serialize;
+use serde_json::value::RawValue;
 
 pub use self::{
     request::{InferCall, InferRow, decode_request, encode_request},
@@ -44,8 +46,34 @@
     }
 }
 
-fn to_base64(bytes: &[u8]) -> String {
-    STANDARD.encode(bytes)
+/// Bytes of a message besides its rows.
+const MESSAGE_BYTES: usize = 1024;
+/// Bytes of a row besides what it carries.
+const ROW_BYTES: usize = 128;
+
+/// A message whose rows carry `carried_bytes` before base64. The buffer is
+/// made large enough at once, since long activations would grow it often.
+fn to_json<T: Serialize>(
+    message: &T,
+    rows: usize,
+    carried_bytes: usize,
+) -> Vec<u8> {
+    let base64_bytes = carried_bytes.div_ceil(3) * 4;
+    let capacity = MESSAGE_BYTES + rows * ROW_BYTES + base64_bytes;
+    let mut json = Vec::with_capacity(capacity);
+    serde_json::to_writer(&mut json, message).expect("tensors make JSON");
+    json
+}
+
+/// Bytes as a JSON string. Base64 holds nothing that JSON escapes, so that
+/// the scan for it, byte by byte, is left out.
+fn to_base64(bytes: &[u8]) -> Box<RawValue> {
+    let length = base64::encoded_len(bytes.len(), true).unwrap_or(0);
+    let mut json = String::with_capacity(length + 2);
+    json.push('"');
+    STANDARD.encode_string(bytes, &mut json);
+    json.push('"');
+    RawValue::from_string(json).expect("quoted base64 is a JSON string")
 }
 
 fn from_base64(text: &str, name: &str) -> Result<Vec<u8>, WireError> {
--- a/crates/engine/src/wire/request.rs
+++ b/crates/engine/src/wire/request.rs
@@ -3,11 +3,12 @@
 use std::{borrow::Cow, fmt::Write as _};
 
 use serde::{Deserialize, Serialize, Serializer};
+use serde_json::value::RawValue;
 
 use super::{
     WireError, from_base64,
     tensor::{Column, Tensor, Tensors},
-    to_base64,
+    to_base64, to_json,
 };
 use crate::sequence::{
     MAX_PRIORITY, MIN_PRIORITY, SequenceError, SequenceId, SequenceStep,
@@ -62,7 +63,8 @@
     );
     let parameters = LayerRange { first_layer, end_layer };
     let body = RequestBody { id, parameters, inputs };
-    serde_json::to_vec(&body).expect("tensors make JSON")
+    let carried_bytes = each.map(|s| carried_bytes(&s.input)).sum();
+    to_json(&body, rows, carried_bytes)
 }
 
 /// A sequence as it is written.
@@ -98,14 +100,22 @@
     }
 }
 
-fn input(input: &StepInput) -> String {
+fn input(input: &StepInput) -> Box<RawValue> {
     match input {
         StepInput::Prompt { request_json, .. } => to_base64(request_json),
-        StepInput::Token(_) => String::new(),
+        StepInput::Token(_) => to_base64(&[]),
         StepInput::Activation { bytes, .. } => to_base64(bytes),
     }
 }
 
+fn carried_bytes(input: &StepInput) -> usize {
+    match input {
+        StepInput::Prompt { request_json, .. } => request_json.len(),
+        StepInput::Token(_) => 0,
+        StepInput::Activation { bytes, .. } => bytes.len(),
+    }
+}
+
 /// Tokens in decimals, with commas between.
 fn delivered(input: &StepInput) -> String {
     let StepInput::Prompt { delivered_tokens, .. } = input else {
--- a/crates/engine/src/wire/response.rs
+++ b/crates/engine/src/wire/response.rs
@@ -3,12 +3,13 @@
 use std::borrow::Cow;
 
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use super::{
     WireError, from_base64,
     request::Id,
     tensor::{Column, Tensor, Tensors},
-    to_base64,
+    to_base64, to_json,
 };
 use crate::sequence::{
     SequenceError, SequenceId, SequenceOutput, SequenceStep, StepOutput,
@@ -59,7 +60,8 @@
         Column::bytes("error", rows, each.clone().map(error)),
     );
     let body = ResponseBody { model_name: model, id, outputs };
-    serde_json::to_vec(&body).expect("tensors make JSON")
+    let carried_bytes = each.map(carried_bytes).sum();
+    to_json(&body, rows, carried_bytes)
 }
 
 fn output(result: &InferResult) -> Option<&StepOutput> {
@@ -74,10 +76,17 @@
     }
 }
 
-fn activation(result: &InferResult) -> String {
+fn activation(result: &InferResult) -> Box<RawValue> {
     match output(result) {
         Some(StepOutput::Activation(bytes)) => to_base64(bytes),
-        _ => String::new(),
+        _ => to_base64(&[]),
+    }
+}
+
+fn carried_bytes(result: &InferResult) -> usize {
+    match output(result) {
+        Some(StepOutput::Activation(bytes)) => bytes.len(),
+        _ => 0,
     }
 }
 
