--- a/crates/state/src/step_gate.rs
+++ b/crates/state/src/step_gate.rs
@@ -15,6 +15,8 @@
     OtherAttempt,
     /// Its next layer is not the first one held here.
     WrongLayer,
+    /// It covers no position, or positions past the last number.
+    BadSpan,
 }
 
 impl StepRefusal {
@@ -25,6 +27,7 @@
             StepRefusal::Gap => "gap",
             StepRefusal::OtherAttempt => "other_attempt",
             StepRefusal::WrongLayer => "wrong_layer",
+            StepRefusal::BadSpan => "bad_span",
         }
     }
 }
@@ -67,7 +70,9 @@
         if position > self.next_position {
             return Err(StepRefusal::Gap);
         }
-        self.next_position = position.saturating_add(span);
+        // A step that does not move the gate on could be taken again.
+        let end = position.checked_add(span).filter(|end| *end > position);
+        self.next_position = end.ok_or(StepRefusal::BadSpan)?;
         Ok(())
     }
 
