Add the operators' tool with check and apply

The submission's id goes to the standard error before anything is sent, so that the standard output stays one result. A refusal shows the difference from the accepted manifest to the submitted one; where that can't be read, the refusal stands alone. Ruled out: one exit code for "not accepted" and "may have been accepted"; only the second must be repeated with the same id, so it has a code of its own.

--- /dev/null
+++ b/crates/cli/src/apply.rs
@@ -0,0 +1,171 @@
+//! `apply`: submitting a manifest.
+//!
+//! The submission's id is told before anything is sent, so that it can be
+//! repeated whatever becomes of this process: the same id with the same
+//! manifest is accepted once.
+
+use std::{collections::BTreeMap, path::PathBuf, sync::Arc};
+
+use anyhow::Context as _;
+use chestnutreach_config::manifest::{Difference, diff};
+use chestnutreach_platform::{
+    ManifestStore, ObjectClient, TableClient,
+    manifest_store::{Head, PartCache, SubmitError},
+};
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use crate::{args, exit::Exit, source};
+
+mod report;
+
+use report::{ApplyReport, ChangeReport, Ended};
+
+pub(crate) const NAME: &str = "apply";
+const FILE: &str = "file";
+const TABLE: &str = "table";
+const OBJECTS: &str = "objects";
+const BASE: &str = "base";
+const SUBMISSION: &str = "submission";
+
+/// Its arguments.
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Checks a manifest and submits it as the next generation")
+        .arg(args::path(FILE, "Manifest").required(true))
+        .arg(args::address(TABLE, "The table service").required(true))
+        .arg(args::address(OBJECTS, "The object store").required(true))
+        .arg(
+            Arg::new(BASE)
+                .long(BASE)
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .help(
+                    "Generation that the manifest was made for, 0 for none; \
+                     without it, the accepted one",
+                ),
+        )
+        .arg(
+            Arg::new(SUBMISSION)
+                .long(SUBMISSION)
+                .value_name("ID")
+                .help("Id of the submission; random without it"),
+        )
+        .arg(args::timeout("2000"))
+        .arg(args::json())
+}
+
+/// Submits the file.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let path: &PathBuf = args::required(matches, FILE);
+    let sections = match source::load(path) {
+        Ok(manifest) => manifest.to_sections(),
+        Err(findings) => {
+            let ended = Ended::findings(&findings);
+            report::print(matches, &ApplyReport::unsent(ended))?;
+            return Ok(Exit::Findings);
+        }
+    };
+    let submission = matches.get_one::<String>(SUBMISSION).cloned();
+    let submission = submission.unwrap_or_else(random_id);
+    async_io::block_on(async {
+        let apply = Apply { store: store(matches), sections, submission };
+        apply.run(matches).await
+    })
+}
+
+fn store(matches: &ArgMatches) -> ManifestStore {
+    let timeout = args::timeout_of(matches);
+    let table = TableClient::new(*args::required(matches, TABLE), timeout);
+    let objects =
+        ObjectClient::new(*args::required(matches, OBJECTS), timeout);
+    ManifestStore::new(Arc::new(table), Arc::new(objects))
+}
+
+fn random_id() -> String {
+    format!("{:032x}", fastrand::u128(..))
+}
+
+struct Apply {
+    store: ManifestStore,
+    sections: BTreeMap<String, String>,
+    submission: String,
+}
+
+impl Apply {
+    async fn run(&self, matches: &ArgMatches) -> anyhow::Result<Exit> {
+        let base = match matches.get_one::<u64>(BASE) {
+            Some(base) => *base,
+            None => self.accepted_generation().await?,
+        };
+        let submission = &self.submission;
+        eprintln!(
+            "submission {submission} on generation {base}; to repeat it: \
+             --submission {submission} --base {base}",
+        );
+        let result = self.store.submit(base, &self.sections, submission).await;
+        let (ended, exit) = match result {
+            Ok(accepted) => {
+                let generation = accepted.generation;
+                (Ended::Accepted { generation }, Exit::Done)
+            }
+            Err(e) => self.ended(e).await,
+        };
+        let report = ApplyReport::sent(submission, base, ended);
+        report::print(matches, &report)?;
+        Ok(exit)
+    }
+
+    async fn accepted_generation(&self) -> anyhow::Result<u64> {
+        let head = self.store.head().await;
+        let head = head.context("the accepted generation is not known")?;
+        Ok(head.map_or(0, |head| head.generation))
+    }
+
+    async fn ended(&self, error: SubmitError) -> (Ended<'static>, Exit) {
+        let detail = error.to_string();
+        match error {
+            SubmitError::Stale { current, .. } => {
+                let ended = self.refused("stale", detail, current).await;
+                (ended, Exit::Refused)
+            }
+            SubmitError::LostRace { winner } => {
+                let ended =
+                    self.refused("lost-race", detail, Some(winner)).await;
+                (ended, Exit::Refused)
+            }
+            SubmitError::IdReused { .. } => {
+                (Ended::IdReused { detail }, Exit::Refused)
+            }
+            SubmitError::Invalid { .. } => {
+                (Ended::Invalid { detail }, Exit::Findings)
+            }
+            SubmitError::Unavailable { .. } => {
+                (Ended::NotAccepted { detail }, Exit::Failed)
+            }
+            SubmitError::Unknown { .. } => {
+                (Ended::Unknown { detail }, Exit::Unknown)
+            }
+        }
+    }
+
+    /// What it lost to. The refusal stands also where that can't be read.
+    async fn refused(
+        &self,
+        cause: &'static str,
+        detail: String,
+        winner: Option<Head>,
+    ) -> Ended<'static> {
+        let winner_sections = match &winner {
+            Some(head) => self.store.fetch(head, &mut PartCache::new()).await,
+            None => Ok(BTreeMap::new()),
+        };
+        let changes = winner_sections.map(|old| diff(&old, &self.sections));
+        let text = match &changes {
+            Ok(changes) => Difference(changes).to_string(),
+            Err(e) => format!("the difference is not known: {e}"),
+        };
+        let difference = changes.ok().map(ChangeReport::all);
+        let winner = winner.map(report::WinnerReport::new);
+        Ended::Refused { cause, detail, winner, difference, text }
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,55 @@
-//! Placeholder.
+//! The operators' command line of chestnutreach.
+//!
+//! One module per subcommand; each has `command`, its arguments for `clap`,
+//! and `run`.
+//!
+//! | module | what it holds |
+//! |---|---|
+//! | `check` | everything found wrong in manifests |
+//! | `apply` | submitting a manifest |
+//! | `args` | arguments that several subcommands take |
+//! | `exit` | what the process says when it ends |
+//! | `output` | JSON and tables on the standard output |
+//! | `source` | manifests as files |
 
-fn main() {}
+mod apply;
+mod args;
+mod check;
+mod exit;
+mod output;
+mod source;
+
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+
+use crate::exit::Exit;
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    match run(&matches) {
+        Ok(exit) => exit.into(),
+        Err(e) => {
+            eprintln!("chestnutreach: {e:#}");
+            Exit::Failed.into()
+        }
+    }
+}
+
+fn command() -> Command {
+    Command::new("chestnutreach")
+        .version(clap::crate_version!())
+        .about("Checks and applies manifests, and looks after the fleet")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands([check::command(), apply::command()])
+        .after_help(exit::help())
+}
+
+fn run(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    match matches.subcommand() {
+        Some((check::NAME, matches)) => check::run(matches),
+        Some((apply::NAME, matches)) => apply::run(matches),
+        _ => unreachable!("clap asks for a known subcommand"),
+    }
+}
