Serve the control port, and remember recent routing choices

The control address was in the settings and nothing listened there, so status, drains and explanations couldn't be asked for. A drain by an operator and a stop by a signal set the same switch; without a lock an undrain could take back a stop, so both go through the control handler, which refuses orders once the stop has begun.

Recent choices: one push into a ring of 4,096 under one lock per request, and later notes under the request's own lock, so that requests under way can be explained too. Ruled out: noting only at the end (a request that hangs is the one that is asked about) and keeping the view (old generations would stay in memory as long as the ring remembers them).

Left out: manifest_part answers nothing, since the part cache of the platform crate shows no parts.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,7 @@
 //! start or go on, 2 when the command line or the settings are wrong, 3 when
 //! a stop reached its bound and cut requests.
 
+mod control;
 mod drain;
 mod listen;
 mod roles;
--- a/crates/daemon/src/roles.rs
+++ b/crates/daemon/src/roles.rs
@@ -6,9 +6,10 @@
 use chestnutreach_config::settings::{
     EntrySettings, NodeSettings, SideSettings,
 };
+use chestnutreach_control::serve_control;
 use chestnutreach_entry::{Entry, EntryParts};
 use chestnutreach_node::{
-    Heard,
+    Heard, InForce,
     follow::{ManifestFollower, follow_vm_list},
     threads,
 };
@@ -23,6 +24,7 @@
 };
 
 use crate::{
+    control::{Control, Served, Stopping},
     drain::{Stopped, wait_until_idle},
     listen::listen,
     signals::stop_signal,
@@ -48,6 +50,7 @@
     metrics: Arc<Metrics>,
     readiness: Arc<Readiness>,
     heard: Arc<Heard>,
+    in_force: Arc<InForce>,
     table: Arc<TableClient>,
     objects: Arc<ObjectClient>,
 }
@@ -69,6 +72,7 @@
             metrics: Arc::new(Metrics::new(name, &node.vm)),
             readiness: Arc::new(Readiness::new(&[NEEDS_MANIFEST])),
             heard: Arc::new(Heard::new()),
+            in_force: Arc::new(InForce::new()),
             table: Arc::new(table),
             objects: Arc::new(objects),
         }
@@ -79,6 +83,7 @@
             ManifestStore::new(self.table.clone(), self.objects.clone());
         let poll_ms = node.platform.manifest_poll_ms;
         ManifestFollower::new(store, self.heard.clone(), poll_ms)
+            .in_force(self.in_force.clone())
     }
 
     fn serve_ops(
@@ -97,6 +102,26 @@
         Ok(())
     }
 
+    fn serve_control(
+        &self,
+        node: &NodeSettings,
+        served: Served,
+    ) -> anyhow::Result<Arc<Control>> {
+        let listener = listen("control calls", node.control_address)?;
+        let control = Arc::new(Control {
+            served,
+            in_force: self.in_force.clone(),
+            metrics: self.metrics.clone(),
+            readiness: self.readiness.clone(),
+            drain_limit_ms: node.drain_limit_ms,
+            stopping: Stopping::default(),
+        });
+        let executor = self.executor.clone();
+        let task = serve_control(listener, executor, control.clone());
+        self.executor.spawn(task).detach();
+        Ok(control)
+    }
+
     fn note_started(&self, node: &NodeSettings, role: Role) {
         emit(
             Event::DaemonStarted,
@@ -184,10 +209,12 @@
         move || entry.status()
     };
     common.serve_ops(&node, status)?;
+    let served = Served::Entry(entry.clone());
+    let control = common.serve_control(&node, served)?;
     common.note_started(&node, Role::Entry);
 
     let cause = stop_signal().await?;
-    entry.set_leaving(true);
+    control.begin_stop();
     common.note_stopping(cause, entry.in_flight());
     Ok(wait_until_idle(node.drain_limit_ms, || entry.in_flight()).await)
 }
@@ -221,10 +248,12 @@
         move || side.status()
     };
     common.serve_ops(&node, status)?;
+    let served = Served::Side(side.clone());
+    let control = common.serve_control(&node, served)?;
     common.note_started(&node, Role::Side);
 
     let cause = stop_signal().await?;
-    side.set_leaving(true);
+    control.begin_stop();
     let in_flight = || {
         let held = side.in_flight();
         held.runs + held.seats
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `openai` | the published shapes of requests and answers |
 //! | `language` | requests for a model |
 //! | `plain` | requests for a plain service |
+//! | `recent` | the routing choices of recent requests |
 //! | `source` | where the progress of a request comes from |
 //! | `tally` | what is counted and logged of a request |
 //! | `outage` | how long the platform's store has been failing |
@@ -25,6 +26,7 @@
 mod outage;
 mod peers;
 mod plain;
+mod recent;
 mod session;
 mod source;
 mod tally;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -23,7 +23,8 @@
 use chestnutreach_telemetry::{Event, Metrics, emit};
 
 use crate::{
-    api, outage::Outage, peers::Peers, session::SessionEvent, view::View,
+    api, outage::Outage, peers::Peers, recent::Recent, session::SessionEvent,
+    view::View,
 };
 
 /// Parts of the map of open requests, each under a lock of its own.
@@ -45,6 +46,7 @@
     pub(crate) peers: Peers,
     pub(crate) claims: ClaimStore,
     pub(crate) store_outage: Outage,
+    pub(crate) recent: Recent,
     executor: Arc<Executor<'static>>,
     links: OnceLock<Links>,
     sessions: [Mutex<Sessions>; SESSION_SHARDS],
@@ -84,6 +86,7 @@
             settings: parts.settings,
             clock,
             store_outage: Outage::new(clock),
+            recent: Recent::default(),
             metrics: parts.metrics,
             heard: parts.heard,
             view: ArcSwap::from_pointee(View::empty()),
@@ -167,6 +170,17 @@
         self.shared.links()
     }
 
+    /// Generation in force; 0 for none.
+    pub fn generation(&self) -> u64 {
+        self.shared.view.load().generation
+    }
+
+    /// The choices made for a request, as JSON; none when it is not one of
+    /// the last requests of this process.
+    pub fn recent_choices(&self, request: RequestId) -> Option<String> {
+        self.shared.recent.explain(request)
+    }
+
     /// Explains the choice for a described request, as JSON.
     ///
     /// # Errors
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -43,6 +43,7 @@
 use crate::{
     keyed::{Hold, KeyedRequest, in_progress_ms},
     node::Shared,
+    recent::Choices,
     view::ServiceView,
 };
 
@@ -191,6 +192,7 @@
     tokens: Vec<u32>,
     next_position: u32,
     ready: VecDeque<Progress>,
+    choices: Choices,
 }
 
 impl Session {
@@ -206,6 +208,7 @@
         Session {
             entry: entry.clone(),
             deadline: Timer::at(job.deadline),
+            choices: entry.recent.begin(&job),
             job,
             keyed,
             events,
@@ -289,6 +292,7 @@
     fn end(&mut self, ending: Ending) {
         self.phase = Phase::Over;
         self.attempt = None;
+        self.choices.ended(Some(ending.outcome), &ending.detail);
         self.ready.push_back(Progress::Ended(ending));
     }
 
@@ -404,7 +408,10 @@
             &mut fastrand::Rng::new(),
         );
         match choice {
-            Ok(choice) => Some(choice.stages),
+            Ok(choice) => {
+                self.choices.chosen(&choice, shape, &self.avoid);
+                Some(choice.stages)
+            }
             Err(no_chain) => {
                 let reason = match no_chain.reason {
                     NoChainReason::TooLate { .. } => NotRunReason::TooLate,
@@ -622,6 +629,7 @@
             return;
         }
         self.note_completed(&m);
+        self.choices.ended(Some(Outcome::Completed), "");
         self.phase = Phase::Over;
         self.attempt = None;
         self.ready.push_back(Progress::Whole(m));
@@ -653,6 +661,7 @@
         ended: &Ended,
         at_fault: Option<BackendIndex>,
     ) {
+        self.choices.attempt_ended(&attempt.stages, ended, at_fault);
         let now_ms = self.entry.clock.now_ms();
         for stage in &attempt.stages {
             let is_meant = at_fault.is_none_or(|at| at == *stage);
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -21,7 +21,7 @@
 use chestnutreach_telemetry::{Event, emit};
 use futures_lite::FutureExt as _;
 
-use crate::heard::Heard;
+use crate::{heard::Heard, in_force::InForce};
 
 /// Follows the manifest of a deployment.
 pub struct ManifestFollower {
@@ -30,6 +30,7 @@
     poll_ms: u64,
     cache: PartCache,
     generation: u64,
+    in_force: Arc<InForce>,
     outage: Outage,
 }
 
@@ -46,10 +47,17 @@
             poll_ms,
             cache: PartCache::new(),
             generation: 0,
+            in_force: Arc::default(),
             outage: Outage::new("manifest"),
         }
     }
 
+    /// Notes here which generation is in force.
+    pub fn in_force(mut self, in_force: Arc<InForce>) -> ManifestFollower {
+        self.in_force = in_force;
+        self
+    }
+
     /// Applies each higher generation until the process ends.
     pub async fn run(mut self, apply: impl Fn(u64, &Manifest)) {
         loop {
@@ -97,6 +105,7 @@
             Ok(manifest) => {
                 self.generation = head.generation;
                 apply(head.generation, &manifest);
+                self.in_force.note(head);
                 emit(
                     Event::ManifestInForce,
                     &[
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,14 +5,17 @@
 //! | [`clock`] | the monotonic clock of a process |
 //! | [`follow`] | following the manifest and the list of VMs |
 //! | [`heard`] | generations that peers have told of |
+//! | [`in_force`] | the accepted generation that is in force |
 //! | [`links`] | link options from settings |
 //! | [`threads`] | the threads that run its tasks |
 
 pub mod clock;
 pub mod follow;
 pub mod heard;
+pub mod in_force;
 pub mod links;
 pub mod threads;
 
 pub use clock::Clock;
 pub use heard::Heard;
+pub use in_force::InForce;
--- a/crates/side/src/node.rs
+++ b/crates/side/src/node.rs
@@ -175,6 +175,11 @@
         true
     }
 
+    /// Generation in force; 0 for none.
+    pub fn generation(&self) -> u64 {
+        self.shared.generation.load(Ordering::Acquire)
+    }
+
     /// Work still held.
     pub fn in_flight(&self) -> InFlight {
         InFlight {
