Add show, drain and explain to the operators' tool

All addresses are asked at once, so that a silent one costs its timeout once; explain asks one entry after another, since only the entry that took a request remembers it.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -45,6 +45,28 @@
         .help(help)
 }
 
+/// An option with addresses, divided by commas or given again.
+pub(crate) fn addresses(name: &'static str, help: &'static str) -> Arg {
+    address(name, help)
+        .value_delimiter(',')
+        .action(ArgAction::Append)
+        .required(true)
+}
+
+/// Addresses in the order given, each once.
+pub(crate) fn addresses_of(
+    matches: &ArgMatches,
+    name: &str,
+) -> Vec<SocketAddr> {
+    let mut addresses: Vec<SocketAddr> = Vec::new();
+    for address in matches.get_many(name).into_iter().flatten() {
+        if !addresses.contains(address) {
+            addresses.push(*address);
+        }
+    }
+    addresses
+}
+
 /// An option or argument with a path.
 pub(crate) fn path(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
--- /dev/null
+++ b/crates/cli/src/daemons.rs
@@ -0,0 +1,66 @@
+//! Calls to the control ports of daemons.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_executor::Executor;
+use chestnutreach_control::{ControlClient, ControlError};
+use clap::Arg;
+
+use crate::{args, exit::Exit};
+
+/// Name of the option with the control addresses.
+pub(crate) const CONTROL: &str = "control";
+/// Default of `--timeout-ms` for control calls.
+pub(crate) const TIMEOUT_MS: &str = "2000";
+
+/// `--control` with several addresses.
+pub(crate) fn control() -> Arg {
+    args::addresses(CONTROL, "Control addresses of daemons")
+}
+
+/// Dials a daemon; its calls have the same bound as the dialling.
+pub(crate) async fn connect(
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<ControlClient, ControlError> {
+    let client = ControlClient::connect(address, timeout).await?;
+    Ok(client.call_timeout(timeout))
+}
+
+/// Asks all at once, so that one that is silent delays no other; answers in
+/// the order of the addresses.
+pub(crate) async fn ask_all<T, F>(
+    addresses: &[SocketAddr],
+    ask: impl Fn(SocketAddr) -> F,
+) -> Vec<T>
+where
+    T: Send,
+    F: Future<Output = T> + Send,
+{
+    let executor = Executor::new();
+    let tasks: Vec<_> = addresses
+        .iter()
+        .map(|address| executor.spawn(ask(*address)))
+        .collect();
+    let all = async {
+        let mut answers = Vec::with_capacity(tasks.len());
+        for task in tasks {
+            answers.push(task.await);
+        }
+        answers
+    };
+    executor.run(all).await
+}
+
+/// How a subcommand ends whose call has failed.
+pub(crate) fn exit_of(error: &ControlError) -> Exit {
+    match error {
+        ControlError::NotReached { .. } | ControlError::Closed { .. } => {
+            Exit::Lagging
+        }
+        ControlError::Timeout { .. } | ControlError::Lost { .. } => {
+            Exit::Unknown
+        }
+        _ => Exit::Failed,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/drain.rs
@@ -0,0 +1,165 @@
+//! `drain`: taking a daemon or a backend server out of service.
+//!
+//! Work in progress goes on; with `--wait-ms` the tool looks until none is
+//! left. Ending a drain is the same call with `--undo`.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use async_io::Timer;
+use chestnutreach_control::{ControlClient, ControlError, NodeStatus};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use serde::Serialize;
+
+use crate::{args, daemons, exit::Exit, output};
+
+pub(crate) const NAME: &str = "drain";
+const BACKEND: &str = "backend";
+const UNDO: &str = "undo";
+const WAIT_MS: &str = "wait-ms";
+const MAX_WAIT_MS: u64 = 86_400_000;
+/// Time between two looks at what is left.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Its arguments.
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Has a daemon or one backend server take no new work")
+        .arg(
+            args::address(daemons::CONTROL, "Control address of the daemon")
+                .required(true),
+        )
+        .arg(
+            Arg::new(BACKEND)
+                .long(BACKEND)
+                .value_name("NAME")
+                .help("Only this backend server beside the daemon"),
+        )
+        .arg(
+            Arg::new(UNDO)
+                .long(UNDO)
+                .action(ArgAction::SetTrue)
+                .conflicts_with(WAIT_MS)
+                .help("Take new work again"),
+        )
+        .arg(
+            Arg::new(WAIT_MS)
+                .long(WAIT_MS)
+                .value_name("N")
+                .value_parser(value_parser!(u64).range(0..=MAX_WAIT_MS))
+                .help("Wait at most so long until no work is left"),
+        )
+        .arg(args::timeout(daemons::TIMEOUT_MS))
+        .arg(args::json())
+}
+
+/// Gives the order, and waits if asked to.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let address: SocketAddr = *args::required(matches, daemons::CONTROL);
+    let wait_ms = matches.get_one::<u64>(WAIT_MS).copied();
+    let drain = Drain {
+        address,
+        backend: matches.get_one::<String>(BACKEND).map(String::as_str),
+        is_undo: matches.get_flag(UNDO),
+        wait: wait_ms.map(Duration::from_millis),
+        timeout: args::timeout_of(matches),
+    };
+    match async_io::block_on(drain.run()) {
+        Ok(report) => report.print(args::is_json(matches)),
+        Err(e) => {
+            eprintln!("chestnutreach: {e}");
+            Ok(daemons::exit_of(&e))
+        }
+    }
+}
+
+struct Drain<'a> {
+    address: SocketAddr,
+    backend: Option<&'a str>,
+    is_undo: bool,
+    wait: Option<Duration>,
+    timeout: Duration,
+}
+
+impl Drain<'_> {
+    async fn run(&self) -> Result<Report, ControlError> {
+        let client = daemons::connect(self.address, self.timeout).await?;
+        match self.is_undo {
+            true => client.undrain(self.backend).await?,
+            false => client.drain(self.backend).await?,
+        }
+        let mut status = client.status().await?;
+        if let Some(wait) = self.wait {
+            let until = Instant::now() + wait;
+            status = self.wait_until_idle(&client, status, until).await?;
+        }
+        Ok(self.report(&status))
+    }
+
+    async fn wait_until_idle(
+        &self,
+        client: &ControlClient,
+        mut status: NodeStatus,
+        until: Instant,
+    ) -> Result<NodeStatus, ControlError> {
+        while self.left(&status) > 0 && Instant::now() < until {
+            Timer::after(LOOK).await;
+            status = client.status().await?;
+        }
+        Ok(status)
+    }
+
+    fn left(&self, status: &NodeStatus) -> u64 {
+        let Some(name) = self.backend else {
+            return status.requests_in_flight;
+        };
+        let mut backends = status.backends.iter();
+        let backend = backends.find(|backend| backend.name == name);
+        backend.map_or(0, |backend| backend.running + backend.queued)
+    }
+
+    fn report(&self, status: &NodeStatus) -> Report {
+        Report {
+            vm: status.vm.clone(),
+            backend: self.backend.map(str::to_owned),
+            is_draining: !self.is_undo,
+            left: self.left(status),
+            was_waited_for: self.wait.is_some(),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Report {
+    vm: String,
+    backend: Option<String>,
+    is_draining: bool,
+    /// Requests not ended yet.
+    left: u64,
+    was_waited_for: bool,
+}
+
+impl Report {
+    fn print(&self, is_json: bool) -> anyhow::Result<Exit> {
+        match is_json {
+            true => output::print_json(self)?,
+            false => output::print_text(&self.text())?,
+        }
+        let is_late = self.was_waited_for && self.left > 0;
+        Ok(if is_late { Exit::Lagging } else { Exit::Done })
+    }
+
+    fn text(&self) -> String {
+        let what = match &self.backend {
+            Some(backend) => format!("{backend} beside {}", self.vm),
+            None => self.vm.clone(),
+        };
+        let left = self.left;
+        match self.is_draining {
+            true => format!("{what} drains; requests left: {left}"),
+            false => format!("{what} takes new work again"),
+        }
+    }
+}
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -64,7 +64,8 @@
                 "a daemon is not reached, lags behind, or has not drained"
             }
             Exit::Unknown => {
-                "the manifest may have been accepted; repeat the submission"
+                "it may or may not have been done; repeat it (apply: with the \
+                 same submission)"
             }
         }
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,7 +7,11 @@
 //! |---|---|
 //! | `check` | everything found wrong in manifests |
 //! | `apply` | submitting a manifest |
+//! | `show` | the state of each daemon |
+//! | `drain` | taking daemons and backend servers out of service |
+//! | `explain` | why a chain is chosen |
 //! | `args` | arguments that several subcommands take |
+//! | `daemons` | calls to the control ports of daemons |
 //! | `exit` | what the process says when it ends |
 //! | `output` | JSON and tables on the standard output |
 //! | `source` | manifests as files |
@@ -15,8 +19,12 @@
 mod apply;
 mod args;
 mod check;
+mod daemons;
+mod drain;
 mod exit;
+mod explain;
 mod output;
+mod show;
 mod source;
 
 use std::process::ExitCode;
@@ -42,7 +50,13 @@
         .about("Checks and applies manifests, and looks after the fleet")
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommands([check::command(), apply::command()])
+        .subcommands([
+            check::command(),
+            apply::command(),
+            show::command(),
+            drain::command(),
+            explain::command(),
+        ])
         .after_help(exit::help())
 }
 
@@ -50,6 +64,9 @@
     match matches.subcommand() {
         Some((check::NAME, matches)) => check::run(matches),
         Some((apply::NAME, matches)) => apply::run(matches),
+        Some((show::NAME, matches)) => show::run(matches),
+        Some((drain::NAME, matches)) => drain::run(matches),
+        Some((explain::NAME, matches)) => explain::run(matches),
         _ => unreachable!("clap asks for a known subcommand"),
     }
 }
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,6 +1,9 @@
 //! JSON and tables on the standard output.
 
-use std::io::{self, Write as _};
+use std::{
+    fmt,
+    io::{self, Write as _},
+};
 
 use anyhow::Context as _;
 use serde::Serialize;
@@ -19,3 +22,49 @@
         printed => printed.context("cannot print"),
     }
 }
+
+/// Columns of text, each as wide as its widest cell.
+pub(crate) struct Table<const N: usize> {
+    rows: Vec<[String; N]>,
+}
+
+impl<const N: usize> Table<N> {
+    /// A table with only its heading.
+    pub(crate) fn new(heading: [&str; N]) -> Table<N> {
+        Table { rows: vec![heading.map(str::to_owned)] }
+    }
+
+    /// Adds a row.
+    pub(crate) fn push(&mut self, row: [String; N]) {
+        self.rows.push(row);
+    }
+
+    /// Whether there is nothing below the heading.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.rows.len() == 1
+    }
+
+    fn width(&self, column: usize) -> usize {
+        let cells = self.rows.iter().map(|row| row[column].chars().count());
+        cells.max().unwrap_or(0)
+    }
+}
+
+impl<const N: usize> fmt::Display for Table<N> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let widths: Vec<usize> = (0..N).map(|at| self.width(at)).collect();
+        for (index, row) in self.rows.iter().enumerate() {
+            let cells = row.iter().zip(&widths);
+            let cells = cells.map(|(cell, &width)| format!("{cell:width$}"));
+            let line = cells.collect::<Vec<_>>().join("  ");
+            let end = if index + 1 < self.rows.len() { "\n" } else { "" };
+            write!(f, "{}{end}", line.trim_end())?;
+        }
+        Ok(())
+    }
+}
+
+/// `yes` or `no`.
+pub(crate) fn yes_no(is: bool) -> String {
+    if is { "yes" } else { "no" }.to_owned()
+}
