Tell that a side process cannot tell, and where control calls go

Cause: the bounded run-once table may have forgotten a request; answering 'running' then made a non-idempotent request end as failed, which claims more than is known. It now ends as unknown.

--- a/crates/daemon/src/roles.rs
+++ b/crates/daemon/src/roles.rs
@@ -68,7 +68,8 @@
         let objects = ObjectClient::new(platform.object_address, timeout);
         Common {
             executor,
-            identity: Identity::new(&node.vm, role, &node.data_centre),
+            identity: Identity::new(&node.vm, role, &node.data_centre)
+                .with_control(node.control_address),
             metrics: Arc::new(Metrics::new(name, &node.vm)),
             readiness: Arc::new(Readiness::new(&[NEEDS_MANIFEST])),
             heard: Arc::new(Heard::new()),
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -874,7 +874,15 @@
                 self.attempt = None;
                 self.end(ending);
             }
-            RunState::Running | RunState::Unspecified => self.answer_gone(),
+            RunState::CannotTell if !self.job.is_idempotent => {
+                self.attempt = None;
+                let detail = "the side process cannot tell whether it ran";
+                let outcome = Outcome::Unknown;
+                self.end(Ending::new(outcome, Cause::Backend, detail));
+            }
+            RunState::Running
+            | RunState::CannotTell
+            | RunState::Unspecified => self.answer_gone(),
         }
     }
 
--- a/crates/platform/src/claims/decide.rs
+++ b/crates/platform/src/claims/decide.rs
@@ -108,6 +108,7 @@
         SideAnswer::State(state) => match state {
             RunState::NeverSeen | RunState::Refused => SideVerdict::Run,
             RunState::Admitted | RunState::Running => SideVerdict::InProgress,
+            RunState::CannotTell => SideVerdict::Unknown,
             RunState::Finished => SideVerdict::TakeAnswer,
             RunState::Failed => SideVerdict::Failed,
         },
--- a/crates/platform/src/manifest_store/cache.rs
+++ b/crates/platform/src/manifest_store/cache.rs
@@ -54,7 +54,12 @@
         objects: &ObjectClient,
         digests: &BTreeSet<PartDigest>,
     ) -> Result<(), FetchError> {
-        let reads = digests.iter().map(|d| read_part(objects, *d));
+        // A borrowing closure would keep the future from being `Send` for
+        // any lifetime.
+        let mut reads = Vec::with_capacity(digests.len());
+        for digest in digests {
+            reads.push(read_part(objects, *digest));
+        }
         let read = concurrent::call_all(reads).await?;
         self.parts.extend(digests.iter().copied().zip(read));
         Ok(())
--- a/crates/protocol/src/link/options.rs
+++ b/crates/protocol/src/link/options.rs
@@ -1,6 +1,6 @@
 //! Settings of links, and who the process is.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use crate::wire::{Hello, Role};
 
@@ -15,6 +15,8 @@
     pub data_centre: String,
     /// New at each start of the process; never 0.
     pub boot_id: u64,
+    /// Where the process takes control calls.
+    pub control_address: Option<SocketAddr>,
 }
 
 impl Identity {
@@ -25,9 +27,16 @@
             role,
             data_centre: data_centre.to_owned(),
             boot_id: fastrand::u64(1..),
+            control_address: None,
         }
     }
 
+    /// The same identity with the address for control calls.
+    pub fn with_control(mut self, address: SocketAddr) -> Identity {
+        self.control_address = Some(address);
+        self
+    }
+
     pub(crate) fn to_hello(&self, generation: u64) -> Hello {
         Hello {
             protocol_version: crate::PROTOCOL_VERSION,
@@ -36,6 +45,9 @@
             data_centre: self.data_centre.clone(),
             boot_id: self.boot_id,
             generation,
+            control_address: self
+                .control_address
+                .map_or_else(String::new, |address| address.to_string()),
         }
     }
 }
--- a/crates/side/src/run.rs
+++ b/crates/side/src/run.rs
@@ -840,8 +840,11 @@
                 run_once::RunState::NeverSeen => 0,
                 run_once::RunState::Refused => 1,
                 run_once::RunState::Failed => 2,
-                run_once::RunState::Finished => 3,
-                _ => 4,
+                run_once::RunState::CannotTell => 3,
+                run_once::RunState::Finished => 4,
+                run_once::RunState::Admitted | run_once::RunState::Running => {
+                    5
+                }
             })
             // A backend server that was never beside this process has run
             // nothing here.
@@ -969,7 +972,10 @@
         run_once::RunState::Refused => wire::RunState::Refused,
         run_once::RunState::Finished => wire::RunState::Finished,
         run_once::RunState::Failed => wire::RunState::Failed,
-        _ => wire::RunState::Running,
+        run_once::RunState::CannotTell => wire::RunState::CannotTell,
+        run_once::RunState::Admitted | run_once::RunState::Running => {
+            wire::RunState::Running
+        }
     }
 }
 
