Send reservations and answers to questions under the request's lock

Cause, found by reading: a refusal that came while reservations were still being sent released the other stages first, and a later reservation then held a place until its link closed; and a token could be sent to a newly attached entry before the answer that says where the rest begins. A question that met a request in the moment of its end was answered 'running' and never finished. Places now also end by themselves one second past their deadline.

Ruled out: reproducing the token race.

--- a/crates/side/src/run.rs
+++ b/crates/side/src/run.rs
@@ -153,17 +153,29 @@
     }
 
     /// Parts of the answer from a position on.
-    pub(crate) fn outputs_from(&self, position: u32) -> Vec<Output> {
+    fn outputs_from(&self, position: u32) -> Vec<Output> {
         let from = self.outputs.partition_point(|o| o.position < position);
         self.outputs[from..].to_vec()
     }
 
-    pub(crate) fn finished(&self) -> Option<wire::Finished> {
-        self.finished.clone()
+    /// Fills in what there is of the answer.
+    fn fill_answer(
+        &self,
+        run: &Run,
+        m: &wire::Query,
+        answer: &mut wire::QueryAnswer,
+    ) {
+        answer.attempt = run.attempt;
+        answer.outputs = self.outputs_from(m.from_position);
+        answer.finished = self.finished.clone();
+        answer.failure = self.failure.unwrap_or_default().into();
     }
 
-    pub(crate) fn failure(&self) -> Option<FailureReason> {
-        self.failure
+    /// Whether another entry than the asker still takes the answer.
+    fn is_taken_by_another(&self, asker: &Link) -> bool {
+        self.entry.as_ref().is_some_and(|(link, _)| {
+            !link.is_closed() && link.peer().boot_id != asker.peer().boot_id
+        })
     }
 
     /// Index of the stage that a link leads to.
@@ -330,21 +342,28 @@
     }
 
     fn send_reserves(self: &Arc<Self>, run: &Arc<Run>, links: &[Link]) {
-        let mut state = run.lock();
-        if state.phase != Phase::Reserving {
-            return;
-        }
-        state.stages = links.iter().map(|l| (l.clone(), l.busy())).collect();
-        drop(state);
         let now_ms = self.clock.now_ms();
-        for (at, link) in links.iter().enumerate() {
-            let message = reserve_message(run, at as u32 + 1, now_ms);
-            if link.send(Body::Reserve(message)).is_err() {
-                let backend = run.chain[at + 1].backend.clone();
-                let reason = RefusalReason::StageUnreachable;
-                self.refuse(run, reason, &backend, 0);
+        let mut unreached = None;
+        {
+            // The lock is held while sending: a refusal that comes meanwhile
+            // must not send its releases before the last reservation.
+            let mut state = run.lock();
+            if state.phase != Phase::Reserving {
                 return;
             }
+            state.stages =
+                links.iter().map(|l| (l.clone(), l.busy())).collect();
+            for (at, link) in links.iter().enumerate() {
+                let message = reserve_message(run, at as u32 + 1, now_ms);
+                if link.send(Body::Reserve(message)).is_err() {
+                    unreached = Some(at + 1);
+                    break;
+                }
+            }
+        }
+        if let Some(at) = unreached {
+            let reason = RefusalReason::StageUnreachable;
+            self.refuse(run, reason, &run.chain[at].backend, 0);
         }
     }
 
@@ -758,44 +777,16 @@
             return;
         };
         let id = RequestId::from(request).as_u128();
-        let open = self.find_run(id);
         let is_meant = |run: &Arc<Run>| {
             m.backend.is_empty() || run.backend.name == m.backend
         };
-        let answer = match open.filter(is_meant) {
-            Some(run) => self.query_open(&run, link, m),
-            None => self.query_ended(id, m),
-        };
-        let _ = link.send(Body::QueryAnswer(answer));
-    }
-
-    fn query_open(
-        &self,
-        run: &Arc<Run>,
-        link: &Link,
-        m: &wire::Query,
-    ) -> wire::QueryAnswer {
-        let mut state = run.lock();
-        let is_free = match &state.entry {
-            Some((old, _)) => {
-                old.is_closed() || old.peer().boot_id == link.peer().boot_id
+        match self.find_run(id).filter(is_meant) {
+            Some(run) => answer_query(&run, link, m),
+            None => {
+                let answer = self.query_ended(id, m);
+                let _ = link.send(Body::QueryAnswer(answer));
             }
-            None => true,
-        };
-        let is_attached = m.is_attach && is_free;
-        let mut answer = wire::QueryAnswer {
-            request: m.request,
-            attempt: run.attempt,
-            state: wire::RunState::Running.into(),
-            is_attached,
-            ..wire::QueryAnswer::default()
-        };
-        if is_attached {
-            state.entry = Some((link.clone(), link.busy()));
-            state.orphan_until_ms = None;
-            answer.outputs = state.outputs_from(m.from_position);
         }
-        answer
     }
 
     fn query_ended(&self, id: u128, m: &wire::Query) -> wire::QueryAnswer {
@@ -809,11 +800,7 @@
         let mut known = self.query_tables(id, m, now_ms);
         if let Some(run) = ended {
             let state = run.lock();
-            answer.attempt = run.attempt;
-            answer.outputs = state.outputs_from(m.from_position);
-            answer.finished = state.finished();
-            let failure = state.failure().unwrap_or_default();
-            answer.failure = failure.into();
+            state.fill_answer(&run, m, &mut answer);
             if state.phase == Phase::Finished {
                 known = run_once::RunState::Finished;
             }
@@ -823,6 +810,46 @@
     }
 }
 
+/// Answers a question about a request that is in the map of open ones, and
+/// has the rest of its answer go to the asker.
+fn answer_query(run: &Arc<Run>, link: &Link, m: &wire::Query) {
+    let mut answer = wire::QueryAnswer {
+        request: m.request,
+        attempt: run.attempt,
+        state: wire::RunState::Running.into(),
+        ..wire::QueryAnswer::default()
+    };
+    // The answer is sent under the lock, so that no later part of the
+    // request's answer can go before it.
+    let mut state = run.lock();
+    match state.phase {
+        Phase::Finished => {
+            answer.state = wire::RunState::Finished.into();
+            state.fill_answer(run, m, &mut answer);
+        }
+        Phase::Stopped => {
+            let is_failed = state.failure.is_some();
+            let known = if is_failed {
+                wire::RunState::Failed
+            } else {
+                wire::RunState::Refused
+            };
+            answer.state = known.into();
+            state.fill_answer(run, m, &mut answer);
+        }
+        Phase::Queued | Phase::Reserving | Phase::Running => {
+            answer.is_attached =
+                m.is_attach && !state.is_taken_by_another(link);
+            if answer.is_attached {
+                state.entry = Some((link.clone(), link.busy()));
+                state.orphan_until_ms = None;
+                answer.outputs = state.outputs_from(m.from_position);
+            }
+        }
+    }
+    let _ = link.send(Body::QueryAnswer(answer));
+}
+
 impl Shared {
     /// Asks the table of the backend server meant, or of all if none is
     /// named, and takes the answer that says most.
--- a/crates/side/src/sweep.rs
+++ b/crates/side/src/sweep.rs
@@ -8,10 +8,13 @@
 use crate::{
     node::Shared,
     run::{Phase, Run},
+    seat::Seat,
 };
 
 /// Time between two looks; a deadline may pass by this much.
 const INTERVAL: Duration = Duration::from_millis(20);
+/// Time past its deadline after which a place is freed unasked.
+const SEAT_GRACE_MS: u64 = 1_000;
 /// Looks between two load reports.
 const LOAD_EVERY: u32 = 10;
 
@@ -24,6 +27,7 @@
             let now_ms = self.clock.now_ms();
             self.expire_queues(now_ms);
             self.expire_runs(now_ms);
+            self.expire_seats(now_ms);
             self.lock_ended().expire(now_ms);
             count = count.wrapping_add(1);
             if count.is_multiple_of(LOAD_EVERY) {
@@ -54,6 +58,20 @@
         }
     }
 
+    /// Frees places past their deadline: the first stage has ended the
+    /// request by then, and its release may have been lost.
+    fn expire_seats(self: &Arc<Self>, now_ms: u64) {
+        let expired: Vec<Arc<Seat>> = self
+            .lock_seats()
+            .values()
+            .filter(|seat| now_ms >= seat.deadline_at_ms + SEAT_GRACE_MS)
+            .cloned()
+            .collect();
+        for seat in expired {
+            self.release_seat(&seat);
+        }
+    }
+
     /// Whether nobody has asked for a request in time. One that is kept runs
     /// on once it has begun: its answer will be asked for by its key.
     fn is_orphan(&self, run: &Run, now_ms: u64) -> bool {
