Add burn to the operators' tool, and test the tool as built

Burn needs rates and daemons only count, so each run adds a sample to a file and a window is the difference of two sums. Samples are first turned into sums that only grow: a restart (another boot id from /status, or a counter that fell) counts the new value whole, and a daemon that was silent for a while is counted at its next sample, so that nothing is counted twice. A window that the samples don't reach, or stretch by more than a quarter, has no figure and says why.

Ruled out: figures for objectives of a class of accounts. The counters have no class; showing those of the whole service would look like a measurement.

--- /dev/null
+++ b/crates/cli/src/burn.rs
@@ -0,0 +1,196 @@
+//! `burn`: how fast services use up their error budgets.
+//!
+//! Daemons only count, so a rate needs two looks. Each run adds a sample of
+//! the counters to a file and computes every window from the samples in it;
+//! a window that they do not cover has no figure.
+//!
+//! | module | what it holds |
+//! |---|---|
+//! | `scrape` | counters of a daemon |
+//! | `samples` | the file of samples |
+//! | `series` | samples as sums that only grow |
+//! | `window` | lengths of time as operators write them |
+//! | `report` | the figures |
+//! | `text` | the figures as tables |
+//! | `html` | the figures as one page |
+//! | `plot` | plots of that page |
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use anyhow::{Context as _, ensure};
+use chestnutreach_config::Manifest;
+use clap::{Arg, ArgGroup, ArgMatches, Command, value_parser};
+
+use crate::{args, daemons, exit::Exit, output, source};
+
+mod html;
+mod plot;
+mod report;
+mod samples;
+mod scrape;
+mod series;
+mod text;
+mod window;
+
+use report::{Report, Unreached};
+use samples::{Sample, Samples};
+use series::Series;
+use window::Window;
+
+pub(crate) const NAME: &str = "burn";
+const OPS: &str = "ops";
+const MANIFEST: &str = "manifest";
+const WINDOWS: &str = "windows";
+const SAMPLES: &str = "samples";
+const HTML: &str = "html";
+/// Short windows show a fast burn, long ones a slow one.
+const DEFAULT_WINDOWS: &str = "5m,30m,1h,6h";
+
+/// Its arguments.
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Reports how fast services use up their error budgets")
+        .arg(
+            args::addresses(OPS, "Operators' addresses of the entries")
+                .required(false),
+        )
+        .arg(
+            args::path(MANIFEST, "Manifest with the objectives")
+                .long(MANIFEST)
+                .required(true),
+        )
+        .arg(
+            Arg::new(WINDOWS)
+                .long(WINDOWS)
+                .value_name("LENGTHS")
+                .value_delimiter(',')
+                .value_parser(value_parser!(Window))
+                .default_value(DEFAULT_WINDOWS)
+                .help("Lengths of time to look back"),
+        )
+        .arg(
+            args::path(SAMPLES, "Samples of earlier runs; this one is added")
+                .long(SAMPLES),
+        )
+        .group(
+            ArgGroup::new("counters")
+                .args([OPS, SAMPLES])
+                .multiple(true)
+                .required(true),
+        )
+        .arg(args::path(HTML, "Write a page here too").long(HTML))
+        .arg(args::timeout(daemons::TIMEOUT_MS))
+        .arg(args::json())
+        .after_help(
+            "Without --ops, no sample is taken and the windows end at the \
+             last one of the file. Only one run at a time may write a file \
+             of samples.",
+        )
+}
+
+/// Takes a sample and reports.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let manifest: &PathBuf = args::required(matches, MANIFEST);
+    let manifest = match source::load(manifest) {
+        Ok(manifest) => manifest,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return Ok(Exit::Findings);
+        }
+    };
+    let windows: Vec<Window> =
+        matches.get_many(WINDOWS).into_iter().flatten().copied().collect();
+    let path = matches.get_one::<PathBuf>(SAMPLES);
+    let mut samples = match path {
+        Some(path) => Samples::load(path)?,
+        None => Samples::default(),
+    };
+    let addresses = args::addresses_of(matches, OPS);
+    let mut unreached = Vec::new();
+    if !addresses.is_empty() {
+        let timeout = args::timeout_of(matches);
+        let sample = take(&addresses, timeout, &mut unreached)?;
+        samples.push(sample, &windows)?;
+    }
+    ensure!(!samples.is_empty(), "there is no sample to report from");
+    if let (Some(path), false) = (path, addresses.is_empty()) {
+        samples.save(path)?;
+    }
+    let report = make(&manifest, &samples, &windows, unreached);
+    print(matches, &report, &samples)?;
+    let is_whole = report.unreached.is_empty();
+    Ok(if is_whole { Exit::Done } else { Exit::Lagging })
+}
+
+/// A sample of all daemons that answer; at least one must.
+fn take(
+    addresses: &[SocketAddr],
+    timeout: Duration,
+    unreached: &mut Vec<Unreached>,
+) -> anyhow::Result<Sample> {
+    let at_unix_ms = now_unix_ms()?;
+    let scrape = |address| scrape::scrape(address, timeout);
+    let answers = async_io::block_on(daemons::ask_all(addresses, scrape));
+    let mut sample = Sample { at_unix_ms, ..Sample::default() };
+    for (address, answer) in addresses.iter().zip(answers) {
+        match answer {
+            Ok(daemon) => {
+                sample.daemons.insert(*address, daemon);
+            }
+            Err(e) => {
+                let (address, error) = (*address, format!("{e:#}"));
+                unreached.push(Unreached { address, error });
+            }
+        }
+    }
+    if let (true, Some(first)) = (sample.daemons.is_empty(), unreached.first())
+    {
+        anyhow::bail!("no daemon gave its counters; {first}");
+    }
+    Ok(sample)
+}
+
+fn make(
+    manifest: &Manifest,
+    samples: &Samples,
+    windows: &[Window],
+    unreached: Vec<Unreached>,
+) -> Report {
+    let series = Series::new(samples);
+    Report::new(manifest, &series, windows).unreached(unreached)
+}
+
+fn print(
+    matches: &ArgMatches,
+    report: &Report,
+    samples: &Samples,
+) -> anyhow::Result<()> {
+    if let Some(path) = matches.get_one::<PathBuf>(HTML) {
+        write_page(path, report, &Series::new(samples))?;
+    }
+    match args::is_json(matches) {
+        true => output::print_json(report),
+        false => output::print_text(&text::text(report)),
+    }
+}
+
+fn write_page(
+    path: &Path,
+    report: &Report,
+    series: &Series,
+) -> anyhow::Result<()> {
+    let page = html::page(report, series);
+    fs::write(path, page)
+        .with_context(|| format!("cannot write {}", path.display()))
+}
+
+fn now_unix_ms() -> anyhow::Result<u64> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let since = since.context("the clock is before 1970")?;
+    Ok(since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/cli/src/burn/report.rs
@@ -0,0 +1,235 @@
+//! The figures.
+//!
+//! A request is good when its answer was whole and its first token came in
+//! time; one that was wrong itself counts nowhere. The burn rate is the share
+//! of bad requests over the share that the objective allows: at 1 the budget
+//! lasts just as long as the objective's period.
+//!
+//! Daemons count by service. What a class of accounts got is not counted
+//! apart, so an objective of a class is listed without figures rather than
+//! with those of the whole service.
+
+use std::{collections::BTreeSet, fmt, net::SocketAddr};
+
+use chestnutreach_config::{Manifest, manifest::Objective};
+use serde::Serialize;
+
+use super::{
+    series::{Growth, Series},
+    window::Window,
+};
+
+const PARTS: u32 = 10_000;
+/// Why an objective of a class has no figures.
+pub(super) const CLASS_NOTE: &str =
+    "not measured: daemons count by service, not by class of account";
+
+/// Burn of every service.
+#[derive(Debug, Serialize)]
+pub(super) struct Report {
+    /// Time of the newest sample.
+    pub(super) at_unix_ms: u64,
+    pub(super) samples: usize,
+    /// From the first sample to the newest.
+    pub(super) span_ms: u64,
+    /// Restarts of daemons between samples.
+    pub(super) restarts: usize,
+    pub(super) unreached: Vec<Unreached>,
+    pub(super) services: Vec<ServiceReport>,
+    pub(super) classes: Vec<ClassReport>,
+    /// Counted by daemons, and not in the manifest.
+    pub(super) services_without_objective: Vec<String>,
+}
+
+/// A daemon without a place in the newest sample.
+#[derive(Debug, Serialize)]
+pub(super) struct Unreached {
+    pub(super) address: SocketAddr,
+    pub(super) error: String,
+}
+
+impl fmt::Display for Unreached {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} was not sampled: {}", self.address, self.error)
+    }
+}
+
+/// Burn of one service.
+#[derive(Debug, Serialize)]
+pub(super) struct ServiceReport {
+    pub(super) service: String,
+    pub(super) objective_per_10000: u32,
+    pub(super) first_token_objective_ms: u64,
+    pub(super) windows: Vec<WindowReport>,
+    /// Outcomes in the longest covered window.
+    pub(super) outcomes: Vec<OutcomeReport>,
+}
+
+/// Burn in one window.
+#[derive(Debug, Serialize)]
+pub(super) struct WindowReport {
+    pub(super) window: String,
+    /// Why there are no figures.
+    pub(super) not_covered: Option<String>,
+    pub(super) figures: Option<Figures>,
+}
+
+/// What happened in a window.
+#[derive(Debug, Serialize)]
+pub(super) struct Figures {
+    /// Time between the two samples.
+    pub(super) span_ms: u64,
+    pub(super) requests: u64,
+    pub(super) bad: u64,
+    /// Bad requests that the objective allows.
+    pub(super) allowed_bad: f64,
+    /// None without requests.
+    pub(super) good_percent: Option<f64>,
+    /// None where the objective leaves no budget and some were bad.
+    pub(super) burn_rate: Option<f64>,
+}
+
+/// Requests with one outcome.
+#[derive(Debug, Serialize)]
+pub(super) struct OutcomeReport {
+    pub(super) window: String,
+    pub(super) outcome: String,
+    pub(super) reason: String,
+    pub(super) requests: u64,
+}
+
+/// Objective of a class of accounts.
+#[derive(Debug, Serialize)]
+pub(super) struct ClassReport {
+    pub(super) service: String,
+    pub(super) class: String,
+    pub(super) objective_per_10000: u32,
+    pub(super) first_token_objective_ms: u64,
+    pub(super) note: &'static str,
+}
+
+impl Report {
+    /// The figures of every service of a manifest.
+    pub(super) fn new(
+        manifest: &Manifest,
+        series: &Series,
+        windows: &[Window],
+    ) -> Report {
+        let services = manifest.services.iter();
+        let services = services.map(|(name, service)| {
+            service_report(name, service.objective(), series, windows)
+        });
+        let known: BTreeSet<&str> =
+            manifest.services.keys().map(String::as_str).collect();
+        let unknown = series.services().filter(|s| !known.contains(s));
+        Report {
+            at_unix_ms: series.last().at_unix_ms,
+            samples: series.points().len(),
+            span_ms: series.span_ms(),
+            restarts: series.restarts(),
+            unreached: Vec::new(),
+            services: services.collect(),
+            classes: class_reports(manifest),
+            services_without_objective: unknown.map(str::to_owned).collect(),
+        }
+    }
+
+    /// Names the daemons that gave no counters.
+    pub(super) fn unreached(mut self, unreached: Vec<Unreached>) -> Report {
+        self.unreached = unreached;
+        self
+    }
+}
+
+impl ServiceReport {
+    /// Share of bad requests that the objective allows.
+    pub(super) fn budget(&self) -> f64 {
+        budget(self.objective_per_10000)
+    }
+}
+
+fn service_report(
+    name: &str,
+    objective: Objective,
+    series: &Series,
+    windows: &[Window],
+) -> ServiceReport {
+    let Objective { objective_per_10000, first_token_objective_ms } =
+        objective;
+    let growths: Vec<(Window, Result<Growth, String>)> = windows
+        .iter()
+        .map(|window| (*window, series.window(name, *window)))
+        .collect();
+    let longest = growths
+        .iter()
+        .filter_map(|(window, growth)| Some((window, growth.as_ref().ok()?)))
+        .max_by_key(|(window, _)| window.length_ms());
+    let outcomes = longest.map(|(window, growth)| outcomes(*window, growth));
+    let windows = growths.iter().map(|(window, growth)| WindowReport {
+        window: window.to_string(),
+        not_covered: growth.as_ref().err().cloned(),
+        figures: growth.as_ref().ok().map(|g| figures(g, objective)),
+    });
+    ServiceReport {
+        service: name.to_owned(),
+        objective_per_10000,
+        first_token_objective_ms,
+        windows: windows.collect(),
+        outcomes: outcomes.unwrap_or_default(),
+    }
+}
+
+fn outcomes(window: Window, growth: &Growth) -> Vec<OutcomeReport> {
+    let outcomes = growth.counts.iter();
+    let report =
+        |(outcome, reason, requests): (&str, &str, u64)| OutcomeReport {
+            window: window.to_string(),
+            outcome: outcome.to_owned(),
+            reason: reason.to_owned(),
+            requests,
+        };
+    outcomes.map(report).collect()
+}
+
+fn figures(growth: &Growth, objective: Objective) -> Figures {
+    let budget = budget(objective.objective_per_10000);
+    let (requests, bad) = (growth.requests(), growth.bad());
+    let bad_share = growth.bad_share();
+    Figures {
+        span_ms: growth.span_ms,
+        requests,
+        bad,
+        allowed_bad: requests as f64 * budget,
+        good_percent: bad_share.map(|share| 100.0 * (1.0 - share)),
+        burn_rate: burn_rate(bad_share.unwrap_or(0.0), budget),
+    }
+}
+
+/// How fast a share of bad requests uses up a budget; none where there is no
+/// budget to use up.
+pub(super) fn burn_rate(bad_share: f64, budget: f64) -> Option<f64> {
+    match (bad_share > 0.0, budget > 0.0) {
+        (false, _) => Some(0.0),
+        (true, true) => Some(bad_share / budget),
+        (true, false) => None,
+    }
+}
+
+fn budget(objective_per_10000: u32) -> f64 {
+    f64::from(PARTS - objective_per_10000) / f64::from(PARTS)
+}
+
+fn class_reports(manifest: &Manifest) -> Vec<ClassReport> {
+    let objectives = manifest.objectives.iter();
+    let report =
+        |((service, class), objective): (&(String, String), &Objective)| {
+            ClassReport {
+                service: service.clone(),
+                class: class.clone(),
+                objective_per_10000: objective.objective_per_10000,
+                first_token_objective_ms: objective.first_token_objective_ms,
+                note: CLASS_NOTE,
+            }
+        };
+    objectives.map(report).collect()
+}
--- /dev/null
+++ b/crates/cli/src/burn/samples.rs
@@ -0,0 +1,162 @@
+//! The file of samples.
+//!
+//! It is replaced as a whole by a rename, so that a run that dies leaves the
+//! old one. A file that cannot be read is never overwritten.
+
+use std::{
+    collections::BTreeMap,
+    fs, io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use anyhow::{Context as _, ensure};
+use serde::{Deserialize, Serialize};
+
+use super::window::Window;
+
+/// Form of the file.
+const VERSION: u32 = 1;
+/// Samples are kept for at least this time.
+const MIN_KEPT_MS: u64 = 3 * 24 * 60 * 60 * 1_000;
+/// Reason of requests that were wrong themselves; they count nowhere.
+const BAD_REQUEST: &str = "bad_request";
+
+/// Samples, oldest first.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Samples {
+    version: u32,
+    samples: Vec<Sample>,
+}
+
+/// The counters of the daemons that answered.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub(super) struct Sample {
+    pub(super) at_unix_ms: u64,
+    pub(super) daemons: BTreeMap<SocketAddr, DaemonSample>,
+}
+
+/// The counters of one daemon.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub(super) struct DaemonSample {
+    pub(super) vm: String,
+    pub(super) boot_id: u64,
+    pub(super) services: BTreeMap<String, ServiceCounts>,
+}
+
+/// The counters of one service.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct ServiceCounts {
+    /// Answered whole and within the target of the service.
+    pub(super) within_target: u64,
+    /// Requests by outcome and reason.
+    pub(super) outcomes: BTreeMap<String, BTreeMap<String, u64>>,
+}
+
+impl ServiceCounts {
+    /// Counts requests with an outcome.
+    pub(super) fn add(&mut self, outcome: &str, reason: &str, count: u64) {
+        let reasons = self.outcomes.entry(outcome.to_owned()).or_default();
+        *reasons.entry(reason.to_owned()).or_default() += count;
+    }
+
+    /// Requests by outcome and reason.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&str, &str, u64)> {
+        self.outcomes.iter().flat_map(|(outcome, reasons)| {
+            let reasons = reasons.iter();
+            reasons.map(|(r, count)| (outcome.as_str(), r.as_str(), *count))
+        })
+    }
+
+    /// Requests that count towards the objective.
+    pub(super) fn requests(&self) -> u64 {
+        let counted = self.iter().filter(|(_, r, _)| *r != BAD_REQUEST);
+        counted.map(|(_, _, count)| count).sum()
+    }
+
+    /// Requests with an outcome and reason.
+    pub(super) fn count(&self, outcome: &str, reason: &str) -> u64 {
+        let reasons = self.outcomes.get(outcome);
+        reasons.and_then(|r| r.get(reason)).copied().unwrap_or(0)
+    }
+}
+
+impl Default for Samples {
+    fn default() -> Samples {
+        Samples { version: VERSION, samples: Vec::new() }
+    }
+}
+
+impl Samples {
+    /// The samples of a file; none when there is no file yet.
+    pub(super) fn load(path: &Path) -> anyhow::Result<Samples> {
+        let text = match fs::read_to_string(path) {
+            Ok(text) => text,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => {
+                return Ok(Samples::default());
+            }
+            Err(e) => return Err(e).with_context(|| unreadable(path)),
+        };
+        let samples: Samples =
+            serde_json::from_str(&text).with_context(|| unreadable(path))?;
+        let version = samples.version;
+        ensure!(
+            version == VERSION,
+            "{}: form {version} is not known; this tool knows {VERSION}",
+            path.display(),
+        );
+        let times = samples.samples.iter().map(|sample| sample.at_unix_ms);
+        ensure!(
+            times.is_sorted(),
+            "{}: the samples are not in the order of their times",
+            path.display(),
+        );
+        Ok(samples)
+    }
+
+    /// Replaces the file.
+    pub(super) fn save(&self, path: &Path) -> anyhow::Result<()> {
+        let unwritten = || format!("cannot write {}", path.display());
+        let mut name = path.as_os_str().to_owned();
+        name.push(".new");
+        let new = PathBuf::from(name);
+        let text = serde_json::to_string(self)?;
+        fs::write(&new, text).with_context(unwritten)?;
+        fs::rename(&new, path).with_context(unwritten)
+    }
+
+    /// Adds the newest and forgets those that no window needs.
+    pub(super) fn push(
+        &mut self,
+        sample: Sample,
+        windows: &[Window],
+    ) -> anyhow::Result<()> {
+        let last = self.samples.last().map_or(0, |s| s.at_unix_ms);
+        let now = sample.at_unix_ms;
+        ensure!(
+            now > last,
+            "the last sample is of {last} ms since 1970 and it is {now} ms \
+             now; the clock went back",
+        );
+        let longest = windows.iter().map(|w| w.length_ms()).max();
+        let kept_ms = longest.unwrap_or(0).saturating_mul(2).max(MIN_KEPT_MS);
+        self.samples.retain(|s| s.at_unix_ms + kept_ms >= now);
+        self.samples.push(sample);
+        Ok(())
+    }
+
+    /// Whether there is none.
+    pub(super) fn is_empty(&self) -> bool {
+        self.samples.is_empty()
+    }
+
+    /// Oldest first.
+    pub(super) fn iter(&self) -> std::slice::Iter<'_, Sample> {
+        self.samples.iter()
+    }
+}
+
+fn unreadable(path: &Path) -> String {
+    format!("the samples in {} cannot be read", path.display())
+}
--- /dev/null
+++ b/crates/cli/src/burn/scrape.rs
@@ -0,0 +1,131 @@
+//! Counters of a daemon, from its operators' port.
+//!
+//! `/status` tells the boot id, so that a restart is seen even when the new
+//! process has counted further than the old one.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use anyhow::{Context as _, anyhow, ensure};
+use chestnutreach_http::{Client, ClientOptions};
+use http_types::{Method, Request};
+use serde::Deserialize;
+
+use super::samples::{DaemonSample, ServiceCounts};
+
+const REQUESTS: &str = "chestnutreach_requests_total";
+const WITHIN_TARGET: &str = "chestnutreach_requests_within_target_total";
+const SERVICE: &str = "service";
+const OUTCOME: &str = "outcome";
+const REASON: &str = "reason";
+
+/// What matters of `/status`.
+#[derive(Deserialize)]
+struct Status {
+    vm: String,
+    boot_id: u64,
+}
+
+/// The counters of a daemon at this moment.
+pub(super) async fn scrape(
+    address: SocketAddr,
+    timeout: Duration,
+) -> anyhow::Result<DaemonSample> {
+    let status = fetch(address, "/status", timeout).await?;
+    let status: Status = serde_json::from_str(&status)
+        .with_context(|| format!("{address} tells no status"))?;
+    let metrics = fetch(address, "/metrics", timeout).await?;
+    let services = services(&metrics)
+        .with_context(|| format!("the metrics of {address}"))?;
+    Ok(DaemonSample { vm: status.vm, boot_id: status.boot_id, services })
+}
+
+async fn fetch(
+    address: SocketAddr,
+    target: &str,
+    timeout: Duration,
+) -> anyhow::Result<String> {
+    let options = ClientOptions::new().connect_timeout(timeout);
+    let client = Client::new(address, options);
+    let url = client.url(target)?;
+    let request = Request::new(Method::Get, url);
+    // The error's text names its cause already.
+    let (response, body) = client
+        .send(request, timeout)
+        .await
+        .map_err(|e| anyhow!(e.to_string()))?;
+    let status = response.status();
+    ensure!(status.is_success(), "{address} answers {target} with {status}");
+    Ok(String::from_utf8(body)?)
+}
+
+fn services(metrics: &str) -> anyhow::Result<BTreeMap<String, ServiceCounts>> {
+    let mut services: BTreeMap<String, ServiceCounts> = BTreeMap::new();
+    for line in metrics.lines() {
+        let Some(series) = Series::try_parse(line)? else {
+            continue;
+        };
+        let label =
+            |name: &str| series.labels.get(name).cloned().unwrap_or_default();
+        let counts = services.entry(label(SERVICE)).or_default();
+        match series.name {
+            WITHIN_TARGET => counts.within_target += series.value,
+            _ => counts.add(&label(OUTCOME), &label(REASON), series.value),
+        }
+    }
+    Ok(services)
+}
+
+/// One line of the text format.
+struct Series<'a> {
+    name: &'a str,
+    labels: BTreeMap<String, String>,
+    value: u64,
+}
+
+impl Series<'_> {
+    /// None for a line that is not one of the two counters.
+    fn try_parse(line: &str) -> anyhow::Result<Option<Series<'_>>> {
+        let Some((name, rest)) = line.split_once('{') else {
+            return Ok(None);
+        };
+        if name != REQUESTS && name != WITHIN_TARGET {
+            return Ok(None);
+        }
+        let wrong = || format!("{line:?} is no series");
+        let (labels, value) = labels(rest).with_context(wrong)?;
+        let value: f64 = value.trim().parse().with_context(wrong)?;
+        Ok(Some(Series { name, labels, value: value as u64 }))
+    }
+}
+
+/// Labels up to the closing brace, and what follows it.
+fn labels(mut rest: &str) -> Option<(BTreeMap<String, String>, &str)> {
+    let mut labels = BTreeMap::new();
+    loop {
+        rest = rest.trim_start_matches(',');
+        if let Some(value) = rest.strip_prefix('}') {
+            return Some((labels, value));
+        }
+        let (name, quoted) = rest.split_once("=\"")?;
+        let (value, after) = unquoted(quoted)?;
+        labels.insert(name.to_owned(), value);
+        rest = after;
+    }
+}
+
+/// A value up to its closing quote, and what follows it.
+fn unquoted(quoted: &str) -> Option<(String, &str)> {
+    let mut value = String::new();
+    let mut characters = quoted.char_indices();
+    while let Some((at, character)) = characters.next() {
+        match character {
+            '"' => return Some((value, &quoted[at + 1..])),
+            '\\' => match characters.next()?.1 {
+                'n' => value.push('\n'),
+                escaped => value.push(escaped),
+            },
+            plain => value.push(plain),
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/cli/src/burn/series.rs
@@ -0,0 +1,197 @@
+//! Samples as sums that only grow.
+//!
+//! Counters begin at 0 again when a daemon restarts. Here each sample becomes
+//! the sum of all growth since the first one, over all daemons; a window is
+//! then the difference of two sums.
+//!
+//! | case | what counts |
+//! |---|---|
+//! | the same process as before | the difference |
+//! | another boot id, or a counter that fell | the new value whole |
+//! | a daemon not reached for a while | all of it at its next sample |
+//! | an address seen first | nothing: when it counted is not known |
+//!
+//! What a daemon counted between its last sample and its end is lost.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use super::{
+    samples::{DaemonSample, Samples, ServiceCounts},
+    window::{Window, length},
+};
+
+/// A window may be longer than asked for by this part, since samples are not
+/// taken at its very start.
+const MAX_STRETCH: f64 = 1.25;
+
+/// Growth since the first sample.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Point {
+    pub(super) at_unix_ms: u64,
+    services: BTreeMap<String, ServiceCounts>,
+}
+
+/// Sums at each sample.
+#[derive(Debug)]
+pub(super) struct Series {
+    points: Vec<Point>,
+    restarts: usize,
+}
+
+/// Growth of one service between two samples.
+#[derive(Debug)]
+pub(super) struct Growth {
+    pub(super) span_ms: u64,
+    pub(super) counts: ServiceCounts,
+}
+
+impl Growth {
+    /// Requests that count towards the objective.
+    pub(super) fn requests(&self) -> u64 {
+        self.counts.requests()
+    }
+
+    /// Those that missed it. Counters of one scrape may be a request apart.
+    pub(super) fn bad(&self) -> u64 {
+        self.requests().saturating_sub(self.counts.within_target)
+    }
+
+    /// Share that missed it; none without requests.
+    pub(super) fn bad_share(&self) -> Option<f64> {
+        let requests = self.requests();
+        (requests > 0).then(|| self.bad() as f64 / requests as f64)
+    }
+}
+
+impl Series {
+    /// Sums over samples.
+    pub(super) fn new(samples: &Samples) -> Series {
+        let mut seen: BTreeMap<SocketAddr, &DaemonSample> = BTreeMap::new();
+        let mut sum = Point::default();
+        let mut series = Series { points: Vec::new(), restarts: 0 };
+        for sample in samples.iter() {
+            sum.at_unix_ms = sample.at_unix_ms;
+            for (address, daemon) in &sample.daemons {
+                if let Some(old) = seen.insert(*address, daemon) {
+                    let is_restart = is_restart(old, daemon);
+                    series.restarts += usize::from(is_restart);
+                    sum.grow(
+                        if is_restart { None } else { Some(old) },
+                        daemon,
+                    );
+                }
+            }
+            series.points.push(sum.clone());
+        }
+        series
+    }
+
+    /// Restarts of daemons between samples.
+    pub(super) fn restarts(&self) -> usize {
+        self.restarts
+    }
+
+    /// Sums, oldest first.
+    pub(super) fn points(&self) -> &[Point] {
+        &self.points
+    }
+
+    /// Time from the first sample to the last.
+    pub(super) fn span_ms(&self) -> u64 {
+        self.last().at_unix_ms - self.points[0].at_unix_ms
+    }
+
+    /// The newest sum; there is always one.
+    pub(super) fn last(&self) -> &Point {
+        self.points.last().expect("a report needs a sample")
+    }
+
+    /// Services that have been counted.
+    pub(super) fn services(&self) -> impl Iterator<Item = &str> {
+        self.last().services.keys().map(String::as_str)
+    }
+
+    /// Growth of a service in a window that ends at the last sample.
+    ///
+    /// # Errors
+    ///
+    /// Why the samples don't cover it.
+    pub(super) fn window(
+        &self,
+        service: &str,
+        window: Window,
+    ) -> Result<Growth, String> {
+        let last = self.last();
+        let start = last.at_unix_ms.checked_sub(window.length_ms());
+        let before = self
+            .points
+            .iter()
+            .rev()
+            .find(|p| start.is_some_and(|start| p.at_unix_ms <= start));
+        let Some(before) = before else {
+            let reach = length(self.span_ms());
+            return Err(format!("samples reach back {reach}"));
+        };
+        let growth = last.since(before, service);
+        if growth.span_ms as f64 > window.length_ms() as f64 * MAX_STRETCH {
+            let span = length(growth.span_ms);
+            return Err(format!("samples are too far apart: {span}"));
+        }
+        Ok(growth)
+    }
+
+    /// Growth of a service from each sample to the next, with the time of
+    /// the later one.
+    pub(super) fn steps<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (u64, Growth)> + 'a {
+        let pairs = self.points.windows(2);
+        pairs
+            .map(|pair| (pair[1].at_unix_ms, pair[1].since(&pair[0], service)))
+    }
+}
+
+impl Point {
+    fn grow(&mut self, old: Option<&DaemonSample>, new: &DaemonSample) {
+        let none = ServiceCounts::default();
+        for (name, counts) in &new.services {
+            let old = old.and_then(|o| o.services.get(name)).unwrap_or(&none);
+            let sum = self.services.entry(name.clone()).or_default();
+            sum.within_target += counts.within_target - old.within_target;
+            for (outcome, reason, count) in counts.iter() {
+                let grown = count - old.count(outcome, reason);
+                sum.add(outcome, reason, grown);
+            }
+        }
+    }
+
+    fn since(&self, before: &Point, service: &str) -> Growth {
+        let none = ServiceCounts::default();
+        let old = before.services.get(service).unwrap_or(&none);
+        let new = self.services.get(service).unwrap_or(&none);
+        let mut counts = ServiceCounts {
+            within_target: new.within_target - old.within_target,
+            ..ServiceCounts::default()
+        };
+        for (outcome, reason, count) in new.iter() {
+            let grown = count - old.count(outcome, reason);
+            if grown > 0 {
+                counts.add(outcome, reason, grown);
+            }
+        }
+        Growth { span_ms: self.at_unix_ms - before.at_unix_ms, counts }
+    }
+}
+
+/// Whether the counters began anew; one that is gone has fallen too.
+fn is_restart(old: &DaemonSample, new: &DaemonSample) -> bool {
+    let none = ServiceCounts::default();
+    let has_fallen = old.services.iter().any(|(name, old)| {
+        let new = new.services.get(name).unwrap_or(&none);
+        let mut outcomes = old.iter();
+        new.within_target < old.within_target
+            || outcomes.any(|(o, r, count)| new.count(o, r) < count)
+    });
+    old.boot_id != new.boot_id || old.vm != new.vm || has_fallen
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -10,6 +10,7 @@
 //! | `show` | the state of each daemon |
 //! | `drain` | taking daemons and backend servers out of service |
 //! | `explain` | why a chain is chosen |
+//! | `burn` | how fast services use up their error budgets |
 //! | `args` | arguments that several subcommands take |
 //! | `daemons` | calls to the control ports of daemons |
 //! | `exit` | what the process says when it ends |
@@ -18,6 +19,7 @@
 
 mod apply;
 mod args;
+mod burn;
 mod check;
 mod daemons;
 mod drain;
@@ -56,6 +58,7 @@
             show::command(),
             drain::command(),
             explain::command(),
+            burn::command(),
         ])
         .after_help(exit::help())
 }
@@ -67,6 +70,7 @@
         Some((show::NAME, matches)) => show::run(matches),
         Some((drain::NAME, matches)) => drain::run(matches),
         Some((explain::NAME, matches)) => explain::run(matches),
+        Some((burn::NAME, matches)) => burn::run(matches),
         _ => unreachable!("clap asks for a known subcommand"),
     }
 }
--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,7 @@
+//! The built tool against stand-ins of the platform and of daemons.
+
+mod apply;
+mod burn;
+mod check;
+mod control;
+mod support;
