Find the ends of bodies ourselves and answer every broken request

- a chunked request whose stream ended before the final empty line, or with an empty size line, was taken as whole and run;
- trailers that arrived in parts hung until the read timeout, and a request pipelined after a chunked one was answered 400 (`async-h1`'s decoder);
- a header value that is not ASCII made `http-types` panic, on both sides;
- a head with bare line feeds hid a second request;
- a host with "/" or "?" changed the path, an empty one took the path for the host;
- a streamed answer that broke left its caller waiting for as long as any task held the connection;
- an answer with `connection: close` was lost to a reset when the caller had sent more;
- a hang-up after a pipelined request went unnoticed;
- the client took an answer without a stated length for an empty whole one, the last of two lengths, and a 1xx answer for the final one; waited for the body of a HEAD answer; kept a connection with unasked bytes or "connection: x, close"; and joined "//name" as another server.

Bodies are now read by length or by `httparse`'s chunk sizes in one place for both sides; `async-h1` reads the heads and writes. `rustix`, already in the tree under async-io, tells the end of a connection behind unread bytes; reading ahead instead was ruled out, as two readers of one socket would have to agree on the order.

A call whose time ends while dialling is now `NotSent`. The test for that shows it only where the system does not refuse the address at once.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,9 +1,10 @@
 //! Calls to one server over kept connections.
 //!
-//! An answer is whole only when its length matches what the server stated;
-//! `async-h1` alone takes a shorter one without an error. An error says
-//! whether the server may have got the request, which decides whether a
-//! non-idempotent call may be made again.
+//! An answer is whole only when it ends as the server stated, by its length
+//! or its last chunk; `async-h1` alone takes a shorter one without an error.
+//! An answer that only the closed connection would end is never whole. An
+//! error says whether the server may have got the request, which decides
+//! whether a non-idempotent call may be made again.
 
 use std::{
     error, fmt, io,
@@ -12,14 +13,21 @@
     time::{Duration, Instant},
 };
 
+use async_h1::client::Encoder;
 use async_io::Timer;
-use futures_lite::{AsyncReadExt as _, FutureExt as _};
-use http_types::{Request, Response};
+use futures_lite::FutureExt as _;
+use http_types::{Method, Request, Response};
 
-use crate::stream::SharedStream;
+use crate::{
+    head::{self, AnswerFacts, BodyFraming},
+    message::{MessageError, MessageReader},
+    stream::SharedStream,
+};
 
 /// Idle connections kept to one server.
 const MAX_IDLE: usize = 64;
+/// Statuses below it are interim answers.
+const FIRST_FINAL_STATUS: u16 = 200;
 
 /// Why a call has no answer.
 #[derive(Debug)]
@@ -164,9 +172,14 @@
         request: Request,
         timeout: Duration,
     ) -> Result<(Response, Vec<u8>), ClientError> {
-        let call = self.send_untimed(request);
+        let deadline = Instant::now() + timeout;
+        let stream = match self.take_idle() {
+            Some(stream) => stream,
+            None => self.dial(timeout).await?,
+        };
+        let call = self.exchange(stream, request);
         let limit = async {
-            Timer::after(timeout).await;
+            Timer::at(deadline).await;
             let limit_ms = timeout.as_millis() as u64;
             Err(ClientError::Timeout { address: self.address, limit_ms })
         };
@@ -182,57 +195,77 @@
         url::parse(self.address, target)
     }
 
-    async fn send_untimed(
+    async fn exchange(
         &self,
+        mut stream: SharedStream,
         request: Request,
     ) -> Result<(Response, Vec<u8>), ClientError> {
-        let stream = match self.take_idle() {
-            Some(stream) => stream,
-            None => self.dial().await?,
-        };
-        let mut response = async_h1::connect(stream.clone(), request)
+        let method = request.method();
+        futures_lite::io::copy(Encoder::new(request), &mut stream)
             .await
             .map_err(|e| self.lost(&e.to_string()))?;
-        let body = self.read_body(&mut response).await?;
-        let is_last = response
-            .header("connection")
-            .is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
-        if !is_last {
+        let mut reader = MessageReader::new(stream.clone());
+        let (head, facts) = self.read_head(&mut reader).await?;
+        let body = self.read_body(&mut reader, method, &facts).await?;
+        let head = futures_lite::io::Cursor::new(head);
+        let mut response = async_h1::client::decode(head)
+            .await
+            .map_err(|e| self.lost(&e.to_string()))?;
+        response.take_body();
+        // Bytes that nobody asked for could pass for the next answer.
+        if !facts.is_last && !reader.has_unread() {
             self.keep(stream);
         }
         Ok((response, body))
     }
 
+    /// The head of the final answer; interim ones are passed over.
+    async fn read_head(
+        &self,
+        reader: &mut MessageReader,
+    ) -> Result<(Vec<u8>, AnswerFacts), ClientError> {
+        loop {
+            let head = reader.read_head().await;
+            let head = head.map_err(|e| self.broken(e))?;
+            let facts = head::check_answer(&head);
+            let facts = facts.map_err(|e| self.lost(&e.message))?;
+            if facts.status >= FIRST_FINAL_STATUS {
+                return Ok((head, facts));
+            }
+        }
+    }
+
     async fn read_body(
         &self,
-        response: &mut Response,
+        reader: &mut MessageReader,
+        method: Method,
+        facts: &AnswerFacts,
     ) -> Result<Vec<u8>, ClientError> {
-        let stated = response.len();
-        let limit_bytes = self.options.max_answer_bytes;
-        let mut body = Vec::with_capacity(stated.unwrap_or(0).min(1 << 20));
-        let reader = response.take_body();
-        let mut limited = reader.take(limit_bytes as u64 + 1);
-        limited
-            .read_to_end(&mut body)
-            .await
-            .map_err(|e| self.lost(&e.to_string()))?;
-        if body.len() > limit_bytes {
-            let address = self.address;
-            return Err(ClientError::TooLong { address, limit_bytes });
+        if method == Method::Head || matches!(facts.status, 204 | 304) {
+            return Ok(Vec::new());
         }
-        match stated {
-            Some(length) if length != body.len() => {
-                let detail = format!("{} of {length} bytes", body.len());
-                Err(self.lost(&detail))
+        let limit = self.options.max_answer_bytes;
+        let body = match facts.framing {
+            None => return Err(self.lost("the answer states no length")),
+            Some(BodyFraming::None) => Ok(Vec::new()),
+            Some(BodyFraming::Length(length)) if length > limit as u64 => {
+                Err(MessageError::BodyTooLong(limit))
             }
-            _ => Ok(body),
-        }
+            Some(BodyFraming::Length(length)) => {
+                reader.read_length(length as usize).await
+            }
+            Some(BodyFraming::Chunked) => reader.read_chunked(limit).await,
+        };
+        body.map_err(|e| self.broken(e))
     }
 
-    async fn dial(&self) -> Result<SharedStream, ClientError> {
+    async fn dial(
+        &self,
+        timeout: Duration,
+    ) -> Result<SharedStream, ClientError> {
         let dial = SharedStream::connect(self.address);
         let limit = async {
-            Timer::after(self.options.connect_timeout).await;
+            Timer::after(self.options.connect_timeout.min(timeout)).await;
             Err(io::ErrorKind::TimedOut.into())
         };
         dial.or(limit).await.map_err(|source| ClientError::NotSent {
@@ -260,6 +293,15 @@
         }
     }
 
+    fn broken(&self, e: MessageError) -> ClientError {
+        match e {
+            MessageError::BodyTooLong(limit_bytes) => {
+                ClientError::TooLong { address: self.address, limit_bytes }
+            }
+            _ => self.lost(&e.message()),
+        }
+    }
+
     fn lost(&self, detail: &str) -> ClientError {
         let detail = detail.to_owned();
         ClientError::Lost { address: self.address, detail }
@@ -279,6 +321,10 @@
         address: SocketAddr,
         target: &str,
     ) -> Result<Url, Error> {
-        Url::parse(&format!("http://{address}"))?.join(target)
+        if !target.starts_with('/') {
+            return Err(Error::RelativeUrlWithoutBase);
+        }
+        // Joining would take "//name" for another server.
+        Url::parse(&format!("http://{address}{target}"))
     }
 }
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -65,15 +65,7 @@
 pub fn check(head: &[u8]) -> Result<HeadFacts, RequestError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
-    match request.parse(head) {
-        Ok(status) if status.is_complete() => {}
-        Ok(_) => return Err(malformed("the head is not complete")),
-        Err(httparse::Error::TooManyHeaders) => {
-            let message = format!("more than {MAX_HEADERS} header lines");
-            return Err(RequestError::new(431, &message));
-        }
-        Err(e) => return Err(malformed(&e.to_string())),
-    }
+    check_parsed(request.parse(head), head)?;
     if request.version != Some(1) {
         let message = "only HTTP/1.1 is served here";
         return Err(RequestError::new(505, message));
@@ -82,7 +74,61 @@
     for header in request.headers.iter() {
         found.add(header)?;
     }
-    found.into_facts()
+    if found.host_count != 1 {
+        return Err(malformed("exactly one host header is needed"));
+    }
+    Ok(HeadFacts {
+        framing: found.framing()?.unwrap_or(BodyFraming::None),
+        expects_continue: found.expects_continue,
+        is_last: found.is_last,
+    })
+}
+
+/// What a well-formed head of an answer says of its body and connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct AnswerFacts {
+    pub(crate) status: u16,
+    /// None where only the end of the connection would end the body.
+    pub(crate) framing: Option<BodyFraming>,
+    pub(crate) is_last: bool,
+}
+
+/// Checks a whole head of an answer; the status of an error means nothing.
+pub(crate) fn check_answer(head: &[u8]) -> Result<AnswerFacts, RequestError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut answer = httparse::Response::new(&mut headers);
+    check_parsed(answer.parse(head), head)?;
+    let mut found = Found::default();
+    for header in answer.headers.iter() {
+        found.add(header)?;
+    }
+    Ok(AnswerFacts {
+        status: answer.code.unwrap_or_default(),
+        framing: found.framing()?,
+        is_last: found.is_last,
+    })
+}
+
+/// Whether a list of tokens, as in `Connection`, has this one.
+pub(crate) fn has_token(value: &str, token: &str) -> bool {
+    value.split(',').any(|part| part.trim().eq_ignore_ascii_case(token))
+}
+
+/// The head must end where the parser ends it: the parser also takes bare
+/// line feeds, and would leave what follows an empty line unread.
+fn check_parsed(
+    parsed: httparse::Result<usize>,
+    head: &[u8],
+) -> Result<(), RequestError> {
+    match parsed {
+        Ok(httparse::Status::Complete(read)) if read == head.len() => Ok(()),
+        Ok(_) => Err(malformed("the head is not complete")),
+        Err(httparse::Error::TooManyHeaders) => {
+            let message = format!("more than {MAX_HEADERS} header lines");
+            Err(RequestError::new(431, &message))
+        }
+        Err(e) => Err(malformed(&e.to_string())),
+    }
 }
 
 /// Overwrites the value of each `Expect` header by blanks. `async-h1` would
@@ -121,13 +167,17 @@
         &mut self,
         header: &httparse::Header<'_>,
     ) -> Result<(), RequestError> {
-        let value = std::str::from_utf8(header.value).map_err(|_| {
-            malformed(&format!("header {} is not UTF-8", header.name))
+        // `http-types` panics on a value that is not ASCII.
+        let value = std::str::from_utf8(header.value)
+            .ok()
+            .filter(|value| value.is_ascii());
+        let value = value.ok_or_else(|| {
+            malformed(&format!("header {} is not ASCII", header.name))
         })?;
         match header.name.to_ascii_lowercase().as_str() {
             "content-length" => self.add_length(value)?,
             "transfer-encoding" => self.add_coding(value)?,
-            "host" => self.host_count += 1,
+            "host" => self.add_host(value)?,
             "expect" => self.expects_continue = is_continue(value)?,
             "connection" => self.is_last |= has_token(value, "close"),
             _ => {}
@@ -135,6 +185,17 @@
         Ok(())
     }
 
+    /// `async-h1` makes a URL of the host and the path, in which some
+    /// characters of the host would count as path or query.
+    fn add_host(&mut self, value: &str) -> Result<(), RequestError> {
+        let is_delimiter = |c: char| "/?#@\\".contains(c);
+        if value.is_empty() || value.contains(is_delimiter) {
+            return Err(malformed(&format!("host {value:?} is no host")));
+        }
+        self.host_count += 1;
+        Ok(())
+    }
+
     fn add_length(&mut self, value: &str) -> Result<(), RequestError> {
         // `parse` alone would take a sign.
         let is_digits = value.bytes().all(|b| b.is_ascii_digit());
@@ -158,25 +219,16 @@
         Ok(())
     }
 
-    fn into_facts(self) -> Result<HeadFacts, RequestError> {
-        if self.host_count != 1 {
-            return Err(malformed("exactly one host header is needed"));
-        }
-        let framing = match (self.length, self.is_chunked) {
+    fn framing(&self) -> Result<Option<BodyFraming>, RequestError> {
+        match (self.length, self.is_chunked) {
             (Some(_), true) => {
-                return Err(malformed(
-                    "content-length and transfer-encoding together",
-                ));
+                Err(malformed("content-length and transfer-encoding together"))
             }
-            (None, true) => BodyFraming::Chunked,
-            (None, false) | (Some(0), false) => BodyFraming::None,
-            (Some(length), false) => BodyFraming::Length(length),
-        };
-        Ok(HeadFacts {
-            framing,
-            expects_continue: self.expects_continue,
-            is_last: self.is_last,
-        })
+            (None, true) => Ok(Some(BodyFraming::Chunked)),
+            (Some(0), false) => Ok(Some(BodyFraming::None)),
+            (Some(length), false) => Ok(Some(BodyFraming::Length(length))),
+            (None, false) => Ok(None),
+        }
     }
 }
 
@@ -188,10 +240,6 @@
     Err(RequestError::new(417, &message))
 }
 
-fn has_token(value: &str, token: &str) -> bool {
-    value.split(',').any(|part| part.trim().eq_ignore_ascii_case(token))
-}
-
 fn malformed(message: &str) -> RequestError {
     RequestError::new(400, message)
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,10 +1,10 @@
 //! HTTP/1.1 at the edges of a process, over `async-h1`.
 //!
-//! `async-h1` reads and writes the messages; this crate closes the gaps that
-//! were measured in it. A body shorter than its stated length is an error on
-//! both sides, conflicting lengths and malformed heads get an answer, a
-//! caller that hangs up is noticed while the handler works, and a streamed
-//! body that fails ends without the last chunk.
+//! `async-h1` reads heads and writes messages; this crate closes the gaps
+//! that were measured in it and finds the ends of bodies itself. A body that
+//! is cut short is an error on both sides, conflicting lengths and malformed
+//! heads get an answer, a caller that hangs up is noticed while the handler
+//! works, and a streamed body that fails ends without the last chunk.
 //!
 //! | module | what it holds |
 //! |---|---|
@@ -27,6 +27,7 @@
 pub mod body;
 pub mod client;
 pub mod head;
+mod message;
 pub mod server;
 pub mod stream;
 
--- /dev/null
+++ b/crates/http/src/message.rs
@@ -0,0 +1,228 @@
+//! Taking whole messages from a connection.
+//!
+//! The ends of bodies are found here and not by `async-h1`, whose decoder of
+//! chunks takes an empty size line for the last chunk and a connection that
+//! closes before the final empty line for the end of the body, and loses
+//! bytes that follow it.
+
+use std::io;
+
+use futures_lite::AsyncReadExt as _;
+
+use crate::{head::MAX_HEAD_BYTES, stream::SharedStream};
+
+/// Bytes read from a socket at once.
+pub(crate) const READ_BYTES: usize = 16 * 1024;
+/// Longest line that states the size of a chunk, with its extensions.
+const MAX_SIZE_LINE_BYTES: usize = 1024;
+/// Longest trailers; they are read and dropped.
+const MAX_TRAILER_BYTES: usize = MAX_HEAD_BYTES;
+/// Most bytes reserved for a body before any of it has arrived.
+const MAX_RESERVED_BYTES: usize = 1 << 20;
+
+/// Why no whole message was taken.
+#[derive(Debug)]
+pub(crate) enum MessageError {
+    /// The socket failed.
+    Io(io::Error),
+    /// The connection ended within the message.
+    CutShort(String),
+    /// The head is longer than [`MAX_HEAD_BYTES`].
+    HeadTooLong,
+    /// The body is longer than its limit, in bytes.
+    BodyTooLong(usize),
+    /// The chunks are malformed.
+    BadChunk,
+}
+
+impl From<io::Error> for MessageError {
+    fn from(e: io::Error) -> MessageError {
+        MessageError::Io(e)
+    }
+}
+
+impl MessageError {
+    /// What was wrong, for the other end or for logs.
+    pub(crate) fn message(&self) -> String {
+        match self {
+            MessageError::Io(e) => e.to_string(),
+            MessageError::CutShort(what) => what.clone(),
+            MessageError::HeadTooLong => {
+                format!("the head is longer than {MAX_HEAD_BYTES} bytes")
+            }
+            MessageError::BodyTooLong(limit) => {
+                format!("the body is longer than {limit} bytes")
+            }
+            MessageError::BadChunk => "the chunks are malformed".to_owned(),
+        }
+    }
+}
+
+/// Reads messages one after another; bytes of the next one are kept.
+pub(crate) struct MessageReader {
+    stream: SharedStream,
+    unread: Vec<u8>,
+    /// Bytes of `unread` that were taken.
+    taken: usize,
+    chunk: Vec<u8>,
+}
+
+impl MessageReader {
+    pub(crate) fn new(stream: SharedStream) -> MessageReader {
+        let chunk = vec![0; READ_BYTES];
+        MessageReader { stream, unread: Vec::new(), taken: 0, chunk }
+    }
+
+    /// Whether bytes have arrived that no message took.
+    pub(crate) fn has_unread(&self) -> bool {
+        !self.unread().is_empty()
+    }
+
+    /// Reads once from the socket; 0 at the end of the stream.
+    pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        self.unread.drain(..self.taken);
+        self.taken = 0;
+        let count = self.stream.read(&mut self.chunk).await?;
+        self.unread.extend_from_slice(&self.chunk[..count]);
+        Ok(count)
+    }
+
+    /// Takes the bytes up to and with the empty line.
+    pub(crate) async fn read_head(&mut self) -> Result<Vec<u8>, MessageError> {
+        let mut searched: usize = 0;
+        loop {
+            let from = searched.saturating_sub(3);
+            let unread = self.unread();
+            if let Some(at) = find_head_end(&unread[from..]) {
+                let length = from + at;
+                if length > MAX_HEAD_BYTES {
+                    return Err(MessageError::HeadTooLong);
+                }
+                return Ok(self.take(length));
+            }
+            searched = unread.len();
+            if searched > MAX_HEAD_BYTES {
+                return Err(MessageError::HeadTooLong);
+            }
+            self.fill_or("the head was cut short").await?;
+        }
+    }
+
+    /// Takes a body of this many bytes.
+    pub(crate) async fn read_length(
+        &mut self,
+        length: usize,
+    ) -> Result<Vec<u8>, MessageError> {
+        let mut body = Vec::with_capacity(length.min(MAX_RESERVED_BYTES));
+        loop {
+            let missing = length - body.len();
+            self.take_into(&mut body, missing);
+            let got = body.len();
+            if got == length {
+                return Ok(body);
+            }
+            if self.fill().await? == 0 {
+                let what =
+                    format!("the body ended after {got} of {length} bytes");
+                return Err(MessageError::CutShort(what));
+            }
+        }
+    }
+
+    /// Takes a chunked body, with its last chunk and trailers.
+    pub(crate) async fn read_chunked(
+        &mut self,
+        limit: usize,
+    ) -> Result<Vec<u8>, MessageError> {
+        let mut body = Vec::new();
+        loop {
+            let size = self.read_chunk_size().await?;
+            if size == 0 {
+                self.skip_trailers().await?;
+                return Ok(body);
+            }
+            let room = (limit - body.len()) as u64;
+            if size > room {
+                return Err(MessageError::BodyTooLong(limit));
+            }
+            body.append(&mut self.read_length(size as usize).await?);
+            self.read_chunk_end().await?;
+        }
+    }
+
+    async fn read_chunk_size(&mut self) -> Result<u64, MessageError> {
+        let line = self.read_line(MAX_SIZE_LINE_BYTES).await?;
+        // The parser takes a line without digits for size 0.
+        let has_digit = line.first().is_some_and(u8::is_ascii_hexdigit);
+        match httparse::parse_chunk_size(&line) {
+            Ok(httparse::Status::Complete((read, size)))
+                if has_digit && read == line.len() =>
+            {
+                Ok(size)
+            }
+            _ => Err(MessageError::BadChunk),
+        }
+    }
+
+    async fn read_chunk_end(&mut self) -> Result<(), MessageError> {
+        let line = self.read_line(2).await?;
+        (line == b"\r\n").then_some(()).ok_or(MessageError::BadChunk)
+    }
+
+    async fn skip_trailers(&mut self) -> Result<(), MessageError> {
+        let mut room = MAX_TRAILER_BYTES;
+        loop {
+            let line = self.read_line(room).await?;
+            if line == b"\r\n" {
+                return Ok(());
+            }
+            room -= line.len();
+        }
+    }
+
+    /// Takes the bytes up to and with the next line feed.
+    async fn read_line(
+        &mut self,
+        limit: usize,
+    ) -> Result<Vec<u8>, MessageError> {
+        loop {
+            let unread = self.unread();
+            let searched = &unread[..unread.len().min(limit)];
+            if let Some(at) = searched.iter().position(|b| *b == b'\n') {
+                return Ok(self.take(at + 1));
+            }
+            if unread.len() >= limit {
+                return Err(MessageError::BadChunk);
+            }
+            self.fill_or("the chunked body was cut short").await?;
+        }
+    }
+
+    async fn fill_or(&mut self, what: &str) -> Result<(), MessageError> {
+        match self.fill().await? {
+            0 => Err(MessageError::CutShort(what.to_owned())),
+            _ => Ok(()),
+        }
+    }
+
+    fn unread(&self) -> &[u8] {
+        &self.unread[self.taken..]
+    }
+
+    fn take(&mut self, count: usize) -> Vec<u8> {
+        let bytes = self.unread()[..count].to_vec();
+        self.taken += count;
+        bytes
+    }
+
+    fn take_into(&mut self, body: &mut Vec<u8>, most: usize) {
+        let count = self.unread().len().min(most);
+        body.extend_from_slice(&self.unread()[..count]);
+        self.taken += count;
+    }
+}
+
+fn find_head_end(bytes: &[u8]) -> Option<usize> {
+    let end = b"\r\n\r\n";
+    bytes.windows(end.len()).position(|w| w == end).map(|at| at + end.len())
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,33 +4,26 @@
 //! sees it: a request that is cut short must not run, and that is only known
 //! at its end. Answers may be streamed.
 
-use std::{
-    future::Future,
-    io,
-    net::TcpStream,
-    pin::Pin,
-    sync::{Arc, Mutex},
-    task::{Context, Poll},
-    time::Duration,
-};
+mod head_stream;
+
+use std::{future::Future, io, net::TcpStream, time::Duration};
 
 use async_h1::server::Encoder;
 use async_io::{Async, Timer};
-use futures_lite::{
-    AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _,
-    FutureExt as _,
-};
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
 use http_types::{Method, Request, Response, StatusCode};
 
+use self::head_stream::decode_head;
 use crate::{
-    head::{self, BodyFraming, HeadFacts, MAX_HEAD_BYTES, RequestError},
+    head::{self, BodyFraming, HeadFacts, RequestError},
+    message::{MessageError, MessageReader, READ_BYTES},
     stream::SharedStream,
 };
 
-/// Bytes read from a socket at once.
-const READ_BYTES: usize = 16 * 1024;
 /// Answer to a caller that waits before it sends its body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// How long the caller's bytes are read on after the last answer.
+const LINGER: Duration = Duration::from_millis(500);
 
 /// Limits of a server, set by chained methods.
 #[derive(Clone, Debug)]
@@ -112,34 +105,14 @@
     H: Fn(Received) -> F,
     F: Future<Output = Response>,
 {
-    let mut connection = Connection {
-        stream: SharedStream::new(socket)?,
-        unread: Vec::new(),
-    };
-    loop {
-        let (received, is_last) = match connection.receive(options).await {
-            Ok(Some(next)) => next,
-            Ok(None) => return Ok(()),
-            Err(ReceiveError::Io(e)) => return Err(e),
-            Err(ReceiveError::Refused(why)) => {
-                let response = (options.error_response)(&why);
-                connection.respond(response, Method::Get).await?;
-                return connection.linger().await;
-            }
-        };
-        let method = received.request.method();
-        let mut response = handler(received).await;
-        if is_last {
-            response.insert_header("connection", "close");
-        }
-        let wants_close = response
-            .header("connection")
-            .is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
-        connection.respond(response, method).await?;
-        if wants_close {
-            return connection.stream.close().await;
-        }
-    }
+    let stream = SharedStream::new(socket)?;
+    let reader = MessageReader::new(stream.clone());
+    let mut connection = Connection { stream, reader };
+    let outcome = connection.serve(options, handler).await;
+    // The handler's tasks may still hold the stream: without this the caller
+    // of a broken answer would wait for its end.
+    connection.stream.shut_down();
+    outcome
 }
 
 enum ReceiveError {
@@ -159,25 +132,72 @@
     }
 }
 
+impl From<MessageError> for ReceiveError {
+    fn from(e: MessageError) -> ReceiveError {
+        let status = match e {
+            MessageError::Io(e) => return ReceiveError::Io(e),
+            MessageError::HeadTooLong => 431,
+            MessageError::BodyTooLong(_) => 413,
+            MessageError::CutShort(_) | MessageError::BadChunk => 400,
+        };
+        refused(status, &e.message())
+    }
+}
+
 fn refused(status: u16, message: &str) -> ReceiveError {
     ReceiveError::Refused(RequestError::new(status, message))
 }
 
 struct Connection {
     stream: SharedStream,
-    /// Bytes received beyond the last request.
-    unread: Vec<u8>,
+    reader: MessageReader,
 }
 
 impl Connection {
+    async fn serve<H, F>(
+        &mut self,
+        options: &ServerOptions,
+        handler: H,
+    ) -> io::Result<()>
+    where
+        H: Fn(Received) -> F,
+        F: Future<Output = Response>,
+    {
+        loop {
+            let (received, is_last) = match self.receive(options).await {
+                Ok(Some(next)) => next,
+                Ok(None) => return Ok(()),
+                Err(ReceiveError::Io(e)) => return Err(e),
+                Err(ReceiveError::Refused(why)) => {
+                    let mut response = (options.error_response)(&why);
+                    response.insert_header("connection", "close");
+                    self.respond(response, Method::Get).await?;
+                    return self.linger().await;
+                }
+            };
+            let method = received.request.method();
+            let mut response = handler(received).await;
+            if is_last {
+                response.insert_header("connection", "close");
+            }
+            let wants_close = response
+                .header("connection")
+                .is_some_and(|v| head::has_token(v.as_str(), "close"));
+            self.respond(response, method).await?;
+            if wants_close {
+                return self.linger().await;
+            }
+        }
+    }
+
     /// The next request and whether the connection ends after it.
     async fn receive(
         &mut self,
         options: &ServerOptions,
     ) -> Result<Option<(Received, bool)>, ReceiveError> {
-        if self.unread.is_empty() {
-            let first = self.fill().or(after(options.idle_timeout)).await;
-            match first {
+        if !self.reader.has_unread() {
+            let first = self.reader.fill().or(after(options.idle_timeout));
+            match first.await {
                 Ok(0) => return Ok(None),
                 Ok(_) => {}
                 Err(e) if e.kind() == io::ErrorKind::TimedOut => {
@@ -198,102 +218,25 @@
         &mut self,
         options: &ServerOptions,
     ) -> Result<(Received, bool), ReceiveError> {
-        let mut head = self.read_head().await?;
+        let limit = options.max_body_bytes;
+        let mut head = self.reader.read_head().await?;
         let facts = head::check(&head)?;
-        check_length(&facts, options.max_body_bytes)?;
+        check_length(&facts, limit)?;
+        head::blank_expect(&mut head);
+        let request =
+            decode_head(head).await.map_err(|why| refused(400, &why))?;
         if facts.expects_continue {
-            head::blank_expect(&mut head);
             self.stream.write_all(CONTINUE).await?;
         }
-        let mut is_last = facts.is_last;
-        let limit = options.max_body_bytes;
-        let (request, body) = match facts.framing {
-            BodyFraming::None => (self.decode(head, false).await?, vec![]),
+        let body = match facts.framing {
+            BodyFraming::None => Vec::new(),
             BodyFraming::Length(length) => {
-                let request = self.decode(head, false).await?;
-                (request, self.read_body(length as usize).await?)
-            }
-            BodyFraming::Chunked => {
-                // The decoder may read past the body, so the connection is
-                // not used again.
-                is_last = true;
-                let mut request = self.decode(head, true).await?;
-                let body = read_chunked(&mut request, limit).await?;
-                (request, body)
+                self.reader.read_length(length as usize).await?
             }
+            BodyFraming::Chunked => self.reader.read_chunked(limit).await?,
         };
         let connection = self.stream.clone();
-        Ok((Received { request, body, connection }, is_last))
-    }
-
-    async fn fill(&mut self) -> io::Result<usize> {
-        let old_length = self.unread.len();
-        self.unread.resize(old_length + READ_BYTES, 0);
-        let count = self.stream.read(&mut self.unread[old_length..]).await;
-        let read = *count.as_ref().unwrap_or(&0);
-        self.unread.truncate(old_length + read);
-        count
-    }
-
-    /// Takes the bytes up to and with the empty line.
-    async fn read_head(&mut self) -> Result<Vec<u8>, ReceiveError> {
-        let mut searched: usize = 0;
-        loop {
-            let from = searched.saturating_sub(3);
-            if let Some(at) = find_head_end(&self.unread[from..]) {
-                let rest = self.unread.split_off(from + at);
-                let head = std::mem::replace(&mut self.unread, rest);
-                return if head.len() > MAX_HEAD_BYTES {
-                    Err(head_too_long())
-                } else {
-                    Ok(head)
-                };
-            }
-            if self.unread.len() > MAX_HEAD_BYTES {
-                return Err(head_too_long());
-            }
-            searched = self.unread.len();
-            if self.fill().await? == 0 {
-                return Err(refused(400, "the head was cut short"));
-            }
-        }
-    }
-
-    async fn read_body(
-        &mut self,
-        length: usize,
-    ) -> Result<Vec<u8>, ReceiveError> {
-        while self.unread.len() < length {
-            if self.fill().await? == 0 {
-                let message = format!(
-                    "the body ended after {} of {length} bytes",
-                    self.unread.len()
-                );
-                return Err(refused(400, &message));
-            }
-        }
-        let rest = self.unread.split_off(length);
-        Ok(std::mem::replace(&mut self.unread, rest))
-    }
-
-    /// Has `async-h1` read the head; with `is_live`, the body's bytes follow
-    /// from the connection.
-    async fn decode(
-        &mut self,
-        mut head: Vec<u8>,
-        is_live: bool,
-    ) -> Result<Request, ReceiveError> {
-        let rest = is_live.then(|| {
-            head.append(&mut self.unread);
-            self.stream.clone()
-        });
-        let bytes = Arc::new(Mutex::new(io::Cursor::new(head)));
-        let replay = Replay { bytes, rest };
-        match async_h1::server::decode(replay).await {
-            Ok(Some((request, _))) => Ok(request),
-            Ok(None) => Err(refused(400, "the head is not complete")),
-            Err(e) => Err(refused(400, &e.to_string())),
-        }
+        Ok((Received { request, body, connection }, facts.is_last))
     }
 
     async fn respond(
@@ -312,8 +255,8 @@
         }
     }
 
-    /// Closes after a refusal, reading on for a moment: closing with unread
-    /// bytes would reset the connection and lose the answer.
+    /// Closes after the last answer, reading on for a moment: closing with
+    /// unread bytes would reset the connection and lose the answer.
     async fn linger(&mut self) -> io::Result<()> {
         self.stream.close().await?;
         let drain = async {
@@ -322,113 +265,31 @@
             Ok(())
         };
         let limit = async {
-            Timer::after(Duration::from_millis(500)).await;
+            Timer::after(LINGER).await;
             Ok(())
         };
         drain.or(limit).await
     }
 }
 
-fn head_too_long() -> ReceiveError {
-    let message = format!("the head is longer than {MAX_HEAD_BYTES} bytes");
-    refused(431, &message)
-}
-
 fn check_length(facts: &HeadFacts, limit: usize) -> Result<(), ReceiveError> {
     match facts.framing {
         BodyFraming::Length(length) if length > limit as u64 => {
-            Err(body_too_long(limit))
+            Err(MessageError::BodyTooLong(limit).into())
         }
         _ => Ok(()),
     }
 }
 
-fn body_too_long(limit: usize) -> ReceiveError {
-    refused(413, &format!("the body is longer than {limit} bytes"))
-}
-
-async fn read_chunked(
-    request: &mut Request,
-    limit: usize,
-) -> Result<Vec<u8>, ReceiveError> {
-    let mut body = Vec::new();
-    let reader = request.take_body();
-    // One byte more than the limit tells a body that is too long.
-    let mut limited = reader.take(limit as u64 + 1);
-    if limited.read_to_end(&mut body).await.is_err() {
-        return Err(refused(400, "the chunked body was cut short"));
-    }
-    if body.len() > limit {
-        return Err(body_too_long(limit));
-    }
-    Ok(body)
-}
-
-fn find_head_end(bytes: &[u8]) -> Option<usize> {
-    let end = b"\r\n\r\n";
-    bytes.windows(end.len()).position(|w| w == end).map(|at| at + end.len())
-}
-
 async fn after(timeout: Duration) -> io::Result<usize> {
     Timer::after(timeout).await;
     Err(io::ErrorKind::TimedOut.into())
 }
 
 fn plain_error(error: &RequestError) -> Response {
-    let status = StatusCode::try_from(error.status)
-        .unwrap_or(StatusCode::BadRequest);
+    let status =
+        StatusCode::try_from(error.status).unwrap_or(StatusCode::BadRequest);
     let mut response = Response::new(status);
     response.set_body(error.message.as_str());
-    response.insert_header("connection", "close");
     response
 }
-
-/// A request's head as a stream, and after it the connection's bytes if the
-/// body is still to be read.
-#[derive(Clone)]
-struct Replay {
-    bytes: Arc<Mutex<io::Cursor<Vec<u8>>>>,
-    rest: Option<SharedStream>,
-}
-
-impl AsyncRead for Replay {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let replayed = {
-            let mut bytes = self.bytes.lock().expect("no holder panics");
-            io::Read::read(&mut *bytes, buf)?
-        };
-        match &mut self.rest {
-            Some(rest) if replayed == 0 => Pin::new(rest).poll_read(cx, buf),
-            _ => Poll::Ready(Ok(replayed)),
-        }
-    }
-}
-
-/// The decoder writes only to answer `Expect`, which was answered before.
-impl AsyncWrite for Replay {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Poll::Ready(Ok(buf.len()))
-    }
-
-    fn poll_flush(
-        self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_close(
-        self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-}
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
@@ -11,6 +11,7 @@
 
 use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncWrite};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 /// How often a connection with unread bytes is looked at again for its end.
 const HANG_UP_POLL: Duration = Duration::from_millis(100);
@@ -57,7 +58,8 @@
         loop {
             match self.socket.peek(&mut byte).await {
                 Ok(0) | Err(_) => return,
-                // Unread bytes of a next request keep the socket readable.
+                // Unread bytes of a next request stand before the end.
+                Ok(_) if self.has_ended() => return,
                 Ok(_) => {
                     Timer::after(HANG_UP_POLL).await;
                 }
@@ -65,6 +67,23 @@
         }
     }
 
+    /// Ends the connection for all who hold it.
+    pub(crate) fn shut_down(&self) {
+        // An error means that it has ended before.
+        let _ = self.socket.get_ref().shutdown(Shutdown::Both);
+    }
+
+    /// Whether the other end has closed, also when unread bytes are left.
+    fn has_ended(&self) -> bool {
+        let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut polled = [PollFd::new(&*self.socket, PollFlags::RDHUP)];
+        let at_once = Timespec::default();
+        match poll(&mut polled, Some(&at_once)) {
+            Ok(_) => polled[0].revents().intersects(ended),
+            Err(_) => false,
+        }
+    }
+
     /// Whether an idle connection can still be used: it has neither ended nor
     /// has the other end sent something unasked.
     pub(crate) fn is_idle(&self) -> bool {
@@ -102,10 +121,11 @@
         Pin::new(&mut &*self.socket).poll_flush(cx)
     }
 
+    /// Ends the writing side; `Async` itself would only flush.
     fn poll_close(
         self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        _: &mut Context<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.socket).poll_close(cx)
+        Poll::Ready(self.socket.get_ref().shutdown(Shutdown::Write))
     }
 }
--- /dev/null
+++ b/crates/http/tests/client.rs
@@ -0,0 +1,318 @@
+//! What a client makes of answers, whole and broken.
+
+mod support;
+
+use std::{
+    io::{Read as _, Write as _},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use async_io::block_on;
+use chestnutreach_http::{Client, ClientError, ClientOptions, ServerOptions};
+use http_types::{Method, Request};
+use rstest::rstest;
+
+use support::{PATIENCE, Server};
+
+const MAX_ANSWER_BYTES: usize = 16;
+
+/// Answers each request of each connection with the same bytes; closes after
+/// `answers_per_connection`.
+fn scripted(
+    answer: &'static [u8],
+    answers_per_connection: usize,
+) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let count = accepted.clone();
+    thread::spawn(move || {
+        for socket in listener.incoming() {
+            count.fetch_add(1, Ordering::SeqCst);
+            let mut socket = socket.unwrap();
+            for _ in 0..answers_per_connection {
+                read_head(&mut socket);
+                let _ = socket.write_all(answer);
+            }
+        }
+    });
+    (address, accepted)
+}
+
+fn read_head(socket: &mut TcpStream) {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match socket.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return,
+        }
+    }
+}
+
+fn call(
+    client: &Client,
+    method: Method,
+    timeout: Duration,
+) -> Result<(u16, String), ClientError> {
+    let request = Request::new(method, client.url("/a").unwrap());
+    let (response, body) = block_on(client.send(request, timeout))?;
+    Ok((response.status().into(), String::from_utf8(body).unwrap()))
+}
+
+fn client(address: SocketAddr) -> Client {
+    let options = ClientOptions::new().max_answer_bytes(MAX_ANSWER_BYTES);
+    Client::new(address, options)
+}
+
+/// What a call came to.
+#[derive(Debug, Eq, PartialEq)]
+enum Outcome {
+    Answer(u16, &'static str),
+    NotSent,
+    Lost,
+    Timeout,
+    TooLong,
+}
+
+fn matches(
+    outcome: &Outcome,
+    result: &Result<(u16, String), ClientError>,
+) -> bool {
+    match (outcome, result) {
+        (Outcome::Answer(status, body), Ok((s, b))) => {
+            s == status && b == body
+        }
+        (Outcome::NotSent, Err(ClientError::NotSent { .. })) => true,
+        (Outcome::Lost, Err(ClientError::Lost { .. })) => true,
+        (Outcome::Timeout, Err(ClientError::Timeout { .. })) => true,
+        (Outcome::TooLong, Err(ClientError::TooLong { .. })) => true,
+        _ => false,
+    }
+}
+
+struct Case {
+    method: Method,
+    answer: &'static [u8],
+    outcome: Outcome,
+}
+
+#[rstest]
+#[case::whole(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc",
+    outcome: Outcome::Answer(200, "abc"),
+})]
+#[case::any_status_is_an_answer(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n",
+    outcome: Outcome::Answer(503, ""),
+})]
+#[case::chunked(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+        3\r\nabc\r\n0\r\n\r\n",
+    outcome: Outcome::Answer(200, "abc"),
+})]
+#[case::no_content(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 204 No Content\r\n\r\n",
+    outcome: Outcome::Answer(204, ""),
+})]
+#[case::head_has_no_body(Case {
+    method: Method::Head,
+    answer: b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n",
+    outcome: Outcome::Answer(200, ""),
+})]
+#[case::interim_answer_first(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 100 Continue\r\n\r\n\
+        HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc",
+    outcome: Outcome::Answer(200, "abc"),
+})]
+#[case::short(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc",
+    outcome: Outcome::Lost,
+})]
+#[case::chunks_cut_short(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+        3\r\nabc\r\n",
+    outcome: Outcome::Lost,
+})]
+#[case::chunk_without_size(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+        3\r\nabc\r\n\r\n\r\n",
+    outcome: Outcome::Lost,
+})]
+#[case::end_only_by_closing(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nabc",
+    outcome: Outcome::Lost,
+})]
+#[case::two_lengths(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\
+        content-length: 3\r\n\r\nabcd",
+    outcome: Outcome::Lost,
+})]
+#[case::length_and_chunked(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\
+        transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    outcome: Outcome::Lost,
+})]
+#[case::header_not_ascii(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\
+        x: \xc3\xa9\r\n\r\nabc",
+    outcome: Outcome::Lost,
+})]
+#[case::malformed(Case {
+    method: Method::Get,
+    answer: b"hello there\r\n\r\n",
+    outcome: Outcome::Lost,
+})]
+#[case::no_answer(Case {
+    method: Method::Get,
+    answer: b"",
+    outcome: Outcome::Lost,
+})]
+#[case::too_long(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 200 OK\r\ncontent-length: 17\r\n\r\n\
+        12345678901234567",
+    outcome: Outcome::TooLong,
+})]
+#[case::chunks_too_long(Case {
+    method: Method::Get,
+    answer: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+        9\r\n123456789\r\n9\r\n123456789\r\n0\r\n\r\n",
+    outcome: Outcome::TooLong,
+})]
+fn answer_is_whole_or_an_error(#[case] case: Case) {
+    let (address, _) = scripted(case.answer, 1);
+    let result = call(&client(address), case.method, PATIENCE);
+    assert!(matches(&case.outcome, &result), "{result:?}");
+    if let Err(e) = result {
+        assert!(e.may_have_run(), "{e}");
+    }
+}
+
+#[test]
+fn refused_connection_is_not_sent() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let result = call(&client(address), Method::Post, PATIENCE);
+    assert!(matches(&Outcome::NotSent, &result), "{result:?}");
+    assert!(!result.unwrap_err().may_have_run());
+}
+
+/// A time that ends while dialling leaves nothing sent. The address is one
+/// that answers no packet (TEST-NET-1), or that the system refuses at once.
+#[rstest]
+#[case::by_the_connect_timeout(Duration::from_millis(50), PATIENCE)]
+#[case::by_the_call_timeout(PATIENCE, Duration::from_millis(50))]
+fn unanswered_dial_is_not_sent(
+    #[case] connect_timeout: Duration,
+    #[case] timeout: Duration,
+) {
+    let address = SocketAddr::from((Ipv4Addr::new(192, 0, 2, 1), 9));
+    let options = ClientOptions::new().connect_timeout(connect_timeout);
+    let result = call(&Client::new(address, options), Method::Get, timeout);
+    assert!(matches(&Outcome::NotSent, &result), "{result:?}");
+}
+
+#[test]
+fn silent_server_times_out() {
+    // The listener's backlog takes the connection, and nobody answers.
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let timeout = Duration::from_millis(50);
+    let result = call(&client(address), Method::Get, timeout);
+    assert!(matches(&Outcome::Timeout, &result), "{result:?}");
+    assert!(result.unwrap_err().may_have_run());
+}
+
+#[test]
+fn whole_answers_share_a_connection() {
+    let server = Server::echo(ServerOptions::new());
+    let client = client(server.address);
+    for _ in 0..3 {
+        let (status, body) = call(&client, Method::Get, PATIENCE).unwrap();
+        assert_eq!((status, body.as_str()), (200, "GET /a "));
+    }
+    assert!(server.ended.is_empty());
+}
+
+struct ReuseCase {
+    answer: &'static [u8],
+    answers_per_connection: usize,
+    connections: usize,
+}
+
+#[rstest]
+#[case::kept(ReuseCase {
+    answer: b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na",
+    answers_per_connection: 3,
+    connections: 1,
+})]
+#[case::closed_as_told(ReuseCase {
+    answer: b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\
+        connection: close\r\n\r\na",
+    answers_per_connection: 1,
+    connections: 3,
+})]
+#[case::closed_as_told_in_a_list(ReuseCase {
+    answer: b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\
+        connection: x, Close\r\n\r\na",
+    answers_per_connection: 3,
+    connections: 3,
+})]
+#[case::something_unasked(ReuseCase {
+    answer: b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na\
+        HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nb",
+    answers_per_connection: 3,
+    connections: 3,
+})]
+fn connection_is_kept_while_it_is_clean(#[case] case: ReuseCase) {
+    let per_connection = case.answers_per_connection;
+    let (address, accepted) = scripted(case.answer, per_connection);
+    let client = client(address);
+    for _ in 0..3 {
+        let answer = call(&client, Method::Get, PATIENCE).unwrap();
+        assert_eq!(answer, (200, "a".to_owned()));
+    }
+    assert_eq!(accepted.load(Ordering::SeqCst), case.connections);
+}
+
+struct UrlCase {
+    target: &'static str,
+    path: Option<&'static str>,
+}
+
+#[rstest]
+#[case::path(UrlCase { target: "/a/b?c=d", path: Some("/a/b") })]
+#[case::double_slash(UrlCase { target: "//a/b", path: Some("//a/b") })]
+#[case::other_host(UrlCase { target: "http://x/a", path: None })]
+#[case::relative(UrlCase { target: "a", path: None })]
+#[case::empty(UrlCase { target: "", path: None })]
+#[case::user(UrlCase { target: "@x/a", path: None })]
+fn url_stays_at_the_server(#[case] case: UrlCase) {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 8080));
+    let url = client(address).url(case.target).ok();
+    assert_eq!(url.as_ref().map(|url| url.path()), case.path);
+    if let Some(url) = url {
+        assert_eq!(url.host_str(), Some("127.0.0.1"));
+        assert_eq!(url.port(), Some(8080));
+    }
+}
