Watch links for unanswered asks and test the inner protocol

Cause: tests of codec and links over loopback.

- requests that came and went within the silence limit, one after another, each restarted the count of silence: a peer that answered nothing was not given up in 20 s.
Quiet now counts from the first request since a frame was heard, and a link is given up only when an ask went unanswered too, so that a request on a long idle link can't end it;
- a frame longer than the peer takes ended the link with every request on it; it is now refused at the sender (`LinkError::TooLong`);

Found by reading, without a test that shows it: `busy` counted the request before it noted the time, and a watcher between the two saw an idle link as silent.

Bounds of a silent busy link are as before: asked after one interval, given up at the silence limit plus at most half an interval.

Clippy's size warning for `LinkEvent` is answered with a reason instead of a box, since most events are frames.

--- a/crates/protocol/src/codec.rs
+++ b/crates/protocol/src/codec.rs
@@ -11,7 +11,7 @@
 use crate::wire::{Frame, frame::Body};
 
 /// Bytes of the length that goes before each message.
-const LENGTH_BYTES: usize = 4;
+pub(crate) const LENGTH_BYTES: usize = 4;
 /// Consumed bytes that a decoder keeps before it moves the rest down.
 const COMPACT_BYTES: usize = 64 * 1024;
 
--- a/crates/protocol/src/link/connection.rs
+++ b/crates/protocol/src/link/connection.rs
@@ -7,7 +7,7 @@
 //! process cannot hold the memory of another.
 
 use std::{
-    error, fmt,
+    fmt,
     io::{self, Write as _},
     net::{Shutdown, SocketAddr, TcpStream},
     sync::{
@@ -20,56 +20,14 @@
 use async_io::Async;
 use futures_lite::AsyncWriteExt as _;
 
+use super::{CloseReason, LinkError};
 use crate::{
     codec,
     wire::{Hello, frame::Body},
 };
 
-/// Why a link ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CloseReason {
-    /// The peer closed it, or the network reported an error.
-    Lost,
-    /// Nothing was heard for longer than the silence limit.
-    Silent,
-    /// The peer did not read what was sent to it.
-    Overrun,
-    /// The peer broke the protocol.
-    Protocol,
-    /// This process closed it.
-    Local,
-}
-
-/// A frame could not be sent, or a peer not reached.
-#[derive(Clone, Debug)]
-#[non_exhaustive]
-pub enum LinkError {
-    /// The link has ended.
-    Closed(CloseReason),
-    /// The address does not answer in its time.
-    Timeout(SocketAddr),
-    /// The address cannot be reached.
-    Unreachable(SocketAddr, String),
-    /// The peer refused the connection, for instance by protocol version.
-    Refused(SocketAddr, String),
-}
-
-impl fmt::Display for LinkError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            LinkError::Closed(why) => write!(f, "link is closed: {why:?}"),
-            LinkError::Timeout(at) => write!(f, "{at} did not answer"),
-            LinkError::Unreachable(at, why) => {
-                write!(f, "{at} cannot be reached: {why}")
-            }
-            LinkError::Refused(at, why) => {
-                write!(f, "{at} refused the connection: {why}")
-            }
-        }
-    }
-}
-
-impl error::Error for LinkError {}
+/// Time of an ask that was not sent.
+const NO_ASK: u64 = u64::MAX;
 
 /// One open connection; clones are handles to the same one.
 #[derive(Clone)]
@@ -85,10 +43,14 @@
     epoch: Instant,
     last_heard_ms: AtomicU64,
     last_asked_ms: AtomicU64,
+    /// When the first ask that is unanswered was sent, or [`NO_ASK`].
+    unanswered_since_ms: AtomicU64,
     busy: AtomicUsize,
-    busy_since_ms: AtomicU64,
+    /// When the first request came that has not been followed by a frame.
+    waiting_since_ms: AtomicU64,
     is_closed: AtomicBool,
     queue_limit_bytes: usize,
+    max_frame_bytes: usize,
     outgoing: Mutex<Outgoing>,
     writable: async_channel::Sender<()>,
 }
@@ -107,6 +69,7 @@
     pub(crate) dialled: Option<SocketAddr>,
     pub(crate) socket: Async<TcpStream>,
     pub(crate) queue_limit_bytes: usize,
+    pub(crate) max_frame_bytes: usize,
 }
 
 impl Link {
@@ -123,10 +86,12 @@
             epoch: Instant::now(),
             last_heard_ms: AtomicU64::new(0),
             last_asked_ms: AtomicU64::new(0),
+            unanswered_since_ms: AtomicU64::new(NO_ASK),
             busy: AtomicUsize::new(0),
-            busy_since_ms: AtomicU64::new(0),
+            waiting_since_ms: AtomicU64::new(0),
             is_closed: AtomicBool::new(false),
             queue_limit_bytes: parts.queue_limit_bytes,
+            max_frame_bytes: parts.max_frame_bytes,
             outgoing: Mutex::default(),
             writable,
         };
@@ -157,14 +122,14 @@
     ///
     /// # Errors
     ///
-    /// The link has ended. A frame that was taken may still be lost with the
-    /// connection.
+    /// The link has ended, or the frame is too long for it. A frame that was
+    /// taken may still be lost with the connection.
     pub fn send(&self, body: Body) -> Result<(), LinkError> {
         let mut outgoing = self.shared.lock_outgoing();
         if let Some(reason) = outgoing.closed {
             return Err(LinkError::Closed(reason));
         }
-        codec::encode(body, &mut outgoing.buffer);
+        self.shared.enqueue(body, &mut outgoing.buffer)?;
         if outgoing.has_writer {
             if outgoing.buffer.len() > self.shared.queue_limit_bytes {
                 drop(outgoing);
@@ -191,10 +156,12 @@
     /// Counts one more request in flight: the link is watched closely until
     /// the guard is dropped.
     pub fn busy(&self) -> BusyGuard {
-        if self.shared.busy.fetch_add(1, Ordering::AcqRel) == 0 {
-            let now_ms = self.shared.now_ms();
-            self.shared.busy_since_ms.store(now_ms, Ordering::Release);
+        if !self.is_busy() {
+            // Before the count, or the watcher would see a busy link that
+            // seems to have been quiet for all its idle time.
+            self.shared.note_waiting();
         }
+        self.shared.busy.fetch_add(1, Ordering::AcqRel);
         BusyGuard { link: self.clone() }
     }
 
@@ -228,14 +195,23 @@
     pub(crate) fn note_heard(&self) {
         let now_ms = self.shared.now_ms();
         self.shared.last_heard_ms.store(now_ms, Ordering::Release);
+        self.shared.unanswered_since_ms.store(NO_ASK, Ordering::Release);
     }
 
-    /// How long nothing was heard, in milliseconds, counted from when the
-    /// link last became busy if that is later.
+    /// How long nothing was heard, in milliseconds, counted from the first
+    /// request since then if there was one. Later requests do not count: one
+    /// after another would hide that the peer is silent.
     pub(crate) fn quiet_ms(&self) -> u64 {
         let heard_ms = self.shared.last_heard_ms.load(Ordering::Acquire);
-        let busy_ms = self.shared.busy_since_ms.load(Ordering::Acquire);
-        self.shared.now_ms().saturating_sub(heard_ms.max(busy_ms))
+        let waiting_ms = self.shared.waiting_since_ms.load(Ordering::Acquire);
+        self.shared.now_ms().saturating_sub(heard_ms.max(waiting_ms))
+    }
+
+    /// How long the peer has left an ask unanswered, in milliseconds; 0 if it
+    /// was not asked.
+    pub(crate) fn unanswered_ms(&self) -> u64 {
+        let since_ms = self.shared.unanswered_since_ms.load(Ordering::Acquire);
+        self.shared.now_ms().saturating_sub(since_ms)
     }
 
     /// Whether the peer may be asked again; true at most once an interval.
@@ -246,6 +222,7 @@
             return false;
         }
         self.shared.last_asked_ms.store(now_ms, Ordering::Release);
+        self.shared.unanswered_since_ms.fetch_min(now_ms, Ordering::AcqRel);
         true
     }
 
@@ -292,6 +269,31 @@
         self.epoch.elapsed().as_millis() as u64
     }
 
+    fn note_waiting(&self) {
+        let heard_ms = self.last_heard_ms.load(Ordering::Acquire);
+        let waiting_ms = self.waiting_since_ms.load(Ordering::Acquire);
+        if waiting_ms <= heard_ms {
+            self.waiting_since_ms.store(self.now_ms(), Ordering::Release);
+        }
+    }
+
+    /// Encodes a frame behind those that wait.
+    fn enqueue(
+        &self,
+        body: Body,
+        buffer: &mut Vec<u8>,
+    ) -> Result<(), LinkError> {
+        let start = buffer.len();
+        codec::encode(body, buffer);
+        let length = buffer.len() - start - codec::LENGTH_BYTES;
+        let limit = self.max_frame_bytes;
+        if length > limit {
+            buffer.truncate(start);
+            return Err(LinkError::TooLong { length, limit });
+        }
+        Ok(())
+    }
+
     fn lock_outgoing(&self) -> std::sync::MutexGuard<'_, Outgoing> {
         self.outgoing.lock().expect("no send panics")
     }
--- a/crates/protocol/src/link/mod.rs
+++ b/crates/protocol/src/link/mod.rs
@@ -9,11 +9,13 @@
 //! on over a new link; nobody waits on an old one.
 
 mod connection;
+mod error;
+mod handshake;
 mod options;
+mod watch;
 
 use std::{
     collections::BTreeMap,
-    io,
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
@@ -24,17 +26,17 @@
 
 use async_executor::Executor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
+use futures_lite::AsyncReadExt as _;
 
 pub use self::{
-    connection::{BusyGuard, CloseReason, Link, LinkError},
+    connection::{BusyGuard, Link},
+    error::{CloseReason, LinkError},
     options::{Identity, LinkOptions},
 };
 use crate::{
-    PROTOCOL_VERSION,
-    codec::{self, Decoder},
+    codec::Decoder,
     link::connection::LinkParts,
-    wire::{BackendLoad, Heartbeat, Hello, HelloRefused, frame::Body},
+    wire::{BackendLoad, Heartbeat, Hello, frame::Body},
 };
 
 /// Bytes asked of a socket at once.
@@ -46,10 +48,14 @@
 /// What happens on links. Handlers run on the link's reader task: they must
 /// not block, and frames of one link arrive in order.
 #[derive(Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "most events are frames; a box would cost each an allocation"
+)]
 pub enum LinkEvent {
     /// A link is open, dialled or accepted.
     Opened(Link),
-    /// A frame other than those of the link itself.
+    /// A frame that the peer sent, heartbeats included.
     Frame(Link, Body),
     /// A link has ended; sent once for each opened link.
     Closed(Link, CloseReason),
@@ -183,103 +189,6 @@
         Ok(link)
     }
 
-    async fn dial(&self, address: SocketAddr) -> Result<Link, LinkError> {
-        let shake = async {
-            let socket = Async::<TcpStream>::connect(address).await?;
-            socket.get_ref().set_nodelay(true)?;
-            let mut bytes = Vec::new();
-            codec::encode(Body::Hello(self.hello()), &mut bytes);
-            (&socket).write_all(&bytes).await?;
-            let (first, decoder) = self.read_first(&socket).await?;
-            Ok((socket, first, decoder))
-        };
-        let timeout = async {
-            Timer::after(self.shared.options.connect_timeout).await;
-            Err(io::Error::from(io::ErrorKind::TimedOut))
-        };
-        let outcome: io::Result<_> = shake.or(timeout).await;
-        let (socket, first, decoder) = outcome.map_err(|e| {
-            if e.kind() == io::ErrorKind::TimedOut {
-                LinkError::Timeout(address)
-            } else {
-                LinkError::Unreachable(address, e.to_string())
-            }
-        })?;
-        match first {
-            Body::Hello(peer) if peer.protocol_version == PROTOCOL_VERSION => {
-                Ok(self.open_link(socket, peer, Some(address), decoder))
-            }
-            Body::HelloRefused(why) => {
-                Err(LinkError::Refused(address, why.reason))
-            }
-            _ => {
-                let why = "the first message is no greeting of this version";
-                Err(LinkError::Refused(address, why.to_owned()))
-            }
-        }
-    }
-
-    fn spawn_accepted(&self, socket: Async<TcpStream>) {
-        let links = self.clone();
-        let greet = async move {
-            let timeout = async {
-                Timer::after(links.shared.options.connect_timeout).await;
-                Err(io::Error::from(io::ErrorKind::TimedOut))
-            };
-            // A peer that does not greet is dropped without a word: it is no
-            // process of this system.
-            let _ = links.greet(socket).or(timeout).await;
-        };
-        self.shared.executor.spawn(greet).detach();
-    }
-
-    async fn greet(&self, socket: Async<TcpStream>) -> io::Result<()> {
-        socket.get_ref().set_nodelay(true)?;
-        let (first, decoder) = self.read_first(&socket).await?;
-        let Body::Hello(peer) = first else {
-            return Err(io::ErrorKind::InvalidData.into());
-        };
-        let is_known = peer.protocol_version == PROTOCOL_VERSION;
-        let answer = if is_known {
-            Body::Hello(self.hello())
-        } else {
-            refuse_version(peer.protocol_version)
-        };
-        let mut bytes = Vec::new();
-        codec::encode(answer, &mut bytes);
-        (&socket).write_all(&bytes).await?;
-        if is_known {
-            self.open_link(socket, peer, None, decoder);
-        }
-        Ok(())
-    }
-
-    async fn read_first(
-        &self,
-        socket: &Async<TcpStream>,
-    ) -> io::Result<(Body, Decoder)> {
-        let mut decoder = Decoder::new(self.shared.options.max_frame_bytes);
-        let mut chunk = [0; 1024];
-        loop {
-            let count = (&*socket).read(&mut chunk).await?;
-            if count == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-            decoder.extend(&chunk[..count]);
-            let next = decoder
-                .next_body()
-                .map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
-            if let Some(body) = next {
-                return Ok((body, decoder));
-            }
-        }
-    }
-
-    fn hello(&self) -> Hello {
-        let generation = self.shared.generation.load(Ordering::Acquire);
-        self.shared.identity.to_hello(generation)
-    }
-
     fn open_link(
         &self,
         socket: Async<TcpStream>,
@@ -295,6 +204,7 @@
             dialled,
             socket,
             queue_limit_bytes,
+            max_frame_bytes: self.shared.options.max_frame_bytes,
         });
         self.shared.lock_open().insert(id, link.clone());
         let writer = link.clone();
@@ -359,49 +269,10 @@
             is_reply_wanted,
         })
     }
-
-    /// Asks quiet peers for a heartbeat and closes the links of silent ones.
-    async fn watch(self) {
-        let options = &self.shared.options;
-        loop {
-            Timer::after(options.busy_interval / 2).await;
-            for link in self.open() {
-                self.watch_one(&link);
-            }
-        }
-    }
-
-    fn watch_one(&self, link: &Link) {
-        let options = &self.shared.options;
-        let quiet_ms = link.quiet_ms();
-        let (interval, limit) = if link.is_busy() {
-            (options.busy_interval, options.silence_limit)
-        } else {
-            let limit = options.idle_interval * 2 + options.silence_limit;
-            (options.idle_interval, limit)
-        };
-        let interval_ms = interval.as_millis() as u64;
-        if quiet_ms > limit.as_millis() as u64 {
-            link.close(CloseReason::Silent);
-        } else if quiet_ms >= interval_ms && link.take_ask(interval_ms) {
-            let _ = link.send(self.heartbeat(true));
-        }
-    }
 }
 
 impl Shared {
-    fn lock_open(
-        &self,
-    ) -> std::sync::MutexGuard<'_, BTreeMap<u64, Link>> {
+    fn lock_open(&self) -> std::sync::MutexGuard<'_, BTreeMap<u64, Link>> {
         self.open.lock().expect("no holder panics")
     }
 }
-
-fn refuse_version(version: u32) -> Body {
-    let reason = format!(
-        "inner protocol version {version} is not known here, \
-         only {PROTOCOL_VERSION}"
-    );
-    let supported_version = PROTOCOL_VERSION;
-    Body::HelloRefused(HelloRefused { supported_version, reason })
-}
--- /dev/null
+++ b/crates/protocol/tests/codec.rs
@@ -0,0 +1,197 @@
+//! Frames to bytes and back, whole and broken.
+
+use chestnutreach_protocol::{
+    codec::{self, DecodeError, Decoder},
+    wire::{
+        BackendLoad, Heartbeat, Output, RequestId, Run, Stage, Step, Token,
+        frame::Body, output::Part,
+    },
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const MAX_FRAME_BYTES: usize = 4096;
+
+fn request() -> impl Strategy<Value = Option<RequestId>> {
+    let id = (any::<u64>(), any::<u64>())
+        .prop_map(|(high, low)| RequestId { high, low });
+    proptest::option::of(id)
+}
+
+fn heartbeat() -> impl Strategy<Value = Body> {
+    let load = (".{0,9}", any::<u32>(), any::<u64>()).prop_map(
+        |(backend, running, pending_tokens)| BackendLoad {
+            backend,
+            running,
+            pending_tokens,
+            ..BackendLoad::default()
+        },
+    );
+    let loads = proptest::collection::vec(load, 0..4);
+    (any::<u64>(), loads, any::<bool>()).prop_map(
+        |(generation, loads, is_reply_wanted)| {
+            Body::Heartbeat(Heartbeat { generation, loads, is_reply_wanted })
+        },
+    )
+}
+
+fn step() -> impl Strategy<Value = Body> {
+    let activation = proptest::collection::vec(any::<u8>(), 0..300);
+    (request(), any::<u32>(), any::<u32>(), activation).prop_map(
+        |(request, attempt, position, activation)| {
+            Body::Step(Step {
+                request,
+                attempt,
+                position,
+                activation,
+                ..Step::default()
+            })
+        },
+    )
+}
+
+fn output() -> impl Strategy<Value = Body> {
+    let part = prop_oneof![
+        (any::<u32>(), ".{0,9}")
+            .prop_map(|(token, text)| Part::Token(Token { token, text })),
+        proptest::collection::vec(any::<u8>(), 0..9).prop_map(Part::Data),
+    ];
+    (request(), any::<u32>(), proptest::option::of(part)).prop_map(
+        |(request, position, part)| {
+            Body::Output(Output {
+                request,
+                position,
+                part,
+                ..Output::default()
+            })
+        },
+    )
+}
+
+fn run() -> impl Strategy<Value = Body> {
+    let stage = (".{0,9}", any::<u32>()).prop_map(|(backend, end_layer)| {
+        Stage { backend, end_layer, ..Stage::default() }
+    });
+    let chain = proptest::collection::vec(stage, 0..5);
+    (request(), any::<bool>(), chain).prop_map(
+        |(request, is_idempotent, chain)| {
+            Body::Run(Run { request, is_idempotent, chain, ..Run::default() })
+        },
+    )
+}
+
+fn bodies() -> impl Strategy<Value = Vec<Body>> {
+    let body = prop_oneof![heartbeat(), step(), output(), run()];
+    proptest::collection::vec(body, 0..6)
+}
+
+fn encoded(bodies: &[Body]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for body in bodies {
+        codec::encode(body.clone(), &mut bytes);
+    }
+    bytes
+}
+
+/// Takes all whole frames, fed in pieces of `piece` bytes.
+fn decoded(bytes: &[u8], piece: usize) -> Result<Vec<Body>, DecodeError> {
+    let mut decoder = Decoder::new(MAX_FRAME_BYTES);
+    let mut bodies = Vec::new();
+    for piece in bytes.chunks(piece) {
+        decoder.extend(piece);
+        while let Some(body) = decoder.next_body()? {
+            bodies.push(body);
+        }
+    }
+    Ok(bodies)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn frames_come_back_as_sent(sent in bodies(), piece in 1usize..700) {
+        prop_assert_eq!(decoded(&encoded(&sent), piece), Ok(sent));
+    }
+
+    /// A cut stream gives the whole frames before the cut and no error.
+    #[test]
+    fn cut_frame_is_awaited(
+        sent in bodies(),
+        piece in 1usize..700,
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let bytes = encoded(&sent);
+        let cut = cut.index(bytes.len() + 1);
+        let whole_count = (0..=sent.len())
+            .rev()
+            .find(|count| encoded(&sent[..*count]).len() <= cut)
+            .unwrap();
+        let received = decoded(&bytes[..cut], piece);
+        prop_assert_eq!(received, Ok(sent[..whole_count].to_vec()));
+    }
+
+    #[test]
+    fn garbage_does_not_panic(
+        bytes in proptest::collection::vec(any::<u8>(), 0..400),
+        piece in 1usize..100,
+    ) {
+        let _ = decoded(&bytes, piece);
+    }
+
+    /// Garbage behind a length that is right.
+    #[test]
+    fn garbled_message_does_not_panic(
+        bytes in proptest::collection::vec(any::<u8>(), 0..200),
+    ) {
+        let mut frame = (bytes.len() as u32).to_le_bytes().to_vec();
+        frame.extend(bytes);
+        let _ = decoded(&frame, 64);
+    }
+}
+
+struct Case {
+    bytes: &'static [u8],
+    error: fn(&DecodeError) -> bool,
+}
+
+#[rstest]
+#[case::too_long(Case {
+    bytes: &[0x01, 0x10, 0, 0],
+    error: |e| {
+        *e == DecodeError::TooLong { length: 4097, limit: MAX_FRAME_BYTES }
+    },
+})]
+#[case::as_long_as_can_be_said(Case {
+    bytes: &[0xff; 4],
+    error: |e| matches!(e, DecodeError::TooLong { .. }),
+})]
+#[case::no_body(Case {
+    bytes: &[0; 4],
+    error: |e| *e == DecodeError::Empty,
+})]
+#[case::body_of_a_later_version(Case {
+    bytes: &[3, 0, 0, 0, 0xf2, 0x3f, 0],
+    error: |e| *e == DecodeError::Empty,
+})]
+#[case::cut_within(Case {
+    bytes: &[2, 0, 0, 0, 0x0a, 0x05],
+    error: |e| matches!(e, DecodeError::Malformed(_)),
+})]
+fn broken_frame_is_an_error(#[case] case: Case) {
+    let error = decoded(case.bytes, 1).unwrap_err();
+    assert!((case.error)(&error), "{error}");
+}
+
+/// A long stream does not keep what was taken from it.
+#[test]
+fn many_frames_pass_a_decoder() {
+    const FRAMES: usize = 20_000;
+    let body = Body::Heartbeat(Heartbeat::default());
+    let frames = vec![body.clone(); FRAMES];
+    let bytes = encoded(&frames);
+    assert_eq!(decoded(&bytes, 1000).unwrap().len(), FRAMES);
+}
