Bound the waits of the claims' tests; test updates beside a held key

Trials that broke the code on purpose showed a test that hung in place of failing, and none that noticed updates failing with a held key's batch.

--- a/crates/platform/tests/platform/claims.rs
+++ b/crates/platform/tests/platform/claims.rs
@@ -14,7 +14,7 @@
 use rstest::rstest;
 
 use crate::support::{
-    CALL_TIMEOUT, Platform, claim, closed_address, completed, run,
+    CALL_TIMEOUT, Platform, claim, closed_address, completed, run, until,
 };
 
 /// No claim in these tests may wait longer than this.
@@ -95,6 +95,26 @@
     });
 }
 
+#[test]
+fn a_held_key_does_not_fail_updates_in_its_batch() {
+    run(|platform| async move {
+        let other = platform.claims(options());
+        other.claim(&key(3), claim(9999)).await.unwrap();
+        let claims = platform.claims(options());
+        claims.claim(&key(1), claim(1)).await.unwrap();
+        let done = completed(claim(1), b"whole");
+        // Right after a flush both wait for the next one.
+        let (held, updated) = future::zip(
+            claims.claim(&key(3), claim(3)),
+            claims.update(&key(1), done.clone()),
+        )
+        .await;
+        assert_eq!(held, Ok(Claimed::Held(claim(9999))));
+        assert_eq!(updated, Ok(()));
+        assert_eq!(claims.read(&key(1)).await, Ok(Some(done)));
+    });
+}
+
 #[test]
 fn two_claims_of_one_key_in_a_flush_have_one_winner() {
     run(|platform| async move {
@@ -215,12 +235,11 @@
         assert_eq!(answer, Err(ClaimError::Ambiguous));
 
         platform.set_faults(FaultSettings::default());
-        let held = loop {
-            match claims.read(&key(1)).await.unwrap() {
-                Some(held) if held.state == ClaimState::NotRun => break held,
-                _ => future::yield_now().await,
-            }
-        };
+        let held = until(async || {
+            let held = claims.read(&key(1)).await.unwrap();
+            held.filter(|held| held.state == ClaimState::NotRun)
+        })
+        .await;
         let replaced = claims.replace(&key(1), &held, claim(2)).await;
         assert_eq!(replaced, Ok(Claimed::Mine));
     });
@@ -349,13 +368,11 @@
                 .executor
                 .spawn(async move { claims.claim(&key(1), claim(1)).await })
         };
-        while claims.counts().transactions == 0 {
-            future::yield_now().await;
-        }
+        let sent = || claims.counts().transactions > 0;
+        until(async || sent().then_some(())).await;
         assert_eq!(task.cancel().await, None);
-        while claims.counts().withdrawn == 0 {
-            future::yield_now().await;
-        }
+        let withdrawn = || claims.counts().withdrawn > 0;
+        until(async || withdrawn().then_some(())).await;
         let held = claims.read(&key(1)).await.unwrap().unwrap();
         assert_eq!(held.state, ClaimState::NotRun);
     });
--- a/crates/platform/tests/platform/support.rs
+++ b/crates/platform/tests/platform/support.rs
@@ -5,7 +5,7 @@
     future::Future,
     net::{SocketAddr, TcpListener},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_executor::Executor;
@@ -18,6 +18,7 @@
 use chestnutreach_standins::platform::{
     FaultSettings, Faults, ObjectStats, TableStats, serve_objects, serve_table,
 };
+use futures_lite::future;
 use http_types::{Method, Request};
 use serde::de::DeserializeOwned;
 
@@ -83,6 +84,18 @@
     }
 }
 
+/// Asks again until there is an answer; fails the test when none comes.
+pub async fn until<T>(ask: impl AsyncFn() -> Option<T>) -> T {
+    let end = Instant::now() + CALL_TIMEOUT;
+    loop {
+        if let Some(answer) = ask().await {
+            return answer;
+        }
+        assert!(Instant::now() < end, "nothing came in {CALL_TIMEOUT:?}");
+        future::yield_now().await;
+    }
+}
+
 pub fn listen() -> (Async<TcpListener>, SocketAddr) {
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
     let address = listener.get_ref().local_addr().unwrap();
