Measure what entries and sides add, and what a core of them carries

Load is open-loop and Poisson, each time counted from the intended begin. A fleet tells the numbers of its processes, so that their processor time can be read.

--- /dev/null
+++ b/crates/bench/src/overhead.rs
@@ -0,0 +1,295 @@
+//! Time that entries and sides add to the first token and between tokens.
+//!
+//! The same engines are asked through the router and without it, in turns of
+//! one run, so that what else the machine does meets both.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use chestnutreach_fleet::{Fleet, Plan};
+use serde::Serialize;
+
+use crate::{
+    load::{Direct, Load, Quantiles, Routed, Samples, Target},
+    machine::{Rate, Snapshot},
+    report::{Show, Table, places},
+};
+
+/// Layers by stage.
+pub(crate) const BOUNDS: [u32; 3] = [0, 12, 24];
+/// Requests at once at a backend server: more than ever come.
+const MAX_RUNNING: u32 = 1_024;
+/// Rate and time of the load that opens connections.
+const WARM_UP: (f64, Duration) = (200.0, Duration::from_secs(1));
+
+/// What is measured.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    pub(crate) rates_per_s: Vec<f64>,
+    pub(crate) max_tokens: u32,
+    pub(crate) turn: Duration,
+    pub(crate) turns: usize,
+    pub(crate) entries: usize,
+    pub(crate) chains: usize,
+    pub(crate) engine_arguments: Vec<String>,
+}
+
+/// Figures of all rates.
+#[derive(Debug, Serialize)]
+pub(crate) struct Overhead {
+    pub(crate) entries: usize,
+    pub(crate) chains: usize,
+    pub(crate) max_tokens: u32,
+    pub(crate) rows: Vec<Row>,
+}
+
+/// Figures of one rate.
+#[derive(Debug, Serialize)]
+pub(crate) struct Row {
+    pub(crate) rate_per_s: f64,
+    pub(crate) direct: Way,
+    pub(crate) routed: Way,
+    pub(crate) first_token_added: Quantiles,
+    pub(crate) first_token_ratio: Quantiles,
+    pub(crate) between_tokens_added: Quantiles,
+    pub(crate) between_tokens_ratio: Quantiles,
+}
+
+/// Figures of one way to the engines.
+#[derive(Debug, Serialize)]
+pub(crate) struct Way {
+    pub(crate) first_token: Quantiles,
+    pub(crate) between_tokens: Quantiles,
+    /// How late requests began: time the load generator itself lost.
+    pub(crate) lateness: Quantiles,
+    pub(crate) begun: u64,
+    pub(crate) whole: u64,
+    pub(crate) failed: u64,
+    pub(crate) first_error: Option<String>,
+    /// Cores in use by role, the load generator and the engines included.
+    pub(crate) cores: BTreeMap<&'static str, Rate>,
+}
+
+/// A fleet of `chains` chains of two stages, for measuring.
+pub(crate) fn plan(entries: usize, chains: usize) -> Plan {
+    Plan::new()
+        .entries(entries)
+        .stages(&BOUNDS, chains)
+        .plain_servers(0)
+        .max_running(MAX_RUNNING)
+        .engine_argument("--max-batch=256")
+}
+
+/// Measures all rates.
+pub(crate) fn measure(options: &Options) -> anyhow::Result<Overhead> {
+    let mut plan = plan(options.entries, options.chains);
+    for argument in &options.engine_arguments {
+        plan = plan.engine_argument(argument);
+    }
+    let names = [plan.stage_names(0), plan.stage_names(1)];
+    let fleet = Fleet::start(plan)?;
+    let direct = Arc::new(Direct::new(&fleet, &names, &BOUNDS));
+    let routed = Arc::new(Routed::new(&fleet, options.entries));
+    warm_up(options, &direct);
+    warm_up(options, &routed);
+    let rates = options.rates_per_s.iter();
+    let rows = rates.map(|r| row(options, &fleet, *r, &direct, &routed));
+    Ok(Overhead {
+        entries: options.entries,
+        chains: options.chains,
+        max_tokens: options.max_tokens,
+        rows: rows.collect(),
+    })
+}
+
+fn warm_up<T: Target>(options: &Options, target: &Arc<T>) {
+    let (rate, time) = WARM_UP;
+    let load = Load::new(rate).time(time).max_tokens(options.max_tokens);
+    load.run(target);
+}
+
+fn row(
+    options: &Options,
+    fleet: &Fleet,
+    rate_per_s: f64,
+    direct: &Arc<Direct>,
+    routed: &Arc<Routed>,
+) -> Row {
+    let load = Load::new(rate_per_s)
+        .time(options.turn)
+        .max_tokens(options.max_tokens);
+    let mut by_direct = Turns::new();
+    let mut by_routed = Turns::new();
+    for _ in 0..options.turns {
+        by_direct.take(fleet, load, direct);
+        by_routed.take(fleet, load, routed);
+    }
+    let (direct, routed) = (by_direct.way(), by_routed.way());
+    let first = (routed.first_token, direct.first_token);
+    let between = (routed.between_tokens, direct.between_tokens);
+    Row {
+        rate_per_s,
+        first_token_added: first.0.above(&first.1),
+        first_token_ratio: first.0.ratio(&first.1),
+        between_tokens_added: between.0.above(&between.1),
+        between_tokens_ratio: between.0.ratio(&between.1),
+        direct,
+        routed,
+    }
+}
+
+/// The turns of one way.
+struct Turns {
+    samples: Samples,
+    cores: Vec<BTreeMap<&'static str, Rate>>,
+}
+
+impl Turns {
+    fn new() -> Turns {
+        Turns { samples: Samples::new(), cores: Vec::new() }
+    }
+
+    fn take<T: Target>(&mut self, fleet: &Fleet, load: Load, target: &Arc<T>) {
+        let before = Snapshot::take(fleet);
+        self.samples.add(&load.run(target));
+        let after = Snapshot::take(fleet);
+        self.cores.push(before.rates_until(&after));
+    }
+
+    fn way(self) -> Way {
+        let samples = self.samples;
+        Way {
+            first_token: samples.first_token(),
+            between_tokens: samples.between_tokens(),
+            lateness: samples.lateness(),
+            begun: samples.begun,
+            whole: samples.whole,
+            failed: samples.failed,
+            first_error: samples.first_error,
+            cores: mean(&self.cores),
+        }
+    }
+}
+
+fn mean(
+    turns: &[BTreeMap<&'static str, Rate>],
+) -> BTreeMap<&'static str, Rate> {
+    let mut means: BTreeMap<&'static str, Rate> = BTreeMap::new();
+    for turn in turns {
+        for (role, rate) in turn {
+            let mean = means.entry(role).or_default();
+            mean.cores += rate.cores / turns.len() as f64;
+            mean.processes = rate.processes;
+        }
+    }
+    means
+}
+
+impl Show for Overhead {
+    fn show(&self) -> String {
+        let mut text = format!(
+            "{} entries, {} chains of 2 stages, {} tokens a request; \
+             times in us: direct / routed / added (times)\n\n",
+            self.entries, self.chains, self.max_tokens
+        );
+        text += &self.times();
+        text.push('\n');
+        text += &self.cores();
+        for row in &self.rows {
+            for way in [&row.direct, &row.routed] {
+                if let Some(error) = &way.first_error {
+                    text += &format!(
+                        "{}/s: {} of {} failed: {error}\n",
+                        row.rate_per_s, way.failed, way.begun
+                    );
+                }
+            }
+        }
+        text
+    }
+}
+
+impl Overhead {
+    fn times(&self) -> String {
+        let mut table = Table::new(&[
+            "requests/s",
+            "what",
+            "p50",
+            "p95",
+            "p99",
+            "late p99 d/r",
+            "whole d/r",
+        ]);
+        for row in &self.rows {
+            let (direct, routed) = (&row.direct, &row.routed);
+            let late = format!(
+                "{:.0}/{:.0}",
+                direct.lateness.p99_us, routed.lateness.p99_us
+            );
+            let whole = format!(
+                "{}/{} {}/{}",
+                direct.whole, direct.begun, routed.whole, routed.begun
+            );
+            let rate = places(row.rate_per_s, 0);
+            let first = cells(
+                [&direct.first_token, &routed.first_token],
+                &row.first_token_added,
+                &row.first_token_ratio,
+            );
+            let mut line = vec![rate.clone(), "first token".to_owned()];
+            line.extend(first);
+            line.extend([late, whole]);
+            table.row(line);
+            let between = cells(
+                [&direct.between_tokens, &routed.between_tokens],
+                &row.between_tokens_added,
+                &row.between_tokens_ratio,
+            );
+            let mut line = vec![rate, "between tokens".to_owned()];
+            line.extend(between);
+            table.row(line);
+        }
+        table.to_text()
+    }
+
+    fn cores(&self) -> String {
+        let mut table = Table::new(&[
+            "requests/s",
+            "way",
+            "entry",
+            "side",
+            "engine",
+            "load generator",
+            "all cores",
+        ]);
+        for row in &self.rows {
+            for (name, way) in
+                [("direct", &row.direct), ("routed", &row.routed)]
+            {
+                let of = |role| way.cores.get(role).map_or(0.0, |r| r.cores);
+                let all: f64 = way.cores.values().map(|r| r.cores).sum();
+                let mut line =
+                    vec![places(row.rate_per_s, 0), name.to_owned()];
+                let roles = ["entry", "side", "engine", "load generator"];
+                line.extend(roles.map(|role| places(of(role), 2)));
+                line.push(places(all, 2));
+                table.row(line);
+            }
+        }
+        table.to_text()
+    }
+}
+
+fn cells(
+    [direct, routed]: [&Quantiles; 2],
+    added: &Quantiles,
+    ratio: &Quantiles,
+) -> Vec<String> {
+    let cell = |d: f64, r: f64, a: f64, x: f64| {
+        format!("{d:.0} / {r:.0} / {a:.0} ({x:.2})")
+    };
+    vec![
+        cell(direct.p50_us, routed.p50_us, added.p50_us, ratio.p50_us),
+        cell(direct.p95_us, routed.p95_us, added.p95_us, ratio.p95_us),
+        cell(direct.p99_us, routed.p99_us, added.p99_us, ratio.p99_us),
+    ]
+}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -489,6 +489,12 @@
             .unwrap_or_else(|| panic!("the fleet has no process {name:?}"))
     }
 
+    /// Numbers of the running processes in the system, by name.
+    pub fn process_ids(&self) -> BTreeMap<String, u32> {
+        let each = self.processes.iter();
+        each.filter_map(|(name, p)| Some((name.clone(), p.id()?))).collect()
+    }
+
     /// Sets the faults of a stand-in.
     ///
     /// # Panics
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -77,6 +77,11 @@
         &self.name
     }
 
+    /// Its number in the system; none while it does not run.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// What it has written.
     pub fn log_text(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
