entry: read requests by the published shape and name the field

Cause: the fields of both endpoints were flattened into one struct, which hides the path of a wrong one (`model`: 5 named no field). A list in place of an object was taken field by field; `stream_options` without a stream, tools, log probabilities and parts other than text were taken and then left out of the answer; a model with a context of 1024 tokens or less refused every request that stated no limit; a second value of a header was ignored; usage overflowed on counts that make no sense.

Ruled out: ignoring what the answer cannot hold. An answer that lacks what was asked for is not whole, so the field is refused by its name.

The shapes and the headers' terms are public modules now: they hold no state, and their tests and fuzz tests reach them without an entry.

Also: GET /v1/models/{id}, HEAD and OPTIONS on our own endpoints, an x-request-id on every answer of the API, 503 with a time to come back in place of 401 while no manifest is in force, and headers named by Connection stay off plain services.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -122,6 +122,16 @@
     response
 }
 
+/// The refusal of a request that is wrong in itself.
+pub(crate) fn bad_request(
+    code: &str,
+    param: Option<&str>,
+    message: &str,
+) -> Box<Response> {
+    let kind = "invalid_request_error";
+    refusal(StatusCode::BadRequest, kind, code, param, message)
+}
+
 /// The answer to a request that the HTTP layer refuses.
 pub(crate) fn http_refusal(error: &RequestError) -> Response {
     let status =
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -10,30 +10,27 @@
 use chestnutreach_config::key_digest;
 use chestnutreach_http::{Received, ServerOptions, serve_connection};
 use chestnutreach_protocol::RequestId;
-use chestnutreach_routing::Priority;
 use chestnutreach_state::NotRunReason;
 use chestnutreach_telemetry::{Event, emit};
 use http_types::{Method, Request, Response, StatusCode};
 
 use crate::{
-    answer, language,
+    answer::{self, REQUEST_HEADER},
+    language, models,
     node::Shared,
     openai::Endpoint,
     plain,
     session::Ending,
+    terms::{DeadlineLimits, Terms},
     view::{AccountView, ServiceView, View},
 };
 
-/// Header with the caller's time in milliseconds.
-const DEADLINE_HEADER: &str = "chestnutreach-deadline-ms";
-/// Header that marks a request as non-idempotent.
-const NON_IDEMPOTENT_HEADER: &str = "chestnutreach-non-idempotent";
-/// Header with the request's priority.
-const PRIORITY_HEADER: &str = "chestnutreach-priority";
-/// Published header with the key of a request that runs at most once.
-const KEY_HEADER: &str = "idempotency-key";
-/// Longest key.
-const MAX_KEY_BYTES: usize = 255;
+/// Methods of the endpoints that make an answer.
+const POST_ONLY: [Method; 2] = [Method::Post, Method::Options];
+/// Methods of the endpoints that only tell something.
+const GET_ONLY: [Method; 3] = [Method::Get, Method::Head, Method::Options];
+/// Path of the list of models, and prefix of each.
+const MODELS_PATH: &str = "/v1/models";
 /// Wait after the system refuses a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// When to come back to a VM that has as many requests as it may.
@@ -72,16 +69,29 @@
 }
 
 async fn respond(entry: &Arc<Shared>, received: Received) -> Response {
-    let mut response = match route(entry, received).await {
+    let arrival =
+        Arrival { request: RequestId::random(), arrived: Instant::now() };
+    let mut response = match route(entry, received, arrival).await {
         Ok(response) => response,
         Err(refusal) => *refusal,
     };
+    if response.header(REQUEST_HEADER).is_none() {
+        let request = arrival.request.to_string();
+        response.insert_header(REQUEST_HEADER, request);
+    }
     if entry.is_leaving() {
         response.insert_header("connection", "close");
     }
     response
 }
 
+/// What a request is given when it arrives.
+#[derive(Clone, Copy)]
+struct Arrival {
+    request: RequestId,
+    arrived: Instant,
+}
+
 /// What every handler gets.
 pub(crate) struct Call {
     pub(crate) received: Received,
@@ -92,48 +102,61 @@
     pub(crate) arrived: Instant,
 }
 
-/// What the headers of a request say of how it is to be served.
-pub(crate) struct Terms {
-    pub(crate) deadline_ms: u64,
-    pub(crate) priority: Priority,
-    /// None where the caller does not say.
-    pub(crate) is_non_idempotent: Option<bool>,
-    pub(crate) key: Option<String>,
-}
-
 type Routed = Result<Response, Box<Response>>;
 
-async fn route(entry: &Arc<Shared>, received: Received) -> Routed {
-    let arrived = Instant::now();
+async fn route(
+    entry: &Arc<Shared>,
+    received: Received,
+    arrival: Arrival,
+) -> Routed {
     let view = entry.view.load_full();
+    if view.generation == 0 {
+        return Err(no_manifest(arrival));
+    }
     let path = received.request.url().path().to_owned();
     let method = received.request.method();
     let account = authenticate(&view, &received.request)?;
-    match path.as_str() {
-        "/v1/chat/completions" => {
-            only(method, Method::Post)?;
-            let endpoint = Endpoint::Chat;
-            complete(entry, &view, account, endpoint, received, arrived).await
-        }
-        "/v1/completions" => {
-            only(method, Method::Post)?;
-            let endpoint = Endpoint::Completions;
-            complete(entry, &view, account, endpoint, received, arrived).await
-        }
-        "/v1/models" => {
-            only(method, Method::Get)?;
-            Ok(models(&view, &account))
-        }
+    let endpoint = match path.as_str() {
+        "/v1/chat/completions" => Endpoint::Chat,
+        "/v1/completions" => Endpoint::Completions,
         other => {
+            if let Some(model) = model_path(other) {
+                only(method, &GET_ONLY)?;
+                return tell_models(&view, &account, model);
+            }
             let (service, rest) = view
                 .plain(other)
                 .ok_or_else(|| not_found("not_found", other))?;
             let service = allowed(&account, service)?;
             let rest = rest.to_owned();
-            let call = admit(entry, account, service, received, arrived)?;
-            plain::serve(entry, call, &rest).await
+            let call = admit(entry, account, service, received, arrival)?;
+            return plain::serve(entry, call, &rest).await;
         }
+    };
+    only(method, &POST_ONLY)?;
+    complete(entry, &view, account, endpoint, received, arrival).await
+}
+
+/// The model that a path below the list of models names, if it is one;
+/// nothing for the list itself.
+fn model_path(path: &str) -> Option<&str> {
+    let rest = path.strip_prefix(MODELS_PATH)?;
+    if rest.is_empty() {
+        return Some(rest);
     }
+    rest.strip_prefix('/')
+}
+
+fn tell_models(view: &View, account: &AccountView, model: &str) -> Routed {
+    if model.is_empty() {
+        return Ok(models::list(view, account));
+    }
+    let model = models::decode(model);
+    let service = view
+        .model(&model)
+        .ok_or_else(|| not_found("model_not_found", &model))?;
+    let service = allowed(account, service)?;
+    Ok(models::one(&model, &service))
 }
 
 async fn complete(
@@ -142,49 +165,64 @@
     account: Arc<AccountView>,
     endpoint: Endpoint,
     received: Received,
-    arrived: Instant,
+    arrival: Arrival,
 ) -> Routed {
-    let asked = language::parse(endpoint, &received.body)?;
+    let mut asked = language::parse(endpoint, &received.body)?;
     let service = view
         .model(&asked.model)
         .ok_or_else(|| not_found("model_not_found", &asked.model))?;
     let service = allowed(&account, service)?;
-    language::check_size(&asked, &service)?;
-    let call = admit(entry, account, service, received, arrived)?;
+    language::fit(&mut asked, &service)?;
+    let call = admit(entry, account, service, received, arrival)?;
     language::serve(entry, call, endpoint, asked).await
 }
 
-/// Reads the terms and gives the request its identity.
+/// Reads the terms of a request and counts it against this VM's limit.
 fn admit(
     entry: &Arc<Shared>,
     account: Arc<AccountView>,
     service: Arc<ServiceView>,
     received: Received,
-    arrived: Instant,
+    arrival: Arrival,
 ) -> Result<Call, Box<Response>> {
-    let terms = Terms::try_new(&received.request, &service)?;
-    let request = RequestId::random();
+    let limits = DeadlineLimits {
+        default_ms: service.service.default_deadline_ms,
+        max_ms: service.service.max_deadline_ms,
+    };
+    let terms = Terms::try_new(&received.request, limits).map_err(|e| {
+        answer::bad_request("invalid_header", Some(e.name), &e.message)
+    })?;
+    let Arrival { request, arrived } = arrival;
     if entry.is_full() {
-        let ending = Ending::not_run(
-            NotRunReason::Full,
-            Some(BUSY_RETRY_MS + fastrand::u64(0..=BUSY_RETRY_MS)),
-            "this VM has as many requests in flight as it may",
-        );
-        return Err(answer::ended(&ending, Some(request), true));
+        let detail = "this VM has as many requests in flight as it may";
+        return Err(come_back(NotRunReason::Full, arrival, detail));
     }
     Ok(Call { received, account, service, terms, request, arrived })
 }
 
+/// Without a manifest nobody can tell whether a key is right.
+fn no_manifest(arrival: Arrival) -> Box<Response> {
+    let detail = "no manifest is in force on this VM yet";
+    come_back(NotRunReason::NoChain, arrival, detail)
+}
+
+fn come_back(
+    reason: NotRunReason,
+    arrival: Arrival,
+    detail: &str,
+) -> Box<Response> {
+    let spread_ms = fastrand::u64(0..=BUSY_RETRY_MS);
+    let retry_after_ms = Some(BUSY_RETRY_MS + spread_ms);
+    let ending = Ending::not_run(reason, retry_after_ms, detail);
+    answer::ended(&ending, Some(arrival.request), true)
+}
+
 fn authenticate(
     view: &View,
     request: &Request,
 ) -> Result<Arc<AccountView>, Box<Response>> {
-    let header = request.header("authorization");
-    let key = header.and_then(|values| {
-        let (scheme, key) = values.as_str().split_once(' ')?;
-        scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
-    });
-    let account = key.and_then(|key| view.account(&key_digest(key)));
+    let account =
+        bearer_key(request).and_then(|key| view.account(&key_digest(key)));
     account.cloned().ok_or_else(|| {
         let mut response = answer::refusal(
             StatusCode::Unauthorized,
@@ -198,6 +236,14 @@
     })
 }
 
+/// The bearer key; none where there is not exactly one.
+fn bearer_key(request: &Request) -> Option<&str> {
+    let mut values = request.header("authorization")?.iter();
+    let only = values.next().filter(|_| values.next().is_none())?;
+    let (scheme, key) = only.as_str().trim().split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+}
+
 fn allowed(
     account: &AccountView,
     service: &Arc<ServiceView>,
@@ -214,19 +260,22 @@
     ))
 }
 
-fn only(method: Method, expected: Method) -> Result<(), Box<Response>> {
-    if method == expected {
-        return Ok(());
-    }
-    let message = format!("only {expected} is served here");
-    let mut response = answer::refusal(
-        StatusCode::MethodNotAllowed,
-        "invalid_request_error",
-        "method_not_allowed",
-        None,
-        &message,
-    );
-    response.insert_header("allow", expected.to_string());
+/// Refuses another method than those served, and answers `OPTIONS`.
+fn only(method: Method, served: &[Method]) -> Result<(), Box<Response>> {
+    let allow: Vec<&str> = served.iter().map(AsRef::as_ref).collect();
+    let allow = allow.join(", ");
+    let mut response = match method {
+        Method::Options => Box::new(Response::new(StatusCode::NoContent)),
+        _ if served.contains(&method) => return Ok(()),
+        _ => answer::refusal(
+            StatusCode::MethodNotAllowed,
+            "invalid_request_error",
+            "method_not_allowed",
+            None,
+            &format!("only {allow} are served here"),
+        ),
+    };
+    response.insert_header("allow", allow);
     Err(response)
 }
 
@@ -239,90 +288,3 @@
         &format!("no service answers to {what:?}"),
     )
 }
-
-fn models(view: &View, account: &AccountView) -> Response {
-    let data: Vec<serde_json::Value> = view
-        .models()
-        .filter(|(_, s)| account.account.services.contains(&s.name))
-        .map(|(model, service)| {
-            serde_json::json!({
-                "id": model,
-                "object": "model",
-                "created": 0,
-                "owned_by": service.name,
-            })
-        })
-        .collect();
-    let list = serde_json::json!({"object": "list", "data": data});
-    let mut response = Response::new(StatusCode::Ok);
-    response.set_body(list.to_string());
-    response.insert_header("content-type", "application/json");
-    response
-}
-
-impl Terms {
-    fn try_new(
-        request: &Request,
-        service: &ServiceView,
-    ) -> Result<Terms, Box<Response>> {
-        let max_ms = service.service.max_deadline_ms;
-        let deadline_ms = match value(request, DEADLINE_HEADER) {
-            None => service.service.default_deadline_ms,
-            Some(text) => text
-                .parse()
-                .ok()
-                .filter(|ms| (1..=max_ms).contains(ms))
-                .ok_or_else(|| {
-                    let range = format!("a number of ms from 1 to {max_ms}");
-                    wrong_header(DEADLINE_HEADER, text, &range)
-                })?,
-        };
-        let priority = match value(request, PRIORITY_HEADER) {
-            None => Priority::Normal,
-            Some("low") => Priority::Low,
-            Some("normal") => Priority::Normal,
-            Some("high") => Priority::High,
-            Some(text) => {
-                let range = "low, normal or high";
-                return Err(wrong_header(PRIORITY_HEADER, text, range));
-            }
-        };
-        let is_non_idempotent = match value(request, NON_IDEMPOTENT_HEADER) {
-            None => None,
-            Some("true") => Some(true),
-            Some("false") => Some(false),
-            Some(text) => {
-                let range = "true or false";
-                return Err(wrong_header(NON_IDEMPOTENT_HEADER, text, range));
-            }
-        };
-        let key = match value(request, KEY_HEADER) {
-            None => None,
-            Some(text) if is_key(text) => Some(text.to_owned()),
-            Some(text) => {
-                let range = format!("1 to {MAX_KEY_BYTES} visible characters");
-                return Err(wrong_header(KEY_HEADER, text, &range));
-            }
-        };
-        Ok(Terms { deadline_ms, priority, is_non_idempotent, key })
-    }
-}
-
-fn value<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    request.header(name).map(|values| values.as_str())
-}
-
-fn is_key(text: &str) -> bool {
-    let is_visible = text.bytes().all(|b| b.is_ascii_graphic() || b == b' ');
-    (1..=MAX_KEY_BYTES).contains(&text.len()) && is_visible
-}
-
-fn wrong_header(name: &str, value: &str, range: &str) -> Box<Response> {
-    answer::refusal(
-        StatusCode::BadRequest,
-        "invalid_request_error",
-        "invalid_header",
-        Some(name),
-        &format!("header {name} is {value:?}, not {range}"),
-    )
-}
--- a/crates/entry/src/language.rs
+++ b/crates/entry/src/language.rs
@@ -19,7 +19,9 @@
     answer::{self, OUTCOME_HEADER, REQUEST_HEADER},
     api::Call,
     node::Shared,
-    openai::{AnswerShape, Asked, Chunks, Endpoint, Usage},
+    openai::{
+        AnswerShape, Asked, Chunks, Endpoint, Usage, answer::error_event,
+    },
     session::{Job, JobWork, Progress},
     source::Source,
     tally::Tally,
@@ -36,23 +38,17 @@
     body: &[u8],
 ) -> Result<Asked, Box<Response>> {
     Asked::try_parse(endpoint, body).map_err(|e| {
-        answer::refusal(
-            StatusCode::BadRequest,
-            "invalid_request_error",
-            "invalid_body",
-            e.param.as_deref(),
-            &e.message,
-        )
+        answer::bad_request("invalid_body", e.param.as_deref(), &e.message)
     })
 }
 
-/// Checks that a request can fit its model.
+/// Fits a request into the context of its model.
 ///
 /// # Errors
 ///
 /// The answer that names the limit.
-pub(crate) fn check_size(
-    asked: &Asked,
+pub(crate) fn fit(
+    asked: &mut Asked,
     service: &ServiceView,
 ) -> Result<(), Box<Response>> {
     let ServiceKind::Language { max_context_tokens, .. } =
@@ -60,21 +56,10 @@
     else {
         return Ok(());
     };
-    if asked.max_tokens < max_context_tokens {
-        return Ok(());
-    }
-    let message = format!(
-        "max_tokens is {}, not less than the {max_context_tokens} tokens \
-         of the model's context",
-        asked.max_tokens
-    );
-    Err(answer::refusal(
-        StatusCode::BadRequest,
-        "invalid_request_error",
-        "context_length_exceeded",
-        Some("max_tokens"),
-        &message,
-    ))
+    asked.fit(max_context_tokens).map_err(|e| {
+        let code = "context_length_exceeded";
+        answer::bad_request(code, e.param.as_deref(), &e.message)
+    })
 }
 
 /// Serves a request for a model.
@@ -192,11 +177,10 @@
         response.insert_header("content-type", "text/event-stream");
         response.insert_header("cache-control", "no-cache");
         let stream = Stream {
-            chunks: self.shape.chunks(),
+            chunks: self.shape.chunks(includes_usage),
             answering: self,
             writer,
             connection,
-            includes_usage,
         };
         entry.spawn(stream.run(first));
         Ok(response)
@@ -230,7 +214,6 @@
     chunks: Chunks,
     writer: BodyWriter,
     connection: SharedStream,
-    includes_usage: bool,
 }
 
 impl Stream {
@@ -249,7 +232,7 @@
                 }
                 Progress::Whole(finished) => {
                     self.answering.tally.completed();
-                    let usage = self.includes_usage.then(|| usage(&finished));
+                    let usage = usage(&finished);
                     let closing =
                         self.chunks.closing(finished.finish(), usage);
                     self.writer.write(closing);
@@ -259,8 +242,7 @@
                 Progress::Ended(ending) => {
                     self.answering.tally.ended(&ending);
                     let object = answer::error_object(&ending);
-                    let event = format!("data: {object}\n\n");
-                    self.writer.write(event.into_bytes());
+                    self.writer.write(error_event(&object));
                     // Dropping the writer unfinished breaks the body off: an
                     // answer that is not whole must not look like one.
                     return;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,7 +8,9 @@
 //! | `session` | one request over all its attempts |
 //! | `keyed` | requests with an idempotency key |
 //! | `api` | which request goes where, and who may send it |
-//! | `openai` | the published shapes of requests and answers |
+//! | [`terms`] | the headers that say how a request is served |
+//! | `models` | the list of models |
+//! | [`openai`] | the published shapes of requests and answers |
 //! | `language` | requests for a model |
 //! | `plain` | requests for a plain service |
 //! | `recent` | the routing choices of recent requests |
@@ -21,8 +23,9 @@
 mod api;
 mod keyed;
 mod language;
+mod models;
 pub mod node;
-mod openai;
+pub mod openai;
 mod outage;
 mod peers;
 mod plain;
@@ -30,6 +33,7 @@
 mod session;
 mod source;
 mod tally;
+pub mod terms;
 mod view;
 
 pub use node::{Entry, EntryParts};
--- /dev/null
+++ b/crates/entry/src/models.rs
@@ -0,0 +1,46 @@
+//! The list of models, as published.
+
+use chestnutreach_config::manifest::Account;
+use http_types::{Response, StatusCode};
+use percent_encoding::percent_decode_str;
+use serde_json::{Value, json};
+
+use crate::view::{AccountView, ServiceView, View};
+
+/// The models that an account may use.
+pub(crate) fn list(view: &View, account: &AccountView) -> Response {
+    let Account { services, .. } = &account.account;
+    let data: Vec<Value> = view
+        .models()
+        .filter(|(_, service)| services.contains(&service.name))
+        .map(|(model, service)| object(model, service))
+        .collect();
+    respond(&json!({"object": "list", "data": data}))
+}
+
+/// One model.
+pub(crate) fn one(model: &str, service: &ServiceView) -> Response {
+    respond(&object(model, service))
+}
+
+/// A model's name as a path holds it; a client library escapes "/".
+pub(crate) fn decode(segment: &str) -> String {
+    percent_decode_str(segment).decode_utf8_lossy().into_owned()
+}
+
+fn object(model: &str, service: &ServiceView) -> Value {
+    json!({
+        "id": model,
+        "object": "model",
+        // The published field is required, and nothing here knows it.
+        "created": 0,
+        "owned_by": service.name,
+    })
+}
+
+fn respond(body: &Value) -> Response {
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(body.to_string());
+    response.insert_header("content-type", "application/json");
+    response
+}
--- /dev/null
+++ b/crates/entry/src/openai/answer.rs
@@ -0,0 +1,222 @@
+//! Whole answers and streamed chunks.
+//!
+//! Streamed chunks are written around the text with parts that are made once
+//! a request, since this runs for each token.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use chestnutreach_protocol::{RequestId, wire::FinishReason};
+use serde::Serialize;
+use serde_json::json;
+
+use super::Endpoint;
+
+/// Characters that JSON takes as they are but that client libraries which
+/// read events as lines of text may take for an end of line.
+const LINE_ENDS: [char; 3] = ['\u{85}', '\u{2028}', '\u{2029}'];
+
+/// Tokens that a request took.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Usage {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    total_tokens: u32,
+    prompt_tokens_details: PromptDetails,
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+struct PromptDetails {
+    cached_tokens: u32,
+}
+
+impl Usage {
+    /// Usage by counts of tokens; `cached` of the prompt's were in a cache.
+    pub fn new(prompt: u32, cached: u32, completion: u32) -> Usage {
+        Usage {
+            prompt_tokens: prompt,
+            completion_tokens: completion,
+            total_tokens: prompt.saturating_add(completion),
+            prompt_tokens_details: PromptDetails { cached_tokens: cached },
+        }
+    }
+}
+
+/// Names of an answer, the same in all its parts.
+pub struct AnswerShape {
+    endpoint: Endpoint,
+    id: String,
+    created: u64,
+    model: String,
+}
+
+impl AnswerShape {
+    /// The names of an answer that is made now.
+    pub fn new(
+        endpoint: Endpoint,
+        request: RequestId,
+        model: &str,
+    ) -> AnswerShape {
+        let prefix = match endpoint {
+            Endpoint::Chat => "chatcmpl",
+            Endpoint::Completions => "cmpl",
+        };
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        AnswerShape {
+            endpoint,
+            id: format!("{prefix}-{request}"),
+            created: now.map_or(0, |since| since.as_secs()),
+            model: model.to_owned(),
+        }
+    }
+
+    /// The whole answer as one JSON object.
+    pub fn whole(
+        &self,
+        text: &str,
+        finish: FinishReason,
+        usage: Usage,
+    ) -> serde_json::Value {
+        let finish = finish_word(finish);
+        let (object, choice) = match self.endpoint {
+            Endpoint::Chat => (
+                "chat.completion",
+                json!({
+                    "index": 0,
+                    "message": {
+                        "role": "assistant",
+                        "content": text,
+                        "refusal": null,
+                    },
+                    "logprobs": null,
+                    "finish_reason": finish,
+                }),
+            ),
+            Endpoint::Completions => (
+                "text_completion",
+                json!({
+                    "index": 0,
+                    "text": text,
+                    "logprobs": null,
+                    "finish_reason": finish,
+                }),
+            ),
+        };
+        json!({
+            "id": self.id,
+            "object": object,
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+            "usage": usage,
+        })
+    }
+
+    /// The parts that streamed chunks are written with.
+    pub fn chunks(&self, includes_usage: bool) -> Chunks {
+        let object = match self.endpoint {
+            Endpoint::Chat => "chat.completion.chunk",
+            Endpoint::Completions => "text_completion",
+        };
+        let head = format!(
+            "data: {{\"id\":{},\"object\":\"{object}\",\"created\":{},\
+             \"model\":{},\"choices\":[",
+            json_string(&self.id),
+            self.created,
+            json_string(&self.model),
+        );
+        // Published: with usage asked for, each chunk but the last has null.
+        let tail =
+            if includes_usage { "],\"usage\":null}\n\n" } else { "]}\n\n" };
+        Chunks { endpoint: self.endpoint, head, tail, includes_usage }
+    }
+}
+
+/// Writes streamed chunks, each one event of one line.
+pub struct Chunks {
+    endpoint: Endpoint,
+    head: String,
+    tail: &'static str,
+    includes_usage: bool,
+}
+
+impl Chunks {
+    /// The first chunk of a chat answer, which names the role.
+    pub fn opening(&self) -> Option<Vec<u8>> {
+        match self.endpoint {
+            Endpoint::Chat => {
+                let delta = "{\"role\":\"assistant\",\"content\":\"\"}";
+                Some(self.chunk(&format!("\"delta\":{delta}"), None))
+            }
+            Endpoint::Completions => None,
+        }
+    }
+
+    /// A chunk with text.
+    pub fn text(&self, text: &str) -> Vec<u8> {
+        let text = json_string(text);
+        let part = match self.endpoint {
+            Endpoint::Chat => format!("\"delta\":{{\"content\":{text}}}"),
+            Endpoint::Completions => format!("\"text\":{text}"),
+        };
+        self.chunk(&part, None)
+    }
+
+    /// The last events: why it ended, the usage if asked for, the end mark.
+    pub fn closing(&self, finish: FinishReason, usage: Usage) -> Vec<u8> {
+        let part = match self.endpoint {
+            Endpoint::Chat => "\"delta\":{}",
+            Endpoint::Completions => "\"text\":\"\"",
+        };
+        let mut out = self.chunk(part, Some(finish_word(finish)));
+        if self.includes_usage {
+            let usage = json!(usage);
+            let event = format!("{}],\"usage\":{usage}}}\n\n", self.head);
+            out.extend_from_slice(event.as_bytes());
+        }
+        out.extend_from_slice(b"data: [DONE]\n\n");
+        out
+    }
+
+    fn chunk(&self, part: &str, finish: Option<&str>) -> Vec<u8> {
+        let finish = finish.map_or("null".to_owned(), json_string);
+        format!(
+            "{}{{\"index\":0,{part},\"logprobs\":null,\
+             \"finish_reason\":{finish}}}{}",
+            self.head, self.tail
+        )
+        .into_bytes()
+    }
+}
+
+/// The event that tells in a streamed answer that it will not be whole.
+pub(crate) fn error_event(object: &serde_json::Value) -> Vec<u8> {
+    let object = escape_line_ends(object.to_string());
+    format!("data: {object}\n\n").into_bytes()
+}
+
+fn json_string(text: &str) -> String {
+    escape_line_ends(serde_json::Value::from(text).to_string())
+}
+
+/// Escapes [`LINE_ENDS`] in JSON, which has them only inside of strings.
+fn escape_line_ends(json: String) -> String {
+    if !json.contains(LINE_ENDS) {
+        return json;
+    }
+    let mut escaped = String::with_capacity(json.len() + 8);
+    for char in json.chars() {
+        if LINE_ENDS.contains(&char) {
+            escaped.push_str(&format!("\\u{:04x}", u32::from(char)));
+        } else {
+            escaped.push(char);
+        }
+    }
+    escaped
+}
+
+fn finish_word(finish: FinishReason) -> &'static str {
+    match finish {
+        FinishReason::Length => "length",
+        FinishReason::Stop | FinishReason::Unspecified => "stop",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/openai/request.rs
@@ -0,0 +1,314 @@
+//! What is read of a request, and its checks.
+
+use std::{error, fmt, ops::RangeInclusive};
+
+use serde_json::Value;
+
+use super::{
+    Endpoint,
+    fields::{Body, Content, Message, Object, Part, Texts},
+};
+
+/// Answer tokens of a chat request that states no limit.
+pub const DEFAULT_CHAT_TOKENS: u32 = 1024;
+/// The same for a completion; the published default.
+pub const DEFAULT_COMPLETION_TOKENS: u32 = 16;
+/// Most stop sequences, as published.
+pub const MAX_STOPS: usize = 4;
+/// Bytes of text that count as a token in estimates.
+const BYTES_PER_TOKEN: usize = 4;
+
+const TEMPERATURES: RangeInclusive<f64> = 0.0..=2.0;
+const SHARES: RangeInclusive<f64> = 0.0..=1.0;
+const PENALTIES: RangeInclusive<f64> = -2.0..=2.0;
+
+const ROLES: [&str; 6] =
+    ["assistant", "developer", "function", "system", "tool", "user"];
+
+/// What the router reads of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Asked {
+    /// Model named.
+    pub model: String,
+    /// Most tokens of the answer; at least 1.
+    pub max_tokens: u32,
+    /// Field that stated the limit; none where it is the default.
+    pub max_tokens_field: Option<&'static str>,
+    /// The answer is to be streamed.
+    pub is_stream: bool,
+    /// A streamed answer is to end with its usage.
+    pub includes_usage: bool,
+    /// Estimate of the prompt's length.
+    pub prompt_tokens_estimate: u32,
+}
+
+/// A request that is not of the published shape, or asks for what is not
+/// served.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ShapeError {
+    /// The field at fault, if it is known.
+    pub param: Option<String>,
+    /// What is wrong with it, for the caller.
+    pub message: String,
+}
+
+impl fmt::Display for ShapeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl error::Error for ShapeError {}
+
+impl Asked {
+    /// Reads a request's body.
+    ///
+    /// # Errors
+    ///
+    /// The body is no JSON, not of the published shape, or asks for what is
+    /// not served.
+    pub fn try_parse(
+        endpoint: Endpoint,
+        body: &[u8],
+    ) -> Result<Asked, ShapeError> {
+        let mut body = parse(body)?;
+        let model =
+            body.model.take().ok_or_else(|| wrong("model", "is missing"))?;
+        let prompt_bytes = match endpoint {
+            Endpoint::Chat => chat_bytes(body.messages.as_deref())?,
+            Endpoint::Completions => prompt_bytes(body.prompt.as_ref())?,
+        };
+        check_numbers(&body)?;
+        check_stop(body.stop.as_ref())?;
+        check_served(&body)?;
+        let is_stream = body.stream.unwrap_or(false);
+        let includes_usage = usage_wanted(&body, is_stream)?;
+        let (max_tokens, max_tokens_field) = token_limit(endpoint, &body)?;
+        Ok(Asked {
+            model,
+            max_tokens,
+            max_tokens_field,
+            is_stream,
+            includes_usage,
+            prompt_tokens_estimate: estimate_tokens(prompt_bytes),
+        })
+    }
+
+    /// Fits the answer into the model's context: a stated limit that cannot
+    /// fit is refused, the default gives way.
+    ///
+    /// # Errors
+    ///
+    /// The stated limit leaves no token for the prompt.
+    pub fn fit(&mut self, max_context_tokens: u32) -> Result<(), ShapeError> {
+        if self.max_tokens < max_context_tokens {
+            return Ok(());
+        }
+        let Some(field) = self.max_tokens_field else {
+            self.max_tokens = max_context_tokens.saturating_sub(1).max(1);
+            return Ok(());
+        };
+        let message = format!(
+            "is {} tokens, not less than the {max_context_tokens} tokens of \
+             the model's context",
+            self.max_tokens
+        );
+        Err(wrong(field, &message))
+    }
+}
+
+fn wrong(param: &str, message: &str) -> ShapeError {
+    ShapeError {
+        param: Some(param.to_owned()),
+        message: format!("{param}: {message}"),
+    }
+}
+
+fn parse(body: &[u8]) -> Result<Body, ShapeError> {
+    let mut json = serde_json::Deserializer::from_slice(body);
+    let parsed = serde_path_to_error::deserialize(&mut json);
+    let Object(value) = parsed.map_err(|e| to_shape_error(&e))?;
+    json.end()
+        .map_err(|e| ShapeError { param: None, message: e.to_string() })?;
+    Ok(value)
+}
+
+fn to_shape_error(
+    error: &serde_path_to_error::Error<serde_json::Error>,
+) -> ShapeError {
+    let path = error.path().to_string();
+    let message = error.inner().to_string();
+    // A body that is no JSON at all is not the fault of a field.
+    if path == "." || !error.inner().is_data() {
+        return ShapeError { param: None, message };
+    }
+    wrong(&path, &message)
+}
+
+fn chat_bytes(
+    messages: Option<&[Object<Message>]>,
+) -> Result<usize, ShapeError> {
+    let messages = messages.ok_or_else(|| wrong("messages", "is missing"))?;
+    if messages.is_empty() {
+        return Err(wrong("messages", "must not be empty"));
+    }
+    let mut bytes: usize = 0;
+    for (at, Object(message)) in messages.iter().enumerate() {
+        bytes += message_bytes(message, &format!("messages[{at}]"))?;
+    }
+    Ok(bytes)
+}
+
+fn message_bytes(message: &Message, path: &str) -> Result<usize, ShapeError> {
+    let role_path = format!("{path}.role");
+    let role = message.role.as_deref();
+    let role = role.ok_or_else(|| wrong(&role_path, "is missing"))?;
+    if !ROLES.contains(&role) {
+        let range = ROLES.join(", ");
+        let message = format!("is {role:?}, not one of {range}");
+        return Err(wrong(&role_path, &message));
+    }
+    match &message.content {
+        Some(Content::Text(text)) => Ok(text.len()),
+        Some(Content::Parts(parts)) => parts_bytes(parts, path),
+        // It may have only called a tool.
+        None if role == "assistant" => Ok(0),
+        None => Err(wrong(&format!("{path}.content"), "is missing")),
+    }
+}
+
+fn parts_bytes(
+    parts: &[Object<Part>],
+    path: &str,
+) -> Result<usize, ShapeError> {
+    let mut bytes: usize = 0;
+    for (at, Object(part)) in parts.iter().enumerate() {
+        let path = format!("{path}.content[{at}]");
+        match part.kind.as_deref() {
+            Some("text") => {}
+            Some(other) => {
+                let message = format!("is {other:?}, not \"text\"");
+                return Err(wrong(&format!("{path}.type"), &message));
+            }
+            None => return Err(wrong(&format!("{path}.type"), "is missing")),
+        }
+        let text = part.text.as_ref();
+        let text =
+            text.ok_or_else(|| wrong(&format!("{path}.text"), "is missing"))?;
+        bytes += text.len();
+    }
+    Ok(bytes)
+}
+
+fn prompt_bytes(prompt: Option<&Texts>) -> Result<usize, ShapeError> {
+    let prompt = prompt.ok_or_else(|| wrong("prompt", "is missing"))?;
+    match prompt.as_slice() {
+        [text] => Ok(text.len()),
+        texts => {
+            let message = format!(
+                "has {} texts, but 1 a request is served",
+                texts.len()
+            );
+            Err(wrong("prompt", &message))
+        }
+    }
+}
+
+fn estimate_tokens(bytes: usize) -> u32 {
+    u32::try_from(bytes / BYTES_PER_TOKEN + 1).unwrap_or(u32::MAX)
+}
+
+fn check_numbers(body: &Body) -> Result<(), ShapeError> {
+    let numbers = [
+        ("temperature", body.temperature, TEMPERATURES),
+        ("top_p", body.top_p, SHARES),
+        ("presence_penalty", body.presence_penalty, PENALTIES),
+        ("frequency_penalty", body.frequency_penalty, PENALTIES),
+    ];
+    for (field, value, range) in numbers {
+        if let Some(value) = value.filter(|v| !range.contains(v)) {
+            let (least, most) = (range.start(), range.end());
+            let message = format!("is {value}, not from {least} to {most}");
+            return Err(wrong(field, &message));
+        }
+    }
+    Ok(())
+}
+
+fn check_stop(stop: Option<&Texts>) -> Result<(), ShapeError> {
+    let count = stop.map_or(0, |stop| stop.as_slice().len());
+    if count <= MAX_STOPS {
+        return Ok(());
+    }
+    let message = format!("has {count} sequences, more than {MAX_STOPS}");
+    Err(wrong("stop", &message))
+}
+
+/// Refuses what the answer could not hold.
+fn check_served(body: &Body) -> Result<(), ShapeError> {
+    for (field, count) in [("n", body.n), ("best_of", body.best_of)] {
+        if let Some(count) = count.filter(|count| *count != 1) {
+            let message =
+                format!("is {count}, but 1 answer a request is served");
+            return Err(wrong(field, &message));
+        }
+    }
+    let has_tools = body.tools.as_ref().is_some_and(|t| !t.is_empty());
+    let has_functions = body.functions.as_ref().is_some_and(|f| !f.is_empty());
+    let has_suffix = body.suffix.as_ref().is_some_and(|s| !s.is_empty());
+    // A count of 0 asks for those of the chosen tokens.
+    let wants_logprobs =
+        body.logprobs.as_ref().is_some_and(|l| *l != Value::Bool(false));
+    let is_more_than_text = body
+        .modalities
+        .as_ref()
+        .is_some_and(|m| m.iter().any(|m| m != "text"));
+    let not_served = [
+        ("echo", body.echo.unwrap_or(false)),
+        ("suffix", has_suffix),
+        ("logprobs", wants_logprobs),
+        ("top_logprobs", body.top_logprobs.unwrap_or(0) > 0),
+        ("tools", has_tools),
+        ("functions", has_functions),
+        ("modalities", is_more_than_text),
+    ];
+    match not_served.iter().find(|(_, is_asked_for)| *is_asked_for) {
+        Some((field, _)) => Err(wrong(field, "is not served")),
+        None => Ok(()),
+    }
+}
+
+fn usage_wanted(body: &Body, is_stream: bool) -> Result<bool, ShapeError> {
+    match &body.stream_options {
+        Some(_) if !is_stream => {
+            Err(wrong("stream_options", "is only for a streamed answer"))
+        }
+        Some(Object(options)) => Ok(options.include_usage.unwrap_or(false)),
+        None => Ok(false),
+    }
+}
+
+/// The limit of the answer, and the field that states it.
+fn token_limit(
+    endpoint: Endpoint,
+    body: &Body,
+) -> Result<(u32, Option<&'static str>), ShapeError> {
+    let newer = match endpoint {
+        Endpoint::Chat => body.max_completion_tokens,
+        Endpoint::Completions => None,
+    };
+    let stated =
+        [("max_completion_tokens", newer), ("max_tokens", body.max_tokens)];
+    for (field, limit) in stated {
+        match limit {
+            Some(0) => return Err(wrong(field, "is 0, not 1 token or more")),
+            Some(limit) => return Ok((limit, Some(field))),
+            None => {}
+        }
+    }
+    let default = match endpoint {
+        Endpoint::Chat => DEFAULT_CHAT_TOKENS,
+        Endpoint::Completions => DEFAULT_COMPLETION_TOKENS,
+    };
+    Ok((default, None))
+}
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -1,11 +1,14 @@
 //! Requests for a plain service.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, str::FromStr as _, sync::Arc};
 
 use chestnutreach_protocol::wire;
 use chestnutreach_state::Outcome;
 use futures_lite::FutureExt as _;
-use http_types::{Method, Request, Response, StatusCode};
+use http_types::{
+    Method, Request, Response, StatusCode,
+    headers::{HeaderName, HeaderValue},
+};
 
 use crate::{
     answer::{self, OUTCOME_HEADER, REQUEST_HEADER},
@@ -19,14 +22,17 @@
 
 /// Headers that end at the entry: of the connection, of the account's key,
 /// and of the router itself.
-const OWN_HEADERS: [&str; 9] = [
+const OWN_HEADERS: [&str; 12] = [
     "authorization",
     "connection",
     "content-length",
     "expect",
     "host",
     "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
     "te",
+    "trailer",
     "transfer-encoding",
     "upgrade",
 ];
@@ -124,10 +130,12 @@
 
 fn headers(request: &Request) -> Vec<wire::Header> {
     let mut headers = Vec::new();
+    let of_connection = connection_headers(request);
     for (name, values) in request.iter() {
         let name = name.as_str().to_ascii_lowercase();
         let is_own = OWN_HEADERS.contains(&name.as_str())
-            || name.starts_with(OWN_PREFIX);
+            || name.starts_with(OWN_PREFIX)
+            || of_connection.contains(&name);
         if is_own {
             continue;
         }
@@ -139,12 +147,25 @@
     headers
 }
 
+/// Headers that the caller says are of its connection only.
+fn connection_headers(request: &Request) -> BTreeSet<String> {
+    let values = request.header("connection").into_iter().flatten();
+    let names = values.flat_map(|value| value.as_str().split(','));
+    names.map(|name| name.trim().to_ascii_lowercase()).collect()
+}
+
 fn to_response(head: &wire::PlainHead) -> Response {
     let status = StatusCode::try_from(head.status as u16)
         .unwrap_or(StatusCode::BadGateway);
     let mut response = Response::new(status);
     for header in &head.headers {
-        response.append_header(header.name.as_str(), header.value.as_str());
+        let name = HeaderName::from_str(&header.name);
+        let value = HeaderValue::from_str(&header.value);
+        // The library panics on what is not ASCII; a peer must not be able
+        // to have it do so.
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.append_header(name, value);
+        }
     }
     response
 }
