Count calls to the table service

Cause: the metric table_operations_total stood in the catalogue and nothing counted it. The client now tells an observer of each call with its result.

--- a/crates/daemon/src/roles.rs
+++ b/crates/daemon/src/roles.rs
@@ -16,11 +16,14 @@
 use chestnutreach_platform::{
     ClaimOptions, ClaimStore, ManifestStore, ObjectClient, TableClient,
     VmListClient,
+    table::{CallResult, TableCall},
 };
 use chestnutreach_protocol::{Identity, wire::Role};
 use chestnutreach_side::{Side, SideParts};
 use chestnutreach_telemetry::{
-    Event, Metrics, OpsState, Readiness, emit, serve_ops,
+    Event, Metrics, OpsState, Readiness, emit,
+    metrics::{TableOperation, TableResult},
+    serve_ops,
 };
 
 use crate::{
@@ -64,13 +67,15 @@
         let platform = &node.platform;
         let timeout = Duration::from_millis(platform.request_timeout_ms);
         let name = role_name(role);
-        let table = TableClient::new(platform.table_address, timeout);
+        let metrics = Arc::new(Metrics::new(name, &node.vm));
+        let table = TableClient::new(platform.table_address, timeout)
+            .on_call(counted(metrics.clone()));
         let objects = ObjectClient::new(platform.object_address, timeout);
         Common {
             executor,
             identity: Identity::new(&node.vm, role, &node.data_centre)
                 .with_control(node.control_address),
-            metrics: Arc::new(Metrics::new(name, &node.vm)),
+            metrics,
             readiness: Arc::new(Readiness::new(&[NEEDS_MANIFEST])),
             heard: Arc::new(Heard::new()),
             in_force: Arc::new(InForce::new()),
@@ -155,6 +160,25 @@
     }
 }
 
+/// Counts each call to the table service.
+fn counted(
+    metrics: Arc<Metrics>,
+) -> impl Fn(TableCall, CallResult) + Send + Sync + 'static {
+    move |call, result| {
+        let operation = match call {
+            TableCall::Read => TableOperation::Read,
+            TableCall::Write => TableOperation::Write,
+        };
+        let result = match result {
+            CallResult::Done => TableResult::Done,
+            CallResult::Conflict => TableResult::Conflict,
+            CallResult::Failed => TableResult::Failed,
+            CallResult::Unknown => TableResult::Unknown,
+        };
+        metrics.table_operation(operation, result);
+    }
+}
+
 fn role_name(role: Role) -> &'static str {
     match role {
         Role::Entry => "entry",
--- a/crates/platform/src/table/mod.rs
+++ b/crates/platform/src/table/mod.rs
@@ -21,9 +21,11 @@
 mod answer;
 mod encoding;
 mod errors;
+mod observer;
 mod row;
 
 pub use errors::TableError;
+pub use observer::{CallResult, TableCall};
 pub use row::{Condition, ExpiringWrite, Row, Write};
 
 /// Name of the table unless another is set.
@@ -36,6 +38,7 @@
 pub struct TableClient {
     transport: Transport,
     table_name: String,
+    observer: observer::Observer,
 }
 
 impl TableClient {
@@ -43,7 +46,17 @@
     pub fn new(address: SocketAddr, timeout: Duration) -> TableClient {
         let transport = Transport::new(address, timeout);
         let table_name = DEFAULT_TABLE_NAME.to_owned();
-        TableClient { transport, table_name }
+        let observer = observer::Observer::default();
+        TableClient { transport, table_name, observer }
+    }
+
+    /// Has each call told of, to count it.
+    pub fn on_call(
+        mut self,
+        tell: impl Fn(TableCall, CallResult) + Send + Sync + 'static,
+    ) -> TableClient {
+        self.observer = observer::Observer::new(tell);
+        self
     }
 
     /// Uses another table.
@@ -132,7 +145,16 @@
             transact_items: items,
             client_request_token: token.to_owned(),
         };
-        let call = self.call(wire::TRANSACT_WRITE_ITEMS, &request);
+        let result = self.send_writes(&request, count).await;
+        self.observer.note(TableCall::Write, result)
+    }
+
+    async fn send_writes(
+        &self,
+        request: &TransactWriteItemsRequest,
+        count: usize,
+    ) -> Result<(), TableError> {
+        let call = self.call(wire::TRANSACT_WRITE_ITEMS, request);
         let answer = call.await.map_err(|e| {
             let detail = e.to_string();
             match e.may_have_run() {
@@ -180,14 +202,15 @@
         target: &str,
         request: &impl Serialize,
     ) -> Result<R, TableError> {
-        let answer = self.call(target, request).await.map_err(|e| {
-            let detail = e.to_string();
-            TableError::Unavailable { detail, is_throttled: false }
-        })?;
-        match answer.status {
-            200 => answer::decode(&answer.body),
-            _ => Err(answer::read_error(&answer)),
-        }
+        let result = match self.call(target, request).await {
+            Ok(answer) if answer.status == 200 => answer::decode(&answer.body),
+            Ok(answer) => Err(answer::read_error(&answer)),
+            Err(e) => {
+                let detail = e.to_string();
+                Err(TableError::Unavailable { detail, is_throttled: false })
+            }
+        };
+        self.observer.note(TableCall::Read, result)
     }
 
     async fn call(
--- a/crates/platform/tests/platform/services.rs
+++ b/crates/platform/tests/platform/services.rs
@@ -4,7 +4,7 @@
 
 use chestnutreach_platform::{
     ObjectClient, TableClient, VmListClient,
-    table::{Condition, Row, TableError, Write},
+    table::{CallResult, Condition, Row, TableCall, TableError, Write},
     vm_list::{VmEntry, VmState},
 };
 use chestnutreach_standins::platform::{
@@ -174,6 +174,39 @@
     });
 }
 
+#[test]
+fn each_call_is_told_of_with_its_result() {
+    run(|platform| async move {
+        let (sender, told) = async_channel::unbounded();
+        let address = platform.table_address();
+        let table = TableClient::new(address, CALL_TIMEOUT).on_call(
+            move |call, result| {
+                sender.try_send((call, result)).unwrap();
+            },
+        );
+        let add = || write("a", Some("1"), Condition::Absent);
+        table.write(add(), "t1").await.unwrap();
+        table.write(add(), "t2").await.unwrap_err();
+        table.read("a").await.unwrap();
+        platform.set_faults(FaultSettings {
+            lose_answers: 1,
+            ..FaultSettings::default()
+        });
+        let other = write("b", Some("1"), Condition::Any);
+        table.write(other, "t3").await.unwrap_err();
+        let expected = [
+            (TableCall::Write, CallResult::Done),
+            (TableCall::Write, CallResult::Conflict),
+            (TableCall::Read, CallResult::Done),
+            (TableCall::Write, CallResult::Unknown),
+        ];
+        for call in expected {
+            assert_eq!(told.try_recv(), Ok(call));
+        }
+        assert!(told.is_empty());
+    });
+}
+
 #[test]
 fn a_refused_connection_surely_applied_nothing() {
     run(|_| async move {
--- a/crates/platform/tests/platform/support.rs
+++ b/crates/platform/tests/platform/support.rs
@@ -57,6 +57,10 @@
         Arc::new(TableClient::new(self.table_address, CALL_TIMEOUT))
     }
 
+    pub fn table_address(&self) -> SocketAddr {
+        self.table_address
+    }
+
     pub fn objects(&self) -> Arc<ObjectClient> {
         Arc::new(ObjectClient::new(self.objects_address, CALL_TIMEOUT))
     }
