Count bytes over links by what they are for

The metrics of control bytes were in the catalogue and never set. Each link now counts its own frames; the daemon carries the sums over once a second, with the count of open links. One counter for all links was ruled out: every token of every request would contend for it.

--- a/crates/daemon/src/roles.rs
+++ b/crates/daemon/src/roles.rs
@@ -12,6 +12,7 @@
     Heard, InForce,
     follow::{ManifestFollower, follow_vm_list},
     threads,
+    traffic::count_traffic,
 };
 use chestnutreach_platform::{
     ClaimOptions, ClaimStore, ManifestStore, ObjectClient, TableClient,
@@ -210,6 +211,8 @@
         move || entry.status()
     };
     common.serve_ops(&node, status)?;
+    let traffic = count_traffic(entry.links().clone(), common.metrics.clone());
+    executor.spawn(traffic).detach();
     let served = Served::Entry(entry.clone());
     let control = common.serve_control(&node, served)?;
     common.note_started(&node, Role::Entry);
@@ -249,6 +252,8 @@
         move || side.status()
     };
     common.serve_ops(&node, status)?;
+    let traffic = count_traffic(side.links().clone(), common.metrics.clone());
+    executor.spawn(traffic).detach();
     let served = Served::Side(side.clone());
     let control = common.serve_control(&node, served)?;
     common.note_started(&node, Role::Side);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`in_force`] | the accepted generation that is in force |
 //! | [`links`] | link options from settings |
 //! | [`threads`] | the threads that run its tasks |
+//! | [`traffic`] | bytes and counts of links as metrics |
 
 pub mod clock;
 pub mod follow;
@@ -15,6 +16,7 @@
 pub mod in_force;
 pub mod links;
 pub mod threads;
+pub mod traffic;
 
 pub use clock::Clock;
 pub use heard::Heard;
--- a/crates/protocol/src/codec.rs
+++ b/crates/protocol/src/codec.rs
@@ -63,13 +63,24 @@
 pub struct Decoder {
     buffer: Vec<u8>,
     consumed: usize,
+    last_frame_bytes: usize,
     max_frame_bytes: usize,
 }
 
 impl Decoder {
     /// A decoder that refuses frames longer than `max_frame_bytes`.
     pub fn new(max_frame_bytes: usize) -> Decoder {
-        Decoder { buffer: Vec::new(), consumed: 0, max_frame_bytes }
+        Decoder {
+            buffer: Vec::new(),
+            consumed: 0,
+            last_frame_bytes: 0,
+            max_frame_bytes,
+        }
+    }
+
+    /// Length of the last whole frame, with the bytes of its own length.
+    pub fn last_frame_bytes(&self) -> usize {
+        self.last_frame_bytes
     }
 
     /// Adds received bytes.
@@ -101,6 +112,7 @@
         let frame = Frame::decode(&unread[LENGTH_BYTES..end])
             .map_err(|e| DecodeError::Malformed(e.to_string()))?;
         self.consumed += end;
+        self.last_frame_bytes = end;
         frame.body.map(Some).ok_or(DecodeError::Empty)
     }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -32,6 +32,7 @@
 
 pub use link::{
     CloseReason, Identity, Link, LinkError, LinkEvent, LinkOptions, Links,
+    Traffic,
 };
 pub use request_id::RequestId;
 
--- a/crates/protocol/src/link/connection.rs
+++ b/crates/protocol/src/link/connection.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     codec,
+    link::traffic::{Counters, Purpose},
     wire::{Hello, frame::Body},
 };
 
@@ -88,6 +89,7 @@
     busy: AtomicUsize,
     busy_since_ms: AtomicU64,
     is_closed: AtomicBool,
+    counters: Counters,
     queue_limit_bytes: usize,
     outgoing: Mutex<Outgoing>,
     writable: async_channel::Sender<()>,
@@ -129,6 +131,7 @@
             busy: AtomicUsize::new(0),
             busy_since_ms: AtomicU64::new(0),
             is_closed: AtomicBool::new(false),
+            counters: Counters::default(),
             queue_limit_bytes: parts.queue_limit_bytes,
             outgoing: Mutex::default(),
             writable,
@@ -169,7 +172,11 @@
         if let Some(reason) = outgoing.closed {
             return Err(LinkError::Closed(reason));
         }
+        let purpose = Purpose::of(&body);
+        let old_length = outgoing.buffer.len();
         codec::encode(body, &mut outgoing.buffer);
+        let bytes = outgoing.buffer.len() - old_length;
+        self.shared.counters.sent(purpose, bytes);
         if outgoing.has_writer {
             if outgoing.buffer.len() > self.shared.queue_limit_bytes {
                 drop(outgoing);
@@ -237,6 +244,10 @@
         &self.shared.socket
     }
 
+    pub(crate) fn counters(&self) -> &Counters {
+        &self.shared.counters
+    }
+
     pub(crate) fn note_heard(&self) {
         let now_ms = self.shared.now_ms();
         self.shared.last_heard_ms.store(now_ms, Ordering::Release);
--- a/crates/protocol/src/link/mod.rs
+++ b/crates/protocol/src/link/mod.rs
@@ -10,6 +10,7 @@
 
 mod connection;
 mod options;
+mod traffic;
 
 use std::{
     collections::BTreeMap,
@@ -29,11 +30,15 @@
 pub use self::{
     connection::{BusyGuard, CloseReason, Link, LinkError},
     options::{Identity, LinkOptions},
+    traffic::Traffic,
 };
 use crate::{
     PROTOCOL_VERSION,
     codec::{self, Decoder},
-    link::connection::LinkParts,
+    link::{
+        connection::LinkParts,
+        traffic::{Counters, Purpose},
+    },
     wire::{BackendLoad, Heartbeat, Hello, HelloRefused, frame::Body},
 };
 
@@ -75,6 +80,8 @@
     generation: AtomicU64,
     loads: Mutex<Vec<BackendLoad>>,
     open: Mutex<BTreeMap<u64, Link>>,
+    /// Greetings, and what closed links have counted.
+    past: Counters,
     dialled: Mutex<BTreeMap<SocketAddr, DialSlot>>,
 }
 
@@ -99,6 +106,7 @@
             generation: AtomicU64::new(0),
             loads: Mutex::default(),
             open: Mutex::default(),
+            past: Counters::default(),
             dialled: Mutex::default(),
         });
         let links = Links { shared };
@@ -144,6 +152,16 @@
         open.values().cloned().collect()
     }
 
+    /// Bytes of frames so far.
+    pub fn traffic(&self) -> Traffic {
+        let open = self.shared.lock_open();
+        let mut traffic = self.shared.past.read();
+        for link in open.values() {
+            traffic.add(&link.counters().read());
+        }
+        traffic
+    }
+
     /// Sends a frame on every open link.
     pub fn broadcast(&self, body: &Body) {
         for link in self.open() {
@@ -192,6 +210,7 @@
             let mut bytes = Vec::new();
             codec::encode(Body::Hello(self.hello()), &mut bytes);
             (&socket).write_all(&bytes).await?;
+            self.shared.past.sent(Purpose::Control, bytes.len());
             let (first, decoder) = self.read_first(&socket).await?;
             Ok((socket, first, decoder))
         };
@@ -250,6 +269,7 @@
         let mut bytes = Vec::new();
         codec::encode(answer, &mut bytes);
         (&socket).write_all(&bytes).await?;
+        self.shared.past.sent(Purpose::Control, bytes.len());
         if is_known {
             self.open_link(socket, peer, None, decoder);
         }
@@ -272,6 +292,8 @@
                 .next_body()
                 .map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
             if let Some(body) = next {
+                let bytes = decoder.last_frame_bytes();
+                self.shared.past.received(Purpose::Control, bytes);
                 return Ok((body, decoder));
             }
         }
@@ -328,16 +350,28 @@
             }
             link.note_heard();
         }
-        self.shared.lock_open().remove(&link.id());
+        self.forget(&link);
         let reason = link.close_reason();
         (self.shared.handler)(LinkEvent::Closed(link, reason));
     }
 
+    /// Takes a link out, and in the same moment its counts over.
+    fn forget(&self, link: &Link) {
+        let mut open = self.shared.lock_open();
+        open.remove(&link.id());
+        self.shared.past.add(&link.counters().read());
+    }
+
     /// Hands out whole frames; false when the bytes are no frames.
     fn handle_frames(&self, link: &Link, decoder: &mut Decoder) -> bool {
         loop {
             match decoder.next_body() {
-                Ok(Some(body)) => self.handle_body(link, body),
+                Ok(Some(body)) => {
+                    let purpose = Purpose::of(&body);
+                    let bytes = decoder.last_frame_bytes();
+                    link.counters().received(purpose, bytes);
+                    self.handle_body(link, body);
+                }
                 Ok(None) => return true,
                 Err(_) => return false,
             }
