--- a/crates/protocol/src/link/connection.rs
+++ b/crates/protocol/src/link/connection.rs
@@ -23,6 +23,7 @@
 use super::{CloseReason, LinkError};
 use crate::{
     codec,
+    link::traffic::{Counters, Purpose},
     wire::{Hello, frame::Body},
 };
 
@@ -49,6 +50,7 @@
     /// When the first request came that has not been followed by a frame.
     waiting_since_ms: AtomicU64,
     is_closed: AtomicBool,
+    counters: Counters,
     queue_limit_bytes: usize,
     max_frame_bytes: usize,
     outgoing: Mutex<Outgoing>,
@@ -93,6 +95,7 @@
             busy: AtomicUsize::new(0),
             waiting_since_ms: AtomicU64::new(0),
             is_closed: AtomicBool::new(false),
+            counters: Counters::default(),
             queue_limit_bytes: parts.queue_limit_bytes,
             max_frame_bytes: parts.max_frame_bytes,
             outgoing: Mutex::default(),
@@ -204,6 +207,10 @@
         &self.shared.socket
     }
 
+    pub(crate) fn counters(&self) -> &Counters {
+        &self.shared.counters
+    }
+
     pub(crate) fn note_heard(&self) {
         let now_ms = self.shared.now_ms();
         self.shared.last_heard_ms.store(now_ms, Ordering::Release);
@@ -296,6 +303,7 @@
         buffer: &mut Vec<u8>,
     ) -> Result<(), LinkError> {
         let start = buffer.len();
+        let purpose = Purpose::of(&body);
         codec::encode(body, buffer);
         let length = buffer.len() - start - codec::LENGTH_BYTES;
         let limit = self.max_frame_bytes;
@@ -303,6 +311,7 @@
             buffer.truncate(start);
             return Err(LinkError::TooLong { length, limit });
         }
+        self.counters.sent(purpose, buffer.len() - start);
         Ok(())
     }
 
--- a/crates/protocol/src/link/handshake.rs
+++ b/crates/protocol/src/link/handshake.rs
@@ -10,7 +10,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
 
-use super::{Link, LinkError, Links};
+use super::{Link, LinkError, Links, traffic::Purpose};
 use crate::{
     PROTOCOL_VERSION,
     codec::{self, Decoder},
@@ -28,6 +28,7 @@
             let mut bytes = Vec::new();
             codec::encode(Body::Hello(self.hello()), &mut bytes);
             (&socket).write_all(&bytes).await?;
+            self.shared.past.sent(Purpose::Control, bytes.len());
             let (first, decoder) = self.read_first(&socket).await?;
             Ok((socket, first, decoder))
         };
@@ -90,6 +91,7 @@
         let mut bytes = Vec::new();
         codec::encode(answer, &mut bytes);
         (&socket).write_all(&bytes).await?;
+        self.shared.past.sent(Purpose::Control, bytes.len());
         if is_known {
             self.open_link(socket, peer, None, decoder);
         }
@@ -112,6 +114,8 @@
                 .next_body()
                 .map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
             if let Some(body) = next {
+                let bytes = decoder.last_frame_bytes();
+                self.shared.past.received(Purpose::Control, bytes);
                 return Ok((body, decoder));
             }
         }
--- a/crates/protocol/src/link/mod.rs
+++ b/crates/protocol/src/link/mod.rs
@@ -12,6 +12,7 @@
 mod error;
 mod handshake;
 mod options;
+mod traffic;
 mod watch;
 
 use std::{
@@ -32,10 +33,14 @@
     connection::{BusyGuard, Link},
     error::{CloseReason, LinkError},
     options::{Identity, LinkOptions},
+    traffic::Traffic,
 };
 use crate::{
     codec::Decoder,
-    link::connection::LinkParts,
+    link::{
+        connection::LinkParts,
+        traffic::{Counters, Purpose},
+    },
     wire::{BackendLoad, Heartbeat, Hello, frame::Body},
 };
 
@@ -79,6 +84,8 @@
     generation: AtomicU64,
     loads: Mutex<Vec<BackendLoad>>,
     open: Mutex<BTreeMap<u64, Link>>,
+    /// Greetings, and what closed links have counted.
+    past: Counters,
     dialled: Mutex<BTreeMap<SocketAddr, DialSlot>>,
 }
 
@@ -103,6 +110,7 @@
             generation: AtomicU64::new(0),
             loads: Mutex::default(),
             open: Mutex::default(),
+            past: Counters::default(),
             dialled: Mutex::default(),
         });
         let links = Links { shared };
@@ -148,6 +156,16 @@
         open.values().cloned().collect()
     }
 
+    /// Bytes of frames so far.
+    pub fn traffic(&self) -> Traffic {
+        let open = self.shared.lock_open();
+        let mut traffic = self.shared.past.read();
+        for link in open.values() {
+            traffic.add(&link.counters().read());
+        }
+        traffic
+    }
+
     /// Sends a frame on every open link.
     pub fn broadcast(&self, body: &Body) {
         for link in self.open() {
@@ -236,16 +254,28 @@
             }
             link.note_heard();
         }
-        self.shared.lock_open().remove(&link.id());
+        self.forget(&link);
         let reason = link.close_reason();
         (self.shared.handler)(LinkEvent::Closed(link, reason));
     }
 
+    /// Takes a link out, and in the same moment its counts over.
+    fn forget(&self, link: &Link) {
+        let mut open = self.shared.lock_open();
+        open.remove(&link.id());
+        self.shared.past.add(&link.counters().read());
+    }
+
     /// Hands out whole frames; false when the bytes are no frames.
     fn handle_frames(&self, link: &Link, decoder: &mut Decoder) -> bool {
         loop {
             match decoder.next_body() {
-                Ok(Some(body)) => self.handle_body(link, body),
+                Ok(Some(body)) => {
+                    let purpose = Purpose::of(&body);
+                    let bytes = decoder.last_frame_bytes();
+                    link.counters().received(purpose, bytes);
+                    self.handle_body(link, body);
+                }
                 Ok(None) => return true,
                 Err(_) => return false,
             }
