--- /dev/null
+++ b/crates/state/tests/lease.rs
@@ -0,0 +1,250 @@
+//! Single paths of a lease, with a table service that answers at once.
+
+use chestnutreach_state::{
+    FencingGate, FencingNumber, GateAnswer, LeaseCommand, LeaseHolder,
+    LeaseOptions, LeaseRow, LeaseState, StoreAnswer,
+};
+use rstest::rstest;
+
+const DURATION_MS: u64 = 1_000;
+const MARGIN_MS: u64 = 100;
+const RENEW_BEFORE_MS: u64 = 500;
+/// From when on a holder renews a write of time 0.
+const RENEW_MS: u64 = DURATION_MS - MARGIN_MS - RENEW_BEFORE_MS;
+
+fn holder(id: u64) -> LeaseHolder {
+    let options = LeaseOptions::new(DURATION_MS, RENEW_BEFORE_MS, MARGIN_MS);
+    LeaseHolder::new(id, options.unwrap())
+}
+
+fn number(number: u64) -> Option<FencingNumber> {
+    Some(FencingNumber::from_u64(number))
+}
+
+/// The row, and what the table service does wrong.
+#[derive(Default)]
+struct Store {
+    row: Option<LeaseRow>,
+    is_down: bool,
+    loses_answers: bool,
+}
+
+impl Store {
+    fn execute(&mut self, command: LeaseCommand) -> StoreAnswer {
+        if self.is_down {
+            return StoreAnswer::Unavailable;
+        }
+        match command {
+            LeaseCommand::Read => StoreAnswer::Row(self.row),
+            LeaseCommand::Write { expected, .. } if expected != self.row => {
+                StoreAnswer::Conflict
+            }
+            LeaseCommand::Write { row, .. } => {
+                self.row = Some(row);
+                match self.loses_answers {
+                    true => StoreAnswer::Ambiguous,
+                    false => StoreAnswer::Written,
+                }
+            }
+        }
+    }
+
+    /// Ticks until the holder has nothing to send; the count of commands.
+    fn run(&mut self, holder: &mut LeaseHolder, now_ms: u64) -> usize {
+        let mut count = 0;
+        while let Some(command) = holder.tick(now_ms) {
+            let answer = self.execute(command);
+            holder.answer(answer, now_ms);
+            count += 1;
+            if answer == StoreAnswer::Unavailable {
+                break;
+            }
+        }
+        count
+    }
+}
+
+#[test]
+fn first_comer_holds_and_renews() {
+    let mut store = Store::default();
+    let mut holder = holder(1);
+    assert_eq!(holder.state(), LeaseState::Idle);
+    assert_eq!(store.run(&mut holder, 0), 2);
+    assert_eq!(holder.may_act(0), number(1));
+    assert_eq!(store.run(&mut holder, RENEW_MS - 1), 0);
+    for round in 1..20 {
+        assert_eq!(store.run(&mut holder, round * RENEW_MS), 1);
+        assert_eq!(holder.may_act(round * RENEW_MS), number(1));
+    }
+    assert_eq!(store.row.unwrap().renewal, 19);
+}
+
+#[test]
+fn holder_stops_before_the_end() {
+    let mut store = Store::default();
+    let mut holder = holder(1);
+    store.run(&mut holder, 0);
+    let until_ms = DURATION_MS - MARGIN_MS;
+    assert_eq!(holder.may_act(until_ms - 1), number(1));
+    assert_eq!(holder.may_act(until_ms), None);
+    store.is_down = true;
+    store.run(&mut holder, until_ms);
+    assert_eq!(holder.state(), LeaseState::Lost);
+    // Its own row is free to it, under a new number.
+    store.is_down = false;
+    store.run(&mut holder, until_ms + 1);
+    assert_eq!(holder.may_act(until_ms + 1), number(2));
+}
+
+#[test]
+fn time_counts_from_before_the_write() {
+    let mut store = Store::default();
+    let mut holder = holder(1);
+    let read = holder.tick(0).unwrap();
+    holder.answer(store.execute(read), 0);
+    let write = holder.tick(0).unwrap();
+    let answer = store.execute(write);
+    assert_eq!(holder.state(), LeaseState::Acquiring);
+    holder.answer(answer, DURATION_MS - MARGIN_MS);
+    assert_eq!(holder.may_act(DURATION_MS - MARGIN_MS), None);
+}
+
+/// One that was paused and unaware finds out at its next question.
+#[test]
+fn another_takes_over_from_a_paused_holder() {
+    let mut store = Store::default();
+    let (mut paused, mut other) = (holder(1), holder(2));
+    store.run(&mut paused, 0);
+    let mut took_over_ms = None;
+    for now_ms in (0..3 * DURATION_MS).step_by(50) {
+        store.run(&mut other, now_ms);
+        if other.may_act(now_ms).is_some() {
+            took_over_ms = Some(now_ms);
+            break;
+        }
+    }
+    assert_eq!(took_over_ms, Some(DURATION_MS));
+    assert_eq!(other.may_act(DURATION_MS), number(2));
+    assert_eq!(paused.may_act(DURATION_MS), None);
+    store.run(&mut paused, DURATION_MS);
+    assert_eq!(paused.state(), LeaseState::Lost);
+}
+
+#[test]
+fn lost_answer_is_settled_by_reading() {
+    let mut store = Store { loses_answers: true, ..Store::default() };
+    let mut holder = holder(1);
+    // Read, write with a lost answer, read back.
+    assert_eq!(store.run(&mut holder, 0), 3);
+    assert_eq!(holder.may_act(0), number(1));
+    assert_eq!(store.run(&mut holder, RENEW_MS), 2);
+    let state = holder.state();
+    let until_ms = RENEW_MS + DURATION_MS - MARGIN_MS;
+    assert!(matches!(
+        state,
+        LeaseState::Held { until_ms: until, .. } if until == until_ms
+    ));
+}
+
+/// The same write sent twice counts from the first, which may be the one
+/// that took effect.
+#[test]
+fn repeated_write_counts_from_the_first() {
+    let mut store = Store::default();
+    let mut holder = holder(1);
+    let read = holder.tick(0).unwrap();
+    holder.answer(store.execute(read), 0);
+    let late = holder.tick(0).unwrap();
+    holder.answer(StoreAnswer::Ambiguous, 10);
+    let read = holder.tick(20).unwrap();
+    holder.answer(store.execute(read), 20);
+    store.execute(late);
+    let again = holder.tick(30).unwrap();
+    assert_eq!(store.execute(again), StoreAnswer::Conflict);
+    holder.answer(StoreAnswer::Conflict, 30);
+    store.run(&mut holder, 40);
+    let end_ms = DURATION_MS - MARGIN_MS;
+    assert_eq!(holder.may_act(end_ms - 1), number(1));
+    assert_eq!(holder.may_act(end_ms), None);
+}
+
+#[test]
+fn released_lease_is_free_at_once() {
+    let mut store = Store::default();
+    let (mut first, mut second) = (holder(1), holder(2));
+    store.run(&mut first, 0);
+    store.run(&mut second, 10);
+    let release = first.release(20).unwrap();
+    assert_eq!(first.may_act(20), None);
+    first.answer(store.execute(release), 20);
+    assert_eq!(store.run(&mut first, 2 * DURATION_MS), 0);
+    store.run(&mut second, 20 + DURATION_MS / 4);
+    assert_eq!(second.may_act(20 + DURATION_MS / 4), number(2));
+}
+
+#[test]
+fn waiting_candidate_reads_a_few_times_only() {
+    let mut store = Store::default();
+    let (mut first, mut second) = (holder(1), holder(2));
+    let mut reads = 0;
+    for now_ms in 0..10 * DURATION_MS {
+        store.run(&mut first, now_ms);
+        reads += store.run(&mut second, now_ms);
+    }
+    assert!(second.may_act(10 * DURATION_MS).is_none());
+    assert!(reads <= 41, "{reads} reads in ten durations");
+}
+
+struct OptionsCase {
+    duration_ms: u64,
+    renew_before_ms: u64,
+    margin_ms: u64,
+    message: Option<&'static str>,
+}
+
+#[rstest]
+#[case::least(OptionsCase {
+    duration_ms: 3,
+    renew_before_ms: 1,
+    margin_ms: 1,
+    message: None,
+})]
+#[case::no_margin(OptionsCase {
+    duration_ms: 3,
+    renew_before_ms: 1,
+    margin_ms: 0,
+    message: Some("lease margin of 0 ms is less than 1 ms"),
+})]
+#[case::no_time_left(OptionsCase {
+    duration_ms: 10,
+    renew_before_ms: 8,
+    margin_ms: 2,
+    message: Some(
+        "lease duration of 10 ms is not longer than margin and renewal \
+         together, 10 ms",
+    ),
+})]
+fn options_are_checked(#[case] case: OptionsCase) {
+    let options = LeaseOptions::new(
+        case.duration_ms,
+        case.renew_before_ms,
+        case.margin_ms,
+    );
+    let message = options.err().map(|e| e.to_string());
+    assert_eq!(message.as_deref(), case.message);
+}
+
+#[test]
+fn gate_needs_confirmation_once() {
+    let [four, five, six] = [4, 5, 6].map(FencingNumber::from_u64);
+    let mut gate = FencingGate::new();
+    assert_eq!(gate.check(five), GateAnswer::NeedsConfirmation);
+    gate.confirm(five);
+    assert_eq!(gate.check(four), GateAnswer::Refused { highest: five });
+    assert_eq!(gate.check(five), GateAnswer::Accepted);
+    assert_eq!(gate.check(six), GateAnswer::Accepted);
+    assert_eq!(gate.check(five), GateAnswer::Refused { highest: six });
+    // A late confirmation does not lower it.
+    gate.confirm(five);
+    assert_eq!(gate.highest(), Some(six));
+}
--- a/crates/state/tests/support/mod.rs
+++ b/crates/state/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
 /// Most transitions of one case.
-const MAX_TRANSITIONS: usize = 80;
+const MAX_TRANSITIONS: usize = 120;
 
 /// Runs the cases and tells the first failure, if any. `PROPTEST_CASES` sets
 /// their number.
