Add the gate that lets a node's generation only rise

Cause: a node hears of generations in any order, from the table service and from peers, and must never revert; after a restart it knows none.

A generation is seen, fetched, checked and then put in force, and a higher one heard of on the way takes its place. One that nobody can give is given up, so that a lower one still above that in force gets its turn. After a restart the table service's answer is enough; without it every asked peer must have answered or failed, since the first to answer may lag.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! | module | promise |
 //! |---|---|
+//! | [`generation`] | a manifest in force never reverts to an older one |
 //! | [`lease`] | one planner of orders at a time, and no older order after |
 //! | [`outcome`] | one of four outcomes for each request |
 //! | [`run_once`] | a non-idempotent request runs at most once |
@@ -24,11 +25,13 @@
 //! assert_eq!(table.query(8, 1, 5), RunState::NeverSeen);
 //! ```
 
+pub mod generation;
 pub mod lease;
 pub mod outcome;
 pub mod run_once;
 pub mod step_gate;
 
+pub use generation::{Applying, GenerationGate, StartOutcome, StartPoll};
 pub use lease::{
     FencingGate, FencingNumber, GateAnswer, LeaseCommand, LeaseHolder,
     LeaseOptions, LeaseRow, LeaseState, StoreAnswer,
