--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `run` | a request whose first stage is here |
 //! | `seat` | a request whose later stage is here |
 //! | `plain` | a request for a plain service |
+//! | `priority` | priorities as each part has them |
 //! | `ended` | answers kept for who asks again |
 //! | `frames` | what arrives on links |
 //! | `sweep` | deadlines, lost entries, load reports |
@@ -22,6 +23,7 @@
 mod gate;
 pub mod node;
 mod plain;
+mod priority;
 mod run;
 mod seat;
 mod steps;
--- a/crates/side/src/node.rs
+++ b/crates/side/src/node.rs
@@ -21,12 +21,7 @@
 };
 use chestnutreach_telemetry::{Event, Metrics, emit};
 
-use crate::{
-    backend::Backend,
-    ended::EndedRuns,
-    run::{Run, serves},
-    seat::Seat,
-};
+use crate::{backend::Backend, ended::EndedRuns, run::Run, seat::Seat};
 
 /// The role `side` of a process; clones are handles to the same one.
 #[derive(Clone)]
@@ -296,7 +291,7 @@
         let backend = backend.ok_or(RefusalReason::WrongTarget)?;
         let assigned =
             backend.assigned().ok_or(RefusalReason::UnknownService)?;
-        if !serves(&assigned, target.service) || !self.may_use(target) {
+        if assigned.service != target.service || !self.may_use(target) {
             return Err(RefusalReason::UnknownService);
         }
         let is_range = assigned.first_layer == stage.first_layer
--- /dev/null
+++ b/crates/side/src/run/admit.rs
@@ -0,0 +1,364 @@
+//! From the entry's frame to the first step.
+
+use std::sync::{Arc, Mutex, atomic::AtomicBool};
+
+use chestnutreach_engine::StepInput;
+use chestnutreach_protocol::{
+    Link, RequestId,
+    wire::{
+        self, Accepted, FailureReason, RefusalReason, Refused, frame::Body,
+    },
+};
+use chestnutreach_routing::chain::Shape;
+use chestnutreach_state::Admission;
+use chestnutreach_telemetry::{Event, emit};
+
+use super::{Phase, Run, State, Work};
+use crate::{
+    backend::Backend,
+    gate::Offer,
+    node::{Shared, Target},
+    priority::{to_priority, to_wire_priority},
+};
+
+/// Tokens that a plain call counts as.
+const PLAIN_COST_TOKENS: u64 = 1;
+
+/// Parts of a run known before anything is decided.
+struct Asked {
+    message: wire::Run,
+    work: Work,
+}
+
+impl Asked {
+    fn from_message(mut message: wire::Run) -> Option<Asked> {
+        let work = match message.work.take()? {
+            wire::run::Work::Generate(g) => Work::Generate(g),
+            wire::run::Work::PlainCall(c) => Work::PlainCall(c),
+        };
+        let is_sound = message.request.is_some() && !message.chain.is_empty();
+        is_sound.then_some(Asked { message, work })
+    }
+}
+
+impl Shared {
+    /// Takes a request from an entry.
+    pub(crate) fn handle_run(self: &Arc<Self>, link: &Link, m: wire::Run) {
+        let reply = RefusalReply::to_run(&m);
+        let Some(asked) = Asked::from_message(m) else {
+            reply.send(link, RefusalReason::WrongTarget, 0);
+            return;
+        };
+        let target = Target {
+            stage: &asked.message.chain[0],
+            service: &asked.message.service,
+            account: &asked.message.account,
+        };
+        let backend = match self.find_target(&target) {
+            Ok(backend) => backend,
+            Err(reason) => {
+                let retry_after_ms = self.retry_after_ms(reason);
+                reply.send(link, reason, retry_after_ms);
+                return;
+            }
+        };
+        let run = Arc::new(self.new_run(asked, backend, link));
+        match self.admit(&run) {
+            Ok(()) => self.offer(&run),
+            Err(reason) => reply.send(link, reason, 0),
+        }
+    }
+
+    fn new_run(
+        &self,
+        asked: Asked,
+        backend: Arc<Backend>,
+        entry: &Link,
+    ) -> Run {
+        let Asked { message: m, work } = asked;
+        let (shape, cost_tokens) = shape_of(&m, &work);
+        let id = m.request.map_or(0, |id| RequestId::from(id).as_u128());
+        let deadline_ms = u64::from(m.deadline_ms);
+        let state = State {
+            phase: Phase::Queued,
+            entry: Some((entry.clone(), entry.busy())),
+            orphan_until_ms: None,
+            stages: Vec::new(),
+            missing: (1..m.chain.len() as u32).collect(),
+            first_span: None,
+            prompt_tokens: 0,
+            cached_tokens: 0,
+            produced: 0,
+            outputs: Vec::new(),
+            answer_bytes: 0,
+            finished: None,
+            failure: None,
+        };
+        Run {
+            id,
+            attempt: m.attempt,
+            service: m.service,
+            account: m.account,
+            is_idempotent: m.is_idempotent,
+            is_kept: m.is_kept,
+            deadline_at_ms: self.clock.now_ms() + deadline_ms,
+            generation: m.generation,
+            chain: m.chain,
+            work,
+            shape,
+            cost_tokens,
+            backend,
+            is_ended: AtomicBool::new(false),
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Passes the run-once table, stopping an older attempt if need be.
+    fn admit(self: &Arc<Self>, run: &Arc<Run>) -> Result<(), RefusalReason> {
+        let admission = run.backend.table().admit(
+            run.id,
+            run.attempt,
+            run.is_idempotent,
+            self.clock.now_ms(),
+        );
+        match admission {
+            Admission::Run { superseded: None } => {}
+            Admission::Run { superseded: Some(_) } => {
+                if let Some(old) = self.find_run(run.id) {
+                    self.stop(&old, FailureReason::Cancelled, "", "");
+                }
+                self.release_seats(run.id, run.attempt - 1);
+            }
+            Admission::Fenced => return Err(RefusalReason::Fenced),
+            Admission::AlreadyRun => {
+                return Err(RefusalReason::AlreadyRun);
+            }
+            Admission::TableFull => {
+                emit(
+                    Event::RunOnceTableFull,
+                    &[("backend", &run.backend.name)],
+                );
+                return Err(RefusalReason::TableFull);
+            }
+        }
+        self.lock_runs().insert(run.id, run.clone());
+        Ok(())
+    }
+
+    fn offer(self: &Arc<Self>, run: &Arc<Run>) {
+        let now_ms = self.clock.now_ms();
+        match run.backend.gate.offer(run, now_ms) {
+            Offer::Admitted => self.reserve(run),
+            Offer::Queued => {}
+            Offer::Full { retry_after_ms } => {
+                self.refuse(run, RefusalReason::Full, "", retry_after_ms);
+            }
+            Offer::TooLate { retry_after_ms } => {
+                self.refuse(run, RefusalReason::TooLate, "", retry_after_ms);
+            }
+        }
+    }
+
+    /// The run holds its place: asks the other stages for theirs.
+    pub(crate) fn reserve(self: &Arc<Self>, run: &Arc<Run>) {
+        {
+            let mut state = run.lock();
+            if state.phase != Phase::Queued {
+                drop(state);
+                self.give_back(run);
+                return;
+            }
+            state.phase = Phase::Reserving;
+        }
+        if run.chain.len() == 1 {
+            self.accept(run);
+            return;
+        }
+        match self.existing_links(&run.chain[1..]) {
+            Some(links) => self.send_reserves(run, &links),
+            None => {
+                let (side, run) = (self.clone(), run.clone());
+                self.spawn(async move {
+                    match side.dial_links(&run.chain[1..]).await {
+                        Ok(links) => side.send_reserves(&run, &links),
+                        Err(backend) => {
+                            let reason = RefusalReason::StageUnreachable;
+                            side.refuse(&run, reason, &backend, 0);
+                        }
+                    }
+                });
+            }
+        }
+    }
+
+    fn send_reserves(self: &Arc<Self>, run: &Arc<Run>, links: &[Link]) {
+        let now_ms = self.clock.now_ms();
+        let mut unreached = None;
+        {
+            // The lock is held while sending: a refusal that comes meanwhile
+            // must not send its releases before the last reservation.
+            let mut state = run.lock();
+            if state.phase != Phase::Reserving {
+                return;
+            }
+            state.stages =
+                links.iter().map(|l| (l.clone(), l.busy())).collect();
+            for (at, link) in links.iter().enumerate() {
+                let message = reserve_message(run, at as u32 + 1, now_ms);
+                if link.send(Body::Reserve(message)).is_err() {
+                    unreached = Some(at + 1);
+                    break;
+                }
+            }
+        }
+        if let Some(at) = unreached {
+            let reason = RefusalReason::StageUnreachable;
+            self.refuse(run, reason, &run.chain[at].backend, 0);
+        }
+    }
+
+    /// A later stage holds its reservation.
+    pub(crate) fn handle_reserved(self: &Arc<Self>, m: &wire::Reserved) {
+        let Some(run) = self.current_run(m.request, m.attempt) else {
+            return;
+        };
+        let mut state = run.lock();
+        if state.phase != Phase::Reserving {
+            return;
+        }
+        state.missing.remove(&m.stage_index);
+        let is_complete = state.missing.is_empty();
+        drop(state);
+        if is_complete {
+            self.accept(&run);
+        }
+    }
+
+    /// A later stage has refused: nothing has run.
+    pub(crate) fn handle_stage_refused(
+        self: &Arc<Self>,
+        link: &Link,
+        m: &Refused,
+    ) {
+        let Some(run) = self.current_run(m.request, m.attempt) else {
+            return;
+        };
+        let is_stage = run.lock().stage_of(link.id()).is_some();
+        if is_stage {
+            let retry_after_ms = u64::from(m.retry_after_ms);
+            self.refuse(&run, m.reason(), &m.backend, retry_after_ms);
+        }
+    }
+
+    /// Every stage is held: the request begins.
+    fn accept(self: &Arc<Self>, run: &Arc<Run>) {
+        if !run.backend.table().begin(run.id, run.attempt) {
+            self.refuse(run, RefusalReason::Fenced, "", 0);
+            return;
+        }
+        {
+            let mut state = run.lock();
+            if state.phase != Phase::Reserving {
+                return;
+            }
+            state.phase = Phase::Running;
+            let request = run.wire_id();
+            let attempt = run.attempt;
+            state.send_entry(Body::Accepted(Accepted { request, attempt }));
+        }
+        match &run.work {
+            Work::Generate(generate) => {
+                let input = StepInput::Prompt {
+                    request_json: generate.request_json.clone(),
+                    delivered_tokens: generate.delivered_tokens.clone(),
+                };
+                self.push_own_step(run, 0, input, true);
+            }
+            Work::PlainCall(_) => self.spawn_plain_call(run),
+        }
+    }
+}
+
+/// Answers a request that is refused before it is anything here.
+struct RefusalReply {
+    request: Option<wire::RequestId>,
+    attempt: u32,
+    backend: String,
+}
+
+impl RefusalReply {
+    fn to_run(m: &wire::Run) -> RefusalReply {
+        let backend = m.chain.first().map_or("", |stage| &stage.backend);
+        RefusalReply {
+            request: m.request,
+            attempt: m.attempt,
+            backend: backend.to_owned(),
+        }
+    }
+
+    fn send(self, link: &Link, reason: RefusalReason, retry_after_ms: u64) {
+        let _ = link.send(Body::Refused(Refused {
+            request: self.request,
+            attempt: self.attempt,
+            reason: reason.into(),
+            backend: self.backend,
+            retry_after_ms: retry_after_ms as u32,
+            load: None,
+        }));
+    }
+}
+
+fn shape_of(m: &wire::Run, work: &Work) -> (Shape, u64) {
+    let (prompt_tokens, output_tokens) = match work {
+        Work::Generate(g) => {
+            let delivered = g.delivered_tokens.len() as u32;
+            let rest = g.max_tokens.saturating_sub(delivered);
+            (g.prompt_tokens_estimate + delivered, rest)
+        }
+        Work::PlainCall(_) => (0, 0),
+    };
+    let shape = Shape {
+        prompt_tokens,
+        output_tokens,
+        deadline_ms: u64::from(m.deadline_ms),
+        priority: to_priority(m.priority()),
+        prefix: None,
+    };
+    let cost = u64::from(prompt_tokens) + u64::from(output_tokens);
+    (shape, cost.max(PLAIN_COST_TOKENS))
+}
+
+fn reserve_message(run: &Run, stage_index: u32, now_ms: u64) -> wire::Reserve {
+    let rest_ms = run.deadline_at_ms.saturating_sub(now_ms);
+    let (model, parameters_json) = match &run.work {
+        Work::Generate(g) => (g.model.clone(), parameters_of(&g.request_json)),
+        Work::PlainCall(_) => (String::new(), Vec::new()),
+    };
+    wire::Reserve {
+        request: run.wire_id(),
+        attempt: run.attempt,
+        service: run.service.clone(),
+        account: run.account.clone(),
+        priority: to_wire_priority(run.shape.priority).into(),
+        is_idempotent: run.is_idempotent,
+        deadline_ms: rest_ms.min(u32::MAX.into()) as u32,
+        generation: run.generation,
+        chain: run.chain.clone(),
+        stage_index,
+        prompt_tokens_estimate: run.shape.prompt_tokens,
+        max_tokens: run.max_tokens(),
+        model,
+        parameters_json,
+    }
+}
+
+/// The caller's request without its prompt.
+fn parameters_of(request_json: &[u8]) -> Vec<u8> {
+    let parsed = serde_json::from_slice::<serde_json::Value>(request_json);
+    let Ok(serde_json::Value::Object(mut object)) = parsed else {
+        return Vec::new();
+    };
+    object.remove("messages");
+    object.remove("prompt");
+    serde_json::to_vec(&object).unwrap_or_default()
+}
--- a/crates/side/src/seat.rs
+++ b/crates/side/src/seat.rs
@@ -27,7 +27,7 @@
 use crate::{
     backend::Backend,
     node::{Shared, Target},
-    run::{step_priority, to_priority},
+    priority::{step_priority, to_priority},
     steps::{Owner, QueuedStep},
 };
 
