--- /dev/null
+++ b/crates/entry/src/session/events.rs
@@ -0,0 +1,254 @@
+//! What comes back of an attempt, and how attempts end.
+
+use std::time::Instant;
+
+use chestnutreach_protocol::wire::{
+    self, FailureReason, RefusalReason, frame::Body, output::Part,
+};
+use chestnutreach_routing::{fleet::BackendIndex, live::Ended};
+use chestnutreach_state::{NotRunReason, Outcome};
+use chestnutreach_telemetry::{Event, emit};
+use futures_lite::FutureExt as _;
+
+use super::{
+    Attempt, Cause, DEFAULT_RETRY_AFTER_MS, Ending, Phase, Progress, Session,
+    SessionEvent,
+};
+
+impl Session {
+    /// Waits for what the first stage sends, or for the deadline.
+    pub(super) async fn wait(&mut self) {
+        match self.next_event().await {
+            Some(SessionEvent::Frame { link_id, body }) => {
+                if self.is_current(link_id) {
+                    self.handle_frame(body);
+                }
+            }
+            Some(SessionEvent::Closed { link_id }) => {
+                if self.is_current(link_id) {
+                    self.phase = Phase::Lost;
+                }
+            }
+            None => self.time_over(),
+        }
+    }
+
+    /// The next event; none at the deadline.
+    async fn next_event(&mut self) -> Option<SessionEvent> {
+        let events = &self.events;
+        let event = async { events.recv().await.ok() };
+        let deadline = async {
+            (&mut self.deadline).await;
+            None
+        };
+        event.or(deadline).await
+    }
+
+    fn is_current(&self, link_id: u64) -> bool {
+        let link = self.attempt.as_ref().and_then(|a| a.link.as_ref());
+        link.is_some_and(|(link, _)| link.id() == link_id)
+    }
+
+    fn time_over(&mut self) {
+        self.cancel();
+        let is_accepted = self.attempt.as_ref().is_some_and(|a| a.is_accepted);
+        if is_accepted || self.attempt.is_none() {
+            self.give_up(Cause::Deadline, "the time was over");
+        } else {
+            let detail = "the time was over before the backend server told \
+                          whether it began";
+            let outcome = Outcome::Unknown;
+            self.end(Ending::new(outcome, Cause::Deadline, detail));
+        }
+    }
+
+    /// Tells the first stage that nobody waits any more.
+    pub(super) fn cancel(&self) {
+        let attempt = self.attempt.as_ref();
+        if let Some((link, _)) = attempt.and_then(|a| a.link.as_ref()) {
+            let _ = link.send(Body::Cancel(wire::Cancel {
+                request: Some(self.job.request.into()),
+                attempt: self.attempt_number,
+            }));
+        }
+    }
+
+    fn handle_frame(&mut self, body: Body) {
+        let number = self.attempt_number;
+        match body {
+            Body::Accepted(m) if m.attempt == number => self.accepted(),
+            Body::Output(m) if m.attempt == number => self.output(m),
+            Body::Finished(m) if m.attempt == number => self.finished(m),
+            Body::Failed(m) if m.attempt == number => {
+                self.failed(m.reason(), &m.backend, &m.detail);
+            }
+            Body::Refused(m) if m.attempt == number => self.refused(&m),
+            // A frame of an older attempt, or a late answer to a question.
+            _ => {}
+        }
+    }
+
+    fn accepted(&mut self) {
+        self.may_have_begun = true;
+        if let Some(attempt) = &mut self.attempt {
+            attempt.is_accepted = true;
+        }
+    }
+
+    /// Hands on the next position once, and only after the one before it.
+    pub(super) fn output(&mut self, m: wire::Output) {
+        if m.position < self.next_position {
+            return;
+        }
+        if m.position > self.next_position {
+            let reason = FailureReason::Sequence;
+            self.failed(reason, "", "a position of the answer is missing");
+            return;
+        }
+        self.accepted();
+        if let Some(attempt) = &mut self.attempt {
+            attempt.first_output.get_or_insert_with(Instant::now);
+        }
+        self.next_position += 1;
+        match m.part {
+            Some(Part::Token(token)) => {
+                self.tokens.push(token.token);
+                self.ready.push_back(Progress::Token(token));
+            }
+            Some(Part::Head(head)) => {
+                self.ready.push_back(Progress::Head(head));
+            }
+            Some(Part::Data(data)) => {
+                self.ready.push_back(Progress::Data(data));
+            }
+            None => {}
+        }
+    }
+
+    pub(super) fn finished(&mut self, m: wire::Finished) {
+        if m.output_count != self.next_position {
+            let reason = FailureReason::Sequence;
+            self.failed(reason, "", "the answer has another length");
+            return;
+        }
+        self.note_completed(&m);
+        self.choices.ended(Some(Outcome::Completed), "");
+        self.phase = Phase::Over;
+        self.attempt = None;
+        self.ready.push_back(Progress::Whole(m));
+    }
+
+    fn note_completed(&self, m: &wire::Finished) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let now = Instant::now();
+        let first = attempt.first_output.unwrap_or(now);
+        let since = |at: Instant| {
+            at.saturating_duration_since(attempt.started).as_millis() as u32
+        };
+        let ended = Ended::Completed {
+            prompt_tokens: m.prompt_tokens,
+            output_tokens: m.output_count - attempt.first_position,
+            first_token_ms: since(first),
+            total_ms: since(now),
+        };
+        self.note_ended(attempt, &ended, None);
+    }
+
+    /// Tells what became of an attempt: `ended` for the backend server at
+    /// fault, or for all of them; the others are only freed.
+    pub(super) fn note_ended(
+        &self,
+        attempt: &Attempt,
+        ended: &Ended,
+        at_fault: Option<BackendIndex>,
+    ) {
+        self.choices.attempt_ended(&attempt.stages, ended, at_fault);
+        let now_ms = self.entry.clock.now_ms();
+        for stage in &attempt.stages {
+            let is_meant = at_fault.is_none_or(|at| at == *stage);
+            let ended = if is_meant { ended } else { &Ended::Cancelled };
+            let live = &self.job.service.live;
+            live.ended(*stage, attempt.cost_tokens, ended, now_ms);
+        }
+    }
+
+    /// The first stage says that nothing has run.
+    pub(super) fn refused(&mut self, m: &wire::Refused) {
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        self.phase = Phase::Idle;
+        if m.reason() == RefusalReason::AlreadyRun {
+            let detail = "the backend server has seen the request before";
+            let outcome = Outcome::Unknown;
+            self.end(Ending::new(outcome, Cause::Backend, detail));
+            return;
+        }
+        // Nothing of this attempt has run, also if it had been accepted.
+        self.may_have_begun = attempt.has_begun_before;
+        let at_fault = self.job.service.fleet.find(&m.backend);
+        self.note_ended(&attempt, &Ended::Refused, at_fault);
+        let first = attempt.stages.first().copied();
+        self.avoid.extend(at_fault.or(first));
+        self.last_refusal = Some(to_ending(m));
+    }
+
+    /// The attempt began and cannot go on.
+    pub(super) fn failed(
+        &mut self,
+        reason: FailureReason,
+        backend: &str,
+        detail: &str,
+    ) {
+        self.cancel();
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        self.may_have_begun = true;
+        let at_fault = self.job.service.fleet.find(backend);
+        let fault = at_fault.or(attempt.stages.first().copied());
+        self.note_ended(&attempt, &Ended::Failed, fault);
+        self.avoid.extend(fault);
+        let cause = match reason {
+            FailureReason::Deadline => Cause::Deadline,
+            FailureReason::BadRequest => Cause::Request,
+            _ => Cause::Backend,
+        };
+        let may_repeat = self.job.is_idempotent && cause == Cause::Backend;
+        if !may_repeat {
+            let outcome = Outcome::Failed;
+            let detail = format!("{}: {detail}", reason.as_str_name());
+            self.end(Ending::new(outcome, cause, &detail));
+            return;
+        }
+        emit(
+            Event::RequestResumed,
+            &[
+                ("request", &self.job.request),
+                ("position", &self.next_position),
+                ("reason", &reason.as_str_name()),
+                ("backend", &backend),
+            ],
+        );
+        self.phase = Phase::Idle;
+    }
+}
+
+/// What a caller is told when the last attempt ends with this refusal.
+fn to_ending(m: &wire::Refused) -> Ending {
+    let reason = match m.reason() {
+        RefusalReason::Full | RefusalReason::TableFull => NotRunReason::Full,
+        RefusalReason::Share => NotRunReason::Share,
+        RefusalReason::TooLate => NotRunReason::TooLate,
+        _ => NotRunReason::NoChain,
+    };
+    let retry_after_ms = match m.retry_after_ms {
+        0 => DEFAULT_RETRY_AFTER_MS,
+        known => u64::from(known),
+    };
+    let detail =
+        format!("{} refused: {}", m.backend, m.reason().as_str_name());
+    Ending::not_run(reason, Some(retry_after_ms), &detail)
+}
