--- /dev/null
+++ b/crates/daemon/tests/matrix/strike.rs
@@ -0,0 +1,121 @@
+//! Striking with a fault.
+
+use std::{thread, time::Duration};
+
+use chestnutreach_fleet::fleet::{entry_name, side_name};
+use serde_json::json;
+
+use crate::{
+    cell::{Fault, Thaw},
+    driver::Driver,
+};
+
+/// How long something stands still that nobody may count as lost.
+const SHORT_STANDSTILL: Duration = Duration::from_millis(200);
+/// How long something stands still that others count as lost by then: the
+/// limit on silence, and the time to open a new connection.
+const LONG_STANDSTILL: Duration = Duration::from_millis(1_500);
+/// Delay of a slow connection, each way.
+const SLOW: Duration = Duration::from_millis(50);
+/// Pause of a slow table before each call.
+const STORE_SLOW_MS: u64 = 150;
+
+impl Driver {
+    /// Strikes with the cell's fault.
+    pub fn strike(&mut self) {
+        self.strike_with(self.cell.fault);
+    }
+
+    fn strike_with(&mut self, fault: Fault) {
+        match fault {
+            Fault::SideKilled(at) => {
+                let name = side_name(self.chain.server(at));
+                self.fleet.process(&name).kill();
+            }
+            Fault::SideRestarted(at) => {
+                let name = side_name(self.chain.server(at));
+                self.fleet.process(&name).kill();
+                let started = self.fleet.process(&name).start_again();
+                started.expect("a side process starts");
+            }
+            Fault::SideFrozen(at, thaw) => {
+                self.freeze(&side_name(self.chain.server(at)), thaw);
+            }
+            Fault::EngineKilled(at) => {
+                let name = self.chain.server(at).to_owned();
+                self.kill_server(&name);
+            }
+            Fault::EngineFrozen(at, thaw) => {
+                let name = self.chain.server(at).to_owned();
+                self.freeze(&name, thaw);
+            }
+            Fault::EntryKilled => self.fleet.process(&entry_name(0)).kill(),
+            Fault::EntryFrozen(thaw) => self.freeze(&entry_name(0), thaw),
+            Fault::Reset(at) => {
+                self.fleet.relay(self.chain.server(at)).reset();
+            }
+            Fault::Silent(at) => {
+                self.fleet.relay(self.chain.server(at)).silence();
+            }
+            Fault::Slow(at) => {
+                self.fleet.relay(self.chain.server(at)).slow(SLOW);
+            }
+            Fault::StoreDown => {
+                let down = json!({"down": "unavailable"});
+                self.fleet.set_faults("table", &down);
+            }
+            Fault::StoreSlow => {
+                let slow = json!({"slow_ms": STORE_SLOW_MS});
+                self.fleet.set_faults("table", &slow);
+            }
+            Fault::StoreAnswerLost => {
+                let lost = json!({"lose_answers": 1});
+                self.fleet.set_faults("table", &lost);
+            }
+            Fault::ListedLeaving(at) => {
+                let name = side_name(self.chain.server(at));
+                self.fleet.list_leaving(&[&name]);
+            }
+            Fault::SideTerminated(at) => {
+                self.terminate(side_name(self.chain.server(at)));
+            }
+            Fault::EntryTerminated => self.terminate(entry_name(0)),
+            Fault::Both(first, second) => {
+                self.strike_with(*first);
+                self.strike_with(*second);
+            }
+            Fault::Twice(fault) => self.strike_with(*fault),
+        }
+    }
+
+    fn freeze(&mut self, name: &str, thaw: Thaw) {
+        self.fleet.process(name).freeze();
+        match thaw {
+            Thaw::Soon => thread::sleep(SHORT_STANDSTILL),
+            Thaw::Late => thread::sleep(LONG_STANDSTILL),
+            Thaw::Afterwards => {
+                self.frozen.push(name.to_owned());
+                return;
+            }
+        }
+        self.fleet.process(name).thaw();
+    }
+
+    /// Kills an engine or a plain service; what it has recorded is kept.
+    fn kill_server(&mut self, name: &str) {
+        if self.cell.kind.is_plain() {
+            let record = self.fleet.plain_record(name);
+            self.lost_plain.extend(record.into_iter().map(|r| r.entry));
+        } else {
+            let record = self.fleet.engine_record(name);
+            let label = format!("{name} (killed)");
+            self.lost_records.entry(label).or_default().extend(record);
+        }
+        self.fleet.process(name).kill();
+    }
+
+    fn terminate(&mut self, name: String) {
+        self.fleet.process(&name).terminate();
+        self.stopping.push(name);
+    }
+}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     client::Caller, plan::Plan, ports::free_address, process::Process,
-    record::Ran,
+    record::Ran, relay::Relay,
 };
 
 /// Time that a fleet may take to be ready.
@@ -73,6 +73,7 @@
     platform: Platform,
     entries: Vec<(Daemon, SocketAddr)>,
     sides: BTreeMap<String, Daemon>,
+    relays: BTreeMap<String, Relay>,
     servers: BTreeMap<String, SocketAddr>,
 }
 
@@ -113,6 +114,7 @@
             },
             entries: Vec::new(),
             sides: BTreeMap::new(),
+            relays: BTreeMap::new(),
             servers: BTreeMap::new(),
         };
         let Platform { table, objects, vm_list } = fleet.platform;
@@ -183,6 +185,10 @@
     fn start_side(&mut self, server: &str) -> anyhow::Result<()> {
         let daemon = Daemon::new();
         self.sides.insert(server.to_owned(), daemon);
+        if self.plan.has_relays {
+            let relay = Relay::start(free_address(), daemon.inner)?;
+            self.relays.insert(server.to_owned(), relay);
+        }
         let name = side_name(server);
         let address = self.servers[server];
         let mut more = self.section("side");
@@ -304,7 +310,7 @@
     }
 
     fn write_servers(&self, text: &mut String) {
-        for (at, (server, daemon)) in self.sides.iter().enumerate() {
+        for (at, server) in self.sides.keys().enumerate() {
             let (first, end) = self.layers(server);
             let is_plain = end == 0;
             let service = if is_plain { "ledger-app" } else { "desk-llm" };
@@ -315,7 +321,7 @@
                  max-running = {}\n",
                 HALLS[at % HALLS.len()],
                 side_name(server),
-                daemon.inner,
+                self.side_address(server),
                 self.plan.max_running,
             );
             if !is_plain {
@@ -330,6 +336,23 @@
         }
     }
 
+    /// Where other processes reach the side process of a backend server.
+    fn side_address(&self, server: &str) -> SocketAddr {
+        match self.relays.get(server) {
+            Some(relay) => relay.address(),
+            None => self.sides[server].inner,
+        }
+    }
+
+    /// The relay before the side process of a backend server.
+    ///
+    /// # Panics
+    ///
+    /// The plan has no relays, or the fleet no such backend server.
+    pub fn relay(&self, server: &str) -> &Relay {
+        &self.relays[server]
+    }
+
     /// Accepts the fleet's manifest after this generation.
     ///
     /// # Errors
@@ -517,6 +540,12 @@
         self.standin("vm-list").call("PUT", "/vms", &body);
     }
 
+    /// Calls that a stand-in holds now.
+    pub fn held(&self, name: &str) -> u64 {
+        let answer = self.standin(name).call("GET", "/held", "");
+        answer.json().as_u64().unwrap_or(0)
+    }
+
     /// A stand-in's counts.
     pub fn stats(&self, name: &str) -> Value {
         self.standin(name).call("GET", "/stats", "").json()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`process`] | one process |
 //! | [`ports`] | free ports |
 //! | [`client`] | a caller |
+//! | [`relay`] | connections that break, fall silent or slow down |
 //! | [`record`] | what engines have run, and whether that was right |
 
 pub mod client;
@@ -22,7 +23,9 @@
 pub mod ports;
 pub mod process;
 pub mod record;
+pub mod relay;
 
 pub use client::{Answer, Caller};
 pub use fleet::Fleet;
 pub use plan::Plan;
+pub use relay::Relay;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -21,6 +21,7 @@
     pub(crate) stages: Vec<StagePlan>,
     pub(crate) plain_servers: usize,
     pub(crate) max_running: u32,
+    pub(crate) has_relays: bool,
     pub(crate) engine_arguments: Vec<String>,
     pub(crate) settings: BTreeMap<String, BTreeMap<String, String>>,
     pub(crate) log_level: String,
@@ -37,6 +38,7 @@
             ],
             plain_servers: 1,
             max_running: 32,
+            has_relays: false,
             engine_arguments: Vec::new(),
             settings: BTreeMap::new(),
             log_level: "info".to_owned(),
@@ -78,6 +80,12 @@
         self
     }
 
+    /// Has every side process reached over a [`Relay`](crate::Relay).
+    pub fn relays(mut self) -> Plan {
+        self.has_relays = true;
+        self
+    }
+
     /// An argument of every engine, `--step-us=500` for instance.
     pub fn engine_argument(mut self, argument: &str) -> Plan {
         self.engine_arguments.push(argument.to_owned());
--- /dev/null
+++ b/crates/fleet/src/relay.rs
@@ -0,0 +1,186 @@
+//! A relay before a process, for faults of connections.
+//!
+//! It passes bytes both ways over pairs of sockets. The connections that are
+//! open can be reset, or made silent: their bytes are read and dropped, so
+//! that neither end hears or feels anything, while new connections work. All
+//! bytes can be delayed.
+
+use std::{
+    io::{self, Read as _, Write as _},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use rustix::net::sockopt::set_socket_linger;
+
+/// Bytes passed on at once.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// A relay before one address; it ends when dropped.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    target: SocketAddr,
+    delay_ms: AtomicU64,
+    has_ended: AtomicBool,
+    pairs: Mutex<Vec<Arc<Pair>>>,
+}
+
+/// One connection through the relay.
+#[derive(Debug)]
+struct Pair {
+    caller: TcpStream,
+    target: TcpStream,
+    is_silent: AtomicBool,
+    is_reset: AtomicBool,
+}
+
+impl Relay {
+    /// Starts a relay that listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// The address is taken.
+    pub fn start(
+        address: SocketAddr,
+        target: SocketAddr,
+    ) -> io::Result<Relay> {
+        let listener = TcpListener::bind(address)?;
+        let shared = Arc::new(Shared {
+            target,
+            delay_ms: AtomicU64::new(0),
+            has_ended: AtomicBool::new(false),
+            pairs: Mutex::default(),
+        });
+        let accepting = shared.clone();
+        thread::spawn(move || accepting.accept(&listener));
+        Ok(Relay { address, shared })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Resets the connections that are open.
+    pub fn reset(&self) {
+        for pair in self.shared.lock().drain(..) {
+            pair.reset();
+        }
+    }
+
+    /// Makes the connections that are open silent for good.
+    pub fn silence(&self) {
+        for pair in self.shared.lock().iter() {
+            pair.is_silent.store(true, Ordering::Release);
+        }
+    }
+
+    /// Delays what passes either way by this time.
+    pub fn slow(&self, delay: Duration) {
+        let delay_ms = delay.as_millis() as u64;
+        self.shared.delay_ms.store(delay_ms, Ordering::Release);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.shared.has_ended.store(true, Ordering::Release);
+        // Wakes the accepting thread.
+        let _ = TcpStream::connect(self.address);
+        for pair in self.shared.lock().drain(..) {
+            pair.close();
+        }
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Vec<Arc<Pair>>> {
+        self.pairs.lock().expect("no holder panics")
+    }
+
+    fn accept(self: Arc<Self>, listener: &TcpListener) {
+        for caller in listener.incoming().flatten() {
+            if self.has_ended.load(Ordering::Acquire) {
+                return;
+            }
+            // A target that cannot be reached closes the caller's connection.
+            let _ = self.open(caller);
+        }
+    }
+
+    fn open(self: &Arc<Self>, caller: TcpStream) -> io::Result<()> {
+        let target = TcpStream::connect(self.target)?;
+        caller.set_nodelay(true)?;
+        target.set_nodelay(true)?;
+        let pair = Arc::new(Pair {
+            caller,
+            target,
+            is_silent: AtomicBool::new(false),
+            is_reset: AtomicBool::new(false),
+        });
+        self.lock().push(pair.clone());
+        let (to_target, to_caller) = (pair.clone(), pair);
+        let (shared, back) = (self.clone(), self.clone());
+        thread::spawn(move || {
+            shared.pass(&to_target, &to_target.caller, &to_target.target);
+        });
+        thread::spawn(move || {
+            back.pass(&to_caller, &to_caller.target, &to_caller.caller);
+        });
+        Ok(())
+    }
+
+    /// Passes bytes one way until either end closes.
+    fn pass(&self, pair: &Pair, from: &TcpStream, to: &TcpStream) {
+        let (mut from, mut to) = (from, to);
+        let mut chunk = vec![0; CHUNK_BYTES];
+        while let Ok(count) = from.read(&mut chunk)
+            && count > 0
+        {
+            let delay_ms = self.delay_ms.load(Ordering::Acquire);
+            thread::sleep(Duration::from_millis(delay_ms));
+            if pair.is_silent.load(Ordering::Acquire) {
+                continue;
+            }
+            if to.write_all(&chunk[..count]).is_err() {
+                break;
+            }
+        }
+        // What has lost track of a connection tells its other end nothing,
+        // and a shutdown would say goodbye before a reset.
+        let is_silent = pair.is_silent.load(Ordering::Acquire);
+        if !is_silent && !pair.is_reset.load(Ordering::Acquire) {
+            pair.close();
+        }
+    }
+}
+
+impl Pair {
+    fn close(&self) {
+        for socket in [&self.caller, &self.target] {
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Has both ends see a reset: a socket that is closed without lingering
+    /// sends one in place of an ordinary end. Both threads wake up, and the
+    /// last to let go of the pair closes the sockets.
+    fn reset(&self) {
+        self.is_reset.store(true, Ordering::Release);
+        for socket in [&self.caller, &self.target] {
+            let _ = set_socket_linger(socket, Some(Duration::ZERO));
+            let _ = socket.shutdown(Shutdown::Read);
+        }
+    }
+}
--- a/crates/standins/src/engine/routes.rs
+++ b/crates/standins/src/engine/routes.rs
@@ -24,7 +24,7 @@
     scheduler::Scheduler,
 };
 use crate::{
-    faults::FaultSwitches,
+    faults::{FaultSwitches, HoldPoint},
     serving::{self, Reply},
 };
 
@@ -147,8 +147,16 @@
             Err(e) => return bad_request(&e.to_string()),
         };
         let layers = call.first_layer..call.end_layer;
+        let positions: Vec<u32> = call
+            .rows
+            .iter()
+            .filter_map(|row| Some(row.step.as_ref().ok()?.position))
+            .collect();
         let rows = call.rows.into_iter().map(|row| (row.sequence, row.step));
-        match self.scheduler.infer(layers, rows.collect()).await {
+        self.switches.hold(HoldPoint::Before, &positions).await;
+        let results = self.scheduler.infer(layers, rows.collect()).await;
+        self.switches.hold(HoldPoint::After, &positions).await;
+        match results {
             Some(results) => {
                 let model = self.orders.model();
                 let body = wire::encode_response(&model, &call.id, &results);
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -1,13 +1,18 @@
 //! Faults switched on and off while a stand-in runs.
 //!
 //! `PUT /faults` replaces all of them; what the body leaves out is off. The
-//! paths `/faults`, `/record` and `/stats` work whatever is switched on.
+//! paths `/faults`, `/held`, `/record` and `/stats` work whatever is switched
+//! on. A call that is held goes on as soon as its fault is switched off.
 
 use std::{
-    sync::{Mutex, MutexGuard},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
+use async_io::Timer;
 use serde::{Deserialize, Serialize};
 
 /// The faults of a stand-in.
@@ -26,6 +31,20 @@
     pub fail_after_positions: Option<u64>,
     /// Runs calls and closes the connection in place of an answer.
     pub lose_answers: bool,
+    /// Holds calls with a step that begins at this position, before the run.
+    pub hold_before_position: Option<u32>,
+    /// Holds the answers of such calls, after the run.
+    pub hold_after_position: Option<u32>,
+}
+
+/// Time between two looks at whether a call is still held.
+const HOLD_LOOK: Duration = Duration::from_millis(1);
+
+/// Where a call is held.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum HoldPoint {
+    Before,
+    After,
 }
 
 /// What happens to a call before it is run.
@@ -41,6 +60,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct FaultSwitches {
     faults: Mutex<Faults>,
+    held: AtomicU32,
 }
 
 impl FaultSwitches {
@@ -91,4 +111,30 @@
         faults.fail_after_positions = Some(left);
         faults.down |= left == 0;
     }
+
+    /// Waits while a call with steps that begin at these positions is held.
+    pub(crate) async fn hold(&self, point: HoldPoint, positions: &[u32]) {
+        if !self.is_held(point, positions) {
+            return;
+        }
+        self.held.fetch_add(1, Ordering::AcqRel);
+        while self.is_held(point, positions) {
+            Timer::after(HOLD_LOOK).await;
+        }
+        self.held.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    fn is_held(&self, point: HoldPoint, positions: &[u32]) -> bool {
+        let faults = self.lock();
+        let held = match point {
+            HoldPoint::Before => faults.hold_before_position,
+            HoldPoint::After => faults.hold_after_position,
+        };
+        held.is_some_and(|at| positions.contains(&at))
+    }
+
+    /// Calls held now.
+    pub(crate) fn held(&self) -> u32 {
+        self.held.load(Ordering::Acquire)
+    }
 }
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    faults::FaultSwitches,
+    faults::{FaultSwitches, HoldPoint},
     record::Record,
     serving::{self, Reply},
 };
@@ -30,6 +30,8 @@
 const SLEEP_HEADER: &str = "x-sleep-ms";
 /// Path that is always answered 500.
 const FAIL_PATH: &str = "/fail";
+/// Position that a call counts as where calls are held.
+const CALL_POSITION: u32 = 0;
 
 /// The answer to a call.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -113,6 +115,7 @@
     }
 
     async fn run(&self, received: &Received) -> Response {
+        self.switches.hold(HoldPoint::Before, &[CALL_POSITION]).await;
         let answer = self.count(received);
         let request_id = header(received, REQUEST_ID_HEADER).to_owned();
         let entry = PlainRecord { request_id, answer: answer.clone() };
@@ -120,6 +123,7 @@
         if let Ok(sleep_ms) = header(received, SLEEP_HEADER).parse() {
             Timer::after(Duration::from_millis(sleep_ms)).await;
         }
+        self.switches.hold(HoldPoint::After, &[CALL_POSITION]).await;
         if answer.path == FAIL_PATH {
             let status = StatusCode::InternalServerError;
             return serving::json_with_status(status, &answer);
--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -1,10 +1,14 @@
 //! Faults that can be switched on while a stand-in serves.
 
 use std::{
-    sync::{Mutex, MutexGuard},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
+use async_io::Timer;
 use serde::{Deserialize, Serialize};
 
 /// How a stand-in is down.
@@ -37,6 +41,10 @@
     pub lose_answers: u64,
     /// Next writes that are dropped, and the connection closed.
     pub lose_requests: u64,
+    /// Holds writes before they are applied, until switched off.
+    pub hold_requests: bool,
+    /// Holds the answers of writes that were applied, until switched off.
+    pub hold_answers: bool,
     /// Age of the VM list that is shown.
     pub lag_ms: u64,
     /// Read requests taken in a second; 0 for no limit.
@@ -49,6 +57,17 @@
 #[derive(Debug, Default)]
 pub struct Faults {
     settings: Mutex<FaultSettings>,
+    held: AtomicU32,
+}
+
+/// Time between two looks at whether a write is still held.
+const HOLD_LOOK: Duration = Duration::from_millis(1);
+
+/// Where a write is held.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum HoldPoint {
+    Request,
+    Answer,
 }
 
 /// What is to happen to a call.
@@ -107,6 +126,31 @@
         Fate::Serve
     }
 
+    /// Waits while a write is held.
+    pub(super) async fn hold(&self, point: HoldPoint) {
+        if !self.is_held(point) {
+            return;
+        }
+        self.held.fetch_add(1, Ordering::AcqRel);
+        while self.is_held(point) {
+            Timer::after(HOLD_LOOK).await;
+        }
+        self.held.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    fn is_held(&self, point: HoldPoint) -> bool {
+        let settings = self.lock();
+        match point {
+            HoldPoint::Request => settings.hold_requests,
+            HoldPoint::Answer => settings.hold_answers,
+        }
+    }
+
+    /// Writes held now.
+    pub(super) fn held(&self) -> u32 {
+        self.held.load(Ordering::Acquire)
+    }
+
     fn lock(&self) -> MutexGuard<'_, FaultSettings> {
         self.settings.lock().expect("no holder panics")
     }
--- a/crates/standins/src/platform/serve.rs
+++ b/crates/standins/src/platform/serve.rs
@@ -12,7 +12,7 @@
 use chestnutreach_http::{Received, ServerOptions, serve_connection};
 use http_types::{Method, Response, StatusCode};
 
-use super::faults::{Fate, Faults};
+use super::faults::{Fate, Faults, HoldPoint};
 
 /// Longest body taken.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -111,6 +111,7 @@
                 set_faults(&self.faults, &received.body)
             }
             (Method::Get, "/faults") => Answer::json(&self.faults.settings()),
+            (Method::Get, "/held") => Answer::json(&self.faults.held()),
             (Method::Get, "/stats") => service.stats(),
             _ => return self.call(received, service).await,
         }
@@ -123,7 +124,11 @@
         service: &S,
     ) -> Response {
         Timer::after(self.faults.pause()).await;
-        let answer = match self.faults.fate(service.is_write(&received)) {
+        let is_write = service.is_write(&received);
+        if is_write {
+            self.faults.hold(HoldPoint::Request).await;
+        }
+        let answer = match self.faults.fate(is_write) {
             Fate::Serve => service.call(&received),
             Fate::Refuse => service.unavailable(),
             Fate::FailBefore => service.failed(),
@@ -137,6 +142,9 @@
                 return self.close();
             }
         };
+        if is_write {
+            self.faults.hold(HoldPoint::Answer).await;
+        }
         answer.into_response()
     }
 
--- a/crates/standins/src/serving.rs
+++ b/crates/standins/src/serving.rs
@@ -117,6 +117,7 @@
     let method = received.request.method();
     match (method, received.request.url().path()) {
         (Method::Get, "/faults") => Some(json(&switches.read())),
+        (Method::Get, "/held") => Some(json(&switches.held())),
         (Method::Put, "/faults") => {
             Some(parsed(&received.body, |faults: Faults| {
                 switches.replace(faults);
