entry: say no more of a plain answer than its service said

HEAD stated a length of 0 where GET has 134 bytes; an answer without a content type was given one; CONNECT was passed on and answered 200, which a caller takes for an open tunnel. Each has a test that failed first.

Ruled out for HEAD: passing on the service's length. The side process drops it as a header of its own connection; stating none is as right.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -132,6 +132,19 @@
     refusal(StatusCode::BadRequest, kind, code, param, message)
 }
 
+/// The refusal of a method; `allow` names those that are served.
+pub(crate) fn wrong_method(allow: &str) -> Box<Response> {
+    let mut response = refusal(
+        StatusCode::MethodNotAllowed,
+        "invalid_request_error",
+        "method_not_allowed",
+        None,
+        &format!("only {allow} are served here"),
+    );
+    response.insert_header("allow", allow);
+    response
+}
+
 /// The answer to a request that the HTTP layer refuses.
 pub(crate) fn http_refusal(error: &RequestError) -> Response {
     let status =
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -128,6 +128,7 @@
                 .plain(other)
                 .ok_or_else(|| not_found("not_found", other))?;
             let service = allowed(&account, service)?;
+            plain::refuse_tunnel(method)?;
             let rest = rest.to_owned();
             let call = admit(entry, account, service, received, arrival)?;
             return plain::serve(entry, call, &rest).await;
@@ -264,19 +265,15 @@
 fn only(method: Method, served: &[Method]) -> Result<(), Box<Response>> {
     let allow: Vec<&str> = served.iter().map(AsRef::as_ref).collect();
     let allow = allow.join(", ");
-    let mut response = match method {
-        Method::Options => Box::new(Response::new(StatusCode::NoContent)),
-        _ if served.contains(&method) => return Ok(()),
-        _ => answer::refusal(
-            StatusCode::MethodNotAllowed,
-            "invalid_request_error",
-            "method_not_allowed",
-            None,
-            &format!("only {allow} are served here"),
-        ),
-    };
-    response.insert_header("allow", allow);
-    Err(response)
+    if method == Method::Options {
+        let mut response = Box::new(Response::new(StatusCode::NoContent));
+        response.insert_header("allow", allow);
+        return Err(response);
+    }
+    if served.contains(&method) {
+        return Ok(());
+    }
+    Err(answer::wrong_method(&allow))
 }
 
 fn not_found(code: &str, what: &str) -> Box<Response> {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -4,9 +4,9 @@
 
 use chestnutreach_protocol::wire;
 use chestnutreach_state::Outcome;
-use futures_lite::FutureExt as _;
+use futures_lite::{FutureExt as _, io};
 use http_types::{
-    Method, Request, Response, StatusCode,
+    Body, Method, Request, Response, StatusCode,
     headers::{HeaderName, HeaderValue},
 };
 
@@ -38,6 +38,22 @@
 ];
 const OWN_PREFIX: &str = "chestnutreach-";
 
+/// Methods that are told to a caller that asks for a tunnel; every other
+/// one is passed on too.
+const METHODS: &str = "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS";
+
+/// Refuses `CONNECT`: an answer to it would be taken for an open tunnel.
+///
+/// # Errors
+///
+/// The answer that names other methods.
+pub(crate) fn refuse_tunnel(method: Method) -> Result<(), Box<Response>> {
+    if method != Method::Connect {
+        return Ok(());
+    }
+    Err(answer::wrong_method(METHODS))
+}
+
 /// Serves a request for a plain service; `rest` is the path below its own.
 pub(crate) async fn serve(
     entry: &Arc<Shared>,
@@ -45,31 +61,14 @@
     rest: &str,
 ) -> Result<Response, Box<Response>> {
     let method = call.received.request.method();
-    let is_once =
-        call.terms.is_non_idempotent.unwrap_or_else(|| !is_idempotent(method));
-    let is_idempotent = !is_once && call.terms.key.is_none();
-    let plain_call = wire::PlainCall {
-        method: method.to_string(),
-        target: target(&call.received.request, rest),
-        headers: headers(&call.received.request),
-        body: call.received.body.clone(),
-    };
-    let job = Job {
-        request: call.request,
-        service: call.service.clone(),
-        account: call.account.name.clone(),
-        priority: call.terms.priority,
-        is_idempotent,
-        deadline: deadline(&call),
-        work: JobWork::PlainCall(plain_call),
-    };
+    let job = job(&call, rest);
+    let is_idempotent = job.is_idempotent;
     let mut tally = Tally::new(entry, &call);
     let mut source = Source::start(entry, &call, job);
     call.received.body = Vec::new();
-    let mut response = Response::new(StatusCode::Ok);
-    let mut body = Vec::new();
+    let connection = &call.received.connection;
+    let mut answer = Collected::default();
     loop {
-        let connection = &call.received.connection;
         let next = async { Some(source.next().await) };
         let gone = async {
             connection.hung_up().await;
@@ -82,9 +81,9 @@
             }
             Some(Progress::Head(head)) => {
                 tally.part(0);
-                response = to_response(&head);
+                answer.head = head;
             }
-            Some(Progress::Data(data)) => body.extend_from_slice(&data),
+            Some(Progress::Data(data)) => answer.body.extend(data),
             Some(Progress::Whole(_)) => break,
             Some(Progress::Ended(ending)) => {
                 tally.ended(&ending);
@@ -95,18 +94,35 @@
         }
     }
     tally.completed();
+    let mut response = answer.into_response(method);
     let outcome = Outcome::Completed.as_str();
     response.insert_header(OUTCOME_HEADER, outcome);
     response.insert_header(REQUEST_HEADER, call.request.to_string());
-    // A body sets the content type, which is the service's to say.
-    let content_type = response.header("content-type").cloned();
-    response.set_body(body);
-    if let Some(content_type) = content_type {
-        response.insert_header("content-type", &content_type);
-    }
     Ok(response)
 }
 
+fn job(call: &Call, rest: &str) -> Job {
+    let request = &call.received.request;
+    let method = request.method();
+    let is_once =
+        call.terms.is_non_idempotent.unwrap_or_else(|| !is_idempotent(method));
+    let plain_call = wire::PlainCall {
+        method: method.to_string(),
+        target: target(request, rest),
+        headers: headers(request),
+        body: call.received.body.clone(),
+    };
+    Job {
+        request: call.request,
+        service: call.service.clone(),
+        account: call.account.name.clone(),
+        priority: call.terms.priority,
+        is_idempotent: !is_once && call.terms.key.is_none(),
+        deadline: deadline(call),
+        work: JobWork::PlainCall(plain_call),
+    }
+}
+
 /// Whether HTTP itself calls a method idempotent.
 fn is_idempotent(method: Method) -> bool {
     matches!(
@@ -154,18 +170,41 @@
     names.map(|name| name.trim().to_ascii_lowercase()).collect()
 }
 
-fn to_response(head: &wire::PlainHead) -> Response {
-    let status = StatusCode::try_from(head.status as u16)
-        .unwrap_or(StatusCode::BadGateway);
-    let mut response = Response::new(status);
-    for header in &head.headers {
-        let name = HeaderName::from_str(&header.name);
-        let value = HeaderValue::from_str(&header.value);
-        // The library panics on what is not ASCII; a peer must not be able
-        // to have it do so.
-        if let (Ok(name), Ok(value)) = (name, value) {
-            response.append_header(name, value);
+/// The service's answer. It is sent only when it is whole, so that its
+/// status is never followed by a part of its body.
+#[derive(Default)]
+struct Collected {
+    head: wire::PlainHead,
+    body: Vec<u8>,
+}
+
+impl Collected {
+    fn into_response(self, method: Method) -> Response {
+        let status = StatusCode::try_from(self.head.status as u16)
+            .unwrap_or(StatusCode::BadGateway);
+        let mut response = Response::new(status);
+        if method == Method::Head {
+            // The length that GET would have is not known here, and one
+            // that is stated must be that.
+            response.set_body(Body::from_reader(io::empty(), None));
+        } else {
+            response.set_body(self.body);
         }
+        // A body sets the content type, which is the service's to say.
+        response.remove_header("content-type");
+        for header in &self.head.headers {
+            append(&mut response, header);
+        }
+        response
+    }
+}
+
+/// Adds a header, but for one that is not ASCII: the library panics on it,
+/// and a peer must not be able to have it do so.
+fn append(response: &mut Response, header: &wire::Header) {
+    let name = HeaderName::from_str(&header.name);
+    let value = HeaderValue::from_str(&header.value);
+    if let (Ok(name), Ok(value)) = (name, value) {
+        response.append_header(name, value);
     }
-    response
 }
--- a/crates/entry/tests/api/plain.rs
+++ b/crates/entry/tests/api/plain.rs
@@ -184,3 +184,43 @@
     assert_eq!(answer.json()["error"]["outcome"], "failed");
     assert_eq!(answer.header("x-should-retry"), Some("false"));
 }
+
+#[test]
+fn what_the_service_does_not_say_is_not_said() {
+    let stage = Stage::start();
+    let bare = [Reply::Accept, Reply::Head(204, vec![]), Reply::Finish];
+    stage.side.reply(&bare);
+    let answer = stage.call(&Request::new("DELETE", "/ledger-app/x"));
+    assert_eq!(answer.status, 204);
+    assert_eq!(answer.header("content-type"), None);
+    stage.side.reply(&answers(200, &[]));
+    let answer = stage.call(&Request::new("GET", "/ledger-app/x"));
+    assert_eq!(answer.header("content-type"), None);
+    assert_eq!(answer.header("content-length"), Some("13"));
+}
+
+#[test]
+fn head_does_not_state_a_length_that_get_has_not() {
+    let bare = [Reply::Accept, Reply::Head(200, vec![]), Reply::Finish];
+    let stage = Stage::start();
+    stage.side.reply(&bare);
+    let mut caller = stage.caller();
+    let head = Request::new("HEAD", "/ledger-app/x");
+    // The second would read a body of the first as its head.
+    for _ in 0..2 {
+        caller.send(&head);
+        let answer = caller.answer(&head);
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.header("content-length"), None);
+    }
+}
+
+#[test]
+fn a_tunnel_is_refused() {
+    let stage = Stage::start();
+    let answer = stage.call(&Request::new("CONNECT", "/ledger-app/x"));
+    assert_eq!(answer.status, 405, "{answer:?}");
+    assert!(answer.header("allow").is_some());
+    assert_eq!(answer.header("chestnutreach-outcome"), Some("not-run"));
+    assert_eq!(stage.side.runs(), 0);
+}
