Get the manifest from peers where the store cannot give it

Cause: a process that started during an outage of the store had no manifest until its end, parts were read from the store only, and a read of many parts that met one error began anew. Control calls never handed out parts.

A process now asks peers, by the control calls: those of the new checked setting seed-peers and those it had a link with. It takes the highest generation of the answers, never one below its own, and no first one below what a peer told of.

--- a/crates/config/src/fields.rs
+++ b/crates/config/src/fields.rs
@@ -45,6 +45,8 @@
     Text(TextField),
     /// A list with commas.
     List(ListField),
+    /// A list of addresses with commas.
+    Addresses(AddressListField),
 }
 
 impl Field {
@@ -56,6 +58,7 @@
             Field::Address(field) => field.key,
             Field::Text(field) => field.key,
             Field::List(field) => field.key,
+            Field::Addresses(field) => field.key,
         }
     }
 
@@ -77,6 +80,7 @@
             Field::List(field) => {
                 format!("list of {}", field.form.describe())
             }
+            Field::Addresses(_) => "list of ip:port".to_owned(),
         }
     }
 
@@ -89,6 +93,7 @@
             Field::Choice(field) => field.default.map(str::to_owned),
             Field::Text(field) => field.default.map(str::to_owned),
             Field::Address(_) | Field::List(_) => None,
+            Field::Addresses(_) => Some("none".to_owned()),
         }
     }
 }
@@ -274,6 +279,26 @@
     }
 }
 
+/// A list of addresses to connect to, with commas; none where the key is
+/// missing.
+#[derive(Clone, Copy, Debug)]
+pub struct AddressListField {
+    /// The key.
+    pub key: &'static str,
+    /// Most addresses.
+    pub max_count: usize,
+}
+
+impl AddressListField {
+    /// A list of at most `max_count` addresses.
+    pub(crate) const fn new(
+        key: &'static str,
+        max_count: usize,
+    ) -> AddressListField {
+        AddressListField { key, max_count }
+    }
+}
+
 fn is_name(text: &str) -> bool {
     let is_allowed = |byte: u8| {
         byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.')
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -84,6 +84,9 @@
     pub threads: usize,
     /// How long a planned stop may take before what is left is cut.
     pub drain_limit_ms: u64,
+    /// Control addresses of processes that are asked for the manifest when
+    /// the store does not answer, beside those that this one has links to.
+    pub seed_peers: Vec<SocketAddr>,
     /// Logs.
     pub log: LogSettings,
     /// Connections between processes.
--- a/crates/config/src/settings/sections.rs
+++ b/crates/config/src/settings/sections.rs
@@ -42,6 +42,14 @@
     let control_address = reader.address(&CONTROL_ADDRESS);
     let threads = reader.integer(&THREADS);
     let drain_limit_ms = reader.integer(&DRAIN_LIMIT_MS);
+    let seed_peers = reader.addresses(&SEED_PEERS);
+    if let Some((own, peers)) = control_address.zip(seed_peers.as_ref())
+        && peers.contains(&own)
+    {
+        let message = format!("{own} is this process's own control-address");
+        reader.report(SEED_PEERS.key, message);
+        return None;
+    }
     Some(NodeSettings {
         vm: vm?,
         data_centre: data_centre?,
@@ -50,6 +58,7 @@
         control_address: control_address?,
         threads: threads?,
         drain_limit_ms: drain_limit_ms?,
+        seed_peers: seed_peers?,
         log: log?,
         links: links?,
         platform: platform?,
--- a/crates/config/src/settings/tables.rs
+++ b/crates/config/src/settings/tables.rs
@@ -1,8 +1,8 @@
 //! The keys of a daemon's settings.
 
 use crate::fields::{
-    AddressField, ChoiceField, Field, IntegerField, SectionTable, TextField,
-    TextForm,
+    AddressField, AddressListField, ChoiceField, Field, IntegerField,
+    SectionTable, TextField, TextForm,
 };
 
 /// First word of `[node]`.
@@ -50,6 +50,8 @@
     IntegerField::new("threads", 1, 256, "threads").or(4);
 pub(super) const DRAIN_LIMIT_MS: IntegerField =
     IntegerField::new("drain-limit-ms", 1_000, 3_600_000, "ms").or(60_000);
+pub(super) const SEED_PEERS: AddressListField =
+    AddressListField::new("seed-peers", 64);
 
 pub(super) const NODE: &[Field] = &[
     Field::Choice(ROLE),
@@ -60,6 +62,7 @@
     Field::Address(CONTROL_ADDRESS),
     Field::Integer(THREADS),
     Field::Integer(DRAIN_LIMIT_MS),
+    Field::Addresses(SEED_PEERS),
 ];
 
 pub(super) const LOG_FORMAT: ChoiceField =
--- a/crates/config/src/sheet.rs
+++ b/crates/config/src/sheet.rs
@@ -9,12 +9,13 @@
 use crate::{
     document::{Document, Entry, Section, shortened},
     fields::{
-        AddressField, ChoiceField, Field, IntegerField, ListField,
-        SectionTable, TextField, TextForm,
+        AddressField, AddressListField, ChoiceField, Field, IntegerField,
+        ListField, SectionTable, TextField, TextForm,
     },
     findings::{Finding, Findings},
     values::{
-        not_of_form, parse_address, parse_integer, parse_list, parse_text,
+        not_of_form, parse_address, parse_addresses, parse_integer,
+        parse_list, parse_text,
     },
 };
 
@@ -237,6 +238,15 @@
         self.value(field.key, None, read)
     }
 
+    /// Addresses in the order of the file; none where the key is missing.
+    pub(crate) fn addresses(
+        &mut self,
+        field: &AddressListField,
+    ) -> Option<Vec<SocketAddr>> {
+        let read = |text: &str| parse_addresses(field, text);
+        self.value(field.key, Some(Vec::new()), read)
+    }
+
     /// Reports the keys of `table`, which belong to another kind of service.
     pub(crate) fn refuse(&mut self, table: &[Field]) {
         for field in table {
--- a/crates/config/src/values.rs
+++ b/crates/config/src/values.rs
@@ -1,10 +1,13 @@
 //! Values from their text; an error is the message of a finding.
 
-use std::{net::SocketAddr, num::IntErrorKind};
+use std::{fmt::Display, net::SocketAddr, num::IntErrorKind};
 
 use crate::{
     document::shortened,
-    fields::{AddressField, AddressUse, IntegerField, ListField, TextForm},
+    fields::{
+        AddressField, AddressListField, AddressUse, IntegerField, ListField,
+        TextForm,
+    },
 };
 
 /// A whole number within the field's range.
@@ -65,12 +68,33 @@
     field: &ListField,
     text: &str,
 ) -> Result<Vec<String>, String> {
+    parse_items(text, |item| parse_text(field.form, item))
+}
+
+/// Addresses to connect to, none twice, not more than the field allows.
+pub(crate) fn parse_addresses(
+    field: &AddressListField,
+    text: &str,
+) -> Result<Vec<SocketAddr>, String> {
+    let item = AddressField::connect(field.key);
+    let addresses = parse_items(text, |text| parse_address(&item, text))?;
+    let (count, max) = (addresses.len(), field.max_count);
+    if count > max {
+        return Err(format!("{count} addresses; there may be {max} at most"));
+    }
+    Ok(addresses)
+}
+
+fn parse_items<T: PartialEq + Display>(
+    text: &str,
+    parse: impl Fn(&str) -> Result<T, String>,
+) -> Result<Vec<T>, String> {
     if text.is_empty() {
         return Err("empty list; it needs one item or more".to_owned());
     }
     let mut items = Vec::new();
     for item in text.split(',') {
-        let item = parse_text(field.form, item.trim())?;
+        let item = parse(item.trim())?;
         if items.contains(&item) {
             return Err(format!("{item} stands twice"));
         }
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -41,6 +41,7 @@
         control_address: "10.0.0.1:3".parse().unwrap(),
         threads: 4,
         drain_limit_ms: 60_000,
+        seed_peers: Vec::new(),
         log: LogSettings { format: LogFormat::Json, level: LogLevel::Info },
         links: LinkSettings {
             connect_timeout_ms: 500,
@@ -98,6 +99,22 @@
     assert_eq!(settings, DaemonSettings::Side(expected));
 }
 
+#[test]
+fn seed_peers_are_read_in_order() {
+    let text =
+        ENTRY.replace("role", "seed-peers = 10.0.0.3:3,10.0.0.2:3\nrole");
+    let settings = DaemonSettings::try_parse("e.ini", &text).unwrap();
+    let expected = ["10.0.0.3:3", "10.0.0.2:3"];
+    let expected = expected.map(|text| text.parse().unwrap());
+    assert_eq!(settings.node().seed_peers, expected);
+    let many = (1..=65).map(|n| format!("10.0.1.{n}:3"));
+    let many = many.collect::<Vec<_>>().join(", ");
+    let text = ENTRY.replace("role", &format!("seed-peers = {many}\nrole"));
+    let expected = "f.ini:2: [node] seed-peers: 65 addresses; \
+         there may be 64 at most";
+    assert_eq!(findings(&text), [expected]);
+}
+
 fn findings(text: &str) -> Vec<String> {
     match DaemonSettings::try_parse("f.ini", text) {
         Ok(_) => Vec::new(),
@@ -154,6 +171,25 @@
             findings: &["f.ini:9: [platform] table-address: \
                  0.0.0.0:1 is no address to connect to"],
         },
+        Case {
+            change: ("role", "seed-peers = 10.0.0.2:3, 10.0.0.1:3\nrole"),
+            findings: &["f.ini:2: [node] seed-peers: 10.0.0.1:3 is this \
+                 process's own control-address"],
+        },
+        Case {
+            change: ("role", "seed-peers = 10.0.0.2:3, 10.0.0.2:3\nrole"),
+            findings: &["f.ini:2: [node] seed-peers: 10.0.0.2:3 stands twice"],
+        },
+        Case {
+            change: ("role", "seed-peers = 10.0.0.2:3, 0.0.0.0:3\nrole"),
+            findings: &["f.ini:2: [node] seed-peers: \
+                 0.0.0.0:3 is no address to connect to"],
+        },
+        Case {
+            change: ("role", "seed-peers =\nrole"),
+            findings: &["f.ini:2: [node] seed-peers: empty list; \
+                 it needs one item or more"],
+        },
         Case {
             change: ("[entry]", "[links]\nsilence-limit-ms = 399\n[entry]"),
             findings: &["f.ini:13: [links] silence-limit-ms: 399 ms is too \
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -3,9 +3,6 @@
 //! Everything is answered from memory. A drain by an operator and a stop use
 //! the same switch, so both go through one lock: an operator who ends a
 //! drain never takes back a stop.
-//!
-//! Parts of the manifest are not handed out: the follower's cache does not
-//! show them.
 
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -268,8 +265,8 @@
         }
     }
 
-    fn manifest_part(&self, _digest: &[u8]) -> Option<Vec<u8>> {
-        None
+    fn manifest_part(&self, digest: &[u8]) -> Option<Vec<u8>> {
+        self.in_force.object(digest)
     }
 
     fn explain(&self, query: &ExplainQuery) -> Result<String, ControlRefusal> {
--- a/crates/daemon/src/roles.rs
+++ b/crates/daemon/src/roles.rs
@@ -9,9 +9,8 @@
 use chestnutreach_control::serve_control;
 use chestnutreach_entry::{Entry, EntryParts};
 use chestnutreach_node::{
-    Heard, InForce,
-    follow::{ManifestFollower, follow_vm_list},
-    threads,
+    Heard, InForce, follow::ManifestFollower, peers::PeerManifests, threads,
+    vm_list::follow_vm_list,
 };
 use chestnutreach_platform::{
     ClaimOptions, ClaimStore, ManifestStore, ObjectClient, TableClient,
@@ -82,8 +81,12 @@
     fn follower(&self, node: &NodeSettings) -> ManifestFollower {
         let store =
             ManifestStore::new(self.table.clone(), self.objects.clone());
-        let poll_ms = node.platform.manifest_poll_ms;
-        ManifestFollower::new(store, self.heard.clone(), poll_ms)
+        let platform = &node.platform;
+        let timeout = Duration::from_millis(platform.request_timeout_ms);
+        let seeds = node.seed_peers.clone();
+        let peers = PeerManifests::new(seeds, self.heard.clone(), timeout);
+        let heard = self.heard.clone();
+        ManifestFollower::new(store, peers, heard, platform.manifest_poll_ms)
             .in_force(self.in_force.clone())
     }
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -275,7 +275,7 @@
     fn handle(self: &Arc<Self>, event: LinkEvent) {
         match event {
             LinkEvent::Opened(link) => {
-                self.heard.note(link.peer().generation);
+                self.heard.met(link.peer());
                 emit(Event::LinkOpened, &[("peer_vm", &link.peer().vm)]);
             }
             LinkEvent::Frame(link, body) => self.handle_frame(&link, body),
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,14 +5,12 @@
     fmt::Write as _,
     net::SocketAddr,
     path::{Path, PathBuf},
-    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
 
 use anyhow::{Context as _, bail};
 use chestnutreach_config::{Manifest, key_digest};
-use chestnutreach_platform::{ManifestStore, ObjectClient, TableClient};
 use chestnutreach_standins::{plain::PlainRecord, record::Numbered};
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -353,12 +351,7 @@
     ) -> anyhow::Result<u64> {
         let manifest = Manifest::try_parse("manifest", text)
             .with_context(|| format!("the manifest:\n{text}"))?;
-        let timeout = Duration::from_secs(2);
-        let Platform { table, objects, .. } = self.platform;
-        let store = ManifestStore::new(
-            Arc::new(TableClient::new(table, timeout)),
-            Arc::new(ObjectClient::new(objects, timeout)),
-        );
+        let store = self.manifest_store(Duration::from_secs(2));
         let submission = format!("{:032x}", fastrand::u128(..));
         let accepted = async_io::block_on(store.submit(
             base_generation,
--- a/crates/fleet/src/fleet/members.rs
+++ b/crates/fleet/src/fleet/members.rs
@@ -1,11 +1,12 @@
 //! Members that come, go and are asked one by one.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use anyhow::Context as _;
+use anyhow::{Context as _, ensure};
+use chestnutreach_platform::{ManifestStore, ObjectClient, TableClient};
 use serde_json::Value;
 
-use super::{Fleet, STOP_LIMIT, status};
+use super::{Fleet, Platform, STOP_LIMIT, status};
 use crate::client::Caller;
 
 impl Fleet {
@@ -45,6 +46,53 @@
         self.process(name).start_again()
     }
 
+    /// Adds a line to the `[node]` section of a daemon's settings, which
+    /// hold from its next start.
+    ///
+    /// # Errors
+    ///
+    /// The settings cannot be read or written.
+    pub fn add_node_setting(
+        &self,
+        name: &str,
+        key: &str,
+        value: &str,
+    ) -> anyhow::Result<()> {
+        self.replace_setting(
+            name,
+            "[node]\n",
+            &format!("[node]\n{key} = {value}\n"),
+        )
+    }
+
+    /// Replaces a text in a daemon's settings, which hold from its next
+    /// start.
+    ///
+    /// # Errors
+    ///
+    /// The settings cannot be read or written, or lack the text.
+    pub fn replace_setting(
+        &self,
+        name: &str,
+        from: &str,
+        to: &str,
+    ) -> anyhow::Result<()> {
+        let path = self.dir.path().join(format!("{name}.ini"));
+        let text = std::fs::read_to_string(&path)?;
+        ensure!(text.contains(from), "{name} has no {from:?} in {text}");
+        std::fs::write(path, text.replacen(from, to, 1))?;
+        Ok(())
+    }
+
+    /// The manifest store of the fleet's platform.
+    pub fn manifest_store(&self, timeout: Duration) -> ManifestStore {
+        let Platform { table, objects, .. } = self.platform;
+        ManifestStore::new(
+            Arc::new(TableClient::new(table, timeout)),
+            Arc::new(ObjectClient::new(objects, timeout)),
+        )
+    }
+
     /// State of any daemon by its name; null if it does not show it.
     pub fn status(&self, name: &str) -> Value {
         match self.ops_addresses().get(name) {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -1,12 +1,17 @@
-//! Following the platform: the manifest and the list of VMs.
+//! Following the manifest of a deployment.
 //!
 //! A process looks at one row, the manifest's head, with jitter so that many
 //! processes do not look at the same moment, and fetches only the parts that
-//! changed. A generation lower than the one in force is never applied. While
-//! the store does not answer, what is in force stays in force.
+//! changed. A generation lower than the one in force is never applied, and
+//! neither is a first one lower than a peer has told of.
+//!
+//! While the store does not answer, what is in force stays in force, and the
+//! looks become rarer. Peers are asked when one of them has a higher
+//! generation than the store gives, or when nothing is in force yet; parts
+//! that the store cannot give are taken from them too.
 
 use std::{
-    collections::BTreeSet,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -14,41 +19,71 @@
 use async_io::Timer;
 use chestnutreach_config::Manifest;
 use chestnutreach_platform::{
-    ManifestStore, VmListClient,
-    manifest_store::{Head, PartCache},
-    vm_list::VmState,
+    ManifestStore,
+    manifest_store::{FetchError, Head, PartCache},
 };
 use chestnutreach_telemetry::{Event, emit};
 use futures_lite::FutureExt as _;
 
-use crate::{heard::Heard, in_force::InForce};
+use crate::{
+    heard::Heard,
+    in_force::InForce,
+    outage::{Outage, Pause},
+    peers::{Offered, PeerManifests},
+};
+
+/// How long a process without seed peers waits, after its start, for peers
+/// to come before it takes the highest generation of those that came:
+/// longer than an entry takes to dial a side process again.
+const GATHER: Duration = Duration::from_millis(2_500);
 
 /// Follows the manifest of a deployment.
 pub struct ManifestFollower {
     store: ManifestStore,
+    peers: PeerManifests,
     heard: Arc<Heard>,
-    poll_ms: u64,
     cache: PartCache,
     generation: u64,
     in_force: Arc<InForce>,
     outage: Outage,
+    pause: Pause,
+    started: Instant,
+}
+
+/// Where a generation was got.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    Store,
+    Peer,
+}
+
+impl Source {
+    fn as_str(self) -> &'static str {
+        match self {
+            Source::Store => "store",
+            Source::Peer => "peer",
+        }
+    }
 }
 
 impl ManifestFollower {
     /// A follower that has no generation yet.
     pub fn new(
         store: ManifestStore,
+        peers: PeerManifests,
         heard: Arc<Heard>,
         poll_ms: u64,
     ) -> ManifestFollower {
         ManifestFollower {
             store,
+            peers,
             heard,
-            poll_ms,
             cache: PartCache::new(),
             generation: 0,
             in_force: Arc::default(),
             outage: Outage::new("manifest"),
+            pause: Pause::new(poll_ms),
+            started: Instant::now(),
         }
     }
 
@@ -61,129 +96,139 @@
     /// Applies each higher generation until the process ends.
     pub async fn run(mut self, apply: impl Fn(u64, &Manifest)) {
         loop {
-            self.look(&apply).await;
-            let poll = jittered(self.poll_ms);
-            let poll = async {
-                Timer::after(poll).await;
+            let has_worked = self.look(&apply).await;
+            let pause = self.pause.after(has_worked);
+            let pause = async {
+                Timer::after(pause).await;
             };
-            self.heard.woken().or(poll).await;
+            self.heard.woken().or(pause).await;
         }
     }
 
-    async fn look(&mut self, apply: &impl Fn(u64, &Manifest)) {
-        match self.store.head().await {
-            Ok(Some(head)) => {
-                self.outage.worked();
-                if head.generation > self.generation {
-                    self.fetch(&head, apply).await;
-                }
-            }
-            Ok(None) => self.outage.worked(),
-            Err(e) => self.outage.failed(&e),
+    /// Looks once; false when there is cause to look again soon.
+    async fn look(&mut self, apply: &impl Fn(u64, &Manifest)) -> bool {
+        let head = self.store.head().await;
+        match &head {
+            Ok(_) => self.outage.worked(),
+            Err(e) => self.outage.failed(e),
+        }
+        let has_answered = head.is_ok();
+        if let Ok(Some(head)) = head
+            && head.generation > self.generation
+        {
+            return self.fetch(&head, apply).await;
+        }
+        let is_behind = self.heard.generation() > self.generation;
+        let needs_first = !has_answered && self.generation == 0;
+        if !is_behind && !needs_first {
+            return has_answered;
         }
+        self.look_at_peers(apply).await
     }
 
-    async fn fetch(&mut self, head: &Head, apply: &impl Fn(u64, &Manifest)) {
+    /// Gets a generation that the store has named.
+    async fn fetch(
+        &mut self,
+        head: &Head,
+        apply: &impl Fn(u64, &Manifest),
+    ) -> bool {
         let started = Instant::now();
-        let fetched = self.store.fetch(head, &mut self.cache).await;
-        let sections = match fetched {
+        let read = self.store.read_missing(&head.root, &mut self.cache).await;
+        let Err(error) = read else {
+            return self.take(head, Source::Store, started, apply);
+        };
+        note_failed(head, Source::Store, &error);
+        let peers = self.peers.some();
+        self.take_from(&peers, head, started, apply).await
+    }
+
+    /// Gets the highest generation of the peers, if it is a higher one.
+    async fn look_at_peers(
+        &mut self,
+        apply: &impl Fn(u64, &Manifest),
+    ) -> bool {
+        let is_first = self.generation == 0;
+        let is_early = self.started.elapsed() < GATHER;
+        if is_first && is_early && !self.peers.has_seeds() {
+            return false;
+        }
+        let started = Instant::now();
+        let Some(Offered { head, peers }) = self.peers.highest().await else {
+            return false;
+        };
+        // A first one that is lower than another peer has told of would be
+        // a step back if this VM had that one before it started anew.
+        let least = self.heard.generation().max(self.generation + 1);
+        if head.generation < least {
+            return false;
+        }
+        self.take_from(&peers, &head, started, apply).await
+    }
+
+    async fn take_from(
+        &mut self,
+        peers: &[SocketAddr],
+        head: &Head,
+        started: Instant,
+        apply: &impl Fn(u64, &Manifest),
+    ) -> bool {
+        let cache = &mut self.cache;
+        self.peers.read_missing(&head.root, cache, peers).await;
+        self.take(head, Source::Peer, started, apply)
+    }
+
+    /// Puts a generation in force whose objects are all here.
+    fn take(
+        &mut self,
+        head: &Head,
+        source: Source,
+        started: Instant,
+        apply: &impl Fn(u64, &Manifest),
+    ) -> bool {
+        let sections = match self.cache.sections(&head.root) {
             Ok(sections) => sections,
             Err(e) => {
-                emit(
-                    Event::ManifestFetchFailed,
-                    &[
-                        ("generation", &head.generation),
-                        ("source", &"store"),
-                        ("error", &e),
-                    ],
-                );
-                return;
+                note_failed(head, source, &e);
+                return false;
             }
         };
         let name = format!("generation {}", head.generation);
-        match Manifest::try_from_sections(&name, &sections) {
-            Ok(manifest) => {
-                self.generation = head.generation;
-                apply(head.generation, &manifest);
-                self.in_force.note(head);
+        let manifest = match Manifest::try_from_sections(&name, &sections) {
+            Ok(manifest) => manifest,
+            Err(findings) => {
                 emit(
-                    Event::ManifestInForce,
+                    Event::ManifestUnusable,
                     &[
                         ("generation", &head.generation),
-                        ("submission", &head.submission),
-                        ("source", &"store"),
-                        ("elapsed_ms", &started.elapsed().as_millis()),
+                        ("findings", &findings),
                     ],
                 );
+                return true;
             }
-            Err(findings) => emit(
-                Event::ManifestUnusable,
-                &[("generation", &head.generation), ("findings", &findings)],
-            ),
-        }
-    }
-}
-
-/// Follows the platform's list until the process ends; hands on the VMs that
-/// are listed as leaving.
-pub async fn follow_vm_list(
-    client: VmListClient,
-    poll_ms: u64,
-    apply: impl Fn(BTreeSet<String>),
-) {
-    let mut outage = Outage::new("vm_list");
-    loop {
-        match client.list().await {
-            Ok(entries) => {
-                outage.worked();
-                let leaving = entries
-                    .into_iter()
-                    .filter(|entry| entry.state == VmState::Leaving)
-                    .map(|entry| entry.vm)
-                    .collect();
-                apply(leaving);
-            }
-            Err(e) => outage.failed(&e),
-        }
-        Timer::after(jittered(poll_ms)).await;
+        };
+        self.generation = head.generation;
+        apply(head.generation, &manifest);
+        self.in_force.note(head, &self.cache);
+        emit(
+            Event::ManifestInForce,
+            &[
+                ("generation", &head.generation),
+                ("submission", &head.submission),
+                ("source", &source.as_str()),
+                ("elapsed_ms", &started.elapsed().as_millis()),
+            ],
+        );
+        true
     }
 }
 
-/// Half to all of an interval.
-fn jittered(interval_ms: u64) -> Duration {
-    Duration::from_millis(fastrand::u64(interval_ms / 2..=interval_ms))
-}
-
-/// Tells once that a service does not answer, and once that it does again.
-struct Outage {
-    store: &'static str,
-    since: Option<Instant>,
-}
-
-impl Outage {
-    fn new(store: &'static str) -> Outage {
-        Outage { store, since: None }
-    }
-
-    fn failed(&mut self, error: &dyn std::fmt::Display) {
-        if self.since.is_none() {
-            self.since = Some(Instant::now());
-            emit(
-                Event::StoreUnavailable,
-                &[("store", &self.store), ("error", error)],
-            );
-        }
-    }
-
-    fn worked(&mut self) {
-        if let Some(since) = self.since.take() {
-            emit(
-                Event::StoreBack,
-                &[
-                    ("store", &self.store),
-                    ("down_ms", &since.elapsed().as_millis()),
-                ],
-            );
-        }
-    }
+fn note_failed(head: &Head, source: Source, error: &FetchError) {
+    emit(
+        Event::ManifestFetchFailed,
+        &[
+            ("generation", &head.generation),
+            ("source", &source.as_str()),
+            ("error", error),
+        ],
+    );
 }
--- a/crates/node/src/heard.rs
+++ b/crates/node/src/heard.rs
@@ -1,15 +1,27 @@
-//! The highest generation of the manifest that peers have told of.
+//! What peers have told of the manifest, and where to ask them.
 //!
 //! Every message between processes that says who they are carries the
 //! generation in force. Hearing a higher one than this process has makes it
 //! look at the store at once instead of at its next poll.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use chestnutreach_protocol::wire::Hello;
 
 /// What peers have told.
 #[derive(Debug)]
 pub struct Heard {
     generation: AtomicU64,
+    /// Where each VM takes control calls. One that has gone stays: it may
+    /// be back, and its address is only asked when the store is not there.
+    control_addresses: Mutex<BTreeMap<String, SocketAddr>>,
     wake: async_channel::Sender<()>,
     woken: async_channel::Receiver<()>,
 }
@@ -18,7 +30,29 @@
     /// Nothing heard yet.
     pub fn new() -> Heard {
         let (wake, woken) = async_channel::bounded(1);
-        Heard { generation: AtomicU64::new(0), wake, woken }
+        Heard {
+            generation: AtomicU64::new(0),
+            control_addresses: Mutex::default(),
+            wake,
+            woken,
+        }
+    }
+
+    /// A link to a peer has opened.
+    pub fn met(&self, peer: &Hello) {
+        if let Ok(address) = peer.control_address.parse() {
+            let mut addresses =
+                self.control_addresses.lock().expect("no holder panics");
+            addresses.insert(peer.vm.clone(), address);
+        }
+        self.note(peer.generation);
+    }
+
+    /// Where the peers that were met take control calls.
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
+        let addresses =
+            self.control_addresses.lock().expect("no holder panics");
+        addresses.values().copied().collect()
     }
 
     /// A peer has this generation in force.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,18 +3,23 @@
 //! | module | what it holds |
 //! |---|---|
 //! | [`clock`] | the monotonic clock of a process |
-//! | [`follow`] | following the manifest and the list of VMs |
-//! | [`heard`] | generations that peers have told of |
+//! | [`follow`] | following the manifest |
+//! | [`heard`] | what peers have told of the manifest |
 //! | [`in_force`] | the accepted generation that is in force |
 //! | [`links`] | link options from settings |
+//! | [`peers`] | the manifest as other processes have it |
 //! | [`threads`] | the threads that run its tasks |
+//! | [`vm_list`] | following the list of VMs |
 
 pub mod clock;
 pub mod follow;
 pub mod heard;
 pub mod in_force;
 pub mod links;
+mod outage;
+pub mod peers;
 pub mod threads;
+pub mod vm_list;
 
 pub use clock::Clock;
 pub use heard::Heard;
--- a/crates/platform/src/concurrent.rs
+++ b/crates/platform/src/concurrent.rs
@@ -35,9 +35,7 @@
 }
 
 /// Makes calls, and gives the answer of each in their order.
-pub(crate) async fn call_each<T, F>(
-    calls: impl IntoIterator<Item = F>,
-) -> Vec<T>
+pub async fn call_each<T, F>(calls: impl IntoIterator<Item = F>) -> Vec<T>
 where
     F: Future<Output = T> + Send,
     T: Send,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`vm_list`] | the list of live and leaving VMs |
 //! | [`manifest_store`] | generations of the manifest |
 //! | [`claims`] | claims of requests with an idempotency key |
+//! | [`concurrent`] | several calls at once |
 //!
 //! # Example
 //!
@@ -38,7 +39,7 @@
 //! ```
 
 pub mod claims;
-mod concurrent;
+pub mod concurrent;
 mod hex;
 pub mod manifest_store;
 pub mod objects;
--- a/crates/side/src/frames.rs
+++ b/crates/side/src/frames.rs
@@ -57,7 +57,7 @@
             Role::Entry => self.send_status(),
             _ => drop(link.send(self.status())),
         }
-        self.heard.note(link.peer().generation);
+        self.heard.met(link.peer());
         emit(Event::LinkOpened, &[("peer_vm", &link.peer().vm)]);
     }
 
