--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`links`] | link options from settings |
 //! | [`peers`] | the manifest as other processes have it |
 //! | [`threads`] | the threads that run its tasks |
+//! | [`traffic`] | bytes and counts of links as metrics |
 //! | [`vm_list`] | following the list of VMs |
 
 pub mod clock;
@@ -19,6 +20,7 @@
 mod outage;
 pub mod peers;
 pub mod threads;
+pub mod traffic;
 pub mod vm_list;
 
 pub use clock::Clock;
