Move a side process's gate into the routing crate

Cause: the gate of a backend server (places, fair queue, admission) stood in the side process, behind its lock and bound to its own type of request, so nothing could measure its decisions without processes. Ruled out: a copy of it in a benchmark, which would drift.

--- /dev/null
+++ b/crates/routing/src/gate.rs
@@ -0,0 +1,232 @@
+//! Who may run on one backend server now, and who waits.
+//!
+//! The places of a backend server, the fair queue before them and the learned
+//! speed, in one. Requests wait only at the first stage of their chain. A
+//! later stage takes a request at once or refuses it: a request that waited
+//! for one stage while it held another could wait for a request that does
+//! the reverse.
+
+use crate::{
+    admission::{self, Speed},
+    chain::Shape,
+    fair::FairQueue,
+};
+
+/// What the manifest says of a backend server's size.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Places {
+    /// Requests it runs at once.
+    pub max_running: u32,
+    /// First guess through its own layers.
+    pub prompt_tokens_per_s: f64,
+    /// First guess through its own layers, all sequences together.
+    pub output_tokens_per_s: f64,
+}
+
+impl Places {
+    fn speed(&self) -> Speed {
+        Speed::new(self.prompt_tokens_per_s, self.output_tokens_per_s)
+            .places(self.max_running)
+    }
+}
+
+/// A request for a place.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    /// Whose it is.
+    pub account: &'a str,
+    /// What it takes.
+    pub shape: &'a Shape,
+    /// What its account is charged.
+    pub cost_tokens: u64,
+    /// When its caller gives up.
+    pub deadline_at_ms: u64,
+}
+
+/// What became of a request at the gate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Offer {
+    /// It holds a place.
+    Admitted,
+    /// It waits for a place.
+    Queued,
+    /// The queue has no room.
+    Full {
+        /// When room is expected.
+        retry_after_ms: u64,
+    },
+    /// It could not finish within its deadline.
+    TooLate {
+        /// When room is expected.
+        retry_after_ms: u64,
+    },
+}
+
+/// Load of a gate.
+#[derive(Clone, Copy, Debug)]
+pub struct GateLoad {
+    /// Requests that hold a place.
+    pub running: u32,
+    /// Requests that wait for one.
+    pub queued: u32,
+    /// Work that both were taken for.
+    pub pending_tokens: u64,
+    /// Learned through the server's own layers.
+    pub prompt_tokens_per_s: f32,
+    /// Likewise, all sequences together.
+    pub output_tokens_per_s: f32,
+    /// Expected wait of a new request.
+    pub queue_wait_ms: u64,
+}
+
+/// Places and queue of one backend server; used by one thread at a time.
+#[derive(Debug)]
+pub struct Gate<T> {
+    running: u32,
+    places: Places,
+    running_tokens: u64,
+    queue: FairQueue<T>,
+    speed: Speed,
+}
+
+impl<T> Gate<T> {
+    /// A gate without places; see [`Gate::set_places`].
+    pub fn new(queue_limit_tokens: u64) -> Gate<T> {
+        Gate {
+            running: 0,
+            places: Places::default(),
+            running_tokens: 0,
+            queue: FairQueue::new(queue_limit_tokens),
+            speed: Places::default().speed(),
+        }
+    }
+
+    /// Sets the count of places and the first guess of the speed. What has
+    /// been learned is kept while neither changes.
+    pub fn set_places(&mut self, places: Places) {
+        if self.places != places {
+            self.speed = places.speed();
+            self.places = places;
+        }
+    }
+
+    /// Sets an account's share.
+    pub fn set_weight(&mut self, account: &str, weight: u32) {
+        self.queue.set_weight(account, weight);
+    }
+
+    /// Gives a request a place, lets it wait or refuses it.
+    pub fn offer(
+        &mut self,
+        asked: &Asked<'_>,
+        item: T,
+        now_ms: u64,
+        rng: &mut fastrand::Rng,
+    ) -> Offer {
+        let wait_ms = self.wait_ms();
+        let rest_ms = asked.deadline_at_ms.saturating_sub(now_ms);
+        let can_finish =
+            admission::can_finish(asked.shape, wait_ms, &self.speed, rest_ms);
+        if can_finish.is_err() {
+            let retry_after_ms = self.retry_after_ms(rng);
+            return Offer::TooLate { retry_after_ms };
+        }
+        if self.running < self.places.max_running && self.queue.is_empty() {
+            self.take(asked.cost_tokens);
+            return Offer::Admitted;
+        }
+        let pushed = self.queue.push(
+            asked.account,
+            asked.shape.priority,
+            asked.cost_tokens,
+            asked.deadline_at_ms,
+            item,
+            now_ms,
+        );
+        match pushed {
+            Ok(()) => Offer::Queued,
+            Err(_) => Offer::Full { retry_after_ms: self.retry_after_ms(rng) },
+        }
+    }
+
+    /// Takes a place for a later stage; the time until one is expected if
+    /// there is none.
+    pub fn try_take(
+        &mut self,
+        cost_tokens: u64,
+        rng: &mut fastrand::Rng,
+    ) -> Result<(), u64> {
+        if self.running >= self.places.max_running {
+            return Err(self.retry_after_ms(rng));
+        }
+        self.take(cost_tokens);
+        Ok(())
+    }
+
+    /// Gives a place back; what waited and may run now, if any.
+    pub fn give_back(&mut self, cost_tokens: u64, now_ms: u64) -> Option<T> {
+        self.running = self.running.saturating_sub(1);
+        self.running_tokens = self.running_tokens.saturating_sub(cost_tokens);
+        if self.running >= self.places.max_running {
+            return None;
+        }
+        let next = self.queue.pop(now_ms)?;
+        self.take(next.cost_tokens);
+        Some(next.item)
+    }
+
+    /// Takes requests out of the queue.
+    pub fn remove(&mut self, matches: impl FnMut(&T) -> bool) {
+        self.queue.remove(matches);
+    }
+
+    /// Takes out the requests whose deadline has passed.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<T> {
+        self.queue.expire(now_ms)
+    }
+
+    /// Learns from a call that ran first steps with these tokens.
+    pub fn learn_prompt(&mut self, longest: u32, tokens: u64, ms: f64) {
+        self.speed.learn_prompt(longest, tokens, ms);
+    }
+
+    /// Learns from a call that ran one token of each of `batch` requests.
+    pub fn learn_step(&mut self, batch: u32, ms: f64) {
+        self.speed.learn_step(0, batch, ms);
+    }
+
+    /// Charges an account for tokens that the estimate missed.
+    pub fn charge(&mut self, account: &str, tokens: i64) {
+        self.queue.charge(account, tokens);
+    }
+
+    /// Load at this moment.
+    pub fn load(&self) -> GateLoad {
+        GateLoad {
+            running: self.running,
+            queued: self.queue.len() as u32,
+            pending_tokens: self.queue.pending_tokens() + self.running_tokens,
+            prompt_tokens_per_s: self.speed.prompt_tokens_per_s(0) as f32,
+            output_tokens_per_s: self.speed.output_tokens_per_s(0) as f32,
+            queue_wait_ms: self.wait_ms(),
+        }
+    }
+
+    fn take(&mut self, cost_tokens: u64) {
+        self.running += 1;
+        self.running_tokens += cost_tokens;
+    }
+
+    fn wait_ms(&self) -> u64 {
+        if self.running < self.places.max_running && self.queue.is_empty() {
+            return 0;
+        }
+        let pending_tokens = self.queue.pending_tokens();
+        admission::expected_wait_ms(pending_tokens, &self.speed)
+    }
+
+    fn retry_after_ms(&self, rng: &mut fastrand::Rng) -> u64 {
+        let pending_tokens = self.queue.pending_tokens() + self.running_tokens;
+        admission::retry_after_ms(pending_tokens, &self.speed, rng)
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`policy`], [`chain`], [`mod@explain`] | the chain of a request, why |
 //! | [`retry`] | whether a failure may be tried again |
 //! | [`fair`], [`admission`] | who goes next, and who can finish in time |
+//! | [`gate`] | who may run on one server now, and who waits |
 //! | [`flow`] | the most tokens a second the hardware allows |
 //!
 //! ```
@@ -57,6 +58,7 @@
 pub mod fleet;
 mod fleet_error;
 pub mod flow;
+pub mod gate;
 pub mod health;
 mod label;
 pub mod live;
