Measure routing decisions on a virtual clock

The program drives the router's own choice, load reports that lag, gates, retry budgets and callers that come back, over a documented speed model of engines, beside four baselines at the same seeds. `check` holds a short suite against committed bounds and says what broke and by how much.

--- /dev/null
+++ b/crates/decisions/src/bounds.rs
@@ -0,0 +1,136 @@
+//! Regression bounds: the figures of one short suite against a committed
+//! file. All are counts, virtual time or ratios, so they are the same on
+//! every machine.
+
+use std::{collections::BTreeMap, fmt};
+
+use anyhow::{Context, Result};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    case::{Case, Way},
+    deployment::{Deployment, Site},
+    suite::{self, Lengths},
+    work, world,
+};
+
+const COMMITTED: &str = include_str!("../bounds.json");
+/// Short, so that every build can run it.
+const LENGTHS: Lengths =
+    Lengths { seed: 1, warm_up_ms: 10_000, measure_ms: 20_000 };
+
+/// Least and most of one figure.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bound {
+    /// The least, if any.
+    pub at_least: Option<f64>,
+    /// The most, if any.
+    pub at_most: Option<f64>,
+}
+
+/// A figure outside its bound.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Broken {
+    /// Name of the figure.
+    pub figure: String,
+    /// What it is; none where it was not measured.
+    pub value: Option<f64>,
+    /// What it must not pass.
+    pub bound: f64,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Broken { figure, value, bound } = self;
+        let Some(value) = value else {
+            return write!(f, "{figure} was not measured");
+        };
+        let side = if value < bound { "below" } else { "above" };
+        let by = (value - bound).abs();
+        write!(f, "{figure} is {value:.4}, {by:.4} {side} {bound:.4}")
+    }
+}
+
+/// The bounds that are committed.
+pub fn committed() -> Result<BTreeMap<String, Bound>> {
+    serde_json::from_str(COMMITTED).context("bounds.json")
+}
+
+/// Figures outside their bounds. A bound without a figure counts as broken:
+/// it would guard nothing.
+pub fn broken(
+    figures: &BTreeMap<String, f64>,
+    bounds: &BTreeMap<String, Bound>,
+) -> Vec<Broken> {
+    let mut all = Vec::new();
+    for (figure, bound) in bounds {
+        let value = figures.get(figure).copied();
+        let mut push = |bound| {
+            all.push(Broken { figure: figure.clone(), value, bound });
+        };
+        if let Some(least) = bound.at_least
+            && value.is_none_or(|value| value < least)
+        {
+            push(least);
+        }
+        if let Some(most) = bound.at_most
+            && value.is_none_or(|value| value > most)
+        {
+            push(most);
+        }
+    }
+    all
+}
+
+/// The figures that have bounds.
+pub fn figures() -> Result<BTreeMap<String, f64>> {
+    let mut figures = BTreeMap::new();
+    for site in Site::ALL {
+        let deployment = Deployment::try_new(site)?;
+        push_loads(&deployment, site, &mut figures);
+        push_effects(&deployment, site, &mut figures);
+    }
+    for row in work::rows() {
+        let name = format!("work.{}.servers_looked_at", row.servers);
+        figures.insert(name, row.looked_at);
+    }
+    Ok(figures)
+}
+
+fn push_loads(
+    deployment: &Deployment,
+    site: Site,
+    figures: &mut BTreeMap<String, f64>,
+) {
+    for load_percent in [50, 100] {
+        let case = LENGTHS.apply(Case::new(Way::Sampled, load_percent));
+        let run = world::run(deployment, &case);
+        let values = [
+            ("share_of_bound", run.share_of_bound),
+            ("in_time_share", run.in_time_share),
+            ("busy_micros_per_1000_tokens", run.busy_micros_per_1000_tokens),
+        ];
+        for (name, value) in values {
+            figures.insert(format!("{site}.{load_percent}.{name}"), value);
+        }
+    }
+}
+
+fn push_effects(
+    deployment: &Deployment,
+    site: Site,
+    figures: &mut BTreeMap<String, f64>,
+) {
+    for row in suite::effects(deployment, &LENGTHS, &[Way::Sampled]) {
+        let values = [
+            ("jain_backlogged", row.jain_backlogged),
+            ("harm_percent", row.harm_percent),
+            ("useful_at_overload", row.useful_at_overload),
+            ("newcomer_times", row.newcomer_times),
+        ];
+        for (name, value) in values {
+            figures.insert(format!("{site}.{name}"), value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/deployment.rs
@@ -0,0 +1,157 @@
+//! A deployment's language service, made ready for the clock.
+
+use std::{collections::BTreeMap, fmt};
+
+use anyhow::{Context, Result, anyhow};
+use chestnutreach_config::{
+    Manifest,
+    manifest::{BackendServer, NetworkPath, ServiceKind},
+};
+use chestnutreach_routing::{BackendSpec, Fleet, Network};
+
+use crate::{link::Links, trade::Place};
+
+const KAOLACK: &str = include_str!("../../../examples/kaolack.ini");
+const SOFIA: &str = include_str!("../../../examples/sofia.ini");
+
+/// One of the two deployments.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Site {
+    /// Weighs throughput.
+    Kaolack,
+    /// Weighs recovery.
+    Sofia,
+}
+
+impl Site {
+    /// Both, in the order of reports.
+    pub const ALL: [Site; 2] = [Site::Kaolack, Site::Sofia];
+
+    /// Its name in arguments and reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Site::Kaolack => "kaolack",
+            Site::Sofia => "sofia",
+        }
+    }
+
+    fn manifest_text(self) -> &'static str {
+        match self {
+            Site::Kaolack => KAOLACK,
+            Site::Sofia => SOFIA,
+        }
+    }
+
+    fn place(self) -> Place {
+        match self {
+            Site::Kaolack => Place::Counter,
+            Site::Sofia => Place::Pipeline,
+        }
+    }
+}
+
+impl fmt::Display for Site {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// A client account that uses the language service.
+#[derive(Clone, Debug)]
+pub(crate) struct Account {
+    pub(crate) name: String,
+    pub(crate) weight: u32,
+    pub(crate) class: String,
+}
+
+/// The language service of a deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub(crate) place: Place,
+    pub(crate) fleet: Fleet,
+    pub(crate) links: Links,
+    pub(crate) accounts: Vec<Account>,
+    pub(crate) recovery_weight_percent: u32,
+}
+
+impl Deployment {
+    /// Reads the deployment's example manifest.
+    pub fn try_new(site: Site) -> Result<Deployment> {
+        let manifest = Manifest::try_parse(site.name(), site.manifest_text())
+            .map_err(|findings| anyhow!("{findings}"))?;
+        let (service, layer_count) = language_service(&manifest)
+            .with_context(|| format!("{site} has no language service"))?;
+        let numbers: BTreeMap<&str, u32> = manifest
+            .data_centres
+            .keys()
+            .map(String::as_str)
+            .zip(0..)
+            .collect();
+        let backends = manifest
+            .backend_servers
+            .iter()
+            .filter(|(_, server)| server.service == service)
+            .map(|(name, server)| spec(&manifest, &numbers, name, server))
+            .collect();
+        let paths: Vec<(u32, u32, NetworkPath)> = manifest
+            .paths
+            .iter()
+            .map(|((a, b), path)| {
+                (numbers[a.as_str()], numbers[b.as_str()], *path)
+            })
+            .collect();
+        let mut network = Network::new(numbers.len() as u32);
+        for &(a, b, path) in &paths {
+            network.set_path(a, b, path.latency_us, path.bandwidth_mbit_per_s);
+        }
+        let accounts = manifest
+            .accounts
+            .iter()
+            .filter(|(_, account)| account.services.contains(service))
+            .map(|(name, account)| Account {
+                name: name.clone(),
+                weight: account.weight,
+                class: account.class.clone(),
+            })
+            .collect();
+        Ok(Deployment {
+            place: site.place(),
+            fleet: Fleet::try_new(layer_count, backends, network)?,
+            links: Links::new(numbers.len(), &paths),
+            accounts,
+            recovery_weight_percent: manifest
+                .deployment
+                .recovery_weight_percent,
+        })
+    }
+}
+
+fn language_service(manifest: &Manifest) -> Option<(&str, u32)> {
+    manifest.services.iter().find_map(|(name, service)| match service.kind {
+        ServiceKind::Language { layer_count, .. } => {
+            Some((name.as_str(), layer_count))
+        }
+        ServiceKind::Plain { .. } => None,
+    })
+}
+
+fn spec(
+    manifest: &Manifest,
+    numbers: &BTreeMap<&str, u32>,
+    name: &str,
+    server: &BackendServer,
+) -> BackendSpec {
+    let kind = server.accelerator.as_ref();
+    let kind = kind.and_then(|kind| manifest.accelerators.get(kind));
+    BackendSpec {
+        name: name.to_owned(),
+        data_centre: numbers[server.data_centre.as_str()],
+        first_layer: server.first_layer,
+        end_layer: server.end_layer,
+        price_micros_per_hour: kind.map_or(0, |k| k.price_micros_per_hour),
+        prompt_tokens_per_s: kind.map_or(0, |k| k.prompt_tokens_per_s),
+        output_tokens_per_s: kind.map_or(0, |k| k.output_tokens_per_s),
+        max_running: server.max_running,
+        cache_tokens: server.cache_tokens,
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/engine.rs
@@ -0,0 +1,258 @@
+//! The speed model of a backend server.
+//!
+//! An engine runs iterations. Each takes the steps that are there, at most
+//! [`MAX_BATCH`] single tokens and a chunk of prompts, the most urgent
+//! prompt first. Its time is that of the batch and of the chunk together:
+//!
+//! ```text
+//! batch:  B / rate * max(1/2 + b / (2 B), b / B)
+//! chunk:  tokens / prompt rate
+//! ```
+//!
+//! `rate` and `prompt rate` are the manifest's, through the server's own
+//! layers. `B` is the batch of a full server: of `max_running` requests that
+//! hold a place, each has its token here for its share of the layers, so `B`
+//! is `max_running` times the server's layers over all layers. An iteration
+//! over an empty batch costs half of a full one (reading the weights), and
+//! past `B` the time grows with the tokens, so `rate` is never passed and
+//! the flow bound is a true bound.
+//!
+//! Left out: memory of the cache, prefixes, preemption, links that slow each
+//! other, and speeds that differ from the manifest's.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, VecDeque},
+};
+
+use chestnutreach_routing::{BackendSpec, Priority};
+
+use crate::events::RequestIndex;
+
+const US_PER_S: f64 = 1e6;
+/// As the side process's `max-batch` is by default.
+const MAX_BATCH: usize = 32;
+const CHUNK_TOKENS: u32 = 512;
+/// Time of an iteration with an empty batch, as a share of a full one.
+const EMPTY_SHARE: f64 = 0.5;
+
+/// A request's token that is on its way or waits.
+#[derive(Clone, Copy, Debug)]
+struct Token {
+    ready_us: u64,
+    request: RequestIndex,
+}
+
+/// A prompt that is being read.
+#[derive(Clone, Copy, Debug)]
+struct Prompt {
+    request: RequestIndex,
+    tokens: u32,
+    left: u32,
+    ready_us: u64,
+    started_us: Option<u64>,
+}
+
+/// A prompt that was read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PromptDone {
+    pub(crate) request: RequestIndex,
+    pub(crate) tokens: u32,
+    pub(crate) took_us: u64,
+}
+
+/// One backend server's engine.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    full_batch: f64,
+    full_step_us: f64,
+    us_per_prompt_token: f64,
+    tokens: VecDeque<Token>,
+    prompts: BTreeMap<(Reverse<Priority>, u64), Prompt>,
+    next_number: u64,
+    batch: Vec<RequestIndex>,
+    chunk: Vec<((Reverse<Priority>, u64), u32)>,
+    started_us: Option<u64>,
+    wake_us: Option<u64>,
+    busy_us: u64,
+}
+
+/// What an engine does next.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Next {
+    /// An iteration runs until then.
+    Ends {
+        /// When.
+        at_us: u64,
+    },
+    /// Nothing is there before then.
+    Wakes {
+        /// When.
+        at_us: u64,
+    },
+    /// Nothing is on its way, or it is known already.
+    Nothing,
+}
+
+impl Engine {
+    pub(crate) fn new(spec: &BackendSpec, layer_count: u32) -> Engine {
+        let layers = f64::from(spec.end_layer - spec.first_layer);
+        let share = layers / f64::from(layer_count);
+        let rate = f64::from(spec.output_tokens_per_s) / share;
+        let prompt_rate = f64::from(spec.prompt_tokens_per_s) / share;
+        let full_batch = (f64::from(spec.max_running) * share).max(1.0);
+        Engine {
+            full_batch,
+            full_step_us: full_batch / rate * US_PER_S,
+            us_per_prompt_token: US_PER_S / prompt_rate,
+            tokens: VecDeque::new(),
+            prompts: BTreeMap::new(),
+            next_number: 0,
+            batch: Vec::new(),
+            chunk: Vec::new(),
+            started_us: None,
+            wake_us: None,
+            busy_us: 0,
+        }
+    }
+
+    /// A token of a request that arrives then.
+    pub(crate) fn push_token(&mut self, request: RequestIndex, ready_us: u64) {
+        self.tokens.push_back(Token { ready_us, request });
+    }
+
+    /// A prompt of a request that arrives then.
+    pub(crate) fn push_prompt(
+        &mut self,
+        request: RequestIndex,
+        priority: Priority,
+        tokens: u32,
+        ready_us: u64,
+    ) {
+        let key = (Reverse(priority), self.next_number);
+        self.next_number += 1;
+        let left = tokens;
+        let started_us = None;
+        let prompt = Prompt { request, tokens, left, ready_us, started_us };
+        self.prompts.insert(key, prompt);
+    }
+
+    /// Begins an iteration if none runs and there is something to do.
+    pub(crate) fn start(
+        &mut self,
+        now_us: u64,
+        is_wanted: impl Fn(RequestIndex) -> bool,
+    ) -> Next {
+        if self.started_us.is_some() {
+            return Next::Nothing;
+        }
+        self.wake_us = self.wake_us.filter(|&at| at > now_us);
+        self.take_batch(now_us, &is_wanted);
+        self.take_chunk(now_us, &is_wanted);
+        if self.batch.is_empty() && self.chunk.is_empty() {
+            return self.wait();
+        }
+        self.started_us = Some(now_us);
+        Next::Ends { at_us: now_us + self.iteration_us() }
+    }
+
+    /// Ends the iteration: the tokens and the prompts that were run.
+    pub(crate) fn end(
+        &mut self,
+        now_us: u64,
+    ) -> (Vec<RequestIndex>, Vec<PromptDone>) {
+        let took_us = self.running_us(now_us);
+        self.busy_us += took_us;
+        self.started_us = None;
+        let mut done = Vec::new();
+        for (key, tokens) in std::mem::take(&mut self.chunk) {
+            let Some(prompt) = self.prompts.get_mut(&key) else { continue };
+            prompt.left -= tokens;
+            if prompt.left == 0 {
+                let started_us = prompt.started_us.unwrap_or(now_us);
+                done.push(PromptDone {
+                    request: prompt.request,
+                    tokens: prompt.tokens,
+                    took_us: now_us - started_us,
+                });
+                self.prompts.remove(&key);
+            }
+        }
+        (std::mem::take(&mut self.batch), done)
+    }
+
+    /// Time since the running iteration began.
+    pub(crate) fn running_us(&self, now_us: u64) -> u64 {
+        self.started_us.map_or(0, |started_us| now_us - started_us)
+    }
+
+    /// Time in iterations until now.
+    pub(crate) fn busy_us(&self, now_us: u64) -> u64 {
+        self.busy_us + self.running_us(now_us)
+    }
+
+    fn take_batch(
+        &mut self,
+        now_us: u64,
+        is_wanted: impl Fn(RequestIndex) -> bool,
+    ) {
+        let batch = &mut self.batch;
+        self.tokens.retain(|token| {
+            if !is_wanted(token.request) {
+                return false;
+            }
+            let is_taken = token.ready_us <= now_us && batch.len() < MAX_BATCH;
+            if is_taken {
+                batch.push(token.request);
+            }
+            !is_taken
+        });
+    }
+
+    fn take_chunk(
+        &mut self,
+        now_us: u64,
+        is_wanted: impl Fn(RequestIndex) -> bool,
+    ) {
+        self.prompts.retain(|_, prompt| is_wanted(prompt.request));
+        let mut room = CHUNK_TOKENS;
+        let here = |prompt: &Prompt| prompt.ready_us <= now_us;
+        for (key, prompt) in &mut self.prompts {
+            if !here(prompt) {
+                continue;
+            }
+            let tokens = prompt.left.min(room);
+            prompt.started_us.get_or_insert(now_us);
+            self.chunk.push((*key, tokens));
+            room -= tokens;
+            if room == 0 {
+                return;
+            }
+        }
+    }
+
+    fn iteration_us(&self) -> u64 {
+        let in_use = self.batch.len() as f64 / self.full_batch;
+        let share = if self.batch.is_empty() {
+            0.0
+        } else {
+            (EMPTY_SHARE + (1.0 - EMPTY_SHARE) * in_use).max(in_use)
+        };
+        let tokens: u32 = self.chunk.iter().map(|(_, tokens)| tokens).sum();
+        let prompt_us = f64::from(tokens) * self.us_per_prompt_token;
+        (self.full_step_us * share + prompt_us).ceil() as u64
+    }
+
+    fn wait(&mut self) -> Next {
+        let tokens = self.tokens.iter().map(|token| token.ready_us);
+        let prompts = self.prompts.values().map(|prompt| prompt.ready_us);
+        let first_us = tokens.chain(prompts).min();
+        match first_us {
+            Some(at_us) if self.wake_us.is_none_or(|wake| at_us < wake) => {
+                self.wake_us = Some(at_us);
+                Next::Wakes { at_us }
+            }
+            _ => Next::Nothing,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/main.rs
@@ -0,0 +1,177 @@
+//! Measures routing decisions on a virtual clock.
+//!
+//! | subcommand | what it does |
+//! |---|---|
+//! | `run` | all tables of the deployments |
+//! | `loads` | the table of loads alone |
+//! | `time` | time of one decision by the fleet's size |
+//! | `check` | a short suite against the committed bounds |
+
+use std::process::ExitCode;
+
+use anyhow::{Context, Result};
+use chestnutreach_decisions::{
+    bounds,
+    case::Way,
+    deployment::{Deployment, Site},
+    suite::{self, Lengths},
+    text, work,
+};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+const MS_PER_S: u64 = 1_000;
+
+fn main() -> Result<ExitCode> {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("run", matches)) => run(matches)?,
+        Some(("loads", matches)) => loads(matches)?,
+        Some(("time", matches)) => time(matches)?,
+        Some(("check", matches)) => return check(matches),
+        _ => unreachable!("clap asks for a known subcommand"),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn command() -> Command {
+    let run = Command::new("run").about("Runs every table");
+    let loads = Command::new("loads").about("Runs the table of loads");
+    Command::new("chestnutreach-decisions")
+        .version(clap::crate_version!())
+        .about("Measures routing decisions on a virtual clock")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands([
+            with_run_args(run),
+            with_run_args(loads).args([
+                Arg::new("way")
+                    .long("way")
+                    .action(ArgAction::Append)
+                    .value_parser(Way::ALL.map(Way::name))
+                    .help("Only this way of choosing"),
+                Arg::new("load-percent")
+                    .long("load-percent")
+                    .action(ArgAction::Append)
+                    .value_parser(value_parser!(u32).range(1..=1_000))
+                    .help("Only this load, in percent of the flow bound"),
+            ]),
+            Command::new("time")
+                .about("Measures the time of one decision, real clock")
+                .arg(json_arg()),
+            Command::new("check")
+                .about("Checks a short suite against the committed bounds")
+                .arg(json_arg()),
+        ])
+}
+
+fn with_run_args(command: Command) -> Command {
+    command.args([
+        Arg::new("deployment")
+            .long("deployment")
+            .value_parser(Site::ALL.map(Site::name))
+            .help("Only this deployment"),
+        Arg::new("seed")
+            .long("seed")
+            .default_value("1")
+            .value_parser(value_parser!(u64))
+            .help("Seed of everything random"),
+        Arg::new("warm-up-s")
+            .long("warm-up-s")
+            .default_value("20")
+            .value_parser(value_parser!(u64).range(1..=3_600))
+            .help("Virtual time before the measured part, in s"),
+        Arg::new("measure-s")
+            .long("measure-s")
+            .default_value("40")
+            .value_parser(value_parser!(u64).range(1..=3_600))
+            .help("Length of the measured part, in s"),
+        json_arg(),
+    ])
+}
+
+fn json_arg() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Prints JSON")
+}
+
+fn lengths(matches: &ArgMatches) -> Result<Lengths> {
+    let number = |name: &str| {
+        matches.get_one::<u64>(name).copied().context("it has a default")
+    };
+    Ok(Lengths {
+        seed: number("seed")?,
+        warm_up_ms: number("warm-up-s")? * MS_PER_S,
+        measure_ms: number("measure-s")? * MS_PER_S,
+    })
+}
+
+fn sites(matches: &ArgMatches) -> Vec<Site> {
+    let wanted = matches.get_one::<String>("deployment");
+    let is_wanted = |site: &Site| wanted.is_none_or(|w| w == site.name());
+    Site::ALL.into_iter().filter(is_wanted).collect()
+}
+
+fn run(matches: &ArgMatches) -> Result<()> {
+    let lengths = lengths(matches)?;
+    for site in sites(matches) {
+        let tables = suite::all(site, &lengths)?;
+        print(matches, &tables, text::tables)?;
+    }
+    Ok(())
+}
+
+fn loads(matches: &ArgMatches) -> Result<()> {
+    let lengths = lengths(matches)?;
+    let named: Vec<&String> =
+        matches.get_many("way").unwrap_or_default().collect();
+    let is_wanted =
+        |way: &Way| named.is_empty() || named.iter().any(|n| *n == way.name());
+    let ways: Vec<Way> = Way::ALL.into_iter().filter(is_wanted).collect();
+    let loads: Vec<u32> = match matches.get_many("load-percent") {
+        Some(loads) => loads.copied().collect(),
+        None => suite::LOADS_PERCENT.to_vec(),
+    };
+    for site in sites(matches) {
+        let deployment = Deployment::try_new(site)?;
+        let rows = suite::loads(&deployment, &lengths, &ways, &loads);
+        print(matches, &rows, |rows| text::loads(site.name(), rows))?;
+    }
+    Ok(())
+}
+
+fn time(matches: &ArgMatches) -> Result<()> {
+    print(matches, &work::times(), |rows| work::table(rows))
+}
+
+fn check(matches: &ArgMatches) -> Result<ExitCode> {
+    let figures = bounds::figures()?;
+    let broken = bounds::broken(&figures, &bounds::committed()?);
+    if matches.get_flag("json") {
+        let json = serde_json::json!({ "figures": figures, "broken": broken });
+        println!("{json:#}");
+    } else {
+        for (name, value) in &figures {
+            println!("{name} = {value:.4}");
+        }
+    }
+    for broken in &broken {
+        eprintln!("bound broken: {broken}");
+    }
+    let is_whole = broken.is_empty();
+    Ok(if is_whole { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn print<T: serde::Serialize>(
+    matches: &ArgMatches,
+    value: &T,
+    text: impl Fn(&T) -> String,
+) -> Result<()> {
+    if matches.get_flag("json") {
+        println!("{}", serde_json::to_string_pretty(value)?);
+    } else {
+        println!("{}", text(value));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/decisions/src/pick.rs
@@ -0,0 +1,89 @@
+//! The ways of choosing that the router's own is measured against.
+//!
+//! They know which servers tile the layers and which are there, as the router
+//! does, and take one server at each layer in order. What they weigh is all
+//! that differs; the gate at the backend server is the same for all.
+
+use std::collections::BTreeMap;
+
+use chestnutreach_routing::{BackendIndex, Fleet, Live};
+
+/// The servers that continue from a layer.
+#[derive(Clone, Debug)]
+pub(crate) struct Starts {
+    by_layer: BTreeMap<u32, Vec<BackendIndex>>,
+}
+
+impl Starts {
+    pub(crate) fn new(fleet: &Fleet) -> Starts {
+        let mut by_layer: BTreeMap<u32, Vec<BackendIndex>> = BTreeMap::new();
+        for index in fleet.indices().filter(|i| fleet.is_useful(*i)) {
+            let first_layer = fleet.spec(index).first_layer;
+            by_layer.entry(first_layer).or_default().push(index);
+        }
+        Starts { by_layer }
+    }
+
+    /// The chain that takes, at each layer, the server with the least
+    /// `weight`; none where no server is left.
+    pub(crate) fn least<W: Ord>(
+        &self,
+        view: &View<'_>,
+        mut weight: impl FnMut(BackendIndex) -> W,
+    ) -> Option<Vec<BackendIndex>> {
+        self.walk(view, |allowed| {
+            allowed.iter().copied().min_by_key(|index| weight(*index))
+        })
+    }
+
+    /// The chain that takes, at each layer, the next server in turn.
+    pub(crate) fn next_in_turn(
+        &self,
+        view: &View<'_>,
+        turns: &mut BTreeMap<u32, usize>,
+    ) -> Option<Vec<BackendIndex>> {
+        self.walk(view, |allowed| {
+            let layer = view.fleet.spec(*allowed.first()?).first_layer;
+            let turn = turns.entry(layer).or_default();
+            *turn += 1;
+            Some(allowed[*turn % allowed.len()])
+        })
+    }
+
+    fn walk(
+        &self,
+        view: &View<'_>,
+        mut take: impl FnMut(&[BackendIndex]) -> Option<BackendIndex>,
+    ) -> Option<Vec<BackendIndex>> {
+        let mut stages = Vec::new();
+        let mut layer = 0;
+        while layer < view.fleet.layer_count() {
+            let allowed: Vec<BackendIndex> = self
+                .by_layer
+                .get(&layer)?
+                .iter()
+                .copied()
+                .filter(|index| view.is_allowed(*index))
+                .collect();
+            let index = take(&allowed)?;
+            stages.push(index);
+            layer = view.fleet.spec(index).end_layer;
+        }
+        Some(stages)
+    }
+}
+
+/// What an entry may choose from.
+pub(crate) struct View<'a> {
+    pub(crate) fleet: &'a Fleet,
+    pub(crate) live: &'a Live,
+    pub(crate) avoid: &'a [BackendIndex],
+    pub(crate) now_ms: u64,
+}
+
+impl View<'_> {
+    fn is_allowed(&self, index: BackendIndex) -> bool {
+        !self.avoid.contains(&index)
+            && self.live.is_eligible(index, self.now_ms)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/server.rs
@@ -0,0 +1,84 @@
+//! One backend server with its side process: the real gate, the modelled
+//! engine.
+
+use chestnutreach_routing::{
+    Fleet, LoadReport,
+    fleet::BackendIndex,
+    gate::{Gate, Places},
+};
+
+use crate::{
+    deployment::Account,
+    engine::{Engine, PromptDone},
+    events::RequestIndex,
+};
+
+/// As the side process's `queue-limit-tokens` is by default.
+const QUEUE_LIMIT_TOKENS: u64 = 200_000;
+const US_PER_MS: f64 = 1_000.0;
+
+/// One backend server with its side process.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) gate: Gate<RequestIndex>,
+    pub(crate) engine: Engine,
+    pub(crate) rng: fastrand::Rng,
+}
+
+impl Server {
+    pub(crate) fn new(
+        fleet: &Fleet,
+        index: BackendIndex,
+        accounts: &[Account],
+        seed: u64,
+    ) -> Server {
+        let spec = fleet.spec(index);
+        let layers = f64::from(spec.end_layer - spec.first_layer);
+        let share = layers / f64::from(fleet.layer_count());
+        let mut gate = Gate::new(QUEUE_LIMIT_TOKENS);
+        gate.set_places(Places {
+            max_running: spec.max_running,
+            prompt_tokens_per_s: f64::from(spec.prompt_tokens_per_s) / share,
+            output_tokens_per_s: f64::from(spec.output_tokens_per_s) / share,
+        });
+        for account in accounts {
+            gate.set_weight(&account.name, account.weight);
+        }
+        Server {
+            gate,
+            engine: Engine::new(spec, fleet.layer_count()),
+            rng: fastrand::Rng::with_seed(seed ^ u64::from(index.0)),
+        }
+    }
+
+    /// Learns from an iteration, as the side process does from its calls.
+    pub(crate) fn learn(
+        &mut self,
+        batch: usize,
+        took_us: u64,
+        prompts: &[PromptDone],
+    ) {
+        if batch > 0 {
+            self.gate.learn_step(batch as u32, took_us as f64 / US_PER_MS);
+        }
+        for prompt in prompts {
+            let ms = prompt.took_us as f64 / US_PER_MS;
+            let tokens = u64::from(prompt.tokens);
+            self.gate.learn_prompt(prompt.tokens, tokens, ms);
+        }
+    }
+
+    pub(crate) fn report(&self) -> LoadReport {
+        let load = self.gate.load();
+        LoadReport {
+            running: load.running,
+            queued: load.queued,
+            pending_tokens: load.pending_tokens,
+            prompt_tokens_per_s: load.prompt_tokens_per_s,
+            output_tokens_per_s: load.output_tokens_per_s,
+            cache_used_permille: 0,
+            is_healthy: true,
+            queue_wait_ms: load.queue_wait_ms.min(u32::MAX.into()) as u32,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/trade.rs
@@ -0,0 +1,91 @@
+//! What callers ask for, by their trade.
+
+use chestnutreach_routing::Priority;
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Trade {
+    /// Long prompt, short answer.
+    Summary,
+    /// Short prompt, long answer.
+    Letter,
+    /// Short both ways.
+    Lookup,
+}
+
+impl Trade {
+    pub(crate) const ALL: [Trade; 3] =
+        [Trade::Summary, Trade::Letter, Trade::Lookup];
+
+    /// Letters and summaries come before lookups.
+    pub(crate) fn priority(self) -> Priority {
+        match self {
+            Trade::Summary | Trade::Letter => Priority::High,
+            Trade::Lookup => Priority::Low,
+        }
+    }
+}
+
+/// Where the requests come from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Place {
+    /// Counters and field agents of a lender.
+    Counter,
+    /// Crews and engineers of a pipeline.
+    Pipeline,
+}
+
+/// Sizes of a kind of request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sizes {
+    /// Shortest and longest prompt.
+    pub(crate) prompt_tokens: (u32, u32),
+    /// What the caller states as the most.
+    pub(crate) max_output_tokens: u32,
+    /// What the trade allows.
+    pub(crate) deadline_ms: u64,
+}
+
+impl Sizes {
+    /// Mean of the prompt.
+    pub(crate) fn mean_prompt_tokens(&self) -> f64 {
+        f64::from(self.prompt_tokens.0 + self.prompt_tokens.1) / 2.0
+    }
+
+    /// Mean of the answer, which takes half to all of what is stated.
+    pub(crate) fn mean_output_tokens(&self) -> f64 {
+        f64::from(self.max_output_tokens) * 0.75
+    }
+}
+
+impl Place {
+    pub(crate) fn sizes(self, trade: Trade) -> Sizes {
+        let (prompt_tokens, max_output_tokens, deadline_ms) =
+            match (self, trade) {
+                (Place::Counter, Trade::Summary) => {
+                    ((1_500, 4_500), 300, 30_000)
+                }
+                (Place::Counter, Trade::Letter) => ((300, 900), 350, 20_000),
+                (Place::Counter, Trade::Lookup) => ((80, 300), 60, 8_000),
+                (Place::Pipeline, Trade::Summary) => {
+                    ((2_500, 7_500), 400, 60_000)
+                }
+                (Place::Pipeline, Trade::Letter) => {
+                    ((600, 1_800), 450, 45_000)
+                }
+                (Place::Pipeline, Trade::Lookup) => ((100, 400), 80, 10_000),
+            };
+        Sizes { prompt_tokens, max_output_tokens, deadline_ms }
+    }
+
+    /// Parts of a hundred requests of a class of account, as [`Trade::ALL`].
+    pub(crate) fn mix_percent(self, class: &str) -> [u32; 3] {
+        match (self, class) {
+            (Place::Counter, "counter") => [50, 40, 10],
+            (Place::Counter, _) => [10, 20, 70],
+            (Place::Pipeline, "engineer") => [50, 30, 20],
+            (Place::Pipeline, "regulator") => [30, 60, 10],
+            (Place::Pipeline, _) => [10, 10, 80],
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/world/serve.rs
@@ -0,0 +1,261 @@
+//! Side processes and engines: a request from its first stage on.
+
+use chestnutreach_routing::{
+    BackendIndex,
+    gate::{Asked, Offer},
+};
+
+use super::World;
+use crate::{
+    engine::Next,
+    events::{Event, Refusal, RequestIndex},
+    request::Phase,
+};
+
+impl World<'_> {
+    /// The request reaches its first stage.
+    pub(super) fn offer(&mut self, at: RequestIndex) {
+        let now_us = self.events.now_us();
+        let now_ms = self.events.now_ms();
+        let request = &self.requests[at as usize];
+        if request.phase != Phase::Offered {
+            return;
+        }
+        let first = request.stages[0];
+        let is_bounded = self.case.refuses_late;
+        let shape = request.shape(now_us, is_bounded);
+        let accounts = &self.deployment.accounts;
+        let deadline_ms = request.deadline_us() / 1_000;
+        let asked = Asked {
+            account: &accounts[request.asking.account].name,
+            shape: &shape,
+            cost_tokens: request.cost_tokens().into(),
+            deadline_at_ms: if is_bounded { deadline_ms } else { u64::MAX },
+        };
+        let server = &mut self.servers[first.0 as usize];
+        match server.gate.offer(&asked, at, now_ms, &mut server.rng) {
+            Offer::Admitted => self.admitted(at),
+            Offer::Queued => {}
+            Offer::Full { retry_after_ms }
+            | Offer::TooLate { retry_after_ms } => {
+                self.refuse(at, Refusal { by: first, retry_after_ms });
+            }
+        }
+    }
+
+    fn refuse(&mut self, at: RequestIndex, refusal: Refusal) {
+        let request = &mut self.requests[at as usize];
+        if request.phase != Phase::Over {
+            request.phase = Phase::Reserving;
+        }
+        let request = &self.requests[at as usize];
+        let from = self.data_centre(request.stages[0]);
+        let to = self.entries[request.entry].data_centre;
+        let delay_us = self.deployment.links.latency_us(from, to);
+        self.events.after_us(delay_us, Event::Refused(at, refusal));
+    }
+
+    /// Holds the first stage: asks the others at the same time.
+    fn admitted(&mut self, at: RequestIndex) {
+        self.requests[at as usize].phase = Phase::Reserving;
+        let delay_us = self.farthest_us(at);
+        self.events.after_us(delay_us, Event::Reserve(at));
+    }
+
+    /// Latency from the first stage to the farthest of the others.
+    fn farthest_us(&self, at: RequestIndex) -> u64 {
+        let stages = &self.requests[at as usize].stages;
+        let from = self.data_centre(stages[0]);
+        stages[1..]
+            .iter()
+            .map(|stage| {
+                let to = self.data_centre(*stage);
+                self.deployment.links.latency_us(from, to)
+            })
+            .max()
+            .unwrap_or(0)
+    }
+
+    pub(super) fn reserve(&mut self, at: RequestIndex) {
+        let request = &self.requests[at as usize];
+        let cost_tokens = request.cost_tokens().into();
+        let later = request.stages[1..].to_vec();
+        let delay_us = self.farthest_us(at);
+        for (held, index) in later.iter().enumerate() {
+            let server = &mut self.servers[index.0 as usize];
+            let taken = server.gate.try_take(cost_tokens, &mut server.rng);
+            if let Err(retry_after_ms) = taken {
+                for index in &later[..held] {
+                    self.give_back(*index, cost_tokens);
+                }
+                let refusal = Refusal { by: *index, retry_after_ms };
+                let refused = Event::StageRefused(at, refusal);
+                return self.events.after_us(delay_us, refused);
+            }
+        }
+        self.events.after_us(delay_us, Event::Begin(at));
+    }
+
+    pub(super) fn stage_refused(
+        &mut self,
+        at: RequestIndex,
+        refusal: Refusal,
+    ) {
+        self.note_stage_refused();
+        let request = &self.requests[at as usize];
+        let cost_tokens = request.cost_tokens().into();
+        let first = request.stages[0];
+        self.give_back(first, cost_tokens);
+        self.refuse(at, refusal);
+    }
+
+    /// Every stage is held: the prompt goes to the first.
+    pub(super) fn begin(&mut self, at: RequestIndex) {
+        if self.requests[at as usize].phase == Phase::Over {
+            self.release_stages(at);
+            let ended = chestnutreach_routing::Ended::Cancelled;
+            return self.end_attempt(at, &ended, None);
+        }
+        let request = &mut self.requests[at as usize];
+        request.phase = Phase::Running;
+        request.at_stage = 0;
+        request.produced = 0;
+        self.note_begun(at);
+        self.push_prompt(at);
+    }
+
+    fn push_prompt(&mut self, at: RequestIndex) {
+        let now_us = self.events.now_us();
+        let request = &self.requests[at as usize];
+        let index = request.stages[request.at_stage];
+        let priority = request.asking.trade.priority();
+        let tokens = request.asking.prompt_tokens;
+        let engine = &mut self.servers[index.0 as usize].engine;
+        engine.push_prompt(at, priority, tokens, now_us);
+        self.start(index);
+    }
+
+    /// Begins an iteration where a server has work and runs none.
+    pub(super) fn start(&mut self, index: BackendIndex) {
+        let now_us = self.events.now_us();
+        let requests = &self.requests;
+        let is_wanted =
+            |at: RequestIndex| requests[at as usize].phase == Phase::Running;
+        let engine = &mut self.servers[index.0 as usize].engine;
+        match engine.start(now_us, is_wanted) {
+            Next::Ends { at_us } => {
+                self.events.at_us(at_us, Event::IterationEnd(index));
+            }
+            Next::Wakes { at_us } => {
+                self.events.at_us(at_us, Event::Wake(index));
+            }
+            Next::Nothing => {}
+        }
+    }
+
+    pub(super) fn iteration_end(&mut self, index: BackendIndex) {
+        let now_us = self.events.now_us();
+        let server = &mut self.servers[index.0 as usize];
+        let took_us = server.engine.running_us(now_us);
+        let (tokens, prompts) = server.engine.end(now_us);
+        server.learn(tokens.len(), took_us, &prompts);
+        for at in tokens {
+            self.step_done(at, false);
+        }
+        for prompt in prompts {
+            self.step_done(prompt.request, true);
+        }
+        self.start(index);
+    }
+
+    /// A stage has run a step: it goes to the next, or gives a token.
+    fn step_done(&mut self, at: RequestIndex, is_prompt: bool) {
+        let request = &mut self.requests[at as usize];
+        if request.phase != Phase::Running {
+            return;
+        }
+        let here = request.stages[request.at_stage];
+        if !request.is_last_stage() {
+            request.at_stage += 1;
+            let next = request.stages[request.at_stage];
+            return self.pass_on(at, here, next, is_prompt);
+        }
+        request.produced += 1;
+        request.at_stage = 0;
+        let first = request.stages[0];
+        if request.produced < request.asking.output_tokens {
+            return self.pass_on(at, here, first, false);
+        }
+        let back_us = self.latency_us(here, first);
+        let to = self.entries[self.requests[at as usize].entry].data_centre;
+        let from = self.data_centre(first);
+        let home_us = self.deployment.links.latency_us(from, to);
+        self.events.after_us(back_us + home_us, Event::Finished(at));
+        self.settle(at);
+        self.release_all(at);
+        self.requests[at as usize].phase = Phase::Answered;
+    }
+
+    fn pass_on(
+        &mut self,
+        at: RequestIndex,
+        from: BackendIndex,
+        to: BackendIndex,
+        is_prompt: bool,
+    ) {
+        let now_us = self.events.now_us();
+        let links = &self.deployment.links;
+        let (from, place) = (self.data_centre(from), self.data_centre(to));
+        let engine = &mut self.servers[to.0 as usize].engine;
+        if is_prompt {
+            let request = &self.requests[at as usize];
+            let tokens = request.asking.prompt_tokens;
+            let at_us = now_us + links.transfer_us(from, place, tokens);
+            let priority = request.asking.trade.priority();
+            engine.push_prompt(at, priority, tokens, at_us);
+        } else {
+            let at_us = now_us + links.transfer_us(from, place, 1);
+            engine.push_token(at, at_us);
+        }
+        self.start(to);
+    }
+
+    fn latency_us(&self, from: BackendIndex, to: BackendIndex) -> u64 {
+        let (from, to) = (self.data_centre(from), self.data_centre(to));
+        self.deployment.links.latency_us(from, to)
+    }
+
+    /// Charges the account what was really used.
+    fn settle(&mut self, at: RequestIndex) {
+        let request = &self.requests[at as usize];
+        let missed = i64::from(request.used_tokens())
+            - i64::from(request.cost_tokens());
+        let account = &self.deployment.accounts[request.asking.account];
+        let first = request.stages[0];
+        let gate = &mut self.servers[first.0 as usize].gate;
+        gate.charge(&account.name, missed);
+    }
+
+    /// Frees every stage of a request that runs.
+    pub(super) fn release_all(&mut self, at: RequestIndex) {
+        self.note_released(at);
+        self.release_stages(at);
+    }
+
+    fn release_stages(&mut self, at: RequestIndex) {
+        let request = &self.requests[at as usize];
+        let cost_tokens = request.cost_tokens().into();
+        for index in request.stages.clone() {
+            self.give_back(index, cost_tokens);
+        }
+    }
+
+    /// Gives a place back and begins what waited for it.
+    fn give_back(&mut self, index: BackendIndex, cost_tokens: u64) {
+        let now_ms = self.events.now_ms();
+        let gate = &mut self.servers[index.0 as usize].gate;
+        if let Some(next) = gate.give_back(cost_tokens, now_ms) {
+            self.admitted(next);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/tests/decisions.rs
@@ -0,0 +1,71 @@
+//! The benchmark is the same on every machine and within its bounds.
+
+use std::collections::BTreeMap;
+
+use chestnutreach_decisions::{
+    bounds::{self, Bound},
+    case::{Case, Way},
+    deployment::{Deployment, Site},
+    world,
+};
+use rstest::rstest;
+
+#[test]
+fn the_committed_bounds_hold() {
+    let figures = bounds::figures().expect("the deployments");
+    let bounds = bounds::committed().expect("the bounds");
+    let broken = bounds::broken(&figures, &bounds);
+    let lines: Vec<String> = broken.iter().map(ToString::to_string).collect();
+    assert!(broken.is_empty(), "{}", lines.join("\n"));
+}
+
+#[rstest]
+#[case::sampled(Way::Sampled)]
+#[case::in_turn(Way::RoundRobin)]
+#[case::counted(Way::SharedCounters)]
+fn the_same_seed_gives_the_same_figures(#[case] way: Way) {
+    let deployment = Deployment::try_new(Site::Sofia).expect("a manifest");
+    let case = Case::new(way, 120).warm_up_ms(1_000).measure_ms(3_000);
+    let run = || {
+        let figures = world::run(&deployment, &case);
+        serde_json::to_string(&figures).expect("figures as JSON")
+    };
+    assert_eq!(run(), run());
+}
+
+struct Bounded {
+    value: Option<f64>,
+    bound: Bound,
+    told: Option<&'static str>,
+}
+
+#[rstest]
+#[case::within(Bounded {
+    value: Some(1.5),
+    bound: Bound { at_least: Some(1.0), at_most: Some(2.0) },
+    told: None,
+})]
+#[case::below(Bounded {
+    value: Some(0.5),
+    bound: Bound { at_least: Some(1.0), at_most: None },
+    told: Some("figure is 0.5000, 0.5000 below 1.0000"),
+})]
+#[case::above(Bounded {
+    value: Some(2.5),
+    bound: Bound { at_least: Some(1.0), at_most: Some(2.0) },
+    told: Some("figure is 2.5000, 0.5000 above 2.0000"),
+})]
+#[case::missing(Bounded {
+    value: None,
+    bound: Bound { at_least: None, at_most: Some(2.0) },
+    told: Some("figure was not measured"),
+})]
+fn a_broken_bound_says_by_how_much(#[case] case: Bounded) {
+    let name = "figure".to_string();
+    let figures: BTreeMap<String, f64> =
+        case.value.map(|value| (name.clone(), value)).into_iter().collect();
+    let bounds = BTreeMap::from([(name, case.bound)]);
+    let broken = bounds::broken(&figures, &bounds);
+    let told = broken.first().map(ToString::to_string);
+    assert_eq!(told.as_deref(), case.told);
+}
