Give each harness process ports of its own; stall connections; measure recovery

Two test processes at once took each other's ports between the look and the listen. A relay can hold connections up and pass them on later, which proves the fence of a question.

--- a/crates/daemon/tests/matrix/cell.rs
+++ b/crates/daemon/tests/matrix/cell.rs
@@ -103,6 +103,9 @@
     Reset(At),
     /// The connections to the side process fall silent; new ones work.
     Silent(At),
+    /// The connections to the side process are held up; what was sent over
+    /// them arrives when the caller has its answer.
+    Stalled(At),
     /// What goes to or from the side process is late.
     Slow(At),
     StoreDown,
@@ -230,7 +233,10 @@
 impl Fault {
     /// Whether an entry cannot know of it before it has sent something.
     pub fn is_hidden(&self) -> bool {
-        matches!(self, Fault::SideFrozen(..) | Fault::Silent(_))
+        matches!(
+            self,
+            Fault::SideFrozen(..) | Fault::Silent(_) | Fault::Stalled(_)
+        )
     }
 
     /// The stage that it strikes first.
@@ -243,6 +249,7 @@
             | Fault::EngineFrozen(at, _)
             | Fault::Reset(at)
             | Fault::Silent(at)
+            | Fault::Stalled(at)
             | Fault::Slow(at)
             | Fault::ListedLeaving(at)
             | Fault::SideTerminated(at) => *at,
--- a/crates/daemon/tests/matrix/invariants.rs
+++ b/crates/daemon/tests/matrix/invariants.rs
@@ -9,7 +9,7 @@
 use chestnutreach_standins::plain::PlainRecord;
 
 use crate::{
-    cell::{Kind, Told, expected_text, told},
+    cell::{Kind, PROMPT_TOKENS, Step, Told, expected_text, told},
     driver::Driver,
 };
 
@@ -58,6 +58,7 @@
     if driver.cell.kind.is_once() {
         assert!(ran.len() <= 1, "ran more than once: {ran:?}");
     }
+    check_resumed(driver, answer, &ran);
     // A repeat of a key may run as the request that holds the key.
     let is_repeated =
         driver.cell.kind.is_keyed() && told(answer) == Told::NotRun;
@@ -72,6 +73,26 @@
     }
 }
 
+/// Checks that a later attempt goes on after what was delivered.
+fn check_resumed(driver: &Driver, answer: &Answer, ran: &BTreeSet<Run>) {
+    let is_between = driver.cell.step == Step::BetweenTokens;
+    if driver.cell.kind != Kind::Stream || !is_between {
+        return;
+    }
+    let own = ran.iter().filter(|run| run.request == answer.request());
+    for run in own.filter(|run| run.number > 1) {
+        let records = engine_records(driver);
+        let mut steps = records.values().flatten().filter(|ran| {
+            ran.entry.request == run.request
+                && u64::from(ran.entry.attempt) == run.number
+        });
+        let is_resumed = steps.all(|ran| {
+            ran.entry.position > 0 || ran.entry.span > PROMPT_TOKENS
+        });
+        assert!(is_resumed, "{run:?} began at the beginning");
+    }
+}
+
 /// Checks a repeat: the same answer, or an honest word that there is none.
 pub fn check_repeat(driver: &Driver, answer: &Answer, repeat: &Answer) {
     assert_eq!(told(repeat), driver.cell.expect.repeat, "{repeat:?}");
--- a/crates/daemon/tests/matrix/keyed.rs
+++ b/crates/daemon/tests/matrix/keyed.rs
@@ -30,6 +30,7 @@
     Fault::SideFrozen(At::First, Thaw::Afterwards),
     Expect::unknown().repeat(Told::Completed))]
 #[case::connection_silent(Fault::Silent(At::First), whole())]
+#[case::connection_stalled(Fault::Stalled(At::First), whole())]
 fn accepted(#[case] fault: Fault, #[case] expect: Expect) {
     driver::run(cell(Step::Accepted, fault, expect));
 }
--- a/crates/daemon/tests/matrix/main.rs
+++ b/crates/daemon/tests/matrix/main.rs
@@ -14,5 +14,6 @@
 mod once;
 mod plain;
 mod programs;
+mod steps;
 mod stream;
 mod strike;
--- a/crates/daemon/tests/matrix/once.rs
+++ b/crates/daemon/tests/matrix/once.rs
@@ -28,6 +28,7 @@
 #[case::first_engine_killed(Fault::EngineKilled(At::First), whole())]
 #[case::connection_silent(Fault::Silent(At::First), whole())]
 #[case::store_down(Fault::StoreDown, whole())]
+#[case::connection_stalled(Fault::Stalled(At::First), whole())]
 fn accepted(#[case] fault: Fault, #[case] expect: Expect) {
     driver::run(cell(Step::Accepted, fault, expect));
 }
@@ -45,6 +46,7 @@
     Expect::not_run()
 )]
 #[case::connection_silent(Fault::Silent(At::First), Expect::not_run())]
+#[case::connection_stalled(Fault::Stalled(At::First), Expect::not_run())]
 fn accepted_alone(#[case] fault: Fault, #[case] expect: Expect) {
     driver::run(cell(Step::AcceptedAlone, fault, expect));
 }
--- a/crates/daemon/tests/matrix/stream.rs
+++ b/crates/daemon/tests/matrix/stream.rs
@@ -45,6 +45,8 @@
 #[case::stage_connection_reset(Fault::Reset(At::Last), whole(2))]
 #[case::entry_connection_silent(Fault::Silent(At::First), whole(1))]
 #[case::stage_connection_silent(Fault::Silent(At::Last), whole(2))]
+#[case::entry_connection_stalled(Fault::Stalled(At::First), whole(1))]
+#[case::stage_connection_stalled(Fault::Stalled(At::Last), whole(2))]
 fn between_tokens(#[case] fault: Fault, #[case] expect: Expect) {
     driver::run(cell(Step::BetweenTokens, fault, expect));
 }
--- a/crates/daemon/tests/matrix/strike.rs
+++ b/crates/daemon/tests/matrix/strike.rs
@@ -15,6 +15,8 @@
 /// How long something stands still that others count as lost by then: the
 /// limit on silence, and the time to open a new connection.
 const LONG_STANDSTILL: Duration = Duration::from_millis(1_500);
+/// Longer than a process that stops waits for what was on its way to it.
+const STOP_PAUSE: Duration = Duration::from_millis(600);
 /// Delay of a slow connection, each way.
 const SLOW: Duration = Duration::from_millis(50);
 /// Pause of a slow table before each call.
@@ -57,6 +59,11 @@
             Fault::Silent(at) => {
                 self.fleet.relay(self.chain.server(at)).silence();
             }
+            Fault::Stalled(at) => {
+                let name = self.chain.server(at).to_owned();
+                self.fleet.relay(&name).stall();
+                self.stalled.push(name);
+            }
             Fault::Slow(at) => {
                 self.fleet.relay(self.chain.server(at)).slow(SLOW);
             }
@@ -77,9 +84,22 @@
                 self.fleet.list_leaving(&[&name]);
             }
             Fault::SideTerminated(at) => {
-                self.terminate(side_name(self.chain.server(at)));
+                let server = self.chain.server(at).to_owned();
+                self.terminate(side_name(&server));
+                self.wait_until("the side process to leave", |driver| {
+                    let status = driver.fleet.side_status(&server);
+                    status.is_null() || status["is_leaving"] == true
+                });
+                thread::sleep(STOP_PAUSE);
+            }
+            Fault::EntryTerminated => {
+                self.terminate(entry_name(0));
+                self.wait_until("the entry to leave", |driver| {
+                    let status = driver.fleet.entry_status(0);
+                    status.is_null() || status["is_leaving"] == true
+                });
+                thread::sleep(STOP_PAUSE);
             }
-            Fault::EntryTerminated => self.terminate(entry_name(0)),
             Fault::Both(first, second) => {
                 self.strike_with(*first);
                 self.strike_with(*second);
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -1,33 +1,61 @@
 //! Free ports for the processes of a fleet.
+//!
+//! A port that is free now may be taken by another process before the one it
+//! is meant for listens there. So each process that starts fleets has a block
+//! of ports of its own, which it marks by listening on the block's first.
 
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
     process,
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        OnceLock,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 /// Ports used: below those that the system hands out for connections.
 const FIRST_PORT: u32 = 12_000;
-const PORT_COUNT: u32 = 20_000;
-/// Ports that one process begins apart from the next.
-const PROCESS_STRIDE: u32 = 397;
+const BLOCK_PORTS: u32 = 1_250;
+const BLOCK_COUNT: u32 = 16;
+
+/// The ports of this process.
+struct Block {
+    first_port: u32,
+    /// Keeps others out.
+    _mark: TcpListener,
+}
 
 /// A port of loopback that nobody listens on.
 ///
 /// # Panics
 ///
-/// No port is free.
+/// No block of ports is free, or no port of the block.
 pub fn free_address() -> SocketAddr {
+    static BLOCK: OnceLock<Block> = OnceLock::new();
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let start = process::id().wrapping_mul(PROCESS_STRIDE);
-    for _ in 0..PORT_COUNT {
+    let first_port = BLOCK.get_or_init(take_block).first_port;
+    for _ in 0..BLOCK_PORTS {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
-        let offset = start.wrapping_add(step) % PORT_COUNT;
-        let port = (FIRST_PORT + offset) as u16;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let address = loopback(first_port + 1 + step % (BLOCK_PORTS - 1));
         if TcpListener::bind(address).is_ok() {
             return address;
         }
     }
-    panic!("no port from {FIRST_PORT} on is free");
+    panic!("none of the {BLOCK_PORTS} ports from {first_port} on is free");
+}
+
+fn take_block() -> Block {
+    let start = process::id();
+    for step in 0..BLOCK_COUNT {
+        let number = start.wrapping_add(step) % BLOCK_COUNT;
+        let first_port = FIRST_PORT + number * BLOCK_PORTS;
+        if let Ok(mark) = TcpListener::bind(loopback(first_port)) {
+            return Block { first_port, _mark: mark };
+        }
+    }
+    panic!("all {BLOCK_COUNT} blocks of ports from {FIRST_PORT} on are taken");
+}
+
+fn loopback(port: u32) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port as u16))
 }
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -2,8 +2,9 @@
 //!
 //! It passes bytes both ways over pairs of sockets. The connections that are
 //! open can be reset, or made silent: their bytes are read and dropped, so
-//! that neither end hears or feels anything, while new connections work. All
-//! bytes can be delayed.
+//! that neither end hears or feels anything, while new connections work. They
+//! can be stalled: their bytes are kept and passed on later, also when the
+//! sender has closed by then. All bytes can be delayed.
 
 use std::{
     io::{self, Read as _, Write as _},
@@ -19,7 +20,11 @@
 use rustix::net::sockopt::set_socket_linger;
 
 /// Bytes passed on at once.
-const CHUNK_BYTES: usize = 64 * 1024;
+const CHUNK_BYTES: usize = 16 * 1024;
+/// Longest wait for bytes before it is looked what is switched on.
+const READ_LIMIT: Duration = Duration::from_millis(20);
+/// Pause between two looks at a connection whose end has come.
+const END_PAUSE: Duration = Duration::from_millis(1);
 
 /// A relay before one address; it ends when dropped.
 #[derive(Debug)]
@@ -42,6 +47,7 @@
     caller: TcpStream,
     target: TcpStream,
     is_silent: AtomicBool,
+    is_stalled: AtomicBool,
     is_reset: AtomicBool,
 }
 
@@ -86,6 +92,20 @@
         }
     }
 
+    /// Holds up what passes over the connections that are open.
+    pub fn stall(&self) {
+        for pair in self.shared.lock().iter() {
+            pair.is_stalled.store(true, Ordering::Release);
+        }
+    }
+
+    /// Passes on what was held up.
+    pub fn resume(&self) {
+        for pair in self.shared.lock().iter() {
+            pair.is_stalled.store(false, Ordering::Release);
+        }
+    }
+
     /// Delays what passes either way by this time.
     pub fn slow(&self, delay: Duration) {
         let delay_ms = delay.as_millis() as u64;
@@ -123,10 +143,13 @@
         let target = TcpStream::connect(self.target)?;
         caller.set_nodelay(true)?;
         target.set_nodelay(true)?;
+        caller.set_read_timeout(Some(READ_LIMIT))?;
+        target.set_read_timeout(Some(READ_LIMIT))?;
         let pair = Arc::new(Pair {
             caller,
             target,
             is_silent: AtomicBool::new(false),
+            is_stalled: AtomicBool::new(false),
             is_reset: AtomicBool::new(false),
         });
         self.lock().push(pair.clone());
@@ -143,19 +166,27 @@
 
     /// Passes bytes one way until either end closes.
     fn pass(&self, pair: &Pair, from: &TcpStream, to: &TcpStream) {
-        let (mut from, mut to) = (from, to);
-        let mut chunk = vec![0; CHUNK_BYTES];
-        while let Ok(count) = from.read(&mut chunk)
-            && count > 0
-        {
-            let delay_ms = self.delay_ms.load(Ordering::Acquire);
-            thread::sleep(Duration::from_millis(delay_ms));
-            if pair.is_silent.load(Ordering::Acquire) {
+        let mut to = to;
+        let mut waiting = Vec::new();
+        let mut has_ended = false;
+        while !has_ended && !self.has_ended.load(Ordering::Acquire) {
+            has_ended = !read_more(from, &mut waiting);
+            if pair.is_stalled.load(Ordering::Acquire) {
+                // The end waits behind what came before it.
+                has_ended = false;
                 continue;
             }
-            if to.write_all(&chunk[..count]).is_err() {
+            if waiting.is_empty() {
+                continue;
+            }
+            let delay_ms = self.delay_ms.load(Ordering::Acquire);
+            thread::sleep(Duration::from_millis(delay_ms));
+            if !pair.is_silent.load(Ordering::Acquire)
+                && to.write_all(&waiting).is_err()
+            {
                 break;
             }
+            waiting.clear();
         }
         // What has lost track of a connection tells its other end nothing,
         // and a shutdown would say goodbye before a reset.
@@ -166,6 +197,25 @@
     }
 }
 
+/// Waits a moment for bytes; false when no more will come.
+fn read_more(mut from: &TcpStream, waiting: &mut Vec<u8>) -> bool {
+    let mut chunk = [0; CHUNK_BYTES];
+    match from.read(&mut chunk) {
+        Ok(0) => {
+            thread::sleep(END_PAUSE);
+            false
+        }
+        Ok(count) => {
+            waiting.extend_from_slice(&chunk[..count]);
+            true
+        }
+        Err(e) => matches!(
+            e.kind(),
+            io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+        ),
+    }
+}
+
 impl Pair {
     fn close(&self) {
         for socket in [&self.caller, &self.target] {
