--- a/crates/daemon/tests/matrix/driver.rs
+++ b/crates/daemon/tests/matrix/driver.rs
@@ -24,6 +24,9 @@
 const LOOK: Duration = Duration::from_millis(5);
 /// Time in which what was held up has arrived, by far.
 const ARRIVAL: Duration = Duration::from_millis(200);
+/// How long a side process keeps requests without a key whose entry has gone,
+/// in cells with a key.
+pub const ORPHAN_LIMIT_MS: &str = "100";
 /// Longest wait for a repeat's final answer, and time between two tries.
 const REPEAT_LIMIT: Duration = Duration::from_secs(20);
 const REPEAT_PAUSE: Duration = Duration::from_millis(200);
@@ -291,6 +294,9 @@
         .relays()
         .setting("platform", "vm-list-poll-ms", "100")
         .setting("side", "step-timeout-ms", "15000");
+    if cell.kind.is_keyed() {
+        plan = plan.setting("side", "orphan-limit-ms", ORPHAN_LIMIT_MS);
+    }
     if cell.kind.is_plain() {
         plan = plan.stages(&[0, LAYER_COUNT], 1);
     }
--- a/crates/daemon/tests/matrix/strike.rs
+++ b/crates/daemon/tests/matrix/strike.rs
@@ -17,6 +17,9 @@
 const LONG_STANDSTILL: Duration = Duration::from_millis(1_500);
 /// Longer than a process that stops waits for what was on its way to it.
 const STOP_PAUSE: Duration = Duration::from_millis(600);
+/// Longer than [`ORPHAN_LIMIT_MS`](crate::driver::ORPHAN_LIMIT_MS), after which only a request with a key
+/// runs on and has its answer kept.
+const ORPHAN_PAUSE: Duration = Duration::from_millis(400);
 /// Delay of a slow connection, each way.
 const SLOW: Duration = Duration::from_millis(50);
 /// Pause of a slow table before each call.
@@ -51,7 +54,12 @@
                 let name = self.chain.server(at).to_owned();
                 self.freeze(&name, thaw);
             }
-            Fault::EntryKilled => self.fleet.process(&entry_name(0)).kill(),
+            Fault::EntryKilled => {
+                self.fleet.process(&entry_name(0)).kill();
+                if self.cell.kind.is_keyed() {
+                    thread::sleep(ORPHAN_PAUSE);
+                }
+            }
             Fault::EntryFrozen(thaw) => self.freeze(&entry_name(0), thaw),
             Fault::Reset(at) => {
                 self.fleet.relay(self.chain.server(at)).reset();
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -22,6 +22,8 @@
     record::Ran, relay::Relay,
 };
 
+mod members;
+
 /// Time that a fleet may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 /// Time that a process may take to stop when asked to.
@@ -512,6 +514,12 @@
             .unwrap_or_else(|| panic!("the fleet has no process {name:?}"))
     }
 
+    /// Numbers of the running processes in the system, by name.
+    pub fn process_ids(&self) -> BTreeMap<String, u32> {
+        let each = self.processes.iter();
+        each.filter_map(|(name, p)| Some((name.clone(), p.id()?))).collect()
+    }
+
     /// Sets the faults of a stand-in.
     ///
     /// # Panics
--- a/crates/side/src/node.rs
+++ b/crates/side/src/node.rs
@@ -21,12 +21,7 @@
 };
 use chestnutreach_telemetry::{Event, Metrics, emit};
 
-use crate::{
-    backend::Backend,
-    ended::EndedRuns,
-    run::{Run, serves},
-    seat::Seat,
-};
+use crate::{backend::Backend, ended::EndedRuns, run::Run, seat::Seat};
 
 /// The role `side` of a process; clones are handles to the same one.
 #[derive(Clone)]
@@ -296,7 +291,7 @@
         let backend = backend.ok_or(RefusalReason::WrongTarget)?;
         let assigned =
             backend.assigned().ok_or(RefusalReason::UnknownService)?;
-        if !serves(&assigned, target.service) || !self.may_use(target) {
+        if assigned.service != target.service || !self.may_use(target) {
             return Err(RefusalReason::UnknownService);
         }
         let is_range = assigned.first_layer == stage.first_layer
@@ -374,9 +369,22 @@
             is_leaving: self.is_leaving.load(Ordering::Acquire),
             generation: self.generation.load(Ordering::Acquire),
             loads: self.loads(),
+            entry_count: self.entry_count(),
         })
     }
 
+    /// Entries that have a link to this process. Each VM counts once, also
+    /// while a lost link and its successor are both still open.
+    fn entry_count(&self) -> u32 {
+        let open = self.links().open();
+        let peers = open.iter().map(|link| link.peer());
+        let vms: BTreeSet<&str> = peers
+            .filter(|peer| peer.role() == wire::Role::Entry)
+            .map(|peer| peer.vm.as_str())
+            .collect();
+        vms.len() as u32
+    }
+
     pub(crate) fn loads(&self) -> Vec<BackendLoad> {
         self.backends.values().map(|b| self.backend_load(b)).collect()
     }
--- a/crates/side/src/seat.rs
+++ b/crates/side/src/seat.rs
@@ -27,7 +27,7 @@
 use crate::{
     backend::Backend,
     node::{Shared, Target},
-    run::{step_priority, to_priority},
+    priority::{step_priority, to_priority},
     steps::{Owner, QueuedStep},
 };
 
@@ -40,6 +40,7 @@
     next: Option<Stage>,
     priority: u8,
     cost_tokens: u64,
+    pub(crate) deadline_at_ms: u64,
     pub(crate) backend: Arc<Backend>,
     first: Link,
     _first_guard: BusyGuard,
@@ -154,6 +155,7 @@
             next: m.chain.get(index + 1).cloned(),
             priority,
             cost_tokens,
+            deadline_at_ms: self.clock.now_ms() + u64::from(m.deadline_ms),
             backend,
             first: link.clone(),
             _first_guard: link.busy(),
