--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -96,6 +96,9 @@
         for number in 0..fleet.plan.entries {
             fleet.start_entry(number)?;
         }
+        for name in ["table", "objects"] {
+            fleet.wait_for(name, |f| f.stats(name).is_object())?;
+        }
         fleet.apply(0)?;
         fleet.wait_until_ready()?;
         Ok(fleet)
