--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -22,7 +22,7 @@
 pub(crate) use self::{
     direct::Direct,
     routed::Routed,
-    samples::{Quantiles, Samples},
+    samples::{Quantiles, Samples, histogram},
 };
 
 /// Time that requests may take after the last one has begun.
--- a/crates/bench/src/load/routed.rs
+++ b/crates/bench/src/load/routed.rs
@@ -56,7 +56,7 @@
         self.idle.lock().expect("no holder panics").push(stream);
     }
 
-    fn request(&self, max_tokens: u32) -> Request {
+    fn http_request(&self, max_tokens: u32) -> Request {
         let mut request = Request::new(Method::Post, self.url.clone());
         let key = ACCOUNTS[0].1;
         request.insert_header("authorization", format!("Bearer {key}"));
@@ -75,8 +75,8 @@
     ) -> anyhow::Result<Vec<Duration>> {
         let entry = &self.entries[fastrand::usize(..self.entries.len())];
         let stream = entry.stream().await?;
-        let sent =
-            async_h1::connect(stream.clone(), entry.request(max_tokens));
+        let request = entry.http_request(max_tokens);
+        let sent = async_h1::connect(stream.clone(), request);
         let mut response = sent.await.map_err(|e| anyhow!("{e}"))?;
         let status = response.status();
         if !status.is_success() {
--- a/crates/bench/src/machine.rs
+++ b/crates/bench/src/machine.rs
@@ -124,3 +124,24 @@
     let ticks: u64 = ticks.filter_map(|t| t.parse::<u64>().ok()).sum();
     Duration::from_millis(ticks * TICK_MS)
 }
+
+/// Memory that a process holds, in KiB.
+pub(crate) fn resident_kib(id: u32) -> u64 {
+    let path = format!("/proc/{id}/status");
+    let text = fs::read_to_string(path).unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number.and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+/// Memory of one process of each role, the mean, in KiB.
+pub(crate) fn resident_by_role(fleet: &Fleet) -> BTreeMap<&'static str, f64> {
+    let mut sums: BTreeMap<&'static str, (u64, u64)> = BTreeMap::new();
+    for (name, id) in fleet.process_ids() {
+        let sum = sums.entry(role_of(&name)).or_default();
+        sum.0 += resident_kib(id);
+        sum.1 += 1;
+    }
+    let means = sums.into_iter();
+    means.map(|(role, (kib, n))| (role, kib as f64 / n as f64)).collect()
+}
--- /dev/null
+++ b/crates/bench/src/run_once.rs
@@ -0,0 +1,123 @@
+//! Time of the run-once table's operations against the records it holds.
+
+use std::{hint::black_box, time::Instant};
+
+use chestnutreach_state::RunOnceTable;
+use serde::Serialize;
+
+use crate::report::{Show, Table, places};
+
+/// Retention of the daemon's settings as shipped.
+const RETENTION_MS: u64 = 600_000;
+const ROUNDS: usize = 20;
+const REQUESTS_PER_ROUND: u64 = 5_000;
+
+/// Figures of all sizes.
+#[derive(Debug, Serialize)]
+pub(crate) struct RunOnce {
+    pub(crate) rows: Vec<Row>,
+}
+
+/// Nanoseconds of each operation, the median of rounds.
+#[derive(Debug, Serialize)]
+pub(crate) struct Row {
+    pub(crate) records: usize,
+    pub(crate) admit_ns: f64,
+    pub(crate) begin_ns: f64,
+    pub(crate) finish_ns: f64,
+}
+
+impl Row {
+    /// All operations of one request.
+    pub(crate) fn request_ns(&self) -> f64 {
+        self.admit_ns + self.begin_ns + self.finish_ns
+    }
+}
+
+/// Measures full tables of these sizes in turns.
+pub(crate) fn measure(sizes: &[usize]) -> RunOnce {
+    let mut cases: Vec<Case> = sizes.iter().map(|s| Case::new(*s)).collect();
+    for _ in 0..ROUNDS {
+        cases.iter_mut().for_each(Case::round);
+    }
+    RunOnce { rows: cases.into_iter().map(Case::row).collect() }
+}
+
+/// A table that is full of idempotent requests that have ended: each new one
+/// takes the place of the oldest.
+struct Case {
+    records: usize,
+    table: RunOnceTable,
+    now_ms: u64,
+    times_ns: [Vec<f64>; 3],
+}
+
+impl Case {
+    fn new(records: usize) -> Case {
+        let mut table = RunOnceTable::new(records, RETENTION_MS);
+        for _ in 0..records {
+            let request = fastrand::u128(..);
+            table.admit(request, 1, true, 0);
+            table.begin(request, 1);
+            table.finish(request, 1, 0);
+        }
+        Case { records, table, now_ms: 1, times_ns: Default::default() }
+    }
+
+    fn round(&mut self) {
+        self.now_ms += 1;
+        let now_ms = self.now_ms;
+        let requests: Vec<u128> = (0..REQUESTS_PER_ROUND
+            .min(self.records as u64 / 2))
+            .map(|_| fastrand::u128(..))
+            .collect();
+        let table = &mut self.table;
+        let mut time = |at: usize, run: &mut dyn FnMut(u128)| {
+            let start = Instant::now();
+            requests.iter().for_each(|request| run(*request));
+            let all_ns = start.elapsed().as_nanos() as f64;
+            self.times_ns[at].push(all_ns / requests.len() as f64);
+        };
+        time(0, &mut |request| {
+            black_box(table.admit(request, 1, true, now_ms));
+        });
+        time(1, &mut |request| {
+            black_box(table.begin(request, 1));
+        });
+        time(2, &mut |request| {
+            table.finish(request, 1, now_ms);
+        });
+    }
+
+    fn row(self) -> Row {
+        let [admit_ns, begin_ns, finish_ns] = self.times_ns.map(median);
+        Row { records: self.records, admit_ns, begin_ns, finish_ns }
+    }
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+impl Show for RunOnce {
+    fn show(&self) -> String {
+        let mut table = Table::new(&[
+            "records",
+            "admit ns",
+            "begin ns",
+            "finish ns",
+            "request ns",
+        ]);
+        for row in &self.rows {
+            table.row(vec![
+                row.records.to_string(),
+                places(row.admit_ns, 0),
+                places(row.begin_ns, 0),
+                places(row.finish_ns, 0),
+                places(row.request_ns(), 0),
+            ]);
+        }
+        table.to_text()
+    }
+}
