Let an entry take requests until the balancer knows, and tell what is cut

Cause: a stopping entry ended as soon as nothing was in flight for 300 ms, so a balancer that looks more rarely sent requests to a closed port; it counted neither connections whose request was arriving nor ends of keyed requests not yet noted, so a repeat of a completed key was told as unknown after a stop. At the bound of a stop, callers of an entry saw a broken connection, and entries learned the end of a non-idempotent request only after recover-limit-ms.

New checked setting [entry] lame-duck-ms. After it the port and the idle connections close; open connections and unsettled keys are waited for. At the bound every open request is ended with its outcome, on entries and on side processes. A keyed request that is cut at an entry runs on and is found by a repeat.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -178,6 +178,9 @@
     pub claim_flush_ms: u64,
     /// Most claims in one group commit.
     pub claim_batch: usize,
+    /// How long a stopping entry still takes new requests, while the
+    /// balancer notices.
+    pub lame_duck_ms: u64,
 }
 
 /// Settings of the role `side`.
--- a/crates/config/src/settings/sections.rs
+++ b/crates/config/src/settings/sections.rs
@@ -129,6 +129,17 @@
     let recover_limit_ms = reader.integer(&RECOVER_LIMIT_MS);
     let claim_flush_ms = reader.integer(&CLAIM_FLUSH_MS);
     let claim_batch = reader.integer(&CLAIM_BATCH);
+    let lame_duck_ms = reader.integer(&LAME_DUCK_MS);
+    let drain_limit_ms = node.as_ref().map(|node| node.drain_limit_ms);
+    if let Some((wait_ms, limit_ms)) = lame_duck_ms.zip(drain_limit_ms)
+        && wait_ms >= limit_ms
+    {
+        let message = format!(
+            "{wait_ms} ms is too long; it must be less than {limit_ms} ms, \
+             drain-limit-ms",
+        );
+        reader.report(LAME_DUCK_MS.key, message);
+    }
     Some(EntrySettings {
         node: node?,
         http_address: http_address?,
@@ -139,6 +150,7 @@
         recover_limit_ms: recover_limit_ms?,
         claim_flush_ms: claim_flush_ms?,
         claim_batch: claim_batch?,
+        lame_duck_ms: lame_duck_ms?,
     })
 }
 
--- a/crates/config/src/settings/tables.rs
+++ b/crates/config/src/settings/tables.rs
@@ -129,6 +129,8 @@
     IntegerField::new("claim-flush-ms", 1, 1_000, "ms").or(10);
 pub(super) const CLAIM_BATCH: IntegerField =
     IntegerField::new("claim-batch", 1, 10_000, "claims").or(50);
+pub(super) const LAME_DUCK_MS: IntegerField =
+    IntegerField::new("lame-duck-ms", 0, 600_000, "ms").or(2_000);
 
 pub(super) const ENTRY: &[Field] = &[
     Field::Address(HTTP_ADDRESS),
@@ -139,6 +141,7 @@
     Field::Integer(RECOVER_LIMIT_MS),
     Field::Integer(CLAIM_FLUSH_MS),
     Field::Integer(CLAIM_BATCH),
+    Field::Integer(LAME_DUCK_MS),
 ];
 
 pub(super) const RUN_ONCE_CAPACITY: IntegerField =
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -72,6 +72,7 @@
         recover_limit_ms: 5_000,
         claim_flush_ms: 10,
         claim_batch: 50,
+        lame_duck_ms: 2_000,
     };
     let settings = DaemonSettings::try_parse("e.ini", ENTRY).unwrap();
     assert_eq!(settings, DaemonSettings::Entry(expected));
@@ -171,6 +172,11 @@
             findings: &["f.ini:9: [platform] table-address: \
                  0.0.0.0:1 is no address to connect to"],
         },
+        Case {
+            change: ("[platform]", "drain-limit-ms = 2000\n[platform]"),
+            findings: &["f.ini:13: [entry] lame-duck-ms: 2000 ms is too \
+                 long; it must be less than 2000 ms, drain-limit-ms"],
+        },
         Case {
             change: ("role", "seed-peers = 10.0.0.2:3, 10.0.0.1:3\nrole"),
             findings: &["f.ini:2: [node] seed-peers: 10.0.0.1:3 is this \
--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -7,9 +7,12 @@
 
 /// Time between two looks at what is left.
 const LOOK: Duration = Duration::from_millis(20);
-/// How long nothing must be in flight before the process ends: frames that
-/// were on their way when the stop began are still answered.
+/// How long nothing must be left before the process ends: frames that were
+/// on their way when the stop began are still answered.
 const QUIET: Duration = Duration::from_millis(300);
+/// How long a process that has cut its requests goes on, so that those who
+/// sent them are told.
+const TELL: Duration = Duration::from_millis(1_000);
 
 /// How a planned stop ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -20,34 +23,56 @@
     Cut,
 }
 
-/// Waits until nothing is in flight, at most for the bound.
-pub(crate) async fn wait_until_idle(
+/// A stop under way, with its bound.
+pub(crate) struct Drain {
+    started: Instant,
     limit_ms: u64,
-    in_flight: impl Fn() -> usize,
-) -> Stopped {
-    let started = Instant::now();
-    let limit = Duration::from_millis(limit_ms);
+}
+
+impl Drain {
+    /// A stop that begins now.
+    pub(crate) fn start(limit_ms: u64) -> Drain {
+        Drain { started: Instant::now(), limit_ms }
+    }
+
+    /// Waits until nothing is left; at the bound the rest is cut.
+    pub(crate) async fn finish(
+        &self,
+        left: impl Fn() -> usize,
+        cut: impl FnOnce(),
+    ) -> Stopped {
+        let limit = Duration::from_millis(self.limit_ms);
+        if wait_until_quiet(self.started + limit, &left).await {
+            let elapsed_ms = self.started.elapsed().as_millis();
+            emit(Event::DrainEnded, &[("elapsed_ms", &elapsed_ms)]);
+            return Stopped::Whole;
+        }
+        emit(
+            Event::DrainCut,
+            &[("in_flight", &left()), ("limit_ms", &self.limit_ms)],
+        );
+        cut();
+        wait_until_quiet(Instant::now() + TELL, &left).await;
+        Stopped::Cut
+    }
+}
+
+/// Whether nothing was left for a while before the end of the time. With
+/// nothing left at that end, the while is still waited for.
+async fn wait_until_quiet(until: Instant, left: impl Fn() -> usize) -> bool {
     let mut idle_since = None;
     loop {
-        let left = in_flight();
-        if left > 0 {
+        if left() > 0 {
             idle_since = None;
+            if Instant::now() >= until {
+                return false;
+            }
         } else {
             let since: Instant = *idle_since.get_or_insert_with(Instant::now);
             if since.elapsed() >= QUIET {
-                break;
+                return true;
             }
         }
-        if started.elapsed() >= limit && left > 0 {
-            emit(
-                Event::DrainCut,
-                &[("in_flight", &left), ("limit_ms", &limit_ms)],
-            );
-            return Stopped::Cut;
-        }
         Timer::after(LOOK).await;
     }
-    let elapsed_ms = started.elapsed().as_millis();
-    emit(Event::DrainEnded, &[("elapsed_ms", &elapsed_ms)]);
-    Stopped::Whole
 }
--- a/crates/daemon/src/roles.rs
+++ b/crates/daemon/src/roles.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_executor::Executor;
+use async_io::Timer;
 use chestnutreach_config::settings::{
     EntrySettings, NodeSettings, SideSettings,
 };
@@ -27,7 +28,7 @@
 
 use crate::{
     control::{Control, Served, Stopping},
-    drain::{Stopped, wait_until_idle},
+    drain::{Drain, Stopped},
     listen::listen,
     signals::stop_signal,
 };
@@ -196,6 +197,7 @@
     executor: Arc<Executor<'static>>,
 ) -> anyhow::Result<Stopped> {
     let node = settings.node.clone();
+    let lame_duck = Duration::from_millis(settings.lame_duck_ms);
     let common = Common::new(&node, Role::Entry, executor.clone());
     let claim_options = ClaimOptions::new()
         .batch(settings.claim_batch)
@@ -246,7 +248,14 @@
     let cause = stop_signal().await?;
     control.begin_stop();
     common.note_stopping(cause, entry.in_flight());
-    Ok(wait_until_idle(node.drain_limit_ms, || entry.in_flight()).await)
+    let drain = Drain::start(node.drain_limit_ms);
+    Timer::after(lame_duck).await;
+    entry.close_callers();
+    let left = || {
+        let left = entry.left();
+        left.callers.max(left.requests) + left.unsettled
+    };
+    Ok(drain.finish(left, || entry.cut()).await)
 }
 
 /// Runs the role `side` until it is told to stop.
@@ -291,5 +300,6 @@
         held.runs + held.seats
     };
     common.note_stopping(cause, in_flight());
-    Ok(wait_until_idle(node.drain_limit_ms, in_flight).await)
+    let drain = Drain::start(node.drain_limit_ms);
+    Ok(drain.finish(in_flight, || side.cut()).await)
 }
--- a/crates/daemon/tests/fleet_manifest.rs
+++ b/crates/daemon/tests/fleet_manifest.rs
@@ -20,7 +20,7 @@
 use chestnutreach_platform::manifest_store::{
     Head, ObjectDigest, PartCache, SubmitError,
 };
-use fleet_common::{Watch, with_fleet};
+use fleet_common::{watch::Watch, with_fleet};
 use serde_json::{Value, json};
 
 /// Two entries and two engines that each hold the whole model.
--- /dev/null
+++ b/crates/daemon/tests/fleet_stops.rs
@@ -0,0 +1,314 @@
+//! Planned stops, on fleets of separate processes.
+
+mod fleet_common;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use chestnutreach_fleet::{
+    Answer, Caller, Fleet, Plan,
+    record::{Ran, attempts, broken_promises},
+};
+use chestnutreach_standins::engine::expected_answer;
+use fleet_common::{
+    load::{Kind, Load, LoadPlan, problems},
+    with_fleet,
+};
+
+/// Entries of the fleets here.
+const ENTRIES: usize = 2;
+
+fn plan() -> Plan {
+    Plan::new()
+        .entries(ENTRIES)
+        .plain_servers(0)
+        .engine_argument("--step-us=3000")
+    //TRIAL
+}
+
+/// The attempts of each request of which an engine ran anything.
+fn attempts_that_ran(
+    records: &BTreeMap<String, Vec<Ran>>,
+) -> BTreeMap<String, BTreeSet<u32>> {
+    let mut ran: BTreeMap<String, BTreeSet<u32>> = BTreeMap::new();
+    for Ran { entry, .. } in records.values().flatten() {
+        ran.entry(entry.request.clone()).or_default().insert(entry.attempt);
+    }
+    ran
+}
+
+/// Waits until every entry gives every side process work.
+fn wait_until_whole(fleet: &mut Fleet) {
+    let servers = fleet
+        .daemon_names()
+        .iter()
+        .filter(|name| name.starts_with("side-"))
+        .count();
+    for entry in 0..ENTRIES {
+        fleet
+            .wait_for("all servers to be present", |fleet| {
+                fleet.present(entry).len() == servers
+            })
+            .unwrap();
+    }
+}
+
+/// Replaces every VM, one after another.
+fn replace_all(fleet: &mut Fleet, load: &Load) {
+    for name in fleet.daemon_names() {
+        let before = load.ended();
+        fleet
+            .wait_for("load before a stop", |_| load.ended() >= before + 10)
+            .unwrap();
+        assert_eq!(fleet.stop(&name).unwrap(), Some(0), "{name}");
+        let ended = fleet.events(&name, "drain_ended");
+        assert!(!ended.is_empty(), "{name}");
+        fleet.start_again(&name).unwrap();
+        fleet
+            .wait_for(&format!("{name} to be ready"), |f| f.is_ready(&name))
+            .unwrap();
+        wait_until_whole(fleet);
+    }
+}
+
+#[test]
+fn replacing_every_vm_of_chains_cuts_nothing() {
+    with_fleet(plan(), |fleet| {
+        let kinds = LoadPlan::default().kinds;
+        let load = Load::start(fleet, LoadPlan::default());
+        replace_all(fleet, &load);
+        let sent = load.stop();
+        assert_eq!(problems(&sent), [""; 0], "of {}", sent.len());
+        for kind in kinds {
+            assert!(sent.iter().any(|sent| sent.kind == *kind));
+        }
+        let records = fleet.engine_records();
+        assert_eq!(broken_promises(&records), [""; 0]);
+        let ran = attempts_that_ran(&records);
+        for sent in sent.iter().filter(|sent| sent.kind != Kind::Stream) {
+            let attempts = &ran[sent.answer.request()];
+            assert_eq!(attempts.len(), 1, "{attempts:?} of {sent:?}");
+        }
+    });
+}
+
+#[test]
+fn replacing_every_vm_of_a_plain_service_cuts_nothing() {
+    let plan = plan().stages(&[0, 24], 1).plain_servers(2);
+    with_fleet(plan, |fleet| {
+        let kinds = &[Kind::PlainOnce];
+        let plan = LoadPlan { kinds, callers: 4, ..LoadPlan::default() };
+        let load = Load::start(fleet, plan);
+        replace_all(fleet, &load);
+        let sent = load.stop();
+        assert_eq!(problems(&sent), [""; 0], "of {}", sent.len());
+    });
+}
+
+/// The requests are further apart than the time for which an entry waits for
+/// frames on their way.
+#[test]
+fn an_entry_takes_new_requests_until_the_balancer_has_noticed() {
+    let plan = Plan::new().stages(&[0, 24], 1).plain_servers(0).setting(
+        "entry",
+        "lame-duck-ms",
+        "2000",
+    );
+    with_fleet(plan, |fleet| {
+        fleet.process("entry-0").terminate();
+        fleet
+            .wait_for("the entry to say so", |f| !f.is_ready("entry-0"))
+            .unwrap();
+        for number in 0..3 {
+            let name = format!("n{number}");
+            let answer = fleet.caller(0).chat(&name, 2);
+            assert_eq!(answer.content(), text_of(&name, 2), "{answer:?}");
+            thread::sleep(Duration::from_millis(500));
+        }
+        let status =
+            fleet.process("entry-0").wait(Duration::from_secs(10)).unwrap();
+        assert_eq!(status.code(), Some(0));
+    });
+}
+
+#[test]
+fn after_its_time_an_entry_refuses_new_connections() {
+    let plan = plan().stages(&[0, 24], 1);
+    with_fleet(plan, |fleet| {
+        let running = ask(fleet.caller(0), "long", 800);
+        wait_for_output(fleet, 0, 1);
+        fleet.process("entry-0").terminate();
+        fleet
+            .wait_for("the port to close", |fleet| {
+                std::net::TcpStream::connect(fleet.entry_address(0)).is_err()
+            })
+            .unwrap();
+        assert!(!running.is_finished());
+        assert!(!fleet.is_ready("entry-0"));
+        let answer = running.join().unwrap();
+        assert_eq!(answer.outcome(), Some("completed"), "{answer:?}");
+        let limit = Duration::from_secs(10);
+        let status = fleet.process("entry-0").wait(limit).unwrap();
+        assert_eq!(status.code(), Some(0));
+    });
+}
+
+/// The end of a keyed request is noted after its caller has the answer; an
+/// entry that ended before would leave the repeat to a side process.
+#[test]
+fn an_entry_notes_how_keyed_requests_ended_before_it_ends() {
+    let plan = plan().stages(&[0, 24], 2).setting(
+        "platform",
+        "request-timeout-ms",
+        "5000",
+    );
+    with_fleet(plan, |fleet| {
+        fleet.set_faults("table", &serde_json::json!({"slow_ms": 1_200}));
+        let ask = |fleet: &Fleet, entry| {
+            let caller = fleet.caller(entry);
+            caller.header("idempotency-key", "letter").chat("a b", 4)
+        };
+        let first = ask(fleet, 0);
+        assert_eq!(first.outcome(), Some("completed"), "{first:?}");
+        assert_eq!(fleet.stop("entry-0").unwrap(), Some(0));
+        let records = fleet.engine_records();
+        let has_run = |runs: &Vec<Ran>| {
+            runs.iter().any(|ran| ran.entry.request == first.request())
+        };
+        let ran = records.iter().find(|(_, runs)| has_run(runs));
+        let side = format!("side-{}", ran.unwrap().0);
+        assert_eq!(fleet.stop(&side).unwrap(), Some(0));
+        fleet.set_faults("table", &serde_json::json!({}));
+        let again = ask(fleet, 1);
+        assert_eq!(again.content(), first.content(), "{again:?}");
+    });
+}
+
+fn ask(caller: Caller, prompt: &str, tokens: u32) -> JoinHandle<Answer> {
+    let prompt = prompt.to_owned();
+    thread::spawn(move || caller.chat(&prompt, tokens))
+}
+
+fn ask_stream(
+    caller: Caller,
+    prompt: &str,
+    tokens: u32,
+) -> JoinHandle<Answer> {
+    let prompt = prompt.to_owned();
+    thread::spawn(move || caller.stream(&prompt, tokens, |_| {}))
+}
+
+/// Waits until an entry has this many requests and engines run all of them.
+fn wait_for_output(fleet: &mut Fleet, entry: usize, requests: usize) {
+    fleet
+        .wait_for("requests to run", |fleet| {
+            let shown = &fleet.entry_status(entry)["in_flight"];
+            let running = attempts(&fleet.engine_records());
+            shown == requests && running.len() >= requests
+        })
+        .unwrap();
+}
+
+fn cut_plan() -> Plan {
+    Plan::new()
+        .entries(ENTRIES)
+        .plain_servers(0)
+        .stages(&[0, 24], 2)
+        .engine_argument("--step-us=50000")
+        .setting("entry", "lame-duck-ms", "200")
+        .setting("node", "drain-limit-ms", "1000")
+}
+
+fn text_of(prompt: &str, tokens: u32) -> String {
+    let tokens = expected_answer(prompt, 24, tokens);
+    tokens.into_iter().map(|(_, text)| text).collect()
+}
+
+fn assert_cut(fleet: &mut Fleet, name: &str) {
+    fleet.process(name).terminate();
+    let status = fleet.process(name).wait(Duration::from_secs(5)).unwrap();
+    assert_eq!(status.code(), Some(3));
+    assert_eq!(fleet.events(name, "drain_cut").len(), 1);
+}
+
+#[test]
+fn at_the_bound_of_a_stop_an_entry_tells_every_caller() {
+    with_fleet(cut_plan(), |fleet| {
+        let caller = fleet.caller(0);
+        let once = caller.header("chestnutreach-non-idempotent", "true");
+        let keyed = caller.header("idempotency-key", "letter");
+        let stream = ask_stream(caller, "stream", 60);
+        let once = ask(once, "once", 60);
+        let keyed = ask(keyed, "keyed", 60);
+        wait_for_output(fleet, 0, 3);
+        assert_cut(fleet, "entry-0");
+        struct Case {
+            answer: Answer,
+            outcome: &'static str,
+        }
+        let cases = [
+            Case { answer: stream.join().unwrap(), outcome: "failed" },
+            Case { answer: once.join().unwrap(), outcome: "failed" },
+            Case { answer: keyed.join().unwrap(), outcome: "unknown" },
+        ];
+        for Case { answer, outcome } in cases {
+            assert_eq!(answer.outcome(), Some(outcome), "{answer:?}");
+        }
+        // The request with a key has run on where it was.
+        let caller = fleet.caller(1);
+        let again = caller.header("idempotency-key", "letter");
+        let again = again.chat("keyed", 60);
+        assert_eq!(again.content(), text_of("keyed", 60), "{again:?}");
+        assert_eq!(broken_promises(&fleet.engine_records()), [""; 0]);
+    });
+}
+
+#[test]
+fn at_the_bound_of_a_stop_a_side_process_tells_every_entry() {
+    with_fleet(cut_plan(), |fleet| {
+        let caller = fleet.caller(0);
+        let once = caller.header("chestnutreach-non-idempotent", "true");
+        let running: Vec<_> = (0..6)
+            .map(|number| {
+                let name = format!("n{number}");
+                let asked = match number % 2 {
+                    0 => ask_stream(caller.clone(), &name, 60),
+                    _ => ask(once.clone(), &name, 60),
+                };
+                let asked = thread::spawn(move || {
+                    (asked.join().unwrap(), Instant::now())
+                });
+                (number, name, asked)
+            })
+            .collect();
+        wait_for_output(fleet, 0, 6);
+        let here = attempts(&BTreeMap::from([(
+            "desk-0a".to_owned(),
+            fleet.engine_record("desk-0a"),
+        )]));
+        assert!(!here.is_empty() && here.len() < 6, "{here:?}");
+        assert_cut(fleet, "side-desk-0a");
+        // Told, and not found out when the time for asking has passed.
+        let told = Instant::now();
+        for (number, name, asked) in running {
+            let (answer, at) = asked.join().unwrap();
+            let after = at.saturating_duration_since(told);
+            let was_here = here.contains_key(answer.request());
+            let is_once = number % 2 == 1;
+            let expected = match was_here && is_once {
+                true => "failed",
+                false => "completed",
+            };
+            assert_eq!(answer.outcome(), Some(expected), "{answer:?}");
+            let is_late = after > Duration::from_millis(500);
+            assert!(!is_late || expected == "completed", "{after:?}");
+            if expected == "completed" {
+                assert_eq!(answer.content(), text_of(&name, 60));
+            }
+        }
+        assert_eq!(broken_promises(&fleet.engine_records()), [""; 0]);
+    });
+}
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -12,6 +12,7 @@
 use chestnutreach_protocol::RequestId;
 use chestnutreach_state::NotRunReason;
 use chestnutreach_telemetry::{Event, emit};
+use futures_lite::FutureExt as _;
 use http_types::{Method, Request, Response, StatusCode};
 
 use crate::{
@@ -21,6 +22,7 @@
     openai::Endpoint,
     plain,
     session::Ending,
+    stop::Counted,
     terms::{DeadlineLimits, Terms},
     view::{AccountView, ServiceView, View},
 };
@@ -31,31 +33,56 @@
 const GET_ONLY: [Method; 3] = [Method::Get, Method::Head, Method::Options];
 /// Path of the list of models, and prefix of each.
 const MODELS_PATH: &str = "/v1/models";
+/// Most connections taken over from the system when a port closes.
+const MAX_WAITING: usize = 1_024;
 /// Wait after the system refuses a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// When to come back to a VM that has as many requests as it may.
 const BUSY_RETRY_MS: u64 = 1_000;
 
-/// Serves callers until the process ends.
+/// Serves callers until the entry takes no more of them.
 pub(crate) async fn serve(entry: Arc<Shared>, listener: Async<TcpListener>) {
     loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                let task = serve_caller(entry.clone(), socket);
-                entry.spawn(task);
-            }
-            Err(e) => {
+        let accepted = async { Some(listener.accept().await) };
+        let closing = async {
+            let _ = entry.stop.closing().recv().await;
+            None
+        };
+        match closing.or(accepted).await {
+            Some(Ok((socket, _))) => spawn_caller(&entry, socket),
+            Some(Err(e)) => {
                 emit(Event::AcceptFailed, &[("port", &"http"), ("error", &e)]);
                 Timer::after(ACCEPT_PAUSE).await;
             }
+            None => break,
+        }
+    }
+    // Those that the system has taken already would be reset with the port.
+    for _ in 0..MAX_WAITING {
+        let Ok((socket, _)) = listener.get_ref().accept() else {
+            break;
+        };
+        if let Ok(socket) = Async::new(socket) {
+            spawn_caller(&entry, socket);
         }
     }
 }
 
-async fn serve_caller(entry: Arc<Shared>, socket: Async<TcpStream>) {
+fn spawn_caller(entry: &Arc<Shared>, socket: Async<TcpStream>) {
+    let counted = entry.stop.enter_caller();
+    let task = serve_caller(entry.clone(), socket, counted);
+    entry.spawn(task);
+}
+
+async fn serve_caller(
+    entry: Arc<Shared>,
+    socket: Async<TcpStream>,
+    _counted: Counted,
+) {
     let options = ServerOptions::new()
         .max_body_bytes(entry.settings.max_body_bytes)
-        .error_response(answer::http_refusal);
+        .error_response(answer::http_refusal)
+        .closing(entry.stop.closing().clone());
     entry.metrics.caller_connections.inc();
     let served = serve_connection(socket, &options, |received| {
         let entry = entry.clone();
@@ -79,7 +106,7 @@
         let request = arrival.request.to_string();
         response.insert_header(REQUEST_HEADER, request);
     }
-    if entry.is_leaving() {
+    if entry.stop.is_leaving() {
         response.insert_header("connection", "close");
     }
     response
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -330,6 +330,7 @@
     keyed: KeyedRequest,
     sender: &async_channel::Sender<Progress>,
 ) {
+    let _unsettled = entry.stop.enter_unsettled();
     let digest = keyed.digest;
     let mut session = Session::new(entry, job, Some(keyed));
     let mut recorder = Recorder::default();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `language` | requests for a model |
 //! | `plain` | requests for a plain service |
 //! | `recent` | the routing choices of recent requests |
+//! | [`stop`] | how an entry stops |
 //! | `source` | where the progress of a request comes from |
 //! | `tally` | what is counted and logged of a request |
 //! | `outage` | how long the platform's store has been failing |
@@ -32,6 +33,7 @@
 mod recent;
 mod session;
 mod source;
+pub mod stop;
 mod tally;
 pub mod terms;
 mod view;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -6,7 +6,7 @@
     net::TcpListener,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
 };
 
@@ -23,7 +23,12 @@
 use chestnutreach_telemetry::{Event, Metrics, emit};
 
 use crate::{
-    api, outage::Outage, peers::Peers, recent::Recent, session::SessionEvent,
+    api,
+    outage::Outage,
+    peers::Peers,
+    recent::Recent,
+    session::SessionEvent,
+    stop::{Left, Stop},
     view::View,
 };
 
@@ -51,7 +56,7 @@
     links: OnceLock<Links>,
     sessions: [Mutex<Sessions>; SESSION_SHARDS],
     in_flight: AtomicUsize,
-    is_leaving: AtomicBool,
+    pub(crate) stop: Stop,
 }
 
 type Sessions = BTreeMap<u128, async_channel::Sender<SessionEvent>>;
@@ -96,7 +101,7 @@
             links: OnceLock::new(),
             sessions: std::array::from_fn(|_| Mutex::default()),
             in_flight: AtomicUsize::new(0),
-            is_leaving: AtomicBool::new(false),
+            stop: Stop::new(),
         });
         let handler = {
             let shared = shared.clone();
@@ -133,12 +138,29 @@
 
     /// Closes callers' connections after their next answer from now on.
     pub fn set_leaving(&self, is_leaving: bool) {
-        self.shared.is_leaving.store(is_leaving, Ordering::Release);
+        self.shared.stop.set_leaving(is_leaving);
     }
 
     /// Whether the process is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.shared.is_leaving()
+        self.shared.stop.is_leaving()
+    }
+
+    /// Takes no more connections of callers, and closes those without a
+    /// request, for good.
+    pub fn close_callers(&self) {
+        self.shared.stop.close_callers();
+    }
+
+    /// What is still to be waited for before the process may end.
+    pub fn left(&self) -> Left {
+        self.shared.stop.left(self.in_flight())
+    }
+
+    /// Ends every request that is open with the outcome that is known.
+    pub fn cut(&self) {
+        self.shared.stop.set_cut();
+        self.shared.tell_sessions(|| SessionEvent::Cut);
     }
 
     /// Requests in flight.
@@ -233,10 +255,6 @@
         self.executor.spawn(task).detach();
     }
 
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Acquire)
-    }
-
     /// Whether as many requests as allowed are in flight.
     pub(crate) fn is_full(&self) -> bool {
         let limit = self.settings.max_requests_in_flight;
@@ -322,11 +340,16 @@
 
     fn link_closed(&self, link: &Link, reason: CloseReason) {
         self.side_lost(link, reason);
+        let link_id = link.id();
+        self.tell_sessions(|| SessionEvent::Closed { link_id });
+    }
+
+    /// Sends an event to every open request.
+    fn tell_sessions(&self, event: impl Fn() -> SessionEvent) {
         for shard in &self.sessions {
             let sessions = shard.lock().expect("no holder panics");
             for sender in sessions.values() {
-                let closed = SessionEvent::Closed { link_id: link.id() };
-                let _ = sender.try_send(closed);
+                let _ = sender.try_send(event());
             }
         }
     }
--- a/crates/entry/src/session/events.rs
+++ b/crates/entry/src/session/events.rs
@@ -29,10 +29,38 @@
                     self.phase = Phase::Lost;
                 }
             }
+            // Looked at before anything else that a request does next.
+            Some(SessionEvent::Cut) => {}
             None => self.time_over(),
         }
     }
 
+    /// The entry stops and the bound of its stop has passed. A request with
+    /// a key runs on at its side process, where a repeat finds it.
+    pub(super) fn cut(&mut self) {
+        let detail = "the VM that took the request has stopped";
+        let is_kept = self.keyed.is_some();
+        if !is_kept {
+            self.cancel();
+        }
+        let Some(attempt) = self.attempt.take() else {
+            let reason = NotRunReason::Stopping;
+            self.last_refusal = Some(Ending::not_run(
+                reason,
+                Some(DEFAULT_RETRY_AFTER_MS),
+                detail,
+            ));
+            self.give_up(Cause::Backend, detail);
+            return;
+        };
+        self.note_ended(&attempt, &Ended::Cancelled, None);
+        let outcome = match attempt.is_accepted && !is_kept {
+            true => Outcome::Failed,
+            false => Outcome::Unknown,
+        };
+        self.end(Ending::new(outcome, Cause::Backend, detail));
+    }
+
     /// The next event; none at the deadline.
     async fn next_event(&mut self) -> Option<SessionEvent> {
         let events = &self.events;
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -67,6 +67,8 @@
         /// Its number.
         link_id: u64,
     },
+    /// The entry stops and gives requests no more time.
+    Cut,
 }
 
 /// What a request is, for all its attempts.
@@ -237,6 +239,11 @@
             if let Some(progress) = self.ready.pop_front() {
                 return progress;
             }
+            let is_open = !matches!(self.phase, Phase::Over);
+            if is_open && self.entry.stop.is_cut() {
+                self.cut();
+                continue;
+            }
             match self.phase {
                 Phase::Idle => self.dispatch().await,
                 Phase::Waiting => self.wait().await,
--- a/crates/entry/src/session/recover.rs
+++ b/crates/entry/src/session/recover.rs
@@ -39,6 +39,7 @@
                 Asked::OtherIncarnation => break,
                 Asked::NoAnswer if self.job.is_idempotent => break,
                 Asked::NoAnswer if Instant::now() >= until => break,
+                Asked::NoAnswer if self.entry.stop.is_cut() => return,
                 Asked::NoAnswer => {
                     Timer::after(ASK_AGAIN).await;
                 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -22,6 +22,9 @@
 
 /// Answer to a caller that waits before it sends its body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// How long a new connection may wait for its first request while the
+/// server closes.
+const FIRST_REQUEST: Duration = Duration::from_secs(1);
 /// How long the caller's bytes are read on after the last answer.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -32,6 +35,7 @@
     idle_timeout: Duration,
     read_timeout: Duration,
     error_response: fn(&RequestError) -> Response,
+    closing: Option<async_channel::Receiver<()>>,
 }
 
 impl Default for ServerOptions {
@@ -41,6 +45,7 @@
             idle_timeout: Duration::from_secs(75),
             read_timeout: Duration::from_secs(10),
             error_response: plain_error,
+            closing: None,
         }
     }
 }
@@ -77,6 +82,27 @@
         self.error_response = make;
         self
     }
+
+    /// Closes connections without a request once this channel has closed.
+    /// One that has just been opened is given a moment for its first.
+    pub fn closing(
+        mut self,
+        closing: async_channel::Receiver<()>,
+    ) -> ServerOptions {
+        self.closing = Some(closing);
+        self
+    }
+
+    /// Waits until a connection without a request is to be closed.
+    async fn closed(&self, has_served: bool) -> io::Result<usize> {
+        let Some(closing) = &self.closing else {
+            return std::future::pending().await;
+        };
+        // Nothing is ever sent over it.
+        let _ = closing.recv().await;
+        let wait = if has_served { Duration::ZERO } else { FIRST_REQUEST };
+        after(wait).await
+    }
 }
 
 /// A whole request.
@@ -107,7 +133,7 @@
 {
     let stream = SharedStream::new(socket)?;
     let reader = MessageReader::new(stream.clone());
-    let mut connection = Connection { stream, reader };
+    let mut connection = Connection { stream, reader, has_served: false };
     let outcome = connection.serve(options, handler).await;
     // The handler's tasks may still hold the stream: without this the caller
     // of a broken answer would wait for its end.
@@ -151,6 +177,7 @@
 struct Connection {
     stream: SharedStream,
     reader: MessageReader,
+    has_served: bool,
 }
 
 impl Connection {
@@ -175,6 +202,7 @@
                     return self.linger().await;
                 }
             };
+            self.has_served = true;
             let method = received.request.method();
             let mut response = handler(received).await;
             if is_last {
@@ -196,7 +224,10 @@
         options: &ServerOptions,
     ) -> Result<Option<(Received, bool)>, ReceiveError> {
         if !self.reader.has_unread() {
-            let first = self.reader.fill().or(after(options.idle_timeout));
+            let idle = after(options.idle_timeout);
+            let closed = options.closed(self.has_served);
+            // A request that has come goes before the close.
+            let first = self.reader.fill().or(idle).or(closed);
             match first.await {
                 Ok(0) => return Ok(None),
                 Ok(_) => {}
--- a/crates/side/src/node.rs
+++ b/crates/side/src/node.rs
@@ -17,7 +17,10 @@
 use chestnutreach_node::{Clock, Heard};
 use chestnutreach_protocol::{
     Identity, Link, LinkOptions, Links, RequestId,
-    wire::{self, BackendLoad, RefusalReason, Stage, Status, frame::Body},
+    wire::{
+        self, BackendLoad, FailureReason, RefusalReason, Stage, Status,
+        frame::Body,
+    },
 };
 use chestnutreach_telemetry::{Event, Metrics, emit};
 
@@ -170,6 +173,19 @@
         true
     }
 
+    /// Ends all work that is still held, and tells who asked for it.
+    pub fn cut(&self) {
+        let shared = &self.shared;
+        let detail = "the side process has stopped";
+        let runs: Vec<Arc<Run>> =
+            shared.lock_runs().values().cloned().collect();
+        for run in runs {
+            let backend = run.backend.name.clone();
+            shared.stop(&run, FailureReason::Stopped, &backend, detail);
+        }
+        shared.cut_seats(detail);
+    }
+
     /// Generation in force; 0 for none.
     pub fn generation(&self) -> u64 {
         self.shared.generation.load(Ordering::Acquire)
--- a/crates/side/src/seat.rs
+++ b/crates/side/src/seat.rs
@@ -370,6 +370,16 @@
         self.fail_seat(seat, FailureReason::StageLost, backend, detail);
     }
 
+    /// The process stops and gives no seat more time.
+    pub(crate) fn cut_seats(self: &Arc<Self>, detail: &str) {
+        let seats: Vec<Arc<Seat>> =
+            self.lock_seats().values().cloned().collect();
+        for seat in seats {
+            let backend = &seat.stage.backend;
+            self.fail_seat(&seat, FailureReason::Stopped, backend, detail);
+        }
+    }
+
     /// Tells the first stage that this one cannot go on, and frees the place.
     fn fail_seat(
         self: &Arc<Self>,
