Let the benchmark of decisions reach its bound, and a later stage wait

And the share was taken against the bound of the mix asked, not of the mix answered, so long requests looked like throughput.

An engine now gives its rate with half of its places taken; the share is of the bound of the mix answered. `--later waits` lets a later stage queue a request for up to 500 ms instead of refusing it; stages are then asked in the order of their layers, so that no two requests can wait for each other.

Ruled out: more places in the manifests, which are the operators'.

--- a/crates/decisions/src/bounds.rs
+++ b/crates/decisions/src/bounds.rs
@@ -8,16 +8,20 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    case::{Case, Way},
+    case::{Case, Later, Way},
     deployment::{Deployment, Site},
-    suite::{self, Lengths},
+    suite::{self, Settings},
     work, world,
 };
 
 const COMMITTED: &str = include_str!("../bounds.json");
 /// Short, so that every build can run it.
-const LENGTHS: Lengths =
-    Lengths { seed: 1, warm_up_ms: 10_000, measure_ms: 20_000 };
+const SETTINGS: Settings = Settings {
+    seed: 1,
+    warm_up_ms: 10_000,
+    measure_ms: 20_000,
+    later: Later::Refuses,
+};
 
 /// Least and most of one figure.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
@@ -104,7 +108,7 @@
     figures: &mut BTreeMap<String, f64>,
 ) {
     for load_percent in [50, 100] {
-        let case = LENGTHS.apply(Case::new(Way::Sampled, load_percent));
+        let case = SETTINGS.apply(Case::new(Way::Sampled, load_percent));
         let run = world::run(deployment, &case);
         let values = [
             ("share_of_bound", run.share_of_bound),
@@ -122,10 +126,11 @@
     site: Site,
     figures: &mut BTreeMap<String, f64>,
 ) {
-    for row in suite::effects(deployment, &LENGTHS, &[Way::Sampled]) {
+    for row in suite::effects(deployment, &SETTINGS, &[Way::Sampled]) {
         let values = [
             ("jain_backlogged", row.jain_backlogged),
-            ("harm_percent", row.harm_percent),
+            ("harm_percent_at_half", row.harm_at_half.percent),
+            ("harm_percent_at_most", row.harm_at_most.percent),
             ("useful_at_overload", row.useful_at_overload),
             ("newcomer_times", row.newcomer_times),
         ];
--- a/crates/decisions/src/case.rs
+++ b/crates/decisions/src/case.rs
@@ -70,6 +70,29 @@
     }
 }
 
+/// What a later stage does that has no place free.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Later {
+    /// Refuses; all later stages are asked at the same time.
+    Refuses,
+    /// Lets the request wait for a while; stages are asked in the order of
+    /// their layers.
+    Waits,
+}
+
+impl Later {
+    /// Both.
+    pub const ALL: [Later; 2] = [Later::Refuses, Later::Waits];
+
+    /// Its name in arguments.
+    pub fn name(self) -> &'static str {
+        match self {
+            Later::Refuses => "refuses",
+            Later::Waits => "waits",
+        }
+    }
+}
+
 /// Settings of a run, set by chained methods.
 #[derive(Clone, Debug)]
 pub struct Case {
@@ -86,6 +109,7 @@
     pub(crate) refuses_late: bool,
     pub(crate) comebacks: u32,
     pub(crate) joins: bool,
+    pub(crate) later: Later,
 }
 
 impl Case {
@@ -105,6 +129,7 @@
             refuses_late: true,
             comebacks: 2,
             joins: false,
+            later: Later::Refuses,
         }
     }
 
@@ -150,6 +175,12 @@
         self
     }
 
+    /// What a later stage does that has no place free.
+    pub fn later(mut self, later: Later) -> Case {
+        self.later = later;
+        self
+    }
+
     pub(crate) fn end_ms(&self) -> u64 {
         self.warm_up_ms + self.measure_ms
     }
--- a/crates/decisions/src/engine.rs
+++ b/crates/decisions/src/engine.rs
@@ -10,9 +10,10 @@
 //! ```
 //!
 //! `rate` and `prompt rate` are the manifest's, through the server's own
-//! layers. `B` is the batch of a full server: of `max_running` requests that
-//! hold a place, each has its token here for its share of the layers, so `B`
-//! is `max_running` times the server's layers over all layers. An iteration
+//! layers. `B` is the batch of a server with half of its places taken: of the
+//! requests that hold a place, each has its token here for the server's share
+//! of the layers, so `B` is half of `max_running` times that share. Half,
+//! since operators leave places for requests that read their prompt or wait. An iteration
 //! over an empty batch costs half of a full one (reading the weights), and
 //! past `B` the time grows with the tokens, so `rate` is never passed and
 //! the flow bound is a true bound.
@@ -33,6 +34,8 @@
 /// As the side process's `max-batch` is by default.
 const MAX_BATCH: usize = 32;
 const CHUNK_TOKENS: u32 = 512;
+/// Share of the places that a server has its full batch with.
+const FULL_SHARE: f64 = 0.5;
 /// Time of an iteration with an empty batch, as a share of a full one.
 const EMPTY_SHARE: f64 = 0.5;
 
@@ -100,7 +103,8 @@
         let share = layers / f64::from(layer_count);
         let rate = f64::from(spec.output_tokens_per_s) / share;
         let prompt_rate = f64::from(spec.prompt_tokens_per_s) / share;
-        let full_batch = (f64::from(spec.max_running) * share).max(1.0);
+        let places = f64::from(spec.max_running);
+        let full_batch = (places * share * FULL_SHARE).max(1.0);
         Engine {
             full_batch,
             full_step_us: full_batch / rate * US_PER_S,
--- a/crates/decisions/src/figures.rs
+++ b/crates/decisions/src/figures.rs
@@ -30,7 +30,7 @@
 pub struct Figures {
     /// How requests ended.
     pub outcomes: Outcomes,
-    /// The flow bound for the mix of all accounts.
+    /// The flow bound for the mix of the answers in time.
     pub bound_tokens_per_s: f64,
     /// Tokens of answers in time.
     pub tokens_per_s: f64,
--- a/crates/decisions/src/main.rs
+++ b/crates/decisions/src/main.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `run` | all tables of the deployments |
 //! | `loads` | the table of loads alone |
+//! | `effects` | fairness, harm, overload and a new server alone |
 //! | `time` | time of one decision by the fleet's size |
 //! | `check` | a short suite against the committed bounds |
 
@@ -12,9 +13,9 @@
 use anyhow::{Context, Result};
 use chestnutreach_decisions::{
     bounds,
-    case::Way,
+    case::{Later, Way},
     deployment::{Deployment, Site},
-    suite::{self, Lengths},
+    suite::{self, Settings},
     text, work,
 };
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -26,6 +27,7 @@
     match matches.subcommand() {
         Some(("run", matches)) => run(matches)?,
         Some(("loads", matches)) => loads(matches)?,
+        Some(("effects", matches)) => effects(matches)?,
         Some(("time", matches)) => time(matches)?,
         Some(("check", matches)) => return check(matches),
         _ => unreachable!("clap asks for a known subcommand"),
@@ -36,6 +38,7 @@
 fn command() -> Command {
     let run = Command::new("run").about("Runs every table");
     let loads = Command::new("loads").about("Runs the table of loads");
+    let effects = Command::new("effects").about("Runs the single effects");
     Command::new("chestnutreach-decisions")
         .version(clap::crate_version!())
         .about("Measures routing decisions on a virtual clock")
@@ -44,17 +47,14 @@
         .subcommands([
             with_run_args(run),
             with_run_args(loads).args([
-                Arg::new("way")
-                    .long("way")
-                    .action(ArgAction::Append)
-                    .value_parser(Way::ALL.map(Way::name))
-                    .help("Only this way of choosing"),
+                way_arg(),
                 Arg::new("load-percent")
                     .long("load-percent")
                     .action(ArgAction::Append)
                     .value_parser(value_parser!(u32).range(1..=1_000))
                     .help("Only this load, in percent of the flow bound"),
             ]),
+            with_run_args(effects).arg(way_arg()),
             Command::new("time")
                 .about("Measures the time of one decision, real clock")
                 .arg(json_arg()),
@@ -85,10 +85,23 @@
             .default_value("40")
             .value_parser(value_parser!(u64).range(1..=3_600))
             .help("Length of the measured part, in s"),
+        Arg::new("later")
+            .long("later")
+            .default_value(Later::Refuses.name())
+            .value_parser(Later::ALL.map(Later::name))
+            .help("What a later stage does that has no place free"),
         json_arg(),
     ])
 }
 
+fn way_arg() -> Arg {
+    Arg::new("way")
+        .long("way")
+        .action(ArgAction::Append)
+        .value_parser(Way::ALL.map(Way::name))
+        .help("Only this way of choosing")
+}
+
 fn json_arg() -> Arg {
     Arg::new("json")
         .long("json")
@@ -96,51 +109,72 @@
         .help("Prints JSON")
 }
 
-fn lengths(matches: &ArgMatches) -> Result<Lengths> {
+fn settings(matches: &ArgMatches) -> Result<Settings> {
     let number = |name: &str| {
         matches.get_one::<u64>(name).copied().context("it has a default")
     };
-    Ok(Lengths {
+    Ok(Settings {
         seed: number("seed")?,
         warm_up_ms: number("warm-up-s")? * MS_PER_S,
         measure_ms: number("measure-s")? * MS_PER_S,
+        later: later(matches),
     })
 }
 
+fn later(matches: &ArgMatches) -> Later {
+    let named = matches.get_one::<String>("later");
+    let is_named = |later: &Later| named.is_some_and(|n| n == later.name());
+    Later::ALL.into_iter().find(is_named).unwrap_or(Later::Refuses)
+}
+
 fn sites(matches: &ArgMatches) -> Vec<Site> {
     let wanted = matches.get_one::<String>("deployment");
     let is_wanted = |site: &Site| wanted.is_none_or(|w| w == site.name());
     Site::ALL.into_iter().filter(is_wanted).collect()
 }
 
+fn ways(matches: &ArgMatches) -> Vec<Way> {
+    let named: Vec<&String> =
+        matches.get_many("way").unwrap_or_default().collect();
+    let is_wanted =
+        |way: &Way| named.is_empty() || named.iter().any(|n| *n == way.name());
+    Way::ALL.into_iter().filter(is_wanted).collect()
+}
+
 fn run(matches: &ArgMatches) -> Result<()> {
-    let lengths = lengths(matches)?;
+    let settings = settings(matches)?;
     for site in sites(matches) {
-        let tables = suite::all(site, &lengths)?;
+        let tables = suite::all(site, &settings)?;
         print(matches, &tables, text::tables)?;
     }
     Ok(())
 }
 
 fn loads(matches: &ArgMatches) -> Result<()> {
-    let lengths = lengths(matches)?;
-    let named: Vec<&String> =
-        matches.get_many("way").unwrap_or_default().collect();
-    let is_wanted =
-        |way: &Way| named.is_empty() || named.iter().any(|n| *n == way.name());
-    let ways: Vec<Way> = Way::ALL.into_iter().filter(is_wanted).collect();
+    let settings = settings(matches)?;
+    let ways = ways(matches);
     let loads: Vec<u32> = match matches.get_many("load-percent") {
         Some(loads) => loads.copied().collect(),
         None => suite::LOADS_PERCENT.to_vec(),
     };
     for site in sites(matches) {
         let deployment = Deployment::try_new(site)?;
-        let rows = suite::loads(&deployment, &lengths, &ways, &loads);
+        let rows = suite::loads(&deployment, &settings, &ways, &loads);
         print(matches, &rows, |rows| text::loads(site.name(), rows))?;
     }
     Ok(())
 }
 
+fn effects(matches: &ArgMatches) -> Result<()> {
+    let settings = settings(matches)?;
+    for site in sites(matches) {
+        let deployment = Deployment::try_new(site)?;
+        let rows = suite::effects(&deployment, &settings, &ways(matches));
+        print(matches, &rows, |rows| text::effects(site.name(), rows))?;
+    }
+    Ok(())
+}
+
 fn time(matches: &ArgMatches) -> Result<()> {
     print(matches, &work::times(), |rows| work::table(rows))
 }
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -14,6 +14,8 @@
     /// Holds the first stage and asks for the others, or was refused: its
     /// entry hears of it soon.
     Reserving,
+    /// Holds its first stages and waits for a place at the next.
+    Waiting,
     /// Holds all stages.
     Running,
     /// All tokens are there; the last is on its way to the entry.
@@ -33,6 +35,8 @@
     /// Attempts since the caller asked last.
     pub(crate) attempts: u32,
     pub(crate) comebacks: u32,
+    /// How many stages it holds, from the first.
+    pub(crate) held: usize,
     /// Place in the chain of the step that is under way.
     pub(crate) at_stage: usize,
     pub(crate) produced: u32,
@@ -51,6 +55,7 @@
             avoid: Vec::new(),
             attempts: 0,
             comebacks: 0,
+            held: 0,
             at_stage: 0,
             produced: 0,
             sent_us: 0,
--- a/crates/decisions/src/server.rs
+++ b/crates/decisions/src/server.rs
@@ -17,10 +17,17 @@
 const QUEUE_LIMIT_TOKENS: u64 = 200_000;
 const US_PER_MS: f64 = 1_000.0;
 
+/// A request in the queue of a server that is this stage of its chain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Waiter {
+    pub(crate) request: RequestIndex,
+    pub(crate) stage: usize,
+}
+
 /// One backend server with its side process.
 #[derive(Debug)]
 pub(crate) struct Server {
-    pub(crate) gate: Gate<RequestIndex>,
+    pub(crate) gate: Gate<Waiter>,
     pub(crate) engine: Engine,
     pub(crate) rng: fastrand::Rng,
 }
--- a/crates/decisions/src/suite.rs
+++ b/crates/decisions/src/suite.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use crate::{
-    case::{Case, Demand, Way},
+    case::{Case, Demand, Later, Way},
     deployment::{Deployment, Site},
     figures::Figures,
     world,
@@ -13,32 +13,41 @@
 pub const LOADS_PERCENT: [u32; 5] = [50, 80, 100, 150, 200];
 /// Settings of the operators' weight in the sweep.
 pub const WEIGHTS_PERCENT: [u32; 5] = [0, 20, 50, 80, 100];
-/// Load of the sweep and of the single effects, in percent of the bound.
+/// Loads of the sweep and of the single effects, in percent of the bound.
+const HALF_PERCENT: u32 = 50;
 const MODERATE_PERCENT: u32 = 80;
 const OVERLOAD_PERCENT: u32 = 200;
 
-/// Length and seed of every run of a table.
+/// What all runs of a table have in common.
 #[derive(Clone, Copy, Debug)]
-pub struct Lengths {
+pub struct Settings {
     /// Seed of everything random.
     pub seed: u64,
     /// Time before the measured part.
     pub warm_up_ms: u64,
     /// Length of the measured part.
     pub measure_ms: u64,
+    /// What a later stage does that has no place free.
+    pub later: Later,
 }
 
-impl Default for Lengths {
-    fn default() -> Lengths {
-        Lengths { seed: 1, warm_up_ms: 20_000, measure_ms: 40_000 }
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            seed: 1,
+            warm_up_ms: 20_000,
+            measure_ms: 40_000,
+            later: Later::Refuses,
+        }
     }
 }
 
-impl Lengths {
+impl Settings {
     pub(crate) fn apply(&self, case: Case) -> Case {
         case.seed(self.seed)
             .warm_up_ms(self.warm_up_ms)
             .measure_ms(self.measure_ms)
+            .later(self.later)
     }
 }
 
@@ -56,14 +65,14 @@
 /// Every way at every load.
 pub fn loads(
     deployment: &Deployment,
-    lengths: &Lengths,
+    settings: &Settings,
     ways: &[Way],
     loads_percent: &[u32],
 ) -> Vec<LoadRow> {
     let mut rows = Vec::new();
     for &load_percent in loads_percent {
         for &way in ways {
-            let case = lengths.apply(Case::new(way, load_percent));
+            let case = settings.apply(Case::new(way, load_percent));
             let figures = world::run(deployment, &case);
             rows.push(LoadRow { way: way.name(), load_percent, figures });
         }
@@ -83,13 +92,16 @@
 }
 
 /// The router's own choice at every setting of the operators' weight.
-pub fn weights(deployment: &Deployment, lengths: &Lengths) -> Vec<WeightRow> {
+pub fn weights(
+    deployment: &Deployment,
+    settings: &Settings,
+) -> Vec<WeightRow> {
     let mut rows = Vec::new();
-    for load_percent in [50, MODERATE_PERCENT] {
+    for load_percent in [HALF_PERCENT, MODERATE_PERCENT] {
         for percent in WEIGHTS_PERCENT {
             let case = Case::new(Way::Sampled, load_percent)
                 .recovery_weight_percent(percent);
-            let figures = world::run(deployment, &lengths.apply(case));
+            let figures = world::run(deployment, &settings.apply(case));
             rows.push(WeightRow {
                 recovery_weight_percent: percent,
                 load_percent,
@@ -108,13 +120,11 @@
     /// Jain's index where every account is backlogged, each by another
     /// factor.
     pub jain_backlogged: f64,
-    /// 95th percentile of the others, in ms, beside a quiet account.
-    pub others_p95_ms: u64,
-    /// The same beside that account at ten times its share.
-    pub others_p95_ms_beside_greedy: u64,
-    /// How much larger the second is, in percent.
-    pub harm_percent: f64,
-    /// Useful tokens a second at twice the bound over those at the bound.
+    /// One account at ten times its share, at half of the bound.
+    pub harm_at_half: Harm,
+    /// The same at a load that alone takes nearly all the fleet gives.
+    pub harm_at_most: Harm,
+    /// Share of the bound at a load of twice the bound over that at once.
     pub useful_at_overload: f64,
     /// The same where nothing is refused for lack of time.
     pub useful_at_overload_unrefused: f64,
@@ -124,46 +134,65 @@
     pub newcomer_peak: u32,
 }
 
+/// What one account at ten times its share does to the others.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Harm {
+    /// 95th percentile of the others while it asks for its share.
+    pub before_ms: u64,
+    /// 95th percentile of the others beside its flood.
+    pub beside_ms: u64,
+    /// How much larger the second is, in percent.
+    pub percent: f64,
+}
+
 /// Fairness, harm, overload and a new server, for each way.
 pub fn effects(
     deployment: &Deployment,
-    lengths: &Lengths,
+    settings: &Settings,
     ways: &[Way],
 ) -> Vec<EffectsRow> {
-    ways.iter().map(|way| effects_of(deployment, lengths, *way)).collect()
+    ways.iter().map(|way| effects_of(deployment, settings, *way)).collect()
 }
 
 fn effects_of(
     deployment: &Deployment,
-    lengths: &Lengths,
+    settings: &Settings,
     way: Way,
 ) -> EffectsRow {
-    let run = |case: Case| world::run(deployment, &lengths.apply(case));
+    let run = |case: Case| world::run(deployment, &settings.apply(case));
     let case = |load_percent| Case::new(way, load_percent);
-    let greedy = greedy(deployment);
     let skewed = run(case(OVERLOAD_PERCENT).demand(Demand::Skewed));
-    let quiet = run(case(MODERATE_PERCENT));
-    let flood = run(case(MODERATE_PERCENT).demand(Demand::Greedy(greedy)));
     let full = run(case(100));
     let over = run(case(OVERLOAD_PERCENT));
     let unrefused = run(case(OVERLOAD_PERCENT).refuses_late(false));
     let joined = run(case(MODERATE_PERCENT).joins(true));
-    let before_ms = quiet.p95_ms_without(greedy);
-    let beside_ms = flood.p95_ms_without(greedy);
     EffectsRow {
         way: way.name(),
         jain_backlogged: skewed.jain,
-        others_p95_ms: before_ms,
-        others_p95_ms_beside_greedy: beside_ms,
-        harm_percent: (beside_ms as f64 / before_ms as f64 - 1.0) * 100.0,
-        useful_at_overload: over.tokens_per_s / full.tokens_per_s,
-        useful_at_overload_unrefused: unrefused.tokens_per_s
-            / full.tokens_per_s,
+        harm_at_half: harm(deployment, &run, case(HALF_PERCENT)),
+        harm_at_most: harm(deployment, &run, case(MODERATE_PERCENT)),
+        useful_at_overload: over.share_of_bound / full.share_of_bound,
+        useful_at_overload_unrefused: unrefused.share_of_bound
+            / full.share_of_bound,
         newcomer_times: joined.newcomer_times,
         newcomer_peak: joined.newcomer_peak,
     }
 }
 
+fn harm(
+    deployment: &Deployment,
+    run: &dyn Fn(Case) -> Figures,
+    case: Case,
+) -> Harm {
+    let greedy = greedy(deployment);
+    let quiet = run(case.clone());
+    let flood = run(case.demand(Demand::Greedy(greedy)));
+    let before_ms = quiet.p95_ms_without(greedy);
+    let beside_ms = flood.p95_ms_without(greedy);
+    let percent = (beside_ms as f64 / before_ms as f64 - 1.0) * 100.0;
+    Harm { before_ms, beside_ms, percent }
+}
+
 /// The first of the accounts of the least weight.
 fn greedy(deployment: &Deployment) -> usize {
     let accounts = deployment.accounts.iter().enumerate();
@@ -184,12 +213,12 @@
 }
 
 /// All tables of a deployment.
-pub fn all(site: Site, lengths: &Lengths) -> anyhow::Result<Tables> {
+pub fn all(site: Site, settings: &Settings) -> anyhow::Result<Tables> {
     let deployment = Deployment::try_new(site)?;
     Ok(Tables {
         deployment: site.name(),
-        loads: loads(&deployment, lengths, &Way::ALL, &LOADS_PERCENT),
-        effects: effects(&deployment, lengths, &Way::ALL),
-        weights: weights(&deployment, lengths),
+        loads: loads(&deployment, settings, &Way::ALL, &LOADS_PERCENT),
+        effects: effects(&deployment, settings, &Way::ALL),
+        weights: weights(&deployment, settings),
     })
 }
--- a/crates/decisions/src/text.rs
+++ b/crates/decisions/src/text.rs
@@ -9,8 +9,7 @@
     let mut text = String::new();
     let name = tables.deployment;
     text.push_str(&loads(name, &tables.loads));
-    let effects = effects(&tables.effects);
-    let _ = writeln!(text, "## {name}: single effects\n\n{effects}");
+    text.push_str(&effects(name, &tables.effects));
     let weights = weights(&tables.weights);
     let _ = writeln!(text, "## {name}: recovery-weight-percent\n\n{weights}");
     text
@@ -26,6 +25,7 @@
         "in time",
         "busy micros/request",
         "micros/1000 tokens",
+        "mean use",
         "p50 ms",
         "p95 ms",
         "late",
@@ -39,14 +39,15 @@
         let o = &f.outcomes;
         let _ = writeln!(
             text,
-            "| {} | {} | {:.3} | {:.3} | {:.0} | {:.1} | {} | {} | {} | {} \
-             | {} | {} | {:.1} |",
+            "| {} | {} | {:.3} | {:.3} | {:.0} | {:.1} | {:.3} | {} | {} \
+             | {} | {} | {} | {} | {:.1} |",
             row.load_percent,
             row.way,
             f.share_of_bound,
             f.in_time_share,
             f.busy_micros_per_request,
             f.busy_micros_per_1000_tokens,
+            f.mean_use,
             f.p50_ms,
             f.p95_ms,
             o.late,
@@ -60,12 +61,15 @@
     text
 }
 
-fn effects(rows: &[EffectsRow]) -> String {
-    let mut text = head(&[
+/// Single effects of each way.
+pub fn effects(deployment: &str, rows: &[EffectsRow]) -> String {
+    let mut text = format!("## {deployment}: single effects\n\n");
+    text += &head(&[
         "way",
         "Jain",
-        "others p95 ms",
-        "beside greedy",
+        "others p95 ms at 50 %",
+        "harm %",
+        "others p95 ms at 80 %",
         "harm %",
         "useful 2x / 1x",
         "without refusal",
@@ -75,18 +79,21 @@
     for row in rows {
         let _ = writeln!(
             text,
-            "| {} | {:.4} | {} | {} | {:.1} | {:.3} | {:.3} | {:.2} | {} |",
+            "| {} | {:.4} | {} | {:.1} | {} | {:.1} | {:.3} | {:.3} | {:.2} | {} \
+             |",
             row.way,
             row.jain_backlogged,
-            row.others_p95_ms,
-            row.others_p95_ms_beside_greedy,
-            row.harm_percent,
+            row.harm_at_half.before_ms,
+            row.harm_at_half.percent,
+            row.harm_at_most.before_ms,
+            row.harm_at_most.percent,
             row.useful_at_overload,
             row.useful_at_overload_unrefused,
             row.newcomer_times,
             row.newcomer_peak,
         );
     }
+    text.push('\n');
     text
 }
 
--- a/crates/decisions/src/workload.rs
+++ b/crates/decisions/src/workload.rs
@@ -14,6 +14,8 @@
 };
 
 const US_PER_S: f64 = 1e6;
+/// Tokens of a mix: large figures keep its ratio exact.
+const MIX_SCALE: f64 = 1e6;
 const CYCLE_US: u64 = 10_000_000;
 const BURST_US: u64 = 2_000_000;
 const BURST: f64 = 1.6;
@@ -68,10 +70,19 @@
         prompt += requests * mean.prompt;
         output += requests * mean.output;
     }
-    // Only the ratio counts; large figures keep it exact.
+    bound_of_mix(deployment, prompt, output)
+}
+
+/// Most tokens a second for a mix; only the ratio of the two counts.
+pub(crate) fn bound_of_mix(
+    deployment: &Deployment,
+    prompt: f64,
+    output: f64,
+) -> f64 {
+    let scale = MIX_SCALE / (prompt + output).max(1.0);
     let mix = Mix {
-        prompt_tokens: (prompt * 1e3) as u32,
-        output_tokens: (output * 1e3) as u32,
+        prompt_tokens: (prompt * scale) as u32,
+        output_tokens: (output * scale) as u32,
     };
     throughput_bound(&deployment.fleet, None, &mix)
 }
--- a/crates/decisions/src/world.rs
+++ b/crates/decisions/src/world.rs
@@ -132,6 +132,7 @@
     }
 
     fn report(&mut self, index: BackendIndex) {
+        self.expire(index);
         let report = self.servers[index.0 as usize].report();
         let lag_us = self.case.report_lag_ms * 1_000;
         let arrives = Event::ReportArrives(index, report);
--- a/crates/decisions/src/world/ask.rs
+++ b/crates/decisions/src/world/ask.rs
@@ -58,6 +58,7 @@
             }
         }
         request.phase = Phase::Offered;
+        request.held = 0;
         request.attempts += 1;
         request.sent_us = now_us;
         entry.sent(&request.stages, request.cost_tokens(), now_ms);
@@ -118,9 +119,12 @@
         match phase {
             Phase::Idle | Phase::Over => {}
             Phase::Offered => {
-                let first = self.requests[at as usize].stages[0];
-                let gate = &mut self.servers[first.0 as usize].gate;
-                gate.remove(|queued| *queued == at);
+                self.leave_queue(at);
+                self.end_attempt(at, &Ended::Cancelled, None);
+            }
+            Phase::Waiting => {
+                self.leave_queue(at);
+                self.release_held(at);
                 self.end_attempt(at, &Ended::Cancelled, None);
             }
             // What is held is freed when the answers come.
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -1,10 +1,15 @@
 //! Who may run on one backend server now, and who waits.
 //!
 //! The places of a backend server, the fair queue before them and the learned
-//! speed, in one. Requests wait only at the first stage of their chain. A
-//! later stage takes a request at once or refuses it: a request that waited
-//! for one stage while it held another could wait for a request that does
-//! the reverse.
+//! speed, in one. A request waits at the first stage of its chain. What a
+//! later stage does that has no place free is its side process's choice:
+//!
+//! * [`Gate::try_take`] takes or refuses, so that all later stages can be
+//!   asked at the same time.
+//! * [`Gate::offer_later`] lets the request wait for a while. A request that
+//!   waits holds its earlier stages, so a chain has to ask its stages in the
+//!   order of their layers: then whoever waits holds only servers with lower
+//!   first layers, and no two requests can wait for each other.
 
 use crate::{
     admission::{self, Speed},
@@ -12,6 +17,9 @@
     fair::FairQueue,
 };
 
+/// Longest wait for a later stage: the earlier ones stand idle meanwhile.
+pub const LATER_WAIT_LIMIT_MS: u64 = 500;
+
 /// What the manifest says of a backend server's size.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Places {
@@ -163,6 +171,21 @@
         Ok(())
     }
 
+    /// Gives a request that holds its earlier stages a place, lets it wait
+    /// for up to [`LATER_WAIT_LIMIT_MS`] or refuses it.
+    pub fn offer_later(
+        &mut self,
+        asked: &Asked<'_>,
+        item: T,
+        now_ms: u64,
+        rng: &mut fastrand::Rng,
+    ) -> Offer {
+        if self.wait_ms() > LATER_WAIT_LIMIT_MS {
+            return Offer::Full { retry_after_ms: self.retry_after_ms(rng) };
+        }
+        self.offer(asked, item, now_ms, rng)
+    }
+
     /// Gives a place back; what waited and may run now, if any.
     pub fn give_back(&mut self, cost_tokens: u64, now_ms: u64) -> Option<T> {
         self.running = self.running.saturating_sub(1);
@@ -225,7 +248,8 @@
         admission::expected_wait_ms(pending_tokens, &self.speed)
     }
 
-    fn retry_after_ms(&self, rng: &mut fastrand::Rng) -> u64 {
+    /// When a refused caller should come back.
+    pub fn retry_after_ms(&self, rng: &mut fastrand::Rng) -> u64 {
         let pending_tokens = self.queue.pending_tokens() + self.running_tokens;
         admission::retry_after_ms(pending_tokens, &self.speed, rng)
     }
