Learn a stage's speed from the requests that hold it

Cause: a step counted as a part of a full batch by its tokens over all places. In a chain of S stages only about one in S of the requests that hold a place has its token here, so a full server looked as if it were nearly empty and fast: by 1.5 times in a chain of two, 2.5 in a chain of four. Long chains of small servers drew what they had no places for.

A step is now scaled by the requests that hold a place while it runs.

--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -71,27 +71,32 @@
         busy_ms: f64,
     ) {
         if tokens >= MIN_PROMPT_TOKENS {
-            learn(&mut self.prompt[class(prompt_tokens)], tokens, busy_ms);
+            let slot = &mut self.prompt[class(prompt_tokens)];
+            learn(slot, tokens as f64, busy_ms);
         }
         self.seen.prompt += tokens as f64;
         self.forget();
     }
 
     /// Learns from a step that gave each of `batch` requests, with prompts of
-    /// about `prompt_tokens` length, one token. A small batch takes nearly as
-    /// long as a full one, so the step counts for the tokens that a full one
-    /// would have given.
+    /// about `prompt_tokens` length, one token while `held` requests held a
+    /// place. The others have their token at another stage of their chain or
+    /// read their prompt, and would if every place were taken too: so a full
+    /// step has as many more tokens as there are places for each one held.
+    /// It takes hardly longer than a small one, see [`step_share`].
     pub fn learn_step(
         &mut self,
         prompt_tokens: u32,
         batch: u32,
+        held: u32,
         step_ms: f64,
     ) {
         let places = f64::from(self.places);
-        let in_use = (f64::from(batch) / places).min(1.0);
+        let held = f64::from(held.max(batch).max(1));
+        let in_use = (held / places).min(1.0);
         let full_ms = step_ms / step_share(places, in_use);
-        let tokens = self.places.max(batch);
-        learn(&mut self.output[class(prompt_tokens)], tokens.into(), full_ms);
+        let tokens = f64::from(batch) / in_use;
+        learn(&mut self.output[class(prompt_tokens)], tokens, full_ms);
         self.seen.output += f64::from(batch);
         self.forget();
     }
@@ -208,11 +213,11 @@
         .unwrap_or(PROMPT_CLASSES_TOKENS.len())
 }
 
-fn learn(slot: &mut Option<f64>, tokens: u64, busy_ms: f64) {
-    if tokens == 0 || busy_ms.is_nan() || busy_ms <= 0.0 {
+fn learn(slot: &mut Option<f64>, tokens: f64, busy_ms: f64) {
+    if tokens == 0.0 || busy_ms.is_nan() || busy_ms <= 0.0 {
         return;
     }
-    let seen = tokens as f64 * MS_PER_S / busy_ms;
+    let seen = tokens * MS_PER_S / busy_ms;
     *slot = Some(match *slot {
         Some(old) => old + SMOOTHING * (seen - old),
         None => seen,
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -215,7 +215,7 @@
 
     /// Learns from a call that ran one token of each of `batch` requests.
     pub fn learn_step(&mut self, batch: u32, ms: f64) {
-        self.speed.learn_step(0, batch, ms);
+        self.speed.learn_step(0, batch, self.running, ms);
     }
 
     /// Charges an account for tokens that the estimate missed.
--- a/crates/routing/tests/guards.rs
+++ b/crates/routing/tests/guards.rs
@@ -97,7 +97,7 @@
         speed.learn_prompt(1_000, 2_000, 1_000.0);
         // 400 tokens in a second: 100 steps of a full batch.
         for _ in 0..100 {
-            speed.learn_step(1_000, 4, 10.0);
+            speed.learn_step(1_000, 4, 4, 10.0);
         }
     }
     assert!((speed.prompt_tokens_per_s(1_000) - 2_000.0).abs() < 1.0);
@@ -110,6 +110,7 @@
 /// What a server is given to run, and what it must look like afterwards.
 struct LearnedCase {
     batch: u32,
+    held: u32,
     step_ms: f64,
     prompt_tokens: u32,
     prompt_ms: f64,
@@ -124,6 +125,7 @@
 #[rstest]
 #[case::lone_steps(LearnedCase {
     batch: 1,
+    held: 1,
     step_ms: 3.0,
     prompt_tokens: 4,
     prompt_ms: 3.0,
@@ -132,6 +134,7 @@
 })]
 #[case::full_steps(LearnedCase {
     batch: 32,
+    held: 32,
     step_ms: 16.0,
     prompt_tokens: 200,
     prompt_ms: 10.0,
@@ -141,7 +144,7 @@
 fn few_requests_do_not_make_a_server_look_slow(#[case] case: LearnedCase) {
     let mut speed = Speed::new(100_000.0, 2_000.0).places(32);
     for _ in 0..200 {
-        speed.learn_step(0, case.batch, case.step_ms);
+        speed.learn_step(0, case.batch, case.held, case.step_ms);
         let tokens = case.prompt_tokens;
         speed.learn_prompt(tokens, tokens.into(), case.prompt_ms);
     }
@@ -151,6 +154,17 @@
     assert!(long_per_s >= case.least_long_prompt_per_s, "{long_per_s}");
 }
 
+/// A full stage of a chain of two has half of its tokens elsewhere.
+#[test]
+fn a_stage_of_a_chain_does_not_look_faster_than_it_is() {
+    let mut speed = Speed::new(100_000.0, 2_000.0).places(32);
+    for _ in 0..200 {
+        speed.learn_step(0, 16, 32, 8.0);
+    }
+    let output_per_s = speed.output_tokens_per_s(0);
+    assert!((output_per_s - 2_000.0).abs() < 1.0, "{output_per_s}");
+}
+
 #[test]
 fn refused_callers_come_back_apart() {
     let speed = Speed::new(1_000.0, 100.0);
