--- a/crates/daemon/tests/matrix/driver.rs
+++ b/crates/daemon/tests/matrix/driver.rs
@@ -18,7 +18,10 @@
     programs::Permit,
 };
 
-/// Longest wait for a step to be reached, or for the fleet to be at rest.
+/// Longest time until nothing is held for a request that is over: less than
+/// what is left to its deadline, when all would be given up anyway.
+const REST_LIMIT: Duration = Duration::from_secs(8);
+/// Longest wait for a step to be reached.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(5);
@@ -166,11 +169,20 @@
     pub fn wait_until(
         &mut self,
         what: &str,
+        is_true: impl FnMut(&mut Driver) -> bool,
+    ) {
+        self.wait_within(WAIT_LIMIT, what, is_true);
+    }
+
+    fn wait_within(
+        &mut self,
+        limit: Duration,
+        what: &str,
         mut is_true: impl FnMut(&mut Driver) -> bool,
     ) {
         let started = Instant::now();
         while !is_true(self) {
-            if started.elapsed() > WAIT_LIMIT {
+            if started.elapsed() > limit {
                 let states = self.fleet.states();
                 panic!("waited in vain for {what}; {states}");
             }
@@ -248,7 +260,7 @@
     pub fn rest(&mut self) {
         let plan = plan(&self.cell);
         let names = [plan.engine_names(), plan.plain_names()].concat();
-        self.wait_until("the fleet to be at rest", |driver| {
+        self.wait_within(REST_LIMIT, "the fleet to be at rest", |driver| {
             names.iter().all(|name| {
                 if !driver.is_up(&side_name(name)) {
                     return true;
--- a/crates/daemon/tests/matrix/strike.rs
+++ b/crates/daemon/tests/matrix/strike.rs
@@ -1,6 +1,9 @@
 //! Striking with a fault.
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use chestnutreach_fleet::fleet::{entry_name, side_name};
 use serde_json::json;
@@ -20,6 +23,9 @@
 /// Longer than [`ORPHAN_LIMIT_MS`](crate::driver::ORPHAN_LIMIT_MS), after which only a request with a key
 /// runs on and has its answer kept.
 const ORPHAN_PAUSE: Duration = Duration::from_millis(400);
+/// Longest time until a request without a key is given up; the shipped limit
+/// is 3 s.
+const ORPHANED: Duration = Duration::from_secs(6);
 /// Delay of a slow connection, each way.
 const SLOW: Duration = Duration::from_millis(50);
 /// Pause of a slow table before each call.
@@ -56,9 +62,7 @@
             }
             Fault::EntryKilled => {
                 self.fleet.process(&entry_name(0)).kill();
-                if self.cell.kind.is_keyed() {
-                    thread::sleep(ORPHAN_PAUSE);
-                }
+                self.wait_for_orphan();
             }
             Fault::EntryFrozen(thaw) => self.freeze(&entry_name(0), thaw),
             Fault::Reset(at) => {
@@ -116,6 +120,19 @@
         }
     }
 
+    /// Waits until a request without a key has been given up, while it is
+    /// still held, or long enough for one with a key to have been.
+    fn wait_for_orphan(&mut self) {
+        if self.cell.kind.is_keyed() {
+            thread::sleep(ORPHAN_PAUSE);
+            return;
+        }
+        let started = Instant::now();
+        self.rest();
+        let waited = started.elapsed();
+        assert!(waited < ORPHANED, "given up only after {waited:?}");
+    }
+
     fn freeze(&mut self, name: &str, thaw: Thaw) {
         self.fleet.process(name).freeze();
         match thaw {
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -14,8 +14,8 @@
 };
 
 /// Ports used: below those that the system hands out for connections.
-const FIRST_PORT: u32 = 12_000;
-const BLOCK_PORTS: u32 = 1_250;
+const FIRST_PORT: u32 = 2_000;
+const BLOCK_PORTS: u32 = 625;
 const BLOCK_COUNT: u32 = 16;
 
 /// The ports of this process.
