Let a request wait at a later stage, asked in the order of layers

Cause: a full later stage refused whoever came, so its fair queue was never used and shares between accounts were decided by who asked at the right moment.

Ruled out: letting stages queue while all are asked at once. A request that holds stage 3 and waits for 2 and one that does the reverse would wait for each other; in the order of layers whoever waits holds only earlier ones.

Cost: one crossing more before the first token for each stage past the second; a chain of two stages sends as many messages one after another as before. Not measured end to end.

--- a/crates/side/src/gate.rs
+++ b/crates/side/src/gate.rs
@@ -7,11 +7,20 @@
 use chestnutreach_routing::gate::{self, Asked, GateLoad};
 pub(crate) use chestnutreach_routing::gate::{Offer, Places};
 
-use crate::run::Run;
+use crate::{run::Run, seat::Seat};
+
+/// A request that waits for a place, or may have one now.
+#[derive(Clone)]
+pub(crate) enum Waiting {
+    /// Its first stage is here.
+    Run(Arc<Run>),
+    /// A later stage is here.
+    Seat(Arc<Seat>),
+}
 
 /// Places and queue of one backend server.
 pub(crate) struct Gate {
-    inner: Mutex<gate::Gate<Arc<Run>>>,
+    inner: Mutex<gate::Gate<Waiting>>,
 }
 
 impl Gate {
@@ -39,13 +48,26 @@
             deadline_at_ms: run.deadline_at_ms,
         };
         let mut rng = fastrand::Rng::new();
-        self.lock().offer(&asked, run.clone(), now_ms, &mut rng)
+        let item = Waiting::Run(run.clone());
+        self.lock().offer(&asked, item, now_ms, &mut rng)
+    }
+
+    /// Likewise for a later stage, unless the wait would be long.
+    pub(crate) fn offer_later(&self, seat: &Arc<Seat>, now_ms: u64) -> Offer {
+        let asked = Asked {
+            account: &seat.account,
+            shape: &seat.shape,
+            cost_tokens: seat.cost_tokens,
+            deadline_at_ms: seat.deadline_at_ms,
+        };
+        let mut rng = fastrand::Rng::new();
+        let item = Waiting::Seat(seat.clone());
+        self.lock().offer_later(&asked, item, now_ms, &mut rng)
     }
 
-    /// Takes a place for a later stage; the time until one is expected if
-    /// there is none.
-    pub(crate) fn try_take(&self, cost_tokens: u64) -> Result<(), u64> {
-        self.lock().try_take(cost_tokens, &mut fastrand::Rng::new())
+    /// When a refused caller should come back.
+    pub(crate) fn retry_after_ms(&self) -> u64 {
+        self.lock().retry_after_ms(&mut fastrand::Rng::new())
     }
 
     /// Gives a place back; what waited and may run now, if any.
@@ -53,17 +75,26 @@
         &self,
         cost_tokens: u64,
         now_ms: u64,
-    ) -> Option<Arc<Run>> {
+    ) -> Option<Waiting> {
         self.lock().give_back(cost_tokens, now_ms)
     }
 
     /// Takes a request out of the queue.
-    pub(crate) fn remove(&self, run: &Run) {
-        self.lock().remove(|queued| std::ptr::eq(&**queued, run));
+    pub(crate) fn remove_run(&self, run: &Run) {
+        self.lock().remove(|queued| {
+            matches!(queued, Waiting::Run(r) if std::ptr::eq(&**r, run))
+        });
+    }
+
+    /// Takes a later stage's request out of the queue.
+    pub(crate) fn remove_seat(&self, seat: &Seat) {
+        self.lock().remove(|queued| {
+            matches!(queued, Waiting::Seat(s) if std::ptr::eq(&**s, seat))
+        });
     }
 
     /// Takes out the requests whose deadline has passed.
-    pub(crate) fn expire(&self, now_ms: u64) -> Vec<Arc<Run>> {
+    pub(crate) fn expire(&self, now_ms: u64) -> Vec<Waiting> {
         self.lock().expire(now_ms)
     }
 
@@ -87,7 +118,7 @@
         self.lock().load()
     }
 
-    fn lock(&self) -> MutexGuard<'_, gate::Gate<Arc<Run>>> {
+    fn lock(&self) -> MutexGuard<'_, gate::Gate<Waiting>> {
         self.inner.lock().expect("no holder panics")
     }
 }
--- a/crates/side/src/node.rs
+++ b/crates/side/src/node.rs
@@ -24,7 +24,9 @@
 };
 use chestnutreach_telemetry::{Event, Metrics, emit};
 
-use crate::{backend::Backend, ended::EndedRuns, run::Run, seat::Seat};
+use crate::{
+    backend::Backend, ended::EndedRuns, gate::Waiting, run::Run, seat::Seat,
+};
 
 /// The role `side` of a process; clones are handles to the same one.
 #[derive(Clone)]
@@ -375,6 +377,20 @@
         Ok(dialled)
     }
 
+    /// Gives a place back and lets what waited for it go on.
+    pub(crate) fn free_place(
+        self: &Arc<Self>,
+        backend: &Backend,
+        cost_tokens: u64,
+    ) {
+        let now_ms = self.clock.now_ms();
+        match backend.gate.give_back(cost_tokens, now_ms) {
+            Some(Waiting::Run(run)) => self.reserve(&run),
+            Some(Waiting::Seat(seat)) => self.seat_placed(&seat),
+            None => {}
+        }
+    }
+
     /// Tells every peer the state of this process.
     pub(crate) fn send_status(&self) {
         self.links().broadcast(&self.status());
--- a/crates/side/src/run/admit.rs
+++ b/crates/side/src/run/admit.rs
@@ -84,7 +84,7 @@
             entry: Some((entry.clone(), entry.busy())),
             orphan_until_ms: None,
             stages: Vec::new(),
-            missing: (1..m.chain.len() as u32).collect(),
+            reserved: 0,
             first_span: None,
             prompt_tokens: 0,
             cached_tokens: 0,
@@ -175,12 +175,12 @@
             return;
         }
         match self.existing_links(&run.chain[1..]) {
-            Some(links) => self.send_reserves(run, &links),
+            Some(links) => self.begin_reserving(run, &links),
             None => {
                 let (side, run) = (self.clone(), run.clone());
                 self.spawn(async move {
                     match side.dial_links(&run.chain[1..]).await {
-                        Ok(links) => side.send_reserves(&run, &links),
+                        Ok(links) => side.begin_reserving(&run, &links),
                         Err(backend) => {
                             let reason = RefusalReason::StageUnreachable;
                             side.refuse(&run, reason, &backend, 0);
@@ -191,45 +191,57 @@
         }
     }
 
-    fn send_reserves(self: &Arc<Self>, run: &Arc<Run>, links: &[Link]) {
-        let now_ms = self.clock.now_ms();
-        let mut unreached = None;
+    /// Asks the first of the later stages. They are asked in the order of
+    /// their layers: whoever waits for one holds only earlier ones, so that
+    /// no two requests can wait for each other.
+    fn begin_reserving(self: &Arc<Self>, run: &Arc<Run>, links: &[Link]) {
         {
-            // The lock is held while sending: a refusal that comes meanwhile
-            // must not send its releases before the last reservation.
             let mut state = run.lock();
             if state.phase != Phase::Reserving {
                 return;
             }
             state.stages =
                 links.iter().map(|l| (l.clone(), l.busy())).collect();
-            for (at, link) in links.iter().enumerate() {
-                let message = reserve_message(run, at as u32 + 1, now_ms);
-                if link.send(Body::Reserve(message)).is_err() {
-                    unreached = Some(at + 1);
-                    break;
-                }
-            }
         }
-        if let Some(at) = unreached {
+        self.send_reserve(run, 1);
+    }
+
+    fn send_reserve(self: &Arc<Self>, run: &Arc<Run>, index: usize) {
+        let now_ms = self.clock.now_ms();
+        let is_sent = {
+            // The lock is held while sending: a refusal that comes meanwhile
+            // must not send its releases before the reservation.
+            let state = run.lock();
+            if state.phase != Phase::Reserving {
+                return;
+            }
+            let message = reserve_message(run, index as u32, now_ms);
+            state.stages[index - 1].0.send(Body::Reserve(message)).is_ok()
+        };
+        if !is_sent {
             let reason = RefusalReason::StageUnreachable;
-            self.refuse(run, reason, &run.chain[at].backend, 0);
+            self.refuse(run, reason, &run.chain[index].backend, 0);
         }
     }
 
-    /// A later stage holds its reservation.
+    /// A later stage holds its reservation: on to the next.
     pub(crate) fn handle_reserved(self: &Arc<Self>, m: &wire::Reserved) {
         let Some(run) = self.current_run(m.request, m.attempt) else {
             return;
         };
-        let mut state = run.lock();
-        if state.phase != Phase::Reserving {
-            return;
+        {
+            let mut state = run.lock();
+            let is_expected = state.phase == Phase::Reserving
+                && m.stage_index == state.reserved + 1;
+            if !is_expected {
+                return;
+            }
+            state.reserved = m.stage_index;
         }
-        state.missing.remove(&m.stage_index);
-        let is_complete = state.missing.is_empty();
-        drop(state);
-        if is_complete {
+        let next = m.stage_index as usize + 1;
+        if next < run.chain.len() {
+            self.send_reserve(&run, next);
+        } else {
             self.accept(&run);
         }
     }
--- a/crates/side/src/run/end.rs
+++ b/crates/side/src/run/end.rs
@@ -129,7 +129,7 @@
         let metrics = self.metrics.service(&run.service);
         metrics.attempt_refused(reason.as_str_name());
         if was_queued {
-            run.backend.gate.remove(run);
+            run.backend.gate.remove_run(run);
             run.is_ended.store(true, Ordering::Release);
             self.forget_run(run);
             return;
@@ -169,11 +169,7 @@
 
     /// Gives the place back and begins what waited for it.
     pub(super) fn give_back(self: &Arc<Self>, run: &Arc<Run>) {
-        let now_ms = self.clock.now_ms();
-        let gate = &run.backend.gate;
-        if let Some(next) = gate.give_back(run.cost_tokens, now_ms) {
-            self.reserve(&next);
-        }
+        self.free_place(&run.backend, run.cost_tokens);
     }
 
     /// Corrects what the account was charged by what was really used.
--- a/crates/side/src/run/mod.rs
+++ b/crates/side/src/run/mod.rs
@@ -17,12 +17,9 @@
 mod query;
 mod tokens;
 
-use std::{
-    collections::BTreeSet,
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
-    },
+use std::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicBool, Ordering},
 };
 
 use chestnutreach_engine::SequenceId;
@@ -84,7 +81,8 @@
     pub(crate) orphan_until_ms: Option<u64>,
     /// Links to stages 1.. in order.
     stages: Vec<(Link, BusyGuard)>,
-    missing: BTreeSet<u32>,
+    /// Last stage that holds its reservation.
+    reserved: u32,
     /// Positions of the first step: prompt and delivered tokens.
     first_span: Option<u32>,
     prompt_tokens: u32,
--- a/crates/side/src/seat.rs
+++ b/crates/side/src/seat.rs
@@ -1,8 +1,9 @@
 //! A request whose later stage is here.
 //!
-//! The first stage's process reserves a place, the stage before sends the
-//! steps, and each is taken only in its order. A place is freed by a release
-//! from the first stage, or when the connection to it is lost.
+//! The first stage's process reserves a place, for which the request may wait
+//! a while; the stage before sends the steps, and each is taken only in its
+//! order. A place is freed by a release from the first stage, or when the
+//! connection to it is lost.
 
 use std::sync::{
     Arc, Mutex, MutexGuard,
@@ -21,11 +22,13 @@
         frame::Body,
     },
 };
+use chestnutreach_routing::{Shape, gate::LATER_WAIT_LIMIT_MS};
 use chestnutreach_state::{Admission, StepGate, StepRefusal};
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{
     backend::Backend,
+    gate::Offer,
     node::{Shared, Target},
     priority::{step_priority, to_priority},
     steps::{Owner, QueuedStep},
@@ -39,7 +42,10 @@
     stage: Stage,
     next: Option<Stage>,
     priority: u8,
-    cost_tokens: u64,
+    pub(crate) account: String,
+    pub(crate) shape: Shape,
+    pub(crate) cost_tokens: u64,
+    pub(crate) wait_until_ms: u64,
     pub(crate) deadline_at_ms: u64,
     pub(crate) backend: Arc<Backend>,
     first: Link,
@@ -48,7 +54,19 @@
     state: Mutex<State>,
 }
 
+/// Where a seat stands with its backend server's gate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Place {
+    /// Waits for a place.
+    Waiting,
+    /// Holds one.
+    Held,
+    /// Wants none any more.
+    Freed,
+}
+
 struct State {
+    place: Place,
     gate: StepGate,
     next_link: Option<(Link, BusyGuard)>,
     /// Sampling settings, handed to the engine with the first step.
@@ -60,6 +78,11 @@
         self.is_released.load(Ordering::Acquire)
     }
 
+    /// Whether it waits for a place.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.lock().place == Place::Waiting
+    }
+
     /// Whether the place is of no use once this link is lost.
     pub(crate) fn is_held_by(&self, link: &Link) -> bool {
         self.first.id() == link.id()
@@ -98,7 +121,7 @@
         let (request, attempt) = (m.request, m.attempt);
         let metrics = self.metrics.service(&m.service);
         match self.try_seat(link, m) {
-            Ok(seat) => self.connect_next(seat),
+            Ok(seat) => self.offer_seat(&seat),
             Err(refusal) => {
                 let reason = refusal.reason;
                 metrics.attempt_refused(reason.as_str_name());
@@ -135,14 +158,18 @@
             .map_err(|reason| SeatRefusal::at(reason, stage))?;
         let cost_tokens =
             u64::from(m.prompt_tokens_estimate) + u64::from(m.max_tokens);
-        if let Err(retry_after_ms) = backend.gate.try_take(cost_tokens) {
-            backend.table().refuse(id, m.attempt, self.clock.now_ms());
-            let reason = RefusalReason::Full;
-            let refusal = SeatRefusal::at(reason, stage);
-            return Err(SeatRefusal { retry_after_ms, ..refusal });
-        }
-        let priority = step_priority(to_priority(m.priority()));
+        let priority = to_priority(m.priority());
+        let shape = Shape {
+            prompt_tokens: m.prompt_tokens_estimate,
+            output_tokens: m.max_tokens,
+            deadline_ms: u64::from(m.deadline_ms),
+            priority,
+            prefix: None,
+        };
+        let now_ms = self.clock.now_ms();
+        let deadline_at_ms = now_ms + shape.deadline_ms;
         let state = State {
+            place: Place::Waiting,
             gate: StepGate::new(m.attempt, stage.first_layer),
             next_link: None,
             parameters_json: m.parameters_json,
@@ -153,9 +180,12 @@
             stage_index: m.stage_index,
             stage: stage.clone(),
             next: m.chain.get(index + 1).cloned(),
-            priority,
+            priority: step_priority(priority),
+            account: m.account,
+            shape,
             cost_tokens,
-            deadline_at_ms: self.clock.now_ms() + u64::from(m.deadline_ms),
+            wait_until_ms: deadline_at_ms.min(now_ms + LATER_WAIT_LIMIT_MS),
+            deadline_at_ms,
             backend,
             first: link.clone(),
             _first_guard: link.busy(),
@@ -166,6 +196,49 @@
         Ok(seat)
     }
 
+    fn offer_seat(self: &Arc<Self>, seat: &Arc<Seat>) {
+        let now_ms = self.clock.now_ms();
+        match seat.backend.gate.offer_later(seat, now_ms) {
+            Offer::Admitted => self.seat_placed(seat),
+            Offer::Queued => {}
+            Offer::Full { retry_after_ms } => {
+                let reason = RefusalReason::Full;
+                let name = &seat.stage.backend;
+                self.refuse_seat(seat, reason, name, retry_after_ms);
+            }
+            Offer::TooLate { retry_after_ms } => {
+                let reason = RefusalReason::TooLate;
+                let name = &seat.stage.backend;
+                self.refuse_seat(seat, reason, name, retry_after_ms);
+            }
+        }
+    }
+
+    /// A place has been taken for a seat.
+    pub(crate) fn seat_placed(self: &Arc<Self>, seat: &Arc<Seat>) {
+        let is_wanted = {
+            let mut state = seat.lock();
+            let is_waiting = state.place == Place::Waiting;
+            if is_waiting {
+                state.place = Place::Held;
+            }
+            is_waiting
+        };
+        if is_wanted {
+            self.connect_next(seat.clone());
+        } else {
+            self.free_place(&seat.backend, seat.cost_tokens);
+        }
+    }
+
+    /// No place came free for a seat in its time.
+    pub(crate) fn refuse_full(self: &Arc<Self>, seat: &Arc<Seat>) {
+        let retry_after_ms = seat.backend.gate.retry_after_ms();
+        let reason = RefusalReason::Full;
+        let name = &seat.stage.backend;
+        self.refuse_seat(seat, reason, name, retry_after_ms);
+    }
+
     /// Passes the run-once table of the backend server.
     fn admit_seat(
         self: &Arc<Self>,
@@ -206,7 +279,10 @@
             };
             match side.dial_links(std::slice::from_ref(&next)).await {
                 Ok(links) => side.set_next(&seat, &links[0]),
-                Err(backend) => side.refuse_seat(&seat, &backend),
+                Err(backend) => {
+                    let reason = RefusalReason::StageUnreachable;
+                    side.refuse_seat(&seat, reason, &backend, 0);
+                }
             }
         });
     }
@@ -224,14 +300,20 @@
         }));
     }
 
-    fn refuse_seat(self: &Arc<Self>, seat: &Arc<Seat>, backend: &str) {
+    fn refuse_seat(
+        self: &Arc<Self>,
+        seat: &Arc<Seat>,
+        reason: RefusalReason,
+        backend: &str,
+        retry_after_ms: u64,
+    ) {
         let _ = seat.first.send(Body::Refused(wire::Refused {
             request: seat.wire_id(),
             attempt: seat.attempt,
-            reason: RefusalReason::StageUnreachable.into(),
+            reason: reason.into(),
             backend: backend.to_owned(),
-            retry_after_ms: 0,
-            load: None,
+            retry_after_ms: retry_after_ms.min(u32::MAX.into()) as u32,
+            load: Some(self.backend_load(&seat.backend)),
         }));
         self.release_seat(seat);
     }
@@ -442,11 +524,16 @@
         // Whether the request was whole is the first stage's to know; here
         // it only counts that it began.
         seat.backend.table().fail(seat.request, seat.attempt, now_ms);
-        seat.lock().next_link = None;
+        let place = {
+            let mut state = seat.lock();
+            state.next_link = None;
+            std::mem::replace(&mut state.place, Place::Freed)
+        };
         seat.backend.release_sequence(seat.sequence());
-        let gate = &seat.backend.gate;
-        if let Some(next) = gate.give_back(seat.cost_tokens, now_ms) {
-            self.reserve(&next);
+        match place {
+            Place::Held => self.free_place(&seat.backend, seat.cost_tokens),
+            Place::Waiting => seat.backend.gate.remove_seat(seat),
+            Place::Freed => {}
         }
     }
 }
--- a/crates/side/src/sweep.rs
+++ b/crates/side/src/sweep.rs
@@ -6,6 +6,7 @@
 use chestnutreach_protocol::wire::{FailureReason, RefusalReason};
 
 use crate::{
+    gate::Waiting,
     node::Shared,
     run::{Phase, Run},
     seat::Seat,
@@ -39,8 +40,13 @@
 
     fn expire_queues(self: &Arc<Self>, now_ms: u64) {
         for backend in self.backends.values() {
-            for run in backend.gate.expire(now_ms) {
-                self.refuse(&run, RefusalReason::TooLate, "", 0);
+            for waiting in backend.gate.expire(now_ms) {
+                match waiting {
+                    Waiting::Run(run) => {
+                        self.refuse(&run, RefusalReason::TooLate, "", 0);
+                    }
+                    Waiting::Seat(seat) => self.refuse_full(&seat),
+                }
             }
         }
     }
@@ -58,17 +64,18 @@
         }
     }
 
-    /// Frees places past their deadline: the first stage has ended the
-    /// request by then, and its release may have been lost.
+    /// Refuses later stages that waited too long, and frees places past their
+    /// deadline: the first stage has ended the request by then, and its
+    /// release may have been lost.
     fn expire_seats(self: &Arc<Self>, now_ms: u64) {
-        let expired: Vec<Arc<Seat>> = self
-            .lock_seats()
-            .values()
-            .filter(|seat| now_ms >= seat.deadline_at_ms + SEAT_GRACE_MS)
-            .cloned()
-            .collect();
-        for seat in expired {
-            self.release_seat(&seat);
+        let seats: Vec<Arc<Seat>> =
+            self.lock_seats().values().cloned().collect();
+        for seat in seats {
+            if now_ms >= seat.deadline_at_ms + SEAT_GRACE_MS {
+                self.release_seat(&seat);
+            } else if now_ms >= seat.wait_until_ms && seat.is_waiting() {
+                self.refuse_full(&seat);
+            }
         }
     }
 
--- a/crates/side/tests/attach.rs
+++ b/crates/side/tests/attach.rs
@@ -1,22 +1,17 @@
 //! An entry that loses its connection goes on over a new one.
 
-use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
-    sync::Arc,
-    time::Duration,
-};
+mod support;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_executor::Executor;
-use async_io::{Async, Timer, block_on};
-use chestnutreach_config::{DaemonSettings, Manifest, settings::SideSettings};
-use chestnutreach_node::{Heard, threads};
+use async_io::{Timer, block_on};
+use chestnutreach_node::threads;
 use chestnutreach_protocol::{
     CloseReason, Identity, Link, LinkEvent, LinkOptions, Links, RequestId,
     wire::{self, Role, frame::Body},
 };
-use chestnutreach_side::{Side, SideParts};
 use chestnutreach_standins::{engine::EngineOptions, running::Running};
-use chestnutreach_telemetry::Metrics;
 use futures_lite::FutureExt as _;
 
 const TOKENS: u32 = 400;
@@ -24,42 +19,6 @@
 const REATTACHES: u32 = 40;
 const LIMIT: Duration = Duration::from_secs(30);
 
-const MANIFEST: &str = "
-[deployment]
-name = attach
-recovery-weight-percent = 20
-[data-centre hall-a]
-region = here
-[accelerator a40]
-price-micros-per-hour = 1
-prompt-tokens-per-s = 1000000
-output-tokens-per-s = 1000000
-[service desk-llm]
-kind = language
-model = desk-llm
-layer-count = 4
-max-context-tokens = 4096
-default-deadline-ms = 20000
-max-deadline-ms = 60000
-objective-per-10000 = 9950
-first-token-objective-ms = 900
-[account caisse]
-key-digests = KEY
-weight = 1
-services = desk-llm
-[backend-server whole]
-service = desk-llm
-data-centre = hall-a
-vm = side-1
-side-address = SIDE
-accelerator = a40
-first-layer = 0
-end-layer = 4
-max-running = 4
-cache-tokens = 100000
-checks-fencing = yes
-";
-
 /// Each question takes the answer over onto a new connection while tokens
 /// are on their way: none may come before the answer to the question, which
 /// says where the rest begins.
@@ -69,7 +28,7 @@
     let engine = Running::engine(engine).unwrap();
     let executor = Arc::new(Executor::new());
     threads::start(&executor, 4).unwrap();
-    let address = start_side(&executor, engine.address());
+    let address = support::start_side(&executor, engine.address(), 0);
     let (sender, events) = async_channel::unbounded();
     let links = Links::new(
         Identity::new("entry-1", Role::Entry, "hall-a"),
@@ -90,42 +49,6 @@
     assert_eq!(positions, expected);
 }
 
-fn start_side(
-    executor: &Arc<Executor<'static>>,
-    engine: SocketAddr,
-) -> SocketAddr {
-    let inner = Async::<TcpListener>::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let address = inner.get_ref().local_addr().unwrap();
-    let side = Side::start(SideParts {
-        settings: settings(engine),
-        identity: Identity::new("side-1", Role::Side, "hall-a"),
-        metrics: Arc::new(Metrics::new("side", "side-1")),
-        heard: Arc::new(Heard::new()),
-        executor: executor.clone(),
-        inner,
-    });
-    let key = chestnutreach_config::key_digest("key");
-    let text =
-        MANIFEST.replace("KEY", &key).replace("SIDE", &address.to_string());
-    side.apply(1, &Manifest::try_parse("manifest", &text).unwrap());
-    address
-}
-
-fn settings(engine: SocketAddr) -> SideSettings {
-    let text = format!(
-        "[node]\nrole = side\nvm = side-1\ndata-centre = hall-a\n\
-         inner-address = 127.0.0.1:1\nops-address = 127.0.0.1:2\n\
-         control-address = 127.0.0.1:3\n\
-         [platform]\ntable-address = 127.0.0.1:4\n\
-         object-address = 127.0.0.1:5\nvm-list-address = 127.0.0.1:6\n\
-         [backend-server whole]\naddress = {engine}\n"
-    );
-    match DaemonSettings::try_parse("settings", &text).unwrap() {
-        DaemonSettings::Side(settings) => settings,
-        DaemonSettings::Entry(_) => panic!("role = side"),
-    }
-}
-
 /// Runs one request, giving up its connection again and again; the positions
 /// in the order they came.
 async fn follow(
