Price a token by who shares its step, and avoid full servers steeply

Cause: a step cost the same whoever shared it, so half a load was spread over all servers, each running half-empty batches; and load cost in proportion, so a server with no place free was hardly dearer than one with many, and refused. Ruled out: a hard limit on use (two entries that see it pass at the same moment swing to and fro; the steep curve spreads).

The price of a token is now the step over the requests that share it, and the load costs u + 30 u^8.

--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -3,6 +3,10 @@
 //! * A step over the batch takes half as long on an empty server as on a
 //!   full one, and grows evenly between: engines that batch are bound by
 //!   reading the weights first and by arithmetic later.
+//! * The price of a token is the server's time for the step over all that
+//!   share it: a server in use gives it for less than an empty one.
+//! * Load counts little until a server is nearly full and then fast, see
+//!   [`load_ms`]: what is full refuses, and what has room is not slower.
 //! * A prompt is slowed by the share of the server that is in use.
 //! * A cached prefix leaves [`UNCACHED_SHARE`] of the prompt to compute.
 //! * A plain service has no tokens: its stage takes the smoothed time of its
@@ -21,6 +25,8 @@
 const PERMILLE: f64 = 1_000.0;
 /// Time of a step on an empty server, as a share of one on a full server.
 const EMPTY_STEP_SHARE: f64 = 0.5;
+/// Weight of the part of the load's cost that grows fast.
+const CROWDING: f64 = 30.0;
 /// Part of a prompt that is computed although its prefix is cached.
 const UNCACHED_SHARE: f64 = 0.25;
 
@@ -99,7 +105,8 @@
         let time_ms = work.prompt_ms + output * work.step_ms;
         let price_micros = work.busy_ms * facts.price_micros_per_ms;
         let weighted_price = weights.price * price_micros * self.ms_per_micro;
-        let weighted_load = weights.load * work.lone_ms * load.utilisation;
+        let weighted_load =
+            weights.load * load_ms(work.lone_ms, load.utilisation);
         let weighted = weights.time * time_ms + weighted_price + weighted_load;
         StageCost {
             wait_ms: load.wait_ms,
@@ -196,16 +203,28 @@
         let output = f64::from(self.shape.output_tokens);
         let prompt_ms = prompt / prompt_rate;
         let full_step_ms = facts.max_running / output_rate;
+        let places = facts.max_running;
+        let sharers = ((load.in_use * places + 1.0) / places).min(1.0);
+        let token_ms = step_share(places, sharers) / sharers / output_rate;
         let empty_step_ms = full_step_ms * step_share(facts.max_running, 0.0);
         Work {
             prompt_ms: prompt_ms * (1.0 + load.in_use),
             step_ms: full_step_ms * step_share(facts.max_running, load.in_use),
             lone_ms: prompt_ms + output * empty_step_ms,
-            busy_ms: prompt_ms + output / output_rate,
+            busy_ms: prompt_ms + output * token_ms,
         }
     }
 }
 
+/// What the load of a server costs a request that takes `lone_ms` on an empty
+/// one. Up to three quarters in use it is about as much as the share in use;
+/// a full server costs [`CROWDING`] times more than one that has room.
+fn load_ms(lone_ms: f64, utilisation: f64) -> f64 {
+    let square = utilisation * utilisation;
+    let eighth = square * square * square * square;
+    lone_ms * (utilisation + CROWDING * eighth)
+}
+
 /// Time of a step as a share of one over a full batch of `places`.
 pub(crate) fn step_share(places: f64, in_use: f64) -> f64 {
     let grown = EMPTY_STEP_SHARE + (1.0 - EMPTY_STEP_SHARE) * in_use;
