Look at the servers chosen last again beside the fresh draws

The two servers chosen last at each boundary are now candidates as well, at today's cost (the power of two choices with memory, by Mitzenmacher, Prabhakar and Shah).

Earlier figures of `time` were cut by a histogram that did not widen; mended here.

A test explained after it had chosen; since a choice is now remembered, it explains before and asks for the same chain as strictly.

--- a/crates/decisions/src/work.rs
+++ b/crates/decisions/src/work.rs
@@ -153,7 +153,10 @@
             .choose(fleet, live, &shape, &policy, &avoid, 0, NOW_MS, rng);
         let elapsed = start.elapsed();
         sampled += black_box(choice).expect("a chain").cost;
-        times.saturating_record(elapsed.as_nanos() as u64);
+        // Unlike `saturating_record`, this widens the histogram.
+        times
+            .record(elapsed.as_nanos() as u64)
+            .expect("an automatic histogram takes any value");
         let choice = chooser.choose_by_full_scan(
             fleet, live, &shape, &policy, &avoid, 0, NOW_MS, rng,
         );
--- a/crates/routing/src/chain.rs
+++ b/crates/routing/src/chain.rs
@@ -1,7 +1,7 @@
 //! The chain of a request: which backend servers run which layers.
 //!
 //! A chain tiles `0..L` exactly. At each layer boundary a few candidates are
-//! drawn, and the cheapest tiling through them is found in one pass from
+//! drawn, the last ones chosen are added (see `memory`), and the cheapest tiling through them is found in one pass from
 //! layer 0 to `L` (see `search`); the cost is that of [`crate::policy`]. The
 //! work depends on the number of boundaries, not of servers.
 //!
@@ -195,7 +195,9 @@
         rng: &mut fastrand::Rng,
     ) -> Result<Choice, NoChain> {
         let pricing = Pricing::new(fleet, live, shape, policy, now_ms);
-        self.run(pricing, avoid, entry_data_centre, rng)
+        let choice = self.run(pricing, avoid, entry_data_centre, rng)?;
+        remember(fleet, live, &choice.stages);
+        Ok(choice)
     }
 
     /// Like [`Chooser::choose`] over every server: what sampling is measured
@@ -274,6 +276,15 @@
     }
 }
 
+/// The next choice looks at the same servers again.
+fn remember(fleet: &Fleet, live: &Live, stages: &[BackendIndex]) {
+    let mut boundary = 0;
+    for &index in stages {
+        live.memory().note(boundary, index);
+        boundary = fleet.facts(index).next_boundary as usize;
+    }
+}
+
 fn no_chain(reason: NoChainReason, rng: &mut fastrand::Rng) -> NoChain {
     let base_ms = match reason {
         NoChainReason::NoCandidate { .. } => NO_CANDIDATE_RETRY_MS,
--- a/crates/routing/src/explain.rs
+++ b/crates/routing/src/explain.rs
@@ -1,7 +1,9 @@
 //! Why a chain was chosen.
 //!
 //! The same search as [`crate::choose`], with a record of what it looked at.
-//! With the same `rng` state it comes to the same chain.
+//! With the same `rng` state it comes to the chain that a choice at this
+//! moment would come to. A choice is remembered (see `memory`), explaining is
+//! not.
 
 use serde::Serialize;
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod health;
 mod label;
 pub mod live;
+mod memory;
 pub mod network;
 pub mod policy;
 pub mod priority;
--- a/crates/routing/src/live.rs
+++ b/crates/routing/src/live.rs
@@ -20,6 +20,7 @@
 use crate::{
     fleet::{BackendIndex, Fleet},
     health::HealthState,
+    memory::Memory,
     server::{Server, Told},
 };
 
@@ -88,6 +89,7 @@
 pub struct Live {
     servers: Vec<Arc<Server>>,
     typical: Arc<Typical>,
+    memory: Memory,
 }
 
 /// Sums over the last reports of the servers.
@@ -135,6 +137,7 @@
         Live {
             servers: (0..len).map(|_| Arc::new(Server::new())).collect(),
             typical: Arc::default(),
+            memory: Memory::new(),
         }
     }
 
@@ -153,7 +156,8 @@
                 self.typical.take(self.server(index).withdraw());
             }
         }
-        Live { servers, typical: Arc::clone(&self.typical) }
+        let typical = Arc::clone(&self.typical);
+        Live { servers, typical, memory: Memory::new() }
     }
 
     /// How many servers there are.
@@ -290,6 +294,11 @@
         }
     }
 
+    /// The servers that were chosen last.
+    pub(crate) fn memory(&self) -> &Memory {
+        &self.memory
+    }
+
     pub(crate) fn typical(&self) -> TypicalLoad {
         self.typical.load()
     }
--- a/crates/routing/src/search.rs
+++ b/crates/routing/src/search.rs
@@ -120,6 +120,8 @@
             Reach::All | Reach::AllAndSuspect => members.len(),
         };
         if wanted < members.len() {
+            self.recall(pricing, avoid, boundary, members);
+            let wanted = wanted + self.picked.len();
             self.draw(pricing, avoid, members, wanted, rng);
         }
         if self.picked.is_empty() {
@@ -130,6 +132,22 @@
         }
     }
 
+    /// Adds those that were chosen last.
+    fn recall(
+        &mut self,
+        pricing: &Pricing<'_>,
+        avoid: &[BackendIndex],
+        boundary: usize,
+        members: &[BackendIndex],
+    ) {
+        for index in pricing.live.memory().at(boundary) {
+            // Members are in the order of their indices.
+            if members.binary_search(&index).is_ok() {
+                self.consider_once(pricing, avoid, index);
+            }
+        }
+    }
+
     fn draw(
         &mut self,
         pricing: &Pricing<'_>,
--- a/crates/routing/tests/chain.rs
+++ b/crates/routing/tests/chain.rs
@@ -129,6 +129,11 @@
             .collect();
         let policy = Policy::default().sample_count(sample_count);
         let shape = Shape::new(100, 10).prefix(seed);
+        // Before the choice, which is remembered; explaining is not.
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let explanation = explain(
+            &fleet, &live, &shape, &policy, &avoid, 0, NOW_MS, &mut rng,
+        );
         let result = run(&fleet, &live, &shape, &policy, &avoid, seed);
         prop_assert_eq!(result.is_ok(), has_tiling(layers, &servers));
         let Ok(choice) = result else { return Ok(()) };
@@ -142,10 +147,6 @@
         prop_assert_eq!(layer, layers);
         prop_assert!(choice.first_token_ms <= choice.total_ms);
 
-        let mut rng = fastrand::Rng::with_seed(seed);
-        let explanation = explain(
-            &fleet, &live, &shape, &policy, &avoid, 0, NOW_MS, &mut rng,
-        );
         let names: Vec<String> = choice
             .stages
             .iter()
