Tell at the gate what the chain and the account's own turn allow

Cause: a request was let in when its first stage alone, on an empty server, would finish in time, behind all that was queued. So a chain of four was taken for a quarter of its time and run until its deadline cut it, and one account's flood made every other account too late. The wait came from engine speeds, which miss what holds a place up at the other stages.

The wait is now learned from the work that leaves while others wait, and is that of the account's own turn (its own queue and the others' shares until then). The run counts every stage of the chain, at the server's use of now. A queued request leaves when it can no longer begin in time, not at its deadline.

--- a/crates/decisions/src/bounds.rs
+++ b/crates/decisions/src/bounds.rs
@@ -98,6 +98,8 @@
     for row in work::rows() {
         let name = format!("work.{}.servers_looked_at", row.servers);
         figures.insert(name, row.looked_at);
+        let name = format!("work.{}.cost_times_full_scan", row.servers);
+        figures.insert(name, row.cost_times_full_scan);
     }
     Ok(figures)
 }
--- a/crates/decisions/src/work.rs
+++ b/crates/decisions/src/work.rs
@@ -53,6 +53,8 @@
     pub servers: usize,
     /// Mean count of servers that a choice looks at.
     pub looked_at: f64,
+    /// Mean cost of the chains over that by a full scan.
+    pub cost_times_full_scan: f64,
 }
 
 /// One size of a fleet, on the real clock.
@@ -87,7 +89,12 @@
             let count = 200;
             let sum: usize =
                 (0..count).map(|_| looked_at(&snapshot, &mut rng)).sum();
-            WorkRow { servers, looked_at: sum as f64 / f64::from(count) }
+            let looked_at = sum as f64 / f64::from(count);
+            let mut chooser = Chooser::new();
+            let mut times = histogram();
+            let cost_times_full_scan =
+                measure(&snapshot, &mut times, &mut chooser, &mut rng);
+            WorkRow { servers, looked_at, cost_times_full_scan }
         })
         .collect()
 }
--- a/crates/decisions/src/world/serve.rs
+++ b/crates/decisions/src/world/serve.rs
@@ -57,6 +57,7 @@
             shape: &shape,
             cost_tokens: request.cost_tokens().into(),
             deadline_at_ms: if is_bounded { deadline_ms } else { u64::MAX },
+            stage_count: request.stages.len() as u32,
         };
         let waiter = Waiter { request: at, stage };
         let index = request.stages[stage];
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -178,16 +178,14 @@
 
 impl std::error::Error for TooLate {}
 
-/// Whether a request can finish within the `deadline_ms` that are left to
-/// it, after `wait_ms` and alone on the server. The most favourable run is
-/// assumed: only what is surely too late is turned away.
+/// Whether a request that waits for `wait_ms` and runs for `run_ms` can
+/// finish within the `deadline_ms` that are left to it.
 pub fn can_finish(
-    shape: &Shape,
+    run_ms: u64,
     wait_ms: u64,
-    speed: &Speed,
     deadline_ms: u64,
 ) -> Result<(), TooLate> {
-    let needed_ms = wait_ms.saturating_add(run_ms(shape, speed, 0.0));
+    let needed_ms = wait_ms.saturating_add(run_ms);
     if needed_ms > deadline_ms {
         return Err(TooLate { needed_ms });
     }
--- a/crates/routing/src/fair.rs
+++ b/crates/routing/src/fair.rs
@@ -31,7 +31,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    fair_account::{Account, LEVEL_COUNT, Sequence, VirtualTime},
+    fair_account::{
+        Account, DEFAULT_WEIGHT, LEVEL_COUNT, Sequence, VirtualTime,
+    },
     fair_refusal::{PushRefusal, PushRefusalReason},
     priority::Priority,
 };
@@ -213,6 +215,22 @@
         self.pending_tokens
     }
 
+    /// Tokens of work that go before an item of `cost_tokens` pushed now, at
+    /// most: all of its own account's, and of each other account its share
+    /// until then. Priorities move places by little and are left out.
+    pub fn tokens_before(&self, account: &str, cost_tokens: u64) -> u64 {
+        let own = self.by_name.get(account).map(|&at| &self.accounts[at]);
+        let weight = own.map_or(DEFAULT_WEIGHT, |own| own.weight);
+        let own_tokens = own.map_or(0, |own| own.pending_tokens);
+        let turn_tokens = own_tokens.saturating_add(cost_tokens);
+        let others = self.accounts.iter().filter(|a| a.name != account);
+        let share_of = |other: &Account| {
+            let share = turn_tokens.saturating_mul(other.weight.into());
+            (share / u64::from(weight)).min(other.pending_tokens)
+        };
+        own_tokens + others.map(share_of).sum::<u64>()
+    }
+
     /// How many items are queued.
     pub fn len(&self) -> usize {
         self.items.len()
--- a/crates/routing/src/fair_account.rs
+++ b/crates/routing/src/fair_account.rs
@@ -6,7 +6,7 @@
 
 pub(crate) const LEVEL_COUNT: usize = Priority::ALL.len();
 
-const DEFAULT_WEIGHT: u32 = 1;
+pub(crate) const DEFAULT_WEIGHT: u32 = 1;
 /// Virtual time of one token at weight 1: fine enough for any weight.
 const SCALE: i128 = 1 << 20;
 
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -1,5 +1,11 @@
 //! Who may run on one backend server now, and who waits.
 //!
+//! A request is refused at once when it cannot finish in time: after the wait
+//! of its own account (another's flood does not count against it), over as
+//! many stages as its chain has, at the speed of a server as full as this
+//! one. It leaves the queue when it could no longer begin in time, so that
+//! no place is spent on an answer that comes too late.
+//!
 //! The places of a backend server, the fair queue before them and the learned
 //! speed, in one. A request waits at the first stage of its chain. What a
 //! later stage does that has no place free is its side process's choice:
@@ -14,6 +20,7 @@
 use crate::{
     admission::{self, Speed},
     chain::Shape,
+    drain::Drain,
     fair::FairQueue,
 };
 
@@ -49,6 +56,8 @@
     pub cost_tokens: u64,
     /// When its caller gives up.
     pub deadline_at_ms: u64,
+    /// Length of its chain; the other stages are taken to be like this one.
+    pub stage_count: u32,
 }
 
 /// What became of a request at the gate.
@@ -95,6 +104,7 @@
     running_tokens: u64,
     queue: FairQueue<T>,
     speed: Speed,
+    drain: Drain,
 }
 
 impl<T> Gate<T> {
@@ -106,6 +116,7 @@
             running_tokens: 0,
             queue: FairQueue::new(queue_limit_tokens),
             speed: Places::default().speed(),
+            drain: Drain::default(),
         }
     }
 
@@ -131,11 +142,10 @@
         now_ms: u64,
         rng: &mut fastrand::Rng,
     ) -> Offer {
-        let wait_ms = self.wait_ms();
+        let run_ms = self.run_ms(asked);
+        let wait_ms = self.wait_ms_of(asked);
         let rest_ms = asked.deadline_at_ms.saturating_sub(now_ms);
-        let can_finish =
-            admission::can_finish(asked.shape, wait_ms, &self.speed, rest_ms);
-        if can_finish.is_err() {
+        if admission::can_finish(run_ms, wait_ms, rest_ms).is_err() {
             let retry_after_ms = self.retry_after_ms(rng);
             return Offer::TooLate { retry_after_ms };
         }
@@ -147,7 +157,7 @@
             asked.account,
             asked.shape.priority,
             asked.cost_tokens,
-            asked.deadline_at_ms,
+            asked.deadline_at_ms.saturating_sub(run_ms),
             item,
             now_ms,
         );
@@ -180,7 +190,7 @@
         now_ms: u64,
         rng: &mut fastrand::Rng,
     ) -> Offer {
-        if self.wait_ms() > LATER_WAIT_LIMIT_MS {
+        if self.wait_ms_of(asked) > LATER_WAIT_LIMIT_MS {
             return Offer::Full { retry_after_ms: self.retry_after_ms(rng) };
         }
         self.offer(asked, item, now_ms, rng)
@@ -188,6 +198,7 @@
 
     /// Gives a place back; what waited and may run now, if any.
     pub fn give_back(&mut self, cost_tokens: u64, now_ms: u64) -> Option<T> {
+        self.drain.note(cost_tokens, !self.queue.is_empty(), now_ms);
         self.running = self.running.saturating_sub(1);
         self.running_tokens = self.running_tokens.saturating_sub(cost_tokens);
         if self.running >= self.places.max_running {
@@ -203,7 +214,7 @@
         self.queue.remove(matches);
     }
 
-    /// Takes out the requests whose deadline has passed.
+    /// Takes out the requests that can no longer begin in time.
     pub fn expire(&mut self, now_ms: u64) -> Vec<T> {
         self.queue.expire(now_ms)
     }
@@ -240,12 +251,33 @@
         self.running_tokens += cost_tokens;
     }
 
+    /// Time that a request takes over all stages of its chain.
+    fn run_ms(&self, asked: &Asked<'_>) -> u64 {
+        let places = f64::from(self.places.max_running.max(1));
+        let in_use = f64::from(self.running) / places;
+        let stage_ms = admission::run_ms(asked.shape, &self.speed, in_use);
+        stage_ms.saturating_mul(asked.stage_count.max(1).into())
+    }
+
+    /// Wait of a request, behind its account's own and its share of others.
+    fn wait_ms_of(&self, asked: &Asked<'_>) -> u64 {
+        let Asked { account, cost_tokens, .. } = *asked;
+        self.wait_behind_ms(self.queue.tokens_before(account, cost_tokens))
+    }
+
+    /// Wait of a request that goes last.
     fn wait_ms(&self) -> u64 {
+        self.wait_behind_ms(self.queue.pending_tokens())
+    }
+
+    fn wait_behind_ms(&self, tokens: u64) -> u64 {
         if self.running < self.places.max_running && self.queue.is_empty() {
             return 0;
         }
-        let pending_tokens = self.queue.pending_tokens();
-        admission::expected_wait_ms(pending_tokens, &self.speed)
+        let learned_ms = self.drain.wait_ms(tokens);
+        learned_ms.unwrap_or_else(|| {
+            admission::expected_wait_ms(tokens, &self.speed)
+        })
     }
 
     /// When a refused caller should come back.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod admission;
 pub mod chain;
 mod cost;
+mod drain;
 pub mod explain;
 pub mod fair;
 mod fair_account;
--- a/crates/routing/tests/guards.rs
+++ b/crates/routing/tests/guards.rs
@@ -4,8 +4,8 @@
 
 use chestnutreach_routing::{
     Health, HealthState, Live, Mix, Presence, RetryBudget, Shape, Speed,
-    can_finish, expected_wait_ms, health, retry, retry_after_ms,
-    throughput_bound,
+    admission::run_ms, can_finish, expected_wait_ms, health, retry,
+    retry_after_ms, throughput_bound,
 };
 use common::{fleet, numbered, serving, spec};
 use rstest::rstest;
@@ -88,10 +88,11 @@
 fn admission_follows_the_learned_speed() {
     let mut speed = Speed::new(1_000.0, 100.0).places(4);
     let shape = Shape::new(1_000, 100);
+    let alone_ms = |speed: &Speed| run_ms(&shape, speed, 0.0);
     assert_eq!(expected_wait_ms(1_000, &speed), 10_000);
     // 1 s of prompt and 100 steps of 20 ms on an empty server.
-    assert_eq!(can_finish(&shape, 0, &speed, 3_000), Ok(()));
-    let late = can_finish(&shape, 1_000, &speed, 3_000).unwrap_err();
+    assert_eq!(can_finish(alone_ms(&speed), 0, 3_000), Ok(()));
+    let late = can_finish(alone_ms(&speed), 1_000, 3_000).unwrap_err();
     assert_eq!(late.needed_ms, 4_000);
     for _ in 0..100 {
         speed.learn_prompt(1_000, 2_000, 1_000.0);
@@ -101,7 +102,7 @@
         }
     }
     assert!((speed.prompt_tokens_per_s(1_000) - 2_000.0).abs() < 1.0);
-    assert_eq!(can_finish(&shape, 1_900, &speed, 3_000), Ok(()));
+    assert_eq!(can_finish(alone_ms(&speed), 1_900, 3_000), Ok(()));
     // Five prompt tokens to one of output, at 2,000 and 400 a second.
     let wait_ms = expected_wait_ms(6_000, &speed);
     assert!((4_990..=5_010).contains(&wait_ms), "{wait_ms}");
--- a/crates/side/src/gate.rs
+++ b/crates/side/src/gate.rs
@@ -37,6 +37,7 @@
             shape: &run.shape,
             cost_tokens: run.cost_tokens,
             deadline_at_ms: run.deadline_at_ms,
+            stage_count: run.chain.len() as u32,
         };
         let mut rng = fastrand::Rng::new();
         self.lock().offer(&asked, run.clone(), now_ms, &mut rng)
