--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod admission;
 pub mod chain;
 mod cost;
+mod drain;
 pub mod explain;
 pub mod fair;
 mod fair_account;
@@ -62,6 +63,7 @@
 pub mod health;
 mod label;
 pub mod live;
+mod memory;
 pub mod network;
 pub mod policy;
 pub mod priority;
