Tell callers in words, and when to come back after a broken answer

Cause: error messages showed callers the inner protocol's names and the addresses of backend servers ('FAILURE_REASON_DEADLINE: 127.0.0.1:26588 gave no answer'); an idempotent request that was given up after it had begun was told that it may be sent again but not when. What operators need goes to request_ended, explain and the new field of outcome_unknown, which nothing emitted before.

The test of outcomes expected no time for an idempotent failure; it now expects one in the same range as for a refusal, and still none for a non-idempotent one.

A streamed answer also keeps one watch for the caller's hang-up in place of a new one for each token (a look at the socket less; not measured alone).

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -25,7 +25,7 @@
     if let Some(request) = request {
         response.insert_header(REQUEST_HEADER, request.to_string());
     }
-    if let Some(after_ms) = retry_after_ms(ending) {
+    if let Some(after_ms) = ending.retry_after_ms {
         let after_s = after_ms.div_ceil(1_000).max(1);
         response.insert_header("retry-after", after_s.to_string());
         response.insert_header("retry-after-ms", after_ms.to_string());
@@ -47,13 +47,6 @@
     }
 }
 
-fn retry_after_ms(ending: &Ending) -> Option<u64> {
-    match ending.outcome {
-        Outcome::NotRun { retry_after_ms, .. } => retry_after_ms,
-        _ => None,
-    }
-}
-
 /// The published error object, with the outcome beside it.
 pub(crate) fn error_object(ending: &Ending) -> serde_json::Value {
     let (kind, code) = match ending.outcome {
@@ -72,7 +65,7 @@
             "param": null,
             "code": code,
             "outcome": ending.outcome.as_str(),
-            "retry_after_ms": retry_after_ms(ending),
+            "retry_after_ms": ending.retry_after_ms,
         }
     })
 }
--- a/crates/entry/src/language.rs
+++ b/crates/entry/src/language.rs
@@ -1,6 +1,7 @@
 //! Requests for a model.
 
 use std::{
+    pin::Pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -95,7 +96,8 @@
     let source = Source::start(entry, &call, job);
     call.received.body = Vec::new();
     let shape = AnswerShape::new(endpoint, call.request, &asked.model);
-    let answering = Answering { source, tally, shape, is_idempotent };
+    let gone = hang_up(call.received.connection.clone());
+    let answering = Answering { source, gone, tally, shape, is_idempotent };
     if asked.is_stream {
         answering.stream(entry, &call, asked.includes_usage).await
     } else {
@@ -103,9 +105,18 @@
     }
 }
 
+/// Ends when the caller hangs up. It is kept over all tokens of an answer: a
+/// new one would look at the socket each time.
+type HangUp = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+fn hang_up(connection: SharedStream) -> HangUp {
+    Box::pin(async move { connection.hung_up().await })
+}
+
 /// A request whose answer is being made.
 struct Answering {
     source: Source,
+    gone: HangUp,
     tally: Tally,
     shape: AnswerShape,
     is_idempotent: bool,
@@ -116,8 +127,7 @@
     async fn whole(mut self, call: &Call) -> Result<Response, Box<Response>> {
         let mut text = String::new();
         loop {
-            let Some(progress) = self.next(&call.received.connection).await
-            else {
+            let Some(progress) = self.next().await else {
                 return Err(self.caller_gone());
             };
             match progress {
@@ -162,8 +172,7 @@
         call: &Call,
         includes_usage: bool,
     ) -> Result<Response, Box<Response>> {
-        let connection = call.received.connection.clone();
-        let Some(first) = self.next(&connection).await else {
+        let Some(first) = self.next().await else {
             return Err(self.caller_gone());
         };
         if let Progress::Ended(ending) = &first {
@@ -180,17 +189,16 @@
             chunks: self.shape.chunks(includes_usage),
             answering: self,
             writer,
-            connection,
         };
         entry.spawn(stream.run(first));
         Ok(response)
     }
 
     /// The next progress; none when the caller has hung up.
-    async fn next(&mut self, connection: &SharedStream) -> Option<Progress> {
+    async fn next(&mut self) -> Option<Progress> {
         let next = async { Some(self.source.next().await) };
         let gone = async {
-            connection.hung_up().await;
+            (&mut self.gone).await;
             None
         };
         next.or(gone).await
@@ -213,7 +221,6 @@
     answering: Answering,
     chunks: Chunks,
     writer: BodyWriter,
-    connection: SharedStream,
 }
 
 impl Stream {
@@ -256,17 +263,11 @@
 
     /// The next progress; none when the caller has gone.
     async fn next(&mut self) -> Option<Progress> {
-        let source = &mut self.answering.source;
-        let next = async { Some(source.next().await) };
-        let gone = async {
-            self.connection.hung_up().await;
-            None
-        };
         let unread = async {
             self.writer.reader_gone().await;
             None
         };
-        next.or(gone).or(unread).await
+        self.answering.next().or(unread).await
     }
 }
 
--- a/crates/entry/src/session/dispatch.rs
+++ b/crates/entry/src/session/dispatch.rs
@@ -148,11 +148,14 @@
                 Err(e) => {
                     service.live.set_presence(first, Presence::Absent);
                     self.avoid.push(first);
-                    self.last_refusal = Some(Ending::not_run(
-                        NotRunReason::NoChain,
-                        Some(DEFAULT_RETRY_AFTER_MS),
-                        &e.to_string(),
-                    ));
+                    self.last_refusal = Some(
+                        Ending::not_run(
+                            NotRunReason::NoChain,
+                            Some(DEFAULT_RETRY_AFTER_MS),
+                            "no backend server can be reached now",
+                        )
+                        .note(&e.to_string()),
+                    );
                     return None;
                 }
             },
--- a/crates/entry/src/session/ending.rs
+++ b/crates/entry/src/session/ending.rs
@@ -1,5 +1,6 @@
 //! Why a request has no whole answer.
 
+use chestnutreach_protocol::wire::{FailureReason, RefusalReason};
 use chestnutreach_state::{NotRunReason, Outcome};
 
 /// Why a request has no whole answer.
@@ -7,7 +8,13 @@
 pub(crate) struct Ending {
     pub(crate) outcome: Outcome,
     pub(crate) cause: Cause,
+    /// When to come back; none where it will not help.
+    pub(crate) retry_after_ms: Option<u64>,
+    /// What the caller is told.
     pub(crate) detail: String,
+    /// What operators are told beside it: names and addresses that are no
+    /// caller's business.
+    pub(crate) note: String,
 }
 
 /// What ended a request that may have begun.
@@ -36,6 +43,79 @@
     }
 
     pub(super) fn new(outcome: Outcome, cause: Cause, detail: &str) -> Ending {
-        Ending { outcome, cause, detail: detail.to_owned() }
+        let retry_after_ms = match outcome {
+            Outcome::NotRun { retry_after_ms, .. } => retry_after_ms,
+            _ => None,
+        };
+        let detail = detail.to_owned();
+        let note = String::new();
+        Ending { outcome, cause, retry_after_ms, detail, note }
+    }
+
+    /// Adds what operators are told.
+    pub(super) fn note(mut self, note: &str) -> Ending {
+        self.note = note.to_owned();
+        self
+    }
+
+    /// Sets when to come back after an answer that broke off.
+    pub(super) fn retry_after_ms(mut self, after_ms: u64) -> Ending {
+        self.retry_after_ms = Some(after_ms);
+        self
+    }
+
+    /// An idempotent request that may have run may be sent again: tells when,
+    /// unless it is known or will not help.
+    pub(super) fn worth_coming_back(mut self, after_ms: u64) -> Ending {
+        let may_have_run =
+            matches!(self.outcome, Outcome::Failed | Outcome::Unknown);
+        if may_have_run && self.cause != Cause::Request {
+            self.retry_after_ms.get_or_insert(after_ms);
+        }
+        self
+    }
+
+    /// A non-idempotent request that may have run must not be sent again.
+    pub(super) fn without_coming_back(mut self) -> Ending {
+        if !matches!(self.outcome, Outcome::NotRun { .. }) {
+            self.retry_after_ms = None;
+        }
+        self
+    }
+}
+
+/// What a caller is told of a failure.
+pub(super) fn failure_words(reason: FailureReason) -> &'static str {
+    match reason {
+        FailureReason::BackendError => "a backend server failed",
+        FailureReason::BackendSilent => "a backend server did not answer",
+        FailureReason::StageLost => "a backend server was lost",
+        FailureReason::Deadline => "the time was over",
+        FailureReason::Cancelled => "the request was given up",
+        FailureReason::Sequence => "the answer came out of order",
+        FailureReason::Stopped => "a backend server stopped",
+        FailureReason::BadRequest => "the model refused the request",
+        FailureReason::Unspecified => "the request failed",
+    }
+}
+
+/// What a caller is told of a refusal.
+pub(super) fn refusal_words(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Full | RefusalReason::TableFull => {
+            "no backend server has room"
+        }
+        RefusalReason::Share => "the client account has used its share",
+        RefusalReason::TooLate => "it could not finish in its time",
+        RefusalReason::Leaving => "the backend server is leaving",
+        RefusalReason::BackendDown
+        | RefusalReason::StageUnreachable
+        | RefusalReason::WrongTarget
+        | RefusalReason::UnknownService => {
+            "no backend server can be reached now"
+        }
+        RefusalReason::Fenced
+        | RefusalReason::AlreadyRun
+        | RefusalReason::Unspecified => "the request was given up",
     }
 }
--- a/crates/entry/src/session/events.rs
+++ b/crates/entry/src/session/events.rs
@@ -13,6 +13,7 @@
 use super::{
     Attempt, Cause, DEFAULT_RETRY_AFTER_MS, Ending, Phase, Progress, Session,
     SessionEvent,
+    ending::{failure_words, refusal_words},
 };
 
 impl Session {
@@ -247,8 +248,9 @@
         let may_repeat = self.job.is_idempotent && cause == Cause::Backend;
         if !may_repeat {
             let outcome = Outcome::Failed;
-            let detail = format!("{}: {detail}", reason.as_str_name());
-            self.end(Ending::new(outcome, cause, &detail));
+            let note = format!("{backend}: {detail}");
+            let words = failure_words(reason);
+            self.end(Ending::new(outcome, cause, words).note(&note));
             return;
         }
         emit(
@@ -276,7 +278,7 @@
         0 => DEFAULT_RETRY_AFTER_MS,
         known => u64::from(known),
     };
-    let detail =
-        format!("{} refused: {}", m.backend, m.reason().as_str_name());
-    Ending::not_run(reason, Some(retry_after_ms), &detail)
+    let note = format!("{} refused: {}", m.backend, m.reason().as_str_name());
+    let words = refusal_words(m.reason());
+    Ending::not_run(reason, Some(retry_after_ms), words).note(&note)
 }
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -257,9 +257,15 @@
     }
 
     fn end(&mut self, ending: Ending) {
+        let ending = if self.job.is_idempotent {
+            ending.worth_coming_back(DEFAULT_RETRY_AFTER_MS)
+        } else {
+            ending.without_coming_back()
+        };
         self.phase = Phase::Over;
         self.attempt = None;
-        self.choices.ended(Some(ending.outcome), &ending.detail);
+        let why = format!("{} {}", ending.detail, ending.note);
+        self.choices.ended(Some(ending.outcome), why.trim_end());
         self.ready.push_back(Progress::Ended(ending));
     }
 
@@ -267,8 +273,13 @@
     /// fact, with the last refusal's reason.
     fn give_up(&mut self, cause: Cause, detail: &str) {
         if self.may_have_begun {
-            let outcome = Outcome::Failed;
-            self.end(Ending::new(outcome, cause, detail));
+            let ending = Ending::new(Outcome::Failed, cause, detail);
+            let known =
+                self.last_refusal.take().and_then(|r| r.retry_after_ms);
+            self.end(match known {
+                Some(after_ms) => ending.retry_after_ms(after_ms),
+                None => ending,
+            });
             return;
         }
         let ending = self.last_refusal.take().unwrap_or_else(|| {
--- a/crates/entry/src/tally.rs
+++ b/crates/entry/src/tally.rs
@@ -90,7 +90,22 @@
 
     /// The request ended without a whole answer.
     pub(crate) fn ended(&mut self, ending: &Ending) {
-        self.end(ending.outcome, &ending.detail);
+        if ending.outcome == Outcome::Unknown {
+            emit(
+                Event::OutcomeUnknown,
+                &[
+                    ("request", &self.request),
+                    ("service", &self.service),
+                    ("account", &self.account),
+                    ("detail", &ending.note),
+                ],
+            );
+        }
+        let why = match ending.note.as_str() {
+            "" => &ending.detail,
+            note => note,
+        };
+        self.end(ending.outcome, why);
     }
 
     /// The caller hung up.
--- a/crates/entry/tests/api/outcomes.rs
+++ b/crates/entry/tests/api/outcomes.rs
@@ -58,8 +58,10 @@
         self
     }
 
+    /// It may be sent again, and the caller is told when.
     fn retried(mut self) -> Case {
         self.should_retry = true;
+        self.retry_after_ms = Some(PLAUSIBLE_MS);
         self
     }
 
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -138,7 +138,7 @@
         ["request", "account", "error"],
         "Whether a claim of a key was written is not known.";
     OutcomeUnknown = 406, "outcome_unknown", Warn,
-        ["request", "service", "account", "side_vm"],
+        ["request", "service", "account", "detail"],
         "A non-idempotent request may or may not have run.";
     CallerGone = 407, "caller_gone", Debug,
         ["request", "position"],
