Tell loads on links that are busy, and believe a new process over an old list

Cause: a side process told its loads only in heartbeats, and a link over which frames flow is never asked for one. The loads that came with every end of a request were not read.

Entries now take the load of Finished and Refused, and side processes tell theirs once a second on busy links of entries. The ramp was ruled out as the cause: it held for all three servers, which had all just started.

A VM that is listed as leaving and replaced while the list is down would have got no work until the list was back; its new process is now believed.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`node`] | the process as a whole |
 //! | `view` | the manifest in force, made ready for requests |
 //! | `peers` | links to side processes, and what they say |
+//! | `listed` | what the platform's list says of VMs that leave |
 //! | `session` | one request over all its attempts |
 //! | `keyed` | requests with an idempotency key |
 //! | `api` | which request goes where, and who may send it |
@@ -24,6 +25,7 @@
 mod api;
 mod keyed;
 mod language;
+mod listed;
 mod models;
 pub mod node;
 pub mod openai;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -131,8 +131,9 @@
         shared.follow_sides();
     }
 
-    /// Takes over which VMs the platform lists as leaving.
-    pub fn set_vms_leaving(&self, vms: BTreeSet<String>) {
+    /// Takes over which VMs the platform lists as leaving; none when the
+    /// list does not answer.
+    pub fn set_vms_leaving(&self, vms: Option<BTreeSet<String>>) {
         self.shared.vms_leaving(vms);
     }
 
@@ -315,9 +316,15 @@
             }
             Body::Accepted(m) => m.request,
             Body::Output(m) => m.request,
-            Body::Finished(m) => m.request,
+            Body::Finished(m) => {
+                self.told_load(link, m.load.as_ref());
+                m.request
+            }
             Body::Failed(m) => m.request,
-            Body::Refused(m) => m.request,
+            Body::Refused(m) => {
+                self.told_load(link, m.load.as_ref());
+                m.request
+            }
             Body::QueryAnswer(m) => m.request,
             // These are for side processes, or the link has dealt with them.
             _ => return,
@@ -327,6 +334,14 @@
         }
     }
 
+    /// A load that came with the end of a request: a link over which frames
+    /// flow is never asked for a heartbeat.
+    fn told_load(&self, link: &Link, load: Option<&wire::BackendLoad>) {
+        if let Some(load) = load {
+            self.side_loads(link, std::slice::from_ref(load));
+        }
+    }
+
     /// Hands a frame to its request; one that has ended wants none.
     fn route(&self, request: wire::RequestId, link: &Link, body: Body) {
         let request = RequestId::from(request);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -22,7 +22,7 @@
 };
 use chestnutreach_telemetry::{Event, emit};
 
-use crate::{node::Shared, view::Beside};
+use crate::{listed::Listed, node::Shared, view::Beside};
 
 /// First and longest wait between two tries to reach a side process.
 const REDIAL_MIN_MS: u64 = 50;
@@ -35,7 +35,7 @@
     /// Addresses that a task keeps a link to.
     kept: Mutex<BTreeSet<SocketAddr>>,
     /// VMs that the platform lists as leaving.
-    leaving_vms: Mutex<BTreeSet<String>>,
+    listed: Listed,
     /// How many entries each side process has links to.
     entry_counts: Mutex<BTreeMap<SocketAddr, u32>>,
 }
@@ -45,11 +45,6 @@
         let sides = self.sides.lock().expect("no holder panics");
         sides.get(&address).cloned()
     }
-
-    fn is_listed_leaving(&self, vm: &str) -> bool {
-        let vms = self.leaving_vms.lock().expect("no holder panics");
-        vms.contains(vm)
-    }
 }
 
 impl Peers {
@@ -119,7 +114,7 @@
     }
 
     fn set_present(&self, link: &Link, address: SocketAddr) {
-        if self.peers.is_listed_leaving(&link.peer().vm) {
+        if self.peers.listed.is_leaving(link.peer()) {
             self.set_presence(address, Presence::Leaving);
             return;
         }
@@ -168,7 +163,7 @@
             return;
         };
         let beside = self.peers.beside(address).unwrap_or_default();
-        let is_listed = self.peers.is_listed_leaving(&link.peer().vm);
+        let is_listed = self.peers.listed.is_leaving(link.peer());
         for load in loads {
             let at = beside
                 .iter()
@@ -191,20 +186,20 @@
         }
     }
 
-    /// The platform's list of VMs has been read.
-    pub(crate) fn vms_leaving(&self, leaving: BTreeSet<String>) {
-        let fresh: Vec<String> = {
-            let mut vms =
-                self.peers.leaving_vms.lock().expect("no holder panics");
-            let fresh = leaving.difference(&vms).cloned().collect();
-            *vms = leaving;
-            fresh
+    /// The platform's list of VMs has been read, or has not.
+    pub(crate) fn vms_leaving(&self, leaving: Option<BTreeSet<String>>) {
+        let Some(leaving) = leaving else {
+            self.peers.listed.lost();
+            return;
         };
+        let fresh = self.peers.listed.read(leaving);
         for link in self.links().open() {
-            if fresh.contains(&link.peer().vm)
+            let peer = link.peer();
+            if fresh.contains(&peer.vm)
                 && let Some(address) = link.dialled()
+                && self.peers.listed.is_leaving(peer)
             {
-                emit(Event::VmLeaving, &[("vm", &link.peer().vm)]);
+                emit(Event::VmLeaving, &[("vm", &peer.vm)]);
                 self.set_presence(address, Presence::Leaving);
             }
         }
--- a/crates/fleet/src/fleet/members.rs
+++ b/crates/fleet/src/fleet/members.rs
@@ -1,12 +1,17 @@
 //! Members that come, go and are asked one by one.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use anyhow::{Context as _, ensure};
 use chestnutreach_platform::{ManifestStore, ObjectClient, TableClient};
 use serde_json::Value;
 
-use super::{Fleet, Platform, STOP_LIMIT, status};
+use super::{Fleet, LOOK, Platform, READY_LIMIT, STOP_LIMIT, status};
 use crate::client::Caller;
 
 impl Fleet {
@@ -116,6 +121,27 @@
         names.collect()
     }
 
+    /// Waits until a process has logged an event.
+    ///
+    /// # Errors
+    ///
+    /// It has not in time.
+    pub fn wait_for_event(
+        &mut self,
+        name: &str,
+        event: &str,
+    ) -> anyhow::Result<()> {
+        let started = Instant::now();
+        while self.events(name, event).is_empty() {
+            ensure!(
+                started.elapsed() < READY_LIMIT,
+                "{name} has not logged {event}"
+            );
+            thread::sleep(LOOK);
+        }
+        Ok(())
+    }
+
     /// Lines of a process's log that tell of an event.
     pub fn events(&mut self, name: &str, event: &str) -> Vec<String> {
         let log = self.process(name).log_text();
--- a/crates/node/src/vm_list.rs
+++ b/crates/node/src/vm_list.rs
@@ -10,11 +10,11 @@
 use crate::outage::{Outage, Pause};
 
 /// Follows the platform's list until the process ends; hands on the VMs that
-/// are listed as leaving.
+/// are listed as leaving, or none when the list does not answer.
 pub async fn follow_vm_list(
     client: VmListClient,
     poll_ms: u64,
-    apply: impl Fn(BTreeSet<String>),
+    apply: impl Fn(Option<BTreeSet<String>>),
 ) {
     let mut outage = Outage::new("vm_list");
     let mut pause = Pause::new(poll_ms);
@@ -29,9 +29,12 @@
                     .filter(|entry| entry.state == VmState::Leaving)
                     .map(|entry| entry.vm)
                     .collect();
-                apply(leaving);
+                apply(Some(leaving));
+            }
+            Err(e) => {
+                outage.failed(&e);
+                apply(None);
             }
-            Err(e) => outage.failed(&e),
         }
         Timer::after(pause.after(has_worked)).await;
     }
--- a/crates/side/src/sweep.rs
+++ b/crates/side/src/sweep.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use async_io::Timer;
-use chestnutreach_protocol::wire::{FailureReason, RefusalReason};
+use chestnutreach_protocol::{
+    Link,
+    wire::{FailureReason, RefusalReason, Role},
+};
 
 use crate::{
     node::Shared,
@@ -17,6 +20,9 @@
 const SEAT_GRACE_MS: u64 = 1_000;
 /// Looks between two load reports.
 const LOAD_EVERY: u32 = 10;
+/// Looks between two reports on links that carry requests. Their frames keep
+/// the other end from asking for a heartbeat, which would have the loads.
+const TELL_EVERY: u32 = 50;
 
 impl Shared {
     /// Looks at all requests again and again.
@@ -34,6 +40,19 @@
                 self.links().set_loads(self.loads());
                 self.note_gauges();
             }
+            if count.is_multiple_of(TELL_EVERY) {
+                self.tell_entries();
+            }
+        }
+    }
+
+    /// Tells the loads to entries that have requests here.
+    fn tell_entries(&self) {
+        let open = self.links().open();
+        let is_told =
+            |link: &&Link| link.is_busy() && link.peer().role() == Role::Entry;
+        for link in open.iter().filter(is_told) {
+            let _ = link.send(self.status());
         }
     }
 
