Share the failure of a dial with all who wait for it

Cause: requests that lost the same link dial it again under one lock, and each that found the last attempt failed made its own, one after another, a whole connect timeout each. Beside a process that takes connections and says nothing, as a frozen one does, recovery took longer the more requests were in flight there.

--- a/crates/protocol/src/link/mod.rs
+++ b/crates/protocol/src/link/mod.rs
@@ -22,7 +22,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_executor::Executor;
@@ -89,9 +89,28 @@
     dialled: Mutex<BTreeMap<SocketAddr, DialSlot>>,
 }
 
-/// The link to one address; the lock is held while it is dialled, so that
-/// many requests share one attempt.
-type DialSlot = Arc<async_lock::Mutex<Option<Link>>>;
+/// The lock is held while the address is dialled, so that many requests
+/// share one attempt.
+type DialSlot = Arc<async_lock::Mutex<Dialled>>;
+
+/// What came of dialling one address last.
+#[derive(Default)]
+struct Dialled {
+    link: Option<Link>,
+    failed: Option<(Instant, LinkError)>,
+}
+
+impl Dialled {
+    fn open_link(&self) -> Option<Link> {
+        self.link.clone().filter(|link| !link.is_closed())
+    }
+
+    /// The failure of an attempt that ended after this time.
+    fn failure_since(&self, time: Instant) -> Option<LinkError> {
+        let (at, error) = self.failed.as_ref()?;
+        (*at >= time).then(|| error.clone())
+    }
+}
 
 impl Links {
     /// A set without links; starts the task that watches for silence.
@@ -179,8 +198,7 @@
             let dialled = self.shared.dialled.lock().ok()?;
             dialled.get(&address)?.clone()
         };
-        let link = slot.try_lock()?.clone()?;
-        (!link.is_closed()).then_some(link)
+        slot.try_lock()?.open_link()
     }
 
     /// The link to an address, dialled if none is open.
@@ -197,14 +215,23 @@
                 self.shared.dialled.lock().expect("no holder panics");
             dialled.entry(address).or_default().clone()
         };
-        let mut current = slot.lock().await;
-        if let Some(link) = current.as_ref().filter(|l| !l.is_closed()) {
-            return Ok(link.clone());
+        let asked = Instant::now();
+        let mut dialled = slot.lock().await;
+        if let Some(link) = dialled.open_link() {
+            return Ok(link);
         }
-        *current = None;
-        let link = self.dial(address).await?;
-        *current = Some(link.clone());
-        Ok(link)
+        // Whoever waited for an attempt takes its failure too: one after
+        // another would each wait for the whole timeout.
+        if let Some(error) = dialled.failure_since(asked) {
+            return Err(error);
+        }
+        let outcome = self.dial(address).await;
+        dialled.link = outcome.as_ref().ok().cloned();
+        dialled.failed = match &outcome {
+            Ok(_) => None,
+            Err(e) => Some((Instant::now(), e.clone())),
+        };
+        outcome
     }
 
     fn open_link(
--- a/crates/protocol/tests/links.rs
+++ b/crates/protocol/tests/links.rs
@@ -40,6 +40,30 @@
     assert!(node.is_quiet());
 }
 
+/// An address that takes connections and says nothing, as a frozen process.
+#[test]
+fn those_who_wait_for_an_attempt_share_its_failure() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let timeout = Duration::from_millis(300);
+    let node = Node::new(options().connect_timeout(timeout));
+    let started = Instant::now();
+    let dials: Vec<_> = (0..20)
+        .map(|_| {
+            let links = node.links.clone();
+            node.executor.spawn(async move { links.connect(address).await })
+        })
+        .collect();
+    for dial in dials {
+        let error = block_on(dial).unwrap_err();
+        assert!(matches!(error, LinkError::Timeout(at) if at == address));
+    }
+    // One attempt for those that came together, and one for stragglers.
+    let took = started.elapsed();
+    assert!(took < timeout * 3, "{took:?}");
+    drop(listener);
+}
+
 #[rstest]
 #[case::refused(Body::HelloRefused(HelloRefused {
     supported_version: OTHER_VERSION,
