--- a/crates/fleet/examples/recovery.rs
+++ b/crates/fleet/examples/recovery.rs
@@ -28,6 +28,8 @@
 const CALLERS: usize = 8;
 const CALLING: Duration = Duration::from_secs(20);
 const BETWEEN_DEATHS: Duration = Duration::from_secs(1);
+/// Budgets of retries that the deaths are met with; 20 is shipped.
+const RETRY_PERCENTS: [&str; 2] = ["20", "100"];
 /// How long a dead engine is away.
 const AWAY: Duration = Duration::from_millis(500);
 
@@ -57,7 +59,10 @@
             measure(fault, stage, &format!("{name}, {place}"))?;
         }
     }
-    deaths()
+    for percent in RETRY_PERCENTS {
+        deaths(percent)?;
+    }
+    Ok(())
 }
 
 fn plan() -> Plan {
@@ -150,8 +155,12 @@
 }
 
 /// One engine after another dies and comes back while callers call.
-fn deaths() -> anyhow::Result<()> {
-    let plan = plan().stages(&[0, 12, LAYER_COUNT], 4);
+fn deaths(retry_percent: &str) -> anyhow::Result<()> {
+    let plan = plan().stages(&[0, 12, LAYER_COUNT], 4).setting(
+        "entry",
+        "retry-budget-percent",
+        retry_percent,
+    );
     let engines = plan.engine_names();
     let mut fleet = Fleet::start(plan)?;
     let has_ended = AtomicBool::new(false);
@@ -176,8 +185,8 @@
     let (killed, counts) = counts?;
     let all = counts.whole + counts.not_run + counts.other;
     println!(
-        "\n{killed} deaths of {} engines in {} s: {} of {all} requests \
-         whole, {} not run, {} failed",
+        "\nretry budget {retry_percent} %, {killed} deaths of {} engines in \
+         {} s: {} of {all} requests whole, {} not run, {} failed",
         engines.len(),
         CALLING.as_secs(),
         counts.whole,
