--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -98,6 +98,7 @@
         for number in 0..fleet.plan.entries {
             fleet.start_entry(number)?;
         }
+        fleet.wait_for_platform()?;
         fleet.apply(0)?;
         fleet.wait_until_ready()?;
         Ok(fleet)
@@ -391,6 +392,18 @@
         Ok(accepted.generation)
     }
 
+    /// Waits until the platform's stand-ins answer: a busy machine may start
+    /// them later than what needs them.
+    fn wait_for_platform(&mut self) -> anyhow::Result<()> {
+        for name in ["table", "objects", "vm-list"] {
+            self.wait_for(&format!("the stand-in {name}"), |fleet| {
+                let answer = fleet.standin(name).call("GET", "/stats", "");
+                answer.status == 200
+            })?;
+        }
+        Ok(())
+    }
+
     fn wait_until_ready(&mut self) -> anyhow::Result<()> {
         let names = self.sides.len();
         for number in 0..self.entries.len() {
