Tell shares in time by trade in the benchmark of decisions

Ruled out by a trial: a smaller queue (60,000, 30,000, 15,000 tokens instead of 200,000). The default stays.

--- a/crates/decisions/src/figures.rs
+++ b/crates/decisions/src/figures.rs
@@ -38,6 +38,8 @@
     pub share_of_bound: f64,
     /// Share of requests answered in time.
     pub in_time_share: f64,
+    /// The same of summaries, letters and lookups.
+    pub in_time_by_trade: [f64; 3],
     /// Price of the time in iterations, for each answer in time.
     pub busy_micros_per_request: f64,
     /// Price of the whole fleet, for each answer in time.
--- a/crates/decisions/src/text.rs
+++ b/crates/decisions/src/text.rs
@@ -23,6 +23,9 @@
         "way",
         "share of bound",
         "in time",
+        "summaries",
+        "letters",
+        "lookups",
         "busy micros/request",
         "micros/1000 tokens",
         "mean use",
@@ -39,12 +42,15 @@
         let o = &f.outcomes;
         let _ = writeln!(
             text,
-            "| {} | {} | {:.3} | {:.3} | {:.0} | {:.1} | {:.3} | {} | {} \
+            "| {} | {} | {:.3} | {:.3} | {:.2} | {:.2} | {:.2} | {:.0} | {:.1} | {:.3} | {} | {} \
              | {} | {} | {} | {} | {:.1} |",
             row.load_percent,
             row.way,
             f.share_of_bound,
             f.in_time_share,
+            f.in_time_by_trade[0],
+            f.in_time_by_trade[1],
+            f.in_time_by_trade[2],
             f.busy_micros_per_request,
             f.busy_micros_per_1000_tokens,
             f.mean_use,
--- a/crates/decisions/src/world/watch.rs
+++ b/crates/decisions/src/world/watch.rs
@@ -8,6 +8,7 @@
     deployment::Deployment,
     events::RequestIndex,
     figures::{self, Figures, Outcomes},
+    trade::Trade,
     workload,
 };
 
@@ -29,6 +30,8 @@
     tokens: Vec<u64>,
     prompt_tokens: u64,
     output_tokens: u64,
+    /// Requests by trade: in time, and all.
+    by_trade: [(u64, u64); Trade::ALL.len()],
     chains: u64,
     stages: u64,
     chain_places: u64,
@@ -57,6 +60,7 @@
             tokens: vec![0; accounts],
             prompt_tokens: 0,
             output_tokens: 0,
+            by_trade: Default::default(),
             chains: 0,
             stages: 0,
             chain_places: 0,
@@ -114,22 +118,31 @@
         slots[slot] += 1;
     }
 
-    pub(super) fn note_not_run(&mut self, _at: RequestIndex) {
+    pub(super) fn note_not_run(&mut self, at: RequestIndex) {
         if self.is_measured() {
             self.watch.outcomes.not_run += 1;
+            self.watch.by_trade[self.trade_of(at)].1 += 1;
         }
     }
 
-    pub(super) fn note_late(&mut self, _at: RequestIndex) {
+    pub(super) fn note_late(&mut self, at: RequestIndex) {
         if self.is_measured() {
             self.watch.outcomes.late += 1;
+            self.watch.by_trade[self.trade_of(at)].1 += 1;
         }
     }
 
+    fn trade_of(&self, at: RequestIndex) -> usize {
+        self.requests[at as usize].asking.trade as usize
+    }
+
     pub(super) fn note_completed(&mut self, at: RequestIndex) {
         if !self.is_measured() {
             return;
         }
+        let by_trade = &mut self.watch.by_trade[self.trade_of(at)];
+        by_trade.0 += 1;
+        by_trade.1 += 1;
         let asking = &self.requests[at as usize].asking;
         let total_us = self.events.now_us() - asking.at_us;
         self.watch.outcomes.completed += 1;
@@ -240,6 +253,9 @@
             tokens_per_s,
             share_of_bound: tokens_per_s / bound,
             in_time_share: watch.outcomes.in_time_share(),
+            in_time_by_trade: watch
+                .by_trade
+                .map(|(in_time, all)| in_time as f64 / all.max(1) as f64),
             busy_micros_per_request: price(fleet, |at| busy_us[at])
                 / completed,
             fleet_micros_per_request: price(fleet, |_| measured_us)
