--- a/crates/config/src/settings/tables.rs
+++ b/crates/config/src/settings/tables.rs
@@ -1,8 +1,8 @@
 //! The keys of a daemon's settings.
 
 use crate::fields::{
-    AddressField, ChoiceField, Field, IntegerField, SectionTable, TextField,
-    TextForm,
+    AddressField, AddressListField, ChoiceField, Field, IntegerField,
+    SectionTable, TextField, TextForm,
 };
 
 /// First word of `[node]`.
@@ -50,6 +50,8 @@
     IntegerField::new("threads", 1, 256, "threads").or(4);
 pub(super) const DRAIN_LIMIT_MS: IntegerField =
     IntegerField::new("drain-limit-ms", 1_000, 3_600_000, "ms").or(60_000);
+pub(super) const SEED_PEERS: AddressListField =
+    AddressListField::new("seed-peers", 64);
 
 pub(super) const NODE: &[Field] = &[
     Field::Choice(ROLE),
@@ -60,6 +62,7 @@
     Field::Address(CONTROL_ADDRESS),
     Field::Integer(THREADS),
     Field::Integer(DRAIN_LIMIT_MS),
+    Field::Addresses(SEED_PEERS),
 ];
 
 pub(super) const LOG_FORMAT: ChoiceField =
@@ -126,6 +129,8 @@
     IntegerField::new("claim-flush-ms", 1, 1_000, "ms").or(10);
 pub(super) const CLAIM_BATCH: IntegerField =
     IntegerField::new("claim-batch", 1, 10_000, "claims").or(50);
+pub(super) const LAME_DUCK_MS: IntegerField =
+    IntegerField::new("lame-duck-ms", 0, 600_000, "ms").or(2_000);
 
 pub(super) const ENTRY: &[Field] = &[
     Field::Address(HTTP_ADDRESS),
@@ -136,6 +141,7 @@
     Field::Integer(RECOVER_LIMIT_MS),
     Field::Integer(CLAIM_FLUSH_MS),
     Field::Integer(CLAIM_BATCH),
+    Field::Integer(LAME_DUCK_MS),
 ];
 
 pub(super) const RUN_ONCE_CAPACITY: IntegerField =
--- a/crates/daemon/src/roles.rs
+++ b/crates/daemon/src/roles.rs
@@ -3,29 +3,32 @@
 use std::{sync::Arc, time::Duration};
 
 use async_executor::Executor;
+use async_io::Timer;
 use chestnutreach_config::settings::{
     EntrySettings, NodeSettings, SideSettings,
 };
 use chestnutreach_control::serve_control;
 use chestnutreach_entry::{Entry, EntryParts};
 use chestnutreach_node::{
-    Heard, InForce,
-    follow::{ManifestFollower, follow_vm_list},
-    threads,
+    Heard, InForce, follow::ManifestFollower, peers::PeerManifests, threads,
+    traffic::count_traffic, vm_list::follow_vm_list,
 };
 use chestnutreach_platform::{
     ClaimOptions, ClaimStore, ManifestStore, ObjectClient, TableClient,
     VmListClient,
+    table::{CallResult, TableCall},
 };
 use chestnutreach_protocol::{Identity, wire::Role};
 use chestnutreach_side::{Side, SideParts};
 use chestnutreach_telemetry::{
-    Event, Metrics, OpsState, Readiness, emit, serve_ops,
+    Event, Metrics, OpsState, Readiness, emit,
+    metrics::{TableOperation, TableResult},
+    serve_ops,
 };
 
 use crate::{
     control::{Control, Served, Stopping},
-    drain::{Stopped, wait_until_idle},
+    drain::{Drain, Stopped},
     listen::listen,
     signals::stop_signal,
 };
@@ -64,13 +67,15 @@
         let platform = &node.platform;
         let timeout = Duration::from_millis(platform.request_timeout_ms);
         let name = role_name(role);
-        let table = TableClient::new(platform.table_address, timeout);
+        let metrics = Arc::new(Metrics::new(name, &node.vm));
+        let table = TableClient::new(platform.table_address, timeout)
+            .on_call(counted(metrics.clone()));
         let objects = ObjectClient::new(platform.object_address, timeout);
         Common {
             executor,
             identity: Identity::new(&node.vm, role, &node.data_centre)
                 .with_control(node.control_address),
-            metrics: Arc::new(Metrics::new(name, &node.vm)),
+            metrics,
             readiness: Arc::new(Readiness::new(&[NEEDS_MANIFEST])),
             heard: Arc::new(Heard::new()),
             in_force: Arc::new(InForce::new()),
@@ -82,8 +87,12 @@
     fn follower(&self, node: &NodeSettings) -> ManifestFollower {
         let store =
             ManifestStore::new(self.table.clone(), self.objects.clone());
-        let poll_ms = node.platform.manifest_poll_ms;
-        ManifestFollower::new(store, self.heard.clone(), poll_ms)
+        let platform = &node.platform;
+        let timeout = Duration::from_millis(platform.request_timeout_ms);
+        let seeds = node.seed_peers.clone();
+        let peers = PeerManifests::new(seeds, self.heard.clone(), timeout);
+        let heard = self.heard.clone();
+        ManifestFollower::new(store, peers, heard, platform.manifest_poll_ms)
             .in_force(self.in_force.clone())
     }
 
@@ -155,6 +164,25 @@
     }
 }
 
+/// Counts each call to the table service.
+fn counted(
+    metrics: Arc<Metrics>,
+) -> impl Fn(TableCall, CallResult) + Send + Sync + 'static {
+    move |call, result| {
+        let operation = match call {
+            TableCall::Read => TableOperation::Read,
+            TableCall::Write => TableOperation::Write,
+        };
+        let result = match result {
+            CallResult::Done => TableResult::Done,
+            CallResult::Conflict => TableResult::Conflict,
+            CallResult::Failed => TableResult::Failed,
+            CallResult::Unknown => TableResult::Unknown,
+        };
+        metrics.table_operation(operation, result);
+    }
+}
+
 fn role_name(role: Role) -> &'static str {
     match role {
         Role::Entry => "entry",
@@ -169,6 +197,7 @@
     executor: Arc<Executor<'static>>,
 ) -> anyhow::Result<Stopped> {
     let node = settings.node.clone();
+    let lame_duck = Duration::from_millis(settings.lame_duck_ms);
     let common = Common::new(&node, Role::Entry, executor.clone());
     let claim_options = ClaimOptions::new()
         .batch(settings.claim_batch)
@@ -210,6 +239,8 @@
         move || entry.status()
     };
     common.serve_ops(&node, status)?;
+    let traffic = count_traffic(entry.links().clone(), common.metrics.clone());
+    executor.spawn(traffic).detach();
     let served = Served::Entry(entry.clone());
     let control = common.serve_control(&node, served)?;
     common.note_started(&node, Role::Entry);
@@ -217,7 +248,14 @@
     let cause = stop_signal().await?;
     control.begin_stop();
     common.note_stopping(cause, entry.in_flight());
-    Ok(wait_until_idle(node.drain_limit_ms, || entry.in_flight()).await)
+    let drain = Drain::start(node.drain_limit_ms);
+    Timer::after(lame_duck).await;
+    entry.close_callers();
+    let left = || {
+        let left = entry.left();
+        left.callers.max(left.requests) + left.unsettled
+    };
+    Ok(drain.finish(left, || entry.cut()).await)
 }
 
 /// Runs the role `side` until it is told to stop.
@@ -249,6 +287,8 @@
         move || side.status()
     };
     common.serve_ops(&node, status)?;
+    let traffic = count_traffic(side.links().clone(), common.metrics.clone());
+    executor.spawn(traffic).detach();
     let served = Served::Side(side.clone());
     let control = common.serve_control(&node, served)?;
     common.note_started(&node, Role::Side);
@@ -260,5 +300,6 @@
         held.runs + held.seats
     };
     common.note_stopping(cause, in_flight());
-    Ok(wait_until_idle(node.drain_limit_ms, in_flight).await)
+    let drain = Drain::start(node.drain_limit_ms);
+    Ok(drain.finish(in_flight, || side.cut()).await)
 }
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -122,6 +122,29 @@
     response
 }
 
+/// The refusal of a request that is wrong in itself.
+pub(crate) fn bad_request(
+    code: &str,
+    param: Option<&str>,
+    message: &str,
+) -> Box<Response> {
+    let kind = "invalid_request_error";
+    refusal(StatusCode::BadRequest, kind, code, param, message)
+}
+
+/// The refusal of a method; `allow` names those that are served.
+pub(crate) fn wrong_method(allow: &str) -> Box<Response> {
+    let mut response = refusal(
+        StatusCode::MethodNotAllowed,
+        "invalid_request_error",
+        "method_not_allowed",
+        None,
+        &format!("only {allow} are served here"),
+    );
+    response.insert_header("allow", allow);
+    response
+}
+
 /// The answer to a request that the HTTP layer refuses.
 pub(crate) fn http_refusal(error: &RequestError) -> Response {
     let status =
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,10 +8,13 @@
 //! | `session` | one request over all its attempts |
 //! | `keyed` | requests with an idempotency key |
 //! | `api` | which request goes where, and who may send it |
-//! | `openai` | the published shapes of requests and answers |
+//! | [`terms`] | the headers that say how a request is served |
+//! | `models` | the list of models |
+//! | [`openai`] | the published shapes of requests and answers |
 //! | `language` | requests for a model |
 //! | `plain` | requests for a plain service |
 //! | `recent` | the routing choices of recent requests |
+//! | [`stop`] | how an entry stops |
 //! | `source` | where the progress of a request comes from |
 //! | `tally` | what is counted and logged of a request |
 //! | `outage` | how long the platform's store has been failing |
@@ -21,15 +24,18 @@
 mod api;
 mod keyed;
 mod language;
+mod models;
 pub mod node;
-mod openai;
+pub mod openai;
 mod outage;
 mod peers;
 mod plain;
 mod recent;
 mod session;
 mod source;
+pub mod stop;
 mod tally;
+pub mod terms;
 mod view;
 
 pub use node::{Entry, EntryParts};
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,23 +5,23 @@
     fmt::Write as _,
     net::SocketAddr,
     path::{Path, PathBuf},
-    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
 
 use anyhow::{Context as _, bail};
 use chestnutreach_config::{Manifest, key_digest};
-use chestnutreach_platform::{ManifestStore, ObjectClient, TableClient};
 use chestnutreach_standins::{plain::PlainRecord, record::Numbered};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
 use crate::{
     client::Caller, plan::Plan, ports::free_address, process::Process,
-    record::Ran,
+    record::Ran, relay::Relay,
 };
 
+mod members;
+
 /// Time that a fleet may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 /// Time that a process may take to stop when asked to.
@@ -73,6 +73,7 @@
     platform: Platform,
     entries: Vec<(Daemon, SocketAddr)>,
     sides: BTreeMap<String, Daemon>,
+    relays: BTreeMap<String, Relay>,
     servers: BTreeMap<String, SocketAddr>,
 }
 
@@ -95,6 +96,9 @@
         for number in 0..fleet.plan.entries {
             fleet.start_entry(number)?;
         }
+        for name in ["table", "objects"] {
+            fleet.wait_for(name, |f| f.stats(name).is_object())?;
+        }
         fleet.apply(0)?;
         fleet.wait_until_ready()?;
         Ok(fleet)
@@ -113,6 +117,7 @@
             },
             entries: Vec::new(),
             sides: BTreeMap::new(),
+            relays: BTreeMap::new(),
             servers: BTreeMap::new(),
         };
         let Platform { table, objects, vm_list } = fleet.platform;
@@ -183,6 +188,10 @@
     fn start_side(&mut self, server: &str) -> anyhow::Result<()> {
         let daemon = Daemon::new();
         self.sides.insert(server.to_owned(), daemon);
+        if self.plan.has_relays {
+            let relay = Relay::start(free_address(), daemon.inner)?;
+            self.relays.insert(server.to_owned(), relay);
+        }
         let name = side_name(server);
         let address = self.servers[server];
         let mut more = self.section("side");
@@ -304,7 +313,7 @@
     }
 
     fn write_servers(&self, text: &mut String) {
-        for (at, (server, daemon)) in self.sides.iter().enumerate() {
+        for (at, server) in self.sides.keys().enumerate() {
             let (first, end) = self.layers(server);
             let is_plain = end == 0;
             let service = if is_plain { "ledger-app" } else { "desk-llm" };
@@ -315,7 +324,7 @@
                  max-running = {}\n",
                 HALLS[at % HALLS.len()],
                 side_name(server),
-                daemon.inner,
+                self.side_address(server),
                 self.plan.max_running,
             );
             if !is_plain {
@@ -330,6 +339,23 @@
         }
     }
 
+    /// Where other processes reach the side process of a backend server.
+    fn side_address(&self, server: &str) -> SocketAddr {
+        match self.relays.get(server) {
+            Some(relay) => relay.address(),
+            None => self.sides[server].inner,
+        }
+    }
+
+    /// The relay before the side process of a backend server.
+    ///
+    /// # Panics
+    ///
+    /// The plan has no relays, or the fleet no such backend server.
+    pub fn relay(&self, server: &str) -> &Relay {
+        &self.relays[server]
+    }
+
     /// Accepts the fleet's manifest after this generation.
     ///
     /// # Errors
@@ -351,12 +377,7 @@
     ) -> anyhow::Result<u64> {
         let manifest = Manifest::try_parse("manifest", text)
             .with_context(|| format!("the manifest:\n{text}"))?;
-        let timeout = Duration::from_secs(2);
-        let Platform { table, objects, .. } = self.platform;
-        let store = ManifestStore::new(
-            Arc::new(TableClient::new(table, timeout)),
-            Arc::new(ObjectClient::new(objects, timeout)),
-        );
+        let store = self.manifest_store(Duration::from_secs(2));
         let submission = format!("{:032x}", fastrand::u128(..));
         let accepted = async_io::block_on(store.submit(
             base_generation,
@@ -489,6 +510,12 @@
             .unwrap_or_else(|| panic!("the fleet has no process {name:?}"))
     }
 
+    /// Numbers of the running processes in the system, by name.
+    pub fn process_ids(&self) -> BTreeMap<String, u32> {
+        let each = self.processes.iter();
+        each.filter_map(|(name, p)| Some((name.clone(), p.id()?))).collect()
+    }
+
     /// Sets the faults of a stand-in.
     ///
     /// # Panics
@@ -517,6 +544,12 @@
         self.standin("vm-list").call("PUT", "/vms", &body);
     }
 
+    /// Calls that a stand-in holds now.
+    pub fn held(&self, name: &str) -> u64 {
+        let answer = self.standin(name).call("GET", "/held", "");
+        answer.json().as_u64().unwrap_or(0)
+    }
+
     /// A stand-in's counts.
     pub fn stats(&self, name: &str) -> Value {
         self.standin(name).call("GET", "/stats", "").json()
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`vm_list`] | the list of live and leaving VMs |
 //! | [`manifest_store`] | generations of the manifest |
 //! | [`claims`] | claims of requests with an idempotency key |
+//! | [`concurrent`] | several calls at once |
 //!
 //! # Example
 //!
@@ -38,11 +39,10 @@
 //! ```
 
 pub mod claims;
-mod concurrent;
+pub mod concurrent;
 mod hex;
 pub mod manifest_store;
 pub mod objects;
-mod parts;
 pub mod table;
 mod transport;
 pub mod vm_list;
