Add the planner of layer ranges, a pure function with its properties

Which backend servers of a language service hold which layers, so that the chains carry the demand at least cost with few weights moved: a gap is filled first and where it is, then the segment with the least capacity gets the server that is cheapest for what it adds, and orders that add nothing are taken back. Each order has its reason.

Properties over 600 drawn services each: there is a chain afterwards exactly if the memory allows one, at most one order a server and none when the demand is met, a plan carried out is not undone, no order is in vain, one failure with a spare of its kind costs one order.

Left: the lease and the path of orders through side processes.

--- /dev/null
+++ b/crates/planner/tests/plan.rs
@@ -0,0 +1,186 @@
+//! Plans of small services.
+
+use chestnutreach_planner::{Kind, LayerRange, Reason, Server, Service, plan};
+
+const LAYERS: u32 = 24;
+
+fn kinds(service: Service) -> Service {
+    let kind = |tokens_per_s, price, max_layers| Kind {
+        tokens_per_s,
+        price_micros_per_hour: price,
+        max_layers,
+    };
+    service
+        .kind("big", kind(1_000, 1_000, 24))
+        .kind("half", kind(1_000, 600, 12))
+        .kind("slow", kind(100, 50, 12))
+}
+
+fn range(first: u32, end: u32) -> LayerRange {
+    LayerRange::new(first, end)
+}
+
+fn held(name: &str, kind: &str, first: u32, end: u32) -> Server {
+    Server::new(name, kind).holds(range(first, end))
+}
+
+#[test]
+fn orders_follow_what_is_there() {
+    use Reason::{AddsCapacity, FillsGap};
+    struct Case {
+        name: &'static str,
+        demand: u64,
+        servers: Vec<Server>,
+        orders: &'static [(&'static str, u32, u32, Reason)],
+        capacity: u64,
+    }
+    let chain = || vec![held("a", "half", 0, 12), held("b", "half", 12, 24)];
+    let with = |mut servers: Vec<Server>, more: Vec<Server>| {
+        servers.extend(more);
+        servers
+    };
+    let cases = [
+        Case {
+            name: "the demand is met",
+            demand: 2_000,
+            servers: with(chain(), vec![Server::new("c", "big")]),
+            orders: &[],
+            capacity: 2_000,
+        },
+        Case {
+            name: "nothing is held",
+            demand: 1,
+            servers: vec![Server::new("a", "half"), Server::new("b", "half")],
+            orders: &[("a", 0, 12, FillsGap), ("b", 12, 24, FillsGap)],
+            capacity: 2_000,
+        },
+        Case {
+            name: "a failed stage is replaced where the gap is",
+            demand: 2_000,
+            servers: vec![
+                held("a", "half", 0, 12),
+                held("b", "half", 12, 24).absent(),
+                Server::new("c", "big"),
+                Server::new("d", "half"),
+            ],
+            orders: &[("d", 12, 24, FillsGap)],
+            capacity: 2_000,
+        },
+        Case {
+            name: "the weaker half gets the new server",
+            demand: 4_000,
+            servers: with(
+                chain(),
+                vec![held("c", "half", 0, 12), Server::new("d", "half")],
+            ),
+            orders: &[("d", 12, 24, AddsCapacity)],
+            capacity: 4_000,
+        },
+        Case {
+            name: "a little more is had from a cheap one in each half",
+            demand: 2_100,
+            servers: with(
+                chain(),
+                ["c", "d"].map(|name| Server::new(name, "slow")).into(),
+            ),
+            orders: &[("c", 0, 12, AddsCapacity), ("d", 12, 24, AddsCapacity)],
+            capacity: 2_200,
+        },
+        Case {
+            name: "a half with too much gives one",
+            demand: 4_000,
+            servers: with(
+                chain(),
+                ["c", "d"].map(|name| held(name, "half", 0, 12)).into(),
+            ),
+            orders: &[("a", 12, 24, AddsCapacity)],
+            capacity: 4_000,
+        },
+        Case {
+            name: "what is held leaves gaps that nothing fits",
+            demand: 1,
+            servers: vec![held("a", "half", 6, 18), Server::new("b", "half")],
+            orders: &[("b", 0, 12, FillsGap), ("a", 12, 24, FillsGap)],
+            capacity: 2_000,
+        },
+        Case {
+            name: "a stage that is one layer short grows by it",
+            demand: 1,
+            servers: vec![held("a", "big", 0, 11), held("b", "half", 12, 24)],
+            orders: &[("a", 0, 12, FillsGap)],
+            capacity: 2_000,
+        },
+        Case {
+            name: "one more in one half only would add nothing",
+            demand: 4_000,
+            servers: with(chain(), vec![Server::new("c", "half")]),
+            orders: &[],
+            capacity: 2_000,
+        },
+        Case {
+            name: "memory is too small",
+            demand: 1,
+            servers: vec![
+                Server::new("a", "half"),
+                Server::new("b", "half").absent(),
+            ],
+            orders: &[],
+            capacity: 0,
+        },
+    ];
+    for case in cases {
+        let service =
+            kinds(Service::new(LAYERS)).demand_tokens_per_s(case.demand);
+        let service = case.servers.into_iter().fold(service, Service::server);
+        let made = plan(&service.try_build().unwrap());
+        let orders: Vec<_> = made
+            .orders
+            .iter()
+            .map(|o| {
+                let LayerRange { first_layer, end_layer } = o.range;
+                (o.server.as_str(), first_layer, end_layer, o.reason)
+            })
+            .collect();
+        assert_eq!(orders, case.orders, "{}", case.name);
+        assert_eq!(made.capacity_tokens_per_s, case.capacity, "{}", case.name);
+        let unmet = case.demand.saturating_sub(case.capacity);
+        assert_eq!(made.unmet_tokens_per_s, unmet, "{}", case.name);
+    }
+}
+
+/// Ways that look cheaper at first take the servers that the rest needs.
+#[test]
+fn a_cheaper_way_does_not_hide_the_only_one() {
+    let kind = |max_layers, price| Kind {
+        tokens_per_s: 1_000,
+        price_micros_per_hour: price,
+        max_layers,
+    };
+    let service = Service::new(16)
+        .demand_tokens_per_s(1)
+        .kind("cheap", kind(8, 10))
+        .kind("dear", kind(10, 99))
+        .server(held("a", "cheap", 8, 16))
+        .server(held("b", "dear", 0, 7));
+    let made = plan(&service.try_build().unwrap());
+    assert_eq!(made.orders.len(), 1, "{made:?}");
+    let order = &made.orders[0];
+    assert_eq!((order.server.as_str(), order.range), ("b", range(0, 8)));
+    assert_eq!(order.loaded_layers, 1);
+}
+
+#[test]
+fn faults_are_told_together() {
+    let error = kinds(Service::new(0))
+        .server(held("a", "huge", 5, 5))
+        .server(Server::new("a", "big"))
+        .try_build()
+        .unwrap_err();
+    let expected = [
+        "layer_count is 0; it must be 1 or more",
+        "server a: no kind \"huge\"",
+        "server a: layers 5..5 are no range within 0..0",
+        "server a stands twice",
+    ];
+    assert_eq!(error.findings, expected);
+}
--- /dev/null
+++ b/crates/planner/tests/properties.rs
@@ -0,0 +1,212 @@
+//! What holds of every plan.
+
+use std::collections::BTreeSet;
+
+use chestnutreach_planner::{
+    CheckedService, Kind, LayerRange, Order, Reason, Server, Service,
+    capacity, plan,
+};
+use proptest::{collection::vec, option, prelude::*, test_runner::RngSeed};
+
+const SEED: u64 = 20_262;
+const LAYERS: u32 = 16;
+const KINDS: [(&str, Kind); 3] = [
+    ("large", kind(900, 1_000, 16)),
+    ("middle", kind(700, 500, 7)),
+    ("small", kind(150, 90, 3)),
+];
+
+const fn kind(tokens_per_s: u64, price: u64, max_layers: u32) -> Kind {
+    Kind { tokens_per_s, price_micros_per_hour: price, max_layers }
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 600,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..ProptestConfig::default()
+    }
+}
+
+/// A server: its kind, where its range begins and how long it is, and
+/// whether it is there.
+type Drawn = (usize, Option<(u32, u32)>, bool);
+
+fn drawn() -> impl Strategy<Value = Vec<Drawn>> {
+    let range = option::of((0..LAYERS, 1..=LAYERS));
+    vec((0..KINDS.len(), range, prop::bool::weighted(0.8)), 0..9)
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    kind: Kind,
+    held: Option<LayerRange>,
+    is_present: bool,
+}
+
+fn members(drawn: &[Drawn]) -> Vec<Member> {
+    let member = |(kind, range, is_present): &Drawn| {
+        let kind = KINDS[*kind].1;
+        let held = range.map(|(first, length)| {
+            let length = length.min(kind.max_layers);
+            LayerRange::new(first, (first + length).min(LAYERS))
+        });
+        Member { kind, held, is_present: *is_present }
+    };
+    drawn.iter().map(member).collect()
+}
+
+fn name(at: usize) -> String {
+    format!("server-{at}")
+}
+
+fn service(members: &[Member], demand: u64) -> CheckedService {
+    let mut service = Service::new(LAYERS).demand_tokens_per_s(demand);
+    for (name, kind) in KINDS {
+        service = service.kind(name, kind);
+    }
+    for (at, member) in members.iter().enumerate() {
+        let kind = KINDS.iter().find(|(_, kind)| *kind == member.kind);
+        let mut server = Server::new(&name(at), kind.unwrap().0);
+        if let Some(range) = member.held {
+            server = server.holds(range);
+        }
+        if !member.is_present {
+            server = server.absent();
+        }
+        service = service.server(server);
+    }
+    service.try_build().unwrap()
+}
+
+fn capacity_of(members: &[Member]) -> u64 {
+    let present = members.iter().filter(|m| m.is_present);
+    let held: Vec<_> = present
+        .filter_map(|m| {
+            let range = m.held?;
+            Some((range, capacity::of_server(&m.kind, range, LAYERS)))
+        })
+        .collect();
+    capacity::of_chains(LAYERS, &held)
+}
+
+fn carry_out(members: &[Member], orders: &[Order]) -> Vec<Member> {
+    let mut members = members.to_vec();
+    for order in orders {
+        let at = (0..members.len()).find(|at| name(*at) == order.server);
+        members[at.unwrap()].held = Some(order.range);
+    }
+    members
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Whatever is held, there is a chain afterwards if memory allows one.
+    #[test]
+    fn a_plan_always_tiles(drawn in drawn(), demand in 1..9_000_u64) {
+        let members = members(&drawn);
+        let made = plan(&service(&members, demand));
+        let after = capacity_of(&carry_out(&members, &made.orders));
+        let present = members.iter().filter(|m| m.is_present);
+        let memory: u32 = present.map(|m| m.kind.max_layers).sum();
+        prop_assert_eq!(after > 0, memory >= LAYERS);
+        prop_assert_eq!(after, made.capacity_tokens_per_s);
+    }
+
+    /// At most one order for each server that is there, each within its
+    /// memory and for a reason: nothing is moved that need not be.
+    #[test]
+    fn moves_are_bounded(drawn in drawn(), demand in 0..9_000_u64) {
+        let members = members(&drawn);
+        let made = plan(&service(&members, demand));
+        let mut seen = BTreeSet::new();
+        for order in &made.orders {
+            prop_assert!(seen.insert(order.server.clone()));
+            let at = (0..members.len()).find(|at| name(*at) == order.server);
+            let member = &members[at.unwrap()];
+            prop_assert!(member.is_present);
+            prop_assert_ne!(member.held, Some(order.range));
+            prop_assert!(order.range.layers() <= member.kind.max_layers);
+            prop_assert!(order.range.end_layer <= LAYERS);
+            prop_assert!(order.loaded_layers <= order.range.layers());
+        }
+        let before = capacity_of(&members);
+        prop_assert!(made.capacity_tokens_per_s >= before);
+        if before > 0 && before >= demand {
+            prop_assert!(made.orders.is_empty());
+        }
+    }
+
+    /// Carrying out a plan leaves nothing to plan: orders do not swing.
+    #[test]
+    fn a_plan_that_was_carried_out_is_not_undone(
+        drawn in drawn(),
+        demand in 1..9_000_u64,
+    ) {
+        let members = members(&drawn);
+        let made = plan(&service(&members, demand));
+        let after = carry_out(&members, &made.orders);
+        let again = plan(&service(&after, demand));
+        prop_assert!(
+            again.capacity_tokens_per_s >= made.capacity_tokens_per_s
+        );
+        if made.unmet_tokens_per_s == 0 && made.capacity_tokens_per_s > 0 {
+            prop_assert!(again.orders.is_empty());
+        }
+    }
+
+    /// Weights are moved only for capacity that is asked for: without any
+    /// one of the orders that add some, less of the demand is met.
+    #[test]
+    fn no_order_is_in_vain(drawn in drawn(), demand in 1..9_000_u64) {
+        let members = members(&drawn);
+        let made = plan(&service(&members, demand));
+        let reached = made.capacity_tokens_per_s.min(demand);
+        for (at, order) in made.orders.iter().enumerate() {
+            if order.reason != Reason::AddsCapacity {
+                continue;
+            }
+            let mut others = made.orders.clone();
+            others.remove(at);
+            let without = capacity_of(&carry_out(&members, &others));
+            prop_assert!(without.min(demand) < reached, "{:?}", made);
+        }
+    }
+
+    /// One of the servers of a chain fails, and one like it is spare: that
+    /// one takes its range, and nothing else moves.
+    #[test]
+    fn one_failure_costs_one_order(
+        cuts in prop::collection::btree_set(1..LAYERS, 0..4),
+        copies in 1..4_usize,
+        failed in 0..100_usize,
+    ) {
+        let large = KINDS[0].1;
+        let mut bounds: Vec<u32> = cuts.into_iter().collect();
+        bounds.insert(0, 0);
+        bounds.push(LAYERS);
+        let stages = bounds.windows(2).map(|b| LayerRange::new(b[0], b[1]));
+        let mut members: Vec<Member> = stages
+            .flat_map(|range| vec![range; copies])
+            .map(|range| Member {
+                kind: large,
+                held: Some(range),
+                is_present: true,
+            })
+            .collect();
+        let demand = capacity_of(&members);
+        let failed = failed % members.len();
+        let range = members[failed].held;
+        members[failed].is_present = false;
+        let spare = Member { kind: large, held: None, is_present: true };
+        members.push(spare);
+        let made = plan(&service(&members, demand));
+        prop_assert!(made.orders.len() <= 1);
+        if capacity_of(&members) < demand {
+            prop_assert_eq!(Some(made.orders[0].range), range);
+        }
+        prop_assert_eq!(made.unmet_tokens_per_s, 0);
+    }
+}
