--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -25,7 +25,7 @@
     if let Some(request) = request {
         response.insert_header(REQUEST_HEADER, request.to_string());
     }
-    if let Some(after_ms) = retry_after_ms(ending) {
+    if let Some(after_ms) = ending.retry_after_ms {
         let after_s = after_ms.div_ceil(1_000).max(1);
         response.insert_header("retry-after", after_s.to_string());
         response.insert_header("retry-after-ms", after_ms.to_string());
@@ -47,13 +47,6 @@
     }
 }
 
-fn retry_after_ms(ending: &Ending) -> Option<u64> {
-    match ending.outcome {
-        Outcome::NotRun { retry_after_ms, .. } => retry_after_ms,
-        _ => None,
-    }
-}
-
 /// The published error object, with the outcome beside it.
 pub(crate) fn error_object(ending: &Ending) -> serde_json::Value {
     let (kind, code) = match ending.outcome {
@@ -72,7 +65,7 @@
             "param": null,
             "code": code,
             "outcome": ending.outcome.as_str(),
-            "retry_after_ms": retry_after_ms(ending),
+            "retry_after_ms": ending.retry_after_ms,
         }
     })
 }
@@ -132,6 +125,19 @@
     refusal(StatusCode::BadRequest, kind, code, param, message)
 }
 
+/// The refusal of a method; `allow` names those that are served.
+pub(crate) fn wrong_method(allow: &str) -> Box<Response> {
+    let mut response = refusal(
+        StatusCode::MethodNotAllowed,
+        "invalid_request_error",
+        "method_not_allowed",
+        None,
+        &format!("only {allow} are served here"),
+    );
+    response.insert_header("allow", allow);
+    response
+}
+
 /// The answer to a request that the HTTP layer refuses.
 pub(crate) fn http_refusal(error: &RequestError) -> Response {
     let status =
--- a/crates/routing/tests/guards.rs
+++ b/crates/routing/tests/guards.rs
@@ -4,8 +4,8 @@
 
 use chestnutreach_routing::{
     Health, HealthState, Live, Mix, Presence, RetryBudget, Shape, Speed,
-    can_finish, expected_wait_ms, health, retry, retry_after_ms,
-    throughput_bound,
+    admission::run_ms, can_finish, expected_wait_ms, health, retry,
+    retry_after_ms, throughput_bound,
 };
 use common::{fleet, numbered, serving, spec};
 use rstest::rstest;
@@ -88,20 +88,21 @@
 fn admission_follows_the_learned_speed() {
     let mut speed = Speed::new(1_000.0, 100.0).places(4);
     let shape = Shape::new(1_000, 100);
+    let alone_ms = |speed: &Speed| run_ms(&shape, speed, 0.0);
     assert_eq!(expected_wait_ms(1_000, &speed), 10_000);
     // 1 s of prompt and 100 steps of 20 ms on an empty server.
-    assert_eq!(can_finish(&shape, 0, &speed, 3_000), Ok(()));
-    let late = can_finish(&shape, 1_000, &speed, 3_000).unwrap_err();
+    assert_eq!(can_finish(alone_ms(&speed), 0, 3_000), Ok(()));
+    let late = can_finish(alone_ms(&speed), 1_000, 3_000).unwrap_err();
     assert_eq!(late.needed_ms, 4_000);
     for _ in 0..100 {
         speed.learn_prompt(1_000, 2_000, 1_000.0);
         // 400 tokens in a second: 100 steps of a full batch.
         for _ in 0..100 {
-            speed.learn_step(1_000, 4, 10.0);
+            speed.learn_step(1_000, 4, 4, 10.0);
         }
     }
     assert!((speed.prompt_tokens_per_s(1_000) - 2_000.0).abs() < 1.0);
-    assert_eq!(can_finish(&shape, 1_900, &speed, 3_000), Ok(()));
+    assert_eq!(can_finish(alone_ms(&speed), 1_900, 3_000), Ok(()));
     // Five prompt tokens to one of output, at 2,000 and 400 a second.
     let wait_ms = expected_wait_ms(6_000, &speed);
     assert!((4_990..=5_010).contains(&wait_ms), "{wait_ms}");
@@ -110,6 +111,7 @@
 /// What a server is given to run, and what it must look like afterwards.
 struct LearnedCase {
     batch: u32,
+    held: u32,
     step_ms: f64,
     prompt_tokens: u32,
     prompt_ms: f64,
@@ -124,6 +126,7 @@
 #[rstest]
 #[case::lone_steps(LearnedCase {
     batch: 1,
+    held: 1,
     step_ms: 3.0,
     prompt_tokens: 4,
     prompt_ms: 3.0,
@@ -132,6 +135,7 @@
 })]
 #[case::full_steps(LearnedCase {
     batch: 32,
+    held: 32,
     step_ms: 16.0,
     prompt_tokens: 200,
     prompt_ms: 10.0,
@@ -141,7 +145,7 @@
 fn few_requests_do_not_make_a_server_look_slow(#[case] case: LearnedCase) {
     let mut speed = Speed::new(100_000.0, 2_000.0).places(32);
     for _ in 0..200 {
-        speed.learn_step(0, case.batch, case.step_ms);
+        speed.learn_step(0, case.batch, case.held, case.step_ms);
         let tokens = case.prompt_tokens;
         speed.learn_prompt(tokens, tokens.into(), case.prompt_ms);
     }
@@ -151,6 +155,17 @@
     assert!(long_per_s >= case.least_long_prompt_per_s, "{long_per_s}");
 }
 
+/// A full stage of a chain of two has half of its tokens elsewhere.
+#[test]
+fn a_stage_of_a_chain_does_not_look_faster_than_it_is() {
+    let mut speed = Speed::new(100_000.0, 2_000.0).places(32);
+    for _ in 0..200 {
+        speed.learn_step(0, 16, 32, 8.0);
+    }
+    let output_per_s = speed.output_tokens_per_s(0);
+    assert!((output_per_s - 2_000.0).abs() < 1.0, "{output_per_s}");
+}
+
 #[test]
 fn refused_callers_come_back_apart() {
     let speed = Speed::new(1_000.0, 100.0);
