Tell stages of a chain and honest times where later stages wait

Cause: main has the side process let requests wait at later stages. Its reservations did not tell the length of the chain, which admission counts now; and what left the queue unrun was told to come back after 0 ms, which the entry takes for its default, the same for all.

Both are told.

--- a/crates/decisions/src/bounds.rs
+++ b/crates/decisions/src/bounds.rs
@@ -20,7 +20,7 @@
     seed: 1,
     warm_up_ms: 10_000,
     measure_ms: 20_000,
-    later: Later::Refuses,
+    later: Later::Waits,
 };
 
 /// Least and most of one figure.
--- a/crates/decisions/src/case.rs
+++ b/crates/decisions/src/case.rs
@@ -129,7 +129,7 @@
             refuses_late: true,
             comebacks: 2,
             joins: false,
-            later: Later::Refuses,
+            later: Later::Waits,
         }
     }
 
--- a/crates/decisions/src/events.rs
+++ b/crates/decisions/src/events.rs
@@ -23,6 +23,8 @@
     Reserve(RequestIndex),
     /// All stages are held.
     Begin(RequestIndex),
+    /// The request has waited long enough at the stage that it waits at.
+    WaitOver(RequestIndex, u32),
     /// The first stage hears that a later one has refused.
     StageRefused(RequestIndex, Refusal),
     /// The entry hears that nothing has run.
--- a/crates/decisions/src/main.rs
+++ b/crates/decisions/src/main.rs
@@ -87,7 +87,7 @@
             .help("Length of the measured part, in s"),
         Arg::new("later")
             .long("later")
-            .default_value(Later::Refuses.name())
+            .default_value(Later::Waits.name())
             .value_parser(Later::ALL.map(Later::name))
             .help("What a later stage does that has no place free"),
         json_arg(),
@@ -124,7 +124,7 @@
 fn later(matches: &ArgMatches) -> Later {
     let named = matches.get_one::<String>("later");
     let is_named = |later: &Later| named.is_some_and(|n| n == later.name());
-    Later::ALL.into_iter().find(is_named).unwrap_or(Later::Refuses)
+    Later::ALL.into_iter().find(is_named).unwrap_or(Later::Waits)
 }
 
 fn sites(matches: &ArgMatches) -> Vec<Site> {
--- a/crates/decisions/src/request.rs
+++ b/crates/decisions/src/request.rs
@@ -37,6 +37,8 @@
     pub(crate) comebacks: u32,
     /// How many stages it holds, from the first.
     pub(crate) held: usize,
+    /// How often it has waited at a later stage.
+    pub(crate) waits: u32,
     /// Place in the chain of the step that is under way.
     pub(crate) at_stage: usize,
     pub(crate) produced: u32,
@@ -56,6 +58,7 @@
             attempts: 0,
             comebacks: 0,
             held: 0,
+            waits: 0,
             at_stage: 0,
             produced: 0,
             sent_us: 0,
--- a/crates/decisions/src/suite.rs
+++ b/crates/decisions/src/suite.rs
@@ -37,7 +37,7 @@
             seed: 1,
             warm_up_ms: 20_000,
             measure_ms: 40_000,
-            later: Later::Refuses,
+            later: Later::Waits,
         }
     }
 }
--- a/crates/decisions/src/world.rs
+++ b/crates/decisions/src/world.rs
@@ -105,6 +105,7 @@
             Event::Offer(at) => self.offer(at),
             Event::Reserve(at) => self.reserve(at),
             Event::Begin(at) => self.begin(at),
+            Event::WaitOver(at, wait) => self.wait_over(at, wait),
             Event::StageRefused(at, refusal) => {
                 self.stage_refused(at, refusal);
             }
--- a/crates/decisions/src/world/serve.rs
+++ b/crates/decisions/src/world/serve.rs
@@ -2,7 +2,7 @@
 
 use chestnutreach_routing::{
     BackendIndex, Ended,
-    gate::{Asked, Gate, Offer},
+    gate::{Asked, Gate, LATER_WAIT_LIMIT_MS, Offer},
 };
 
 use super::World;
@@ -145,7 +145,11 @@
         match self.ask_gate(at, request.held, Gate::offer_later) {
             Offer::Admitted => self.admitted(at),
             Offer::Queued => {
-                self.requests[at as usize].phase = Phase::Waiting;
+                let request = &mut self.requests[at as usize];
+                request.phase = Phase::Waiting;
+                request.waits += 1;
+                let over = Event::WaitOver(at, request.waits);
+                self.events.after_us(LATER_WAIT_LIMIT_MS * 1_000, over);
             }
             Offer::Full { retry_after_ms }
             | Offer::TooLate { retry_after_ms } => {
@@ -158,6 +162,20 @@
         }
     }
 
+    /// No place came free in time at the stage that a request waits at.
+    pub(super) fn wait_over(&mut self, at: RequestIndex, wait: u32) {
+        let request = &mut self.requests[at as usize];
+        if request.phase != Phase::Waiting || request.waits != wait {
+            return;
+        }
+        request.phase = Phase::Reserving;
+        let by = request.stages[request.held];
+        self.leave_queue(at);
+        let Server { gate, rng, .. } = &mut self.servers[by.0 as usize];
+        let retry_after_ms = gate.retry_after_ms(rng);
+        self.stage_refused(at, Refusal { by, retry_after_ms });
+    }
+
     pub(super) fn stage_refused(
         &mut self,
         at: RequestIndex,
--- a/crates/side/src/gate.rs
+++ b/crates/side/src/gate.rs
@@ -60,6 +60,7 @@
             shape: &seat.shape,
             cost_tokens: seat.cost_tokens,
             deadline_at_ms: seat.deadline_at_ms,
+            stage_count: seat.stage_count,
         };
         let mut rng = fastrand::Rng::new();
         let item = Waiting::Seat(seat.clone());
--- a/crates/side/src/sweep.rs
+++ b/crates/side/src/sweep.rs
@@ -43,7 +43,9 @@
             for waiting in backend.gate.expire(now_ms) {
                 match waiting {
                     Waiting::Run(run) => {
-                        self.refuse(&run, RefusalReason::TooLate, "", 0);
+                        let reason = RefusalReason::TooLate;
+                        let retry_after_ms = backend.gate.retry_after_ms();
+                        self.refuse(&run, reason, "", retry_after_ms);
                     }
                     Waiting::Seat(seat) => self.refuse_full(&seat),
                 }
