--- a/crates/daemon/src/roles.rs
+++ b/crates/daemon/src/roles.rs
@@ -3,16 +3,15 @@
 use std::{sync::Arc, time::Duration};
 
 use async_executor::Executor;
+use async_io::Timer;
 use chestnutreach_config::settings::{
     EntrySettings, NodeSettings, SideSettings,
 };
 use chestnutreach_control::serve_control;
 use chestnutreach_entry::{Entry, EntryParts};
 use chestnutreach_node::{
-    Heard, InForce,
-    follow::{ManifestFollower, follow_vm_list},
-    threads,
-    traffic::count_traffic,
+    Heard, InForce, follow::ManifestFollower, peers::PeerManifests, threads,
+    traffic::count_traffic, vm_list::follow_vm_list,
 };
 use chestnutreach_platform::{
     ClaimOptions, ClaimStore, ManifestStore, ObjectClient, TableClient,
@@ -29,7 +28,7 @@
 
 use crate::{
     control::{Control, Served, Stopping},
-    drain::{Stopped, wait_until_idle},
+    drain::{Drain, Stopped},
     listen::listen,
     signals::stop_signal,
 };
@@ -88,8 +87,12 @@
     fn follower(&self, node: &NodeSettings) -> ManifestFollower {
         let store =
             ManifestStore::new(self.table.clone(), self.objects.clone());
-        let poll_ms = node.platform.manifest_poll_ms;
-        ManifestFollower::new(store, self.heard.clone(), poll_ms)
+        let platform = &node.platform;
+        let timeout = Duration::from_millis(platform.request_timeout_ms);
+        let seeds = node.seed_peers.clone();
+        let peers = PeerManifests::new(seeds, self.heard.clone(), timeout);
+        let heard = self.heard.clone();
+        ManifestFollower::new(store, peers, heard, platform.manifest_poll_ms)
             .in_force(self.in_force.clone())
     }
 
@@ -194,6 +197,7 @@
     executor: Arc<Executor<'static>>,
 ) -> anyhow::Result<Stopped> {
     let node = settings.node.clone();
+    let lame_duck = Duration::from_millis(settings.lame_duck_ms);
     let common = Common::new(&node, Role::Entry, executor.clone());
     let claim_options = ClaimOptions::new()
         .batch(settings.claim_batch)
@@ -244,7 +248,14 @@
     let cause = stop_signal().await?;
     control.begin_stop();
     common.note_stopping(cause, entry.in_flight());
-    Ok(wait_until_idle(node.drain_limit_ms, || entry.in_flight()).await)
+    let drain = Drain::start(node.drain_limit_ms);
+    Timer::after(lame_duck).await;
+    entry.close_callers();
+    let left = || {
+        let left = entry.left();
+        left.callers.max(left.requests) + left.unsettled
+    };
+    Ok(drain.finish(left, || entry.cut()).await)
 }
 
 /// Runs the role `side` until it is told to stop.
@@ -289,5 +300,6 @@
         held.runs + held.seats
     };
     common.note_stopping(cause, in_flight());
-    Ok(wait_until_idle(node.drain_limit_ms, in_flight).await)
+    let drain = Drain::start(node.drain_limit_ms);
+    Ok(drain.finish(in_flight, || side.cut()).await)
 }
--- a/crates/daemon/tests/fleet_common/mod.rs
+++ b/crates/daemon/tests/fleet_common/mod.rs
@@ -1,5 +1,11 @@
 //! What the tests over fleets of processes share.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
+pub mod load;
+pub mod watch;
+
 use std::sync::{Condvar, Mutex};
 
 use chestnutreach_fleet::{Fleet, Plan};
@@ -51,7 +57,6 @@
 }
 
 /// What an entry shows of a backend server of the model.
-#[allow(dead_code)]
 pub fn server_of(fleet: &Fleet, entry: usize, server: &str) -> Value {
     fleet.entry_status(entry)["services"]["desk-llm"][server].clone()
 }
--- a/crates/side/src/node.rs
+++ b/crates/side/src/node.rs
@@ -17,11 +17,16 @@
 use chestnutreach_node::{Clock, Heard};
 use chestnutreach_protocol::{
     Identity, Link, LinkOptions, Links, RequestId,
-    wire::{self, BackendLoad, RefusalReason, Stage, Status, frame::Body},
+    wire::{
+        self, BackendLoad, FailureReason, RefusalReason, Stage, Status,
+        frame::Body,
+    },
 };
 use chestnutreach_telemetry::{Event, Metrics, emit};
 
-use crate::{backend::Backend, ended::EndedRuns, run::Run, seat::Seat};
+use crate::{
+    backend::Backend, ended::EndedRuns, gate::Waiting, run::Run, seat::Seat,
+};
 
 /// The role `side` of a process; clones are handles to the same one.
 #[derive(Clone)]
@@ -170,6 +175,19 @@
         true
     }
 
+    /// Ends all work that is still held, and tells who asked for it.
+    pub fn cut(&self) {
+        let shared = &self.shared;
+        let detail = "the side process has stopped";
+        let runs: Vec<Arc<Run>> =
+            shared.lock_runs().values().cloned().collect();
+        for run in runs {
+            let backend = run.backend.name.clone();
+            shared.stop(&run, FailureReason::Stopped, &backend, detail);
+        }
+        shared.cut_seats(detail);
+    }
+
     /// Generation in force; 0 for none.
     pub fn generation(&self) -> u64 {
         self.shared.generation.load(Ordering::Acquire)
@@ -359,6 +377,20 @@
         Ok(dialled)
     }
 
+    /// Gives a place back and lets what waited for it go on.
+    pub(crate) fn free_place(
+        self: &Arc<Self>,
+        backend: &Backend,
+        cost_tokens: u64,
+    ) {
+        let now_ms = self.clock.now_ms();
+        match backend.gate.give_back(cost_tokens, now_ms) {
+            Some(Waiting::Run(run)) => self.reserve(&run),
+            Some(Waiting::Seat(seat)) => self.seat_placed(&seat),
+            None => {}
+        }
+    }
+
     /// Tells every peer the state of this process.
     pub(crate) fn send_status(&self) {
         self.links().broadcast(&self.status());
