--- a/crates/protocol/src/link/mod.rs
+++ b/crates/protocol/src/link/mod.rs
@@ -89,11 +89,11 @@
     dialled: Mutex<BTreeMap<SocketAddr, DialSlot>>,
 }
 
-/// What is known of one address; the lock is held while it is dialled, so
-/// that many requests share one attempt, also one that fails.
+/// The lock is held while the address is dialled, so that many requests
+/// share one attempt.
 type DialSlot = Arc<async_lock::Mutex<Dialled>>;
 
-/// How an address was dialled last.
+/// What came of dialling one address last.
 #[derive(Default)]
 struct Dialled {
     link: Option<Link>,
@@ -105,10 +105,10 @@
         self.link.clone().filter(|link| !link.is_closed())
     }
 
-    /// The error of a dial that ended after `since`.
-    fn failed_since(&self, since: Instant) -> Option<LinkError> {
+    /// The failure of an attempt that ended after this time.
+    fn failure_since(&self, time: Instant) -> Option<LinkError> {
         let (at, error) = self.failed.as_ref()?;
-        (*at >= since).then(|| error.clone())
+        (*at >= time).then(|| error.clone())
     }
 }
 
@@ -216,22 +216,22 @@
             dialled.entry(address).or_default().clone()
         };
         let asked = Instant::now();
-        let mut current = slot.lock().await;
-        if let Some(link) = current.open_link() {
+        let mut dialled = slot.lock().await;
+        if let Some(link) = dialled.open_link() {
             return Ok(link);
         }
-        // A peer that stands still would cost each of those that waited here
-        // a timeout of its own, one after another.
-        if let Some(error) = current.failed_since(asked) {
+        // Whoever waited for an attempt takes its failure too: one after
+        // another would each wait for the whole timeout.
+        if let Some(error) = dialled.failure_since(asked) {
             return Err(error);
         }
-        *current = Dialled::default();
-        let dialled = self.dial(address).await;
-        match &dialled {
-            Ok(link) => current.link = Some(link.clone()),
-            Err(e) => current.failed = Some((Instant::now(), e.clone())),
-        }
-        dialled
+        let outcome = self.dial(address).await;
+        dialled.link = outcome.as_ref().ok().cloned();
+        dialled.failed = match &outcome {
+            Ok(_) => None,
+            Err(e) => Some((Instant::now(), e.clone())),
+        };
+        outcome
     }
 
     fn open_link(
--- a/crates/side/src/gate.rs
+++ b/crates/side/src/gate.rs
@@ -46,6 +46,7 @@
             shape: &run.shape,
             cost_tokens: run.cost_tokens,
             deadline_at_ms: run.deadline_at_ms,
+            stage_count: run.chain.len() as u32,
         };
         let mut rng = fastrand::Rng::new();
         let item = Waiting::Run(run.clone());
@@ -59,6 +60,7 @@
             shape: &seat.shape,
             cost_tokens: seat.cost_tokens,
             deadline_at_ms: seat.deadline_at_ms,
+            stage_count: seat.stage_count,
         };
         let mut rng = fastrand::Rng::new();
         let item = Waiting::Seat(seat.clone());
