Let an answer that makes progress resume without the retry budget

Cause: a budget of 3 attempts and one for five requests was spent by the first loss of a server that held several requests; idempotent streams then failed with a healthy chain beside them ('no attempts are left', seen once in the test of a frozen side process under load).

Ruled out: a larger percentage; at 100 % a model whose engines all refuse would be asked four times as much.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -167,7 +167,8 @@
     pub max_body_bytes: usize,
     /// Requests in flight at once; more are answered 503 at once.
     pub max_requests_in_flight: usize,
-    /// Most attempts that one idempotent request may make.
+    /// Most attempts of one idempotent request that deliver nothing, one
+    /// after another.
     pub max_attempts: u32,
     /// Further attempts allowed for each hundred requests of a service.
     pub retry_budget_percent: u32,
--- a/crates/entry/src/session/dispatch.rs
+++ b/crates/entry/src/session/dispatch.rs
@@ -74,8 +74,20 @@
         self.phase = Phase::Waiting;
     }
 
-    fn may_try_again(&self) -> bool {
-        self.attempt_count < self.entry.settings.max_attempts
+    /// Whether another attempt is allowed. One that goes on after the last
+    /// attempt had delivered something is free: it takes the place that the
+    /// broken one has left and comes nearer to its end. All others are
+    /// limited, and paid from the service's budget, so that what fails or is
+    /// refused at once is not multiplied.
+    fn may_try_again(&mut self) -> bool {
+        let has_progress = self.next_position > self.tried_position;
+        self.tried_position = self.next_position;
+        if has_progress {
+            self.fruitless_count = 0;
+            return true;
+        }
+        self.fruitless_count += 1;
+        self.fruitless_count < self.entry.settings.max_attempts
             && self.job.service.budget.take()
     }
 
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -153,6 +153,10 @@
     last_refusal: Option<Ending>,
     tokens: Vec<u32>,
     next_position: u32,
+    /// Position that the last attempt began at.
+    tried_position: u32,
+    /// Attempts since then that delivered nothing.
+    fruitless_count: u32,
     ready: VecDeque<Progress>,
     choices: Choices,
 }
@@ -183,6 +187,8 @@
             last_refusal: None,
             tokens: Vec::new(),
             next_position: 0,
+            tried_position: 0,
+            fruitless_count: 0,
             ready: VecDeque::new(),
         }
     }
