--- a/crates/daemon/tests/fleet_members.rs
+++ b/crates/daemon/tests/fleet_members.rs
@@ -213,6 +213,9 @@
         let kinds = &[Kind::Stream];
         let plan = LoadPlan { kinds, callers: 6, ..LoadPlan::default() };
         let load = Load::start(fleet, plan);
+        // A new entry has three further attempts and one more for each five
+        // requests; with fewer than callers a failure is told to some.
+        fleet.wait_for("load", |_| load.ended() >= 100).unwrap();
         wait_for_new_work(fleet, "desk-0a");
         let left = Instant::now();
         fleet.process("side-desk-0a").freeze();
