--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -7,13 +7,14 @@
 //! ```text
 //! wait + (0.25 + 0.75 w) * time * urgency   time: prompt, output and links
 //!      + (1 - w) * price                    price as time, see below
-//!      + (0.25 + 0.75 w) * load             work here, times utilisation
+//!      + (0.25 + 0.75 w) * load             work here, by utilisation
 //!      + w * (stages - 1) * stage_penalty_ms
 //!      + w * crossings * crossing_penalty_ms
 //! ```
 //!
-//! At 0 the cheapest hardware that meets the deadline is packed: price rules
-//! and load counts just enough to keep queues level. At 100 price counts
+//! At 0 the cheapest hardware that meets the deadline is packed: price rules,
+//! a token is cheaper where more share its step, and load counts just enough
+//! to keep servers from filling up. At 100 price counts
 //! nothing; each further stage and each link between data centres is one
 //! more thing that can fail and is charged, and utilisation counts four
 //! times as much, which leaves headroom on every server for what a lost one
