Let steps of tokens reach the engine in time for its next iteration

Cause: with 4 calls to an engine at once, a step that found none free waited for one to return, and so missed the iteration that the engine began at that moment: one more iteration of wait for a token and stage. engine-calls is 16 by default now; calls with first steps stay at most 3, as before.

--- a/crates/bench/src/check.rs
+++ b/crates/bench/src/check.rs
@@ -115,6 +115,7 @@
         entries: 1,
         chains: 1,
         engine_arguments: Vec::new(),
+        engine_calls: None,
     };
     let row = &overhead::measure(&options)?.rows[0];
     let first = row.first_token_ratio.p50_us;
--- a/crates/bench/src/commands.rs
+++ b/crates/bench/src/commands.rs
@@ -113,6 +113,12 @@
         .arg(number("entries", "2", "Entries"))
         .arg(number("chains", "2", "Chains of two backend servers"))
         .arg(number("step-us", "0", "Time of an engine's iteration"))
+        .arg(
+            Arg::new("engine-calls")
+                .long("engine-calls")
+                .value_parser(value_parser!(u64))
+                .help("Setting of the sides, the shipped one by default"),
+        )
 }
 
 fn overhead_options(of: &ArgMatches) -> anyhow::Result<overhead::Options> {
@@ -124,6 +130,7 @@
         entries: get(of, "entries") as usize,
         chains: get(of, "chains") as usize,
         engine_arguments: vec![format!("--step-us={}", get(of, "step-us"))],
+        engine_calls: of.get_one("engine-calls").copied(),
     })
 }
 
--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -31,6 +31,8 @@
     pub(crate) entries: usize,
     pub(crate) chains: usize,
     pub(crate) engine_arguments: Vec<String>,
+    /// The setting of the sides; the shipped one where none is given.
+    pub(crate) engine_calls: Option<u64>,
 }
 
 /// Figures of all rates.
@@ -84,6 +86,9 @@
     for argument in &options.engine_arguments {
         plan = plan.engine_argument(argument);
     }
+    if let Some(calls) = options.engine_calls {
+        plan = plan.setting("side", "engine-calls", &calls.to_string());
+    }
     let names = [plan.stage_names(0), plan.stage_names(1)];
     let fleet = Fleet::start(plan)?;
     let direct = Arc::new(Direct::new(&fleet, &names, &BOUNDS));
--- a/crates/config/src/settings/tables.rs
+++ b/crates/config/src/settings/tables.rs
@@ -157,7 +157,7 @@
 pub(super) const MAX_BATCH: IntegerField =
     IntegerField::new("max-batch", 1, 4_096, "requests").or(32);
 pub(super) const ENGINE_CALLS: IntegerField =
-    IntegerField::new("engine-calls", 1, 256, "calls").or(4);
+    IntegerField::new("engine-calls", 1, 256, "calls").or(16);
 pub(super) const QUEUE_LIMIT_TOKENS: IntegerField =
     IntegerField::new("queue-limit-tokens", 1, 1_000_000_000, "tokens")
         .or(200_000);
--- a/crates/side/src/steps.rs
+++ b/crates/side/src/steps.rs
@@ -3,7 +3,12 @@
 //! Steps of many requests go to the engine in one call, since an engine runs
 //! a batch in about the time of one. A call holds either first steps or
 //! single tokens: a first step runs a whole prompt and would hold up every
-//! token behind it. One call is always left free for tokens.
+//! token behind it. Few calls are first steps, the rest is left for tokens.
+//!
+//! An engine begins its next iteration with the calls that wait there. A
+//! step that waits here for a call to return misses it by an instant and is
+//! late by a whole iteration, so there are more calls than an engine has
+//! iterations under way.
 
 use std::{
     collections::BTreeMap,
@@ -14,6 +19,10 @@
 
 use crate::{run::Run, seat::Seat};
 
+/// Calls with first steps at once. More would fill the engine's iterations
+/// with prompts, and each iteration is a token's wait.
+const MAX_FIRST_CALLS: usize = 3;
+
 /// Whose step it is.
 #[derive(Clone)]
 pub(crate) enum Owner {
@@ -71,7 +80,9 @@
             state: Mutex::default(),
             wake,
             woken,
-            max_first_calls: engine_calls.saturating_sub(1).max(1),
+            max_first_calls: engine_calls
+                .saturating_sub(1)
+                .clamp(1, MAX_FIRST_CALLS),
         }
     }
 
