Answer a repeat from its claim when no chain can be had

The claim is now read before a keyed request is given up unsent. A request cut at its deadline also no longer counts against the health of the first stage's server (read, not measured).

Ruled out: claiming before choosing. The claim names the side process that will run the request, which is what a later repeat has to ask.

The new test of repeats fails on the build before with 'no_chain' and passes now.

--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -112,6 +112,19 @@
         }
     }
 
+    /// Who holds the key, without claiming it: `Mine` when no earlier request
+    /// does.
+    pub(crate) async fn look_up(&mut self) -> Hold {
+        if self.claim.is_some() || self.replaces.is_some() {
+            return Hold::Mine;
+        }
+        match self.entry.claims.read(&self.key).await {
+            Ok(Some(held)) => Hold::Held(Box::new(held)),
+            Ok(None) => Hold::Mine,
+            Err(error) => Hold::Ended(self.store_failed(&error)),
+        }
+    }
+
     /// Takes over the claim of an earlier request, to go on as `request`.
     pub(crate) fn replace_claim(&mut self, held: Claim, request: RequestId) {
         self.request = request;
--- a/crates/entry/src/session/dispatch.rs
+++ b/crates/entry/src/session/dispatch.rs
@@ -36,8 +36,14 @@
             return;
         }
         let shape = self.shape();
-        let Some(stages) = self.choose(&shape) else {
-            return;
+        let stages = match self.choose(&shape) {
+            Ok(stages) => stages,
+            Err(detail) => {
+                if !self.is_answered_by_claim().await {
+                    self.give_up(Cause::Backend, &detail);
+                }
+                return;
+            }
         };
         let Some((link, chain)) = self.connect(&stages).await else {
             return;
@@ -111,7 +117,10 @@
         }
     }
 
-    fn choose(&mut self, shape: &Shape) -> Option<Vec<BackendIndex>> {
+    /// # Errors
+    ///
+    /// Why there is no chain; noted as the last refusal as well.
+    fn choose(&mut self, shape: &Shape) -> Result<Vec<BackendIndex>, String> {
         let service = &self.job.service;
         let choice = chain::choose(
             &service.fleet,
@@ -126,7 +135,7 @@
         match choice {
             Ok(choice) => {
                 self.choices.chosen(&choice, shape, &self.avoid);
-                Some(choice.stages)
+                Ok(choice.stages)
             }
             Err(no_chain) => {
                 let reason = match no_chain.reason {
@@ -138,8 +147,28 @@
                 self.last_refusal.get_or_insert_with(|| {
                     Ending::not_run(reason, retry_after_ms, &detail)
                 });
-                self.give_up(Cause::Backend, &detail);
-                None
+                Err(detail)
+            }
+        }
+    }
+
+    /// Whether the key of a request that cannot be sent is held already: a
+    /// repeat needs no chain, and must not be told that it did not run when
+    /// it did.
+    async fn is_answered_by_claim(&mut self) -> bool {
+        let Some(keyed) = &mut self.keyed else {
+            return false;
+        };
+        match keyed.look_up().await {
+            Hold::Mine => false,
+            Hold::Ended(ending) => {
+                self.end(ending);
+                true
+            }
+            Hold::Held(claim) => {
+                self.phase = Phase::Over;
+                self.ready.push_back(Progress::Held(claim));
+                true
             }
         }
     }
--- a/crates/entry/src/session/events.rs
+++ b/crates/entry/src/session/events.rs
@@ -238,7 +238,14 @@
         self.may_have_begun = true;
         let at_fault = self.job.service.fleet.find(backend);
         let fault = at_fault.or(attempt.stages.first().copied());
-        self.note_ended(&attempt, &Ended::Failed, fault);
+        let is_nobodys =
+            reason == FailureReason::Deadline && at_fault.is_none();
+        if is_nobodys {
+            // A request whose time is over says nothing of a server's health.
+            self.note_ended(&attempt, &Ended::Cancelled, None);
+        } else {
+            self.note_ended(&attempt, &Ended::Failed, fault);
+        }
         self.avoid.extend(fault);
         let cause = match reason {
             FailureReason::Deadline => Cause::Deadline,
--- a/crates/entry/tests/api/repeats.rs
+++ b/crates/entry/tests/api/repeats.rs
@@ -33,6 +33,27 @@
     assert_eq!(stage.side.runs(), 1);
 }
 
+/// Whether the letter did run does not hang on whether it could run now.
+#[test]
+fn a_repeat_needs_no_backend_server() {
+    let stage = Stage::start();
+    stage.side.reply(&answers());
+    let first = stage.call(&letter());
+    assert_eq!(first.status, 200, "{first:?}");
+    wait_until("the repeat is answered", || {
+        stage.call(&letter()).status == 200
+    });
+    stage.lose_side();
+    let again = stage.call(&letter());
+    assert_eq!(again.json()["choices"], first.json()["choices"], "{again:?}");
+    assert_eq!(again.header("chestnutreach-outcome"), Some("completed"));
+    // A key that nobody holds is told the truth as well.
+    let other = Request::chat(json!({})).header(KEY, "letter-2418");
+    let refused = stage.call(&other);
+    assert_eq!(refused.json()["error"]["code"], "no_chain", "{refused:?}");
+    assert_eq!(stage.side.runs(), 1);
+}
+
 #[test]
 fn a_key_of_another_request_is_refused() {
     let stage = Stage::start();
