--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -2,15 +2,15 @@
 //!
 //! A token bucket that requests fill and retries empty: each request adds
 //! `percent` hundredths of an attempt, each retry takes a whole one. The
-//! bucket starts with [`FLOOR_ATTEMPTS`], about what one backend server holds,
-//! so that a quiet entry outlives the loss of one; it holds at most [`CAPACITY_ATTEMPTS`], so that a calm
+//! bucket starts with [`FLOOR_ATTEMPTS`], so that a quiet entry outlives the
+//! loss of a backend server that held a few requests; it holds at most [`CAPACITY_ATTEMPTS`], so that a calm
 //! hour does not pay for a storm. Over any run from the start, retries are
 //! at most `FLOOR_ATTEMPTS + requests * percent / 100`.
 
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
 /// Attempts that are there at the start.
-pub const FLOOR_ATTEMPTS: u64 = 32;
+pub const FLOOR_ATTEMPTS: u64 = 8;
 /// Most attempts that the bucket holds.
 pub const CAPACITY_ATTEMPTS: u64 = 100;
 
