Bind relays once, and let the entry notice a death before the call

Cause of one cell in 1,095 with 'address already in use': a process being started inherits the socket that looked for a free port, so that the port stays taken for a moment after it was let go.

--- a/crates/daemon/tests/matrix/strike.rs
+++ b/crates/daemon/tests/matrix/strike.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use crate::{
-    cell::{Fault, Thaw},
+    cell::{Fault, Step, Thaw},
     driver::Driver,
 };
 
@@ -40,8 +40,9 @@
     fn strike_with(&mut self, fault: Fault) {
         match fault {
             Fault::SideKilled(at) => {
-                let name = side_name(self.chain.server(at));
-                self.fleet.process(&name).kill();
+                let server = self.chain.server(at).to_owned();
+                self.fleet.process(&side_name(&server)).kill();
+                self.wait_until_noticed(&server);
             }
             Fault::SideRestarted(at) => {
                 let name = side_name(self.chain.server(at));
@@ -120,6 +121,19 @@
         }
     }
 
+    /// Before a request is sent, waits until its entry knows that a side
+    /// process has gone: what it sent there meanwhile might have arrived.
+    fn wait_until_noticed(&mut self, server: &str) {
+        let is_before =
+            matches!(self.cell.step, Step::Accepted | Step::AcceptedAlone);
+        if is_before {
+            self.wait_until("the entry to notice", |driver| {
+                let present = driver.fleet.present(0);
+                !present.iter().any(|name| name == server)
+            });
+        }
+    }
+
     /// Waits until a request without a key has been given up, while it is
     /// still held, or long enough for one with a key to have been.
     fn wait_for_orphan(&mut self) {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -187,7 +187,7 @@
         let daemon = Daemon::new();
         self.sides.insert(server.to_owned(), daemon);
         if self.plan.has_relays {
-            let relay = Relay::start(free_address(), daemon.inner)?;
+            let relay = Relay::start(daemon.inner);
             self.relays.insert(server.to_owned(), relay);
         }
         let name = side_name(server);
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -31,14 +31,25 @@
 ///
 /// No block of ports is free, or no port of the block.
 pub fn free_address() -> SocketAddr {
+    free_listener().0
+}
+
+/// A listener on a free port, for what listens in this process: a port that
+/// was let go stays taken while a process is being started that had inherited
+/// it.
+///
+/// # Panics
+///
+/// As of [`free_address`].
+pub(crate) fn free_listener() -> (SocketAddr, TcpListener) {
     static BLOCK: OnceLock<Block> = OnceLock::new();
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let first_port = BLOCK.get_or_init(take_block).first_port;
     for _ in 0..BLOCK_PORTS {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let address = loopback(first_port + 1 + step % (BLOCK_PORTS - 1));
-        if TcpListener::bind(address).is_ok() {
-            return address;
+        if let Ok(listener) = TcpListener::bind(address) {
+            return (address, listener);
         }
     }
     panic!("none of the {BLOCK_PORTS} ports from {first_port} on is free");
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -19,6 +19,8 @@
 
 use rustix::net::sockopt::set_socket_linger;
 
+use crate::ports::free_listener;
+
 /// Bytes passed on at once.
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Longest wait for bytes before it is looked what is switched on.
@@ -52,16 +54,9 @@
 }
 
 impl Relay {
-    /// Starts a relay that listens on an address.
-    ///
-    /// # Errors
-    ///
-    /// The address is taken.
-    pub fn start(
-        address: SocketAddr,
-        target: SocketAddr,
-    ) -> io::Result<Relay> {
-        let listener = TcpListener::bind(address)?;
+    /// Starts a relay before an address.
+    pub(crate) fn start(target: SocketAddr) -> Relay {
+        let (address, listener) = free_listener();
         let shared = Arc::new(Shared {
             target,
             delay_ms: AtomicU64::new(0),
@@ -70,7 +65,7 @@
         });
         let accepting = shared.clone();
         thread::spawn(move || accepting.accept(&listener));
-        Ok(Relay { address, shared })
+        Relay { address, shared }
     }
 
     /// Where it listens.
