--- a/crates/decisions/src/world.rs
+++ b/crates/decisions/src/world.rs
@@ -4,7 +4,8 @@
 //! |---|---|
 //! | `world` | set-up, reports, the clock |
 //! | `world::ask` | callers and entries |
-//! | `world::serve` | side processes and engines |
+//! | `world::reserve` | side processes |
+//! | `world::serve` | engines |
 //! | `world::watch` | what is measured on the way |
 
 use chestnutreach_routing::{BackendIndex, Fleet, Policy, Presence};
@@ -23,6 +24,7 @@
 };
 
 mod ask;
+mod reserve;
 mod serve;
 mod watch;
 
@@ -105,6 +107,7 @@
             Event::Offer(at) => self.offer(at),
             Event::Reserve(at) => self.reserve(at),
             Event::Begin(at) => self.begin(at),
+            Event::WaitOver(at, wait) => self.wait_over(at, wait),
             Event::StageRefused(at, refusal) => {
                 self.stage_refused(at, refusal);
             }
