--- a/crates/bench/src/run_once.rs
+++ b/crates/bench/src/run_once.rs
@@ -1,11 +1,14 @@
 //! Time of the run-once table's operations against the records it holds.
 
-use std::{hint::black_box, time::Instant};
+use std::{hint::black_box, process, time::Instant};
 
 use chestnutreach_state::RunOnceTable;
 use serde::Serialize;
 
-use crate::report::{Show, Table, places};
+use crate::{
+    machine::resident_kib,
+    report::{Show, Table, places},
+};
 
 /// Retention of the daemon's settings as shipped.
 const RETENTION_MS: u64 = 600_000;
@@ -25,6 +28,9 @@
     pub(crate) admit_ns: f64,
     pub(crate) begin_ns: f64,
     pub(crate) finish_ns: f64,
+    /// Memory of a record: what this process grew by, which is exact only
+    /// for many records.
+    pub(crate) record_bytes: f64,
 }
 
 impl Row {
@@ -49,11 +55,13 @@
     records: usize,
     table: RunOnceTable,
     now_ms: u64,
+    record_bytes: f64,
     times_ns: [Vec<f64>; 3],
 }
 
 impl Case {
     fn new(records: usize) -> Case {
+        let before_kib = resident_kib(process::id());
         let mut table = RunOnceTable::new(records, RETENTION_MS);
         for _ in 0..records {
             let request = fastrand::u128(..);
@@ -61,7 +69,10 @@
             table.begin(request, 1);
             table.finish(request, 1, 0);
         }
-        Case { records, table, now_ms: 1, times_ns: Default::default() }
+        let grown_kib = resident_kib(process::id()) - before_kib;
+        let record_bytes = grown_kib as f64 * 1_024.0 / records as f64;
+        let times_ns = Default::default();
+        Case { records, table, now_ms: 1, record_bytes, times_ns }
     }
 
     fn round(&mut self) {
@@ -91,7 +102,8 @@
 
     fn row(self) -> Row {
         let [admit_ns, begin_ns, finish_ns] = self.times_ns.map(median);
-        Row { records: self.records, admit_ns, begin_ns, finish_ns }
+        let Case { records, record_bytes, .. } = self;
+        Row { records, admit_ns, begin_ns, finish_ns, record_bytes }
     }
 }
 
@@ -108,6 +120,7 @@
             "begin ns",
             "finish ns",
             "request ns",
+            "bytes a record",
         ]);
         for row in &self.rows {
             table.row(vec![
@@ -116,6 +129,7 @@
                 places(row.begin_ns, 0),
                 places(row.finish_ns, 0),
                 places(row.request_ns(), 0),
+                places(row.record_bytes, 0),
             ]);
         }
         table.to_text()
