--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -3,9 +3,10 @@
 //! A token bucket that requests fill and retries empty: each request adds
 //! `percent` hundredths of an attempt, each retry takes a whole one. The
 //! bucket starts with [`FLOOR_ATTEMPTS`], so that a quiet entry outlives the
-//! loss of a backend server that held a few requests; it holds at most [`CAPACITY_ATTEMPTS`], so that a calm
-//! hour does not pay for a storm. Over any run from the start, retries are
-//! at most `FLOOR_ATTEMPTS + requests * percent / 100`.
+//! loss of a backend server that held a few requests; it holds at most
+//! [`CAPACITY_ATTEMPTS`], so that a calm hour does not pay for a storm. Over
+//! any run from the start, retries are at most
+//! `FLOOR_ATTEMPTS + requests * percent / 100`.
 
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
