--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -10,25 +10,20 @@
 //! does not end it, since the caller will ask for its answer by the key.
 
 use std::{
-    collections::BTreeMap,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use async_io::Timer;
 use chestnutreach_platform::claims::{
-    Claim, ClaimError, ClaimKey, ClaimState, Claimed, Owner, Repeat,
-    StoredAnswer, decide,
-};
-use chestnutreach_protocol::{
-    RequestId,
-    wire::{self, FinishReason},
+    Claim, ClaimError, ClaimKey, ClaimState, Claimed, Owner, Repeat, decide,
 };
+use chestnutreach_protocol::{RequestId, wire};
 use chestnutreach_state::{NotRunReason, Outcome};
 use chestnutreach_telemetry::{Event, emit, metrics::ClaimResult};
-use serde::{Deserialize, Serialize};
 
 use crate::{
+    kept::{Recorder, replay},
     node::Shared,
     session::{Ending, Job, Progress, Session},
 };
@@ -38,8 +33,6 @@
 /// Tries to note how a request ended, and the wait between them.
 const NOTE_TRIES: u32 = 5;
 const NOTE_WAIT: Duration = Duration::from_secs(1);
-/// Header of a kept answer of a model; its body is a [`KeptText`].
-const KEPT_TEXT_HEADER: &str = "chestnutreach-kept-text";
 
 /// The key of a request and its claim.
 pub(crate) struct KeyedRequest {
@@ -231,96 +224,6 @@
     }
 }
 
-/// What is kept of a model's answer.
-#[derive(Deserialize, Serialize)]
-struct KeptText {
-    text: String,
-    is_length: bool,
-    output_count: u32,
-    prompt_tokens: u32,
-    cached_tokens: u32,
-}
-
-/// Collects an answer while it is handed on.
-#[derive(Default)]
-struct Recorder {
-    text: String,
-    head: Option<wire::PlainHead>,
-    data: Vec<u8>,
-}
-
-impl Recorder {
-    fn note(&mut self, progress: &Progress) {
-        match progress {
-            Progress::Token(token) => self.text.push_str(&token.text),
-            Progress::Head(head) => self.head = Some(head.clone()),
-            Progress::Data(data) => self.data.extend_from_slice(data),
-            _ => {}
-        }
-    }
-
-    fn into_answer(self, finished: &wire::Finished) -> StoredAnswer {
-        if let Some(head) = self.head {
-            let headers = head.headers.into_iter().map(|h| (h.name, h.value));
-            return StoredAnswer {
-                status: head.status as u16,
-                headers: headers.collect(),
-                body: self.data,
-            };
-        }
-        let kept = KeptText {
-            text: self.text,
-            is_length: finished.finish() == FinishReason::Length,
-            output_count: finished.output_count,
-            prompt_tokens: finished.prompt_tokens,
-            cached_tokens: finished.cached_tokens,
-        };
-        let marker = (KEPT_TEXT_HEADER.to_owned(), "1".to_owned());
-        StoredAnswer {
-            status: 200,
-            headers: BTreeMap::from([marker]),
-            body: serde_json::to_vec(&kept).unwrap_or_default(),
-        }
-    }
-}
-
-/// A kept answer as the progress that it once was.
-fn replay(answer: &StoredAnswer) -> Vec<Progress> {
-    let kept = answer
-        .headers
-        .contains_key(KEPT_TEXT_HEADER)
-        .then(|| serde_json::from_slice::<KeptText>(&answer.body).ok());
-    if let Some(Some(kept)) = kept {
-        let finish = if kept.is_length {
-            FinishReason::Length
-        } else {
-            FinishReason::Stop
-        };
-        let finished = wire::Finished {
-            output_count: kept.output_count,
-            finish: finish.into(),
-            prompt_tokens: kept.prompt_tokens,
-            cached_tokens: kept.cached_tokens,
-            ..wire::Finished::default()
-        };
-        let token = wire::Token { token: 0, text: kept.text };
-        return vec![Progress::Token(token), Progress::Whole(finished)];
-    }
-    let headers = answer.headers.iter().map(|(name, value)| {
-        let (name, value) = (name.clone(), value.clone());
-        wire::Header { name, value }
-    });
-    let head = wire::PlainHead {
-        status: answer.status.into(),
-        headers: headers.collect(),
-    };
-    vec![
-        Progress::Head(head),
-        Progress::Data(answer.body.clone()),
-        Progress::Whole(wire::Finished::default()),
-    ]
-}
-
 /// Starts a keyed request; what happens to it comes over the channel.
 pub(crate) fn start(
     entry: &Arc<Shared>,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 //! | `peers` | links to side processes, and what they say |
 //! | `listed` | what the platform's list says of VMs that leave |
 //! | `session` | one request over all its attempts |
+//! | `kept` | answers kept for repeats |
 //! | `keyed` | requests with an idempotency key |
 //! | `api` | which request goes where, and who may send it |
 //! | [`terms`] | the headers that say how a request is served |
@@ -23,6 +24,7 @@
 
 mod answer;
 mod api;
+mod kept;
 mod keyed;
 mod language;
 mod listed;
