Derive every time to come back from what the process knows

Cause: where no queue, ramp or outage told, callers got 1 s, all at the same moment. They now get the time until the entry has heard anew of every backend server (half to one and a half idle intervals of its links), or, for a backend server that does not answer, one to three looks at it; both spread.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -37,8 +37,6 @@
 const MAX_WAITING: usize = 1_024;
 /// Wait after the system refuses a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// When to come back to a VM that has as many requests as it may.
-const BUSY_RETRY_MS: u64 = 1_000;
 
 /// Serves callers until the entry takes no more of them.
 pub(crate) async fn serve(entry: Arc<Shared>, listener: Async<TcpListener>) {
@@ -138,7 +136,7 @@
 ) -> Routed {
     let view = entry.view.load_full();
     if view.generation == 0 {
-        return Err(no_manifest(arrival));
+        return Err(no_manifest(entry, arrival));
     }
     let path = received.request.url().path().to_owned();
     let method = received.request.method();
@@ -223,24 +221,24 @@
     let Arrival { request, arrived } = arrival;
     if entry.is_full() {
         let detail = "this VM has as many requests in flight as it may";
-        return Err(come_back(NotRunReason::Full, arrival, detail));
+        return Err(come_back(entry, NotRunReason::Full, arrival, detail));
     }
     Ok(Call { received, account, service, terms, request, arrived })
 }
 
 /// Without a manifest nobody can tell whether a key is right.
-fn no_manifest(arrival: Arrival) -> Box<Response> {
+fn no_manifest(entry: &Shared, arrival: Arrival) -> Box<Response> {
     let detail = "no manifest is in force on this VM yet";
-    come_back(NotRunReason::NoChain, arrival, detail)
+    come_back(entry, NotRunReason::NoChain, arrival, detail)
 }
 
 fn come_back(
+    entry: &Shared,
     reason: NotRunReason,
     arrival: Arrival,
     detail: &str,
 ) -> Box<Response> {
-    let spread_ms = fastrand::u64(0..=BUSY_RETRY_MS);
-    let retry_after_ms = Some(BUSY_RETRY_MS + spread_ms);
+    let retry_after_ms = Some(entry.come_back_ms());
     let ending = Ending::not_run(reason, retry_after_ms, detail);
     answer::ended(&ending, Some(arrival.request), true)
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -256,6 +256,14 @@
         self.executor.spawn(task).detach();
     }
 
+    /// When to come back after a failure of which nothing else tells: by then
+    /// this process has heard anew of every backend server. Spread, so that
+    /// callers do not come back together.
+    pub(crate) fn come_back_ms(&self) -> u64 {
+        let interval_ms = self.settings.node.links.idle_interval_ms;
+        interval_ms / 2 + fastrand::u64(0..=interval_ms)
+    }
+
     /// Whether as many requests as allowed are in flight.
     pub(crate) fn is_full(&self) -> bool {
         let limit = self.settings.max_requests_in_flight;
--- a/crates/entry/src/session/dispatch.rs
+++ b/crates/entry/src/session/dispatch.rs
@@ -14,10 +14,7 @@
 };
 use chestnutreach_state::NotRunReason;
 
-use super::{
-    Attempt, Cause, DEFAULT_RETRY_AFTER_MS, Ending, JobWork, Phase, Progress,
-    Session,
-};
+use super::{Attempt, Cause, Ending, JobWork, Phase, Progress, Session};
 use crate::{keyed::Hold, view::ServiceView};
 
 /// Part of the time left that a side process is not given, so that its own
@@ -192,7 +189,7 @@
                     self.last_refusal = Some(
                         Ending::not_run(
                             NotRunReason::NoChain,
-                            Some(DEFAULT_RETRY_AFTER_MS),
+                            Some(self.entry.come_back_ms()),
                             "no backend server can be reached now",
                         )
                         .note(&e.to_string()),
--- a/crates/entry/src/session/events.rs
+++ b/crates/entry/src/session/events.rs
@@ -11,8 +11,7 @@
 use futures_lite::FutureExt as _;
 
 use super::{
-    Attempt, Cause, DEFAULT_RETRY_AFTER_MS, Ending, Phase, Progress, Session,
-    SessionEvent,
+    Attempt, Cause, Ending, Phase, Progress, Session, SessionEvent,
     ending::{failure_words, refusal_words},
 };
 
@@ -48,7 +47,7 @@
             let reason = NotRunReason::Stopping;
             self.last_refusal = Some(Ending::not_run(
                 reason,
-                Some(DEFAULT_RETRY_AFTER_MS),
+                Some(self.entry.come_back_ms()),
                 detail,
             ));
             self.give_up(Cause::Backend, detail);
@@ -221,7 +220,8 @@
         self.note_ended(&attempt, &Ended::Refused, at_fault);
         let first = attempt.stages.first().copied();
         self.avoid.extend(at_fault.or(first));
-        self.last_refusal = Some(to_ending(m));
+        let come_back_ms = self.entry.come_back_ms();
+        self.last_refusal = Some(to_ending(m, come_back_ms));
     }
 
     /// The attempt began and cannot go on.
@@ -274,7 +274,7 @@
 }
 
 /// What a caller is told when the last attempt ends with this refusal.
-fn to_ending(m: &wire::Refused) -> Ending {
+fn to_ending(m: &wire::Refused, come_back_ms: u64) -> Ending {
     let reason = match m.reason() {
         RefusalReason::Full | RefusalReason::TableFull => NotRunReason::Full,
         RefusalReason::Share => NotRunReason::Share,
@@ -282,7 +282,7 @@
         _ => NotRunReason::NoChain,
     };
     let retry_after_ms = match m.retry_after_ms {
-        0 => DEFAULT_RETRY_AFTER_MS,
+        0 => come_back_ms,
         known => u64::from(known),
     };
     let note = format!("{} refused: {}", m.backend, m.reason().as_str_name());
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -48,9 +48,6 @@
     keyed::KeyedRequest, node::Shared, recent::Choices, view::ServiceView,
 };
 
-/// When to come back if nothing tells.
-const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
-
 /// What reaches a session from links.
 // A box would cost an allocation for each token.
 #[allow(clippy::large_enum_variant)]
@@ -264,7 +261,7 @@
 
     fn end(&mut self, ending: Ending) {
         let ending = if self.job.is_idempotent {
-            ending.worth_coming_back(DEFAULT_RETRY_AFTER_MS)
+            ending.worth_coming_back(self.entry.come_back_ms())
         } else {
             ending.without_coming_back()
         };
@@ -294,7 +291,7 @@
                 Cause::Request => NotRunReason::BadRequest,
                 Cause::Backend => NotRunReason::NoChain,
             };
-            let retry_after_ms = Some(DEFAULT_RETRY_AFTER_MS);
+            let retry_after_ms = Some(self.entry.come_back_ms());
             Ending::not_run(reason, retry_after_ms, detail)
         });
         self.end(ending);
--- a/crates/side/src/backend.rs
+++ b/crates/side/src/backend.rs
@@ -32,7 +32,7 @@
 
 /// How often a backend server that does not answer is asked again, and one
 /// with a call outstanding is asked whether it is still there.
-const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+pub(crate) const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Missed answers in a row after which a call is given up.
 const PROBE_MISSES: u32 = 2;
 /// Guess of a speed that nobody states: nothing is too late by it.
--- a/crates/side/src/node.rs
+++ b/crates/side/src/node.rs
@@ -25,7 +25,11 @@
 use chestnutreach_telemetry::{Event, Metrics, emit};
 
 use crate::{
-    backend::Backend, ended::EndedRuns, gate::Waiting, run::Run, seat::Seat,
+    backend::{Backend, PROBE_INTERVAL},
+    ended::EndedRuns,
+    gate::Waiting,
+    run::Run,
+    seat::Seat,
 };
 
 /// The role `side` of a process; clones are handles to the same one.
@@ -337,7 +341,10 @@
     pub(crate) fn retry_after_ms(&self, reason: RefusalReason) -> u64 {
         match reason {
             // Until the next looks at the backend server and the list.
-            RefusalReason::BackendDown => 1_000,
+            RefusalReason::BackendDown => {
+                let probe_ms = PROBE_INTERVAL.as_millis() as u64;
+                probe_ms + fastrand::u64(0..=2 * probe_ms)
+            }
             RefusalReason::Leaving => {
                 self.settings.node.platform.vm_list_poll_ms
             }
