Wait 2 s for the platform's answers by default

Cost: a keyed request that meets a store which hangs is told 'not run' after up to 2 s instead of 0.5 s; one that refuses is still told at once. The test of defaults follows the default.

--- a/crates/config/src/settings/tables.rs
+++ b/crates/config/src/settings/tables.rs
@@ -96,7 +96,7 @@
 pub(super) const VM_LIST_ADDRESS: AddressField =
     AddressField::connect("vm-list-address");
 pub(super) const REQUEST_TIMEOUT_MS: IntegerField =
-    IntegerField::new("request-timeout-ms", 10, 60_000, "ms").or(500);
+    IntegerField::new("request-timeout-ms", 10, 60_000, "ms").or(2_000);
 pub(super) const MANIFEST_POLL_MS: IntegerField =
     IntegerField::new("manifest-poll-ms", 100, 60_000, "ms").or(1_000);
 pub(super) const VM_LIST_POLL_MS: IntegerField =
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -53,7 +53,7 @@
             table_address: "10.0.9.1:1".parse().unwrap(),
             object_address: "10.0.9.1:2".parse().unwrap(),
             vm_list_address: "10.0.9.1:3".parse().unwrap(),
-            request_timeout_ms: 500,
+            request_timeout_ms: 2_000,
             manifest_poll_ms: 1_000,
             vm_list_poll_ms: 1_000,
         },
