--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -14,6 +14,8 @@
 //! | `plain` | a request for a plain service |
 //! | `priority` | priorities as each part has them |
 //! | `ended` | answers kept for who asks again |
+//! | `target` | which backend server a request means, how stages are reached |
+//! | `report` | what the process tells of itself |
 //! | `frames` | what arrives on links |
 //! | `sweep` | deadlines, lost entries, load reports |
 
@@ -24,9 +26,11 @@
 pub mod node;
 mod plain;
 mod priority;
+mod report;
 mod run;
 mod seat;
 mod steps;
 mod sweep;
+mod target;
 
 pub use node::{InFlight, Side, SideParts};
--- a/crates/side/src/node.rs
+++ b/crates/side/src/node.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     future::Future,
-    net::{SocketAddr, TcpListener},
+    net::TcpListener,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -16,20 +16,14 @@
 use chestnutreach_config::{Manifest, settings::SideSettings};
 use chestnutreach_node::{Clock, Heard};
 use chestnutreach_protocol::{
-    Identity, Link, LinkOptions, Links, RequestId,
-    wire::{
-        self, BackendLoad, FailureReason, RefusalReason, Stage, Status,
-        frame::Body,
-    },
+    Identity, LinkOptions, Links, RequestId,
+    wire::{self, BackendLoad, FailureReason},
 };
-use chestnutreach_telemetry::{Event, Metrics, emit};
+use chestnutreach_telemetry::Metrics;
 
 use crate::{
-    backend::{Backend, PROBE_INTERVAL},
-    ended::EndedRuns,
-    gate::Waiting,
-    run::Run,
-    seat::Seat,
+    backend::Backend, ended::EndedRuns, gate::Waiting, report::load_status,
+    run::Run, seat::Seat,
 };
 
 /// The role `side` of a process; clones are handles to the same one.
@@ -63,23 +57,16 @@
     pub(crate) backends: BTreeMap<String, Arc<Backend>>,
     executor: Arc<Executor<'static>>,
     links: OnceLock<Links>,
-    generation: AtomicU64,
-    rights: ArcSwap<Rights>,
-    is_leaving: AtomicBool,
+    pub(crate) generation: AtomicU64,
+    pub(crate) rights: ArcSwap<Rights>,
+    pub(crate) is_leaving: AtomicBool,
     runs: Mutex<BTreeMap<u128, Arc<Run>>>,
     seats: Mutex<BTreeMap<(u128, u32), Arc<Seat>>>,
     ended: Mutex<EndedRuns>,
 }
 
 /// Which account may use which service.
-type Rights = BTreeMap<String, BTreeSet<String>>;
-
-/// Which backend server a request means, and for whom.
-pub(crate) struct Target<'a> {
-    pub(crate) stage: &'a Stage,
-    pub(crate) service: &'a str,
-    pub(crate) account: &'a str,
-}
+pub(crate) type Rights = BTreeMap<String, BTreeSet<String>>;
 
 /// Work that a process still holds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -299,91 +286,6 @@
         }
     }
 
-    /// The backend server that a request means, if it may run there.
-    pub(crate) fn find_target(
-        &self,
-        target: &Target<'_>,
-    ) -> Result<Arc<Backend>, RefusalReason> {
-        let stage = target.stage;
-        let boot_id = self.links().identity().boot_id;
-        if stage.side_boot_id != 0 && stage.side_boot_id != boot_id {
-            return Err(RefusalReason::WrongTarget);
-        }
-        let backend = self.backends.get(&stage.backend);
-        let backend = backend.ok_or(RefusalReason::WrongTarget)?;
-        let assigned =
-            backend.assigned().ok_or(RefusalReason::UnknownService)?;
-        if assigned.service != target.service || !self.may_use(target) {
-            return Err(RefusalReason::UnknownService);
-        }
-        let is_range = assigned.first_layer == stage.first_layer
-            && assigned.end_layer == stage.end_layer;
-        if !is_range {
-            return Err(RefusalReason::WrongTarget);
-        }
-        let is_leaving = self.is_leaving.load(Ordering::Acquire);
-        if is_leaving || backend.is_leaving() {
-            return Err(RefusalReason::Leaving);
-        }
-        if !backend.is_healthy() {
-            return Err(RefusalReason::BackendDown);
-        }
-        Ok(backend.clone())
-    }
-
-    fn may_use(&self, target: &Target<'_>) -> bool {
-        let rights = self.rights.load();
-        let services = rights.get(target.account);
-        services.is_some_and(|s| s.contains(target.service))
-    }
-
-    /// When to come back after a refusal that no queue explains.
-    pub(crate) fn retry_after_ms(&self, reason: RefusalReason) -> u64 {
-        match reason {
-            // Until the next looks at the backend server and the list.
-            RefusalReason::BackendDown => {
-                let probe_ms = PROBE_INTERVAL.as_millis() as u64;
-                probe_ms + fastrand::u64(0..=2 * probe_ms)
-            }
-            RefusalReason::Leaving => {
-                self.settings.node.platform.vm_list_poll_ms
-            }
-            _ => 0,
-        }
-    }
-
-    /// Open links to stages, if all are open.
-    pub(crate) fn existing_links(
-        &self,
-        stages: &[Stage],
-    ) -> Option<Vec<Link>> {
-        let links = self.links();
-        stages
-            .iter()
-            .map(|s| links.existing(s.side_address.parse().ok()?))
-            .collect()
-    }
-
-    /// Links to stages, dialled where need be.
-    ///
-    /// # Errors
-    ///
-    /// Name of the first backend server whose side process was not reached.
-    pub(crate) async fn dial_links(
-        &self,
-        stages: &[Stage],
-    ) -> Result<Vec<Link>, String> {
-        let mut dialled = Vec::with_capacity(stages.len());
-        for stage in stages {
-            let unreachable = || stage.backend.clone();
-            let address: SocketAddr =
-                stage.side_address.parse().map_err(|_| unreachable())?;
-            let link = self.links().connect(address).await;
-            dialled.push(link.map_err(|_| unreachable())?);
-        }
-        Ok(dialled)
-    }
-
     /// Gives a place back and lets what waited for it go on.
     pub(crate) fn free_place(
         self: &Arc<Self>,
@@ -397,85 +299,6 @@
             None => {}
         }
     }
-
-    /// Tells every peer the state of this process.
-    pub(crate) fn send_status(&self) {
-        self.links().broadcast(&self.status());
-    }
-
-    pub(crate) fn status(&self) -> Body {
-        Body::Status(Status {
-            is_leaving: self.is_leaving.load(Ordering::Acquire),
-            generation: self.generation.load(Ordering::Acquire),
-            loads: self.loads(),
-            entry_count: self.entry_count(),
-        })
-    }
-
-    /// Entries that have a link to this process. Each VM counts once, also
-    /// while a lost link and its successor are both still open.
-    fn entry_count(&self) -> u32 {
-        let open = self.links().open();
-        let peers = open.iter().map(|link| link.peer());
-        let vms: BTreeSet<&str> = peers
-            .filter(|peer| peer.role() == wire::Role::Entry)
-            .map(|peer| peer.vm.as_str())
-            .collect();
-        vms.len() as u32
-    }
-
-    pub(crate) fn loads(&self) -> Vec<BackendLoad> {
-        self.backends.values().map(|b| self.backend_load(b)).collect()
-    }
-
-    pub(crate) fn backend_load(&self, backend: &Backend) -> BackendLoad {
-        let load = backend.gate.load();
-        BackendLoad {
-            backend: backend.name.clone(),
-            running: load.running,
-            queued: load.queued,
-            pending_tokens: load.pending_tokens,
-            prompt_tokens_per_s: load.prompt_tokens_per_s,
-            output_tokens_per_s: load.output_tokens_per_s,
-            cache_used_permille: 0,
-            is_healthy: backend.is_healthy(),
-            queue_wait_ms: load.queue_wait_ms.min(u32::MAX.into()) as u32,
-            is_leaving: self.is_leaving.load(Ordering::Acquire)
-                || backend.is_leaving(),
-        }
-    }
-
-    /// Counts a step that was not taken.
-    pub(crate) fn note_refused_step(&self, reason: &'static str) {
-        self.metrics.step_refused(reason);
-        emit(Event::StepRefused, &[("reason", &reason)]);
-    }
-
-    /// Sets the gauges of the backend servers.
-    pub(crate) fn note_gauges(&self) {
-        let mut records = 0;
-        for backend in self.backends.values() {
-            records += backend.table().len();
-            let load = backend.gate.load();
-            let metrics = &backend.metrics;
-            metrics.is_healthy.set(backend.is_healthy().into());
-            metrics.running.set(load.running.into());
-            metrics.queued.set(load.queued.into());
-            metrics.queue_tokens.set(load.pending_tokens as i64);
-        }
-        self.metrics.run_once_records.set(records as i64);
-    }
-}
-
-fn load_status(load: &BackendLoad) -> serde_json::Value {
-    serde_json::json!({
-        "name": load.backend,
-        "running": load.running,
-        "queued": load.queued,
-        "pending_tokens": load.pending_tokens,
-        "is_healthy": load.is_healthy,
-        "is_leaving": load.is_leaving,
-    })
 }
 
 fn link_options(settings: &SideSettings) -> LinkOptions {
--- a/crates/side/src/run/admit.rs
+++ b/crates/side/src/run/admit.rs
@@ -17,8 +17,9 @@
 use crate::{
     backend::Backend,
     gate::Offer,
-    node::{Shared, Target},
+    node::Shared,
     priority::{to_priority, to_wire_priority},
+    target::Target,
 };
 
 /// Tokens that a plain call counts as.
--- a/crates/side/src/seat/reserve.rs
+++ b/crates/side/src/seat/reserve.rs
@@ -13,8 +13,9 @@
 use crate::{
     backend::Backend,
     gate::Offer,
-    node::{Shared, Target},
+    node::Shared,
     priority::{step_priority, to_priority},
+    target::Target,
 };
 
 impl Shared {
--- /dev/null
+++ b/crates/side/src/target.rs
@@ -0,0 +1,110 @@
+//! Which backend server a request means, and how its stages are reached.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+};
+
+use chestnutreach_protocol::{
+    Link,
+    wire::{RefusalReason, Stage},
+};
+
+use crate::{
+    backend::{Backend, PROBE_INTERVAL},
+    node::Shared,
+};
+
+/// Which backend server a request means, and for whom.
+pub(crate) struct Target<'a> {
+    pub(crate) stage: &'a Stage,
+    pub(crate) service: &'a str,
+    pub(crate) account: &'a str,
+}
+
+impl Shared {
+    /// The backend server that a request means, if it may run there.
+    pub(crate) fn find_target(
+        &self,
+        target: &Target<'_>,
+    ) -> Result<Arc<Backend>, RefusalReason> {
+        let stage = target.stage;
+        let boot_id = self.links().identity().boot_id;
+        if stage.side_boot_id != 0 && stage.side_boot_id != boot_id {
+            return Err(RefusalReason::WrongTarget);
+        }
+        let backend = self.backends.get(&stage.backend);
+        let backend = backend.ok_or(RefusalReason::WrongTarget)?;
+        let assigned =
+            backend.assigned().ok_or(RefusalReason::UnknownService)?;
+        if assigned.service != target.service || !self.may_use(target) {
+            return Err(RefusalReason::UnknownService);
+        }
+        let is_range = assigned.first_layer == stage.first_layer
+            && assigned.end_layer == stage.end_layer;
+        if !is_range {
+            return Err(RefusalReason::WrongTarget);
+        }
+        let is_leaving = self.is_leaving.load(Ordering::Acquire);
+        if is_leaving || backend.is_leaving() {
+            return Err(RefusalReason::Leaving);
+        }
+        if !backend.is_healthy() {
+            return Err(RefusalReason::BackendDown);
+        }
+        Ok(backend.clone())
+    }
+
+    fn may_use(&self, target: &Target<'_>) -> bool {
+        let rights = self.rights.load();
+        let services = rights.get(target.account);
+        services.is_some_and(|s| s.contains(target.service))
+    }
+
+    /// When to come back after a refusal that no queue explains.
+    pub(crate) fn retry_after_ms(&self, reason: RefusalReason) -> u64 {
+        match reason {
+            // Until the next looks at the backend server and the list.
+            RefusalReason::BackendDown => {
+                let probe_ms = PROBE_INTERVAL.as_millis() as u64;
+                probe_ms + fastrand::u64(0..=2 * probe_ms)
+            }
+            RefusalReason::Leaving => {
+                self.settings.node.platform.vm_list_poll_ms
+            }
+            _ => 0,
+        }
+    }
+
+    /// Open links to stages, if all are open.
+    pub(crate) fn existing_links(
+        &self,
+        stages: &[Stage],
+    ) -> Option<Vec<Link>> {
+        let links = self.links();
+        stages
+            .iter()
+            .map(|s| links.existing(s.side_address.parse().ok()?))
+            .collect()
+    }
+
+    /// Links to stages, dialled where need be.
+    ///
+    /// # Errors
+    ///
+    /// Name of the first backend server whose side process was not reached.
+    pub(crate) async fn dial_links(
+        &self,
+        stages: &[Stage],
+    ) -> Result<Vec<Link>, String> {
+        let mut dialled = Vec::with_capacity(stages.len());
+        for stage in stages {
+            let unreachable = || stage.backend.clone();
+            let address: SocketAddr =
+                stage.side_address.parse().map_err(|_| unreachable())?;
+            let link = self.links().connect(address).await;
+            dialled.push(link.map_err(|_| unreachable())?);
+        }
+        Ok(dialled)
+    }
+}
