--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -10,17 +10,18 @@
 };
 
 use anyhow::{Context as _, bail};
-use chestnutreach_config::{Manifest, key_digest};
-use chestnutreach_standins::{plain::PlainRecord, record::Numbered};
-use serde_json::{Value, json};
+use chestnutreach_config::Manifest;
+use serde_json::Value;
 use tempfile::TempDir;
 
 use crate::{
     client::Caller, plan::Plan, ports::free_address, process::Process,
-    record::Ran, relay::Relay,
+    relay::Relay,
 };
 
 mod members;
+mod standins;
+mod texts;
 
 /// Time that a fleet may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
@@ -216,127 +217,6 @@
         self.start_process(name, "chestnutreachd", &arguments)
     }
 
-    fn settings(
-        &self,
-        role: &str,
-        vm: &str,
-        daemon: Daemon,
-        more: &str,
-    ) -> String {
-        let Platform { table, objects, vm_list } = self.platform;
-        let Daemon { inner, ops, control } = daemon;
-        format!(
-            "{}role = {role}\nvm = {vm}\ndata-centre = {}\n\
-             inner-address = {inner}\nops-address = {ops}\n\
-             control-address = {control}\n\n\
-             {}level = {}\n\n\
-             {}\n\
-             {}table-address = {table}\nobject-address = {objects}\n\
-             vm-list-address = {vm_list}\n\n{more}",
-            self.section("node"),
-            HALLS[0],
-            self.section("log"),
-            self.plan.log_level,
-            self.section("links"),
-            self.section("platform"),
-        )
-    }
-
-    /// Heading and planned settings of a section.
-    fn section(&self, name: &str) -> String {
-        let mut text = format!("[{name}]\n");
-        for (key, value) in self.plan.settings.get(name).into_iter().flatten()
-        {
-            let _ = writeln!(text, "{key} = {value}");
-        }
-        text
-    }
-
-    /// The fleet's manifest.
-    pub fn manifest_text(&self) -> String {
-        let mut text = format!(
-            "[deployment]\nname = kaolack-small\n\
-             recovery-weight-percent = 20\n\n\
-             [accelerator a40]\nprice-micros-per-hour = 1100000\n\
-             prompt-tokens-per-s = 1000000\noutput-tokens-per-s = 100000\n\n\
-             [service desk-llm]\nkind = language\nmodel = desk-llm\n\
-             layer-count = {}\nmax-context-tokens = 16384\n\
-             default-deadline-ms = 20000\nmax-deadline-ms = 60000\n\
-             objective-per-10000 = 9950\nfirst-token-objective-ms = 900\n\n",
-            self.plan.layer_count
-        );
-        if self.plan.plain_servers > 0 {
-            text.push_str(
-                "[service ledger-app]\nkind = plain\npath = /ledger-app\n\
-                 default-deadline-ms = 5000\nmax-deadline-ms = 30000\n\
-                 objective-per-10000 = 9990\n\
-                 first-token-objective-ms = 500\n\n",
-            );
-        }
-        self.write_places(&mut text);
-        self.write_accounts(&mut text);
-        self.write_servers(&mut text);
-        text
-    }
-
-    fn write_places(&self, text: &mut String) {
-        for hall in HALLS {
-            let _ = write!(text, "[data-centre {hall}]\nregion = kaolack\n\n");
-        }
-        for (at, a) in HALLS.iter().enumerate() {
-            for b in &HALLS[at + 1..] {
-                let _ = write!(
-                    text,
-                    "[path {a} {b}]\nlatency-us = 200\n\
-                     bandwidth-mbit-per-s = 10000\n\n"
-                );
-            }
-        }
-    }
-
-    fn write_accounts(&self, text: &mut String) {
-        let services = if self.plan.plain_servers > 0 {
-            "desk-llm, ledger-app"
-        } else {
-            "desk-llm"
-        };
-        for (name, key, weight) in ACCOUNTS {
-            let _ = write!(
-                text,
-                "[account {name}]\nkey-digests = {}\nweight = {weight}\n\
-                 services = {services}\n\n",
-                key_digest(key)
-            );
-        }
-    }
-
-    fn write_servers(&self, text: &mut String) {
-        for (at, server) in self.sides.keys().enumerate() {
-            let (first, end) = self.layers(server);
-            let is_plain = end == 0;
-            let service = if is_plain { "ledger-app" } else { "desk-llm" };
-            let _ = write!(
-                text,
-                "[backend-server {server}]\nservice = {service}\n\
-                 data-centre = {}\nvm = {}\nside-address = {}\n\
-                 max-running = {}\n",
-                HALLS[at % HALLS.len()],
-                side_name(server),
-                self.side_address(server),
-                self.plan.max_running,
-            );
-            if !is_plain {
-                let _ = write!(
-                    text,
-                    "accelerator = a40\nfirst-layer = {first}\n\
-                     end-layer = {end}\ncache-tokens = 1000000\n\
-                     checks-fencing = yes\n"
-                );
-            }
-            text.push('\n');
-        }
-    }
-
     /// Where other processes reach the side process of a backend server.
     fn side_address(&self, server: &str) -> SocketAddr {
         match self.relays.get(server) {
@@ -498,12 +378,6 @@
         entries.chain(sides).collect()
     }
 
-    /// Address of a stand-in: `table`, `objects`, `vm-list`, or the name of
-    /// a backend server.
-    pub fn standin_address(&self, name: &str) -> SocketAddr {
-        self.servers[name]
-    }
-
     /// A caller of an entry with the first account's key.
     pub fn caller(&self, entry: usize) -> Caller {
         Caller::new(self.entry_address(entry), ACCOUNTS[0].1)
@@ -526,79 +400,6 @@
         each.filter_map(|(name, p)| Some((name.clone(), p.id()?))).collect()
     }
 
-    /// Sets the faults of a stand-in.
-    ///
-    /// # Panics
-    ///
-    /// The stand-in does not take them.
-    pub fn set_faults(&self, name: &str, faults: &Value) {
-        let answer =
-            self.standin(name).call("PUT", "/faults", &faults.to_string());
-        assert!(
-            (200..300).contains(&answer.status),
-            "faults of {name}: {answer:?}"
-        );
-    }
-
-    /// Sets which VMs the platform lists as leaving; all others are live.
-    pub fn list_leaving(&self, leaving: &[&str]) {
-        let names = self.sides.keys().map(|name| side_name(name));
-        let entries: Vec<Value> = names
-            .map(|vm| {
-                let is_leaving = leaving.contains(&vm.as_str());
-                let state = if is_leaving { "leaving" } else { "live" };
-                json!({"vm": vm, "state": state})
-            })
-            .collect();
-        let body = Value::from(entries).to_string();
-        self.standin("vm-list").call("PUT", "/vms", &body);
-    }
-
-    /// Calls that a stand-in holds now.
-    pub fn held(&self, name: &str) -> u64 {
-        let answer = self.standin(name).call("GET", "/held", "");
-        answer.json().as_u64().unwrap_or(0)
-    }
-
-    /// A stand-in's counts.
-    pub fn stats(&self, name: &str) -> Value {
-        self.standin(name).call("GET", "/stats", "").json()
-    }
-
-    fn standin(&self, name: &str) -> Caller {
-        Caller::new(self.servers[name], "")
-    }
-
-    /// What each engine has run. One that does not answer has lost its
-    /// record with its memory and is left out.
-    pub fn engine_records(&self) -> BTreeMap<String, Vec<Ran>> {
-        let names = self.plan.engine_names();
-        let records = names.into_iter().map(|name| {
-            let runs = self.engine_record(&name);
-            (name, runs)
-        });
-        records.collect()
-    }
-
-    /// What one engine has run.
-    pub fn engine_record(&self, name: &str) -> Vec<Ran> {
-        self.record_lines(name)
-    }
-
-    /// What a plain server has run.
-    pub fn plain_record(&self, name: &str) -> Vec<Numbered<PlainRecord>> {
-        self.record_lines(name)
-    }
-
-    fn record_lines<T: serde::de::DeserializeOwned>(
-        &self,
-        name: &str,
-    ) -> Vec<T> {
-        let answer = self.standin(name).call("GET", "/record", "");
-        let lines = answer.text.lines();
-        lines.filter_map(|line| serde_json::from_str(line).ok()).collect()
-    }
-
     /// Stops the daemons as an operator would, entries first; their names
     /// with their exit codes.
     ///
