--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -5,7 +5,7 @@
 //! of ports of its own, which it marks by listening on the block's first.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     process,
     sync::{
         OnceLock,
@@ -27,29 +27,36 @@
 
 /// A port of loopback that nobody listens on.
 ///
+/// It is looked for by connecting: a socket that had listened there would be
+/// inherited by any process that is being started just then, and keep the
+/// port taken until that one runs.
+///
 /// # Panics
 ///
 /// No block of ports is free, or no port of the block.
 pub fn free_address() -> SocketAddr {
-    free_listener().0
+    find(|address| TcpStream::connect(address).err().map(|_| address))
 }
 
-/// A listener on a free port, for what listens in this process: a port that
-/// was let go stays taken while a process is being started that had inherited
-/// it.
+/// A listener on a free port, for what listens in this process.
 ///
 /// # Panics
 ///
 /// As of [`free_address`].
 pub(crate) fn free_listener() -> (SocketAddr, TcpListener) {
+    find(|address| Some((address, TcpListener::bind(address).ok()?)))
+}
+
+/// The first port from the last one found on that `take` takes.
+fn find<T>(take: impl Fn(SocketAddr) -> Option<T>) -> T {
     static BLOCK: OnceLock<Block> = OnceLock::new();
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let first_port = BLOCK.get_or_init(take_block).first_port;
     for _ in 0..BLOCK_PORTS {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let address = loopback(first_port + 1 + step % (BLOCK_PORTS - 1));
-        if let Ok(listener) = TcpListener::bind(address) {
-            return (address, listener);
+        if let Some(taken) = take(address) {
+            return taken;
         }
     }
     panic!("none of the {BLOCK_PORTS} ports from {first_port} on is free");
