--- a/crates/side/tests/attach.rs
+++ b/crates/side/tests/attach.rs
@@ -8,7 +8,7 @@
 use async_io::{Timer, block_on};
 use chestnutreach_node::threads;
 use chestnutreach_protocol::{
-    CloseReason, Identity, Link, LinkEvent, LinkOptions, Links, RequestId,
+    CloseReason, Link, LinkEvent, Links, RequestId,
     wire::{self, Role, frame::Body},
 };
 use chestnutreach_standins::{engine::EngineOptions, running::Running};
@@ -29,15 +29,7 @@
     let executor = Arc::new(Executor::new());
     threads::start(&executor, 4).unwrap();
     let address = support::start_side(&executor, engine.address(), 0);
-    let (sender, events) = async_channel::unbounded();
-    let links = Links::new(
-        Identity::new("entry-1", Role::Entry, "hall-a"),
-        LinkOptions::new(),
-        executor.clone(),
-        Arc::new(move |event| {
-            let _ = sender.try_send(event);
-        }),
-    );
+    let (links, events) = support::peer(&executor, "entry-1", Role::Entry);
     let positions = block_on(async {
         let limit = async {
             Timer::after(LIMIT).await;
--- a/crates/side/tests/later_stage.rs
+++ b/crates/side/tests/later_stage.rs
@@ -8,7 +8,7 @@
 use async_io::{Timer, block_on};
 use chestnutreach_node::threads;
 use chestnutreach_protocol::{
-    Identity, Link, LinkEvent, LinkOptions, Links, RequestId,
+    Link, LinkEvent, RequestId,
     wire::{self, RefusalReason, Role, frame::Body},
 };
 use chestnutreach_standins::{engine::EngineOptions, running::Running};
@@ -62,15 +62,7 @@
     let executor = Arc::new(Executor::new());
     threads::start(&executor, 2).unwrap();
     let address = support::start_side(&executor, engine.address(), 2);
-    let (sender, events) = async_channel::unbounded();
-    let links = Links::new(
-        Identity::new("side-0", Role::Side, "hall-a"),
-        LinkOptions::new(),
-        executor.clone(),
-        Arc::new(move |event| {
-            let _ = sender.try_send(event);
-        }),
-    );
+    let (links, events) = support::peer(&executor, "side-0", Role::Side);
     block_on(async {
         let link = links.connect(address).await.unwrap();
         let told = Answers { events };
--- a/crates/side/tests/support/mod.rs
+++ b/crates/side/tests/support/mod.rs
@@ -9,7 +9,9 @@
 use async_io::Async;
 use chestnutreach_config::{DaemonSettings, Manifest, settings::SideSettings};
 use chestnutreach_node::Heard;
-use chestnutreach_protocol::{Identity, wire::Role};
+use chestnutreach_protocol::{
+    Identity, LinkEvent, LinkOptions, Links, wire::Role,
+};
 use chestnutreach_side::{Side, SideParts};
 use chestnutreach_telemetry::Metrics;
 
@@ -104,3 +106,21 @@
         DaemonSettings::Entry(_) => panic!("role = side"),
     }
 }
+
+/// Links of another process, and what happens on them.
+pub fn peer(
+    executor: &Arc<Executor<'static>>,
+    vm: &str,
+    role: Role,
+) -> (Links, async_channel::Receiver<LinkEvent>) {
+    let (sender, events) = async_channel::unbounded();
+    let links = Links::new(
+        Identity::new(vm, role, "hall-a"),
+        LinkOptions::new(),
+        executor.clone(),
+        Arc::new(move |event| {
+            let _ = sender.try_send(event);
+        }),
+    );
+    (links, events)
+}
