Move request bodies, and build reservations once and outside the lock

Found on reading the whole change once more; no behaviour changes. - The entry copied every request's body, also without a key, because the digest of a key was taken after the job was made. The key is now made first and the body moves to the job. - A first stage read the caller's JSON anew for each later stage, under the request's lock. It is read once a request, and the message is made before the lock is taken; the phase is still checked under it. - Loads were gathered anew for each entry that is told of them. - The gate's page told of a choice that side processes no longer make.

--- a/crates/entry/src/language.rs
+++ b/crates/entry/src/language.rs
@@ -24,7 +24,7 @@
         AnswerShape, Asked, Chunks, Endpoint, Usage, answer::error_event,
     },
     session::{Job, JobWork, Progress},
-    source::Source,
+    source::{self, Source},
     tally::Tally,
     view::ServiceView,
 };
@@ -72,29 +72,24 @@
 ) -> Result<Response, Box<Response>> {
     let is_once = call.terms.is_non_idempotent.unwrap_or(false);
     let is_idempotent = !is_once && call.terms.key.is_none();
+    let keyed = source::key_of(entry, &call);
     let work = JobWork::Generate {
         model: asked.model.clone(),
-        request_json: Vec::new(),
+        request_json: std::mem::take(&mut call.received.body),
         max_tokens: asked.max_tokens,
         prompt_tokens_estimate: asked.prompt_tokens_estimate,
     };
-    let mut job = Job {
+    let job = Job {
         request: call.request,
         service: call.service.clone(),
         account: call.account.name.clone(),
         priority: call.terms.priority,
         is_idempotent,
-        deadline: call.arrived + Duration::from_millis(call.terms.deadline_ms),
+        deadline: deadline(&call),
         work,
     };
     let tally = Tally::new(entry, &call);
-    // The digest of a key needs the body, so it moves only afterwards.
-    let body = call.received.body.clone();
-    if let JobWork::Generate { request_json, .. } = &mut job.work {
-        *request_json = body;
-    }
-    let source = Source::start(entry, &call, job);
-    call.received.body = Vec::new();
+    let source = Source::start(entry, job, keyed);
     let shape = AnswerShape::new(endpoint, call.request, &asked.model);
     let gone = hang_up(call.received.connection.clone());
     let answering = Answering { source, gone, tally, shape, is_idempotent };
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -16,7 +16,7 @@
     language::deadline,
     node::Shared,
     session::{Job, JobWork, Progress},
-    source::Source,
+    source::{self, Source},
     tally::Tally,
 };
 
@@ -61,11 +61,11 @@
     rest: &str,
 ) -> Result<Response, Box<Response>> {
     let method = call.received.request.method();
-    let job = job(&call, rest);
+    let keyed = source::key_of(entry, &call);
+    let job = job(&mut call, rest);
     let is_idempotent = job.is_idempotent;
     let mut tally = Tally::new(entry, &call);
-    let mut source = Source::start(entry, &call, job);
-    call.received.body = Vec::new();
+    let mut source = Source::start(entry, job, keyed);
     let connection = &call.received.connection;
     let mut answer = Collected::default();
     loop {
@@ -101,7 +101,8 @@
     Ok(response)
 }
 
-fn job(call: &Call, rest: &str) -> Job {
+fn job(call: &mut Call, rest: &str) -> Job {
+    let body = std::mem::take(&mut call.received.body);
     let request = &call.received.request;
     let method = request.method();
     let is_once =
@@ -110,7 +111,7 @@
         method: method.to_string(),
         target: target(request, rest),
         headers: headers(request),
-        body: call.received.body.clone(),
+        body,
     };
     Job {
         request: call.request,
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -18,16 +18,16 @@
 }
 
 impl Source {
-    /// Starts a request.
-    pub(crate) fn start(entry: &Arc<Shared>, call: &Call, job: Job) -> Source {
-        let Some(key) = &call.terms.key else {
-            return Source::Direct(Box::new(Session::new(entry, job, None)));
-        };
-        let account = &call.account.name;
-        let digest = digest(call);
-        let keyed =
-            KeyedRequest::new(entry, account, key, digest, call.request);
-        Source::Keyed(keyed::start(entry, job, keyed))
+    /// Starts a request; see [`key_of`] for one with a key.
+    pub(crate) fn start(
+        entry: &Arc<Shared>,
+        job: Job,
+        keyed: Option<KeyedRequest>,
+    ) -> Source {
+        match keyed {
+            Some(keyed) => Source::Keyed(keyed::start(entry, job, keyed)),
+            None => Source::Direct(Box::new(Session::new(entry, job, None))),
+        }
     }
 
     /// Waits for the next thing that happens.
@@ -43,6 +43,18 @@
     }
 }
 
+/// The key of a call that has one. It needs the call's body, so it is made
+/// before the body moves to the job.
+pub(crate) fn key_of(
+    entry: &Arc<Shared>,
+    call: &Call,
+) -> Option<KeyedRequest> {
+    let key = call.terms.key.as_ref()?;
+    let account = &call.account.name;
+    let digest = digest(call);
+    Some(KeyedRequest::new(entry, account, key, digest, call.request))
+}
+
 /// Digest of all that makes a repeat the same request.
 fn digest(call: &Call) -> [u8; 32] {
     let request = &call.received.request;
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -7,15 +7,15 @@
 //! no place is spent on an answer that comes too late.
 //!
 //! The places of a backend server, the fair queue before them and the learned
-//! speed, in one. A request waits at the first stage of its chain. What a
-//! later stage does that has no place free is its side process's choice:
+//! speed, in one. A request waits at the first stage of its chain, and at a
+//! later one for a while ([`Gate::offer_later`]). A request that waits holds
+//! its earlier stages, so a chain has to ask its stages in the order of their
+//! layers: then whoever waits holds only servers with lower first layers, and
+//! no two requests can wait for each other.
 //!
-//! * [`Gate::try_take`] takes or refuses, so that all later stages can be
-//!   asked at the same time.
-//! * [`Gate::offer_later`] lets the request wait for a while. A request that
-//!   waits holds its earlier stages, so a chain has to ask its stages in the
-//!   order of their layers: then whoever waits holds only servers with lower
-//!   first layers, and no two requests can wait for each other.
+//! [`Gate::try_take`] takes or refuses instead, so that all later stages could
+//! be asked at the same time; only the benchmark of decisions uses it, to
+//! compare the two ways.
 
 use crate::{
     admission::{self, Speed},
--- a/crates/side/src/run/admit.rs
+++ b/crates/side/src/run/admit.rs
@@ -1,6 +1,6 @@
 //! From the entry's frame to the first step.
 
-use std::sync::{Arc, Mutex, atomic::AtomicBool};
+use std::sync::{Arc, Mutex, OnceLock, atomic::AtomicBool};
 
 use chestnutreach_engine::StepInput;
 use chestnutreach_protocol::{
@@ -109,6 +109,7 @@
             shape,
             cost_tokens,
             backend,
+            parameters_json: OnceLock::new(),
             is_ended: AtomicBool::new(false),
             state: Mutex::new(state),
         }
@@ -209,6 +210,7 @@
 
     fn send_reserve(self: &Arc<Self>, run: &Arc<Run>, index: usize) {
         let now_ms = self.clock.now_ms();
+        let message = reserve_message(run, index as u32, now_ms);
         let is_sent = {
             // The lock is held while sending: a refusal that comes meanwhile
             // must not send its releases before the reservation.
@@ -216,7 +218,6 @@
             if state.phase != Phase::Reserving {
                 return;
             }
-            let message = reserve_message(run, index as u32, now_ms);
             state.stages[index - 1].0.send(Body::Reserve(message)).is_ok()
         };
         if !is_sent {
@@ -344,7 +345,13 @@
 fn reserve_message(run: &Run, stage_index: u32, now_ms: u64) -> wire::Reserve {
     let rest_ms = run.deadline_at_ms.saturating_sub(now_ms);
     let (model, parameters_json) = match &run.work {
-        Work::Generate(g) => (g.model.clone(), parameters_of(&g.request_json)),
+        Work::Generate(g) => {
+            // The prompt may be long; it is read once for all stages.
+            let parameters = run
+                .parameters_json
+                .get_or_init(|| parameters_of(&g.request_json));
+            (g.model.clone(), parameters.clone())
+        }
         Work::PlainCall(_) => (String::new(), Vec::new()),
     };
     wire::Reserve {
--- a/crates/side/src/run/mod.rs
+++ b/crates/side/src/run/mod.rs
@@ -18,7 +18,7 @@
 mod tokens;
 
 use std::sync::{
-    Arc, Mutex, MutexGuard,
+    Arc, Mutex, MutexGuard, OnceLock,
     atomic::{AtomicBool, Ordering},
 };
 
@@ -55,6 +55,8 @@
     pub(crate) shape: Shape,
     pub(crate) cost_tokens: u64,
     pub(crate) backend: Arc<Backend>,
+    /// The caller's request without its prompt, once it is asked for.
+    parameters_json: OnceLock<Vec<u8>>,
     is_ended: AtomicBool,
     state: Mutex<State>,
 }
--- a/crates/side/src/sweep.rs
+++ b/crates/side/src/sweep.rs
@@ -52,8 +52,9 @@
         let open = self.links().open();
         let is_told =
             |link: &&Link| link.is_busy() && link.peer().role() == Role::Entry;
+        let status = self.status();
         for link in open.iter().filter(is_told) {
-            let _ = link.send(self.status());
+            let _ = link.send(status.clone());
         }
     }
 
