--- /dev/null
+++ b/crates/platform/src/claims/row.rs
@@ -0,0 +1,85 @@
+//! The value of a claim's row.
+//!
+//! A long answer lies in the object store, named by its digest, and the row
+//! keeps the name: many of them together would pass a transaction's limit.
+
+use serde::{Deserialize, Serialize};
+
+use super::{ClaimError, claim::Claim, claim::ClaimState};
+use crate::{hex, objects::ObjectClient, table::Row};
+
+/// A claim as written.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct ClaimRow {
+    /// Random number of the call that wrote it. Two calls of one owner must
+    /// not take each other's write for their own.
+    #[serde(with = "hex::number")]
+    pub(super) call_id: u128,
+    /// The claim; its answer's body is empty if it lies elsewhere.
+    pub(super) claim: Claim,
+    /// Object with the answer's body.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) body_object: Option<String>,
+}
+
+impl ClaimRow {
+    pub(super) fn new(claim: Claim) -> ClaimRow {
+        let call_id = fastrand::u128(..);
+        ClaimRow { call_id, claim, body_object: None }
+    }
+
+    pub(super) fn try_decode(row: &Row) -> Option<ClaimRow> {
+        serde_json::from_slice(&row.value).ok()
+    }
+
+    pub(super) fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("plain fields can be written")
+    }
+
+    /// Moves a body longer than the limit to the object store.
+    pub(super) async fn store_body(
+        &mut self,
+        objects: Option<&ObjectClient>,
+        limit_bytes: usize,
+    ) -> Result<(), ClaimError> {
+        let ClaimState::Completed { answer } = &mut self.claim.state else {
+            return Ok(());
+        };
+        if answer.body.len() <= limit_bytes {
+            return Ok(());
+        }
+        let objects = objects.ok_or(ClaimError::StoreDown)?;
+        let key = body_key(&answer.body);
+        let put = objects.put(&key, &answer.body).await;
+        put.map_err(|_| ClaimError::StoreDown)?;
+        answer.body.clear();
+        self.body_object = Some(key);
+        Ok(())
+    }
+
+    /// The claim with its whole answer.
+    pub(super) async fn load(
+        self,
+        objects: Option<&ObjectClient>,
+    ) -> Result<Claim, ClaimError> {
+        let mut claim = self.claim;
+        let ClaimState::Completed { answer } = &mut claim.state else {
+            return Ok(claim);
+        };
+        let Some(key) = self.body_object else {
+            return Ok(claim);
+        };
+        let objects = objects.ok_or(ClaimError::StoreDown)?;
+        let body = objects.read(&key).await;
+        let body = body.ok().flatten().ok_or(ClaimError::StoreDown)?;
+        if body_key(&body) != key {
+            return Err(ClaimError::StoreDown);
+        }
+        answer.body = body;
+        Ok(claim)
+    }
+}
+
+fn body_key(body: &[u8]) -> String {
+    format!("answer/{}", blake3::hash(body).to_hex())
+}
--- /dev/null
+++ b/crates/platform/src/manifest_store/mod.rs
@@ -0,0 +1,374 @@
+//! Generations of the manifest.
+//!
+//! The head is one row, changed by compare-and-set. The sections lie in the
+//! object store in parts named by their digest, put there before the head
+//! names them, so that whoever reads a head can read all it names. A
+//! submission also writes a row of its own in the same transaction: whoever
+//! lost the answer can tell later that it was accepted, even when other
+//! generations came after it.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use async_io::Timer;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    hex,
+    objects::ObjectClient,
+    parts::{self, PartDigest, Parts, Root},
+    table::{Condition, Row, TableClient, TableError, Write},
+};
+
+mod cache;
+mod errors;
+
+pub use cache::PartCache;
+pub use errors::{FetchError, SubmitError};
+
+/// Key of the head row.
+const HEAD_KEY: &str = "manifest/head";
+/// How long a submission whose answer was lost is asked for.
+const SETTLE_FOR: Duration = Duration::from_secs(5);
+/// Pause between two questions after it.
+const SETTLE_PAUSE: Duration = Duration::from_millis(50);
+/// Longest id of a submission, in bytes.
+const MAX_SUBMISSION_BYTES: usize = 128;
+
+/// The accepted generation.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Head {
+    /// 1 for the first, one more with each accepted submission.
+    pub generation: u64,
+    /// Id of the submission that made it.
+    pub submission: String,
+    /// Id of the submission it came after; none for the first.
+    pub parent_submission: Option<String>,
+    /// BLAKE3 digest of the root, which names the parts.
+    #[serde(with = "hex::digest")]
+    pub root: [u8; 32],
+}
+
+/// An accepted submission.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Accepted {
+    /// Its generation.
+    pub generation: u64,
+}
+
+/// Row of one accepted submission.
+#[derive(Deserialize, Serialize)]
+struct SubmissionRow {
+    generation: u64,
+    #[serde(with = "hex::digest")]
+    root: [u8; 32],
+}
+
+/// Manifests in the platform's services.
+#[derive(Clone, Debug)]
+pub struct ManifestStore {
+    table: Arc<TableClient>,
+    objects: Arc<ObjectClient>,
+    settle_for: Duration,
+}
+
+impl ManifestStore {
+    /// A store over the two services.
+    pub fn new(
+        table: Arc<TableClient>,
+        objects: Arc<ObjectClient>,
+    ) -> ManifestStore {
+        ManifestStore { table, objects, settle_for: SETTLE_FOR }
+    }
+
+    /// How long a submission whose answer was lost is asked for.
+    pub fn settle_for(mut self, time: Duration) -> ManifestStore {
+        self.settle_for = time;
+        self
+    }
+
+    /// The accepted generation; none before the first.
+    ///
+    /// # Errors
+    ///
+    /// The table service gives no answer, or no head.
+    pub async fn head(&self) -> Result<Option<Head>, TableError> {
+        let head = self.head_row().await?;
+        Ok(head.map(|(_, head)| head))
+    }
+
+    /// Sections of a generation. Only parts that the cache does not hold are
+    /// read; afterwards it holds just the parts of this generation.
+    ///
+    /// # Errors
+    ///
+    /// See [`FetchError`].
+    pub async fn fetch(
+        &self,
+        head: &Head,
+        cache: &mut PartCache,
+    ) -> Result<BTreeMap<String, String>, FetchError> {
+        let root = self.read_root(&head.root, cache).await?;
+        let missing = cache.missing(&root);
+        cache.read_parts(&self.objects, &missing).await?;
+        cache.retain(&root);
+        let mut sections = BTreeMap::new();
+        for digest in root.digests() {
+            sections.extend(cache.sections(*digest)?);
+        }
+        Ok(sections)
+    }
+
+    /// Submits sections to follow a generation, 0 for none. Repeating it
+    /// with the same id and sections gives the same answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`SubmitError`].
+    pub async fn submit(
+        &self,
+        base_generation: u64,
+        sections: &BTreeMap<String, String>,
+        submission: &str,
+    ) -> Result<Accepted, SubmitError> {
+        check_id(submission)?;
+        let parts = parts::cut(sections);
+        let root = root_digest(&parts.root);
+        if let Some(accepted) = self.accepted(submission, &root).await? {
+            return Ok(accepted);
+        }
+        let base = self.head_row().await?;
+        let current = base.as_ref().map_or(0, |(_, head)| head.generation);
+        if current != base_generation {
+            let current = base.map(|(_, head)| head);
+            return Err(SubmitError::Stale { base_generation, current });
+        }
+        self.put_parts(&parts, base.as_ref().map(|(_, h)| h)).await?;
+        let change = Change::new(base, submission, root);
+        self.commit(&change).await
+    }
+
+    async fn head_row(&self) -> Result<Option<(u64, Head)>, TableError> {
+        let Some(row) = self.table.read(HEAD_KEY).await? else {
+            return Ok(None);
+        };
+        let head = decode_row(HEAD_KEY, &row)?;
+        Ok(Some((row.version, head)))
+    }
+
+    /// Whether a submission has been accepted.
+    async fn accepted(
+        &self,
+        submission: &str,
+        root: &[u8; 32],
+    ) -> Result<Option<Accepted>, SubmitError> {
+        let key = submission_key(submission);
+        let Some(row) = self.table.read(&key).await? else {
+            return Ok(None);
+        };
+        let found: SubmissionRow = decode_row(&key, &row)?;
+        let generation = found.generation;
+        if found.root != *root {
+            return Err(SubmitError::IdReused { generation });
+        }
+        Ok(Some(Accepted { generation }))
+    }
+
+    /// Puts the parts that the base does not have, then the root. What the
+    /// base names is there already, and the base is still the head when the
+    /// transaction succeeds.
+    async fn put_parts(
+        &self,
+        parts: &Parts,
+        base: Option<&Head>,
+    ) -> Result<(), SubmitError> {
+        let mut held = PartCache::new();
+        let base_root = match base {
+            Some(head) => self.read_root(&head.root, &mut held).await.ok(),
+            None => None,
+        };
+        let base_digests = base_root.as_ref().map_or(&[][..], Root::digests);
+        for (digest, encoding) in &parts.encodings {
+            if digest.is_empty_part() || base_digests.contains(digest) {
+                continue;
+            }
+            self.objects.put(&part_key(*digest), encoding).await?;
+        }
+        let key = root_key(&root_digest(&parts.root));
+        self.objects.put(&key, &parts.root.encode()).await?;
+        Ok(())
+    }
+
+    async fn commit(&self, change: &Change) -> Result<Accepted, SubmitError> {
+        let give_up = Instant::now() + self.settle_for;
+        // Once an answer was lost, "not applied" is true of that attempt
+        // only and no longer of the submission.
+        let mut is_ambiguous = false;
+        loop {
+            let writes = change.writes();
+            let result = self.table.transact(writes, &change.token).await;
+            let error = match result {
+                Ok(()) => return Ok(change.accepted()),
+                Err(TableError::Conflict { .. }) => {
+                    return self.lost(change).await;
+                }
+                Err(e @ TableError::Ambiguous { .. }) => {
+                    is_ambiguous = true;
+                    e
+                }
+                Err(e) if is_ambiguous => e,
+                Err(e) => return Err(e.into()),
+            };
+            let name = &change.head.submission;
+            let root = &change.head.root;
+            if let Ok(Some(accepted)) = self.accepted(name, root).await {
+                return Ok(accepted);
+            }
+            // Not there yet; it may still be on its way. The same token
+            // makes sending it again safe.
+            if Instant::now() >= give_up {
+                let detail = error.to_string();
+                return Err(SubmitError::Unknown { detail });
+            }
+            Timer::after(SETTLE_PAUSE).await;
+        }
+    }
+
+    /// Tells what a submission lost to, unless it is itself the winner.
+    async fn lost(&self, change: &Change) -> Result<Accepted, SubmitError> {
+        let name = &change.head.submission;
+        let found = self.accepted(name, &change.head.root).await;
+        match found.map_err(unknown)? {
+            Some(accepted) => Ok(accepted),
+            None => match self.head().await.map_err(unknown)? {
+                Some(winner) => Err(SubmitError::LostRace { winner }),
+                None => {
+                    let detail = "the head row is gone".to_owned();
+                    Err(SubmitError::Unavailable { detail })
+                }
+            },
+        }
+    }
+
+    async fn read_root(
+        &self,
+        digest: &[u8; 32],
+        cache: &mut PartCache,
+    ) -> Result<Root, FetchError> {
+        if let Some(root) = cache.root(digest) {
+            return Ok(root.clone());
+        }
+        let key = root_key(digest);
+        let bytes = self.objects.read(&key).await?;
+        let bytes = bytes.ok_or_else(|| FetchError::missing(&key))?;
+        let is_intact = blake3::hash(&bytes) == *digest;
+        let root = Root::try_decode(&bytes).filter(|_| is_intact);
+        let root = root.ok_or_else(|| FetchError::corrupt(&key))?;
+        cache.set_root(*digest, root.clone());
+        Ok(root)
+    }
+}
+
+/// The two writes of a submission.
+struct Change {
+    condition: Condition,
+    head: Head,
+    token: String,
+}
+
+impl Change {
+    fn new(
+        base: Option<(u64, Head)>,
+        submission: &str,
+        root: [u8; 32],
+    ) -> Change {
+        let (condition, generation, parent_submission) = match base {
+            None => (Condition::Absent, 1, None),
+            Some((version, head)) => {
+                let condition = Condition::Version(version);
+                (condition, head.generation + 1, Some(head.submission))
+            }
+        };
+        let submission = submission.to_owned();
+        let head = Head { generation, submission, parent_submission, root };
+        let token = token_of(&head);
+        Change { condition, head, token }
+    }
+
+    fn accepted(&self) -> Accepted {
+        Accepted { generation: self.head.generation }
+    }
+
+    fn writes(&self) -> Vec<Write> {
+        let Head { generation, root, .. } = self.head;
+        let head = Write {
+            key: HEAD_KEY.to_owned(),
+            value: Some(encode(&self.head)),
+            condition: self.condition,
+        };
+        let submission = Write {
+            key: submission_key(&self.head.submission),
+            value: Some(encode(&SubmissionRow { generation, root })),
+            condition: Condition::Absent,
+        };
+        vec![head, submission]
+    }
+}
+
+/// The same for the same writes, so that a repeat by a new process is one
+/// transaction with the first.
+fn token_of(head: &Head) -> String {
+    let digest = blake3::hash(&encode(head));
+    hex::encode(&digest.as_bytes()[..16])
+}
+
+fn check_id(submission: &str) -> Result<(), SubmitError> {
+    let is_plain = |b: u8| b.is_ascii_graphic();
+    let length = submission.len();
+    let is_in_range = (1..=MAX_SUBMISSION_BYTES).contains(&length);
+    if is_in_range && submission.bytes().all(is_plain) {
+        return Ok(());
+    }
+    let detail = format!(
+        "submission id {submission:?} is not 1 to {MAX_SUBMISSION_BYTES} \
+         bytes of printable ASCII without spaces"
+    );
+    Err(SubmitError::Invalid { detail })
+}
+
+fn unknown(error: impl std::fmt::Display) -> SubmitError {
+    SubmitError::Unknown { detail: error.to_string() }
+}
+
+fn root_digest(root: &Root) -> [u8; 32] {
+    *blake3::hash(&root.encode()).as_bytes()
+}
+
+fn submission_key(submission: &str) -> String {
+    format!("manifest/submission/{submission}")
+}
+
+fn root_key(digest: &[u8; 32]) -> String {
+    format!("manifest/root/{}", hex::encode(digest))
+}
+
+fn part_key(digest: PartDigest) -> String {
+    format!("manifest/part/{}", digest.to_hex())
+}
+
+fn encode(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("rows of plain fields can be written")
+}
+
+fn decode_row<'a, R: Deserialize<'a>>(
+    key: &str,
+    row: &'a Row,
+) -> Result<R, TableError> {
+    serde_json::from_slice(&row.value).map_err(|e| {
+        let detail = format!("row {key:?}: {e}");
+        TableError::Protocol { detail }
+    })
+}
--- /dev/null
+++ b/crates/platform/tests/platform/services.rs
@@ -0,0 +1,234 @@
+//! Table, objects and VM list against their stand-ins.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use chestnutreach_platform::{
+    ObjectClient, TableClient, VmListClient,
+    table::{Condition, Row, TableError, Write},
+    vm_list::{VmEntry, VmState},
+};
+use chestnutreach_standins::platform::{
+    Down, FaultSettings, Faults, serve_vm_list,
+};
+use http_types::Method;
+use rstest::rstest;
+
+use crate::support::{CALL_TIMEOUT, call, closed_address, listen, run};
+
+fn write(key: &str, value: Option<&str>, condition: Condition) -> Write {
+    let value = value.map(|v| v.as_bytes().to_vec());
+    Write { key: key.to_owned(), value, condition }
+}
+
+fn row(version: u64, value: &str) -> Row {
+    Row { version, value: value.as_bytes().to_vec() }
+}
+
+/// Failure of a write after the row "a" got version 2.
+struct WriteCase {
+    write: Write,
+    expected: Result<(), TableError>,
+    left: Option<Row>,
+}
+
+#[rstest]
+#[case::any(WriteCase {
+    write: write("a", Some("3"), Condition::Any),
+    expected: Ok(()),
+    left: Some(row(3, "3")),
+})]
+#[case::version(WriteCase {
+    write: write("a", Some("3"), Condition::Version(2)),
+    expected: Ok(()),
+    left: Some(row(3, "3")),
+})]
+#[case::old_version(WriteCase {
+    write: write("a", Some("3"), Condition::Version(1)),
+    expected: Err(TableError::Conflict { failed: vec![1] }),
+    left: Some(row(2, "2")),
+})]
+#[case::present(WriteCase {
+    write: write("a", Some("3"), Condition::Absent),
+    expected: Err(TableError::Conflict { failed: vec![1] }),
+    left: Some(row(2, "2")),
+})]
+#[case::delete(WriteCase {
+    write: write("a", None, Condition::Version(2)),
+    expected: Ok(()),
+    left: None,
+})]
+fn a_condition_decides_for_all_writes(#[case] case: WriteCase) {
+    run(|platform| async move {
+        let table = platform.table();
+        let first = write("a", Some("1"), Condition::Absent);
+        table.write(first, "t1").await.unwrap();
+        let second = write("a", Some("2"), Condition::Version(1));
+        table.write(second, "t2").await.unwrap();
+        let beside = write("b", Some("x"), Condition::Absent);
+        let both = vec![beside, case.write];
+        let result = table.transact(both, "t3").await;
+        assert_eq!(result, case.expected);
+        assert_eq!(table.read("a").await, Ok(case.left));
+        let has_beside = table.read("b").await.unwrap().is_some();
+        assert_eq!(has_beside, result.is_ok());
+    });
+}
+
+#[test]
+fn a_token_makes_a_repeat_harmless() {
+    run(|platform| async move {
+        let table = platform.table();
+        let add = write("a", Some("1"), Condition::Any);
+        for _ in 0..3 {
+            table.write(add.clone(), "t").await.unwrap();
+        }
+        assert_eq!(table.read("a").await, Ok(Some(row(1, "1"))));
+        let other = write("a", Some("2"), Condition::Any);
+        let refused = table.write(other, "t").await;
+        assert!(matches!(refused, Err(TableError::Protocol { .. })));
+    });
+}
+
+#[test]
+fn many_rows_are_read_though_the_service_gives_them_in_pieces() {
+    run(|platform| async move {
+        let table = platform.table();
+        let keys: Vec<_> = (0..230).map(|n| format!("k{n}")).collect();
+        let rows: BTreeMap<_, _> =
+            keys.iter().map(|key| (key.clone(), row(1, key))).collect();
+        for (number, chunk) in keys.chunks(100).enumerate() {
+            let writes = chunk
+                .iter()
+                .map(|key| write(key, Some(key), Condition::Absent))
+                .collect();
+            table.transact(writes, &format!("t{number}")).await.unwrap();
+        }
+        let mut asked = keys;
+        asked.push("missing".to_owned());
+        assert_eq!(table.read_many(&asked).await, Ok(rows));
+    });
+}
+
+struct FaultCase {
+    faults: FaultSettings,
+    is_ambiguous: bool,
+    is_throttled: bool,
+}
+
+#[rstest]
+#[case::down(FaultCase {
+    faults: FaultSettings {
+        down: Down::Unavailable,
+        ..FaultSettings::default()
+    },
+    is_ambiguous: false,
+    is_throttled: false,
+})]
+#[case::closed(FaultCase {
+    faults: FaultSettings { down: Down::Closed, ..FaultSettings::default() },
+    is_ambiguous: true,
+    is_throttled: false,
+})]
+#[case::lost_answer(FaultCase {
+    faults: FaultSettings { lose_answers: 1, ..FaultSettings::default() },
+    is_ambiguous: true,
+    is_throttled: false,
+})]
+#[case::error(FaultCase {
+    faults: FaultSettings {
+        error_permille: 1000,
+        ..FaultSettings::default()
+    },
+    is_ambiguous: true,
+    is_throttled: false,
+})]
+#[case::over_the_rate(FaultCase {
+    faults: FaultSettings { max_writes_per_s: 1, ..FaultSettings::default() },
+    is_ambiguous: false,
+    is_throttled: true,
+})]
+fn an_error_tells_whether_a_write_may_be_applied(#[case] case: FaultCase) {
+    run(|platform| async move {
+        let table = platform.table();
+        let first = write("a", Some("1"), Condition::Absent);
+        table.write(first, "t1").await.unwrap();
+        platform.set_faults(case.faults);
+        let second = write("b", Some("1"), Condition::Absent);
+        let error = table.write(second, "t2").await.unwrap_err();
+        match error {
+            TableError::Ambiguous { .. } => assert!(case.is_ambiguous),
+            TableError::Unavailable { is_throttled, .. } => {
+                assert!(!case.is_ambiguous);
+                assert_eq!(is_throttled, case.is_throttled);
+            }
+            other => panic!("{other}"),
+        }
+    });
+}
+
+#[test]
+fn a_refused_connection_surely_applied_nothing() {
+    run(|_| async move {
+        let table = TableClient::new(closed_address(), CALL_TIMEOUT);
+        let add = write("a", Some("1"), Condition::Any);
+        let error = table.write(add, "t").await.unwrap_err();
+        assert!(matches!(error, TableError::Unavailable { .. }), "{error}");
+    });
+}
+
+/// The stand-in shares the message types, so that their text is pinned here.
+#[test]
+fn requests_have_the_published_form() {
+    use chestnutreach_platform::wire::*;
+    let text = r#"{"TransactItems":[{"Put":{"TableName":"t","Item":{"#
+        .to_owned()
+        + r#""pk":{"S":"a"},"v":{"B":"eA=="},"ver":{"N":"2"}},"#
+        + r#""ConditionExpression":"ver = :ver","#
+        + r#""ExpressionAttributeValues":{":ver":{"N":"1"}}}}],"#
+        + r#""ClientRequestToken":"token"}"#;
+    let request: TransactWriteItemsRequest =
+        serde_json::from_str(&text).unwrap();
+    let TransactWriteItem::Put(put) = &request.transact_items[0] else {
+        panic!("{request:?}");
+    };
+    assert_eq!(put.item["v"], AttributeValue::B("eA==".to_owned()));
+    assert_eq!(serde_json::to_string(&request).unwrap(), text);
+}
+
+#[test]
+fn objects_are_kept_by_path() {
+    run(|platform| async move {
+        let objects = platform.objects();
+        assert_eq!(objects.read("a/b").await, Ok(None));
+        objects.put("a/b", b"body").await.unwrap();
+        assert_eq!(objects.read("a/b").await, Ok(Some(b"body".to_vec())));
+        assert!(objects.put("a?b", b"").await.is_err());
+        let other = ObjectClient::new(closed_address(), CALL_TIMEOUT);
+        assert!(other.read("a/b").await.is_err());
+    });
+}
+
+#[test]
+fn the_vm_list_lags_and_faults_can_be_set_over_http() {
+    run(|platform| async move {
+        let (listener, address) = listen();
+        let faults = Arc::new(Faults::new());
+        let executor = platform.executor.clone();
+        let serving = serve_vm_list(listener, faults, executor);
+        platform.executor.spawn(serving).detach();
+        let list = VmListClient::new(address, CALL_TIMEOUT);
+        let body = r#"[{"vm":"vm-1","state":"leaving"}]"#;
+        call(address, Method::Put, "/vms", body).await;
+        let vm = "vm-1".to_owned();
+        let entry = VmEntry { vm, state: VmState::Leaving };
+        assert_eq!(list.list().await, Ok(vec![entry]));
+
+        let lag = r#"{"lag_ms":3600000}"#;
+        call(address, Method::Put, "/faults", lag).await;
+        assert_eq!(list.list().await, Ok(vec![]));
+
+        let down = r#"{"down":"unavailable"}"#;
+        call(address, Method::Put, "/faults", down).await;
+        assert!(list.list().await.is_err());
+    });
+}
--- /dev/null
+++ b/crates/platform/tests/platform/support.rs
@@ -0,0 +1,136 @@
+//! Stand-ins of the platform in this process, and clients of them.
+
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
+
+use async_executor::Executor;
+use async_io::Async;
+use chestnutreach_http::{Client, ClientOptions};
+use chestnutreach_platform::{
+    ClaimOptions, ClaimStore, ManifestStore, ObjectClient, TableClient,
+    claims::{Claim, ClaimState, StoredAnswer},
+};
+use chestnutreach_standins::platform::{
+    FaultSettings, Faults, ObjectStats, TableStats, serve_objects, serve_table,
+};
+use http_types::{Method, Request};
+use serde::de::DeserializeOwned;
+
+/// Longest time of any call in a test that is to succeed.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+pub struct Platform {
+    pub executor: Arc<Executor<'static>>,
+    pub table_faults: Arc<Faults>,
+    table_address: SocketAddr,
+    objects_address: SocketAddr,
+}
+
+/// Runs a test on its stand-ins.
+pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Platform) -> F) {
+    let executor = Arc::new(Executor::new());
+    let table_faults = Arc::new(Faults::new());
+    let (listener, table_address) = listen();
+    let table = serve_table(listener, table_faults.clone(), executor.clone());
+    executor.spawn(table).detach();
+    let (listener, objects_address) = listen();
+    let faults = Arc::new(Faults::new());
+    let objects = serve_objects(listener, faults, executor.clone());
+    executor.spawn(objects).detach();
+    let platform = Platform {
+        executor: executor.clone(),
+        table_faults,
+        table_address,
+        objects_address,
+    };
+    async_io::block_on(executor.run(test(platform)));
+}
+
+impl Platform {
+    pub fn table(&self) -> Arc<TableClient> {
+        Arc::new(TableClient::new(self.table_address, CALL_TIMEOUT))
+    }
+
+    pub fn objects(&self) -> Arc<ObjectClient> {
+        Arc::new(ObjectClient::new(self.objects_address, CALL_TIMEOUT))
+    }
+
+    pub fn manifests(&self) -> ManifestStore {
+        ManifestStore::new(self.table(), self.objects())
+    }
+
+    pub fn claims(&self, options: ClaimOptions) -> Arc<ClaimStore> {
+        let options = options.objects(self.objects());
+        let executor = self.executor.clone();
+        Arc::new(ClaimStore::new(self.table(), options, executor))
+    }
+
+    pub fn set_faults(&self, settings: FaultSettings) {
+        self.table_faults.set(settings);
+    }
+
+    pub async fn table_stats(&self) -> TableStats {
+        get_json(self.table_address, "/stats").await
+    }
+
+    pub async fn object_stats(&self) -> ObjectStats {
+        get_json(self.objects_address, "/stats").await
+    }
+}
+
+pub fn listen() -> (Async<TcpListener>, SocketAddr) {
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let address = listener.get_ref().local_addr().unwrap();
+    (listener, address)
+}
+
+/// An address where nothing listens.
+pub fn closed_address() -> SocketAddr {
+    listen().1
+}
+
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    target: &str,
+    body: &str,
+) -> Vec<u8> {
+    let client = Client::new(address, ClientOptions::new());
+    let mut request = Request::new(method, client.url(target).unwrap());
+    request.set_body(body);
+    client.send(request, CALL_TIMEOUT).await.unwrap().1
+}
+
+pub async fn get_json<R: DeserializeOwned>(
+    address: SocketAddr,
+    target: &str,
+) -> R {
+    let body = call(address, Method::Get, target, "").await;
+    serde_json::from_slice(&body).unwrap()
+}
+
+pub fn claim(claim_id: u128) -> Claim {
+    Claim {
+        claim_id,
+        request_digest: [7; 32],
+        request: claim_id + 1000,
+        entry_vm: "entry-1".to_owned(),
+        entry_boot_id: 11,
+        side_address: ([127, 0, 0, 1], 4000).into(),
+        side_boot_id: 12,
+        state: ClaimState::Claimed,
+        expires_at_unix_s: u64::MAX >> 1,
+    }
+}
+
+pub fn completed(claim: Claim, body: &[u8]) -> Claim {
+    let kind = ("content-type".to_owned(), "text/plain".to_owned());
+    let headers = BTreeMap::from([kind]);
+    let answer = StoredAnswer { status: 200, headers, body: body.to_vec() };
+    Claim { state: ClaimState::Completed { answer }, ..claim }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for tests and the demo.
+
+pub mod platform;
