--- /dev/null
+++ b/crates/platform/src/claims/counts.rs
@@ -0,0 +1,41 @@
+//! Counts of a claim store.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Counts since the store was made.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ClaimCounts {
+    /// Transactions sent, repeats included.
+    pub transactions: u64,
+    /// Claims and updates found written.
+    pub written: u64,
+    /// Transactions whose answer was lost.
+    pub lost_answers: u64,
+    /// Claims withdrawn.
+    pub withdrawn: u64,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Counters {
+    pub(super) transactions: AtomicU64,
+    pub(super) written: AtomicU64,
+    pub(super) lost_answers: AtomicU64,
+    pub(super) withdrawn: AtomicU64,
+}
+
+impl Counters {
+    pub(super) fn read(&self) -> ClaimCounts {
+        let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        ClaimCounts {
+            transactions: load(&self.transactions),
+            written: load(&self.written),
+            lost_answers: load(&self.lost_answers),
+            withdrawn: load(&self.withdrawn),
+        }
+    }
+}
+
+/// Adds one.
+pub(super) fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
--- a/crates/platform/src/claims/options.rs
+++ b/crates/platform/src/claims/options.rs
@@ -8,7 +8,8 @@
 ///
 /// One entry writes at most `1000 / flush_ms` transactions a second, each of
 /// up to `batch` claims: with the shipped 20 ms and 50 claims, 50
-/// transactions and 2,500 claims. Beyond that claims wait, up to
+/// transactions and 2,500 claims; a held key or a lost answer adds one to
+/// its flush. Beyond that claims wait, up to
 /// `queue_limit` of them and for `claim_timeout`; the rest is refused as if
 /// the service were down.
 #[derive(Clone, Debug)]
@@ -54,7 +55,9 @@
         self
     }
 
-    /// How long a claim or an update may take.
+    /// How long a claim or an update may take. The table client's own
+    /// timeout is best at most half of it, so that a lost answer can still
+    /// be settled.
     pub fn claim_timeout(mut self, timeout: Duration) -> ClaimOptions {
         self.claim_timeout = timeout;
         self
--- /dev/null
+++ b/crates/platform/src/concurrent.rs
@@ -0,0 +1,35 @@
+//! Several calls of one kind at once.
+
+use std::future::Future;
+
+use async_executor::Executor;
+
+/// Calls in flight; a slow store would make hundreds in a row too long.
+const CALLS_AT_ONCE: usize = 32;
+
+/// Makes calls, and ends at the first error. Answers come in the order of
+/// the calls.
+pub(crate) async fn call_all<T, E, F>(
+    calls: impl IntoIterator<Item = F>,
+) -> Result<Vec<T>, E>
+where
+    F: Future<Output = Result<T, E>> + Send,
+    T: Send,
+    E: Send,
+{
+    let mut answers = Vec::new();
+    let mut calls = calls.into_iter().peekable();
+    while calls.peek().is_some() {
+        let executor = Executor::new();
+        let some = calls.by_ref().take(CALLS_AT_ONCE);
+        let tasks: Vec<_> = some.map(|call| executor.spawn(call)).collect();
+        let chunk = async {
+            for task in tasks {
+                answers.push(task.await?);
+            }
+            Ok(())
+        };
+        executor.run(chunk).await?;
+    }
+    Ok(answers)
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -38,6 +38,7 @@
 //! ```
 
 pub mod claims;
+mod concurrent;
 mod hex;
 pub mod manifest_store;
 pub mod objects;
--- a/crates/platform/src/manifest_store/cache.rs
+++ b/crates/platform/src/manifest_store/cache.rs
@@ -2,17 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use async_executor::Executor;
-
 use super::{FetchError, part_key};
 use crate::{
+    concurrent,
     objects::ObjectClient,
     parts::{self, PartDigest, Root},
 };
 
-/// Parts read at once; a slow store would make 256 reads in a row too long.
-const READS_AT_ONCE: usize = 32;
-
 /// Parts of the generation held last.
 #[derive(Debug, Default)]
 pub struct PartCache {
@@ -58,21 +54,9 @@
         objects: &ObjectClient,
         digests: &BTreeSet<PartDigest>,
     ) -> Result<(), FetchError> {
-        let digests: Vec<_> = digests.iter().copied().collect();
-        for chunk in digests.chunks(READS_AT_ONCE) {
-            let executor = Executor::new();
-            let reads: Vec<_> = chunk
-                .iter()
-                .map(|digest| executor.spawn(read_part(objects, *digest)))
-                .collect();
-            let all = async {
-                for (digest, read) in chunk.iter().zip(reads) {
-                    self.parts.insert(*digest, read.await?);
-                }
-                Ok::<_, FetchError>(())
-            };
-            executor.run(all).await?;
-        }
+        let reads = digests.iter().map(|d| read_part(objects, *d));
+        let read = concurrent::call_all(reads).await?;
+        self.parts.extend(digests.iter().copied().zip(read));
         Ok(())
     }
 
--- a/crates/platform/tests/platform/services.rs
+++ b/crates/platform/tests/platform/services.rs
@@ -111,6 +111,7 @@
 
 struct FaultCase {
     faults: FaultSettings,
+    has_answer: bool,
     is_ambiguous: bool,
     is_throttled: bool,
 }
@@ -121,16 +122,19 @@
         down: Down::Unavailable,
         ..FaultSettings::default()
     },
+    has_answer: true,
     is_ambiguous: false,
     is_throttled: false,
 })]
 #[case::closed(FaultCase {
     faults: FaultSettings { down: Down::Closed, ..FaultSettings::default() },
+    has_answer: false,
     is_ambiguous: true,
     is_throttled: false,
 })]
 #[case::lost_answer(FaultCase {
     faults: FaultSettings { lose_answers: 1, ..FaultSettings::default() },
+    has_answer: false,
     is_ambiguous: true,
     is_throttled: false,
 })]
@@ -139,11 +143,13 @@
         error_permille: 1000,
         ..FaultSettings::default()
     },
+    has_answer: true,
     is_ambiguous: true,
     is_throttled: false,
 })]
 #[case::over_the_rate(FaultCase {
     faults: FaultSettings { max_writes_per_s: 1, ..FaultSettings::default() },
+    has_answer: true,
     is_ambiguous: false,
     is_throttled: true,
 })]
@@ -155,6 +161,8 @@
         platform.set_faults(case.faults);
         let second = write("b", Some("1"), Condition::Absent);
         let error = table.write(second, "t2").await.unwrap_err();
+        let has_answer = error.to_string().contains("status");
+        assert_eq!(has_answer, case.has_answer, "{error}");
         match error {
             TableError::Ambiguous { .. } => assert!(case.is_ambiguous),
             TableError::Unavailable { is_throttled, .. } => {
--- a/crates/standins/src/platform/serve.rs
+++ b/crates/standins/src/platform/serve.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::TcpListener,
+    net::{Shutdown, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -10,7 +10,6 @@
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use chestnutreach_http::{Received, ServerOptions, serve_connection};
-use futures_lite::AsyncWriteExt as _;
 use http_types::{Method, Response, StatusCode};
 
 use super::faults::{Fate, Faults};
@@ -80,9 +79,11 @@
     loop {
         let (socket, _) = listener.accept().await?;
         let (faults, service) = (faults.clone(), service.clone());
+        let raw_socket = socket.get_ref().try_clone()?;
         let serving = async move {
             let options = ServerOptions::new().max_body_bytes(MAX_BODY_BYTES);
-            let handler = |received| answer(received, &faults, &*service);
+            let caller = Caller { raw_socket, faults };
+            let handler = |received| caller.answer(received, &*service);
             // A broken connection is the caller's business.
             let _ = serve_connection(socket, &options, handler).await;
         };
@@ -90,51 +91,61 @@
     }
 }
 
-async fn answer<S: Service>(
-    received: Received,
-    faults: &Faults,
-    service: &S,
-) -> Response {
-    let path = received.request.url().path();
-    match (received.request.method(), path) {
-        (Method::Put, "/faults") => set_faults(faults, &received.body),
-        (Method::Get, "/faults") => Answer::json(&faults.settings()),
-        (Method::Get, "/stats") => service.stats(),
-        _ => return call(received, faults, service).await,
-    }
-    .into_response()
+/// One connection.
+struct Caller {
+    /// Closes the connection under the server, whose own handles only
+    /// flush.
+    raw_socket: TcpStream,
+    faults: Arc<Faults>,
 }
 
-async fn call<S: Service>(
-    received: Received,
-    faults: &Faults,
-    service: &S,
-) -> Response {
-    Timer::after(faults.pause()).await;
-    let answer = match faults.fate(service.is_write(&received)) {
-        Fate::Serve => service.call(&received),
-        Fate::Refuse => service.unavailable(),
-        Fate::FailBefore => service.failed(),
-        Fate::FailAfter => {
-            service.call(&received);
-            service.failed()
-        }
-        Fate::CloseBefore => return close(received).await,
-        Fate::CloseAfter => {
-            service.call(&received);
-            return close(received).await;
+impl Caller {
+    async fn answer<S: Service>(
+        &self,
+        received: Received,
+        service: &S,
+    ) -> Response {
+        let path = received.request.url().path();
+        match (received.request.method(), path) {
+            (Method::Put, "/faults") => {
+                set_faults(&self.faults, &received.body)
+            }
+            (Method::Get, "/faults") => Answer::json(&self.faults.settings()),
+            (Method::Get, "/stats") => service.stats(),
+            _ => return self.call(received, service).await,
         }
-    };
-    answer.into_response()
-}
+        .into_response()
+    }
 
-/// Closes the connection, so that no answer can be sent.
-async fn close(received: Received) -> Response {
-    let mut connection = received.connection;
-    let _ = connection.close().await;
-    let mut response = Response::new(StatusCode::InternalServerError);
-    response.insert_header("connection", "close");
-    response
+    async fn call<S: Service>(
+        &self,
+        received: Received,
+        service: &S,
+    ) -> Response {
+        Timer::after(self.faults.pause()).await;
+        let answer = match self.faults.fate(service.is_write(&received)) {
+            Fate::Serve => service.call(&received),
+            Fate::Refuse => service.unavailable(),
+            Fate::FailBefore => service.failed(),
+            Fate::FailAfter => {
+                service.call(&received);
+                service.failed()
+            }
+            Fate::CloseBefore => return self.close(),
+            Fate::CloseAfter => {
+                service.call(&received);
+                return self.close();
+            }
+        };
+        answer.into_response()
+    }
+
+    /// Closes the connection, so that no answer can be sent.
+    fn close(&self) -> Response {
+        // It may be closed already.
+        let _ = self.raw_socket.shutdown(Shutdown::Both);
+        Response::new(StatusCode::InternalServerError)
+    }
 }
 
 fn set_faults(faults: &Faults, body: &[u8]) -> Answer {
