--- a/crates/config/src/parts.rs
+++ b/crates/config/src/parts.rs
@@ -14,6 +14,9 @@
 /// Bytes of a [`PartDigest`].
 pub const PART_DIGEST_BYTES: usize = 16;
 
+/// Body of a bucket without sections.
+pub const EMPTY_BODY: &[u8] = b"{}";
+
 /// Bytes of an encoded root.
 pub const ROOT_BYTES: usize = BUCKET_COUNT * PART_DIGEST_BYTES;
 
@@ -31,6 +34,11 @@
         PartDigest(digest)
     }
 
+    /// Digest of a bucket without sections, which needs no storing.
+    pub fn of_empty() -> PartDigest {
+        PartDigest::of(EMPTY_BODY)
+    }
+
     /// A digest that was encoded before.
     pub fn from_bytes(bytes: [u8; PART_DIGEST_BYTES]) -> PartDigest {
         PartDigest(bytes)
@@ -183,9 +191,9 @@
 /// # Errors
 ///
 /// When a body is missing or isn't what the root names.
-pub fn assemble(
+pub fn assemble<B: AsRef<[u8]>>(
     root: &[PartDigest],
-    bodies: &BTreeMap<PartDigest, Vec<u8>>,
+    bodies: &BTreeMap<PartDigest, B>,
 ) -> Result<BTreeMap<String, String>, PartsError> {
     if root.len() != BUCKET_COUNT {
         return Err(PartsError::BucketCount { count: root.len() });
@@ -215,11 +223,12 @@
     serde_json::Value::Object(object).to_string().into_bytes()
 }
 
-fn decode_bucket(
+fn decode_bucket<B: AsRef<[u8]>>(
     digest: PartDigest,
-    bodies: &BTreeMap<PartDigest, Vec<u8>>,
+    bodies: &BTreeMap<PartDigest, B>,
 ) -> Result<BTreeMap<String, String>, PartsError> {
     let body = bodies.get(&digest).ok_or(PartsError::Missing { digest })?;
+    let body = body.as_ref();
     let actual = PartDigest::of(body);
     if actual != digest {
         return Err(PartsError::Digest { expected: digest, actual });
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -161,6 +161,7 @@
             "generation": view.generation,
             "is_leaving": self.is_leaving(),
             "in_flight": self.in_flight(),
+            "entry_count": self.shared.peers.entry_count(),
             "services": services,
         })
     }
@@ -199,7 +200,7 @@
             &service.fleet,
             &service.live,
             shape,
-            &view.policy,
+            &self.shared.policy(),
             &[],
             service.data_centre,
             self.shared.clock.now_ms(),
@@ -288,7 +289,7 @@
         let request = match &body {
             Body::Status(m) => {
                 self.heard.note(m.generation);
-                return self.side_loads(link, &m.loads);
+                return self.side_status(link, m);
             }
             Body::Heartbeat(m) => {
                 self.heard.note(m.generation);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -12,8 +12,14 @@
 };
 
 use async_io::Timer;
-use chestnutreach_protocol::{CloseReason, Link, wire::BackendLoad};
-use chestnutreach_routing::live::{LoadReport, Presence};
+use chestnutreach_protocol::{
+    CloseReason, Link,
+    wire::{BackendLoad, Status},
+};
+use chestnutreach_routing::{
+    Policy,
+    live::{LoadReport, Presence},
+};
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{node::Shared, view::Beside};
@@ -30,6 +36,8 @@
     kept: Mutex<BTreeSet<SocketAddr>>,
     /// VMs that the platform lists as leaving.
     leaving_vms: Mutex<BTreeSet<String>>,
+    /// How many entries each side process has links to.
+    entry_counts: Mutex<BTreeMap<SocketAddr, u32>>,
 }
 
 impl Peers {
@@ -44,7 +52,32 @@
     }
 }
 
+impl Peers {
+    /// How many entries share the traffic. Each side process may miss some,
+    /// so the highest count is the nearest; a lone entry counts itself.
+    pub(crate) fn entry_count(&self) -> u32 {
+        let counts = self.entry_counts.lock().expect("no holder panics");
+        counts.values().copied().max().unwrap_or(1).max(1)
+    }
+
+    fn note_entry_count(&self, address: SocketAddr, count: u32) {
+        let mut counts = self.entry_counts.lock().expect("no holder panics");
+        counts.insert(address, count);
+    }
+
+    fn forget_entry_count(&self, address: SocketAddr) {
+        let mut counts = self.entry_counts.lock().expect("no holder panics");
+        counts.remove(&address);
+    }
+}
+
 impl Shared {
+    /// What a choice is made by now.
+    pub(crate) fn policy(&self) -> Policy {
+        let policy = self.view.load().policy.clone();
+        policy.entry_count(self.peers.entry_count())
+    }
+
     /// Follows the side processes of a new view.
     pub(crate) fn follow_sides(self: &Arc<Self>) {
         let sides = self.view.load().sides();
@@ -117,7 +150,16 @@
         );
         if let Some(address) = link.dialled() {
             self.set_presence(address, Presence::Absent);
+            self.peers.forget_entry_count(address);
+        }
+    }
+
+    /// A side process tells its state.
+    pub(crate) fn side_status(&self, link: &Link, status: &Status) {
+        if let Some(address) = link.dialled() {
+            self.peers.note_entry_count(address, status.entry_count);
         }
+        self.side_loads(link, &status.loads);
     }
 
     /// A side process tells the load of its backend servers.
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -403,7 +403,7 @@
             &service.fleet,
             &service.live,
             shape,
-            &self.entry.view.load().policy,
+            &self.entry.policy(),
             &self.avoid,
             service.data_centre,
             self.entry.clock.now_ms(),
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -1,8 +1,8 @@
 //! The manifest in force, made ready for requests.
 //!
 //! A view never changes; a new generation makes a new one. What is learned
-//! of a service's backend servers lives on while the service's set of them
-//! stays the same.
+//! of a backend server lives on in it, also while others of its service come
+//! and go, until the manifest puts another in its place.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
@@ -147,6 +147,21 @@
 }
 
 impl ServiceView {
+    /// What is known of the backend servers, for a new set of them.
+    fn carried(&self, to: &Fleet, specs: &[BackendServer]) -> Arc<Live> {
+        let is_same = |name: &str| {
+            let old = self.fleet.find(name).map(|i| &self.specs[at(i)]);
+            let new = to.find(name).map(|i| &specs[at(i)]);
+            old.zip(new).is_some_and(|(old, new)| is_same_server(old, new))
+        };
+        let names = self.fleet.indices().map(|i| &self.fleet.spec(i).name);
+        let is_kept = to.len() == self.fleet.len();
+        if is_kept && names.into_iter().all(|name| is_same(name)) {
+            return self.live.clone();
+        }
+        Arc::new(self.live.carried_where(&self.fleet, to, is_same))
+    }
+
     /// Presence of each backend server, for operators.
     pub(crate) fn status(&self) -> serde_json::Value {
         let backends: serde_json::Map<String, serde_json::Value> = self
@@ -167,6 +182,20 @@
     }
 }
 
+fn at(index: BackendIndex) -> usize {
+    index.0 as usize
+}
+
+/// Whether what was learned of one holds of the other: the same process
+/// beside the same kind of accelerator with the same layers.
+fn is_same_server(old: &BackendServer, new: &BackendServer) -> bool {
+    old.side_address == new.side_address
+        && old.vm == new.vm
+        && old.data_centre == new.data_centre
+        && old.accelerator == new.accelerator
+        && (old.first_layer, old.end_layer) == (new.first_layer, new.end_layer)
+}
+
 /// A backend server beside a side process.
 #[derive(Clone)]
 pub(crate) struct Beside {
@@ -228,10 +257,10 @@
         let fleet =
             Fleet::try_new(layer_count, backends, self.network.clone())
                 .expect("an accepted manifest tiles its layers");
-        let kept = old.filter(|o| o.specs == specs);
-        let live = kept
-            .map(|o| o.live.clone())
-            .unwrap_or_else(|| Arc::new(Live::new(specs.len())));
+        let live = match old {
+            Some(old) => old.carried(&fleet, &specs),
+            None => Arc::new(Live::new(specs.len())),
+        };
         ServiceView {
             name: name.to_owned(),
             service: service.clone(),
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -22,6 +22,8 @@
     record::Ran,
 };
 
+mod members;
+
 /// Time that a fleet may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 /// Time that a process may take to stop when asked to.
--- a/crates/platform/src/concurrent.rs
+++ b/crates/platform/src/concurrent.rs
@@ -1,11 +1,11 @@
 //! Several calls of one kind at once.
 
-use std::future::Future;
+use std::{convert::Infallible, future::Future};
 
 use async_executor::Executor;
 
 /// Calls in flight; a slow store would make hundreds in a row too long.
-const CALLS_AT_ONCE: usize = 32;
+pub(crate) const CALLS_AT_ONCE: usize = 32;
 
 /// Makes calls, and ends at the first error. Answers come in the order of
 /// the calls.
@@ -33,3 +33,25 @@
     }
     Ok(answers)
 }
+
+/// Makes calls, and gives the answer of each in their order.
+pub(crate) async fn call_each<T, F>(
+    calls: impl IntoIterator<Item = F>,
+) -> Vec<T>
+where
+    F: Future<Output = T> + Send,
+    T: Send,
+{
+    let mut sure = Vec::new();
+    for call in calls {
+        sure.push(without_error(call));
+    }
+    let Ok(answers) = call_all(sure).await;
+    answers
+}
+
+async fn without_error<T>(
+    call: impl Future<Output = T>,
+) -> Result<T, Infallible> {
+    Ok(call.await)
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -42,7 +42,6 @@
 mod hex;
 pub mod manifest_store;
 pub mod objects;
-mod parts;
 pub mod table;
 mod transport;
 pub mod vm_list;
--- a/crates/platform/src/manifest_store/cache.rs
+++ b/crates/platform/src/manifest_store/cache.rs
@@ -1,19 +1,31 @@
 //! Parts of the manifest that a process holds.
+//!
+//! What is held can come from anywhere: each object is checked against its
+//! digest when it is taken. A read that fails half way keeps what it got, so
+//! that a store which often fails still brings a generation through.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
-use super::{FetchError, part_key};
-use crate::{
-    concurrent,
-    objects::ObjectClient,
-    parts::{self, PartDigest, Root},
+use chestnutreach_config::parts::{
+    EMPTY_BODY, PartDigest, assemble, decode_root, encode_root,
 };
 
-/// Parts of the generation held last.
-#[derive(Debug, Default)]
+use super::{FetchError, ObjectDigest};
+
+/// Objects of the generation held last, and those got for the next.
+#[derive(Clone, Debug, Default)]
 pub struct PartCache {
-    root: Option<([u8; 32], Root)>,
-    parts: BTreeMap<PartDigest, Vec<u8>>,
+    root: Option<HeldRoot>,
+    parts: BTreeMap<PartDigest, Arc<[u8]>>,
+}
+
+#[derive(Clone, Debug)]
+struct HeldRoot {
+    digest: [u8; 32],
+    parts: Arc<[PartDigest]>,
 }
 
 impl PartCache {
@@ -32,68 +44,82 @@
         self.parts.is_empty()
     }
 
-    pub(super) fn root(&self, digest: &[u8; 32]) -> Option<&Root> {
-        self.root.as_ref().filter(|(d, _)| d == digest).map(|(_, r)| r)
-    }
-
-    pub(super) fn set_root(&mut self, digest: [u8; 32], root: Root) {
-        self.root = Some((digest, root));
-    }
-
-    /// Parts of a root that are not held.
-    pub(super) fn missing(&self, root: &Root) -> BTreeSet<PartDigest> {
-        let digests = root.digests().iter().copied();
+    /// Objects that a generation still needs: its root, or where that is
+    /// held the parts that are not.
+    pub fn missing(&self, root: &[u8; 32]) -> BTreeSet<ObjectDigest> {
+        let Some(digests) = self.root(root) else {
+            return BTreeSet::from([ObjectDigest::Root(*root)]);
+        };
+        let empty = PartDigest::of_empty();
         let is_missing = |digest: &PartDigest| {
-            !digest.is_empty_part() && !self.parts.contains_key(digest)
+            *digest != empty && !self.parts.contains_key(digest)
         };
-        digests.filter(is_missing).collect()
+        let missing = digests.iter().copied().filter(is_missing);
+        missing.map(ObjectDigest::Part).collect()
     }
 
-    pub(super) async fn read_parts(
+    /// An object that is held.
+    pub fn get(&self, digest: &ObjectDigest) -> Option<Vec<u8>> {
+        match digest {
+            ObjectDigest::Root(root) => self.root(root).map(encode_root),
+            ObjectDigest::Part(part) => {
+                self.parts.get(part).map(|body| body.to_vec())
+            }
+        }
+    }
+
+    /// Takes an object.
+    ///
+    /// # Errors
+    ///
+    /// It is not what its digest says.
+    pub fn insert(
         &mut self,
-        objects: &ObjectClient,
-        digests: &BTreeSet<PartDigest>,
+        digest: ObjectDigest,
+        bytes: Vec<u8>,
     ) -> Result<(), FetchError> {
-        // A borrowing closure would keep the future from being `Send` for
-        // any lifetime.
-        let mut reads = Vec::with_capacity(digests.len());
-        for digest in digests {
-            reads.push(read_part(objects, *digest));
+        if !digest.is_of(&bytes) {
+            return Err(FetchError::corrupt(&digest.key()));
+        }
+        match digest {
+            ObjectDigest::Root(root) => {
+                let parts = decode_root(&bytes)
+                    .map_err(|_| FetchError::corrupt(&digest.key()))?;
+                let parts = parts.into();
+                self.root = Some(HeldRoot { digest: root, parts });
+            }
+            ObjectDigest::Part(part) => {
+                self.parts.insert(part, bytes.into());
+            }
         }
-        let read = concurrent::call_all(reads).await?;
-        self.parts.extend(digests.iter().copied().zip(read));
         Ok(())
     }
 
-    /// Forgets parts that a root does not name.
-    pub(super) fn retain(&mut self, root: &Root) {
-        let named: BTreeSet<_> = root.digests().iter().collect();
-        self.parts.retain(|digest, _| named.contains(digest));
-    }
-
-    /// Sections of a held part.
-    pub(super) fn sections(
-        &self,
-        digest: PartDigest,
+    /// Sections of a generation of which nothing is missing; forgets the
+    /// parts that it does not name.
+    ///
+    /// # Errors
+    ///
+    /// Something is missing, or is not what a manifest is made of.
+    pub fn sections(
+        &mut self,
+        root: &[u8; 32],
     ) -> Result<BTreeMap<String, String>, FetchError> {
-        if digest.is_empty_part() {
-            return Ok(BTreeMap::new());
-        }
-        let encoding = self.parts.get(&digest);
-        let sections = encoding.and_then(|bytes| parts::sections(bytes));
-        sections.ok_or_else(|| FetchError::corrupt(&part_key(digest)))
+        let digests = self.root.as_ref().filter(|held| held.digest == *root);
+        let Some(held) = digests.cloned() else {
+            let root = ObjectDigest::Root(*root);
+            return Err(FetchError::missing(&root.key()));
+        };
+        let empty = PartDigest::of_empty();
+        self.parts.entry(empty).or_insert_with(|| EMPTY_BODY.into());
+        let sections = assemble(&held.parts, &self.parts)?;
+        let named: BTreeSet<&PartDigest> = held.parts.iter().collect();
+        self.parts.retain(|digest, _| named.contains(digest));
+        Ok(sections)
     }
-}
 
-async fn read_part(
-    objects: &ObjectClient,
-    digest: PartDigest,
-) -> Result<Vec<u8>, FetchError> {
-    let key = part_key(digest);
-    let encoding = objects.read(&key).await?;
-    let encoding = encoding.ok_or_else(|| FetchError::missing(&key))?;
-    if PartDigest::of(&encoding) != digest {
-        return Err(FetchError::corrupt(&key));
+    fn root(&self, digest: &[u8; 32]) -> Option<&[PartDigest]> {
+        let held = self.root.as_ref()?;
+        (held.digest == *digest).then_some(&held.parts)
     }
-    Ok(encoding)
 }
--- a/crates/platform/src/manifest_store/errors.rs
+++ b/crates/platform/src/manifest_store/errors.rs
@@ -2,6 +2,8 @@
 
 use std::{error, fmt};
 
+use chestnutreach_config::parts::PartsError;
+
 use super::Head;
 use crate::{objects::ObjectError, table::TableError};
 
@@ -110,6 +112,11 @@
         /// Key of the object.
         object: String,
     },
+    /// The objects are intact but make no manifest.
+    Unfit {
+        /// Why not.
+        error: PartsError,
+    },
 }
 
 impl FetchError {
@@ -132,12 +139,19 @@
             FetchError::Corrupt { object } => {
                 write!(f, "the content of {object:?} is corrupt")
             }
+            FetchError::Unfit { error } => error.fmt(f),
         }
     }
 }
 
 impl error::Error for FetchError {}
 
+impl From<PartsError> for FetchError {
+    fn from(error: PartsError) -> FetchError {
+        FetchError::Unfit { error }
+    }
+}
+
 impl From<ObjectError> for FetchError {
     fn from(e: ObjectError) -> FetchError {
         FetchError::Unavailable { detail: e.to_string() }
--- a/crates/platform/src/manifest_store/mod.rs
+++ b/crates/platform/src/manifest_store/mod.rs
@@ -14,21 +14,26 @@
 };
 
 use async_io::Timer;
+use chestnutreach_config::{
+    Parts,
+    parts::{PartDigest, decode_root, encode_root},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     concurrent, hex,
     objects::ObjectClient,
-    parts::{self, PartDigest, Parts, Root},
     table::{Row, TableClient, TableError},
 };
 
 mod cache;
 mod change;
 mod errors;
+mod object;
 
 pub use cache::PartCache;
 pub use errors::{FetchError, SubmitError};
+pub use object::ObjectDigest;
 
 use change::{Change, HEAD_KEY, SubmissionRow, submission_key};
 
@@ -104,15 +109,40 @@
         head: &Head,
         cache: &mut PartCache,
     ) -> Result<BTreeMap<String, String>, FetchError> {
-        let root = self.read_root(&head.root, cache).await?;
-        let missing = cache.missing(&root);
-        cache.read_parts(&self.objects, &missing).await?;
-        cache.retain(&root);
-        let mut sections = BTreeMap::new();
-        for digest in root.digests() {
-            sections.extend(cache.sections(*digest)?);
+        self.read_missing(&head.root, cache).await?;
+        cache.sections(&head.root)
+    }
+
+    /// Reads the objects of a generation that the cache does not hold. What
+    /// was read before an error stays in the cache.
+    ///
+    /// # Errors
+    ///
+    /// See [`FetchError`].
+    pub async fn read_missing(
+        &self,
+        root: &[u8; 32],
+        cache: &mut PartCache,
+    ) -> Result<(), FetchError> {
+        loop {
+            let missing = cache.missing(root);
+            if missing.is_empty() {
+                return Ok(());
+            }
+            // A borrowing closure would keep the future from being `Send`
+            // for any lifetime.
+            let mut reads = Vec::new();
+            for digest in missing.iter().take(concurrent::CALLS_AT_ONCE) {
+                reads.push(read_object(&self.objects, *digest));
+            }
+            let read = concurrent::call_each(reads).await;
+            let mut result = Ok(());
+            for (digest, bytes) in missing.into_iter().zip(read) {
+                let taken = bytes.and_then(|b| cache.insert(digest, b));
+                result = result.and(taken);
+            }
+            result?;
         }
-        Ok(sections)
     }
 
     /// Submits sections to follow a generation, 0 for none. Repeating it
@@ -128,8 +158,8 @@
         submission: &str,
     ) -> Result<Accepted, SubmitError> {
         check_id(submission)?;
-        let parts = parts::cut(sections);
-        let root = root_digest(&parts.root);
+        let parts = Parts::from_sections(sections);
+        let root = *blake3::hash(&encode_root(&parts.root)).as_bytes();
         if let Some(accepted) = self.accepted(submission, &root).await? {
             return Ok(accepted);
         }
@@ -178,22 +208,20 @@
         parts: &Parts,
         base: Option<&Head>,
     ) -> Result<(), SubmitError> {
-        let mut held = PartCache::new();
-        let base_root = match base {
-            Some(head) => self.read_root(&head.root, &mut held).await.ok(),
+        let known = match base {
+            Some(head) => self.read_root(&head.root).await.ok(),
             None => None,
         };
-        let base_digests = base_root.as_ref().map_or(&[][..], Root::digests);
-        let is_new = |digest: PartDigest| {
-            !digest.is_empty_part() && !base_digests.contains(&digest)
-        };
-        let new = parts.encodings.iter().filter(|(d, _)| is_new(**d));
-        let puts = new.map(|(digest, encoding)| async move {
-            self.objects.put(&part_key(*digest), encoding).await
+        let mut new = parts.new_bodies(known.as_deref().unwrap_or_default());
+        new.remove(&PartDigest::of_empty());
+        let puts = new.into_iter().map(|(digest, body)| async move {
+            let key = ObjectDigest::Part(digest).key();
+            self.objects.put(&key, body).await
         });
         concurrent::call_all(puts).await?;
-        let key = root_key(&root_digest(&parts.root));
-        self.objects.put(&key, &parts.root.encode()).await?;
+        let root = encode_root(&parts.root);
+        let digest = ObjectDigest::Root(*blake3::hash(&root).as_bytes());
+        self.objects.put(&digest.key(), &root).await?;
         Ok(())
     }
 
@@ -251,20 +279,24 @@
     async fn read_root(
         &self,
         digest: &[u8; 32],
-        cache: &mut PartCache,
-    ) -> Result<Root, FetchError> {
-        if let Some(root) = cache.root(digest) {
-            return Ok(root.clone());
-        }
-        let key = root_key(digest);
-        let bytes = self.objects.read(&key).await?;
-        let bytes = bytes.ok_or_else(|| FetchError::missing(&key))?;
-        let is_intact = blake3::hash(&bytes) == *digest;
-        let root = Root::try_decode(&bytes).filter(|_| is_intact);
-        let root = root.ok_or_else(|| FetchError::corrupt(&key))?;
-        cache.set_root(*digest, root.clone());
-        Ok(root)
+    ) -> Result<Vec<PartDigest>, FetchError> {
+        let digest = ObjectDigest::Root(*digest);
+        let bytes = read_object(&self.objects, digest).await?;
+        decode_root(&bytes).map_err(|_| FetchError::corrupt(&digest.key()))
+    }
+}
+
+async fn read_object(
+    objects: &ObjectClient,
+    digest: ObjectDigest,
+) -> Result<Vec<u8>, FetchError> {
+    let key = digest.key();
+    let bytes = objects.read(&key).await?;
+    let bytes = bytes.ok_or_else(|| FetchError::missing(&key))?;
+    if !digest.is_of(&bytes) {
+        return Err(FetchError::corrupt(&key));
     }
+    Ok(bytes)
 }
 
 fn check_id(submission: &str) -> Result<(), SubmitError> {
@@ -285,18 +317,6 @@
     SubmitError::Unknown { detail: error.to_string() }
 }
 
-fn root_digest(root: &Root) -> [u8; 32] {
-    *blake3::hash(&root.encode()).as_bytes()
-}
-
-fn root_key(digest: &[u8; 32]) -> String {
-    format!("manifest/root/{}", hex::encode(digest))
-}
-
-fn part_key(digest: PartDigest) -> String {
-    format!("manifest/part/{}", digest.to_hex())
-}
-
 fn decode_row<'a, R: Deserialize<'a>>(
     key: &str,
     row: &'a Row,
--- a/crates/platform/tests/platform/manifest.rs
+++ b/crates/platform/tests/platform/manifest.rs
@@ -163,3 +163,27 @@
         assert_eq!(read_bytes, put_bytes);
     });
 }
+
+/// Of three reads in ten none brings a whole generation through at once.
+#[test]
+fn what_was_read_before_an_error_is_not_read_again() {
+    run(|platform| async move {
+        let manifests = platform.manifests();
+        let sections = sections(1600);
+        manifests.submit(0, &sections, "first").await.unwrap();
+        let head = manifests.head().await.unwrap().unwrap();
+        let settings =
+            FaultSettings { error_permille: 300, ..FaultSettings::default() };
+        platform.set_faults(settings);
+        let mut cache = PartCache::new();
+        let mut fetched = Err(());
+        for _ in 0..60 {
+            let again = manifests.fetch(&head, &mut cache).await;
+            fetched = again.map_err(drop);
+            if fetched.is_ok() {
+                break;
+            }
+        }
+        assert_eq!(fetched, Ok(sections));
+    });
+}
--- a/crates/routing/src/live.rs
+++ b/crates/routing/src/live.rs
@@ -142,14 +142,27 @@
     /// with this one, new ones are absent, and those that went are absent
     /// here too.
     pub fn carried(&self, from: &Fleet, to: &Fleet) -> Live {
-        let carry = |spec_name: &str| match from.find(spec_name) {
-            Some(old) => Arc::clone(&self.servers[old.at()]),
-            None => Arc::new(Server::new()),
+        self.carried_where(from, to, |_| true)
+    }
+
+    /// As [`Live::carried`], but a server is only carried where `is_same`
+    /// holds of its name: one that was replaced under its name counts as
+    /// gone and as new.
+    pub fn carried_where(
+        &self,
+        from: &Fleet,
+        to: &Fleet,
+        is_same: impl Fn(&str) -> bool,
+    ) -> Live {
+        let carry = |name: &str| match from.find(name) {
+            Some(old) if is_same(name) => Arc::clone(&self.servers[old.at()]),
+            _ => Arc::new(Server::new()),
         };
         let servers =
             to.indices().map(|index| carry(&to.spec(index).name)).collect();
         for index in from.indices() {
-            if to.find(&from.spec(index).name).is_none() {
+            let name = &from.spec(index).name;
+            if to.find(name).is_none() || !is_same(name) {
                 self.typical.take(self.server(index).withdraw());
             }
         }
--- a/crates/routing/tests/chain.rs
+++ b/crates/routing/tests/chain.rs
@@ -338,6 +338,21 @@
     assert_eq!(live.presence(BackendIndex(0)), Presence::Absent);
 }
 
+#[test]
+fn a_server_replaced_under_its_name_is_new() {
+    let old = fleet(0, numbered(&[(0, 0); 2]));
+    let live = serving(&old, 5);
+    live.dispatched(BackendIndex(0), 100, NOW_MS);
+    live.dispatched(BackendIndex(1), 100, NOW_MS);
+    let new = fleet(0, numbered(&[(0, 0); 2]));
+    let carried = live.carried_where(&old, &new, |name| name != "server-0");
+    assert_eq!(carried.presence(BackendIndex(0)), Presence::Absent);
+    assert_eq!(carried.in_flight(BackendIndex(0)), 0);
+    assert_eq!(live.presence(BackendIndex(0)), Presence::Absent);
+    assert_eq!(carried.presence(BackendIndex(1)), Presence::Serving);
+    assert_eq!(carried.in_flight(BackendIndex(1)), 1);
+}
+
 #[test]
 fn a_fleet_tells_all_its_findings_together() {
     let mut specs: Vec<BackendSpec> = numbered(&[(0, 4), (4, 9), (3, 3)]);
--- a/crates/side/src/frames.rs
+++ b/crates/side/src/frames.rs
@@ -4,7 +4,7 @@
 
 use chestnutreach_protocol::{
     CloseReason, Link, LinkEvent, RequestId,
-    wire::{FailureReason, frame::Body},
+    wire::{FailureReason, Role, frame::Body},
 };
 use chestnutreach_telemetry::{Event, emit};
 
@@ -52,12 +52,19 @@
     }
 
     fn link_opened(&self, link: &Link) {
-        let _ = link.send(self.status());
+        match link.peer().role() {
+            // All entries are told how many they are.
+            Role::Entry => self.send_status(),
+            _ => drop(link.send(self.status())),
+        }
         self.heard.note(link.peer().generation);
         emit(Event::LinkOpened, &[("peer_vm", &link.peer().vm)]);
     }
 
     fn link_closed(self: &Arc<Self>, link: &Link, reason: CloseReason) {
+        if link.peer().role() == Role::Entry {
+            self.send_status();
+        }
         emit(
             Event::LinkLost,
             &[("peer_vm", &link.peer().vm), ("cause", &format!("{reason:?}"))],
--- a/crates/side/src/node.rs
+++ b/crates/side/src/node.rs
@@ -374,9 +374,22 @@
             is_leaving: self.is_leaving.load(Ordering::Acquire),
             generation: self.generation.load(Ordering::Acquire),
             loads: self.loads(),
+            entry_count: self.entry_count(),
         })
     }
 
+    /// Entries that have a link to this process. Each VM counts once, also
+    /// while a lost link and its successor are both still open.
+    fn entry_count(&self) -> u32 {
+        let open = self.links().open();
+        let peers = open.iter().map(|link| link.peer());
+        let vms: BTreeSet<&str> = peers
+            .filter(|peer| peer.role() == wire::Role::Entry)
+            .map(|peer| peer.vm.as_str())
+            .collect();
+        vms.len() as u32
+    }
+
     pub(crate) fn loads(&self) -> Vec<BackendLoad> {
         self.backends.values().map(|b| self.backend_load(b)).collect()
     }
