--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -10,7 +10,9 @@
     },
 };
 
-use chestnutreach_site::Backend;
+use chestnutreach_site::{Backend, BackendState};
+
+use crate::clock::now_ms;
 
 /// Units in which entries tell each other memory, in tokens times layers.
 const TOLD_UNIT: u64 = 1_000;
@@ -58,6 +60,29 @@
     /// Orders that it had begun when it last reported.
     pub(crate) orders_begun: u64,
     others: BTreeMap<u64, (u64, u64)>,
+    /// When it was first seen leaving.
+    pub(crate) leaving_since_ms: Option<u64>,
+}
+
+impl EngineState {
+    /// How long it has been leaving; none if it isn't.
+    pub(crate) fn leaving_ms(&self, now_ms: u64) -> Option<u64> {
+        let since_ms = self.leaving_since_ms?;
+        Some(now_ms.saturating_sub(since_ms))
+    }
+
+    /// Takes what the list says.
+    pub(crate) fn take_row(&mut self, row: Backend, version: u64) {
+        let is_leaving = row.state == BackendState::Draining;
+        self.leaving_since_ms = match (is_leaving, self.leaving_since_ms) {
+            (false, _) => None,
+            (true, None) => Some(now_ms()),
+            (true, since_ms) => since_ms,
+        };
+        self.row = row;
+        self.row_version = version;
+        self.is_gone = false;
+    }
 }
 
 /// Why a backend server gets no work.
@@ -122,6 +147,7 @@
                 failures: 0,
                 orders_begun: 0,
                 others: BTreeMap::new(),
+                leaving_since_ms: None,
             }),
         }
     }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -118,9 +118,7 @@
         if let Some(engine) = known {
             let mut state = engine.lock();
             if row_version >= state.row_version {
-                state.row = row;
-                state.row_version = row_version;
-                state.is_gone = false;
+                state.take_row(row, row_version);
             }
             return None;
         }
@@ -160,8 +158,12 @@
         path: &Path,
     ) -> Option<Path> {
         let is_bad = |stage: &Stage| {
-            let id = &stage.engine.id;
-            need.without.contains(id) || stage.engine.is_suspect()
+            let engine = &stage.engine;
+            let state = engine.lock();
+            need.without.contains(&engine.id)
+                || state.is_gone
+                || state.suspicion.is_some()
+                || state.leaving_since_ms.is_some()
         };
         self.fill(need, path, is_bad)
             .or_else(|| self.fill(need, path, |_| true))
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -14,6 +14,7 @@
     configuration::{self, KEY},
     store::{Row, StoreClient, StoreError},
 };
+use chestnutreach_site::BackendState;
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{
@@ -35,7 +36,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between calls of the list, so that changes that come together cost
 /// one call.
-const LIST_PAUSE: Duration = Duration::from_millis(60);
+const LIST_PAUSE: Duration = Duration::from_millis(150);
 /// An outage of the store, from which on lapsed entries are kept.
 const OUTAGE_MS: u64 = 400;
 /// How long lapsed entries are kept after the store's return.
@@ -245,7 +246,11 @@
     match backends::try_backend(row) {
         Ok(backend) => {
             let data_centre = core.data_centre(&backend.data_centre);
+            let is_leaving = backend.state == BackendState::Draining;
             let new = core.fleet.apply(backend, row.version, data_centre);
+            if is_leaving {
+                core.streams.nudge_all();
+            }
             if let Some(engine) = new {
                 probe::watch(core, engine);
             }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -21,7 +21,7 @@
         AnswerHead, Inbound, LAST_CHUNK, Outbound, RelayRequest, push_chunk,
     },
 };
-use chestnutreach_site::{Model, Reuse};
+use chestnutreach_site::{BackendState, Model, Reuse};
 use chestnutreach_telemetry::{Event, emit};
 use futures_lite::FutureExt as _;
 
@@ -31,7 +31,7 @@
     callers::{After, Ended, refuse},
     clock::now_ms,
     core::Core,
-    engine::{Evidence, Hold},
+    engine::{Engine, Evidence, Hold},
     events::EventSplitter,
     exchange::{self, Addressed, within},
     fleet::{Path, PathNeed},
@@ -62,6 +62,9 @@
 const ORDER: Duration = Duration::from_millis(350);
 /// Orders for one detour: the first may meet another engine without room.
 const MAX_ORDERS: usize = 3;
+/// Streams leave an engine that has been draining for so long; it serves on
+/// for 2 s at least, in which most of them end by themselves.
+const LEAVE_AFTER_MS: u64 = 1_000;
 /// How long an engine that had no room or layers is avoided.
 const AVOID_MS: u64 = 250;
 /// Longest wait for a path before the first event.
@@ -114,8 +117,8 @@
     listed: Listed,
     /// Engines that may not be used for this request.
     without: BTreeSet<String>,
-    /// First engines that it was sent to.
-    sent_to: BTreeSet<String>,
+    /// First engines that it was sent to and that may have run it.
+    ran_at: BTreeSet<String>,
     path: Path,
     holds: Vec<Hold>,
     is_head_sent: bool,
@@ -127,6 +130,16 @@
     ended: Ended,
 }
 
+/// Whether an engine can't be counted on to end what it runs: it seems dead,
+/// or has been leaving for long.
+fn is_lost(engine: &Engine) -> bool {
+    let state = engine.lock();
+    let leaving_ms = state.leaving_ms(now_ms());
+    state.is_gone
+        || state.suspicion.is_some()
+        || leaving_ms.is_some_and(|ms| ms >= LEAVE_AFTER_MS)
+}
+
 /// How fast a stream goes.
 struct Pace {
     /// When the last event came, or the attempt began.
@@ -198,7 +211,7 @@
         tokens: needed_tokens(request, model),
         listed: core.streams.list(),
         without: BTreeSet::new(),
-        sent_to: BTreeSet::new(),
+        ran_at: BTreeSet::new(),
         path: Path::default(),
         holds: Vec::new(),
         is_head_sent: false,
@@ -234,15 +247,21 @@
 impl Stream<'_> {
     async fn run(&mut self, inbound: &mut Inbound) -> After {
         loop {
-            if !self.may_send() || !self.seek_path().await {
-                return self.give_up(inbound).await;
+            let caller = inbound.stream().clone();
+            let gone = async {
+                caller.hung_up().await;
+                None
+            };
+            let sought = async { Some(self.seek_path().await) };
+            match sought.or(gone).await {
+                Some(true) => {}
+                Some(false) => return self.give_up(inbound).await,
+                // Nothing may be sent for a client that has left.
+                None => return self.note_caller_gone(),
             }
             match self.attempt(inbound).await {
                 AttemptEnd::Whole => return self.finish(inbound).await,
-                AttemptEnd::CallerGone => {
-                    self.ended.outcome = "caller_gone";
-                    return After::Cut;
-                }
+                AttemptEnd::CallerGone => return self.note_caller_gone(),
                 AttemptEnd::NotRun(at) => self.avoid(at),
                 AttemptEnd::Broken => {
                     self.without.insert(self.path.first().id.clone());
@@ -264,6 +283,11 @@
         }
     }
 
+    fn note_caller_gone(&mut self) -> After {
+        self.ended.outcome = "caller_gone";
+        After::Cut
+    }
+
     /// Whether the kind of request and the time allow another attempt.
     fn may_send(&self) -> bool {
         let may_repeat = self.admitted.route.reuse.may_repeat();
@@ -271,19 +295,21 @@
         has_time && (may_repeat || !self.may_have_run)
     }
 
-    /// Whether another first engine may get it; engines that have ended do
-    /// not count.
+    /// Whether another first engine may get it; those that did not run it
+    /// or have ended do not count.
     fn may_attempt_more(&self) -> bool {
         let has_ended = |id: &&String| match self.core.fleet.get(id) {
             Some(engine) => {
-                let suspicion = engine.lock().suspicion;
-                suspicion.is_some_and(|s| s.evidence == Evidence::Refused)
+                let state = engine.lock();
+                let is_leaving = state.row.state == BackendState::Draining;
+                let suspicion = state.suspicion.map(|s| s.evidence);
+                is_leaving || suspicion == Some(Evidence::Refused)
             }
             None => true,
         };
-        let ended = self.sent_to.iter().filter(has_ended).count();
+        let ended = self.ran_at.iter().filter(has_ended).count();
         let most = self.admitted.route.max_attempts as usize;
-        self.sent_to.len() - ended < most
+        self.ran_at.len() - ended < most
     }
 
     /// Finds a path, waiting a moment for layers or room.
@@ -293,14 +319,10 @@
             false => MAX_WAIT_MS,
         };
         let until_ms = (now_ms() + wait_ms).min(self.admitted.end_ms);
-        let is_further = !self.sent_to.is_empty();
-        if is_further && !self.may_attempt_more() {
-            let only = self.sent_to.clone();
-            // A first engine that refused for another one may be asked again.
-            if self.cause != "refused" || only.len() != 1 {
-                return false;
-            }
+        if !self.may_send() || !self.may_attempt_more() {
+            return false;
         }
+        let is_further = self.ended.attempts > 0;
         if is_further && !self.core.take_retry(&self.admitted.service.name) {
             return false;
         }
@@ -327,9 +349,6 @@
         {
             return Some(path);
         }
-        if !self.sent_to.is_empty() && !self.may_attempt_more() {
-            return None;
-        }
         self.core.fleet.path(&need)
     }
 
@@ -370,9 +389,10 @@
         };
         let bytes = self.request_bytes();
         self.note_sent();
-        self.sent_to.insert(first.id.clone());
+        self.ran_at.insert(first.id.clone());
         self.ended.attempts += 1;
         let was_run = self.may_have_run;
+        let was_there = self.ran_at.contains(&first.id);
         self.may_have_run = true;
         let id = self.admitted.id.clone();
         let method = self.request.method.clone();
@@ -393,6 +413,9 @@
         if head.status != 200 {
             let is_not_run = exchange::is_not_run(&head);
             self.may_have_run = was_run || !is_not_run;
+            if is_not_run && !was_there {
+                self.ran_at.remove(&first.id);
+            }
             return self.refused(&mut connection, head).await;
         }
         self.pass_events(inbound, &caller, &mut connection, &head).await
@@ -567,6 +590,17 @@
             true => Duration::from_millis(look_ms - quiet_ms),
             false => LOOK_AGAIN,
         };
+        let now_ms = crate::clock::now_ms();
+        let leaving = self.path.stages[1..]
+            .iter()
+            .filter_map(|stage| stage.engine.lock().leaving_ms(now_ms));
+        let wait = match leaving.max() {
+            Some(ms) => {
+                let left_ms = LEAVE_AFTER_MS.saturating_sub(ms).max(40);
+                wait.min(Duration::from_millis(left_ms))
+            }
+            None => wait,
+        };
         wait.min(Duration::from_millis(left_ms.max(1)))
     }
 
@@ -577,7 +611,7 @@
             return !self.can_move();
         }
         let rest = &self.path.stages[1..];
-        if rest.iter().any(|stage| stage.engine.is_suspect()) {
+        if rest.iter().any(|stage| is_lost(&stage.engine)) {
             return self.change_path().await;
         }
         let quiet_ms = self.pace.quiet_ms(now_ms());
