Keep paths in a data centre, give layers 72% of memory, hand the lease over

Causes found on the grown sites: a path that crosses between data centres fills what joins them, after which everything waits; streams that had not begun were sent again elsewhere while their engine only had a queue; all streams left a draining engine at once; every entry read the lease's row. Ruled out: memory for requests (no preemption, nothing refused for it).

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -49,6 +49,10 @@
     /// Closes once the entry stops.
     pub(crate) closing: async_channel::Receiver<()>,
     pub(crate) is_planner: AtomicBool,
+    /// Number of the last lease that this entry gave up.
+    pub(crate) resigned: AtomicU64,
+    /// Whether the feed of the configuration fails.
+    pub(crate) is_store_lost: AtomicBool,
 }
 
 impl Core {
@@ -76,6 +80,8 @@
             in_flight: AtomicUsize::new(0),
             closing,
             is_planner: AtomicBool::new(false),
+            resigned: AtomicU64::new(0),
+            is_store_lost: AtomicBool::new(false),
         }
     }
 
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -53,6 +53,14 @@
         &self.stages[0].engine
     }
 
+    /// How often it goes to another data centre on its way.
+    pub(crate) fn crossings(&self) -> usize {
+        let pairs = self.stages.windows(2);
+        pairs
+            .filter(|p| p[0].engine.data_centre != p[1].engine.data_centre)
+            .count()
+    }
+
     /// The path as engines read it.
     pub(crate) fn value(&self) -> String {
         let stages = self.stages.iter();
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -6,7 +6,11 @@
 //! lapsed meanwhile are kept for a moment after its return, in which those
 //! that live come back.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+};
 
 use async_io::Timer;
 use chestnutreach_adapter::{
@@ -25,9 +29,9 @@
 
 /// Wait of a call of the configuration's feed. Two calls that fail must fit
 /// into the bound on withdrawn keys, 5 s in the shipped deployments.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_800);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(2_200);
 /// Wait of a call of the list's feed.
-const LIST_WAIT: Duration = Duration::from_millis(2_500);
+const LIST_WAIT: Duration = Duration::from_millis(3_500);
 /// Time beyond its wait after which a call counts as lost.
 const CALL_SLACK: Duration = Duration::from_millis(500);
 /// Time for reading a whole table.
@@ -36,7 +40,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between calls of the list, so that changes that come together cost
 /// one call.
-const LIST_PAUSE: Duration = Duration::from_millis(150);
+const LIST_PAUSE: Duration = Duration::from_millis(250);
 /// An outage of the store, from which on lapsed entries are kept.
 const OUTAGE_MS: u64 = 400;
 /// How long lapsed entries are kept after the store's return.
@@ -112,11 +116,13 @@
         match result {
             Ok(version) => {
                 health.answered(version);
+                core.is_store_lost.store(false, Relaxed);
                 after = Some(version);
             }
             Err(StoreError::HistoryGone) => after = None,
             Err(e) => {
                 health.failed(&core, &e);
+                core.is_store_lost.store(true, Relaxed);
                 // What the key check says may have changed by time alone.
                 core.are_keys_fresh();
                 Timer::after(RETRY_PAUSE).await;
--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -19,11 +19,11 @@
 const TABLE: &str = "chestnutreach-lease";
 const KEY: &str = "planner";
 /// Time that a candidate must see the row unchanged.
-const DURATION_MS: u64 = 4_000;
+const DURATION_MS: u64 = 3_000;
 /// How long before its end the holder renews.
-const RENEW_BEFORE_MS: u64 = 1_800;
+const RENEW_BEFORE_MS: u64 = 1_400;
 /// How long before the end of the lease the holder stops.
-const MARGIN_MS: u64 = 600;
+const MARGIN_MS: u64 = 500;
 /// Time between looks at the state machine.
 const TICK: Duration = Duration::from_millis(150);
 /// Time for a call of the store.
@@ -62,8 +62,8 @@
     pub(crate) async fn run(&self, core: Arc<Core>) {
         let mut last = LeaseState::Idle;
         loop {
-            let command = self.holder().tick(now_ms());
-            if let Some(command) = command {
+            self.resign_if_cut(&core);
+            if let Some(command) = self.next_command(&core) {
                 let answer = self.carry_out(command).await;
                 self.holder().answer(answer, now_ms());
             }
@@ -75,6 +75,29 @@
         }
     }
 
+    /// A candidate leaves the row alone while it hears the holder.
+    fn next_command(&self, core: &Core) -> Option<LeaseCommand> {
+        let resigned = FencingNumber::from_u64(core.peers.resigned());
+        let mut holder = self.holder();
+        holder.holder_resigned(resigned);
+        let is_held = matches!(holder.state(), LeaseState::Held { .. });
+        if !is_held && core.peers.has_planner(now_ms()) {
+            return None;
+        }
+        holder.tick(now_ms())
+    }
+
+    /// A holder that does not reach the store says so and stops: another one
+    /// need not wait for the end of its turn.
+    fn resign_if_cut(&self, core: &Core) {
+        if !core.is_store_lost.load(Relaxed) {
+            return;
+        }
+        if let Some(number) = self.holder().resign(now_ms()) {
+            core.resigned.store(number.as_u64(), Relaxed);
+        }
+    }
+
     /// Gives the lease back, so that another entry need not wait.
     pub(crate) async fn release(&self) {
         let command = self.holder().release(now_ms());
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -9,7 +9,10 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, UdpSocket},
-    sync::{Arc, Mutex, MutexGuard, atomic::Ordering::Relaxed},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
     time::Duration,
 };
 
@@ -27,6 +30,8 @@
 const TELL_EVERY: Duration = Duration::from_millis(200);
 /// Silence after which another entry no longer counts.
 const SILENT_MS: u64 = 2_500;
+/// Silence of the planner after which others look at its lease.
+const PLANNER_SILENT_MS: u64 = 700;
 /// Time for a call of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 /// When the table is read, after the start.
@@ -43,6 +48,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct PeerTable {
     peers: Mutex<BTreeMap<SocketAddr, Peer>>,
+    /// When another entry last said that it holds the planner's lease.
+    planner_ms: AtomicU64,
+    /// Highest number of a lease whose holder said that it gave it up.
+    resigned: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -64,6 +73,17 @@
         live.max(peers.len()) + 1
     }
 
+    /// Whether another entry plans, as far as is known.
+    pub(crate) fn has_planner(&self, now_ms: u64) -> bool {
+        let heard_ms = self.planner_ms.load(Relaxed);
+        heard_ms > 0 && now_ms.saturating_sub(heard_ms) < PLANNER_SILENT_MS
+    }
+
+    /// Highest number of a lease whose holder said that it gave it up.
+    pub(crate) fn resigned(&self) -> u64 {
+        self.resigned.load(Relaxed)
+    }
+
     fn add(&self, address: SocketAddr) {
         self.lock().entry(address).or_default();
     }
@@ -137,6 +157,7 @@
         configuration: core.configuration().map_or(0, |c| c.version),
         engines: engines.collect(),
         is_planner: core.is_planner.load(Relaxed),
+        resigned: core.resigned.load(Relaxed),
         is_stopping: core.stopping_for_ms().is_some(),
     }
 }
@@ -173,6 +194,9 @@
     if let Some(old) = old {
         forget_use(core, old);
     }
+    core.peers.resigned.fetch_max(state.resigned, Relaxed);
+    let planner_ms = if state.is_planner { now_ms() } else { 0 };
+    core.peers.planner_ms.fetch_max(planner_ms, Relaxed);
     take_use(core, state);
 }
 
--- a/crates/direct/src/probe.rs
+++ b/crates/direct/src/probe.rs
@@ -23,18 +23,20 @@
     fleet::Path,
 };
 
-/// Time for a dial; ways are below 2 ms, a busy engine takes some more.
-const DIAL: Duration = Duration::from_millis(70);
+/// Time for a dial; ways are below 2 ms and engines accept within 1 ms.
+const DIAL: Duration = Duration::from_millis(25);
+/// Time for a dial of the watch, which is in no hurry.
+const WATCH_DIAL: Duration = Duration::from_millis(300);
 /// Dials before silence counts: a lost packet is sent again only after 1 s.
 const DIALS: usize = 2;
 /// Time for a report.
 const REPORT: Duration = Duration::from_millis(250);
 /// A connection made so recently need not be made again.
-const REACHED_MS: u64 = 120;
+const REACHED_MS: u64 = 250;
 /// Progress so recent shows that an engine lives.
 const FLOWING_MS: u64 = 60;
 /// Shortest time between two reports of an engine.
-const REPORT_EVERY_MS: u64 = 700;
+const REPORT_EVERY_MS: u64 = 1_500;
 /// Shortest time for which others' waiting counts against an engine.
 const STALLED_MS: u64 = 3_000;
 /// Time between looks at suspected engines.
@@ -58,7 +60,7 @@
         if engine.lock().is_gone {
             return;
         }
-        match Outbound::connect(engine.address, DIAL * 4).await {
+        match Outbound::connect(engine.address, WATCH_DIAL).await {
             Ok(connection) => {
                 engine.lock().reached_ms = now_ms();
                 connection.ended().await;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -43,28 +43,31 @@
 const FIRST_LOOK_MS: u64 = 260;
 /// A stream that has begun is looked at after a pause of this many usual
 /// ones and a little.
-const LOOK_FACTOR: f64 = 2.5;
-const LOOK_SLACK_MS: f64 = 25.0;
+const LOOK_FACTOR: f64 = 1.9;
+const LOOK_SLACK_MS: f64 = 20.0;
 /// Bounds of that time.
 const LOOK_MS: (u64, u64) = (90, 600);
 /// Usual pause before any was seen.
 const USUAL_GAP_MS: f64 = 45.0;
 /// Weight of the newest pause in the usual one.
 const GAP_WEIGHT: f64 = 0.1;
-/// Time between looks at a stream that pauses.
-const LOOK_AGAIN: Duration = Duration::from_millis(40);
+/// Time between looks at a stream that pauses, at first; it doubles.
+const LOOK_AGAIN_MS: u64 = 40;
+/// Longest time between looks.
+const MAX_LOOK_AGAIN_MS: u64 = 320;
 /// Reports are asked for after this long beyond the first look.
 const ASK_AFTER_MS: u64 = 110;
-/// A stream that has not moved for so long goes on elsewhere: clients leave
-/// after 2 s.
-const GIVE_UP_MS: u64 = 1_200;
+/// A stream that stands still for so long, while others of its first engine
+/// move, goes on elsewhere: clients leave after 2 s.
+const GIVE_UP_MS: u64 = 900;
 /// Time for an order.
 const ORDER: Duration = Duration::from_millis(350);
 /// Orders for one detour: the first may meet another engine without room.
 const MAX_ORDERS: usize = 3;
-/// Streams leave an engine that has been draining for so long; it serves on
-/// for 2 s at least, in which most of them end by themselves.
-const LEAVE_AFTER_MS: u64 = 1_000;
+/// Streams leave an engine that drains one after another over this part of
+/// the time for which it surely serves on: the engines that stand in read
+/// what each has written so far, and all at once would wait for that.
+const LEAVE_WITHIN: f64 = 0.75;
 /// How long an engine that had no room or layers is avoided.
 const AVOID_MS: u64 = 250;
 /// Longest wait for a path before the first event.
@@ -125,6 +128,8 @@
     may_have_run: bool,
     last_event: Option<u64>,
     pace: Pace,
+    /// How long it stays on an engine that drains.
+    leave_after_ms: u64,
     /// Why the next attempt is made.
     cause: &'static str,
     ended: Ended,
@@ -132,12 +137,12 @@
 
 /// Whether an engine can't be counted on to end what it runs: it seems dead,
 /// or has been leaving for long.
-fn is_lost(engine: &Engine) -> bool {
+fn is_lost(engine: &Engine, leave_after_ms: u64) -> bool {
     let state = engine.lock();
     let leaving_ms = state.leaving_ms(now_ms());
     state.is_gone
         || state.suspicion.is_some()
-        || leaving_ms.is_some_and(|ms| ms >= LEAVE_AFTER_MS)
+        || leaving_ms.is_some_and(|ms| ms >= leave_after_ms)
 }
 
 /// How fast a stream goes.
@@ -148,6 +153,10 @@
     changed_ms: u64,
     usual_gap_ms: f64,
     has_begun: bool,
+    /// Time until the next look at a pause.
+    look_again_ms: u64,
+    /// Whether the pause was told in the logs.
+    is_told: bool,
 }
 
 impl Pace {
@@ -157,6 +166,8 @@
             changed_ms: 0,
             usual_gap_ms: USUAL_GAP_MS,
             has_begun: false,
+            look_again_ms: LOOK_AGAIN_MS,
+            is_told: false,
         }
     }
 
@@ -173,6 +184,8 @@
         }
         self.has_begun = true;
         self.moved_ms = now_ms;
+        self.look_again_ms = LOOK_AGAIN_MS;
+        self.is_told = false;
         gap_ms
     }
 
@@ -218,6 +231,7 @@
         may_have_run: false,
         last_event: last_event(request),
         pace: Pace::new(),
+        leave_after_ms: leave_after_ms(core),
         cause: "first",
         ended: Ended::default(),
     };
@@ -228,6 +242,12 @@
     (stream.ended, after)
 }
 
+/// A random part of the time for which an engine that drains serves on.
+fn leave_after_ms(core: &Core) -> u64 {
+    let drain_ms = core.settings.bounds.drain_ms as f64;
+    (drain_ms * LEAVE_WITHIN * fastrand::f64()) as u64
+}
+
 fn last_event(request: &RelayRequest) -> Option<u64> {
     request.header(clients::LAST_EVENT_ID)?.trim().parse().ok()
 }
@@ -588,15 +608,14 @@
         let left_ms = self.admitted.left_ms(now_ms);
         let wait = match quiet_ms < look_ms {
             true => Duration::from_millis(look_ms - quiet_ms),
-            false => LOOK_AGAIN,
+            false => Duration::from_millis(self.pace.look_again_ms),
         };
-        let now_ms = crate::clock::now_ms();
         let leaving = self.path.stages[1..]
             .iter()
             .filter_map(|stage| stage.engine.lock().leaving_ms(now_ms));
         let wait = match leaving.max() {
             Some(ms) => {
-                let left_ms = LEAVE_AFTER_MS.saturating_sub(ms).max(40);
+                let left_ms = self.leave_after_ms.saturating_sub(ms).max(40);
                 wait.min(Duration::from_millis(left_ms))
             }
             None => wait,
@@ -611,7 +630,8 @@
             return !self.can_move();
         }
         let rest = &self.path.stages[1..];
-        if rest.iter().any(|stage| is_lost(&stage.engine)) {
+        if rest.iter().any(|stage| is_lost(&stage.engine, self.leave_after_ms))
+        {
             return self.change_path().await;
         }
         let quiet_ms = self.pace.quiet_ms(now_ms());
@@ -620,11 +640,26 @@
             return true;
         }
         probe::probe_path(self.core, &self.path);
+        let doubled_ms = 2 * self.pace.look_again_ms;
+        self.pace.look_again_ms = doubled_ms.min(MAX_LOOK_AGAIN_MS);
         if quiet_ms >= look_ms + ASK_AFTER_MS {
-            self.note_stalled(quiet_ms);
+            if !self.pace.is_told {
+                self.note_stalled(quiet_ms);
+            }
+            self.pace.is_told = true;
             probe::ask_path(self.core, &self.path);
         }
-        quiet_ms < GIVE_UP_MS || !self.can_move()
+        !self.is_connection_silent(quiet_ms) || !self.can_move()
+    }
+
+    /// Whether this stream alone stands still: its first engine sends for
+    /// others. A stream that has not begun may just wait its turn, and one
+    /// that all others wait with would only wait elsewhere.
+    fn is_connection_silent(&self, quiet_ms: u64) -> bool {
+        let first = self.path.first();
+        self.pace.has_begun
+            && quiet_ms >= GIVE_UP_MS
+            && first.quiet_ms(now_ms()) < LOOK_MS.0
     }
 
     /// A first engine that still sends is not lost, whatever dials show.
@@ -637,12 +672,32 @@
         self.may_send() && self.may_attempt_more()
     }
 
+    /// Whether to go on at another first engine rather than by this detour:
+    /// one that goes to another data centre and back has all tokens so far
+    /// sent over what joins them, while a new start there reads them anew.
+    fn is_better_elsewhere(
+        &self,
+        need: &PathNeed<'_>,
+        detour: Option<&Path>,
+    ) -> bool {
+        let crossings = self.path.crossings();
+        if detour.is_some_and(|path| path.crossings() <= crossings) {
+            return false;
+        }
+        let elsewhere = self.core.fleet.path(need);
+        self.can_move() && elsewhere.is_some_and(|path| path.crossings() == 0)
+    }
+
     /// Tells the first engine another path; false when it has no such
     /// request any more.
     async fn change_path(&mut self) -> bool {
         for _ in 0..MAX_ORDERS {
             let need = self.need();
-            let Some(path) = self.core.fleet.detour(&need, &self.path) else {
+            let detour = self.core.fleet.detour(&need, &self.path);
+            if self.is_better_elsewhere(&need, detour.as_ref()) {
+                return false;
+            }
+            let Some(path) = detour else {
                 return true;
             };
             let first = self.path.first().clone();
--- a/crates/planner/src/layout.rs
+++ b/crates/planner/src/layout.rs
@@ -12,11 +12,11 @@
 
 use crate::service::LayerRange;
 
-/// Copies of the model that a data centre is to hold, if memory allows.
+/// Share of a data centre's memory that layers take.
 ///
-/// Above one, so that the loss of an engine leaves most layers in place;
-/// each further tenth takes room from requests.
-const COPIES: f64 = 1.3;
+/// More makes more copies of the model, so that the loss of an engine leaves
+/// its layers in place; each further tenth takes room from requests.
+const LAYER_SHARE: f64 = 0.72;
 /// Least room for requests beside the layers, in tokens.
 const MIN_TOKENS: f64 = 20_000.0;
 /// Steps of the search for the common room.
@@ -100,7 +100,10 @@
     let here = || {
         engines.iter().filter(|e| e.data_centre == data_centre && e.is_sound)
     };
-    let wanted = (COPIES * f64::from(model.layer_count)) as u32;
+    let memory_mb: f64 = here().map(|e| e.memory_mb).sum();
+    let wanted = (LAYER_SHARE * memory_mb / model.layer_mb) as u32;
+    // A whole copy, even where that leaves little room.
+    let wanted = wanted.max(model.layer_count);
     let fits = |tokens: f64| {
         let layers = here().map(|e| layers_beside(model, e, tokens));
         layers.sum::<u32>() >= wanted
--- a/crates/routing/src/layer_path.rs
+++ b/crates/routing/src/layer_path.rs
@@ -12,9 +12,11 @@
 /// Price of a change of engine, in milliseconds of a token's time: a wait for
 /// the pass that runs there, and the way.
 const CHANGE_MS: f64 = 0.8;
-/// Price of a change of data centre, in the same unit. High enough that a
-/// path crosses only where a data centre lacks layers or room.
-const CROSSING_MS: f64 = 12.0;
+/// Price of a change of data centre, in the same unit. What joins data
+/// centres is shared by all requests and carries every token that is read:
+/// if one data centre's requests cross twice, it is full. So a path crosses
+/// only where no other exists at all.
+const CROSSING_MS: f64 = 1_000.0;
 /// Price of starting in another data centre, where only the events of one
 /// stream cross, in the same unit.
 const FAR_START_MS: f64 = 1.0;
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -81,6 +81,8 @@
     /// A write met a row that is not ours; a read will tell whose it is.
     is_doubtful: bool,
     is_released: bool,
+    /// Highest turn whose holder has said that it stopped.
+    resigned: Option<FencingNumber>,
 }
 
 impl LeaseHolder {
@@ -97,6 +99,7 @@
             must_read: true,
             is_doubtful: false,
             is_released: false,
+            resigned: None,
         }
     }
 
@@ -157,6 +160,22 @@
         self.expire(now_ms);
     }
 
+    /// The holder of a turn has said that it stopped acting: the row may be
+    /// taken over without waiting.
+    pub fn holder_resigned(&mut self, number: FencingNumber) {
+        self.resigned = self.resigned.max(Some(number));
+    }
+
+    /// Stops at once and keeps the number of its turn, to tell others; the
+    /// row stays as it is. None if it does not hold the lease.
+    pub fn resign(&mut self, now_ms: u64) -> Option<FencingNumber> {
+        let number = self.may_act(now_ms)?;
+        self.state = LeaseState::Lost;
+        self.pending = None;
+        self.must_read = true;
+        Some(number)
+    }
+
     /// Stops at once, for good, and gives the lease back if that can be
     /// told; otherwise it lapses.
     pub fn release(&mut self, now_ms: u64) -> Option<LeaseCommand> {
@@ -211,6 +230,7 @@
         seen.row.is_none_or(|row| {
             row.holder == NOBODY
                 || row.holder == self.id
+                || self.resigned.is_some_and(|n| n >= row.fencing_number)
                 || now_ms.saturating_sub(seen.since_ms) >= row.duration_ms
         })
     }
