--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -15,7 +15,8 @@
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
 use crate::{
-    clock::now_ms, fleet::Fleet, peers::PeerTable, supervise::Streams,
+    clock::now_ms, crossing::CrossingCount, fleet::Fleet, peers::PeerTable,
+    supervise::Streams,
 };
 
 /// Time left of the bound on withdrawn keys when they are refused: a request
@@ -40,6 +41,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) streams: Streams,
     pub(crate) peers: PeerTable,
+    pub(crate) crossing: CrossingCount,
     retries: Mutex<BTreeMap<String, RetryWindow>>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) readiness: Arc<Readiness>,
@@ -51,8 +53,8 @@
     pub(crate) is_planner: AtomicBool,
     /// Number of the last lease that this entry gave up.
     pub(crate) resigned: AtomicU64,
-    /// Whether the feed of the configuration fails.
-    pub(crate) is_store_lost: AtomicBool,
+    /// Since when the feed of the configuration fails; 0 if it doesn't.
+    pub(crate) store_lost_ms: AtomicU64,
 }
 
 impl Core {
@@ -73,6 +75,7 @@
             fleet: Fleet::default(),
             streams: Streams::default(),
             peers: PeerTable::default(),
+            crossing: CrossingCount::default(),
             retries: Mutex::default(),
             metrics: Arc::new(metrics),
             readiness: Arc::new(Readiness::new(&conditions)),
@@ -81,7 +84,7 @@
             closing,
             is_planner: AtomicBool::new(false),
             resigned: AtomicU64::new(0),
-            is_store_lost: AtomicBool::new(false),
+            store_lost_ms: AtomicU64::new(0),
         }
     }
 
@@ -116,6 +119,13 @@
         }
     }
 
+    /// The store did not answer; it counts from the first failure in a row.
+    pub(crate) fn note_store_lost(&self) {
+        if self.store_lost_ms.load(Relaxed) == 0 {
+            self.store_lost_ms.store(now_ms(), Relaxed);
+        }
+    }
+
     pub(crate) fn confirmed_age_ms(&self) -> u64 {
         now_ms().saturating_sub(self.confirmed_ms.load(Relaxed))
     }
@@ -188,6 +198,14 @@
         is_allowed
     }
 
+    /// Use of what joins data centres, as far as entries have told; 1 is
+    /// full.
+    pub(crate) fn crossing_use(&self, pipe_mbps: f64) -> f64 {
+        let own = self.crossing.bytes_per_s(now_ms());
+        let bytes_per_s = own + self.peers.crossing_bytes_per_s();
+        bytes_per_s * 8.0 / (pipe_mbps.max(1.0) * 1e6)
+    }
+
     /// Index of a data centre; a name that the settings lack is the last.
     pub(crate) fn data_centre(&self, name: &str) -> usize {
         let names = &self.settings.data_centres;
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -46,6 +46,8 @@
     /// Engines that may not be used, by id.
     pub(crate) without: &'a BTreeSet<String>,
     pub(crate) now_ms: u64,
+    /// Use of what joins data centres; 1 is full.
+    pub(crate) crossing_use: f64,
 }
 
 impl Path {
@@ -154,6 +156,7 @@
             tokens: need.tokens,
             data_centre: need.data_centre,
             is_start: true,
+            crossing_use: need.crossing_use,
         };
         self.part(need, &request, &BTreeSet::new())
     }
@@ -208,6 +211,7 @@
                 tokens: need.tokens,
                 data_centre: before.engine.data_centre,
                 is_start: false,
+                crossing_use: need.crossing_use,
             };
             let part = self.part(need, &request, &used)?;
             used.extend(part.stages.iter().map(|s| s.engine.id.clone()));
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -116,13 +116,13 @@
         match result {
             Ok(version) => {
                 health.answered(version);
-                core.is_store_lost.store(false, Relaxed);
+                core.store_lost_ms.store(0, Relaxed);
                 after = Some(version);
             }
             Err(StoreError::HistoryGone) => after = None,
             Err(e) => {
                 health.failed(&core, &e);
-                core.is_store_lost.store(true, Relaxed);
+                core.note_store_lost();
                 // What the key check says may have changed by time alone.
                 core.are_keys_fresh();
                 Timer::after(RETRY_PAUSE).await;
--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -24,6 +24,8 @@
 const RENEW_BEFORE_MS: u64 = 1_400;
 /// How long before the end of the lease the holder stops.
 const MARGIN_MS: u64 = 500;
+/// Time without the store after which its holder gives the lease up.
+const CUT_MS: u64 = 500;
 /// Time between looks at the state machine.
 const TICK: Duration = Duration::from_millis(150);
 /// Time for a call of the store.
@@ -81,7 +83,7 @@
         let mut holder = self.holder();
         holder.holder_resigned(resigned);
         let is_held = matches!(holder.state(), LeaseState::Held { .. });
-        if !is_held && core.peers.has_planner(now_ms()) {
+        if !is_held && (is_cut(core) || core.peers.has_planner(now_ms())) {
             return None;
         }
         holder.tick(now_ms())
@@ -90,7 +92,7 @@
     /// A holder that does not reach the store says so and stops: another one
     /// need not wait for the end of its turn.
     fn resign_if_cut(&self, core: &Core) {
-        if !core.is_store_lost.load(Relaxed) {
+        if !is_cut(core) {
             return;
         }
         if let Some(number) = self.holder().resign(now_ms()) {
@@ -153,6 +155,13 @@
     }
 }
 
+/// Whether the store has been out of reach for so long that another entry
+/// should plan.
+fn is_cut(core: &Core) -> bool {
+    let since_ms = core.store_lost_ms.load(Relaxed);
+    since_ms > 0 && now_ms().saturating_sub(since_ms) > CUT_MS
+}
+
 fn decode(row: &Row) -> Option<(LeaseRow, u64)> {
     Some((serde_json::from_slice(&row.value).ok()?, row.version))
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `core` | what the tasks of an entry share |
 //! | `follow` | configuration and list of backend servers, by feeds |
 //! | `fleet`, `engine` | what is known of backend servers |
+//! | `crossing` | what requests send between data centres |
 //! | `probe` | noticing that one is dead, slow, or back |
 //! | `callers` | the connections of clients |
 //! | `admit` | route, key and time of a request |
@@ -40,6 +41,7 @@
 mod callers;
 mod clock;
 mod core;
+mod crossing;
 mod engine;
 pub mod entry;
 pub mod events;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -60,6 +60,7 @@
     vm: String,
     sequence: u64,
     heard_ms: u64,
+    crossing_bytes_per_s: f64,
 }
 
 impl PeerTable {
@@ -79,6 +80,11 @@
         heard_ms > 0 && now_ms.saturating_sub(heard_ms) < PLANNER_SILENT_MS
     }
 
+    /// What requests of all other entries send between data centres.
+    pub(crate) fn crossing_bytes_per_s(&self) -> f64 {
+        self.lock().values().map(|peer| peer.crossing_bytes_per_s).sum()
+    }
+
     /// Highest number of a lease whose holder said that it gave it up.
     pub(crate) fn resigned(&self) -> u64 {
         self.resigned.load(Relaxed)
@@ -157,6 +163,8 @@
         configuration: core.configuration().map_or(0, |c| c.version),
         engines: engines.collect(),
         is_planner: core.is_planner.load(Relaxed),
+        crossing_kilobytes_per_s: (core.crossing.bytes_per_s(now_ms()) / 1e3)
+            as u32,
         resigned: core.resigned.load(Relaxed),
         is_stopping: core.stopping_for_ms().is_some(),
     }
@@ -179,6 +187,8 @@
         peer.vm.clone_from(&state.vm);
         peer.sequence = state.sequence;
         peer.heard_ms = now_ms();
+        peer.crossing_bytes_per_s =
+            f64::from(state.crossing_kilobytes_per_s) * 1e3;
         if !was_known {
             emit(
                 Event::PeerFound,
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -11,7 +11,8 @@
 use async_io::Timer;
 use chestnutreach_adapter::engine::{ORDER_TARGET, place_body};
 use chestnutreach_planner::{
-    LayerRange, LayoutEngine, LayoutModel, place_empty,
+    LayerRange, LayoutEngine, LayoutModel, Placement, cover, move_one,
+    place_empty,
 };
 use chestnutreach_site::{BackendState, Model};
 use chestnutreach_state::FencingNumber;
@@ -35,6 +36,9 @@
 const ORDER: Duration = Duration::from_millis(600);
 /// After so long an order without effect is given again.
 const AGAIN_MS: u64 = 1_500;
+/// A gap must last so long before an engine moves to it: most are filled by
+/// engines that come back empty.
+const GAP_LASTS_MS: u64 = 1_000;
 /// After so long an order that had no effect is forgotten; late ones are
 /// carried out within 12 s.
 const FORGOTTEN_MS: u64 = 15_000;
@@ -46,6 +50,23 @@
     orders_begun: u64,
     first_ms: u64,
     last_ms: u64,
+    /// Times that it was sent.
+    sent: u32,
+}
+
+impl Given {
+    fn new(engine: &Engine, range: LayerRange) -> Given {
+        let state = engine.lock();
+        // What it holds it was ordered to hold.
+        let at_least = u64::from(state.row.held.is_some());
+        Given {
+            range,
+            orders_begun: state.orders_begun.max(at_least),
+            first_ms: now_ms(),
+            last_ms: 0,
+            sent: 0,
+        }
+    }
 }
 
 /// Plans while this entry holds the lease.
@@ -65,6 +86,10 @@
     given: BTreeMap<String, Given>,
     engine_count: usize,
     grown_ms: u64,
+    /// What was last told of each service's cover.
+    told: BTreeMap<String, String>,
+    /// Since when a service has gaps that no empty engine fills.
+    gap_since_ms: BTreeMap<String, u64>,
 }
 
 impl Planner {
@@ -115,30 +140,17 @@
             layer_mb: model.layer_mb,
             token_layer_bytes: model.token_layer_bytes,
         };
-        let mut orders: Vec<(Arc<Engine>, Given)> = Vec::new();
-        for placement in place_empty(&layout_model, &layout) {
+        self.note_cover(core, service, &layout_model, &layout);
+        let mut placements = place_empty(&layout_model, &layout);
+        if placements.is_empty() && self.given.is_empty() {
+            placements.extend(self.move_one(service, &layout_model, &layout));
+        }
+        for placement in placements {
             let engine = &engines[placement.engine];
-            let given = Given {
-                range: placement.range,
-                orders_begun: engine.lock().orders_begun,
-                first_ms: now_ms(),
-                last_ms: 0,
-            };
+            let given = Given::new(engine, placement.range);
             self.given.insert(engine.id.clone(), given);
-            orders.push((engine.clone(), given));
-        }
-        for engine in &engines {
-            let Some(given) = self.given.get_mut(&engine.id) else {
-                continue;
-            };
-            let is_due = now_ms().saturating_sub(given.last_ms) >= AGAIN_MS;
-            if is_due && given.last_ms > 0 {
-                orders.push((engine.clone(), *given));
-            }
-            if is_due {
-                given.last_ms = now_ms();
-            }
         }
+        let orders = self.take_due(&engines);
         for (engine, given) in orders {
             // Deciding took time; another one may plan by now.
             if lease.may_act() != Some(number) {
@@ -150,6 +162,73 @@
         }
     }
 
+    /// Orders that are to be sent now, for the first time or again.
+    fn take_due(
+        &mut self,
+        engines: &[Arc<Engine>],
+    ) -> Vec<(Arc<Engine>, Given)> {
+        let mut due = Vec::new();
+        for engine in engines {
+            let Some(given) = self.given.get_mut(&engine.id) else {
+                continue;
+            };
+            let has_begun = engine.lock().orders_begun > given.orders_begun;
+            let waited_ms = now_ms().saturating_sub(given.last_ms);
+            if waited_ms >= AGAIN_MS && !has_begun {
+                given.last_ms = now_ms();
+                given.sent += 1;
+                due.push((engine.clone(), *given));
+            }
+        }
+        due
+    }
+
+    /// A move that fills a gap which has lasted.
+    fn move_one(
+        &mut self,
+        service: &str,
+        model: &LayoutModel,
+        layout: &[LayoutEngine],
+    ) -> Option<Placement> {
+        let Some(placement) = move_one(model, layout) else {
+            self.gap_since_ms.remove(service);
+            return None;
+        };
+        let now_ms = now_ms();
+        let since_ms =
+            *self.gap_since_ms.entry(service.to_owned()).or_insert(now_ms);
+        let has_lasted = now_ms - since_ms >= GAP_LASTS_MS;
+        has_lasted.then(|| {
+            self.gap_since_ms.remove(service);
+            placement
+        })
+    }
+
+    /// Tells how many engines hold the layers, when that has changed.
+    fn note_cover(
+        &mut self,
+        core: &Core,
+        service: &str,
+        model: &LayoutModel,
+        layout: &[LayoutEngine],
+    ) {
+        let names = &core.settings.data_centres;
+        let here = cover(model, layout);
+        let text = |(at, counts): (usize, &Vec<u32>)| {
+            let name = names.get(at).map_or("?", String::as_str);
+            format!("{name} {}", runs(counts))
+        };
+        let texts: Vec<String> = here.iter().enumerate().map(text).collect();
+        let texts = texts.join("; ");
+        if self.told.get(service) != Some(&texts) {
+            emit(
+                Event::CoverChanged,
+                &[("service", &service), ("cover", &texts)],
+            );
+            self.told.insert(service.to_owned(), texts);
+        }
+    }
+
     /// Forgets orders that the list shows, or that had no effect.
     fn forget_done(&mut self, engines: &[Arc<Engine>]) {
         let now_ms = now_ms();
@@ -159,8 +238,10 @@
             };
             let state = engine.lock();
             let shows = state.row.held == Some(given.range);
-            // It has begun others than this planner knew of.
-            let is_outdated = state.orders_begun > given.orders_begun;
+            // An order that was sent once and refused met others than this
+            // planner knew of; one that was sent again has begun itself.
+            let is_outdated =
+                given.sent <= 1 && state.orders_begun > given.orders_begun;
             !shows && !is_outdated && now_ms - given.first_ms < FORGOTTEN_MS
         });
     }
@@ -173,7 +254,7 @@
             && !state.is_gone
             && state.suspicion.is_none();
         let given = self.given.get(&engine.id);
-        let held = state.row.held.or(given.map(|g| g.range));
+        let held = given.map(|g| g.range).or(state.row.held);
         LayoutEngine {
             data_centre: engine.data_centre,
             memory_mb: kind.map_or(0.0, |kind| kind.memory_mb),
@@ -184,6 +265,19 @@
     }
 }
 
+/// Counts of layers in a row, as "first..end x count".
+fn runs(counts: &[u32]) -> String {
+    let mut texts = Vec::new();
+    let mut first = 0;
+    for at in 1..=counts.len() {
+        if at == counts.len() || counts[at] != counts[first] {
+            texts.push(format!("{first}..{at}x{}", counts[first]));
+            first = at;
+        }
+    }
+    texts.join(" ")
+}
+
 async fn order(
     core: Arc<Core>,
     engine: Arc<Engine>,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -380,9 +380,16 @@
             tokens: self.tokens,
             without: &self.without,
             now_ms: now_ms(),
+            crossing_use: self.core.crossing_use(self.model.pipe_mbps),
         }
     }
 
+    /// Counts what reading a prompt over new crossings sends.
+    fn note_crossing(&self, crossings: usize) {
+        let bytes = self.tokens as f64 * self.model.activation_bytes;
+        self.core.crossing.note(crossings as f64 * bytes, now_ms());
+    }
+
     /// Leaves out who refused.
     fn avoid(&mut self, at: Option<SocketAddr>) {
         self.cause = "refused";
@@ -483,8 +490,6 @@
         let mut out = Vec::new();
         if !self.is_head_sent {
             out = passed_head(head, Framing::Chunked, self.is_last);
-            self.is_head_sent = true;
-            self.ended.status = head.status;
         }
         loop {
             let part = connection.next_part(&mut body);
@@ -494,6 +499,10 @@
                     self.note_broken(&"the last event is not whole");
                     return AttemptEnd::Broken;
                 }
+                Waited::Done(Ok(None)) if !self.is_head_sent => {
+                    self.note_broken(&"the stream has no event");
+                    return AttemptEnd::Broken;
+                }
                 Waited::Done(Ok(None)) => return AttemptEnd::Whole,
                 Waited::Done(Err(e)) => {
                     self.note_broken(&e);
@@ -504,10 +513,13 @@
                 Waited::TimeOver => return AttemptEnd::TimeOver,
             };
             splitter.push(&part);
-            self.take_events(&mut splitter, &mut out);
-            if out.is_empty() {
+            if !self.take_events(&mut splitter, &mut out) {
                 continue;
             }
+            // Only now: an engine that breaks off before its first event
+            // leaves the answer to the next one, with that one's head.
+            self.is_head_sent = true;
+            self.ended.status = head.status;
             if inbound.write(&out).await.is_err() {
                 return AttemptEnd::CallerGone;
             }
@@ -516,12 +528,12 @@
     }
 
     /// Moves whole events to the answer; those that the client has are
-    /// passed over.
+    /// passed over. False when there was none.
     fn take_events(
         &mut self,
         splitter: &mut EventSplitter,
         out: &mut Vec<u8>,
-    ) {
+    ) -> bool {
         let mut bytes = Vec::new();
         while let Some(event) = splitter.next_event() {
             if let (Some(id), Some(last)) = (event.id, self.last_event)
@@ -534,10 +546,11 @@
             bytes.extend_from_slice(&event.bytes);
         }
         if bytes.is_empty() {
-            return;
+            return false;
         }
         push_chunk(out, &bytes);
         self.note_progress();
+        true
     }
 
     fn note_progress(&mut self) {
@@ -718,6 +731,9 @@
             self.note_changed(&path, &result);
             match answer {
                 Ok(Ok((200..=299, _))) => {
+                    let more = path.crossings();
+                    let more = more.saturating_sub(self.path.crossings());
+                    self.note_crossing(more);
                     self.holds = path.hold(self.tokens);
                     self.path = path;
                     self.pace.changed_ms = now_ms();
@@ -818,6 +834,7 @@
     }
 
     fn note_sent(&self) {
+        self.note_crossing(self.path.crossings());
         let metrics = self.core.metrics.service(&self.admitted.service.name);
         metrics.attempts.inc();
         if self.cause == "resumed" {
--- a/crates/planner/src/layout.rs
+++ b/crates/planner/src/layout.rs
@@ -7,6 +7,9 @@
 //! those nobody in its data centre holds, then those a single engine holds.
 //! The same rule lays out an empty fleet and mends one.
 //!
+//! Where a data centre lacks layers and has no empty engine left, an engine
+//! whose layers others hold as well moves to them; no last copy is given up.
+//!
 //! A pure function: no clock, no I/O, no randomness; its time grows with
 //! engines times layers.
 
@@ -91,6 +94,50 @@
     placements
 }
 
+/// The move of an engine that holds layers which gains most; none where none
+/// fills a gap.
+pub fn move_one(
+    model: &LayoutModel,
+    engines: &[LayoutEngine],
+) -> Option<Placement> {
+    let cover = Cover::new(model, engines);
+    let mut best: Option<(u64, Placement)> = None;
+    for (at, engine) in engines.iter().enumerate() {
+        let Some(held) = engine.held.filter(|_| engine.is_free) else {
+            continue;
+        };
+        if !cover.has_gap(engine.data_centre) {
+            continue;
+        }
+        let mut without = Cover::new(model, engines);
+        without.take(engine.data_centre, held);
+        let window = without.best_window(engine.data_centre, held.layers());
+        let given_up = |layer: usize| {
+            let layer = layer as u32;
+            !(window.first_layer..window.end_layer).contains(&layer)
+        };
+        let loses_last = (held.first_layer..held.end_layer)
+            .map(|layer| layer as usize)
+            .any(|l| given_up(l) && without.here[engine.data_centre][l] == 0);
+        if loses_last {
+            continue;
+        }
+        let gain = without
+            .window_worth(engine.data_centre, window)
+            .saturating_sub(without.window_worth(engine.data_centre, held));
+        let is_best = best.is_none_or(|(most, _)| gain > most);
+        if gain >= WORTH_UNHELD_HERE && is_best {
+            best = Some((gain, Placement { engine: at, range: window }));
+        }
+    }
+    best.map(|(_, placement)| placement)
+}
+
+/// How many engines hold each layer in each data centre.
+pub fn cover(model: &LayoutModel, engines: &[LayoutEngine]) -> Vec<Vec<u32>> {
+    Cover::new(model, engines).here
+}
+
 /// Room for requests that all engines of a data centre have, in tokens.
 fn room_tokens(
     model: &LayoutModel,
@@ -164,6 +211,23 @@
         }
     }
 
+    fn take(&mut self, data_centre: usize, range: LayerRange) {
+        let last = (range.end_layer as usize).min(self.all.len());
+        for layer in range.first_layer as usize..last {
+            self.here[data_centre][layer] -= 1;
+            self.all[layer] -= 1;
+        }
+    }
+
+    fn has_gap(&self, data_centre: usize) -> bool {
+        self.here[data_centre].contains(&0)
+    }
+
+    fn window_worth(&self, data_centre: usize, range: LayerRange) -> u64 {
+        let layers = range.first_layer as usize..range.end_layer as usize;
+        layers.map(|layer| self.worth(data_centre, layer)).sum()
+    }
+
     fn worth(&self, data_centre: usize, layer: usize) -> u64 {
         match (self.all[layer], self.here[data_centre][layer] as usize) {
             (0, _) => WORTH_UNHELD,
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -44,7 +44,9 @@
 pub mod service;
 mod tiling;
 
-pub use layout::{LayoutEngine, LayoutModel, Placement, place_empty};
+pub use layout::{
+    LayoutEngine, LayoutModel, Placement, cover, move_one, place_empty,
+};
 pub use plan::{Order, Plan, Reason, plan};
 pub use service::{
     CheckedService, Kind, LayerRange, Server, Service, ServiceError,
--- a/crates/routing/src/layer_path.rs
+++ b/crates/routing/src/layer_path.rs
@@ -12,11 +12,15 @@
 /// Price of a change of engine, in milliseconds of a token's time: a wait for
 /// the pass that runs there, and the way.
 const CHANGE_MS: f64 = 0.8;
-/// Price of a change of data centre, in the same unit. What joins data
-/// centres is shared by all requests and carries every token that is read:
-/// if one data centre's requests cross twice, it is full. So a path crosses
-/// only where no other exists at all.
-const CROSSING_MS: f64 = 1_000.0;
+/// Price of a change of data centre while what joins them is idle, in the
+/// same unit: above that of engines that are half full.
+const CROSSING_MS: f64 = 15.0;
+/// Price of one where what joins them is full: only where no other path
+/// exists. All requests share it, and it carries every token that is read.
+const FULL_CROSSING_MS: f64 = 1_000.0;
+/// Use of what joins data centres from which on the price rises, and at
+/// which it counts as full.
+const CROSSING_USE: (f64, f64) = (0.25, 0.55);
 /// Price of starting in another data centre, where only the events of one
 /// stream cross, in the same unit.
 const FAR_START_MS: f64 = 1.0;
@@ -61,6 +65,16 @@
     pub data_centre: usize,
     /// Whether the path begins the request, and not in its middle.
     pub is_start: bool,
+    /// Use of what joins data centres; 1 is full.
+    pub crossing_use: f64,
+}
+
+impl PathRequest {
+    fn crossing_ms(&self) -> f64 {
+        let (from, to) = CROSSING_USE;
+        let share = ((self.crossing_use - from) / (to - from)).clamp(0.0, 1.0);
+        CROSSING_MS + share * (FULL_CROSSING_MS - CROSSING_MS)
+    }
 }
 
 /// Layers that one engine runs.
@@ -99,6 +113,7 @@
     factors: Vec<f64>,
     boundaries: BTreeSet<u32>,
     data_centres: usize,
+    crossing_ms: f64,
 }
 
 impl Search<'_> {
@@ -119,6 +134,7 @@
             factors,
             boundaries: bounds.chain([request.end_layer]).collect(),
             data_centres: data_centres.unwrap_or(0) + 1,
+            crossing_ms: request.crossing_ms(),
         }
     }
 
@@ -185,7 +201,7 @@
             (true, true) => 0.0,
             (true, false) => CHANGE_MS,
             (false, true) => FAR_START_MS,
-            (false, false) => CHANGE_MS + CROSSING_MS,
+            (false, false) => CHANGE_MS + self.crossing_ms,
         }
     }
 
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -267,6 +267,9 @@
     LinesDropped = 920, "lines_dropped", Warn,
         ["count"],
         "The buffer of the logs was full and lines were dropped.";
+    CoverChanged = 921, "cover_changed", Info,
+        ["service", "cover"],
+        "How many engines hold each layer, by data centre, has changed.";
 }
 
 impl Event {
