--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -21,7 +21,7 @@
         AnswerHead, Inbound, LAST_CHUNK, Outbound, RelayRequest, push_chunk,
     },
 };
-use chestnutreach_site::{BackendState, Model, Reuse};
+use chestnutreach_site::{Model, Reuse};
 use chestnutreach_telemetry::{Event, emit};
 use futures_lite::FutureExt as _;
 
@@ -284,8 +284,11 @@
                 AttemptEnd::CallerGone => return self.note_caller_gone(),
                 AttemptEnd::NotRun(at) => self.avoid(at),
                 AttemptEnd::Broken => {
-                    self.without.insert(self.path.first().id.clone());
+                    let first = self.path.first().clone();
+                    self.without.insert(first.id.clone());
                     self.cause = "resumed";
+                    // Whether it has ended decides whether it counts.
+                    probe::probe(self.core.clone(), first).await;
                 }
                 AttemptEnd::Failed(head, body) => {
                     self.without.insert(self.path.first().id.clone());
@@ -320,10 +323,8 @@
     fn may_attempt_more(&self) -> bool {
         let has_ended = |id: &&String| match self.core.fleet.get(id) {
             Some(engine) => {
-                let state = engine.lock();
-                let is_leaving = state.row.state == BackendState::Draining;
-                let suspicion = state.suspicion.map(|s| s.evidence);
-                is_leaving || suspicion == Some(Evidence::Refused)
+                let suspicion = engine.lock().suspicion;
+                suspicion.is_some_and(|s| s.evidence != Evidence::Stalled)
             }
             None => true,
         };
--- /dev/null
+++ b/crates/emulator/src/entries.rs
@@ -0,0 +1,200 @@
+//! The real program in processes of its own.
+
+use std::{
+    fs, io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use async_io::Timer;
+use chestnutreach_fleet::ports::free_address;
+use chestnutreach_http::relay::{Outbound, push_header};
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::site::{EntryPorts, Site};
+
+/// Variable with the path of the settings file.
+const SETTINGS_VARIABLE: &str = "CHESTNUTREACH_NODE_FILE";
+/// Time for a call of the balancer.
+const CALL: Duration = Duration::from_millis(500);
+
+/// The entries of an emulated site.
+pub struct Entries {
+    binary: PathBuf,
+    dir: tempfile::TempDir,
+    site: Site,
+    store: SocketAddr,
+    entries: Vec<Entry>,
+}
+
+struct Entry {
+    ports: EntryPorts,
+    child: Option<Child>,
+}
+
+impl Entries {
+    /// Starts the entries of a site.
+    ///
+    /// # Errors
+    ///
+    /// A file can't be written or a process not started.
+    pub fn start(
+        binary: &Path,
+        site: &Site,
+        store: SocketAddr,
+    ) -> io::Result<Entries> {
+        let mut entries = Entries {
+            binary: binary.to_owned(),
+            dir: tempfile::tempdir()?,
+            site: site.clone(),
+            store,
+            entries: Vec::new(),
+        };
+        for index in 0..site.entries {
+            let ports = free_ports(index);
+            entries.entries.push(Entry { ports, child: None });
+            entries.start_one(index)?;
+        }
+        Ok(entries)
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Where clients connect to an entry.
+    pub fn address(&self, index: usize) -> SocketAddr {
+        ([127, 0, 0, 1], self.entries[index].ports.clients).into()
+    }
+
+    /// Where an entry shows its metrics and status.
+    pub fn ops_address(&self, index: usize) -> SocketAddr {
+        ([127, 0, 0, 1], self.entries[index].ports.inner).into()
+    }
+
+    /// Starts an entry that does not run.
+    ///
+    /// # Errors
+    ///
+    /// A file can't be written or the process not started.
+    pub fn start_one(&mut self, index: usize) -> io::Result<()> {
+        let ports = self.entries[index].ports;
+        let settings = self.dir.path().join(format!("entry-{index}.toml"));
+        fs::write(&settings, self.site.settings(&ports, self.store))?;
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_path(index))?;
+        let child = Command::new(&self.binary)
+            .arg("--users-platform")
+            .env(SETTINGS_VARIABLE, &settings)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()?;
+        self.entries[index].child = Some(child);
+        Ok(())
+    }
+
+    /// The lines that an entry wrote so far.
+    ///
+    /// # Errors
+    ///
+    /// The file can't be read.
+    pub fn log(&self, index: usize) -> io::Result<String> {
+        fs::read_to_string(self.log_path(index))
+    }
+
+    /// Copies the logs of all entries to a directory.
+    ///
+    /// # Errors
+    ///
+    /// A file can't be written.
+    pub fn keep_logs(&self, dir: &Path) -> io::Result<()> {
+        fs::create_dir_all(dir)?;
+        for index in 0..self.count() {
+            let name = format!("entry-{index}.log");
+            fs::copy(self.log_path(index), dir.join(name))?;
+        }
+        Ok(())
+    }
+
+    fn log_path(&self, index: usize) -> PathBuf {
+        self.dir.path().join(format!("entry-{index}.log"))
+    }
+
+    /// Sends a signal to an entry.
+    pub fn signal(&self, index: usize, signal: Signal) {
+        let Some(child) = &self.entries[index].child else { return };
+        let pid = Pid::from_child(child);
+        // It may have ended by itself.
+        let _ = kill_process(pid, signal);
+    }
+
+    /// Kills an entry and waits for its end.
+    pub fn kill(&mut self, index: usize) {
+        if let Some(mut child) = self.entries[index].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Whether an entry's process has ended; its exit code.
+    pub fn exit_code(&mut self, index: usize) -> Option<i32> {
+        let child = self.entries[index].child.as_mut()?;
+        child.try_wait().ok().flatten().and_then(|status| status.code())
+    }
+
+    /// Whether an entry tells the balancer that it is ready.
+    pub async fn is_ready(&self, index: usize) -> bool {
+        let ready = self.entries[index].ports.ready;
+        matches!(
+            get(([127, 0, 0, 1], ready).into(), "/v1/ready").await,
+            Some((200, _))
+        )
+    }
+
+    /// Waits until all are ready; false after the time.
+    pub async fn all_ready(&self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        for index in 0..self.count() {
+            while !self.is_ready(index).await {
+                if Instant::now() >= until {
+                    return false;
+                }
+                Timer::after(Duration::from_millis(20)).await;
+            }
+        }
+        true
+    }
+}
+
+impl Drop for Entries {
+    fn drop(&mut self) {
+        for index in 0..self.entries.len() {
+            self.kill(index);
+        }
+    }
+}
+
+/// Reads a target; status and body.
+pub async fn get(address: SocketAddr, target: &str) -> Option<(u16, String)> {
+    let mut connection = Outbound::connect(address, CALL).await.ok()?;
+    let mut out = format!("GET {target} HTTP/1.1\r\n").into_bytes();
+    push_header(&mut out, "host", &address.to_string());
+    out.extend_from_slice(b"\r\n");
+    connection.send(&out).await.ok()?;
+    let head = connection.read_head().await.ok()?;
+    let body = head.body("GET");
+    let body = connection.read_body(body, 4 << 20).await.ok()?;
+    Some((head.status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// Ports that are free now.
+fn free_ports(index: usize) -> EntryPorts {
+    let port = || free_address().port();
+    EntryPorts { index, clients: port(), ready: port(), inner: port() }
+}
--- /dev/null
+++ b/crates/emulator/src/site.rs
@@ -0,0 +1,210 @@
+//! What is emulated: counts, layers, configuration.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+/// Name of the language service.
+pub const MODEL_SERVICE: &str = "desk";
+/// Name of the plain service.
+pub const PLAIN_SERVICE: &str = "ledger";
+/// Host of all routes.
+pub const HOST: &str = "desk.example";
+/// Path of resumable streams.
+pub const STREAM_PATH: &str = "/stream/";
+/// Path of idempotent requests.
+pub const IDEMPOTENT_PATH: &str = "/lookup/";
+/// Path of non-idempotent requests.
+pub const ONCE_PATH: &str = "/letter/";
+/// A key that holds from the start.
+pub const KEY: &str = "key-one";
+/// Client account of [`KEY`].
+pub const ACCOUNT: &str = "kaolack";
+/// Memory of a layer, in megabytes.
+const LAYER_MB: f64 = 1_000.0;
+/// Memory of an engine, in megabytes.
+const ENGINE_MB: f64 = 5_600.0;
+/// Memory of a token through all layers, in bytes.
+const TOKEN_BYTES: f64 = 160_000.0;
+
+/// What is emulated.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Site {
+    /// Layers of the model.
+    pub layer_count: u32,
+    /// Engines in each data centre.
+    pub engines_each: usize,
+    /// Data centres.
+    pub data_centres: Vec<String>,
+    /// Backend servers of the plain service.
+    pub plain_servers: usize,
+    /// Entries.
+    pub entries: usize,
+    /// Events of a stream.
+    pub events: u64,
+    /// Time from one event to the next, in milliseconds.
+    pub event_ms: u64,
+    /// Time of a plain request, in milliseconds.
+    pub plain_ms: u64,
+    /// Time of the route of streams, in milliseconds.
+    pub stream_timeout_ms: u64,
+}
+
+impl Site {
+    /// Two data centres with five engines each, three entries.
+    pub fn small() -> Site {
+        Site {
+            layer_count: 12,
+            engines_each: 5,
+            data_centres: vec!["hall-a".to_owned(), "hall-b".to_owned()],
+            plain_servers: 2,
+            entries: 3,
+            events: 30,
+            event_ms: 15,
+            plain_ms: 10,
+            stream_timeout_ms: 15_000,
+        }
+    }
+
+    /// Layers that all engines could hold.
+    pub fn memory_in_layers(&self) -> u32 {
+        let each = (ENGINE_MB / LAYER_MB) as u32;
+        each * (self.engines_each * self.data_centres.len()) as u32
+    }
+
+    /// Most layers of an engine.
+    pub fn max_layers(&self) -> u32 {
+        (ENGINE_MB / LAYER_MB) as u32
+    }
+
+    /// The operator's configuration with these keys of the one account.
+    pub fn configuration(&self, version: u64, keys: &[&str]) -> Value {
+        let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+            json!({
+                "name": name,
+                "hostname": HOST,
+                "prefix": prefix,
+                "kind": kind,
+                "timeout-ms": 2_000,
+                "target-latency-ms": 300,
+                "priority": 1,
+                "service": service,
+                "max-attempts": 2,
+                "public": false,
+            })
+        };
+        let mut stream =
+            route("r-stream", STREAM_PATH, "streaming", MODEL_SERVICE);
+        stream["resumable"] = json!(true);
+        stream["sticky"] = json!(true);
+        stream["gap-target-ms"] = json!(200);
+        stream["timeout-ms"] = json!(self.stream_timeout_ms);
+        let mut once =
+            route("r-once", ONCE_PATH, "non_idempotent", PLAIN_SERVICE);
+        once["max-attempts"] = json!(1);
+        let lookup =
+            route("r-lookup", IDEMPOTENT_PATH, "idempotent", PLAIN_SERVICE);
+        json!({
+            "version": version,
+            "routes": [stream, once, lookup],
+            "services": [self.model_service(), {
+                "name": PLAIN_SERVICE,
+                "health-path": "/health",
+                "max-connections": 200,
+            }],
+            "limits": {
+                "max-header-bytes": 16_384,
+                "max-body-bytes": 65_536,
+                "header-timeout-ms": 2_000,
+                "idle-timeout-ms": 5_000,
+            },
+            "tenants": [{"name": ACCOUNT, "api-keys": keys, "priority": 1}],
+        })
+    }
+
+    fn model_service(&self) -> Value {
+        json!({
+            "name": MODEL_SERVICE,
+            "health-path": "/health",
+            "max-connections": 1_000,
+            "engine": {
+                "slots": 64,
+                "stride": 1,
+                "step_ms": self.event_ms,
+                "read_per_s": 100_000.0,
+                "report_lag_ms": 0.0,
+                "usual": {"prompt": 100, "answer": 30},
+                "layers": self.layer_count,
+                "layer-mb": LAYER_MB,
+                "kv-token-bytes": TOKEN_BYTES,
+                "activation-bytes": 1_000,
+                "pipe-mbps": 10_000.0,
+                "models": [{"name": "m", "load-s": 1.0}],
+                "kinds": [{
+                    "name": "card", "mb": ENGINE_MB, "pace": 1.0,
+                    "read-x": 1.0,
+                }],
+            },
+        })
+    }
+
+    /// The settings file of an entry.
+    pub fn settings(&self, entry: &EntryPorts, store: SocketAddr) -> String {
+        let zones: Vec<String> = self
+            .data_centres
+            .iter()
+            .map(|name| format!("{name} = \"region\""))
+            .collect();
+        let zone = &self.data_centres[entry.index % self.data_centres.len()];
+        format!(
+            r#"node-name = "entry-{index}"
+ip = "127.0.0.1"
+zone = "{zone}"
+internal-ports = [{inner}, {inner}]
+heartbeat-ms = 400
+[zones]
+{zones}
+[listen]
+front = "127.0.0.1:{clients}"
+ready = "127.0.0.1:{ready}"
+[limits]
+cpu-share = 0.2
+memory-mb = 260
+max-fds = 4100
+[bounds]
+drain-ms = 1000
+grace-s = 5
+config-apply-ms = 2000
+strict-revoke = true
+revoke-ms = 5000
+retry-budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 200
+pass-ms = 120
+stall_ms = 3000
+[platform]
+address = "{store}"
+writes-per-s = 400
+reads-per-s = 2000
+"#,
+            index = entry.index,
+            inner = entry.inner,
+            clients = entry.clients,
+            ready = entry.ready,
+            zones = zones.join("\n"),
+        )
+    }
+}
+
+/// Ports of an entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EntryPorts {
+    /// Which entry.
+    pub index: usize,
+    /// Where clients connect.
+    pub clients: u16,
+    /// Where the balancer asks.
+    pub ready: u16,
+    /// For other entries and metrics.
+    pub inner: u16,
+}
--- /dev/null
+++ b/crates/emulator/src/soak.rs
@@ -0,0 +1,373 @@
+//! Seeded mixes of faults against the promises.
+//!
+//! From a seed come the faults, their times and the load. Faults come in
+//! series and overlap, also while entries stop and start. Afterwards the
+//! site must serve again, and no promise may have been broken.
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use anyhow::Context as _;
+use async_executor::Executor;
+use async_io::Timer;
+use rustix::process::Signal;
+
+use crate::{
+    caller::{Kind, Wish, make},
+    engines,
+    entries::Entries,
+    experiment::{Experiment, Fault, FaultKind},
+    load::{self, Load},
+    report::Report,
+    site::{KEY, MODEL_SERVICE, Site},
+    store::{Store, StoreFault},
+    world::World,
+};
+
+/// Time for a site to be ready.
+const READY: Duration = Duration::from_secs(20);
+/// Time within which it serves again after the last fault.
+const RECOVER: Duration = Duration::from_secs(12);
+/// Faults of a seeded run.
+const FAULTS: usize = 6;
+/// Load of a seeded run.
+const LENGTH: Duration = Duration::from_secs(6);
+
+/// A running site.
+pub struct Running {
+    /// The store.
+    pub store: Store,
+    /// Engines and plain servers.
+    pub world: World,
+    /// Entries.
+    pub entries: Arc<Mutex<Entries>>,
+    /// Where clients connect.
+    pub addresses: Vec<SocketAddr>,
+    version: Mutex<u64>,
+    executor: Arc<Executor<'static>>,
+}
+
+/// Starts a site and waits until it serves.
+///
+/// # Errors
+///
+/// Something could not be started, or is not ready in time.
+pub async fn start(
+    executor: &Arc<Executor<'static>>,
+    binary: &Path,
+    site: &Site,
+) -> anyhow::Result<Running> {
+    let (store, address) = Store::start(executor)?;
+    store.put("op", "config", &site.configuration(1, &[KEY]));
+    let world = World::new(site, &store, executor);
+    engines::start_all(&world)?;
+    let entries = Entries::start(binary, site, address)
+        .with_context(|| format!("entries of {}", binary.display()))?;
+    let addresses = (0..entries.count()).map(|i| entries.address(i));
+    let running = Running {
+        addresses: addresses.collect(),
+        store,
+        world,
+        entries: Arc::new(Mutex::new(entries)),
+        version: Mutex::new(1),
+        executor: executor.clone(),
+    };
+    let is_covered = running.world.wait_for(READY, World::is_covered).await;
+    anyhow::ensure!(is_covered, "no engine was ordered to hold layers");
+    anyhow::ensure!(running.are_ready().await, "an entry is not ready");
+    Ok(running)
+}
+
+impl Running {
+    async fn are_ready(&self) -> bool {
+        let until = Instant::now() + READY;
+        for index in 0..self.addresses.len() {
+            loop {
+                let wish = Wish::new(Kind::Stream, "ready", 1);
+                let wish = Wish { tries: 1, ..wish };
+                let own = [self.addresses[index]];
+                let outcome = make(&wish, &own, 0, Duration::ZERO).await;
+                if outcome.first.is_some() {
+                    break;
+                }
+                if Instant::now() >= until {
+                    return false;
+                }
+                Timer::after(Duration::from_millis(50)).await;
+            }
+        }
+        true
+    }
+
+    /// Puts a new version of the configuration into the store.
+    pub fn configure(&self, keys: &[&str]) -> u64 {
+        let mut version = self.version.lock().expect("no holder panics");
+        *version += 3;
+        let new = self.world.site().configuration(*version, keys);
+        self.store.put("op", "config", &new);
+        *version
+    }
+
+    /// Makes a fault; those that last are ended by a task of their own.
+    pub fn make_fault(&self, fault: &Fault, rng: &mut fastrand::Rng) {
+        let engines = self.world.engines();
+        let engine = rng.choice(engines.iter()).copied();
+        let entry = rng.usize(..self.addresses.len());
+        match (fault.kind, engine) {
+            (FaultKind::EngineEnds, Some(engine)) => {
+                self.replace(engine, fault.length);
+            }
+            (FaultKind::EngineDark, Some(engine)) => {
+                self.world.darken(engine);
+                self.replace_gone(engine, fault.length);
+            }
+            (FaultKind::EngineSlow, Some(engine)) => {
+                self.for_a_time(fault.length, move |world, is_on| {
+                    world.change(engine, |server| {
+                        server.slowness = if is_on { 8.0 } else { 1.0 };
+                    });
+                });
+            }
+            (FaultKind::EngineDrains, Some(engine)) => {
+                self.start_engine_like(engine);
+                self.world.drain(engine);
+            }
+            (FaultKind::EngineComes, Some(engine)) => {
+                self.start_engine_like(engine);
+            }
+            (FaultKind::AnswersLost, _) => {
+                self.for_a_time(fault.length, |world, is_on| {
+                    for address in world.plain_servers() {
+                        world.change(address, |server| {
+                            server.loses_answers =
+                                if is_on { 0.5 } else { 0.0 };
+                        });
+                    }
+                });
+            }
+            (FaultKind::PlainFails, _) => {
+                self.for_a_time(fault.length, |world, is_on| {
+                    for address in world.plain_servers() {
+                        world.change(address, |server| {
+                            server.fails = if is_on { 0.5 } else { 0.0 };
+                        });
+                    }
+                });
+            }
+            (FaultKind::Store(kind), _) => {
+                self.store.set_fault(kind);
+                let store = self.store.clone();
+                self.later(fault.length, async move {
+                    store.set_fault(StoreFault::None);
+                });
+            }
+            (FaultKind::HistoryLost, _) => self.store.forget_history(),
+            (FaultKind::EntryKilled, _) => {
+                self.entries().kill(entry);
+                self.restart_later(entry, fault.length);
+            }
+            (FaultKind::EntryStops, _) => {
+                self.entries().signal(entry, Signal::TERM);
+                self.restart_when_ended(entry);
+            }
+            (FaultKind::EntryPauses, _) => {
+                self.entries().signal(entry, Signal::STOP);
+                let entries = self.entries.clone();
+                self.later(fault.length, async move {
+                    let entries = entries.lock().expect("no holder panics");
+                    entries.signal(entry, Signal::CONT);
+                });
+            }
+            (FaultKind::EntryHangsUp, _) => {
+                self.entries().signal(entry, Signal::HUP);
+            }
+            (FaultKind::Configuration, _) => {
+                self.configure(&[KEY]);
+            }
+            (_, None) => {}
+        }
+    }
+
+    fn entries(&self) -> std::sync::MutexGuard<'_, Entries> {
+        self.entries.lock().expect("no holder panics")
+    }
+
+    fn later(
+        &self,
+        after: Duration,
+        work: impl Future<Output = ()> + Send + 'static,
+    ) {
+        let task = async move {
+            Timer::after(after).await;
+            work.await;
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    fn for_a_time(
+        &self,
+        length: Duration,
+        set: impl Fn(&World, bool) + Send + 'static,
+    ) {
+        set(&self.world, true);
+        let world = self.world.clone();
+        self.later(length, async move { set(&world, false) });
+    }
+
+    fn start_engine_like(&self, engine: SocketAddr) {
+        let Some(server) = self.world.server(engine) else { return };
+        // Without a free port there is one engine less.
+        let _ =
+            engines::start(&self.world, MODEL_SERVICE, &server.data_centre, 0);
+    }
+
+    /// Ends an engine and starts an empty one at its address later.
+    fn replace(&self, engine: SocketAddr, after: Duration) {
+        self.world.end(engine);
+        self.replace_gone(engine, after);
+    }
+
+    fn replace_gone(&self, engine: SocketAddr, after: Duration) {
+        let Some(server) = self.world.server(engine) else { return };
+        let world = self.world.clone();
+        self.later(after, async move {
+            world.end(engine);
+            // Its listener ends a moment later.
+            Timer::after(Duration::from_millis(100)).await;
+            let _ = engines::start(
+                &world,
+                MODEL_SERVICE,
+                &server.data_centre,
+                engine.port(),
+            );
+        });
+    }
+
+    fn restart_later(&self, entry: usize, after: Duration) {
+        let entries = self.entries.clone();
+        self.later(after, async move {
+            let mut entries = entries.lock().expect("no holder panics");
+            entries.kill(entry);
+            // What stays down shows in the report.
+            let _ = entries.start_one(entry);
+        });
+    }
+
+    fn restart_when_ended(&self, entry: usize) {
+        let entries = self.entries.clone();
+        self.later(Duration::from_millis(50), async move {
+            let until = Instant::now() + Duration::from_secs(8);
+            loop {
+                {
+                    let mut entries =
+                        entries.lock().expect("no holder panics");
+                    let has_ended = entries.exit_code(entry).is_some();
+                    if has_ended || Instant::now() >= until {
+                        entries.kill(entry);
+                        let _ = entries.start_one(entry);
+                        return;
+                    }
+                }
+                Timer::after(Duration::from_millis(50)).await;
+            }
+        });
+    }
+
+    /// Runs load and faults; what came of them.
+    pub async fn play(&self, load: &Load, faults: &[Fault]) -> Report {
+        let mut rng = fastrand::Rng::with_seed(load.seed);
+        let start = Instant::now();
+        let strike = async {
+            for fault in faults {
+                Timer::at(start + fault.at).await;
+                self.make_fault(fault, &mut rng);
+            }
+        };
+        let requests = load::run(&self.executor, load, &self.addresses);
+        let (outcomes, ()) = futures_lite::future::zip(requests, strike).await;
+        Report {
+            outcomes,
+            seen: self.world.seen(),
+            faults: faults.to_vec(),
+            store_calls: self.store.calls(),
+        }
+    }
+
+    /// Whether all entries serve within the time of a recovery.
+    pub async fn recovers(&self) -> bool {
+        let until = Instant::now() + RECOVER;
+        while Instant::now() < until {
+            let load = Load {
+                per_s: [(Kind::Stream, 10.0), (Kind::Idempotent, 10.0)].into(),
+                length: Duration::from_secs(1),
+                events: self.world.site().events,
+                seed: fastrand::u64(..),
+            };
+            let report = self.play(&load, &[]).await;
+            if report.outcomes.iter().all(|o| o.is_served()) {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// The experiment of a seed.
+pub fn experiment(seed: u64) -> Experiment {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let site = Site::small();
+    let kinds: Vec<FaultKind> = FaultKind::all().collect();
+    let mut faults: Vec<Fault> = (0..FAULTS)
+        .map(|_| Fault {
+            at: LENGTH.mul_f64(0.1 + 0.8 * rng.f64()),
+            kind: kinds[rng.usize(..kinds.len())],
+            length: Duration::from_millis(rng.u64(300..2_500)),
+        })
+        .collect();
+    faults.sort_by_key(|fault| fault.at);
+    let load = Load {
+        per_s: [
+            (Kind::Stream, 20.0),
+            (Kind::Idempotent, 8.0),
+            (Kind::Once, 8.0),
+        ]
+        .into(),
+        length: LENGTH,
+        events: site.events,
+        seed,
+    };
+    Experiment { site, load, faults }
+}
+
+/// What a seeded run broke; empty when nothing. Logs of entries are kept in
+/// a directory when something was.
+///
+/// # Errors
+///
+/// The site could not be started.
+pub async fn run_seed(
+    executor: &Arc<Executor<'static>>,
+    binary: &Path,
+    seed: u64,
+    logs: Option<&Path>,
+) -> anyhow::Result<(Report, Vec<String>)> {
+    let experiment = experiment(seed);
+    let running = start(executor, binary, &experiment.site).await?;
+    let report = running.play(&experiment.load, &experiment.faults).await;
+    let mut broken = report.violations();
+    if !running.recovers().await {
+        broken.push(format!("not served again within {RECOVER:?}"));
+    }
+    if report.further_arrivals() > 200 {
+        let count = report.further_arrivals();
+        broken.push(format!("{count} further arrivals at engines"));
+    }
+    if let Some(dir) = logs.filter(|_| !broken.is_empty()) {
+        running.entries().keep_logs(&dir.join(seed.to_string()))?;
+    }
+    Ok((report, broken))
+}
--- /dev/null
+++ b/crates/emulator/src/store.rs
@@ -0,0 +1,361 @@
+//! The platform's store: rows, transactions, feeds, and its faults.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    io,
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+    time::{Duration, Instant},
+};
+
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
+use chestnutreach_http::relay::{Inbound, InboundLimits, RelayRequest};
+use serde_json::{Value, json};
+
+/// Time between looks of a feed that waits.
+const FEED_LOOK: Duration = Duration::from_millis(5);
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreFault {
+    /// It serves.
+    None,
+    /// It answers nothing.
+    Silent,
+    /// It refuses with 503.
+    Busy,
+    /// It answers late, by these milliseconds.
+    Slow(u64),
+    /// Writes are done and not answered.
+    LosesAnswers,
+    /// Writes are done these milliseconds later and not answered.
+    LateWrites(u64),
+}
+
+/// A row.
+#[derive(Clone, Debug)]
+struct Row {
+    value: String,
+    version: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<(String, String), Row>,
+    /// Changes in order, with what was dropped.
+    history: VecDeque<(u64, String, String, Option<String>)>,
+    /// Feeds must begin after this version.
+    forgotten: u64,
+    version: u64,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    fault: Mutex<StoreFault>,
+    start: Instant,
+    calls: AtomicU64,
+    executor: Arc<Executor<'static>>,
+}
+
+impl Store {
+    /// An empty store that listens on a port of its own.
+    ///
+    /// # Errors
+    ///
+    /// No port can be opened.
+    pub fn start(
+        executor: &Arc<Executor<'static>>,
+    ) -> io::Result<(Store, SocketAddr)> {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
+        let address = listener.get_ref().local_addr()?;
+        let shared = Shared {
+            state: Mutex::default(),
+            fault: Mutex::new(StoreFault::None),
+            start: Instant::now(),
+            calls: AtomicU64::new(0),
+            executor: executor.clone(),
+        };
+        let store = Store { shared: Arc::new(shared) };
+        let accepting = store.clone();
+        let accept = async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                let serve = accepting.clone().serve(socket);
+                accepting.shared.executor.spawn(serve).detach();
+            }
+        };
+        executor.spawn(accept).detach();
+        Ok((store, address))
+    }
+
+    /// Sets how it fails.
+    pub fn set_fault(&self, fault: StoreFault) {
+        *self.shared.fault.lock().expect("no holder panics") = fault;
+    }
+
+    /// Calls taken so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Relaxed)
+    }
+
+    /// Writes a row as the operator or a server does; its version.
+    pub fn put(&self, table: &str, key: &str, value: &Value) -> u64 {
+        let value = BASE64.encode(value.to_string());
+        self.lock().set(table, key, Some(value))
+    }
+
+    /// Drops a row.
+    pub fn drop_row(&self, table: &str, key: &str) {
+        self.lock().set(table, key, None);
+    }
+
+    /// A row's value, if it is there.
+    pub fn get(&self, table: &str, key: &str) -> Option<Value> {
+        let state = self.lock();
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        serde_json::from_slice(&BASE64.decode(&row.value).ok()?).ok()
+    }
+
+    /// Forgets its history: feeds that go on get 410.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.history.clear();
+        state.forgotten = state.version;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.shared.state.lock().expect("no holder panics")
+    }
+
+    fn fault(&self) -> StoreFault {
+        *self.shared.fault.lock().expect("no holder panics")
+    }
+
+    async fn serve(self, socket: Async<TcpStream>) {
+        let Ok(mut inbound) = Inbound::new(socket) else { return };
+        let limits = InboundLimits {
+            max_head_bytes: 16 << 10,
+            max_body_bytes: 1 << 20,
+            head_timeout: Duration::from_secs(5),
+            body_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(60),
+        };
+        while inbound.wait_for_bytes().await.is_ok() {
+            let Ok(request) = inbound.receive(&limits).await else {
+                return;
+            };
+            self.shared.calls.fetch_add(1, Relaxed);
+            let Some((status, body)) = self.answer(&request).await else {
+                // Nothing further comes on this connection.
+                Timer::after(Duration::from_secs(30)).await;
+                return;
+            };
+            let body = body.to_string();
+            let head = format!(
+                "HTTP/1.1 {status} x\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            if inbound.write(head.as_bytes()).await.is_err()
+                || inbound.write(body.as_bytes()).await.is_err()
+            {
+                return;
+            }
+        }
+    }
+
+    /// The answer; none where none comes.
+    async fn answer(&self, request: &RelayRequest) -> Option<(u16, Value)> {
+        let is_write = request.method == "POST";
+        match self.fault() {
+            StoreFault::None => {}
+            StoreFault::Silent => return None,
+            StoreFault::Busy => return Some((503, json!({}))),
+            StoreFault::Slow(ms) => {
+                Timer::after(Duration::from_millis(ms)).await;
+            }
+            StoreFault::LosesAnswers if is_write => {
+                self.transact(request);
+                return None;
+            }
+            StoreFault::LateWrites(ms) if is_write => {
+                Timer::after(Duration::from_millis(ms)).await;
+                self.transact(request);
+                return None;
+            }
+            StoreFault::LosesAnswers | StoreFault::LateWrites(_) => {}
+        }
+        let path = request.path().to_owned();
+        match path.as_str() {
+            "/v1/rows-tx" => Some(self.transact(request)),
+            "/v1/rows-get" => Some(self.read(request)),
+            "/v1/rows-feed" => self.feed(request).await,
+            _ => Some((404, json!({}))),
+        }
+    }
+
+    fn transact(&self, request: &RelayRequest) -> (u16, Value) {
+        let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
+            return (400, json!({}));
+        };
+        let list =
+            |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let mut state = self.lock();
+        for row in list("expect-rev") {
+            let current = state.rows.get(&name_of(&row));
+            let version = current.map_or(0, |row| row.version);
+            if row["ver"].as_u64() != Some(version) {
+                return (412, json!({"rows": [], "ver": state.version}));
+            }
+        }
+        for row in list("set-keys") {
+            let (table, key) = name_of(&row);
+            if matches!(table.as_str(), "op" | "servers") {
+                return (403, json!({}));
+            }
+            let value = row["value"].as_str().unwrap_or("").to_owned();
+            state.set(&table, &key, Some(value));
+        }
+        (200, json!({"ver": state.version, "now-ms": self.now_ms()}))
+    }
+
+    fn read(&self, request: &RelayRequest) -> (u16, Value) {
+        let query = Query::of(request);
+        let table = query.text("table");
+        let from = query.text("from");
+        let limit = query.number("limit").unwrap_or(500) as usize;
+        let state = self.lock();
+        let first = (table.clone(), from);
+        let rows = state.rows.range(first..).filter(|row| row.0.0 == table);
+        let all: Vec<Value> = rows
+            .take(limit + 1)
+            .map(|((table, key), row)| {
+                json!({"table": table, "part": "", "key": key,
+                    "value": row.value, "ver": row.version})
+            })
+            .collect();
+        let is_truncated = all.len() > limit;
+        let rows = &all[..all.len().min(limit)];
+        let body = json!({"rows": rows, "truncated": is_truncated,
+            "ver": state.version, "now-ms": self.now_ms()});
+        (200, body)
+    }
+
+    async fn feed(&self, request: &RelayRequest) -> Option<(u16, Value)> {
+        let query = Query::of(request);
+        let table = query.text("table");
+        let after = query.number("after-rev").unwrap_or(0);
+        let wait = query.number("wait-ms").unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait);
+        loop {
+            if self.fault() == StoreFault::Silent {
+                return None;
+            }
+            {
+                let state = self.lock();
+                if after < state.forgotten {
+                    return Some((410, json!({})));
+                }
+                let rows = state.changes(&table, after);
+                if !rows.is_empty() || Instant::now() >= until {
+                    let body = json!({"rows": rows, "ver": state.version,
+                        "now-ms": self.now_ms()});
+                    return Some((200, body));
+                }
+            }
+            Timer::after(FEED_LOOK).await;
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.shared.start.elapsed().as_millis() as u64
+    }
+}
+
+impl State {
+    fn set(&mut self, table: &str, key: &str, value: Option<String>) -> u64 {
+        self.version += 1;
+        let name = (table.to_owned(), key.to_owned());
+        match &value {
+            Some(value) => {
+                let row = Row { value: value.clone(), version: self.version };
+                self.rows.insert(name, row);
+            }
+            None => {
+                self.rows.remove(&name);
+            }
+        }
+        let change = (self.version, table.to_owned(), key.to_owned(), value);
+        self.history.push_back(change);
+        self.version
+    }
+
+    fn changes(&self, table: &str, after: u64) -> Vec<Value> {
+        let changed = self.history.iter();
+        let changed = changed.filter(|c| c.0 > after && c.1 == table);
+        let row = |c: &(u64, String, String, Option<String>)| match &c.3 {
+            Some(value) => json!({"table": c.1, "part": "", "key": c.2,
+                "value": value, "ver": c.0}),
+            None => json!({"table": c.1, "part": "", "key": c.2,
+                "ver": c.0, "deleted": true}),
+        };
+        changed.map(row).collect()
+    }
+}
+
+fn name_of(row: &Value) -> (String, String) {
+    let text = |name: &str| row[name].as_str().unwrap_or("").to_owned();
+    (text("table"), text("key"))
+}
+
+/// The query of a request.
+struct Query(BTreeMap<String, String>);
+
+impl Query {
+    fn of(request: &RelayRequest) -> Query {
+        let query = request.target.split_once('?').map_or("", |q| q.1);
+        let pair = |pair: &str| {
+            let (name, value) = pair.split_once('=')?;
+            Some((name.to_owned(), unescape(value)))
+        };
+        Query(query.split('&').filter_map(pair).collect())
+    }
+
+    fn text(&self, name: &str) -> String {
+        self.0.get(name).cloned().unwrap_or_default()
+    }
+
+    fn number(&self, name: &str) -> Option<u64> {
+        self.0.get(name)?.parse().ok()
+    }
+}
+
+fn unescape(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        rest = tail;
+        let digits = rest.get(..2).filter(|_| *first == b'%');
+        let byte = digits
+            .and_then(|d| std::str::from_utf8(d).ok())
+            .and_then(|d| u8::from_str_radix(d, 16).ok());
+        match byte {
+            Some(byte) => {
+                bytes.push(byte);
+                rest = &rest[2..];
+            }
+            None => bytes.push(*first),
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- /dev/null
+++ b/crates/emulator/src/world.rs
@@ -0,0 +1,460 @@
+//! Engines, their layers, runs and faults.
+//!
+//! All engines share one state, so that a stream at its first engine sees at
+//! once whether the others of its path live and hold their layers. What must
+//! never happen at an engine is noted as a violation when it does.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use async_executor::Executor;
+use async_io::Timer;
+use serde_json::json;
+
+use crate::{
+    site::{ACCOUNT, MODEL_SERVICE, PLAIN_SERVICE, Site},
+    store::Store,
+};
+
+/// Table of backend servers in the store.
+const TABLE: &str = "servers";
+/// After so long the row of a dead server is dropped.
+const LAPSE: Duration = Duration::from_millis(1_200);
+/// How long a server that drains still serves.
+const DRAIN: Duration = Duration::from_millis(1_500);
+/// Time to load layers.
+const LOAD: Duration = Duration::from_millis(150);
+/// How long work waits for a dead engine before it is cut.
+pub(crate) const STALL: Duration = Duration::from_millis(3_000);
+
+/// Whether a server runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Life {
+    /// It serves.
+    Serving,
+    /// It takes nothing new and will end.
+    Draining,
+    /// It takes connections and does nothing: on loopback a machine without
+    /// power can't be imitated further.
+    Dark,
+    /// Its process has ended.
+    Ended,
+}
+
+/// One part of a path.
+pub type Part = (SocketAddr, u32, u32);
+
+/// A backend server.
+#[derive(Clone, Debug)]
+pub struct ServerState {
+    /// New for each start.
+    pub id: String,
+    /// Its service.
+    pub service: &'static str,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Whether it runs.
+    pub life: Life,
+    /// Layers that it holds.
+    pub held: Option<(u32, u32)>,
+    /// Orders begun.
+    pub orders: u64,
+    /// Factor on its times.
+    pub slowness: f64,
+    /// Share of requests whose answer is lost after they ran.
+    pub loses_answers: f64,
+    /// Share of requests that fail with 500.
+    pub fails: f64,
+    /// Streams of which it is the first engine, by request id.
+    pub streams: BTreeMap<String, StreamState>,
+}
+
+/// A stream at its first engine.
+#[derive(Clone, Debug)]
+pub struct StreamState {
+    /// Engines that it passes.
+    pub path: Vec<Part>,
+    /// Engine that it waits for.
+    pub stalled_at: Option<SocketAddr>,
+}
+
+/// What engines saw that must not happen, and what they ran.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// What must not happen.
+    pub violations: Vec<String>,
+    /// Runs of each request, by its id.
+    pub runs: BTreeMap<String, u32>,
+    /// Arrivals of each request, by its id.
+    pub arrivals: BTreeMap<String, u32>,
+    /// Orders to change a path that were carried out.
+    pub path_changes: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    servers: BTreeMap<SocketAddr, ServerState>,
+    seen: Seen,
+    next_id: u64,
+}
+
+/// All backend servers.
+#[derive(Clone, Debug)]
+pub struct World {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    site: Site,
+    store: Store,
+    executor: Arc<Executor<'static>>,
+}
+
+impl World {
+    /// No servers yet.
+    pub fn new(
+        site: &Site,
+        store: &Store,
+        executor: &Arc<Executor<'static>>,
+    ) -> World {
+        let shared = Shared {
+            state: Mutex::default(),
+            site: site.clone(),
+            store: store.clone(),
+            executor: executor.clone(),
+        };
+        World { shared: Arc::new(shared) }
+    }
+
+    /// What is emulated.
+    pub fn site(&self) -> &Site {
+        &self.shared.site
+    }
+
+    pub(crate) fn executor(&self) -> &Arc<Executor<'static>> {
+        &self.shared.executor
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.shared.state.lock().expect("no holder panics")
+    }
+
+    /// Starts a server at an address; its id.
+    pub(crate) fn add(
+        &self,
+        address: SocketAddr,
+        service: &'static str,
+        data_centre: &str,
+    ) -> String {
+        let mut state = self.lock();
+        state.next_id += 1;
+        let id = format!("i-{:04}", state.next_id);
+        let server = ServerState {
+            id: id.clone(),
+            service,
+            data_centre: data_centre.to_owned(),
+            life: Life::Serving,
+            held: None,
+            orders: 0,
+            slowness: 1.0,
+            loses_answers: 0.0,
+            fails: 0.0,
+            streams: BTreeMap::new(),
+        };
+        state.servers.insert(address, server);
+        drop(state);
+        self.tell(address);
+        id
+    }
+
+    /// A server as it stands.
+    pub fn server(&self, address: SocketAddr) -> Option<ServerState> {
+        self.lock().servers.get(&address).cloned()
+    }
+
+    /// Addresses of a service's servers that run.
+    pub fn addresses(&self, service: &str) -> Vec<SocketAddr> {
+        let state = self.lock();
+        let runs = state
+            .servers
+            .iter()
+            .filter(|(_, s)| s.service == service && s.life != Life::Ended);
+        runs.map(|(address, _)| *address).collect()
+    }
+
+    /// Addresses of engines that run.
+    pub fn engines(&self) -> Vec<SocketAddr> {
+        self.addresses(MODEL_SERVICE)
+    }
+
+    /// Addresses of servers of the plain service.
+    pub fn plain_servers(&self) -> Vec<SocketAddr> {
+        self.addresses(PLAIN_SERVICE)
+    }
+
+    /// Changes a server.
+    pub fn change(
+        &self,
+        address: SocketAddr,
+        change: impl FnOnce(&mut ServerState),
+    ) {
+        if let Some(server) = self.lock().servers.get_mut(&address) {
+            change(server);
+        }
+    }
+
+    /// What was seen so far.
+    pub fn seen(&self) -> Seen {
+        self.lock().seen.clone()
+    }
+
+    pub(crate) fn note_violation(&self, text: String) {
+        self.lock().seen.violations.push(text);
+    }
+
+    pub(crate) fn note_arrival(&self, request: &str) {
+        let mut state = self.lock();
+        let count = state.seen.arrivals.entry(request.to_owned());
+        *count.or_default() += 1;
+    }
+
+    pub(crate) fn note_run(&self, request: &str) {
+        let mut state = self.lock();
+        let count = state.seen.runs.entry(request.to_owned());
+        *count.or_default() += 1;
+    }
+
+    /// Checks what any request to a server must carry.
+    pub(crate) fn check_request(
+        &self,
+        request: &str,
+        account: Option<&str>,
+        has_key: bool,
+    ) {
+        if has_key {
+            self.note_violation(format!("{request}: a key was passed on"));
+        }
+        if account != Some(ACCOUNT) {
+            let text = format!("{request}: client account {account:?}");
+            self.note_violation(text);
+        }
+    }
+
+    /// Ends a server's process: it is refused from now on.
+    pub fn end(&self, address: SocketAddr) {
+        self.change(address, |server| {
+            server.life = Life::Ended;
+            server.streams.clear();
+        });
+        self.lapse_later(address);
+    }
+
+    /// Lets a server fall silent.
+    pub fn darken(&self, address: SocketAddr) {
+        self.change(address, |server| server.life = Life::Dark);
+        self.lapse_later(address);
+    }
+
+    /// Has a server leave in order.
+    pub fn drain(&self, address: SocketAddr) {
+        self.change(address, |server| server.life = Life::Draining);
+        self.tell(address);
+        let world = self.clone();
+        let later = async move {
+            Timer::after(DRAIN).await;
+            world.end(address);
+        };
+        self.shared.executor.spawn(later).detach();
+    }
+
+    fn lapse_later(&self, address: SocketAddr) {
+        let Some(server) = self.server(address) else { return };
+        let store = self.shared.store.clone();
+        let later = async move {
+            Timer::after(LAPSE).await;
+            store.drop_row(TABLE, &server.id);
+        };
+        self.shared.executor.spawn(later).detach();
+    }
+
+    /// Writes the server's row.
+    pub fn tell(&self, address: SocketAddr) {
+        let Some(server) = self.server(address) else { return };
+        let state = match server.life {
+            Life::Draining => "draining",
+            _ => "ready",
+        };
+        let mut row = json!({
+            "service": server.service,
+            "address": address.to_string(),
+            "zone": server.data_centre,
+            "slots": 64,
+            "state": state,
+            "seq": 7,
+        });
+        if server.service == MODEL_SERVICE {
+            row["kind"] = json!("card");
+            row["layers"] = layers_json(server.held);
+        }
+        self.shared.store.put(TABLE, &server.id, &row);
+    }
+
+    /// Carries out an order to hold layers; the status of the answer.
+    pub(crate) fn place(
+        &self,
+        address: SocketAddr,
+        range: (u32, u32),
+        expected: Option<u64>,
+    ) -> u16 {
+        let most = self.shared.site.max_layers();
+        {
+            let mut state = self.lock();
+            let Some(server) = state.servers.get_mut(&address) else {
+                return 404;
+            };
+            if expected.is_some_and(|orders| orders != server.orders) {
+                return 409;
+            }
+            if server.held == Some(range) {
+                return 200;
+            }
+            server.orders += 1;
+            server.held = None;
+            if range.1 - range.0 > most {
+                let text = format!("{address} was ordered to hold {range:?}");
+                state.seen.violations.push(text);
+            }
+        }
+        let world = self.clone();
+        let later = async move {
+            Timer::after(LOAD).await;
+            world.change(address, |server| server.held = Some(range));
+            world.tell(address);
+        };
+        self.shared.executor.spawn(later).detach();
+        202
+    }
+
+    /// Changes the path of a stream; the status, and who refuses.
+    pub(crate) fn change_path(
+        &self,
+        first: SocketAddr,
+        request: &str,
+        path: Vec<Part>,
+    ) -> (u16, Option<SocketAddr>) {
+        if let Some(bad) = self.missing_part(&path) {
+            return (409, Some(bad.0));
+        }
+        let mut state = self.lock();
+        let server = state.servers.get_mut(&first);
+        let stream = server.and_then(|s| s.streams.get_mut(request));
+        let Some(stream) = stream else { return (404, None) };
+        stream.path = path;
+        stream.stalled_at = None;
+        state.seen.path_changes += 1;
+        (200, None)
+    }
+
+    /// The first part whose engine is away, draining or lacks the layers,
+    /// with the status that says so.
+    pub(crate) fn missing_part(
+        &self,
+        path: &[Part],
+    ) -> Option<(SocketAddr, u16)> {
+        let state = self.lock();
+        path.iter().find_map(|(address, from, to)| {
+            let server = state.servers.get(address);
+            let server = server.filter(|s| s.life == Life::Serving);
+            let Some(server) = server else { return Some((*address, 503)) };
+            let holds = server
+                .held
+                .is_some_and(|held| held.0 <= *from && *to <= held.1);
+            (!holds).then_some((*address, 421))
+        })
+    }
+
+    /// The part of a running stream whose engine no longer works.
+    pub(crate) fn dead_part(&self, path: &[Part]) -> Option<SocketAddr> {
+        let state = self.lock();
+        path.iter().map(|part| part.0).find(|address| {
+            let server = state.servers.get(address);
+            !server.is_some_and(|s| {
+                matches!(s.life, Life::Serving | Life::Draining)
+            })
+        })
+    }
+
+    /// Notes a path that does not run every layer once and in order.
+    pub(crate) fn check_layers(&self, request: &str, path: &[Part]) {
+        let mut next = 0;
+        let mut is_whole = true;
+        for (_, from, to) in path {
+            is_whole &= *from == next && from < to;
+            next = *to;
+        }
+        if !is_whole || next != self.shared.site.layer_count {
+            self.note_violation(format!("{request}: path {path:?}"));
+        }
+    }
+
+    /// Time of an event over a path.
+    pub(crate) fn event_time(&self, path: &[Part]) -> Duration {
+        let state = self.lock();
+        let slowness = path
+            .iter()
+            .filter_map(|part| state.servers.get(&part.0))
+            .map(|server| server.slowness)
+            .fold(1.0, f64::max);
+        let ms = self.shared.site.event_ms as f64 * slowness;
+        Duration::from_micros((ms * 1e3) as u64)
+    }
+
+    /// Waits until something is as wished; false after the time.
+    pub async fn wait_for(
+        &self,
+        limit: Duration,
+        is_so: impl Fn(&World) -> bool,
+    ) -> bool {
+        let until = Instant::now() + limit;
+        while !is_so(self) {
+            if Instant::now() >= until {
+                return false;
+            }
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        true
+    }
+
+    /// Whether every layer is held in each data centre.
+    pub fn is_covered(&self) -> bool {
+        let state = self.lock();
+        let site = &self.shared.site;
+        site.data_centres.iter().all(|data_centre| {
+            (0..site.layer_count).all(|layer| {
+                state.servers.values().any(|server| {
+                    server.data_centre == *data_centre
+                        && server.life == Life::Serving
+                        && server
+                            .held
+                            .is_some_and(|h| h.0 <= layer && layer < h.1)
+                })
+            })
+        })
+    }
+}
+
+/// Layers as rows and reports tell them.
+pub(crate) fn layers_json(held: Option<(u32, u32)>) -> serde_json::Value {
+    match held {
+        Some((from, to)) => {
+            json!({"from": from, "target": to, "version": 1})
+        }
+        None => serde_json::Value::Null,
+    }
+}
