Decide at the break whether a first engine has ended; share the retry bound

Now: what ended is decided by a dial when the answer breaks; entries tell each other what they sent and borrow what is left; begun streams wait for room; a process uses less of the bound within its first window.

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -23,6 +23,10 @@
 /// is checked a little after it was sent.
 const REVOKE_MARGIN_MS: u64 = 400;
 
+/// Share of the bound on further arrivals that a process uses within its
+/// first window: with the share of the one before it, the bound holds.
+const SHARE_WHILE_NEW: f64 = 0.3;
+
 /// Why an entry is not ready.
 pub(crate) const NEEDS_CONFIGURATION: &str = "configuration";
 pub(crate) const NEEDS_BACKENDS: &str = "backends";
@@ -33,6 +37,7 @@
 pub(crate) struct Core {
     pub(crate) settings: NodeSettings,
     pub(crate) boot_id: u64,
+    started_ms: u64,
     pub(crate) executor: Arc<Executor<'static>>,
     configuration: ArcSwapOption<Configuration>,
     /// When the store last confirmed the configuration in force.
@@ -67,6 +72,7 @@
         let conditions = [NEEDS_CONFIGURATION, NEEDS_BACKENDS];
         Core {
             boot_id: fastrand::u64(1..),
+            started_ms: now_ms(),
             settings,
             executor,
             configuration: ArcSwapOption::empty(),
@@ -165,9 +171,16 @@
 
     fn retry_bounds(&self) -> RetryBounds {
         let bounds = &self.settings.bounds;
+        // What the process before this one sent still counts, and is not
+        // known here.
+        let age_ms = now_ms().saturating_sub(self.started_ms);
+        let share = match age_ms < bounds.retry_window_ms {
+            true => SHARE_WHILE_NEW,
+            false => 1.0,
+        };
         RetryBounds {
-            ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack,
+            ratio: bounds.retry_ratio * share,
+            slack: bounds.retry_slack * share,
             window_ms: bounds.retry_window_ms,
         }
     }
@@ -183,13 +196,25 @@
         window.note_request(&bounds, now_ms());
     }
 
+    /// What this entry sent to each service within the window.
+    pub(crate) fn sent_to_services(&self) -> Vec<(String, u32, u32)> {
+        let bounds = self.retry_bounds();
+        let mut retries = self.retries.lock().expect("no holder panics");
+        let sent = |(name, window): (&String, &mut RetryWindow)| {
+            let (requests, further) = window.sent(&bounds, now_ms());
+            (name.clone(), requests, further)
+        };
+        retries.iter_mut().map(sent).collect()
+    }
+
     /// Takes one further arrival at a service from the shared bound.
     pub(crate) fn take_retry(&self, service: &str) -> bool {
         let bounds = self.retry_bounds();
         let entries = self.peers.entry_count();
         let mut retries = self.retries.lock().expect("no holder panics");
         let window = retries.entry(service.to_owned()).or_default();
-        let is_allowed = window.take(&bounds, entries, now_ms());
+        let others = self.peers.others_sent(service);
+        let is_allowed = window.take(&bounds, entries, &others, now_ms());
         drop(retries);
         if !is_allowed {
             self.metrics.service(service).retries_denied.inc();
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -18,7 +18,8 @@
 
 use async_io::{Async, Timer};
 use chestnutreach_adapter::store::StoreClient;
-use chestnutreach_protocol::peers::{EngineUse, PeerState};
+use chestnutreach_protocol::peers::{EngineUse, PeerState, ServiceUse};
+use chestnutreach_routing::OthersSent;
 use chestnutreach_telemetry::{Event, emit};
 use prost::Message as _;
 
@@ -48,6 +49,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct PeerTable {
     peers: Mutex<BTreeMap<SocketAddr, Peer>>,
+    /// What processes told, by boot id. It outlives them for a window: what
+    /// they sent counts that long.
+    told: Mutex<BTreeMap<u64, Told>>,
     /// When another entry last said that it holds the planner's lease.
     planner_ms: AtomicU64,
     /// Highest number of a lease whose holder said that it gave it up.
@@ -63,6 +67,14 @@
     crossing_bytes_per_s: f64,
 }
 
+/// What a process told that it sent to services.
+#[derive(Debug, Default)]
+struct Told {
+    heard_ms: u64,
+    /// Requests and further arrivals by service.
+    sent: BTreeMap<String, (u32, u32)>,
+}
+
 impl PeerTable {
     /// Entries that share what is shared, with this one.
     pub(crate) fn entry_count(&self) -> usize {
@@ -74,6 +86,21 @@
         live.max(peers.len()) + 1
     }
 
+    /// What others sent to a service within the window, as they told.
+    pub(crate) fn others_sent(&self, service: &str) -> OthersSent {
+        let told = self.told.lock().expect("no holder panics");
+        let mut others = OthersSent::default();
+        for told in told.values() {
+            let (requests, further) =
+                told.sent.get(service).copied().unwrap_or_default();
+            others.requests += requests;
+            others.further += further;
+        }
+        let live = self.lock();
+        others.entries = live.values().filter(|p| p.boot_id != 0).count();
+        others
+    }
+
     /// Whether another entry plans, as far as is known.
     pub(crate) fn has_planner(&self, now_ms: u64) -> bool {
         let heard_ms = self.planner_ms.load(Relaxed);
@@ -91,7 +118,8 @@
     }
 
     fn add(&self, address: SocketAddr) {
-        self.lock().entry(address).or_default();
+        let unheard = Peer { heard_ms: now_ms(), ..Peer::default() };
+        self.lock().entry(address).or_insert(unheard);
     }
 
     fn addresses(&self) -> Vec<SocketAddr> {
@@ -156,12 +184,19 @@
         })
     };
     let engines = core.fleet.all().into_iter().filter_map(engine_use);
+    let sent = core.sent_to_services().into_iter();
+    let services = sent.map(|(service, requests, further)| ServiceUse {
+        service,
+        requests,
+        further,
+    });
     PeerState {
         boot_id: core.boot_id,
         sequence,
         vm: core.settings.vm.clone(),
         configuration: core.configuration().map_or(0, |c| c.version),
         engines: engines.collect(),
+        services: services.collect(),
         is_planner: core.is_planner.load(Relaxed),
         crossing_kilobytes_per_s: (core.crossing.bytes_per_s(now_ms()) / 1e3)
             as u32,
@@ -204,12 +239,24 @@
     if let Some(old) = old {
         forget_use(core, old);
     }
+    take_sent(core, state);
     core.peers.resigned.fetch_max(state.resigned, Relaxed);
     let planner_ms = if state.is_planner { now_ms() } else { 0 };
     core.peers.planner_ms.fetch_max(planner_ms, Relaxed);
     take_use(core, state);
 }
 
+fn take_sent(core: &Core, state: &PeerState) {
+    let now_ms = now_ms();
+    let window_ms = core.settings.bounds.retry_window_ms;
+    let sent = state.services.iter();
+    let sent = sent.map(|s| (s.service.clone(), (s.requests, s.further)));
+    let new = Told { heard_ms: now_ms, sent: sent.collect() };
+    let mut told = core.peers.told.lock().expect("no holder panics");
+    told.insert(state.boot_id, new);
+    told.retain(|_, t| now_ms.saturating_sub(t.heard_ms) < window_ms);
+}
+
 fn take_use(core: &Arc<Core>, state: &PeerState) {
     let told: BTreeMap<u32, &EngineUse> =
         state.engines.iter().map(|used| (used.engine, used)).collect();
@@ -231,8 +278,8 @@
     let mut silent = Vec::new();
     core.peers.lock().retain(|_, peer| {
         let silent_ms = now_ms.saturating_sub(peer.heard_ms);
-        let is_silent = peer.boot_id != 0 && silent_ms > SILENT_MS;
-        if is_silent {
+        let is_silent = silent_ms > SILENT_MS;
+        if is_silent && peer.boot_id != 0 {
             silent.push((peer.vm.clone(), peer.boot_id, silent_ms));
         }
         !is_silent
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -74,6 +74,8 @@
 const MAX_WAIT_MS: u64 = 1_500;
 /// Longest wait for a path of a stream that has begun.
 const MAX_RESUME_WAIT_MS: u64 = 900;
+/// Pause before asking the shared bound again.
+const RETRY_AGAIN: Duration = Duration::from_millis(100);
 /// Pause before looking again for a path.
 const SEEK_AGAIN: Duration = Duration::from_millis(15);
 /// Share of the estimated answer that is planned with: it grows from none.
@@ -283,13 +285,7 @@
                 AttemptEnd::Whole => return self.finish(inbound).await,
                 AttemptEnd::CallerGone => return self.note_caller_gone(),
                 AttemptEnd::NotRun(at) => self.avoid(at),
-                AttemptEnd::Broken => {
-                    let first = self.path.first().clone();
-                    self.without.insert(first.id.clone());
-                    self.cause = "resumed";
-                    // Whether it has ended decides whether it counts.
-                    probe::probe(self.core.clone(), first).await;
-                }
+                AttemptEnd::Broken => self.leave_first().await,
                 AttemptEnd::Failed(head, body) => {
                     self.without.insert(self.path.first().id.clone());
                     self.cause = "failed";
@@ -318,19 +314,27 @@
         has_time && (may_repeat || !self.may_have_run)
     }
 
-    /// Whether another first engine may get it; those that did not run it
-    /// or have ended do not count.
+    /// Whether another first engine may get it.
     fn may_attempt_more(&self) -> bool {
-        let has_ended = |id: &&String| match self.core.fleet.get(id) {
-            Some(engine) => {
-                let suspicion = engine.lock().suspicion;
-                suspicion.is_some_and(|s| s.evidence != Evidence::Stalled)
-            }
-            None => true,
+        self.ran_at.len() < self.admitted.route.max_attempts as usize
+    }
+
+    /// Takes that the first engine no longer answers this request. It does
+    /// not count as one that ran it if it has ended, which a dial shows now;
+    /// one that ends later has still run it.
+    async fn leave_first(&mut self) {
+        let first = self.path.first().clone();
+        self.without.insert(first.id.clone());
+        self.cause = "resumed";
+        probe::probe(self.core.clone(), first.clone()).await;
+        let has_ended = {
+            let state = first.lock();
+            let evidence = state.suspicion.map(|s| s.evidence);
+            state.is_gone || evidence.is_some_and(|e| e != Evidence::Stalled)
         };
-        let ended = self.ran_at.iter().filter(has_ended).count();
-        let most = self.admitted.route.max_attempts as usize;
-        self.ran_at.len() - ended < most
+        if has_ended {
+            self.ran_at.remove(&first.id);
+        }
     }
 
     /// Finds a path, waiting a moment for layers or room.
@@ -343,20 +347,27 @@
         if !self.may_send() || !self.may_attempt_more() {
             return false;
         }
-        let is_further = self.ended.attempts > 0;
-        if is_further && !self.core.take_retry(&self.admitted.service.name) {
-            return false;
-        }
+        // A stream that has begun waits for the shared bound to leave room,
+        // rather than break off.
+        let mut needs_retry = self.ended.attempts > 0;
         loop {
             if let Some(path) = self.path_now() {
-                self.holds = path.hold(self.tokens);
-                self.path = path;
-                return true;
+                needs_retry = needs_retry
+                    && !self.core.take_retry(&self.admitted.service.name);
+                if !needs_retry {
+                    self.holds = path.hold(self.tokens);
+                    self.path = path;
+                    return true;
+                }
+                if !self.is_head_sent {
+                    return false;
+                }
             }
             if now_ms() >= until_ms {
                 return false;
             }
-            Timer::after(SEEK_AGAIN).await;
+            let pause = if needs_retry { RETRY_AGAIN } else { SEEK_AGAIN };
+            Timer::after(pause).await;
         }
     }
 
--- a/crates/routing/src/retry_window.rs
+++ b/crates/routing/src/retry_window.rs
@@ -1,10 +1,13 @@
 //! Further arrivals where all entries share a bound in time.
 //!
 //! In any window, the further arrivals at a service stay under a share of
-//! the requests to it plus a slack. No entry knows what the others send at
-//! this moment, so each keeps to its part of the slack and to the share of
-//! its own requests: the sum then holds whatever the others do. An entry that
-//! restarts forgets what it sent; the part of the slack that is left out
+//! the requests to it plus a slack. Each entry may use its part of the slack
+//! and the share of its own requests: that sum holds whatever the others do.
+//! Failures fall on few entries, so an entry that has used its part borrows
+//! from what the others have told that they leave. What they told is some
+//! time old; in that time each entry borrows only its part of half of what
+//! is left, so that all together can't pass the bound either. An entry that
+//! restarts forgets what it sent; the part of the bound that is left out
 //! pays for that.
 
 use std::collections::VecDeque;
@@ -15,6 +18,12 @@
 /// straddle the window.
 const USED: f64 = 0.75;
 
+/// Part of what is left that all entries may borrow before they have told
+/// each other.
+const BORROWED: f64 = 0.5;
+/// Time in which entries have told each other what they sent.
+const TOLD_WITHIN_MS: u64 = 700;
+
 /// The bound that all entries share.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBounds {
@@ -26,6 +35,17 @@
     pub window_ms: u64,
 }
 
+/// What all other entries sent to a service in the window, as they told.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct OthersSent {
+    /// Other entries that told.
+    pub entries: usize,
+    /// Requests of clients.
+    pub requests: u32,
+    /// Further arrivals.
+    pub further: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Cell {
     start_ms: u64,
@@ -37,6 +57,8 @@
 #[derive(Debug, Default)]
 pub struct RetryWindow {
     cells: VecDeque<Cell>,
+    /// When it last borrowed, and how much since then.
+    borrowing: (u64, f64),
 }
 
 impl RetryWindow {
@@ -56,9 +78,11 @@
         &mut self,
         bounds: &RetryBounds,
         entries: usize,
+        others: &OthersSent,
         now_ms: u64,
     ) -> bool {
-        let is_allowed = self.left(bounds, entries, now_ms) >= 1.0;
+        let is_allowed = self.left(bounds, entries, now_ms) >= 1.0
+            || self.borrow(bounds, entries, others, now_ms);
         if is_allowed {
             self.cell(bounds, now_ms).further += 1;
         }
@@ -80,6 +104,40 @@
         bound - f64::from(further)
     }
 
+    /// Requests and further arrivals in the window.
+    pub fn sent(&mut self, bounds: &RetryBounds, now_ms: u64) -> (u32, u32) {
+        self.forget(bounds, now_ms);
+        let requests = self.cells.iter().map(|c| c.requests).sum();
+        (requests, self.cells.iter().map(|c| c.further).sum())
+    }
+
+    /// Takes one further arrival of what the others leave.
+    fn borrow(
+        &mut self,
+        bounds: &RetryBounds,
+        entries: usize,
+        others: &OthersSent,
+        now_ms: u64,
+    ) -> bool {
+        // Without word of all others nothing is known to be left.
+        if others.entries + 1 < entries {
+            return false;
+        }
+        let (requests, further) = self.sent(bounds, now_ms);
+        let requests = f64::from(requests + others.requests);
+        let bound = USED * (bounds.slack + bounds.ratio * requests);
+        let left = bound - f64::from(further + others.further);
+        let part = BORROWED * left / entries.max(1) as f64;
+        if now_ms.saturating_sub(self.borrowing.0) >= TOLD_WITHIN_MS {
+            self.borrowing = (now_ms, 0.0);
+        }
+        let is_allowed = self.borrowing.1 + 1.0 <= part;
+        if is_allowed {
+            self.borrowing.1 += 1.0;
+        }
+        is_allowed
+    }
+
     fn cell(&mut self, bounds: &RetryBounds, now_ms: u64) -> &mut Cell {
         self.forget(bounds, now_ms);
         let start_ms = now_ms - now_ms % CELL_MS;
