Deal the retry bound in an own and a common part; notice outages sooner

Causes: a property test showed that own parts and borrowed parts together passed the bound by an eighth when all entries used both at once; a feed whose connection went silent was asked again with the usual wait, so that keys went stale and lapsed entries were dropped although the store was back (test servers_that_lapsed_during_an_outage_serve_on).

--- /dev/null
+++ b/crates/daemon/tests/users_platform/bad_input.rs
@@ -0,0 +1,113 @@
+//! What is malformed is told, and reaches no engine.
+
+use std::{
+    fs,
+    io::{Read as _, Write as _},
+    net::{Shutdown, SocketAddr, TcpStream},
+    process::Command,
+    time::Duration,
+};
+
+use rstest::rstest;
+
+use crate::support::{BINARY, on_site};
+
+#[test]
+fn wrong_settings_are_refused_with_all_findings() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("settings.toml");
+    fs::write(&path, "node-name = \"a\"\nip = \"x\"\n").unwrap();
+    let output = Command::new(BINARY)
+        .arg("--users-platform")
+        .env("CHESTNUTREACH_NODE_FILE", &path)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    for place in ["ip", "zone", "listen.front", "bounds.revoke-ms"] {
+        assert!(text.contains(place), "{place} is told: {text}");
+    }
+}
+
+#[test]
+fn a_missing_variable_is_told() {
+    let output = Command::new(BINARY)
+        .arg("--users-platform")
+        .env_remove("CHESTNUTREACH_NODE_FILE")
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains("CHESTNUTREACH_NODE_FILE"), "{text}");
+}
+
+struct Bad {
+    bytes: &'static str,
+    status: &'static str,
+}
+
+const HEAD: &str = "Host: desk.example\r\nAuthorization: Bearer key-one\r\n";
+
+#[rstest]
+#[case::two_lengths(Bad {
+    bytes: "POST /letter/x HTTP/1.1\r\nHEADContent-Length: 5\r\n\
+            Content-Length: 6\r\n\r\nhello",
+    status: "400",
+})]
+#[case::length_and_chunks(Bad {
+    bytes: "POST /letter/x HTTP/1.1\r\nHEADContent-Length: 5\r\n\
+            Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    status: "400",
+})]
+#[case::a_short_body(Bad {
+    bytes: "POST /letter/x HTTP/1.1\r\nHEADContent-Length: 50\r\n\r\nhello",
+    status: "400",
+})]
+#[case::too_long(Bad {
+    bytes: "POST /letter/x HTTP/1.1\r\nHEADContent-Length: 9999999\r\n\r\n",
+    status: "413",
+})]
+#[case::no_host(Bad {
+    bytes: "POST /letter/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+    status: "400",
+})]
+#[case::no_head(Bad { bytes: "\u{1}\u{2}\r\n\r\n", status: "400" })]
+#[case::no_route(Bad {
+    bytes: "GET /nowhere/ HTTP/1.1\r\nHEAD\r\n", status: "404",
+})]
+#[case::smuggled(Bad {
+    bytes: "POST /letter/x HTTP/1.1\r\nHEADContent-Length: +5\r\n\r\nhello",
+    status: "400",
+})]
+fn a_malformed_request_gets_its_status(#[case] bad: Bad) {
+    on_site(async |running| {
+        let before = running.world.seen().arrivals.len();
+        let bytes = bad.bytes.replace("HEAD", HEAD);
+        let answer = exchange(running.addresses[0], bytes.as_bytes());
+        let status = answer.get(9..12).unwrap_or_default();
+        assert_eq!(status, bad.status, "{answer}");
+        assert_eq!(running.world.seen().arrivals.len(), before);
+    });
+}
+
+#[test]
+fn a_head_beyond_the_limit_is_refused() {
+    on_site(async |running| {
+        let long = "x".repeat(17 << 10);
+        let head =
+            format!("GET /lookup/a HTTP/1.1\r\n{HEAD}X: {long}\r\n\r\n");
+        let answer = exchange(running.addresses[0], head.as_bytes());
+        assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    });
+}
+
+fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+    // The entry may answer and close before it has read all.
+    let _ = stream.write_all(bytes);
+    let _ = stream.shutdown(Shutdown::Write);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
--- /dev/null
+++ b/crates/daemon/tests/users_platform/faults.rs
@@ -0,0 +1,108 @@
+//! Faults of engines and of the plain service, under streams.
+
+use std::time::Duration;
+
+use chestnutreach_emulator::{
+    caller::Kind,
+    experiment::{Fault, FaultKind},
+    load::Load,
+    report::Report,
+    site::Site,
+};
+use rstest::rstest;
+
+use crate::support::{
+    assert_all_served, assert_kept, on_site, streams, wait_until,
+};
+
+fn fault(at_ms: u64, kind: FaultKind, length_ms: u64) -> Fault {
+    Fault {
+        at: Duration::from_millis(at_ms),
+        kind,
+        length: Duration::from_millis(length_ms),
+    }
+}
+
+fn play(load: &Load, faults: &[Fault]) -> Report {
+    on_site(async |running| running.play(load, faults).await)
+}
+
+#[rstest]
+#[case::ends(FaultKind::EngineEnds)]
+#[case::drains(FaultKind::EngineDrains)]
+#[case::is_slow(FaultKind::EngineSlow)]
+#[case::comes(FaultKind::EngineComes)]
+#[case::dark(FaultKind::EngineDark)]
+fn streams_outlive_a_fault_of_an_engine(#[case] kind: FaultKind) {
+    let load = streams(25.0, Duration::from_secs(4));
+    let faults = [fault(700, kind, 1_200), fault(2_200, kind, 1_200)];
+    assert_all_served(&play(&load, &faults));
+}
+
+#[test]
+fn a_stream_whose_first_engine_ends_goes_on_without_a_seam() {
+    on_site(async |running| {
+        let load = streams(25.0, Duration::from_secs(3));
+        // Every engine ends in turn, first ones among them.
+        let faults: Vec<Fault> = (0..5)
+            .map(|n| fault(500 + 400 * n, FaultKind::EngineEnds, 300))
+            .collect();
+        let report = running.play(&load, &faults).await;
+        assert_all_served(&report);
+        let further = report.further_arrivals();
+        assert!(further > 0, "some stream was resumed: {further}");
+    });
+}
+
+#[test]
+fn an_engine_that_comes_back_empty_is_ordered_to_hold_layers() {
+    on_site(async |running| {
+        let engine = running.world.engines()[0];
+        let first = running.world.server(engine).unwrap();
+        running.make_fault(
+            &fault(0, FaultKind::EngineEnds, 200),
+            &mut fastrand::Rng::with_seed(0),
+        );
+        wait_until("all layers are held again", async || {
+            running.world.is_covered() && running.world.engines().len() == 10
+        })
+        .await;
+        assert!(first.held.is_some());
+    });
+}
+
+#[rstest]
+#[case::answers_are_lost(FaultKind::AnswersLost)]
+#[case::requests_fail(FaultKind::PlainFails)]
+fn non_idempotent_requests_run_at_most_once(#[case] kind: FaultKind) {
+    let load = Load {
+        per_s: [(Kind::Once, 30.0), (Kind::Idempotent, 30.0)].into(),
+        length: Duration::from_secs(3),
+        events: Site::small().events,
+        seed: 5,
+    };
+    let report = play(&load, &[fault(400, kind, 2_000)]);
+    assert_kept(&report);
+    // Idempotent ones are repeated, by the entry and then by the client.
+    let idempotent = report.served_share(Kind::Idempotent);
+    let once = report.served_share(Kind::Once);
+    assert!(idempotent > once, "{}", report.to_text());
+}
+
+#[test]
+fn an_entry_that_is_killed_takes_no_promise_with_it() {
+    let load = Load {
+        per_s: [(Kind::Stream, 15.0), (Kind::Once, 10.0)].into(),
+        length: Duration::from_secs(4),
+        events: Site::small().events,
+        seed: 6,
+    };
+    let faults = [
+        fault(600, FaultKind::EntryKilled, 500),
+        fault(1_800, FaultKind::EntryKilled, 500),
+        fault(2_000, FaultKind::EntryPauses, 700),
+    ];
+    let report = play(&load, &faults);
+    assert_kept(&report);
+    assert!(report.served_share(Kind::Stream) > 0.9, "{}", report.to_text());
+}
--- /dev/null
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -0,0 +1,11 @@
+//! Entries on the users' platform, as processes of their own, before
+//! stand-ins of its store, engines and a plain service.
+
+mod bad_input;
+mod faults;
+mod path;
+mod soak;
+mod stops;
+mod store;
+mod support;
+mod traces;
--- /dev/null
+++ b/crates/daemon/tests/users_platform/path.rs
@@ -0,0 +1,99 @@
+//! The whole path on a calm site.
+
+use std::time::Duration;
+
+use chestnutreach_emulator::{
+    caller::{Kind, TryEnd, Wish},
+    entries::get,
+    load::Load,
+    site::Site,
+};
+
+use crate::support::{assert_all_served, on_site, one, wait_until};
+
+#[test]
+fn every_kind_is_served_whole_and_once() {
+    on_site(async |running| {
+        let load = Load {
+            per_s: [
+                (Kind::Stream, 15.0),
+                (Kind::Idempotent, 10.0),
+                (Kind::Once, 10.0),
+            ]
+            .into(),
+            length: Duration::from_secs(2),
+            events: Site::small().events,
+            seed: 3,
+        };
+        let report = running.play(&load, &[]).await;
+        assert_all_served(&report);
+        let runs = report.seen.runs.values();
+        assert!(runs.clone().all(|count| *count == 1), "{runs:?}");
+    });
+}
+
+#[test]
+fn each_data_centre_holds_all_layers_within_memory() {
+    on_site(async |running| {
+        assert!(running.world.is_covered());
+        let most = running.world.site().max_layers();
+        for engine in running.world.engines() {
+            let held = running.world.server(engine).unwrap().held;
+            let layers = held.map_or(0, |held| held.1 - held.0);
+            assert!(layers <= most, "{engine} holds {layers} layers");
+        }
+        // One planner orders: an empty engine needs one order.
+        let orders = running.world.engines().into_iter();
+        let orders = orders.map(|e| running.world.server(e).unwrap().orders);
+        assert!(orders.clone().all(|count| count <= 1), "{orders:?}");
+    });
+}
+
+#[test]
+fn keys_and_routes_decide_who_is_served() {
+    on_site(async |running| {
+        let unknown = Wish {
+            key: "nobody".to_owned(),
+            tries: 1,
+            ..Wish::new(Kind::Idempotent, "a", 1)
+        };
+        let outcome = one(running, 0, &unknown).await;
+        assert_eq!(outcome.tries[0].end, TryEnd::Status(401));
+        let seen = running.world.seen();
+        assert!(!seen.runs.contains_key(&outcome.tries[0].id));
+    });
+}
+
+#[test]
+fn a_withdrawn_key_is_refused_everywhere() {
+    on_site(async |running| {
+        let wish = Wish { tries: 1, ..Wish::new(Kind::Idempotent, "a", 1) };
+        running.configure(&["another"]);
+        for entry in 0..running.addresses.len() {
+            wait_until("the key is refused", async || {
+                let outcome = one(running, entry, &wish).await;
+                outcome.tries[0].end == TryEnd::Status(401)
+            })
+            .await;
+        }
+        let other = Wish { key: "another".to_owned(), ..wish };
+        assert!(one(running, 0, &other).await.is_served());
+    });
+}
+
+#[test]
+fn metrics_and_status_are_shown() {
+    on_site(async |running| {
+        let wish = Wish::new(Kind::Stream, "a", Site::small().events);
+        assert!(one(running, 0, &wish).await.is_served());
+        let at = running.ops_address(0);
+        let (status, text) = get(at, "/metrics").await.unwrap();
+        assert_eq!(status, 200);
+        assert!(text.contains("chestnutreach_attempts_total"), "{text}");
+        let (status, text) = get(at, "/status").await.unwrap();
+        assert_eq!(status, 200);
+        assert!(text.contains("\"backends\""), "{text}");
+        let (status, _) = get(at, "/ready").await.unwrap();
+        assert_eq!(status, 200);
+    });
+}
--- /dev/null
+++ b/crates/daemon/tests/users_platform/stops.rs
@@ -0,0 +1,100 @@
+//! Planned stops and reloads.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use chestnutreach_emulator::{
+    caller::{Kind, Wish},
+    experiment::{Fault, FaultKind},
+    site::Site,
+};
+use rustix::process::Signal;
+
+use crate::support::{
+    assert_all_served, on, on_site, one, streams, wait_until,
+};
+
+#[test]
+fn a_stop_cuts_nothing_and_ends_clean() {
+    let site = Site { events: 150, ..Site::small() };
+    on(&site, async |running| {
+        let wish = Wish { tries: 1, ..Wish::new(Kind::Stream, "a", 150) };
+        let stop = async {
+            Timer::after(Duration::from_millis(400)).await;
+            running.signal(0, Signal::TERM);
+        };
+        let stream = one(running, 0, &wish);
+        let (outcome, ()) = futures_lite::future::zip(stream, stop).await;
+        assert!(outcome.is_served(), "{outcome:?}");
+        assert!(outcome.violations.is_empty(), "{outcome:?}");
+        wait_until("it ends", async || running.exit_code(0) == Some(0)).await;
+    });
+}
+
+#[test]
+fn the_balancer_is_told_at_once() {
+    on_site(async |running| {
+        assert!(running.is_ready(0).await);
+        running.signal(0, Signal::TERM);
+        wait_until("it says that it is not ready", async || {
+            !running.is_ready(0).await
+        })
+        .await;
+        assert_eq!(running.exit_code(0), None, "it serves on for a moment");
+    });
+}
+
+#[test]
+fn a_rolling_restart_under_load_loses_nothing() {
+    on_site(async |running| {
+        let load = streams(15.0, Duration::from_secs(6));
+        let stop = |at_ms| Fault {
+            at: Duration::from_millis(at_ms),
+            kind: FaultKind::EntryStops,
+            length: Duration::ZERO,
+        };
+        let faults = [stop(500), stop(3_500)];
+        assert_all_served(&running.play(&load, &faults).await);
+    });
+}
+
+#[test]
+fn a_hang_up_reloads_and_cuts_nothing() {
+    on_site(async |running| {
+        let load = streams(15.0, Duration::from_secs(2));
+        let hang_up = Fault {
+            at: Duration::from_millis(700),
+            kind: FaultKind::EntryHangsUp,
+            length: Duration::ZERO,
+        };
+        assert_all_served(&running.play(&load, &[hang_up]).await);
+        wait_until("the reload is in the logs", async || {
+            running.logs().contains("settings_reloaded")
+        })
+        .await;
+    });
+}
+
+#[test]
+fn another_entry_plans_when_the_planner_dies() {
+    on_site(async |running| {
+        let planner = running.planner().await.expect("one entry plans");
+        running.kill(planner);
+        wait_until("another entry plans", async || {
+            running.planner().await.is_some_and(|new| new != planner)
+        })
+        .await;
+        running.make_fault(
+            &Fault {
+                at: Duration::ZERO,
+                kind: FaultKind::EngineEnds,
+                length: Duration::from_millis(100),
+            },
+            &mut fastrand::Rng::with_seed(1),
+        );
+        wait_until("it fills the gap", async || {
+            running.world.is_covered() && running.world.engines().len() == 10
+        })
+        .await;
+    });
+}
--- /dev/null
+++ b/crates/daemon/tests/users_platform/support.rs
@@ -0,0 +1,85 @@
+//! A small site and what tests do with it.
+
+use std::{
+    path::Path,
+    sync::{Arc, OnceLock},
+    time::{Duration, Instant},
+};
+
+use async_executor::Executor;
+use async_io::Timer;
+use chestnutreach_emulator::{
+    caller::{Kind, Outcome, Wish, make},
+    load::Load,
+    report::Report,
+    site::Site,
+    soak::{self, Running},
+    start_executor,
+};
+
+pub(crate) const BINARY: &str = env!("CARGO_BIN_EXE_chestnutreachd");
+
+/// The stand-ins of all tests of this process run on one thread.
+pub(crate) fn executor() -> &'static Arc<Executor<'static>> {
+    static EXECUTOR: OnceLock<Arc<Executor<'static>>> = OnceLock::new();
+    EXECUTOR.get_or_init(|| start_executor().expect("a thread is left"))
+}
+
+/// Plays on a small site.
+pub(crate) fn on_site<T>(play: impl AsyncFnOnce(&Running) -> T) -> T {
+    on(&Site::small(), play)
+}
+
+/// Plays on a site.
+pub(crate) fn on<T>(site: &Site, play: impl AsyncFnOnce(&Running) -> T) -> T {
+    async_io::block_on(async {
+        let started = soak::start(executor(), Path::new(BINARY), site).await;
+        let running = started.expect("the site starts");
+        play(&running).await
+    })
+}
+
+/// Makes one request at an entry.
+pub(crate) async fn one(
+    running: &Running,
+    entry: usize,
+    wish: &Wish,
+) -> Outcome {
+    let own = [running.addresses[entry]];
+    make(wish, &own, 0, Duration::ZERO).await
+}
+
+/// Streams at a steady rate.
+pub(crate) fn streams(per_s: f64, length: Duration) -> Load {
+    Load {
+        per_s: [(Kind::Stream, per_s)].into(),
+        length,
+        events: Site::small().events,
+        seed: 11,
+    }
+}
+
+/// Fails with the report unless no promise was broken.
+pub(crate) fn assert_kept(report: &Report) {
+    let violations = report.violations();
+    assert!(violations.is_empty(), "{}", report.to_text());
+}
+
+/// Fails with the report unless every request was served.
+pub(crate) fn assert_all_served(report: &Report) {
+    assert_kept(report);
+    let served = report.outcomes.iter().all(Outcome::is_served);
+    assert!(served, "{}", report.to_text());
+}
+
+/// Waits until something is as wished.
+pub(crate) async fn wait_until(
+    what: &str,
+    mut is_so: impl AsyncFnMut() -> bool,
+) {
+    let until = Instant::now() + Duration::from_secs(20);
+    while !is_so().await {
+        assert!(Instant::now() < until, "not in time: {what}");
+        Timer::after(Duration::from_millis(30)).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/users_platform/traces.rs
@@ -0,0 +1,126 @@
+//! From a failed request's id to its cause, as docs/OPERATIONS.md leads.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use chestnutreach_emulator::{
+    caller::{Kind, Outcome, TryEnd, Wish},
+    experiment::{Fault, FaultKind},
+    site::Site,
+    soak::Running,
+    store::StoreFault,
+};
+use serde_json::Value;
+
+use crate::support::{on, on_site, one, streams, wait_until};
+
+/// Lines of the logs that name a request, as step 1 of the page does.
+fn lines_of(running: &Running, request: &str) -> Vec<Value> {
+    let logs = running.logs();
+    let lines = logs.lines().filter(|line| line.contains(request));
+    lines.map(|line| serde_json::from_str(line).unwrap()).collect()
+}
+
+fn named<'a>(lines: &'a [Value], name: &str) -> Option<&'a Value> {
+    lines.iter().map(|line| &line["kvs"]).find(|kvs| kvs["name"] == name)
+}
+
+/// Waits for the line that tells a request's outcome.
+async fn ended(running: &Running, request: &str) -> Vec<Value> {
+    wait_until("the outcome is in the logs", async || {
+        named(&lines_of(running, request), "relay_ended").is_some()
+    })
+    .await;
+    lines_of(running, request)
+}
+
+#[test]
+fn a_refused_request_leads_to_the_store() {
+    on_site(async |running| {
+        running.store.set_fault(StoreFault::Silent);
+        let wish = Wish { tries: 1, ..Wish::new(Kind::Idempotent, "a", 1) };
+        let mut refused = None;
+        wait_until("a request is refused", async || {
+            let outcome = one(running, 0, &wish).await;
+            let is_refused = outcome.tries[0].end == TryEnd::Status(503);
+            refused = is_refused.then(|| outcome.tries[0].id.clone());
+            is_refused
+        })
+        .await;
+        let lines = ended(running, &refused.unwrap()).await;
+        // Step 2: the outcome and its reason.
+        let end = named(&lines, "relay_ended").unwrap();
+        assert_eq!(end["outcome"], "not_run");
+        assert_eq!(end["reason"], "keys_stale");
+        // Step 3: how old the knowledge was, and since when.
+        let age: u64 =
+            end["configuration_age_ms"].as_str().unwrap().parse().unwrap();
+        assert!(age > 4_000, "{age}");
+        let logs = running.logs();
+        assert!(logs.contains("\"keys_stale\""));
+        assert!(logs.contains("\"feed_lost\""));
+    });
+}
+
+#[test]
+fn a_stream_that_broke_leads_to_its_engine() {
+    on_site(async |running| {
+        let load = streams(25.0, Duration::from_secs(3));
+        let ends = |at_ms| Fault {
+            at: Duration::from_millis(at_ms),
+            kind: FaultKind::EngineEnds,
+            length: Duration::from_millis(300),
+        };
+        let faults = [ends(500), ends(900), ends(1_300), ends(1_700)];
+        let report = running.play(&load, &faults).await;
+        Timer::after(Duration::from_millis(400)).await;
+        let changed = |outcome: &&Outcome| {
+            let lines = lines_of(running, &outcome.tries[0].id);
+            named(&lines, "relay_broken").is_some()
+        };
+        let outcome = report.outcomes.iter().find(changed);
+        let outcome = outcome.expect("a stream was resumed");
+        let lines = ended(running, &outcome.tries[0].id).await;
+        // Step 2: it was whole, after more than one attempt.
+        let end = named(&lines, "relay_ended").unwrap();
+        assert_eq!(end["outcome"], "completed");
+        assert_ne!(end["attempts"], "1");
+        // Step 3: which engine broke, after which event.
+        let broken = named(&lines, "relay_broken").unwrap();
+        let backend = broken["backend"].as_str().unwrap();
+        // Step 4: what the entry believed of that engine.
+        let logs = running.logs();
+        let of_backend = logs.lines().filter(|l| l.contains(backend));
+        let mut suspicions =
+            of_backend.filter(|l| l.contains("backend_suspected"));
+        assert!(suspicions.next().is_some(), "{logs}");
+        // Step 5: where it went on.
+        let resumed = lines.iter().map(|line| &line["kvs"]).find(|kvs| {
+            kvs["name"] == "relay_sent" && kvs["cause"] == "resumed"
+        });
+        let resumed = resumed.expect("the resumption is told");
+        assert!(!resumed["backends"].as_str().unwrap().contains(backend));
+    });
+}
+
+#[test]
+fn an_unknown_end_leads_to_the_lost_answer() {
+    let site = Site { plain_servers: 1, ..Site::small() };
+    on(&site, async |running| {
+        for server in running.world.plain_servers() {
+            running.world.change(server, |s| s.loses_answers = 1.0);
+        }
+        let wish = Wish { tries: 1, ..Wish::new(Kind::Once, "letter", 1) };
+        let outcome = one(running, 0, &wish).await;
+        assert_eq!(outcome.tries[0].end, TryEnd::Status(502));
+        let lines = ended(running, &outcome.tries[0].id).await;
+        // Step 2: it may have run.
+        let end = named(&lines, "relay_ended").unwrap();
+        assert_eq!(end["outcome"], "unknown");
+        assert_eq!(end["attempts"], "1", "it was not sent again");
+        // Step 3: it was sent, and the connection ended without an answer.
+        let sent = named(&lines, "relay_sent").unwrap();
+        let broken = named(&lines, "relay_broken").unwrap();
+        assert_eq!(sent["backends"], broken["backend"]);
+    });
+}
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::ArcSwapOption;
 use async_executor::Executor;
-use chestnutreach_routing::{RetryBounds, RetryWindow};
+use chestnutreach_routing::{RetryBounds, RetryWindow, Sent};
 use chestnutreach_site::{Configuration, Limits, NodeSettings};
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
@@ -197,12 +197,11 @@
     }
 
     /// What this entry sent to each service within the window.
-    pub(crate) fn sent_to_services(&self) -> Vec<(String, u32, u32)> {
+    pub(crate) fn sent_to_services(&self) -> Vec<(String, Sent)> {
         let bounds = self.retry_bounds();
         let mut retries = self.retries.lock().expect("no holder panics");
         let sent = |(name, window): (&String, &mut RetryWindow)| {
-            let (requests, further) = window.sent(&bounds, now_ms());
-            (name.clone(), requests, further)
+            (name.clone(), window.sent(&bounds, now_ms()))
         };
         retries.iter_mut().map(sent).collect()
     }
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -36,6 +36,8 @@
 const CALL_SLACK: Duration = Duration::from_millis(500);
 /// Time for reading a whole table.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
+/// Wait of a call while the store is away: its return should show at once.
+const WAIT_WHILE_DOWN: Duration = Duration::from_millis(50);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between calls of the list, so that changes that come together cost
@@ -50,20 +52,28 @@
 struct Health {
     table: &'static str,
     down_since_ms: Option<u64>,
+    /// When the store last answered.
+    heard_ms: u64,
     /// When the store was last back after an outage.
     back_ms: u64,
 }
 
 impl Health {
     fn new(table: &'static str) -> Health {
-        Health { table, down_since_ms: None, back_ms: 0 }
+        Health { table, down_since_ms: None, heard_ms: now_ms(), back_ms: 0 }
     }
 
     fn failed(&mut self, core: &Core, error: &StoreError) {
         if self.down_since_ms.is_some() {
             return;
         }
-        self.down_since_ms = Some(now_ms());
+        // A call without an answer does not show since when the store was
+        // away; one that was refused or reset does.
+        let since_ms = match error {
+            StoreError::Unanswered { is_timeout: true, .. } => self.heard_ms,
+            _ => now_ms(),
+        };
+        self.down_since_ms = Some(since_ms);
         emit(
             Event::FeedLost,
             &[
@@ -75,10 +85,11 @@
     }
 
     fn answered(&mut self, row_version: u64) {
+        let now_ms = now_ms();
+        self.heard_ms = now_ms;
         let Some(since_ms) = self.down_since_ms.take() else {
             return;
         };
-        let now_ms = now_ms();
         let down_ms = now_ms - since_ms;
         if down_ms >= OUTAGE_MS {
             self.back_ms = now_ms;
@@ -93,6 +104,14 @@
         );
     }
 
+    /// How long a call of the feed is to wait at the store.
+    fn wait(&self, usual: Duration) -> Duration {
+        match self.down_since_ms {
+            Some(_) => WAIT_WHILE_DOWN,
+            None => usual,
+        }
+    }
+
     /// How long an entry that is missing is still kept.
     fn keep_lapsed_ms(&self, now_ms: u64) -> u64 {
         let since_ms = now_ms.saturating_sub(self.back_ms);
@@ -111,7 +130,10 @@
     loop {
         let result = match after {
             None => read_configuration(&core, &store).await,
-            Some(version) => feed_configuration(&core, &store, version).await,
+            Some(version) => {
+                let wait = health.wait(CONFIGURATION_WAIT);
+                feed_configuration(&core, &store, version, wait).await
+            }
         };
         match result {
             Ok(version) => {
@@ -148,9 +170,9 @@
     core: &Core,
     store: &StoreClient,
     after: u64,
+    wait: Duration,
 ) -> Result<u64, StoreError> {
     let asked_ms = now_ms();
-    let wait = CONFIGURATION_WAIT;
     let feed =
         store.feed(configuration::TABLE, after, wait, wait + CALL_SLACK);
     let rows = feed.await?;
@@ -234,8 +256,8 @@
     health: &mut Health,
     after: u64,
 ) -> Result<u64, StoreError> {
-    let feed =
-        store.feed(backends::TABLE, after, LIST_WAIT, LIST_WAIT + CALL_SLACK);
+    let wait = health.wait(LIST_WAIT);
+    let feed = store.feed(backends::TABLE, after, wait, wait + CALL_SLACK);
     let rows = feed.await?;
     health.answered(rows.version);
     for row in &rows.rows {
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -19,7 +19,7 @@
 use async_io::{Async, Timer};
 use chestnutreach_adapter::store::StoreClient;
 use chestnutreach_protocol::peers::{EngineUse, PeerState, ServiceUse};
-use chestnutreach_routing::OthersSent;
+use chestnutreach_routing::Sent;
 use chestnutreach_telemetry::{Event, emit};
 use prost::Message as _;
 
@@ -72,7 +72,7 @@
 struct Told {
     heard_ms: u64,
     /// Requests and further arrivals by service.
-    sent: BTreeMap<String, (u32, u32)>,
+    sent: BTreeMap<String, Sent>,
 }
 
 impl PeerTable {
@@ -87,18 +87,14 @@
     }
 
     /// What others sent to a service within the window, as they told.
-    pub(crate) fn others_sent(&self, service: &str) -> OthersSent {
-        let told = self.told.lock().expect("no holder panics");
-        let mut others = OthersSent::default();
-        for told in told.values() {
-            let (requests, further) =
-                told.sent.get(service).copied().unwrap_or_default();
-            others.requests += requests;
-            others.further += further;
+    /// Empty where an entry that is listed has not told.
+    pub(crate) fn others_sent(&self, service: &str) -> Vec<Sent> {
+        if self.lock().values().any(|peer| peer.boot_id == 0) {
+            return Vec::new();
         }
-        let live = self.lock();
-        others.entries = live.values().filter(|p| p.boot_id != 0).count();
-        others
+        let told = self.told.lock().expect("no holder panics");
+        let sent = |told: &Told| told.sent.get(service).copied();
+        told.values().map(|t| sent(t).unwrap_or_default()).collect()
     }
 
     /// Whether another entry plans, as far as is known.
@@ -185,10 +181,10 @@
     };
     let engines = core.fleet.all().into_iter().filter_map(engine_use);
     let sent = core.sent_to_services().into_iter();
-    let services = sent.map(|(service, requests, further)| ServiceUse {
+    let services = sent.map(|(service, sent)| ServiceUse {
         service,
-        requests,
-        further,
+        requests: sent.requests,
+        further: sent.further,
     });
     PeerState {
         boot_id: core.boot_id,
@@ -250,7 +246,10 @@
     let now_ms = now_ms();
     let window_ms = core.settings.bounds.retry_window_ms;
     let sent = state.services.iter();
-    let sent = sent.map(|s| (s.service.clone(), (s.requests, s.further)));
+    let sent = sent.map(|s| {
+        let sent = Sent { requests: s.requests, further: s.further };
+        (s.service.clone(), sent)
+    });
     let new = Told { heard_ms: now_ms, sent: sent.collect() };
     let mut told = core.peers.told.lock().expect("no holder panics");
     told.insert(state.boot_id, new);
--- a/crates/emulator/src/entries.rs
+++ b/crates/emulator/src/entries.rs
@@ -5,10 +5,9 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
-use async_io::Timer;
 use chestnutreach_fleet::ports::free_address;
 use chestnutreach_http::relay::{Outbound, push_header};
 use rustix::process::{Pid, Signal, kill_process};
@@ -148,27 +147,9 @@
         child.try_wait().ok().flatten().and_then(|status| status.code())
     }
 
-    /// Whether an entry tells the balancer that it is ready.
-    pub async fn is_ready(&self, index: usize) -> bool {
-        let ready = self.entries[index].ports.ready;
-        matches!(
-            get(([127, 0, 0, 1], ready).into(), "/v1/ready").await,
-            Some((200, _))
-        )
-    }
-
-    /// Waits until all are ready; false after the time.
-    pub async fn all_ready(&self, limit: Duration) -> bool {
-        let until = Instant::now() + limit;
-        for index in 0..self.count() {
-            while !self.is_ready(index).await {
-                if Instant::now() >= until {
-                    return false;
-                }
-                Timer::after(Duration::from_millis(20)).await;
-            }
-        }
-        true
+    /// Where the balancer asks an entry.
+    pub fn ready_address(&self, index: usize) -> SocketAddr {
+        ([127, 0, 0, 1], self.entries[index].ports.ready).into()
     }
 }
 
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -19,7 +19,7 @@
 use crate::{
     caller::{Kind, Wish, make},
     engines,
-    entries::Entries,
+    entries::{Entries, get},
     experiment::{Experiment, Fault, FaultKind},
     load::{self, Load},
     report::Report,
@@ -192,6 +192,53 @@
         }
     }
 
+    /// Sends a signal to an entry.
+    pub fn signal(&self, entry: usize, signal: Signal) {
+        self.entries().signal(entry, signal);
+    }
+
+    /// Kills an entry.
+    pub fn kill(&self, entry: usize) {
+        self.entries().kill(entry);
+    }
+
+    /// The exit code of an entry that has ended.
+    pub fn exit_code(&self, entry: usize) -> Option<i32> {
+        self.entries().exit_code(entry)
+    }
+
+    /// Where an entry shows its metrics and status.
+    pub fn ops_address(&self, entry: usize) -> SocketAddr {
+        self.entries().ops_address(entry)
+    }
+
+    /// Whether an entry tells the balancer that it is ready.
+    pub async fn is_ready(&self, entry: usize) -> bool {
+        let address = self.entries().ready_address(entry);
+        matches!(get(address, "/v1/ready").await, Some((200, _)))
+    }
+
+    /// The lines of all entries.
+    pub fn logs(&self) -> String {
+        let entries = self.entries();
+        let log = |entry| entries.log(entry).unwrap_or_default();
+        (0..entries.count()).map(log).collect()
+    }
+
+    /// Which entry plans, as it says itself.
+    pub async fn planner(&self) -> Option<usize> {
+        for entry in 0..self.addresses.len() {
+            let address = self.ops_address(entry);
+            let status = get(address, "/status").await;
+            let is_planner =
+                status.is_some_and(|s| s.1.contains("\"is_planner\":true"));
+            if is_planner {
+                return Some(entry);
+            }
+        }
+        None
+    }
+
     fn entries(&self) -> std::sync::MutexGuard<'_, Entries> {
         self.entries.lock().expect("no holder panics")
     }
--- a/crates/http/src/relay.rs
+++ b/crates/http/src/relay.rs
@@ -72,8 +72,7 @@
 
 /// Whether a header may be passed on, given the values of `connection`.
 pub fn is_end_to_end(name: &str, connection: Option<&str>) -> bool {
-    let is_same = |other: &&str| name.eq_ignore_ascii_case(other);
-    if PER_CONNECTION.iter().any(|other| is_same(&other)) {
+    if PER_CONNECTION.iter().any(|other| name.eq_ignore_ascii_case(other)) {
         return false;
     }
     !connection.is_some_and(|v| crate::head::has_token(v, name))
--- /dev/null
+++ b/crates/planner/tests/layout.rs
@@ -0,0 +1,143 @@
+//! Which layers an engine is to load.
+
+use chestnutreach_planner::{
+    LayerRange, LayoutEngine, LayoutModel, Placement, cover, move_one,
+    place_empty,
+};
+use proptest::prelude::*;
+
+const MODEL: LayoutModel = LayoutModel {
+    layer_count: 80,
+    layer_mb: 1_750.0,
+    token_layer_bytes: 7_375.0,
+};
+/// Memory of four kinds of accelerators, in megabytes.
+const KINDS_MB: [f64; 4] = [72_000.0, 36_000.0, 21_600.0, 14_400.0];
+
+fn engine(data_centre: usize, memory_mb: f64) -> LayoutEngine {
+    LayoutEngine {
+        data_centre,
+        memory_mb,
+        held: None,
+        is_sound: true,
+        is_free: true,
+    }
+}
+
+fn apply(engines: &mut [LayoutEngine], placements: &[Placement]) {
+    for placement in placements {
+        engines[placement.engine].held = Some(placement.range);
+    }
+}
+
+/// A data centre of one fast, eight middling and three small engines.
+fn mixed(data_centre: usize) -> Vec<LayoutEngine> {
+    let kinds = [(1, 1), (2, 8), (3, 3)];
+    let of_kind = |(kind, count): (usize, usize)| {
+        vec![engine(data_centre, KINDS_MB[kind]); count]
+    };
+    kinds.into_iter().flat_map(of_kind).collect()
+}
+
+#[test]
+fn each_data_centre_gets_a_whole_copy_and_more() {
+    let mut engines = mixed(0);
+    engines.extend(mixed(1));
+    let placements = place_empty(&MODEL, &engines);
+    apply(&mut engines, &placements);
+    for counts in cover(&MODEL, &engines) {
+        assert!(counts.iter().all(|count| *count >= 1), "{counts:?}");
+        assert!(counts.iter().any(|count| *count >= 2), "{counts:?}");
+    }
+}
+
+#[test]
+fn an_engine_that_came_back_empty_fills_its_gap() {
+    let mut engines = mixed(0);
+    let placements = place_empty(&MODEL, &engines);
+    apply(&mut engines, &placements);
+    let counts = cover(&MODEL, &engines)[0].clone();
+    let single = (0..engines.len()).find(|at| {
+        let held = engines[*at].held.unwrap();
+        (held.first_layer..held.end_layer)
+            .all(|layer| counts[layer as usize] == 1)
+    });
+    let single = single.unwrap();
+    let lost = engines[single].held.take().unwrap();
+    let placements = place_empty(&MODEL, &engines);
+    assert_eq!(placements.len(), 1);
+    assert_eq!(placements[0].engine, single);
+    assert_eq!(placements[0].range, lost);
+}
+
+#[test]
+fn a_doubled_engine_moves_to_a_gap() {
+    let held = |first, end| LayoutEngine {
+        held: Some(LayerRange::new(first, end)),
+        ..engine(0, KINDS_MB[1])
+    };
+    let engines = [held(0, 20), held(0, 20), held(20, 40), held(40, 60)];
+    let moved = move_one(&MODEL, &engines).unwrap();
+    assert!(moved.engine < 2);
+    assert_eq!(moved.range, LayerRange::new(60, 80));
+}
+
+#[test]
+fn no_last_copy_moves() {
+    let held = |first, end| LayoutEngine {
+        held: Some(LayerRange::new(first, end)),
+        ..engine(0, KINDS_MB[1])
+    };
+    let engines = [held(0, 20), held(20, 40), held(40, 60)];
+    assert_eq!(move_one(&MODEL, &engines), None);
+}
+
+fn any_engines() -> impl Strategy<Value = Vec<LayoutEngine>> {
+    let one = (0_usize..3, 0_usize..4, any::<bool>(), any::<bool>()).prop_map(
+        |(data_centre, kind, is_sound, is_free)| LayoutEngine {
+            is_sound,
+            is_free: is_free && is_sound,
+            ..engine(data_centre, KINDS_MB[kind])
+        },
+    );
+    prop::collection::vec(one, 0..40)
+}
+
+proptest! {
+    #[test]
+    fn nothing_is_ordered_beyond_memory(mut engines in any_engines()) {
+        for _ in 0..4 {
+            let mut placements = place_empty(&MODEL, &engines);
+            placements.extend(move_one(&MODEL, &engines));
+            for placement in &placements {
+                let engine = &engines[placement.engine];
+                let layers = f64::from(placement.range.layers());
+                prop_assert!(layers >= 1.0);
+                prop_assert!(placement.range.end_layer <= MODEL.layer_count);
+                prop_assert!(layers * MODEL.layer_mb <= engine.memory_mb);
+                prop_assert!(engine.is_free);
+            }
+            apply(&mut engines, &placements);
+        }
+    }
+
+    #[test]
+    fn a_move_never_opens_a_gap(mut engines in any_engines()) {
+        let placements = place_empty(&MODEL, &engines);
+        apply(&mut engines, &placements);
+        // Some engines are lost at once.
+        for engine in engines.iter_mut().step_by(3) {
+            engine.is_sound = false;
+            engine.is_free = false;
+        }
+        let before = cover(&MODEL, &engines);
+        if let Some(placement) = move_one(&MODEL, &engines) {
+            apply(&mut engines, &[placement]);
+            for (old, new) in before.iter().zip(cover(&MODEL, &engines)) {
+                for (old, new) in old.iter().zip(new) {
+                    prop_assert!(*old == 0 || new > 0);
+                }
+            }
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -92,4 +92,4 @@
 pub use policy::Policy;
 pub use priority::Priority;
 pub use retry::RetryBudget;
-pub use retry_window::{OthersSent, RetryBounds, RetryWindow};
+pub use retry_window::{RetryBounds, RetryWindow, Sent};
--- a/crates/routing/src/retry_window.rs
+++ b/crates/routing/src/retry_window.rs
@@ -1,22 +1,23 @@
 //! Further arrivals where all entries share a bound in time.
 //!
 //! In any window, the further arrivals at a service stay under a share of
-//! the requests to it plus a slack. Each entry may use its part of the slack
-//! and the share of its own requests: that sum holds whatever the others do.
-//! Failures fall on few entries, so an entry that has used its part borrows
-//! from what the others have told that they leave. What they told is some
-//! time old; in that time each entry borrows only its part of half of what
-//! is left, so that all together can't pass the bound either. An entry that
-//! restarts forgets what it sent; the part of the bound that is left out
-//! pays for that.
+//! the requests to it plus a slack. A part of that bound is dealt out: each
+//! entry has its part of the slack and the share of its own requests, which
+//! it may use whatever the others do. Failures fall on few entries, so
+//! another part is common, and an entry that has used its own borrows from
+//! it. What the others borrowed is known some time late; in that time each
+//! entry borrows only its part of half of what is left, so that all together
+//! can't pass the bound either. An entry that restarts forgets what it sent;
+//! what is neither dealt out nor common pays for that.
 
 use std::collections::VecDeque;
 
 /// Time of one cell of the window, in milliseconds.
 const CELL_MS: u64 = 250;
-/// Part of the bound that is used; the rest covers restarts and cells that
-/// straddle the window.
-const USED: f64 = 0.75;
+/// Part of the bound that is dealt out.
+const OWN: f64 = 0.4;
+/// Part of the bound that is common.
+const COMMON: f64 = 0.5;
 
 /// Part of what is left that all entries may borrow before they have told
 /// each other.
@@ -35,11 +36,22 @@
     pub window_ms: u64,
 }
 
-/// What all other entries sent to a service in the window, as they told.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct OthersSent {
-    /// Other entries that told.
-    pub entries: usize,
+impl RetryBounds {
+    /// Further arrivals for so many requests.
+    fn of(&self, requests: f64) -> f64 {
+        self.slack + self.ratio * requests
+    }
+}
+
+/// What an entry may use whatever the others do.
+fn own_part(bounds: &RetryBounds, entries: usize, sent: &Sent) -> f64 {
+    let slack = bounds.slack / entries.max(1) as f64;
+    OWN * (slack + bounds.ratio * f64::from(sent.requests))
+}
+
+/// What an entry sent to a service in the window.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Sent {
     /// Requests of clients.
     pub requests: u32,
     /// Further arrivals.
@@ -72,16 +84,18 @@
         self.cell(bounds, now_ms).requests += 1;
     }
 
-    /// Takes one further arrival, where there is one; `entries` share the
-    /// slack.
+    /// Takes one further arrival, where there is one. `entries` share the
+    /// bound; `others` is what each other one told, where all have.
     pub fn take(
         &mut self,
         bounds: &RetryBounds,
         entries: usize,
-        others: &OthersSent,
+        others: &[Sent],
         now_ms: u64,
     ) -> bool {
-        let is_allowed = self.left(bounds, entries, now_ms) >= 1.0
+        let sent = self.sent(bounds, now_ms);
+        let own = own_part(bounds, entries, &sent);
+        let is_allowed = f64::from(sent.further) + 1.0 <= own
             || self.borrow(bounds, entries, others, now_ms);
         if is_allowed {
             self.cell(bounds, now_ms).further += 1;
@@ -89,44 +103,35 @@
         is_allowed
     }
 
-    /// Further arrivals that are left.
-    pub fn left(
-        &mut self,
-        bounds: &RetryBounds,
-        entries: usize,
-        now_ms: u64,
-    ) -> f64 {
-        self.forget(bounds, now_ms);
-        let requests: u32 = self.cells.iter().map(|c| c.requests).sum();
-        let further: u32 = self.cells.iter().map(|c| c.further).sum();
-        let slack = bounds.slack / entries.max(1) as f64;
-        let bound = USED * (slack + bounds.ratio * f64::from(requests));
-        bound - f64::from(further)
-    }
-
-    /// Requests and further arrivals in the window.
-    pub fn sent(&mut self, bounds: &RetryBounds, now_ms: u64) -> (u32, u32) {
+    /// What was sent in the window.
+    pub fn sent(&mut self, bounds: &RetryBounds, now_ms: u64) -> Sent {
         self.forget(bounds, now_ms);
-        let requests = self.cells.iter().map(|c| c.requests).sum();
-        (requests, self.cells.iter().map(|c| c.further).sum())
+        Sent {
+            requests: self.cells.iter().map(|c| c.requests).sum(),
+            further: self.cells.iter().map(|c| c.further).sum(),
+        }
     }
 
-    /// Takes one further arrival of what the others leave.
+    /// Takes one further arrival of the common part.
     fn borrow(
         &mut self,
         bounds: &RetryBounds,
         entries: usize,
-        others: &OthersSent,
+        others: &[Sent],
         now_ms: u64,
     ) -> bool {
         // Without word of all others nothing is known to be left.
-        if others.entries + 1 < entries {
+        if others.len() + 1 < entries {
             return false;
         }
-        let (requests, further) = self.sent(bounds, now_ms);
-        let requests = f64::from(requests + others.requests);
-        let bound = USED * (bounds.slack + bounds.ratio * requests);
-        let left = bound - f64::from(further + others.further);
+        let sent = self.sent(bounds, now_ms);
+        let all = || others.iter().chain([&sent]);
+        let requests: u32 = all().map(|s| s.requests).sum();
+        let common = COMMON * bounds.of(f64::from(requests));
+        let borrowed = |s: &Sent| {
+            (f64::from(s.further) - own_part(bounds, entries, s)).max(0.0)
+        };
+        let left = common - all().map(borrowed).sum::<f64>();
         let part = BORROWED * left / entries.max(1) as f64;
         if now_ms.saturating_sub(self.borrowing.0) >= TOLD_WITHIN_MS {
             self.borrowing = (now_ms, 0.0);
--- /dev/null
+++ b/crates/routing/tests/layer_path.rs
@@ -0,0 +1,191 @@
+//! Paths over layers.
+
+use chestnutreach_routing::{Part, PartHolder, PathRequest, find_path};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const LAYERS: u32 = 12;
+
+fn holder(data_centre: usize, first: u32, end: u32) -> PartHolder {
+    PartHolder {
+        data_centre,
+        first_layer: first,
+        end_layer: end,
+        layer_ms: 1.0,
+        used_token_layers: 0,
+        total_token_layers: 100_000,
+        is_usable: true,
+        may_be_first: true,
+    }
+}
+
+fn request() -> PathRequest {
+    PathRequest {
+        first_layer: 0,
+        end_layer: LAYERS,
+        tokens: 100,
+        data_centre: 0,
+        is_start: true,
+        crossing_use: 0.0,
+    }
+}
+
+fn path(holders: &[PartHolder], request: &PathRequest) -> Option<Vec<usize>> {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let parts = find_path(holders, request, &mut rng)?;
+    assert_tiles(&parts, holders, request);
+    Some(parts.iter().map(|part| part.holder).collect())
+}
+
+fn assert_tiles(
+    parts: &[Part],
+    holders: &[PartHolder],
+    request: &PathRequest,
+) {
+    let mut next = request.first_layer;
+    let mut seen = Vec::new();
+    for part in parts {
+        let holder = &holders[part.holder];
+        assert_eq!(part.first_layer, next);
+        assert!(part.first_layer < part.end_layer);
+        assert!(holder.first_layer <= part.first_layer);
+        assert!(part.end_layer <= holder.end_layer);
+        assert!(!seen.contains(&part.holder), "an engine comes twice");
+        seen.push(part.holder);
+        next = part.end_layer;
+    }
+    assert_eq!(next, request.end_layer);
+}
+
+struct Case {
+    holders: Vec<PartHolder>,
+    request: PathRequest,
+    path: Option<Vec<usize>>,
+}
+
+#[rstest]
+#[case::two_halves(Case {
+    holders: vec![holder(0, 0, 6), holder(0, 6, 12)],
+    request: request(),
+    path: Some(vec![0, 1]),
+})]
+#[case::overlap_is_cut(Case {
+    holders: vec![holder(0, 0, 8), holder(0, 4, 12)],
+    request: request(),
+    path: Some(vec![0, 1]),
+})]
+#[case::a_gap_has_no_path(Case {
+    holders: vec![holder(0, 0, 6), holder(0, 7, 12)],
+    request: request(),
+    path: None,
+})]
+#[case::the_faster_one_of_two(Case {
+    holders: vec![
+        holder(0, 0, 6),
+        PartHolder { layer_ms: 9.0, ..holder(0, 6, 12) },
+        holder(0, 6, 12),
+    ],
+    request: request(),
+    path: Some(vec![0, 2]),
+})]
+#[case::all_elsewhere_rather_than_across(Case {
+    holders: vec![
+        holder(0, 0, 6),
+        PartHolder { layer_ms: 1.5, ..holder(1, 0, 6) },
+        PartHolder { layer_ms: 1.5, ..holder(1, 6, 12) },
+    ],
+    request: request(),
+    path: Some(vec![1, 2]),
+})]
+#[case::across_where_nothing_else_is(Case {
+    holders: vec![holder(0, 0, 6), holder(1, 6, 12)],
+    request: PathRequest { crossing_use: 2.0, ..request() },
+    path: Some(vec![0, 1]),
+})]
+#[case::no_room(Case {
+    holders: vec![
+        holder(0, 0, 6),
+        PartHolder { used_token_layers: 99_500, ..holder(0, 6, 12) },
+    ],
+    request: request(),
+    path: None,
+})]
+#[case::room_elsewhere(Case {
+    holders: vec![
+        holder(0, 0, 6),
+        PartHolder { used_token_layers: 99_500, ..holder(0, 6, 12) },
+        PartHolder { layer_ms: 5.0, ..holder(0, 6, 12) },
+    ],
+    request: request(),
+    path: Some(vec![0, 2]),
+})]
+#[case::not_usable(Case {
+    holders: vec![PartHolder { is_usable: false, ..holder(0, 0, 12) }],
+    request: request(),
+    path: None,
+})]
+#[case::not_first(Case {
+    holders: vec![
+        PartHolder { may_be_first: false, ..holder(0, 0, 12) },
+        PartHolder { layer_ms: 5.0, ..holder(0, 0, 12) },
+    ],
+    request: request(),
+    path: Some(vec![1]),
+})]
+#[case::the_middle_of_a_path(Case {
+    holders: vec![holder(0, 3, 5), holder(0, 4, 9)],
+    request: PathRequest {
+        first_layer: 3, end_layer: 9, is_start: false, ..request()
+    },
+    path: Some(vec![0, 1]),
+})]
+fn the_cheapest_path_is_found(#[case] case: Case) {
+    assert_eq!(path(&case.holders, &case.request), case.path);
+}
+
+fn any_holder() -> impl Strategy<Value = PartHolder> {
+    (0_usize..3, 0_u32..LAYERS, 1_u32..LAYERS, 0.1_f64..9.0, 0_u64..100_000)
+        .prop_map(|(data_centre, first, length, layer_ms, used)| PartHolder {
+            layer_ms,
+            used_token_layers: used,
+            ..holder(data_centre, first, (first + length).min(LAYERS))
+        })
+}
+
+/// Whether some path exists, by trying all of them.
+fn exists(holders: &[PartHolder], request: &PathRequest, at: u32) -> bool {
+    if at == request.end_layer {
+        return true;
+    }
+    holders.iter().any(|h| {
+        let holds = h.first_layer <= at && at < h.end_layer;
+        let room = h.total_token_layers - h.used_token_layers;
+        holds && room >= request.tokens && exists(holders, request, at + 1)
+    })
+}
+
+proptest! {
+    #[test]
+    fn every_path_runs_each_layer_once(
+        holders in prop::collection::vec(any_holder(), 1..12),
+        seed in any::<u64>(),
+    ) {
+        let request = request();
+        let mut rng = fastrand::Rng::with_seed(seed);
+        match find_path(&holders, &request, &mut rng) {
+            Some(parts) => assert_tiles(&parts, &holders, &request),
+            // Room for a whole part may lack where room for layers of it
+            // is: only the converse holds for all.
+            None => {
+                let roomy = PathRequest { tokens: 0, ..request };
+                let empty: Vec<PartHolder> = holders
+                    .iter()
+                    .map(|h| PartHolder { used_token_layers: 0, ..*h })
+                    .collect();
+                let covered = exists(&empty, &roomy, 0);
+                let full = holders.iter().any(|h| h.used_token_layers > 0);
+                prop_assert!(!covered || full);
+            }
+        }
+    }
+}
--- a/crates/state/tests/lease.rs
+++ b/crates/state/tests/lease.rs
@@ -248,3 +248,41 @@
     gate.confirm(five);
     assert_eq!(gate.highest(), Some(six));
 }
+
+#[test]
+fn a_turn_that_was_given_up_is_taken_over_at_once() {
+    let mut store = Store::default();
+    let (mut old, mut new) = (holder(1), holder(2));
+    store.run(&mut old, 0);
+    store.run(&mut new, 0);
+    assert_eq!(new.may_act(1), None);
+    let resigned = old.resign(10).unwrap();
+    assert_eq!(old.may_act(10), None, "it stops before anyone is told");
+    new.holder_resigned(resigned);
+    store.run(&mut new, 11);
+    assert_eq!(new.may_act(11), number(2));
+}
+
+#[test]
+fn an_earlier_turn_that_was_given_up_says_nothing_of_the_next() {
+    let mut store = Store::default();
+    let (mut old, mut new) = (holder(1), holder(2));
+    store.run(&mut old, 0);
+    let first = old.resign(10).unwrap();
+    // It takes the lease again, in a turn of its own.
+    store.run(&mut old, 20);
+    assert_eq!(old.may_act(20), number(2));
+    new.holder_resigned(first);
+    store.run(&mut new, 21);
+    assert_eq!(new.may_act(21), None);
+}
+
+#[test]
+fn who_does_not_hold_the_lease_has_nothing_to_give_up() {
+    let mut store = Store::default();
+    let (mut old, mut new) = (holder(1), holder(2));
+    store.run(&mut old, 0);
+    store.run(&mut new, 0);
+    assert_eq!(new.resign(5), None);
+    assert_eq!(old.may_act(5), number(1));
+}
