--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -73,7 +73,7 @@
 /// Longest wait for a path before the first event.
 const MAX_WAIT_MS: u64 = 1_500;
 /// Longest wait for a path of a stream that has begun.
-const MAX_RESUME_WAIT_MS: u64 = 900;
+const MAX_RESUME_WAIT_MS: u64 = 1_500;
 /// Pause before asking the shared bound again.
 const RETRY_AGAIN: Duration = Duration::from_millis(100);
 /// Pause before looking again for a path.
@@ -428,10 +428,9 @@
         };
         let bytes = self.request_bytes();
         self.note_sent();
-        self.ran_at.insert(first.id.clone());
+        let is_new_here = self.ran_at.insert(first.id.clone());
         self.ended.attempts += 1;
         let was_run = self.may_have_run;
-        let was_there = self.ran_at.contains(&first.id);
         self.may_have_run = true;
         let id = self.admitted.id.clone();
         let method = self.request.method.clone();
@@ -452,7 +451,7 @@
         if head.status != 200 {
             let is_not_run = exchange::is_not_run(&head);
             self.may_have_run = was_run || !is_not_run;
-            if is_not_run && !was_there {
+            if is_not_run && is_new_here {
                 self.ran_at.remove(&first.id);
             }
             return self.refused(&mut connection, head).await;
@@ -705,20 +704,35 @@
         need: &PathNeed<'_>,
         detour: Option<&Path>,
     ) -> bool {
-        let crossings = self.path.crossings();
-        if detour.is_some_and(|path| path.crossings() <= crossings) {
+        if self.is_no_wider(detour) {
             return false;
         }
         let elsewhere = self.core.fleet.path(need);
         self.can_move() && elsewhere.is_some_and(|path| path.crossings() == 0)
     }
 
+    /// Whether a detour goes to other data centres no more than the path.
+    fn is_no_wider(&self, detour: Option<&Path>) -> bool {
+        let crossings = self.path.crossings();
+        detour.is_some_and(|path| path.crossings() <= crossings)
+    }
+
+    /// Whether an engine after the first has died, and not just drains.
+    fn has_dead_stage(&self) -> bool {
+        let rest = &self.path.stages[1..];
+        rest.iter().any(|stage| stage.engine.is_suspect())
+    }
+
     /// Tells the first engine another path; false when it has no such
     /// request any more.
     async fn change_path(&mut self) -> bool {
         for _ in 0..MAX_ORDERS {
             let need = self.need();
             let detour = self.core.fleet.detour(&need, &self.path);
+            if !self.has_dead_stage() && !self.is_no_wider(detour.as_ref()) {
+                // It still serves, and most streams end before it does.
+                return true;
+            }
             if self.is_better_elsewhere(&need, detour.as_ref()) {
                 return false;
             }
--- a/crates/telemetry/src/line_buffer.rs
+++ b/crates/telemetry/src/line_buffer.rs
@@ -7,7 +7,7 @@
 //! count of dropped lines follows as a line of its own.
 
 use std::{
-    io::Write as _,
+    io::{self, Write as _},
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering::Relaxed},
@@ -29,6 +29,9 @@
 /// Time from a line to its writing; each writing wakes a thread.
 const WRITE_EVERY: Duration = Duration::from_millis(250);
 
+/// Pause while the output takes nothing.
+const FULL_OUTPUT_PAUSE: Duration = Duration::from_millis(10);
+
 /// Lines that wait, shared by who logs and the thread that writes.
 #[derive(Clone, Debug, Default)]
 pub struct LineBuffer {
@@ -74,10 +77,23 @@
     /// Writes what waits now; for the end of the process.
     pub fn write_out(&self) {
         let lines = std::mem::take(&mut *self.lock());
-        if !lines.is_empty() {
-            // Nothing is left to tell a failure to.
-            let _ = std::io::stdout().write_all(&lines);
+        let mut left = lines.as_slice();
+        let mut output = std::io::stdout().lock();
+        while !left.is_empty() {
+            match output.write(&left[..left.len().min(4_000)]) {
+                Ok(0) => return,
+                Ok(count) => left = &left[count..],
+                // The output may be a pipe that does not block; what is left
+                // waits here, and what comes meanwhile in the buffer.
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    thread::sleep(FULL_OUTPUT_PAUSE);
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                // Nothing is left to tell a failure to.
+                Err(_) => return,
+            }
         }
+        let _ = output.flush();
     }
 
     /// Takes a line; false when it was dropped.
