Show, trace, explain and report an installation on the users' platform

The tool reads the store, the entries' status and logs; what the platform does itself is refused by name. Tests against the emulator's store.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,6 +11,7 @@
 //! | `drain` | taking daemons and backend servers out of service |
 //! | `explain` | why a chain is chosen |
 //! | `burn` | how fast services use up their error budgets |
+//! | `site` | an installation on the users' platform |
 //! | `args` | arguments that several subcommands take |
 //! | `daemons` | calls to the control ports of daemons |
 //! | `exit` | what the process says when it ends |
@@ -27,6 +28,7 @@
 mod explain;
 mod output;
 mod show;
+mod site;
 mod source;
 
 use std::process::ExitCode;
@@ -59,6 +61,7 @@
             drain::command(),
             explain::command(),
             burn::command(),
+            site::command(),
         ])
         .after_help(exit::help())
 }
@@ -71,6 +74,7 @@
         Some((drain::NAME, matches)) => drain::run(matches),
         Some((explain::NAME, matches)) => explain::run(matches),
         Some((burn::NAME, matches)) => burn::run(matches),
+        Some((site::NAME, matches)) => site::run(matches),
         _ => unreachable!("clap asks for a known subcommand"),
     }
 }
--- /dev/null
+++ b/crates/cli/src/site/burn.rs
@@ -0,0 +1,211 @@
+//! How fast routes use up their error budgets, from logs.
+//!
+//! A request is good when its answer was whole. The burn rate is the share
+//! of bad ones over the share that the objective allows: at 1 the budget
+//! lasts exactly as long as it should.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write as _,
+    fs,
+    path::{Path, PathBuf},
+};
+
+use anyhow::Context as _;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use serde_json::json;
+
+use super::log::{self, Line};
+use crate::{args, exit::Exit, output, output::Table};
+
+pub(crate) const NAME: &str = "burn";
+const OBJECTIVE: &str = "objective";
+const HTML: &str = "html";
+/// Characters of a time down to the second.
+const SECOND: usize = "2026-01-01T00:00:00".len();
+/// Size of a plot.
+const PLOT: (f64, f64) = (720.0, 120.0);
+/// Top of the scale of a plot, as a burn rate.
+const TOP_RATE: f64 = 20.0;
+
+/// Its arguments.
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Reports how fast routes use up their error budgets")
+        .arg(log::arg())
+        .arg(
+            Arg::new(OBJECTIVE)
+                .long(OBJECTIVE)
+                .value_name("SHARE")
+                .value_parser(value_parser!(f64))
+                .default_value("0.99")
+                .help("Share of requests that should be good, below 1"),
+        )
+        .arg(args::path(HTML, "Write a page with plots").long(HTML))
+        .arg(args::json())
+}
+
+/// Good and bad requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    good: u64,
+    bad: u64,
+}
+
+impl Count {
+    fn bad_share(self) -> f64 {
+        self.bad as f64 / (self.good + self.bad).max(1) as f64
+    }
+}
+
+/// What is known of a route.
+#[derive(Debug, Default)]
+struct Route {
+    all: Count,
+    by_second: BTreeMap<String, Count>,
+    resumed: u64,
+    path_changes: u64,
+}
+
+/// Reports.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let objective: f64 = *args::required(matches, OBJECTIVE);
+    if !(0.0..1.0).contains(&objective) {
+        eprintln!("--objective {objective} is not from 0 to below 1");
+        return Ok(Exit::Findings);
+    }
+    let budget = 1.0 - objective;
+    let routes = count(&log::load(matches)?);
+    if let Some(path) = matches.get_one::<PathBuf>(HTML) {
+        write_page(path, &routes, budget)?;
+    }
+    if args::is_json(matches) {
+        let json: BTreeMap<&String, _> = routes
+            .iter()
+            .map(|(name, route)| (name, route_json(route, budget)))
+            .collect();
+        output::print_json(&json)?;
+        return Ok(Exit::Done);
+    }
+    let mut table = Table::new([
+        "route",
+        "good",
+        "bad",
+        "burn rate",
+        "worst second",
+        "resumed",
+        "path changes",
+    ]);
+    for (name, route) in &routes {
+        table.push([
+            name.clone(),
+            route.all.good.to_string(),
+            route.all.bad.to_string(),
+            format!("{:.2}", route.all.bad_share() / budget),
+            format!("{:.2}", worst(route) / budget),
+            route.resumed.to_string(),
+            route.path_changes.to_string(),
+        ]);
+    }
+    output::print_text(&table.to_string())?;
+    Ok(Exit::Done)
+}
+
+fn count(lines: &[Line]) -> BTreeMap<String, Route> {
+    let mut routes: BTreeMap<String, Route> = BTreeMap::new();
+    for line in lines.iter().filter(|l| l.name() == "relay_ended") {
+        // What belongs to no route, or was given up by the client, says
+        // nothing of the service.
+        let is_owed = !line.field("route").is_empty()
+            && line.field("outcome") != "caller_gone";
+        if !is_owed {
+            continue;
+        }
+        let route = routes.entry(line.field("route").to_owned()).or_default();
+        let second = line.at.get(..SECOND).unwrap_or(&line.at).to_owned();
+        let in_second = route.by_second.entry(second).or_default();
+        for count in [&mut route.all, in_second] {
+            match line.field("outcome") {
+                "completed" => count.good += 1,
+                _ => count.bad += 1,
+            }
+        }
+        let attempts = line.number("attempts").unwrap_or(1);
+        route.resumed += u64::from(attempts > 1);
+        route.path_changes += line.number("changes").unwrap_or(0);
+    }
+    routes
+}
+
+fn worst(route: &Route) -> f64 {
+    route.by_second.values().map(|c| c.bad_share()).fold(0.0, f64::max)
+}
+
+fn route_json(route: &Route, budget: f64) -> serde_json::Value {
+    let seconds: BTreeMap<&String, f64> = route
+        .by_second
+        .iter()
+        .map(|(second, count)| (second, count.bad_share() / budget))
+        .collect();
+    json!({
+        "good": route.all.good,
+        "bad": route.all.bad,
+        "burn_rate": route.all.bad_share() / budget,
+        "burn_rate_by_second": seconds,
+        "resumed": route.resumed,
+        "path_changes": route.path_changes,
+    })
+}
+
+fn write_page(
+    path: &Path,
+    routes: &BTreeMap<String, Route>,
+    budget: f64,
+) -> anyhow::Result<()> {
+    let mut page = "<!doctype html><meta charset=\"utf-8\">\
+        <title>Burn rates</title><body style=\"font-family:sans-serif\">\
+        <h1>Burn rates by route</h1>"
+        .to_owned();
+    for (name, route) in routes {
+        let rate = route.all.bad_share() / budget;
+        let _ = write!(
+            page,
+            "<h2>{}</h2><p>{} good, {} bad, burn rate {rate:.2}</p>{}",
+            escape(name),
+            route.all.good,
+            route.all.bad,
+            plot(route, budget),
+        );
+    }
+    fs::write(path, page)
+        .with_context(|| format!("cannot write {}", path.display()))
+}
+
+/// Burn rate of each second, with a line at 1.
+fn plot(route: &Route, budget: f64) -> String {
+    let (width, height) = PLOT;
+    let bar = width / route.by_second.len().max(1) as f64;
+    let y = |rate: f64| height * (1.0 - rate.min(TOP_RATE) / TOP_RATE);
+    let mut out = format!("<svg width=\"{width}\" height=\"{height}\">");
+    for (at, count) in route.by_second.values().enumerate() {
+        let top = y(count.bad_share() / budget);
+        let _ = write!(
+            out,
+            "<rect x=\"{:.1}\" y=\"{top:.1}\" width=\"{bar:.1}\" \
+             height=\"{:.1}\" fill=\"#c54\"/>",
+            at as f64 * bar,
+            height - top,
+        );
+    }
+    let one = y(1.0);
+    let _ = write!(
+        out,
+        "<line x1=\"0\" x2=\"{width}\" y1=\"{one:.1}\" y2=\"{one:.1}\" \
+         stroke=\"#333\"/></svg>"
+    );
+    out
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;")
+}
--- /dev/null
+++ b/crates/cli/src/site/log.rs
@@ -0,0 +1,100 @@
+//! Lines of the logs.
+
+use std::{fs, path::PathBuf};
+
+use anyhow::Context as _;
+use clap::{Arg, ArgAction, ArgMatches, value_parser};
+use serde_json::Value;
+
+pub(crate) const LOGS: &str = "logs";
+
+/// An option with files of logs.
+pub(crate) fn arg() -> Arg {
+    Arg::new(LOGS)
+        .long(LOGS)
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .action(ArgAction::Append)
+        .required(true)
+        .help("Logs of entries, as JSON lines; may be given again")
+}
+
+/// One line of the logs.
+#[derive(Clone, Debug)]
+pub(crate) struct Line {
+    /// Where it comes from.
+    pub(crate) file: String,
+    /// When it was written, as it says.
+    pub(crate) at: String,
+    /// Its fields.
+    pub(crate) fields: Value,
+    /// What happened.
+    pub(crate) message: String,
+}
+
+impl Line {
+    /// Name of the event.
+    pub(crate) fn name(&self) -> &str {
+        self.field("name")
+    }
+
+    /// A field as text; empty if it is not there.
+    pub(crate) fn field(&self, name: &str) -> &str {
+        self.fields[name].as_str().unwrap_or("")
+    }
+
+    /// A field as a number.
+    pub(crate) fn number(&self, name: &str) -> Option<u64> {
+        self.field(name).parse().ok()
+    }
+
+    /// Fields but for the name, as text.
+    pub(crate) fn text(&self) -> String {
+        let Some(fields) = self.fields.as_object() else {
+            return String::new();
+        };
+        let shown = fields.iter().filter(|(name, value)| {
+            !matches!(name.as_str(), "name" | "event" | "request")
+                && value.as_str() != Some("")
+        });
+        let texts: Vec<String> = shown
+            .map(|(name, value)| match value.as_str() {
+                Some(text) => format!("{name}={text}"),
+                None => format!("{name}={value}"),
+            })
+            .collect();
+        texts.join(" ")
+    }
+}
+
+/// The lines of all files in order of time. Lines that are not ours are
+/// passed over: a platform may put its own between them.
+pub(crate) fn load(matches: &ArgMatches) -> anyhow::Result<Vec<Line>> {
+    let mut lines = Vec::new();
+    for path in matches.get_many::<PathBuf>(LOGS).into_iter().flatten() {
+        let text = fs::read_to_string(path)
+            .with_context(|| format!("cannot read {}", path.display()))?;
+        let file = path.display().to_string();
+        let of_file = text.lines().filter_map(|line| parse(&file, line));
+        lines.extend(of_file);
+    }
+    lines.sort_by(|a, b| a.at.cmp(&b.at));
+    Ok(lines)
+}
+
+fn parse(file: &str, line: &str) -> Option<Line> {
+    // A platform may write its own columns before ours.
+    let ours = &line[line.find('{')?..];
+    let value: Value = serde_json::from_str(ours).ok()?;
+    let before = line[..line.find('{')?].trim();
+    let file = match before.rsplit(' ').next() {
+        Some(name) if !name.is_empty() => name.to_owned(),
+        _ => file.to_owned(),
+    };
+    Some(Line {
+        file,
+        at: value["timestamp"].as_str()?.to_owned(),
+        message: value["message"].as_str()?.to_owned(),
+        fields: value["kvs"].clone(),
+    })
+}
--- /dev/null
+++ b/crates/cli/src/site/route.rs
@@ -0,0 +1,149 @@
+//! Which engines a described request would pass.
+//!
+//! From the store's list alone: what entries know of load and of engines
+//! that seem dead is not in it.
+
+use std::net::SocketAddr;
+
+use chestnutreach_routing::{PartHolder, PathRequest, find_path};
+use chestnutreach_site::{Backend, BackendState, Model};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use serde_json::json;
+
+use super::state::{self, STORE};
+use crate::{args, daemons, exit::Exit, output};
+
+pub(crate) const NAME: &str = "explain";
+const SERVICE: &str = "service";
+const DATA_CENTRE: &str = "data-centre";
+const TOKENS: &str = "tokens";
+
+/// Its arguments.
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Shows which engines a described request would pass")
+        .arg(args::address(STORE, "The platform's store").required(true))
+        .arg(
+            Arg::new(SERVICE)
+                .long(SERVICE)
+                .required(true)
+                .help("Name of the language service"),
+        )
+        .arg(
+            Arg::new(DATA_CENTRE)
+                .long(DATA_CENTRE)
+                .required(true)
+                .help("Data centre of the entry"),
+        )
+        .arg(
+            Arg::new(TOKENS)
+                .long(TOKENS)
+                .value_parser(value_parser!(u64))
+                .default_value("1000")
+                .help("Tokens that the request holds in memory"),
+        )
+        .arg(args::timeout(daemons::TIMEOUT_MS))
+        .arg(args::json())
+}
+
+/// Prints the path.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let store: SocketAddr = *args::required(matches, STORE);
+    let service: &String = args::required(matches, SERVICE);
+    let data_centre: &String = args::required(matches, DATA_CENTRE);
+    let tokens: u64 = *args::required(matches, TOKENS);
+    let timeout = args::timeout_of(matches);
+    let stored = async_io::block_on(state::read(store, timeout))?;
+    let known = stored.configuration.services.get(service);
+    let Some(model) = known.and_then(|s| s.model.as_ref()) else {
+        eprintln!("the configuration has no language service {service:?}");
+        return Ok(Exit::Findings);
+    };
+    let engines: Vec<&Backend> =
+        stored.backends.iter().filter(|b| b.service == *service).collect();
+    let mut places: Vec<&str> =
+        engines.iter().map(|b| b.data_centre.as_str()).collect();
+    places.push(data_centre);
+    places.sort_unstable();
+    places.dedup();
+    let place = |name: &str| places.binary_search(&name).unwrap_or(0);
+    let holders: Vec<PartHolder> = engines
+        .iter()
+        .map(|b| holder(model, b, place(&b.data_centre)))
+        .collect();
+    let request = PathRequest {
+        first_layer: 0,
+        end_layer: model.layer_count,
+        tokens,
+        data_centre: place(data_centre),
+        is_start: true,
+        crossing_use: 0.0,
+    };
+    let mut rng = fastrand::Rng::with_seed(0);
+    let Some(parts) = find_path(&holders, &request, &mut rng) else {
+        eprintln!("no path: {}", lacking(model, &holders));
+        return Ok(Exit::Failed);
+    };
+    let rows: Vec<_> = parts
+        .iter()
+        .map(|part| {
+            let engine = engines[part.holder];
+            json!({"engine": engine.id, "address": engine.address,
+                "data_centre": engine.data_centre, "kind": engine.kind,
+                "layers": format!("{}..{}", part.first_layer,
+                    part.end_layer)})
+        })
+        .collect();
+    if args::is_json(matches) {
+        output::print_json(&rows)?;
+        return Ok(Exit::Done);
+    }
+    for row in rows {
+        let text = |name: &str| row[name].as_str().unwrap_or("").to_owned();
+        let line = format!(
+            "{:<9} {} {} {} {}",
+            text("layers"),
+            text("engine"),
+            text("address"),
+            text("data_centre"),
+            text("kind")
+        );
+        output::print_text(&line)?;
+    }
+    Ok(Exit::Done)
+}
+
+fn holder(model: &Model, backend: &Backend, data_centre: usize) -> PartHolder {
+    let kind = backend.kind.as_ref().and_then(|k| model.kinds.get(k));
+    let held = backend.held;
+    let is_ready = backend.state == BackendState::Ready;
+    let layers = held.map_or(0, |held| held.layers());
+    PartHolder {
+        data_centre,
+        first_layer: held.map_or(0, |held| held.first_layer),
+        end_layer: held.map_or(0, |held| held.end_layer),
+        layer_ms: kind.map_or(0.0, |kind| model.step_part_ms(kind, 1)),
+        used_token_layers: 0,
+        total_token_layers: kind
+            .map_or(0, |kind| model.token_layers_beside(kind, layers)),
+        is_usable: is_ready && kind.is_some() && held.is_some(),
+        may_be_first: true,
+    }
+}
+
+/// Layers that no ready engine holds, or that room is lacking.
+fn lacking(model: &Model, holders: &[PartHolder]) -> String {
+    let is_held = |layer: &u32| {
+        holders.iter().any(|h| {
+            h.is_usable && h.first_layer <= *layer && *layer < h.end_layer
+        })
+    };
+    let missing: Vec<String> = (0..model.layer_count)
+        .filter(|layer| !is_held(layer))
+        .map(|layer| layer.to_string())
+        .collect();
+    match missing.is_empty() {
+        true => "all layers are held; room is lacking".to_owned(),
+        false => format!("no ready engine holds {}", missing.join(" ")),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/site/trace.rs
@@ -0,0 +1,129 @@
+//! From a request's id to its cause, from logs.
+//!
+//! The lines of the request come first. Then what the entries noted of the
+//! backend servers that it names and of the store, from a little before its
+//! first line to its last.
+
+use std::collections::BTreeSet;
+
+use clap::{Arg, ArgMatches, Command};
+use serde_json::json;
+
+use super::log::{self, Line};
+use crate::{args, exit::Exit, output};
+
+pub(crate) const NAME: &str = "trace";
+const REQUEST: &str = "request";
+/// Events that tell of the store, and so explain refusals.
+const OF_THE_STORE: [&str; 6] = [
+    "feed_lost",
+    "feed_back",
+    "keys_stale",
+    "configuration_in_force",
+    "lease_taken",
+    "lease_lost",
+];
+/// Fields that name backend servers.
+const BACKENDS: [&str; 3] = ["backend", "backends", "without"];
+
+/// Its arguments.
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Leads from a request's id to its cause")
+        .arg(
+            Arg::new(REQUEST)
+                .long(REQUEST)
+                .value_name("ID")
+                .required(true)
+                .help("Id of the request, of one try of the client"),
+        )
+        .arg(log::arg())
+        .arg(args::json())
+}
+
+/// Prints the trace.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let id: &String = args::required(matches, REQUEST);
+    let lines = log::load(matches)?;
+    let own: Vec<&Line> =
+        lines.iter().filter(|line| line.field("request") == id).collect();
+    if own.is_empty() {
+        eprintln!("no line names request {id}");
+        return Ok(Exit::Failed);
+    }
+    let around = around(&lines, &own);
+    let verdict = verdict(&own);
+    if args::is_json(matches) {
+        let json = |line: &&Line| {
+            json!({"at": line.at, "from": line.file, "event": line.fields,
+                "message": line.message})
+        };
+        output::print_json(&json!({
+            "request": id,
+            "verdict": verdict,
+            "lines": own.iter().map(json).collect::<Vec<_>>(),
+            "around": around.iter().map(json).collect::<Vec<_>>(),
+        }))?;
+        return Ok(Exit::Done);
+    }
+    output::print_text(&format!("request {id}: {verdict}"))?;
+    for line in own {
+        print(line)?;
+    }
+    output::print_text("what was noted of its backend servers and the store")?;
+    for line in around {
+        print(line)?;
+    }
+    Ok(Exit::Done)
+}
+
+fn print(line: &Line) -> anyhow::Result<()> {
+    let text = line.text();
+    let (at, file, name) = (&line.at, &line.file, line.name());
+    output::print_text(&format!("  {at} {file} {name} {text}"))
+}
+
+/// How it ended, in a sentence.
+fn verdict(own: &[&Line]) -> String {
+    let last = own.iter().rev().find(|line| line.name() == "relay_ended");
+    let Some(end) = last else {
+        return "its outcome is not in these logs".to_owned();
+    };
+    let reason = match end.field("reason") {
+        "" => String::new(),
+        reason => format!(", {reason}"),
+    };
+    format!(
+        "{}{reason}; {} attempts, {} path changes, longest pause {} ms",
+        end.field("outcome"),
+        end.field("attempts"),
+        end.field("changes"),
+        end.field("max_gap_ms"),
+    )
+}
+
+/// Lines of the backend servers that the request names, and of the store.
+fn around<'a>(lines: &'a [Line], own: &[&Line]) -> Vec<&'a Line> {
+    let named: BTreeSet<String> =
+        own.iter().flat_map(|line| backends(line)).collect();
+    let entries: BTreeSet<&str> =
+        own.iter().map(|line| line.file.as_str()).collect();
+    let last = &own[own.len() - 1].at;
+    let is_around = |line: &&Line| {
+        let is_before = line.at <= *last;
+        let is_store = OF_THE_STORE.contains(&line.name())
+            && entries.contains(line.file.as_str());
+        let is_backend = line.field("request").is_empty()
+            && backends(line).iter().any(|id| named.contains(id));
+        is_before && (is_store || is_backend)
+    };
+    lines.iter().filter(is_around).collect()
+}
+
+/// Ids of the backend servers that a line names.
+fn backends(line: &Line) -> Vec<String> {
+    let fields = BACKENDS.iter().map(|name| line.field(name));
+    let ids = fields.flat_map(|text| text.split(','));
+    let ids = ids.map(|part| part.split('=').next().unwrap_or(part));
+    ids.filter(|id| !id.is_empty()).map(str::to_owned).collect()
+}
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -4,4 +4,5 @@
 mod burn;
 mod check;
 mod control;
+mod site;
 mod support;
--- /dev/null
+++ b/crates/cli/tests/cli/site.rs
@@ -0,0 +1,151 @@
+//! `site`, against the emulator's store and files of logs.
+
+use std::{fs, process::Command};
+
+use chestnutreach_emulator::{
+    engines,
+    site::{KEY, MODEL_SERVICE, Site},
+    start_executor,
+    store::Store,
+    world::World,
+};
+use rstest::rstest;
+use serde_json::Value;
+
+struct Run {
+    code: i32,
+    out: String,
+    error: String,
+}
+
+fn run(arguments: &[&str]) -> Run {
+    let output = Command::new(env!("CARGO_BIN_EXE_chestnutreach"))
+        .arg("site")
+        .args(arguments)
+        .output()
+        .unwrap();
+    Run {
+        code: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        error: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+const LOGS: &str = concat!(
+    r#"{"timestamp":"2026-01-01T00:00:01.100Z","message":"m","kvs":{"name":"relay_sent","request":"r1","backends":"i-1=0-6,i-2=6-12"}}"#,
+    "\n",
+    r#"  12.3 front-a {"timestamp":"2026-01-01T00:00:01.200Z","message":"m","kvs":{"name":"backend_suspected","backend":"i-2","evidence":"refused"}}"#,
+    "\n",
+    r#"{"timestamp":"2026-01-01T00:00:01.210Z","message":"m","kvs":{"name":"backend_suspected","backend":"i-9","evidence":"refused"}}"#,
+    "\n",
+    r#"{"timestamp":"2026-01-01T00:00:02.000Z","message":"m","kvs":{"name":"relay_ended","request":"r1","route":"r-a","outcome":"completed","attempts":"2","changes":"1","max_gap_ms":"300","reason":""}}"#,
+    "\n",
+    r#"{"timestamp":"2026-01-01T00:00:02.100Z","message":"m","kvs":{"name":"relay_ended","request":"r2","route":"r-a","outcome":"not_run","attempts":"0","changes":"0","reason":"no_backend"}}"#,
+    "\nnot ours\n",
+);
+
+fn with_logs(arguments: &[&str]) -> Run {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("logs");
+    fs::write(&path, LOGS).unwrap();
+    let mut all = arguments.to_vec();
+    all.extend(["--logs", path.to_str().unwrap()]);
+    run(&all)
+}
+
+#[test]
+fn a_trace_names_the_outcome_and_what_was_noted_of_its_engines() {
+    let run = with_logs(&["trace", "--request", "r1"]);
+    assert_eq!(run.code, 0, "{}", run.error);
+    assert!(run.out.contains("completed; 2 attempts"), "{}", run.out);
+    assert!(run.out.contains("i-2"), "{}", run.out);
+    assert!(!run.out.contains("i-9"), "{}", run.out);
+    let json = with_logs(&["trace", "--request", "r1", "--json"]).out;
+    let json: Value = serde_json::from_str(&json).unwrap();
+    assert_eq!(json["lines"].as_array().unwrap().len(), 2);
+    let unknown = with_logs(&["trace", "--request", "r9"]);
+    assert_eq!(unknown.code, 1);
+    assert!(unknown.error.contains("r9"));
+}
+
+#[test]
+fn burn_is_told_as_text_json_and_page() {
+    let run = with_logs(&["burn", "--objective", "0.9"]);
+    assert_eq!(run.code, 0, "{}", run.error);
+    assert!(run.out.contains("5.00"), "half are bad: {}", run.out);
+    let json = with_logs(&["burn", "--json"]).out;
+    let json: Value = serde_json::from_str(&json).unwrap();
+    assert_eq!(json["r-a"]["good"], 1);
+    let dir = tempfile::tempdir().unwrap();
+    let page = dir.path().join("page.html");
+    let run = with_logs(&["burn", "--html", page.to_str().unwrap()]);
+    assert_eq!(run.code, 0);
+    assert!(fs::read_to_string(page).unwrap().contains("<svg"));
+    assert_eq!(with_logs(&["burn", "--objective", "1"]).code, 2);
+}
+
+#[rstest]
+#[case("apply")]
+#[case("drain")]
+fn what_can_not_apply_is_refused_by_name(#[case] name: &str) {
+    let run = run(&[name]);
+    assert_eq!(run.code, 3);
+    assert!(run.error.contains(name), "{}", run.error);
+}
+
+#[test]
+fn files_are_checked_with_all_findings() {
+    let deploy =
+        concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/system.toml");
+    let good = run(&["check", "--deploy", deploy]);
+    assert_eq!(good.code, 0, "{}{}", good.out, good.error);
+    let dir = tempfile::tempdir().unwrap();
+    let bad = dir.path().join("bad.toml");
+    fs::write(&bad, "[roles.a]\non = \"x\"\nshare = 2.0\n").unwrap();
+    let bad = bad.to_str().unwrap();
+    let run = run(&["check", "--deploy", bad, "--settings", bad]);
+    assert_eq!(run.code, 2);
+    for place in
+        ["build", "roles.a.run", "roles.a.on", "roles.a.share", "node-name"]
+    {
+        assert!(run.out.contains(place), "{place}: {}", run.out);
+    }
+}
+
+#[test]
+fn the_store_tells_configuration_cover_and_paths() {
+    let executor = start_executor().unwrap();
+    let site = Site::small();
+    let (store, address) = Store::start(&executor).unwrap();
+    store.put("op", "config", &site.configuration(7, &[KEY]));
+    let world = World::new(&site, &store, &executor);
+    engines::start_all(&world).unwrap();
+    let at = address.to_string();
+    let explain = [
+        "explain",
+        "--store",
+        &at,
+        "--service",
+        MODEL_SERVICE,
+        "--data-centre",
+        "hall-a",
+    ];
+    let lacking = run(&explain);
+    assert_eq!(lacking.code, 1);
+    assert!(lacking.error.contains("no ready engine holds 0 1"));
+    for (index, engine) in world.engines().into_iter().enumerate() {
+        let first = 4 * (index as u32 % 3);
+        let held = Some((first, first + 4));
+        world.change(engine, |server| server.held = held);
+        world.tell(engine);
+    }
+    let shown = run(&["show", "--store", &at, "--json"]);
+    assert_eq!(shown.code, 0, "{}", shown.error);
+    let json: Value = serde_json::from_str(&shown.out).unwrap();
+    assert_eq!(json["configuration"], 7);
+    let cover = &json["cover"][MODEL_SERVICE];
+    assert_eq!(cover["hall-a"].as_array().unwrap().len(), 12);
+    let found = run(&explain);
+    assert_eq!(found.code, 0, "{}", found.error);
+    assert_eq!(found.out.lines().count(), 3, "{}", found.out);
+}
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -56,6 +56,8 @@
     /// Closes once the entry stops.
     pub(crate) closing: async_channel::Receiver<()>,
     pub(crate) is_planner: AtomicBool,
+    /// Orders that were given and do not show yet.
+    pub(crate) orders_waiting: AtomicUsize,
     /// Number of the last lease that this entry gave up.
     pub(crate) resigned: AtomicU64,
     /// Since when the feed of the configuration fails; 0 if it doesn't.
@@ -89,6 +91,7 @@
             in_flight: AtomicUsize::new(0),
             closing,
             is_planner: AtomicBool::new(false),
+            orders_waiting: AtomicUsize::new(0),
             resigned: AtomicU64::new(0),
             store_lost_ms: AtomicU64::new(0),
         }
@@ -206,6 +209,25 @@
         retries.iter_mut().map(sent).collect()
     }
 
+    /// Further arrivals that are left of this entry's own part, by service.
+    pub(crate) fn retries_left(&self) -> Vec<(String, f64)> {
+        let bounds = self.retry_bounds();
+        let entries = self.peers.entry_count();
+        let mut retries = self.retries.lock().expect("no holder panics");
+        let left = |(name, window): (&String, &mut RetryWindow)| {
+            (name.clone(), window.left(&bounds, entries, now_ms()))
+        };
+        retries.iter_mut().map(left).collect()
+    }
+
+    /// How long the store has not answered; 0 if it does.
+    pub(crate) fn store_lost_for_ms(&self) -> u64 {
+        match self.store_lost_ms.load(Relaxed) {
+            0 => 0,
+            since_ms => now_ms().saturating_sub(since_ms),
+        }
+    }
+
     /// Takes one further arrival at a service from the shared bound.
     pub(crate) fn take_retry(&self, service: &str) -> bool {
         let bounds = self.retry_bounds();
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -228,8 +228,15 @@
         })
     };
     let engines: Vec<_> = core.fleet.all().into_iter().map(engine).collect();
+    let left = |(service, left): (String, f64)| serde_json::json!({"service": service, "left": left.floor()});
+    let retries: Vec<_> = core.retries_left().into_iter().map(left).collect();
     serde_json::json!({
         "vm": core.settings.vm,
+        "data_centre": core.settings.data_centre,
+        "is_stopping": core.stopping_for_ms().is_some(),
+        "store_lost_ms": core.store_lost_for_ms(),
+        "orders_waiting": core.orders_waiting.load(Relaxed),
+        "retries": retries,
         "boot_id": core.boot_id.to_string(),
         "configuration": core.configuration().map(|c| c.version),
         "configuration_age_ms": core.confirmed_age_ms(),
--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -7,6 +7,7 @@
 
 use async_io::Timer;
 use chestnutreach_adapter::store::{Row, StoreClient, StoreError};
+use chestnutreach_site::tables::{LEASE, LEASE_KEY};
 use chestnutreach_state::{
     FencingNumber, LeaseCommand, LeaseHolder, LeaseOptions, LeaseRow,
     LeaseState, StoreAnswer,
@@ -15,9 +16,6 @@
 
 use crate::{clock::now_ms, core::Core};
 
-/// Table and key of the lease.
-const TABLE: &str = "chestnutreach-lease";
-const KEY: &str = "planner";
 /// Time that a candidate must see the row unchanged.
 const DURATION_MS: u64 = 3_000;
 /// How long before its end the holder renews.
@@ -118,7 +116,7 @@
     }
 
     async fn read(&self) -> StoreAnswer {
-        match self.store.read_row(TABLE, KEY, TIMEOUT).await {
+        match self.store.read_row(LEASE, LEASE_KEY, TIMEOUT).await {
             Ok(row) => {
                 let known = row.as_ref().and_then(decode);
                 *self.known.lock().expect("no holder panics") = known;
@@ -140,8 +138,13 @@
         let version = known.map_or(0, |(_, version)| version);
         let value =
             serde_json::to_vec(&row).expect("plain fields always serialize");
-        let write =
-            self.store.write_row(TABLE, KEY, Some(version), &value, TIMEOUT);
+        let write = self.store.write_row(
+            LEASE,
+            LEASE_KEY,
+            Some(version),
+            &value,
+            TIMEOUT,
+        );
         match write.await {
             Ok(version) => {
                 let mut known = self.known.lock().expect("no holder panics");
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -20,13 +20,12 @@
 use chestnutreach_adapter::store::StoreClient;
 use chestnutreach_protocol::peers::{EngineUse, PeerState, ServiceUse};
 use chestnutreach_routing::Sent;
+use chestnutreach_site::tables::ENTRIES;
 use chestnutreach_telemetry::{Event, emit};
 use prost::Message as _;
 
 use crate::{clock::now_ms, core::Core, probe};
 
-/// Table in which entries find each other; a row each, by name of the VM.
-const TABLE: &str = "chestnutreach-entries";
 /// Time between messages to all others.
 const TELL_EVERY: Duration = Duration::from_millis(200);
 /// Silence after which another entry no longer counts.
@@ -314,7 +313,7 @@
             let value = own.to_string();
             let vm = &core.settings.vm;
             let write = store.write_row(
-                TABLE,
+                ENTRIES,
                 vm,
                 None,
                 value.as_bytes(),
@@ -322,7 +321,7 @@
             );
             is_listed = write.await.is_ok();
         }
-        let Ok(rows) = store.read_table(TABLE, STORE_TIMEOUT).await else {
+        let Ok(rows) = store.read_table(ENTRIES, STORE_TIMEOUT).await else {
             continue;
         };
         for row in &rows.rows {
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -6,7 +6,11 @@
 //! answer counts as carried out until the list shows otherwise, and the same
 //! order is given again.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+};
 
 use async_io::Timer;
 use chestnutreach_adapter::engine::{ORDER_TARGET, place_body};
@@ -78,6 +82,7 @@
             Some(number) => planner.round(&core, &lease, number).await,
             None => planner = Planner::default(),
         }
+        core.orders_waiting.store(planner.given.len(), Relaxed);
     }
 }
 
--- a/crates/routing/src/retry_window.rs
+++ b/crates/routing/src/retry_window.rs
@@ -103,6 +103,18 @@
         is_allowed
     }
 
+    /// Further arrivals that are left of the own part.
+    pub fn left(
+        &mut self,
+        bounds: &RetryBounds,
+        entries: usize,
+        now_ms: u64,
+    ) -> f64 {
+        let sent = self.sent(bounds, now_ms);
+        let own = own_part(bounds, entries, &sent);
+        (own - f64::from(sent.further)).max(0.0)
+    }
+
     /// What was sent in the window.
     pub fn sent(&mut self, bounds: &RetryBounds, now_ms: u64) -> Sent {
         self.forget(bounds, now_ms);
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`settings`] | what a process learns at its start |
 //! | [`configuration`] | routes, services and keys in force |
 //! | [`backend`] | backend servers, their kinds and layers |
+//! | [`tables`] | tables of the store that belong to us |
 //!
 //! # Example
 //!
@@ -28,6 +29,7 @@
 pub mod backend;
 pub mod configuration;
 pub mod settings;
+pub mod tables;
 
 pub use backend::{Backend, BackendState, LayerRange, Model, ModelKind};
 pub use configuration::{
