--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -43,6 +43,9 @@
 /// Pause between calls of the list, so that changes that come together cost
 /// one call.
 const LIST_PAUSE: Duration = Duration::from_millis(250);
+/// Entries for which the pause is once as long, and most times that it is.
+const ENTRIES_FOR_PAUSE: u32 = 12;
+const MAX_PAUSES: u32 = 3;
 /// An outage of the store, from which on lapsed entries are kept.
 const OUTAGE_MS: u64 = 400;
 /// How long lapsed entries are kept after the store's return.
@@ -225,10 +228,17 @@
                 Timer::after(RETRY_PAUSE).await;
             }
         }
-        Timer::after(LIST_PAUSE).await;
+        Timer::after(list_pause(&core)).await;
     }
 }
 
+/// Every change of the list costs a call of each entry, so many entries take
+/// more changes together.
+fn list_pause(core: &Core) -> Duration {
+    let entries = core.peers.entry_count() as u32;
+    LIST_PAUSE * (entries / ENTRIES_FOR_PAUSE).clamp(1, MAX_PAUSES)
+}
+
 async fn read_backends(
     core: &Arc<Core>,
     store: &StoreClient,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -132,6 +132,8 @@
     pace: Pace,
     /// How long it stays on an engine that drains.
     leave_after_ms: u64,
+    /// Why it left its first engine, which may still run.
+    left_because: &'static str,
     /// Why the next attempt is made.
     cause: &'static str,
     ended: Ended,
@@ -234,6 +236,7 @@
         last_event: last_event(request),
         pace: Pace::new(),
         leave_after_ms: leave_after_ms(core),
+        left_because: "",
         cause: "first",
         ended: Ended::default(),
     };
@@ -445,7 +448,10 @@
                 return AttemptEnd::Broken;
             }
             Waited::CallerGone => return AttemptEnd::CallerGone,
-            Waited::GivenUp => return AttemptEnd::Broken,
+            Waited::GivenUp => {
+                self.note_broken(&self.left_because);
+                return AttemptEnd::Broken;
+            }
             Waited::TimeOver => return AttemptEnd::TimeOver,
         };
         if head.status != 200 {
@@ -520,7 +526,10 @@
                     return AttemptEnd::Broken;
                 }
                 Waited::CallerGone => return AttemptEnd::CallerGone,
-                Waited::GivenUp => return AttemptEnd::Broken,
+                Waited::GivenUp => {
+                    self.note_broken(&self.left_because);
+                    return AttemptEnd::Broken;
+                }
                 Waited::TimeOver => return AttemptEnd::TimeOver,
             };
             splitter.push(&part);
@@ -651,6 +660,7 @@
     /// when it must go on elsewhere.
     async fn look_after(&mut self) -> bool {
         if self.path.first().is_suspect() && self.is_first_lost() {
+            self.left_because = "the first engine seems dead";
             return !self.can_move();
         }
         let rest = &self.path.stages[1..];
@@ -673,6 +683,7 @@
             self.pace.is_told = true;
             probe::ask_path(self.core, &self.path);
         }
+        self.left_because = "the connection is silent";
         !self.is_connection_silent(quiet_ms) || !self.can_move()
     }
 
@@ -734,6 +745,7 @@
                 return true;
             }
             if self.is_better_elsewhere(&need, detour.as_ref()) {
+                self.left_because = "an engine died; another data centre";
                 return false;
             }
             let Some(path) = detour else {
@@ -766,7 +778,10 @@
                     self.ended.path_changes += 1;
                     return true;
                 }
-                Ok(Ok((404, _))) => return !self.can_move(),
+                Ok(Ok((404, _))) => {
+                    self.left_because = "the first engine has lost it";
+                    return !self.can_move();
+                }
                 Ok(Ok((_, body))) => {
                     let named = engine::refused_address(&body)
                         .and_then(|at| self.core.fleet.at(at));
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    site::{MODEL_SERVICE, ONCE_PATH, PLAIN_SERVICE},
+    site::{MODEL_SERVICE, ONCE_PATH, PLAIN_SERVICE, STREAM_PATH},
     world::{Life, Part, STALL, StreamState, World, layers_json},
 };
 
@@ -178,6 +178,10 @@
                 number("from").unwrap_or(0) as u32,
                 number("target").unwrap_or(0) as u32,
             );
+            if number("expect-rev").is_none() {
+                let text = format!("{address}: an order expects no count");
+                world.note_violation(text);
+            }
             let status = world.place(address, range, number("expect-rev"));
             write_json(inbound, status, &json!({})).await
         }
@@ -271,9 +275,20 @@
     if fastrand::f64() < server.loses_answers {
         return false;
     }
+    if request.path().starts_with(STREAM_PATH) {
+        world.note_violation(format!("{id}: ran at another service"));
+    }
     let status = if fastrand::f64() < server.fails { 500 } else { 200 };
     let body = token_of(request);
-    let mut out = format!("HTTP/1.1 {status} x\r\n").into_bytes();
+    let mut out = Vec::new();
+    if server.mixes_answers {
+        out.extend_from_slice(
+            b"HTTP/1.1 200 x\r\nx-request-id: other\r\n\
+              x-response-signature: signed-other\r\n\
+              content-length: 5\r\n\r\nother",
+        );
+    }
+    out.extend_from_slice(format!("HTTP/1.1 {status} x\r\n").as_bytes());
     push_header(&mut out, "x-request-id", id);
     push_header(&mut out, "x-response-signature", &signature(id));
     push_header(&mut out, "content-length", &body.len().to_string());
@@ -311,7 +326,11 @@
         server.streams.insert(id.to_owned(), state);
     });
     world.note_run(id);
-    let is_whole = send_events(world, address, inbound, request, id).await;
+    let resets = world
+        .server(address)
+        .is_some_and(|server| fastrand::f64() < server.loses_answers);
+    let is_whole =
+        !resets && send_events(world, address, inbound, request, id).await;
     world.change(address, |server| {
         server.streams.remove(id);
     });
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -68,10 +68,18 @@
     EntryHangsUp,
     /// A new version of the configuration.
     Configuration,
+    /// A feed tells of an older configuration, without the key.
+    ConfigurationOld,
+    /// An engine ends and the plain service takes its address.
+    AddressReused,
+    /// Engines reset half of the streams that they begin.
+    StreamsReset,
+    /// Plain servers send an answer of another request first.
+    AnswersMixed,
 }
 
 /// Every name of a fault, and what it is.
-const FAULTS: [(&str, FaultKind); 19] = [
+const FAULTS: [(&str, FaultKind); 23] = [
     ("engine-ends", FaultKind::EngineEnds),
     ("engine-dark", FaultKind::EngineDark),
     ("engine-slow", FaultKind::EngineSlow),
@@ -91,6 +99,10 @@
     ("entry-pauses", FaultKind::EntryPauses),
     ("entry-hangs-up", FaultKind::EntryHangsUp),
     ("configuration", FaultKind::Configuration),
+    ("configuration-old", FaultKind::ConfigurationOld),
+    ("address-reused", FaultKind::AddressReused),
+    ("streams-reset", FaultKind::StreamsReset),
+    ("answers-mixed", FaultKind::AnswersMixed),
 ];
 
 /// How long a fault lasts where nothing is said.
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -34,7 +34,17 @@
     pub fn violations(&self) -> Vec<String> {
         let callers = self.outcomes.iter().flat_map(|o| o.violations.clone());
         let engines = self.seen.violations.iter().cloned();
-        callers.chain(engines).chain(self.false_refusals()).collect()
+        let all = callers.chain(engines).chain(self.false_refusals());
+        all.chain(self.false_denials()).collect()
+    }
+
+    /// Requests that were denied although the key and the route hold.
+    fn false_denials(&self) -> Vec<String> {
+        let tries = self.outcomes.iter().flat_map(|o| &o.tries);
+        let denied = tries.filter(|t| {
+            matches!(t.end, TryEnd::Status(400 | 401 | 403 | 404))
+        });
+        denied.map(|t| format!("{}: {:?}", t.id, t.end)).collect()
     }
 
     /// Requests that were told that they did not run, and had.
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -20,6 +20,10 @@
 pub const KEY: &str = "key-one";
 /// Client account of [`KEY`].
 pub const ACCOUNT: &str = "kaolack";
+/// Further arrivals for each request, in every window of 10 s.
+pub const RETRY_RATIO: f64 = 0.2;
+/// Further arrivals that are free in each.
+pub const RETRY_SLACK: f64 = 30.0;
 /// Memory of a layer, in megabytes.
 const LAYER_MB: f64 = 1_000.0;
 /// Memory of an engine, in megabytes.
@@ -177,9 +181,9 @@
 config-apply-ms = 2000
 strict-revoke = true
 revoke-ms = 5000
-retry-budget-ratio = 0.2
+retry-budget-ratio = {RETRY_RATIO}
 budget-window-s = 10
-budget-slack = 200
+budget-slack = {RETRY_SLACK}
 pass-ms = 120
 stall_ms = 3000
 [platform]
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -17,13 +17,15 @@
 use rustix::process::Signal;
 
 use crate::{
-    caller::{Kind, Wish, make},
+    caller::{Kind, TryEnd, Wish, make},
     engines,
     entries::{Entries, get},
     experiment::{Experiment, Fault, FaultKind},
     load::{self, Load},
     report::Report,
-    site::{KEY, MODEL_SERVICE, Site},
+    site::{
+        KEY, MODEL_SERVICE, PLAIN_SERVICE, RETRY_RATIO, RETRY_SLACK, Site,
+    },
     store::{Store, StoreFault},
     world::World,
 };
@@ -32,6 +34,8 @@
 const READY: Duration = Duration::from_secs(20);
 /// Time within which it serves again after the last fault.
 const RECOVER: Duration = Duration::from_secs(12);
+/// Time in which the listener of a server that ended is closed.
+const LISTENER_ENDS: Duration = Duration::from_millis(100);
 /// Faults of a seeded run.
 const FAULTS: usize = 6;
 /// Load of a seeded run.
@@ -188,6 +192,43 @@
             (FaultKind::Configuration, _) => {
                 self.configure(&[KEY]);
             }
+            (FaultKind::ConfigurationOld, _) => {
+                let old = self.world.site().configuration(0, &[]);
+                self.store.tell_stale("op", "config", &old);
+            }
+            (FaultKind::AddressReused, Some(engine)) => {
+                self.world.end(engine);
+                let world = self.world.clone();
+                self.later(LISTENER_ENDS, async move {
+                    let place = world.site().data_centres[0].clone();
+                    // An address that is still held is reused by nobody.
+                    let _ = engines::start(
+                        &world,
+                        PLAIN_SERVICE,
+                        &place,
+                        engine.port(),
+                    );
+                });
+            }
+            (FaultKind::StreamsReset, _) => {
+                self.for_a_time(fault.length, |world, is_on| {
+                    for address in world.engines() {
+                        world.change(address, |server| {
+                            server.loses_answers =
+                                if is_on { 0.5 } else { 0.0 };
+                        });
+                    }
+                });
+            }
+            (FaultKind::AnswersMixed, _) => {
+                self.for_a_time(fault.length, |world, is_on| {
+                    for address in world.plain_servers() {
+                        world.change(address, |server| {
+                            server.mixes_answers = is_on;
+                        });
+                    }
+                });
+            }
             (_, None) => {}
         }
     }
@@ -284,7 +325,7 @@
         self.later(after, async move {
             world.end(engine);
             // Its listener ends a moment later.
-            Timer::after(Duration::from_millis(100)).await;
+            Timer::after(LISTENER_ENDS).await;
             let _ = engines::start(
                 &world,
                 MODEL_SERVICE,
@@ -390,6 +431,23 @@
     Experiment { site, load, faults }
 }
 
+/// Plain requests that were cut at entries that were never killed: those
+/// must answer, also while they stop.
+fn cut_by_entries(report: &Report, running: &Running) -> Vec<String> {
+    let is_killed = |fault: &Fault| {
+        matches!(fault.kind, FaultKind::EntryKilled | FaultKind::EntryPauses)
+    };
+    if report.faults.iter().any(is_killed) {
+        return Vec::new();
+    }
+    let entries = &running.addresses;
+    let plain = report.outcomes.iter().filter(|o| o.kind != Kind::Stream);
+    let tries = plain.flat_map(|outcome| &outcome.tries);
+    let cut =
+        tries.filter(|t| t.end == TryEnd::Cut && entries.contains(&t.entry));
+    cut.map(|t| format!("{}: cut by {}", t.id, t.entry)).collect()
+}
+
 /// What a seeded run broke; empty when nothing. Logs of entries are kept in
 /// a directory when something was.
 ///
@@ -406,12 +464,14 @@
     let running = start(executor, binary, &experiment.site).await?;
     let report = running.play(&experiment.load, &experiment.faults).await;
     let mut broken = report.violations();
+    broken.extend(cut_by_entries(&report, &running));
     if !running.recovers().await {
         broken.push(format!("not served again within {RECOVER:?}"));
     }
-    if report.further_arrivals() > 200 {
+    let bound = report.outcomes.len() as f64 * RETRY_RATIO + RETRY_SLACK;
+    if report.further_arrivals() as f64 > bound {
         let count = report.further_arrivals();
-        broken.push(format!("{count} further arrivals at engines"));
+        broken.push(format!("{count} further arrivals, over {bound:.0}"));
     }
     if let Some(dir) = logs.filter(|_| !broken.is_empty()) {
         running.entries().keep_logs(&dir.join(seed.to_string()))?;
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -115,6 +115,16 @@
         self.lock().set(table, key, Some(value))
     }
 
+    /// Has feeds tell of a row as it was once, while reads show it as it is.
+    pub fn tell_stale(&self, table: &str, key: &str, value: &Value) {
+        let value = BASE64.encode(value.to_string());
+        let mut state = self.lock();
+        state.version += 1;
+        let change =
+            (state.version, table.to_owned(), key.to_owned(), Some(value));
+        state.history.push_back(change);
+    }
+
     /// Drops a row.
     pub fn drop_row(&self, table: &str, key: &str) {
         self.lock().set(table, key, None);
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -69,6 +69,8 @@
     pub loses_answers: f64,
     /// Share of requests that fail with 500.
     pub fails: f64,
+    /// Whether an answer of another request comes first.
+    pub mixes_answers: bool,
     /// Streams of which it is the first engine, by request id.
     pub streams: BTreeMap<String, StreamState>,
 }
@@ -165,6 +167,7 @@
             slowness: 1.0,
             loses_answers: 0.0,
             fails: 0.0,
+            mixes_answers: false,
             streams: BTreeMap::new(),
         };
         state.servers.insert(address, server);
