--- a/crates/cli/src/site/route.rs
+++ b/crates/cli/src/site/route.rs
@@ -78,6 +78,7 @@
         data_centre: place(data_centre),
         is_start: true,
         crossing_use: 0.0,
+        crossing_takes_ms: model.crossing_takes_ms(tokens),
     };
     let mut rng = fastrand::Rng::with_seed(0);
     let Some(parts) = find_path(&holders, &request, &mut rng) else {
@@ -124,6 +125,7 @@
         end_layer: held.map_or(0, |held| held.end_layer),
         layer_ms: kind.map_or(0.0, |kind| model.step_part_ms(kind, 1)),
         used_token_layers: 0,
+        busy: 0.0,
         total_token_layers: kind
             .map_or(0, |kind| model.token_layers_beside(kind, layers)),
         is_usable: is_ready && kind.is_some() && held.is_some(),
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -15,7 +15,7 @@
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
 use crate::{
-    clock::now_ms, crossing::CrossingCount, fleet::Fleet, peers::PeerTable,
+    clock::now_ms, fleet::Fleet, peers::PeerTable, rate::Rate,
     supervise::Streams,
 };
 
@@ -46,7 +46,8 @@
     pub(crate) fleet: Fleet,
     pub(crate) streams: Streams,
     pub(crate) peers: PeerTable,
-    pub(crate) crossing: CrossingCount,
+    /// Bytes that own requests send between data centres.
+    pub(crate) crossing: Rate,
     retries: Mutex<BTreeMap<String, RetryWindow>>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) readiness: Arc<Readiness>,
@@ -83,7 +84,7 @@
             fleet: Fleet::default(),
             streams: Streams::default(),
             peers: PeerTable::default(),
-            crossing: CrossingCount::default(),
+            crossing: Rate::default(),
             retries: Mutex::default(),
             metrics: Arc::new(metrics),
             readiness: Arc::new(Readiness::new(&conditions)),
@@ -247,7 +248,7 @@
     /// Use of what joins data centres, as far as entries have told; 1 is
     /// full.
     pub(crate) fn crossing_use(&self, pipe_mbps: f64) -> f64 {
-        let own = self.crossing.bytes_per_s(now_ms());
+        let own = self.crossing.per_s(now_ms());
         let bytes_per_s = own + self.peers.crossing_bytes_per_s();
         bytes_per_s * 8.0 / (pipe_mbps.max(1.0) * 1e6)
     }
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -12,10 +12,12 @@
 
 use chestnutreach_site::{Backend, BackendState};
 
-use crate::clock::now_ms;
+use crate::{clock::now_ms, rate::Rate};
 
 /// Units in which entries tell each other memory, in tokens times layers.
 const TOLD_UNIT: u64 = 1_000;
+/// Most doublings of the time for which a server that refuses is avoided.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// One incarnation of a backend server.
 #[derive(Debug)]
@@ -30,9 +32,13 @@
     own_token_layers: AtomicU64,
     /// Requests of this entry that were sent to it first.
     own_first: AtomicU64,
+    /// Time that reading for own requests takes at its usual pace, in
+    /// milliseconds.
+    own_work: Rate,
     /// The same of all other entries.
     others_token_layers: AtomicU64,
     others_first: AtomicU64,
+    others_work_ms_per_s: AtomicU64,
     /// When a stream through it last made progress.
     progress_ms: AtomicU64,
     pub(crate) is_probing: AtomicBool,
@@ -59,7 +65,7 @@
     pub(crate) failures: u32,
     /// Orders that it had begun when it last reported.
     pub(crate) orders_begun: u64,
-    others: BTreeMap<u64, (u64, u64)>,
+    others: BTreeMap<u64, Use>,
     /// When it was first seen leaving.
     pub(crate) leaving_since_ms: Option<u64>,
 }
@@ -71,6 +77,14 @@
         Some(now_ms.saturating_sub(since_ms))
     }
 
+    /// Keeps work away, for longer with each refusal in a row: what the list
+    /// says of it may be outdated for as long as the store is away.
+    pub(crate) fn avoid_longer(&mut self, now_ms: u64, least_ms: u64) {
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        self.failures += 1;
+        self.avoided_until_ms = now_ms + (least_ms << doublings);
+    }
+
     /// Takes what the list says.
     pub(crate) fn take_row(&mut self, row: Backend, version: u64) {
         let is_leaving = row.state == BackendState::Draining;
@@ -79,12 +93,24 @@
             (true, None) => Some(now_ms()),
             (true, since_ms) => since_ms,
         };
+        if self.row.held != row.held {
+            self.failures = 0;
+            self.avoided_until_ms = 0;
+        }
         self.row = row;
         self.row_version = version;
         self.is_gone = false;
     }
 }
 
+/// What an entry uses of a backend server.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Use {
+    pub(crate) kilo_token_layers: u32,
+    pub(crate) first_count: u32,
+    pub(crate) work_ms_per_s: u32,
+}
+
 /// Why a backend server gets no work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Suspicion {
@@ -133,6 +159,8 @@
             own_first: AtomicU64::new(0),
             others_token_layers: AtomicU64::new(0),
             others_first: AtomicU64::new(0),
+            others_work_ms_per_s: AtomicU64::new(0),
+            own_work: Rate::default(),
             progress_ms: AtomicU64::new(0),
             is_probing: AtomicBool::new(false),
             state: Mutex::new(EngineState {
@@ -166,27 +194,45 @@
     }
 
     /// What this entry uses, as it tells the others.
-    pub(crate) fn own_use(&self) -> (u32, u32) {
+    pub(crate) fn own_use(&self, now_ms: u64) -> Use {
         let used = self.own_token_layers.load(Relaxed).div_ceil(TOLD_UNIT);
-        (used as u32, self.own_first.load(Relaxed) as u32)
+        Use {
+            kilo_token_layers: used as u32,
+            first_count: self.own_first.load(Relaxed) as u32,
+            work_ms_per_s: self.own_work.per_s(now_ms) as u32,
+        }
+    }
+
+    /// Counts reading that a request brings, at the engine's usual pace.
+    pub(crate) fn note_work(&self, work_ms: f64, now_ms: u64) {
+        self.own_work.note(work_ms, now_ms);
+    }
+
+    /// Share of its time that reading takes at its usual pace.
+    pub(crate) fn reading_share(&self, now_ms: u64) -> f64 {
+        let others = self.others_work_ms_per_s.load(Relaxed) as f64;
+        (self.own_work.per_s(now_ms) + others) / 1e3
     }
 
     /// Takes what another entry uses; none once it has gone.
-    pub(crate) fn set_other(&self, boot_id: u64, told: Option<(u32, u32)>) {
+    pub(crate) fn set_other(&self, boot_id: u64, told: Option<Use>) {
         let mut state = self.lock();
         match told {
-            Some((used, first)) => {
-                let used = u64::from(used) * TOLD_UNIT;
-                state.others.insert(boot_id, (used, first.into()));
+            Some(told) => {
+                state.others.insert(boot_id, told);
             }
             None => {
                 state.others.remove(&boot_id);
             }
         }
-        let used = state.others.values().map(|o| o.0).sum();
-        let first = state.others.values().map(|o| o.1).sum();
-        self.others_token_layers.store(used, Relaxed);
-        self.others_first.store(first, Relaxed);
+        let sum = |of: fn(&Use) -> u32| {
+            state.others.values().map(|told| u64::from(of(told))).sum()
+        };
+        let used: u64 = sum(|told| told.kilo_token_layers);
+        self.others_token_layers.store(used * TOLD_UNIT, Relaxed);
+        self.others_first.store(sum(|told| told.first_count), Relaxed);
+        let work = sum(|told| told.work_ms_per_s);
+        self.others_work_ms_per_s.store(work, Relaxed);
     }
 
     pub(crate) fn note_progress(&self, now_ms: u64) {
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -80,6 +80,30 @@
         names.join(",")
     }
 
+    /// Counts the reading that a request of so many tokens brings to the
+    /// engines that were not on the path before.
+    pub(crate) fn note_work(
+        &self,
+        model: &Model,
+        tokens: u64,
+        before: &Path,
+        now_ms: u64,
+    ) {
+        for stage in &self.stages {
+            let id = &stage.engine.id;
+            if before.stages.iter().any(|s| s.engine.id == *id) {
+                continue;
+            }
+            let kind = stage.engine.lock().row.kind.clone();
+            let kind = kind.and_then(|kind| model.kinds.get(&kind));
+            let layers = stage.end_layer - stage.first_layer;
+            if let Some(kind) = kind {
+                let each_ms = model.read_part_ms(kind, layers);
+                stage.engine.note_work(tokens as f64 * each_ms, now_ms);
+            }
+        }
+    }
+
     pub(crate) fn hold(&self, tokens: u64) -> Vec<Hold> {
         let hold = |(index, stage): (usize, &Stage)| {
             let layers = u64::from(stage.end_layer - stage.first_layer);
@@ -157,6 +181,7 @@
             data_centre: need.data_centre,
             is_start: true,
             crossing_use: need.crossing_use,
+            crossing_takes_ms: need.model.crossing_takes_ms(need.tokens),
         };
         self.part(need, &request, &BTreeSet::new())
     }
@@ -212,6 +237,7 @@
                 data_centre: before.engine.data_centre,
                 is_start: false,
                 crossing_use: need.crossing_use,
+                crossing_takes_ms: need.model.crossing_takes_ms(need.tokens),
             };
             let part = self.part(need, &request, &used)?;
             used.extend(part.stages.iter().map(|s| s.engine.id.clone()));
@@ -261,6 +287,7 @@
         end_layer: held.end_layer,
         layer_ms: need.model.step_part_ms(kind, 1) * state.slowness,
         used_token_layers: engine.used_token_layers(),
+        busy: engine.reading_share(need.now_ms) * state.slowness,
         total_token_layers: (total as f64 * PLANNED_SHARE) as u64,
         is_usable: !is_named && takes_work(&state, need.now_ms),
         may_be_first: engine.first_count() < u64::from(state.row.slots),
@@ -274,6 +301,7 @@
         end_layer: 0,
         layer_ms: 0.0,
         used_token_layers: 0,
+        busy: 0.0,
         total_token_layers: 0,
         is_usable: false,
         may_be_first: false,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,7 +13,7 @@
 //! | `core` | what the tasks of an entry share |
 //! | `follow` | configuration and list of backend servers, by feeds |
 //! | `fleet`, `engine` | what is known of backend servers |
-//! | `crossing` | what requests send between data centres |
+//! | `rate` | amounts a second |
 //! | `probe` | noticing that one is dead, slow, or back |
 //! | `callers` | the connections of clients |
 //! | `admit` | route, key and time of a request |
@@ -41,7 +41,6 @@
 mod callers;
 mod clock;
 mod core;
-mod crossing;
 mod engine;
 pub mod entry;
 pub mod events;
@@ -53,6 +52,7 @@
 mod place;
 mod plain;
 mod probe;
+mod rate;
 mod stream;
 mod supervise;
 
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -24,7 +24,7 @@
 use chestnutreach_telemetry::{Event, emit};
 use prost::Message as _;
 
-use crate::{clock::now_ms, core::Core, probe};
+use crate::{clock::now_ms, core::Core, engine::Use, probe};
 
 /// Time between messages to all others.
 const TELL_EVERY: Duration = Duration::from_millis(200);
@@ -169,12 +169,13 @@
 
 fn own_state(core: &Core, sequence: u64) -> PeerState {
     let engine_use = |engine: Arc<crate::engine::Engine>| {
-        let (used, first) = engine.own_use();
+        let used = engine.own_use(now_ms());
         let is_suspect = engine.lock().suspicion.is_some();
-        (used > 0 || first > 0 || is_suspect).then_some(EngineUse {
+        (used != Use::default() || is_suspect).then_some(EngineUse {
             engine: engine.hash,
-            used_kilo_token_layers: used,
-            first_count: first,
+            used_kilo_token_layers: used.kilo_token_layers,
+            first_count: used.first_count,
+            work_ms_per_s: used.work_ms_per_s,
             is_suspect,
         })
     };
@@ -193,8 +194,7 @@
         engines: engines.collect(),
         services: services.collect(),
         is_planner: core.is_planner.load(Relaxed),
-        crossing_kilobytes_per_s: (core.crossing.bytes_per_s(now_ms()) / 1e3)
-            as u32,
+        crossing_kilobytes_per_s: (core.crossing.per_s(now_ms()) / 1e3) as u32,
         resigned: core.resigned.load(Relaxed),
         is_stopping: core.stopping_for_ms().is_some(),
     }
@@ -260,8 +260,12 @@
         state.engines.iter().map(|used| (used.engine, used)).collect();
     for engine in core.fleet.all() {
         let used = told.get(&engine.hash);
-        let pair = used.map(|u| (u.used_kilo_token_layers, u.first_count));
-        engine.set_other(state.boot_id, pair);
+        let told_use = used.map(|u| Use {
+            kilo_token_layers: u.used_kilo_token_layers,
+            first_count: u.first_count,
+            work_ms_per_s: u.work_ms_per_s,
+        });
+        engine.set_other(state.boot_id, told_use);
         // What another one found is looked at, not believed: it may itself
         // be cut off.
         if used.is_some_and(|u| u.is_suspect) && !engine.is_suspect() {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -411,7 +411,7 @@
         let first = self.path.first();
         let named = at.and_then(|at| self.core.fleet.at(at));
         let engine = named.unwrap_or_else(|| first.clone());
-        engine.lock().avoided_until_ms = now_ms() + AVOID_MS;
+        engine.lock().avoid_longer(now_ms(), AVOID_MS);
         self.without.insert(engine.id.clone());
     }
 
@@ -589,8 +589,12 @@
                 metrics.time_between_tokens.observe(gap);
             }
         }
+        let is_first = self.ended.events == 1;
         for stage in &self.path.stages {
             stage.engine.note_progress(now_ms);
+            if is_first {
+                stage.engine.lock().failures = 0;
+            }
         }
     }
 
@@ -772,6 +776,12 @@
                     let more = path.crossings();
                     let more = more.saturating_sub(self.path.crossings());
                     self.note_crossing(more);
+                    path.note_work(
+                        self.model,
+                        self.tokens,
+                        &self.path,
+                        now_ms(),
+                    );
                     self.holds = path.hold(self.tokens);
                     self.path = path;
                     self.pace.changed_ms = now_ms();
@@ -876,6 +886,8 @@
 
     fn note_sent(&self) {
         self.note_crossing(self.path.crossings());
+        let none = Path::default();
+        self.path.note_work(self.model, self.tokens, &none, now_ms());
         let metrics = self.core.metrics.service(&self.admitted.service.name);
         metrics.attempts.inc();
         if self.cause == "resumed" {
--- a/crates/routing/src/layer_path.rs
+++ b/crates/routing/src/layer_path.rs
@@ -12,15 +12,21 @@
 /// Price of a change of engine, in milliseconds of a token's time: a wait for
 /// the pass that runs there, and the way.
 const CHANGE_MS: f64 = 0.8;
-/// Price of a change of data centre while what joins them is idle, in the
-/// same unit: above that of engines that are half full.
+/// Least price of a change of data centre, in the same unit: above that of
+/// engines that are half full.
 const CROSSING_MS: f64 = 15.0;
-/// Price of one where what joins them is full: only where no other path
-/// exists. All requests share it, and it carries every token that is read.
+/// Price of one for each millisecond for which the request takes up what
+/// joins data centres. Use is known some time late, so the price must keep
+/// requests off a narrow join before its use shows.
+const CROSSING_PRICE: f64 = 2.5;
+/// Price of one where what joins them is nearly full: only where no other
+/// path exists.
 const FULL_CROSSING_MS: f64 = 1_000.0;
 /// Use of what joins data centres from which on the price rises, and at
-/// which it counts as full.
-const CROSSING_USE: (f64, f64) = (0.25, 0.55);
+/// which it counts as full. Then no path crosses, even where no other is:
+/// everything that waits there would hold memory in all data centres until
+/// none is left for requests that need not cross.
+const CROSSING_USE: (f64, f64) = (0.2, 0.6);
 /// Price of starting in another data centre, where only the events of one
 /// stream cross, in the same unit.
 const FAR_START_MS: f64 = 1.0;
@@ -28,6 +34,12 @@
 const FULL_FROM: f64 = 0.6;
 /// Price of an engine whose memory is full, in the same unit.
 const FULL_MS: f64 = 10.0;
+/// Share of an engine's time from which on further reading is dear.
+const BUSY_FROM: f64 = 0.35;
+/// Price of an engine that reads all the time, in the same unit.
+const BUSY_MS: f64 = 40.0;
+/// Where that price ends, as a multiple of the way from dear to all.
+const MAX_BUSY: f64 = 3.0;
 /// Share by which times are varied.
 const JITTER: f64 = 0.15;
 
@@ -42,6 +54,8 @@
     pub end_layer: u32,
     /// Time of a token through one layer, in milliseconds.
     pub layer_ms: f64,
+    /// Share of its time that reading prompts takes.
+    pub busy: f64,
     /// Memory for requests that is used, in tokens times layers.
     pub used_token_layers: u64,
     /// Memory for requests, in tokens times layers.
@@ -67,13 +81,19 @@
     pub is_start: bool,
     /// Use of what joins data centres; 1 is full.
     pub crossing_use: f64,
+    /// Time for which reading the request takes it up, in milliseconds.
+    pub crossing_takes_ms: f64,
 }
 
 impl PathRequest {
     fn crossing_ms(&self) -> f64 {
         let (from, to) = CROSSING_USE;
+        if self.crossing_use >= to {
+            return f64::INFINITY;
+        }
         let share = ((self.crossing_use - from) / (to - from)).clamp(0.0, 1.0);
-        CROSSING_MS + share * (FULL_CROSSING_MS - CROSSING_MS)
+        let least = CROSSING_MS.max(CROSSING_PRICE * self.crossing_takes_ms);
+        least + share * (FULL_CROSSING_MS - least).max(0.0)
     }
 }
 
@@ -185,6 +205,9 @@
                 let entry_ms =
                     self.entry_ms(is_first, came_from, holder.data_centre);
                 let cost_ms = cost_ms + price_ms + entry_ms;
+                if cost_ms.is_infinite() {
+                    break;
+                }
                 let part =
                     Part { holder: index, first_layer: at, end_layer: end };
                 let row = (end - self.request.first_layer) as usize;
@@ -216,7 +239,9 @@
         let fill = used as f64 / holder.total_token_layers as f64;
         let over = ((fill - FULL_FROM) / (1.0 - FULL_FROM)).max(0.0);
         let time_ms = layers as f64 * holder.layer_ms * self.factors[index];
-        Some(time_ms * (1.0 + fill) + FULL_MS * over * over)
+        let busy = ((holder.busy - BUSY_FROM) / (1.0 - BUSY_FROM)).max(0.0);
+        let waits_ms = BUSY_MS * busy.min(MAX_BUSY).powi(2);
+        Some(time_ms * (1.0 + fill) + FULL_MS * over * over + waits_ms)
     }
 
     fn walk_back(&self, best: &[Vec<Option<Step>>]) -> Option<Vec<Part>> {
--- a/crates/site/src/backend.rs
+++ b/crates/site/src/backend.rs
@@ -94,6 +94,13 @@
         self.step_ms * kind.pace * share
     }
 
+    /// Time for which reading so many tokens takes up what joins data
+    /// centres, in milliseconds.
+    pub fn crossing_takes_ms(&self, tokens: u64) -> f64 {
+        let bits = tokens as f64 * self.activation_bytes * 8.0;
+        bits / (self.pipe_mbps.max(1.0) * 1e3)
+    }
+
     /// Time to read a token through so many layers, in milliseconds.
     pub fn read_part_ms(&self, kind: &ModelKind, layers: u32) -> f64 {
         let share = f64::from(layers) / f64::from(self.layer_count.max(1));
