--- /dev/null
+++ b/crates/direct/src/stream/attempt.rs
@@ -0,0 +1,227 @@
+//! One attempt of a stream at a first engine.
+
+use std::time::Duration;
+
+use chestnutreach_adapter::engine;
+use chestnutreach_http::{
+    SharedStream,
+    relay::{AnswerHead, Inbound, Outbound, push_chunk},
+};
+use chestnutreach_site::Reuse;
+use chestnutreach_telemetry::{Event, emit};
+
+use super::{
+    AttemptEnd, Stream,
+    watch::{ORDER, Waited},
+};
+use crate::{
+    answer::{Framing, passed_head},
+    clock::now_ms,
+    events::EventSplitter,
+    exchange::{self, Addressed, within},
+    probe,
+};
+
+impl Stream<'_> {
+    pub(super) async fn attempt(
+        &mut self,
+        inbound: &mut Inbound,
+    ) -> AttemptEnd {
+        let first = self.path.first().clone();
+        let caller = inbound.stream().clone();
+        self.pace.begin_attempt();
+        let dial = Outbound::connect(first.address, exchange::DIAL);
+        let mut connection = match dial.await {
+            Ok(connection) => connection,
+            Err(e) => {
+                self.note_broken(&e);
+                let task = probe::probe(self.core.clone(), first.clone());
+                self.core.executor.spawn(task).detach();
+                return AttemptEnd::NotRun(Some(first.address));
+            }
+        };
+        let bytes = self.request_bytes();
+        self.note_sent();
+        let is_new_here = self.ran_at.insert(first.id.clone());
+        self.ended.attempts += 1;
+        let was_run = self.may_have_run;
+        self.may_have_run = true;
+        let id = self.admitted.id.clone();
+        let method = self.request.method.clone();
+        let work = async {
+            connection.send(&bytes).await?;
+            exchange::own_head(&mut connection, id.as_deref(), &method).await
+        };
+        let head = match self.supervise(&caller, work).await {
+            Waited::Done(Ok(head)) => head,
+            Waited::Done(Err(e)) => {
+                self.note_broken(&e);
+                return AttemptEnd::Broken;
+            }
+            Waited::CallerGone => return AttemptEnd::CallerGone,
+            Waited::GivenUp => {
+                self.note_broken(&self.left_because);
+                return AttemptEnd::Broken;
+            }
+            Waited::TimeOver => return AttemptEnd::TimeOver,
+        };
+        if head.status != 200 {
+            let is_not_run = exchange::is_not_run(&head);
+            self.may_have_run = was_run || !is_not_run;
+            if is_not_run && is_new_here {
+                self.ran_at.remove(&first.id);
+            }
+            return self.refused(&mut connection, head).await;
+        }
+        self.pass_events(inbound, &caller, &mut connection, &head).await
+    }
+
+    async fn refused(
+        &mut self,
+        connection: &mut Outbound,
+        head: AnswerHead,
+    ) -> AttemptEnd {
+        let at = head.header(engine::REFUSED_AT).map(str::to_owned);
+        let is_not_run = exchange::is_not_run(&head);
+        emit(
+            Event::RelayAnswered,
+            &[
+                ("request", &self.admitted.id_text()),
+                ("attempt", &self.ended.attempts),
+                ("backend", &self.path.first().id),
+                ("status", &head.status),
+                ("at", &at.as_deref().unwrap_or("")),
+                ("is_not_run", &is_not_run),
+                ("elapsed_ms", &self.pace.quiet_ms(now_ms())),
+            ],
+        );
+        if is_not_run && head.status != 400 {
+            return AttemptEnd::NotRun(at.and_then(|at| at.parse().ok()));
+        }
+        let body = head.body(&self.request.method);
+        let body = connection.read_body(body, 1 << 20);
+        match within(ORDER, body).await {
+            Ok(Ok(body)) => AttemptEnd::Failed(head, body),
+            _ => AttemptEnd::Broken,
+        }
+    }
+
+    async fn pass_events(
+        &mut self,
+        inbound: &mut Inbound,
+        caller: &SharedStream,
+        connection: &mut Outbound,
+        head: &AnswerHead,
+    ) -> AttemptEnd {
+        let mut splitter = EventSplitter::new();
+        let mut body = head.body(&self.request.method);
+        let mut out = Vec::new();
+        if !self.is_head_sent {
+            out = passed_head(head, Framing::Chunked, self.is_last);
+        }
+        loop {
+            let part = connection.next_part(&mut body);
+            let part = match self.supervise(caller, part).await {
+                Waited::Done(Ok(Some(part))) => part,
+                Waited::Done(Ok(None)) if splitter.has_partial() => {
+                    self.note_broken(&"the last event is not whole");
+                    return AttemptEnd::Broken;
+                }
+                Waited::Done(Ok(None)) if !self.is_head_sent => {
+                    self.note_broken(&"the stream has no event");
+                    return AttemptEnd::Broken;
+                }
+                Waited::Done(Ok(None)) => return AttemptEnd::Whole,
+                Waited::Done(Err(e)) => {
+                    self.note_broken(&e);
+                    return AttemptEnd::Broken;
+                }
+                Waited::CallerGone => return AttemptEnd::CallerGone,
+                Waited::GivenUp => {
+                    self.note_broken(&self.left_because);
+                    return AttemptEnd::Broken;
+                }
+                Waited::TimeOver => return AttemptEnd::TimeOver,
+            };
+            splitter.push(&part);
+            if !self.take_events(&mut splitter, &mut out) {
+                continue;
+            }
+            // Only now: an engine that breaks off before its first event
+            // leaves the answer to the next one, with that one's head.
+            self.is_head_sent = true;
+            self.ended.status = head.status;
+            if inbound.write(&out).await.is_err() {
+                return AttemptEnd::CallerGone;
+            }
+            out.clear();
+        }
+    }
+
+    /// Moves whole events to the answer; those that the client has are
+    /// passed over. False when there was none.
+    fn take_events(
+        &mut self,
+        splitter: &mut EventSplitter,
+        out: &mut Vec<u8>,
+    ) -> bool {
+        let mut bytes = Vec::new();
+        while let Some(event) = splitter.next_event() {
+            if let (Some(id), Some(last)) = (event.id, self.last_event)
+                && id <= last
+            {
+                continue;
+            }
+            self.last_event = event.id.or(self.last_event);
+            self.ended.events += 1;
+            bytes.extend_from_slice(&event.bytes);
+        }
+        if bytes.is_empty() {
+            return false;
+        }
+        push_chunk(out, &bytes);
+        self.note_progress();
+        true
+    }
+
+    fn note_progress(&mut self) {
+        let now_ms = now_ms();
+        let metrics = self.core.metrics.service(&self.admitted.service.name);
+        let gap_ms = self.pace.moved(now_ms);
+        let gap = Duration::from_millis(gap_ms).as_secs_f64();
+        match self.ended.first_ms {
+            None => {
+                let first_ms = now_ms - self.admitted.received_ms;
+                self.ended.first_ms = Some(first_ms);
+                metrics.time_to_first_token.observe(first_ms as f64 / 1e3);
+            }
+            Some(_) => {
+                self.ended.max_gap_ms = self.ended.max_gap_ms.max(gap_ms);
+                metrics.time_between_tokens.observe(gap);
+            }
+        }
+        let is_first = self.ended.events == 1;
+        for stage in &self.path.stages {
+            stage.engine.note_progress(now_ms);
+            if is_first {
+                stage.engine.lock().failures = 0;
+            }
+        }
+    }
+
+    fn request_bytes(&self) -> Vec<u8> {
+        let path = self.path.value();
+        let is_resumable = self.admitted.route.reuse == Reuse::ResumableStream;
+        exchange::request_bytes(
+            self.request,
+            &Addressed {
+                instance: &self.path.first().id,
+                account: self.admitted.account.as_deref(),
+                left_ms: self.admitted.left_ms(now_ms()),
+                path: Some(&path),
+                priority: Some(self.admitted.urgency),
+                last_event: self.last_event.filter(|_| is_resumable),
+            },
+        )
+    }
+}
--- /dev/null
+++ b/crates/direct/src/stream/pace.rs
@@ -0,0 +1,77 @@
+//! How fast a stream goes, and when a pause is worth a look.
+
+use crate::clock::now_ms;
+
+/// A stream that has not begun is looked at after this time.
+const FIRST_LOOK_MS: u64 = 260;
+/// A stream that has begun is looked at after a pause of this many usual
+/// ones and a little.
+const LOOK_FACTOR: f64 = 1.9;
+const LOOK_SLACK_MS: f64 = 20.0;
+/// Bounds of that time.
+pub(super) const LOOK_MS: (u64, u64) = (90, 600);
+/// Usual pause before any was seen.
+const USUAL_GAP_MS: f64 = 45.0;
+/// Weight of the newest pause in the usual one.
+const GAP_WEIGHT: f64 = 0.1;
+/// Time between looks at a stream that pauses, at first; it doubles.
+const LOOK_AGAIN_MS: u64 = 40;
+
+/// How fast a stream goes.
+pub(super) struct Pace {
+    /// When the last event came, or the attempt began.
+    pub(super) moved_ms: u64,
+    /// When the path was last changed.
+    pub(super) changed_ms: u64,
+    pub(super) usual_gap_ms: f64,
+    pub(super) has_begun: bool,
+    /// Time until the next look at a pause.
+    pub(super) look_again_ms: u64,
+    /// Whether the pause was told in the logs.
+    pub(super) is_told: bool,
+}
+
+impl Pace {
+    pub(super) fn new() -> Pace {
+        Pace {
+            moved_ms: now_ms(),
+            changed_ms: 0,
+            usual_gap_ms: USUAL_GAP_MS,
+            has_begun: false,
+            look_again_ms: LOOK_AGAIN_MS,
+            is_told: false,
+        }
+    }
+
+    pub(super) fn begin_attempt(&mut self) {
+        self.moved_ms = now_ms();
+        self.has_begun = false;
+    }
+
+    pub(super) fn moved(&mut self, now_ms: u64) -> u64 {
+        let gap_ms = now_ms.saturating_sub(self.moved_ms);
+        if self.has_begun {
+            let gap = (gap_ms as f64).min(4.0 * self.usual_gap_ms);
+            self.usual_gap_ms += GAP_WEIGHT * (gap - self.usual_gap_ms);
+        }
+        self.has_begun = true;
+        self.moved_ms = now_ms;
+        self.look_again_ms = LOOK_AGAIN_MS;
+        self.is_told = false;
+        gap_ms
+    }
+
+    /// Time since the last event, or since the path was changed after it.
+    pub(super) fn quiet_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.moved_ms.max(self.changed_ms))
+    }
+
+    /// Pause from which a stream is looked at.
+    pub(super) fn look_ms(&self) -> u64 {
+        if !self.has_begun {
+            return FIRST_LOOK_MS;
+        }
+        let look = LOOK_FACTOR * self.usual_gap_ms + LOOK_SLACK_MS;
+        (look as u64).clamp(LOOK_MS.0, LOOK_MS.1)
+    }
+}
--- /dev/null
+++ b/crates/direct/src/stream/told.rs
@@ -0,0 +1,80 @@
+//! What a stream writes to the logs.
+
+use std::fmt::Display;
+
+use chestnutreach_telemetry::{Event, emit};
+
+use super::Stream;
+use crate::{clock::now_ms, fleet::Path};
+
+impl Stream<'_> {
+    pub(super) fn note_sent(&self) {
+        self.note_crossing(self.path.crossings());
+        let none = Path::default();
+        self.path.note_work(self.model, self.tokens, &none, now_ms());
+        let metrics = self.core.metrics.service(&self.admitted.service.name);
+        metrics.attempts.inc();
+        if self.cause == "resumed" {
+            metrics.requests_resumed.inc();
+        }
+        let now_ms = now_ms();
+        let last = self.last_event.map_or_else(String::new, |e| e.to_string());
+        emit(
+            Event::RelaySent,
+            &[
+                ("request", &self.admitted.id_text()),
+                ("attempt", &(self.ended.attempts + 1)),
+                ("backends", &self.path.names()),
+                ("tokens", &self.tokens),
+                ("waited_ms", &(now_ms - self.admitted.received_ms)),
+                ("left_ms", &self.admitted.left_ms(now_ms)),
+                ("last_event", &last),
+                ("cause", &self.cause),
+            ],
+        );
+    }
+
+    pub(super) fn note_broken(&self, error: &dyn Display) {
+        let last = self.last_event.map_or_else(String::new, |e| e.to_string());
+        emit(
+            Event::RelayBroken,
+            &[
+                ("request", &self.admitted.id_text()),
+                ("attempt", &self.ended.attempts),
+                ("backend", &self.path.first().id),
+                ("error", &error),
+                ("last_event", &last),
+                ("gap_ms", &self.pace.quiet_ms(now_ms())),
+            ],
+        );
+    }
+
+    pub(super) fn note_changed(&self, path: &Path, result: &str) {
+        let bad = self.path.stages.iter();
+        let bad = bad.filter(|stage| stage.engine.is_suspect());
+        let names: Vec<&str> =
+            bad.map(|stage| stage.engine.id.as_str()).collect();
+        emit(
+            Event::PathChanged,
+            &[
+                ("request", &self.admitted.id_text()),
+                ("without", &names.join(",")),
+                ("backends", &path.names()),
+                ("result", &result),
+                ("gap_ms", &self.pace.quiet_ms(now_ms())),
+            ],
+        );
+    }
+
+    pub(super) fn note_stalled(&self, quiet_ms: u64) {
+        emit(
+            Event::StreamStalled,
+            &[
+                ("request", &self.admitted.id_text()),
+                ("gap_ms", &quiet_ms),
+                ("expected_ms", &self.pace.look_ms()),
+                ("backends", &self.path.names()),
+            ],
+        );
+    }
+}
