Dial for others' suspicions only when due, and doubt oneself

Ruled out: watches that engines reset (their back-off changed nothing), streams that stall (rarer dials in vain changed nothing).

--- a/crates/daemon/tests/users_platform/soak.rs
+++ b/crates/daemon/tests/users_platform/soak.rs
@@ -15,8 +15,10 @@
 }
 
 #[rstest]
-#[case(Seed { seed: 1_001, cause: "a fixed mix" })]
-#[case(Seed { seed: 1_002, cause: "another one" })]
+#[case(Seed { seed: 2_001, cause: "fails without drains or matching" })]
+#[case(Seed { seed: 2_002, cause: "fails without the expected instance" })]
+#[case(Seed { seed: 2_003, cause: "fails where older versions are taken" })]
+#[case(Seed { seed: 2_009, cause: "fails without the shared bound" })]
 fn a_seed_breaks_no_promise(#[case] seed: Seed) {
     let played = run_seed(executor(), Path::new(BINARY), seed.seed, None);
     let (report, broken) = async_io::block_on(played).unwrap();
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -12,11 +12,13 @@
 
 use chestnutreach_site::{Backend, BackendState};
 
-use crate::{clock::now_ms, rate::Rate};
+use crate::{clock::now_ms, probe::FLOWING_MS, rate::Rate};
 
 /// Units in which entries tell each other memory, in tokens times layers.
 const TOLD_UNIT: u64 = 1_000;
-/// Most doublings of the time for which a server that refuses is avoided.
+/// A connection made so recently need not be made again.
+const REDIAL_MS: u64 = 125;
+/// Most doublings of a time that grows with failures in a row.
 const MAX_DOUBLINGS: u32 = 4;
 
 /// One incarnation of a backend server.
@@ -59,6 +61,8 @@
     pub(crate) avoided_until_ms: u64,
     /// When a connection was last made.
     pub(crate) reached_ms: u64,
+    /// Dials that reached it since work last flowed through it.
+    pub(crate) dials_in_vain: u32,
     /// When its report was last asked for.
     pub(crate) asked_ms: u64,
     /// Failures in a row.
@@ -77,6 +81,19 @@
         Some(now_ms.saturating_sub(since_ms))
     }
 
+    /// Whether a dial may show something new: not while work flows through
+    /// it, and more rarely the more dials have reached it in vain, since
+    /// all that wait for something else would dial it.
+    pub(crate) fn is_dial_due(&mut self, now_ms: u64, quiet_ms: u64) -> bool {
+        if quiet_ms < FLOWING_MS {
+            self.dials_in_vain = 0;
+            return false;
+        }
+        let doublings = self.dials_in_vain.min(MAX_DOUBLINGS);
+        let pause_ms = REDIAL_MS << doublings;
+        now_ms.saturating_sub(self.reached_ms) >= pause_ms
+    }
+
     /// Keeps work away, for longer with each refusal in a row: what the list
     /// says of it may be outdated for as long as the store is away.
     pub(crate) fn avoid_longer(&mut self, now_ms: u64, least_ms: u64) {
@@ -171,6 +188,7 @@
                 slowness: 1.0,
                 avoided_until_ms: 0,
                 reached_ms: 0,
+                dials_in_vain: 0,
                 asked_ms: 0,
                 failures: 0,
                 orders_begun: 0,
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -24,7 +24,12 @@
 use chestnutreach_telemetry::{Event, emit};
 use prost::Message as _;
 
-use crate::{clock::now_ms, core::Core, engine::Use, probe};
+use crate::{
+    clock::now_ms,
+    core::Core,
+    engine::{Engine, Use},
+    probe,
+};
 
 /// Time between messages to all others.
 const TELL_EVERY: Duration = Duration::from_millis(200);
@@ -267,14 +272,21 @@
         });
         engine.set_other(state.boot_id, told_use);
         // What another one found is looked at, not believed: it may itself
-        // be cut off.
-        if used.is_some_and(|u| u.is_suspect) && !engine.is_suspect() {
+        // be cut off. And not at each message: many that are cut off would
+        // have all others dial all engines.
+        let is_named = used.is_some_and(|u| u.is_suspect);
+        if is_named && !engine.is_suspect() && is_dial_due(&engine) {
             let task = probe::probe(core.clone(), engine);
             core.executor.spawn(task).detach();
         }
     }
 }
 
+fn is_dial_due(engine: &Engine) -> bool {
+    let now_ms = now_ms();
+    engine.lock().is_dial_due(now_ms, engine.quiet_ms(now_ms))
+}
+
 fn forget_silent(core: &Core) {
     let now_ms = now_ms();
     let mut silent = Vec::new();
--- a/crates/direct/src/probe.rs
+++ b/crates/direct/src/probe.rs
@@ -31,18 +31,23 @@
 const DIALS: usize = 2;
 /// Time for a report.
 const REPORT: Duration = Duration::from_millis(250);
-/// A connection made so recently need not be made again.
-const REACHED_MS: u64 = 250;
 /// Progress so recent shows that an engine lives.
-const FLOWING_MS: u64 = 60;
+pub(crate) const FLOWING_MS: u64 = 60;
 /// Shortest time between two reports of an engine.
 const REPORT_EVERY_MS: u64 = 1_500;
 /// Shortest time for which others' waiting counts against an engine.
 const STALLED_MS: u64 = 3_000;
 /// Time between looks at suspected engines.
 const RECHECK: Duration = Duration::from_millis(400);
+/// A watch that ends sooner makes the next one wait longer.
+const LIVES_MS: u64 = 1_500;
+/// Most doublings of that wait.
+const MAX_DOUBLINGS: u32 = 4;
 /// Pause before a watched engine is dialled again.
 const REDIAL: Duration = Duration::from_millis(300);
+/// Share of engines that are silent from which on no more are suspected.
+/// Above the share that went dark at once on any played day.
+const OWN_FAULT_SHARE: f64 = 0.4;
 /// Slowness below it is told as none.
 const SLOW_FROM: f64 = 1.2;
 
@@ -56,10 +61,14 @@
 }
 
 async fn keep_watch(core: Arc<Core>, engine: Arc<Engine>) {
+    // Connections in a row that ended soon: an engine with a long queue
+    // resets those that it has no room for.
+    let mut short_lived = 0;
     loop {
         if engine.lock().is_gone {
             return;
         }
+        let since_ms = now_ms();
         match Outbound::connect(engine.address, WATCH_DIAL).await {
             Ok(connection) => {
                 engine.lock().reached_ms = now_ms();
@@ -69,7 +78,9 @@
             }
             Err(e) => note_unreached(&core, &engine, &e),
         }
-        Timer::after(REDIAL).await;
+        let is_short = now_ms() - since_ms < LIVES_MS;
+        short_lived = if is_short { short_lived + 1 } else { 0 };
+        Timer::after(REDIAL * (1 << short_lived.min(MAX_DOUBLINGS))).await;
     }
 }
 
@@ -78,9 +89,24 @@
         io::ErrorKind::TimedOut => Evidence::Silent,
         _ => Evidence::Refused,
     };
+    if evidence == Evidence::Silent && is_own_fault(core) {
+        return;
+    }
     suspect(core, engine, evidence);
 }
 
+/// Whether so many engines are silent that rather this VM is cut off, or too
+/// slow to dial in time.
+fn is_own_fault(core: &Core) -> bool {
+    let engines = core.fleet.all();
+    let is_silent = |engine: &&Arc<Engine>| {
+        let suspicion = engine.lock().suspicion;
+        suspicion.is_some_and(|s| s.evidence == Evidence::Silent)
+    };
+    let silent = engines.iter().filter(is_silent).count();
+    silent as f64 >= OWN_FAULT_SHARE * engines.len() as f64
+}
+
 /// Takes an engine out of new paths and tells the streams on it.
 pub(crate) fn suspect(core: &Core, engine: &Engine, evidence: Evidence) {
     let now_ms = now_ms();
@@ -115,6 +141,7 @@
     let now_ms = now_ms();
     let mut state = engine.lock();
     state.reached_ms = now_ms;
+    state.dials_in_vain += 1;
     let Some(suspicion) = state.suspicion else {
         return;
     };
@@ -169,9 +196,7 @@
     let now_ms = now_ms();
     for stage in &path.stages {
         let engine = &stage.engine;
-        let is_flowing = engine.quiet_ms(now_ms) < FLOWING_MS;
-        let reached_ms = engine.lock().reached_ms;
-        if is_flowing || now_ms.saturating_sub(reached_ms) < REACHED_MS {
+        if !engine.lock().is_dial_due(now_ms, engine.quiet_ms(now_ms)) {
             continue;
         }
         let task = probe(core.clone(), engine.clone());
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -55,6 +55,22 @@
     service: &'static str,
     data_centre: &str,
     port: u16,
+) -> io::Result<SocketAddr> {
+    let address = start_untold(world, service, data_centre, port)?;
+    world.tell(address);
+    Ok(address)
+}
+
+/// Starts a server that has not written its row yet.
+///
+/// # Errors
+///
+/// The port can't be opened.
+pub fn start_untold(
+    world: &World,
+    service: &'static str,
+    data_centre: &str,
+    port: u16,
 ) -> io::Result<SocketAddr> {
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], port))?;
     let address = listener.get_ref().local_addr()?;
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -223,7 +223,7 @@
                 self.later(LISTENER_ENDS, async move {
                     let place = world.site().data_centres[0].clone();
                     // An address that is still held is reused by nobody.
-                    let _ = engines::start(
+                    let _ = engines::start_untold(
                         &world,
                         PLAIN_SERVICE,
                         &place,
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -171,8 +171,6 @@
             streams: BTreeMap::new(),
         };
         state.servers.insert(address, server);
-        drop(state);
-        self.tell(address);
         id
     }
 
