--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -237,14 +237,18 @@
         let window = retries.entry(service.to_owned()).or_default();
         let others = self.peers.others_sent(service);
         let is_allowed = window.take(&bounds, entries, &others, now_ms());
-        drop(retries);
-        if !is_allowed {
-            self.metrics.service(service).retries_denied.inc();
-            emit(Event::RetryBudgetSpent, &[("service", &service)]);
-        }
         is_allowed
     }
 
+    /// Tells that a request may not be sent again now.
+    pub(crate) fn note_retry_denied(&self, service: &str, request: &str) {
+        self.metrics.service(service).retries_denied.inc();
+        emit(
+            Event::RetryBudgetSpent,
+            &[("service", &service), ("request", &request)],
+        );
+    }
+
     /// Use of what joins data centres, as far as entries have told; 1 is
     /// full.
     pub(crate) fn crossing_use(&self, pipe_mbps: f64) -> f64 {
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -71,7 +71,9 @@
     let mut kept = None;
     loop {
         let is_further = attempts > 0;
-        if is_further && !core.take_retry(&admitted.service.name) {
+        let service = &admitted.service.name;
+        if is_further && !core.take_retry(service) {
+            core.note_retry_denied(service, admitted.id_text());
             break;
         }
         let Some(engine) = wait_for_engine(core, admitted, &tried).await
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -45,8 +45,6 @@
 const AVOID_MS: u64 = 250;
 /// Longest wait for a path before the first event.
 const MAX_WAIT_MS: u64 = 1_500;
-/// Longest wait for a path of a stream that has begun.
-const MAX_RESUME_WAIT_MS: u64 = 1_500;
 /// Pause before asking the shared bound again.
 const RETRY_AGAIN: Duration = Duration::from_millis(100);
 /// Pause before looking again for a path.
@@ -230,21 +228,30 @@
 
     /// Finds a path, waiting a moment for layers or room.
     async fn seek_path(&mut self) -> bool {
-        let wait_ms = match self.is_head_sent {
-            true => MAX_RESUME_WAIT_MS,
-            false => MAX_WAIT_MS,
+        // A stream that has begun is not given up while its client waits: a
+        // path may come with any engine that is back, and a cut would only
+        // have the client look for the same.
+        let until_ms = match self.is_head_sent {
+            true => self.admitted.end_ms,
+            false => self.admitted.end_ms.min(now_ms() + MAX_WAIT_MS),
         };
-        let until_ms = (now_ms() + wait_ms).min(self.admitted.end_ms);
         if !self.may_send() || !self.may_attempt_more() {
             return false;
         }
         // A stream that has begun waits for the shared bound to leave room,
         // rather than break off.
         let mut needs_retry = self.ended.attempts > 0;
+        let mut was_denied = false;
         loop {
             if let Some(path) = self.path_now() {
-                needs_retry = needs_retry
-                    && !self.core.take_retry(&self.admitted.service.name);
+                let service = &self.admitted.service.name;
+                let is_denied = needs_retry && !self.core.take_retry(service);
+                if is_denied && !was_denied {
+                    let id = self.admitted.id_text();
+                    self.core.note_retry_denied(service, id);
+                }
+                was_denied = is_denied;
+                needs_retry = is_denied;
                 if !needs_retry {
                     self.holds = path.hold(self.tokens);
                     self.path = path;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -145,7 +145,7 @@
         ["request", "position"],
         "A caller hung up; its request is cancelled.";
     RetryBudgetSpent = 408, "retry_budget_spent", Warn,
-        ["service"],
+        ["service", "request"],
         "A service has no retries left; failures go to callers.";
 
     StepRefused = 501, "step_refused", Warn,
