--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -236,8 +236,7 @@
         let mut retries = self.retries.lock().expect("no holder panics");
         let window = retries.entry(service.to_owned()).or_default();
         let others = self.peers.others_sent(service);
-        let is_allowed = window.take(&bounds, entries, &others, now_ms());
-        is_allowed
+        window.take(&bounds, entries, &others, now_ms())
     }
 
     /// Tells that a request may not be sent again now.
