--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -44,8 +44,8 @@
 /// one call.
 const LIST_PAUSE: Duration = Duration::from_millis(250);
 /// Entries for which the pause is once as long, and most times that it is.
-const ENTRIES_FOR_PAUSE: u32 = 6;
-const MAX_PAUSES: u32 = 4;
+const ENTRIES_FOR_PAUSE: u32 = 12;
+const MAX_PAUSES: u32 = 2;
 /// An outage of the store, from which on lapsed entries are kept.
 const OUTAGE_MS: u64 = 400;
 /// How long lapsed entries are kept after the store's return.
