--- a/crates/cli/src/site/trace.rs
+++ b/crates/cli/src/site/trace.rs
@@ -24,7 +24,7 @@
     "lease_lost",
 ];
 /// Fields that name backend servers.
-const BACKENDS: [&str; 3] = ["backend", "backends", "without"];
+const BACKENDS: [&str; 4] = ["backend", "backends", "without", "suspects"];
 
 /// Its arguments.
 pub(crate) fn command() -> Command {
--- a/crates/direct/src/stream/told.rs
+++ b/crates/direct/src/stream/told.rs
@@ -43,6 +43,7 @@
                 ("attempt", &self.ended.attempts),
                 ("backend", &self.path.first().id),
                 ("error", &error),
+                ("suspects", &self.suspects()),
                 ("last_event", &last),
                 ("gap_ms", &self.pace.quiet_ms(now_ms())),
             ],
@@ -50,15 +51,11 @@
     }
 
     pub(super) fn note_changed(&self, path: &Path, result: &str) {
-        let bad = self.path.stages.iter();
-        let bad = bad.filter(|stage| stage.engine.is_suspect());
-        let names: Vec<&str> =
-            bad.map(|stage| stage.engine.id.as_str()).collect();
         emit(
             Event::PathChanged,
             &[
                 ("request", &self.admitted.id_text()),
-                ("without", &names.join(",")),
+                ("without", &self.suspects()),
                 ("backends", &path.names()),
                 ("result", &result),
                 ("gap_ms", &self.pace.quiet_ms(now_ms())),
@@ -66,6 +63,15 @@
         );
     }
 
+    /// Engines of the path that seem dead.
+    fn suspects(&self) -> String {
+        let bad = self.path.stages.iter();
+        let bad = bad.filter(|stage| stage.engine.is_suspect());
+        let names: Vec<&str> =
+            bad.map(|stage| stage.engine.id.as_str()).collect();
+        names.join(",")
+    }
+
     pub(super) fn note_stalled(&self, quiet_ms: u64) {
         emit(
             Event::StreamStalled,
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -22,8 +22,6 @@
 pub const ACCOUNT: &str = "kaolack";
 /// Further arrivals for each request, in every window of 10 s.
 pub const RETRY_RATIO: f64 = 0.2;
-/// Further arrivals that are free in each.
-pub const RETRY_SLACK: f64 = 10.0;
 /// Memory of a layer, in megabytes.
 const LAYER_MB: f64 = 1_000.0;
 /// Memory of an engine, in megabytes.
@@ -50,6 +48,8 @@
     pub event_ms: u64,
     /// Time of a plain request, in milliseconds.
     pub plain_ms: u64,
+    /// Further arrivals that are free in every window of 10 s.
+    pub retry_slack: f64,
     /// Time of the route of streams, in milliseconds.
     pub stream_timeout_ms: u64,
 }
@@ -66,6 +66,7 @@
             events: 30,
             event_ms: 15,
             plain_ms: 10,
+            retry_slack: 200.0,
             stream_timeout_ms: 15_000,
         }
     }
@@ -183,7 +184,7 @@
 revoke-ms = 5000
 retry-budget-ratio = {RETRY_RATIO}
 budget-window-s = 10
-budget-slack = {RETRY_SLACK}
+budget-slack = {slack}
 pass-ms = 120
 stall_ms = 3000
 [platform]
@@ -192,6 +193,7 @@
 reads-per-s = 2000
 "#,
             index = entry.index,
+            slack = self.retry_slack,
             inner = entry.inner,
             clients = entry.clients,
             ready = entry.ready,
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -23,9 +23,7 @@
     experiment::{Experiment, Fault, FaultKind},
     load::{self, Load},
     report::Report,
-    site::{
-        KEY, MODEL_SERVICE, PLAIN_SERVICE, RETRY_RATIO, RETRY_SLACK, Site,
-    },
+    site::{KEY, MODEL_SERVICE, PLAIN_SERVICE, RETRY_RATIO, Site},
     store::{Store, StoreFault},
     world::World,
 };
@@ -38,6 +36,8 @@
 const LISTENER_ENDS: Duration = Duration::from_millis(100);
 /// How long the row of a server stays whose address is reused.
 const STAYS_LISTED: Duration = Duration::from_millis(4_000);
+/// Further arrivals that are free, so few that the bound is met.
+const SOAK_RETRY_SLACK: f64 = 10.0;
 /// Share of streams that engines reset.
 const STREAMS_RESET: f64 = 0.9;
 /// Time after a planned stop in which nothing may be cut; the grace is 5 s.
@@ -439,7 +439,8 @@
 /// The experiment of a seed.
 pub fn experiment(seed: u64) -> Experiment {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let site = Site { events: 60, ..Site::small() };
+    let site =
+        Site { events: 60, retry_slack: SOAK_RETRY_SLACK, ..Site::small() };
     let kinds: Vec<FaultKind> = FaultKind::all().collect();
     let mut faults: Vec<Fault> = (0..FAULTS)
         .map(|_| Fault {
@@ -493,7 +494,7 @@
 }
 
 /// Arrivals of streams at engines beyond the shared bound.
-fn beyond_bound(report: &Report) -> Option<String> {
+fn beyond_bound(report: &Report, slack: f64) -> Option<String> {
     let streams = report.outcomes.iter().filter(|o| o.kind == Kind::Stream);
     let ids: Vec<&str> = streams
         .flat_map(|outcome| &outcome.tries)
@@ -501,7 +502,7 @@
         .collect();
     let arrivals = ids.iter().filter_map(|id| report.seen.arrivals.get(*id));
     let further: u32 = arrivals.map(|count| count.saturating_sub(1)).sum();
-    let bound = ids.len() as f64 * RETRY_RATIO + RETRY_SLACK;
+    let bound = ids.len() as f64 * RETRY_RATIO + slack;
     (f64::from(further) > bound)
         .then(|| format!("{further} further arrivals, over {bound:.0}"))
 }
@@ -526,7 +527,7 @@
     if !running.recovers().await {
         broken.push(format!("not served again within {RECOVER:?}"));
     }
-    broken.extend(beyond_bound(&report));
+    broken.extend(beyond_bound(&report, experiment.site.retry_slack));
     if let Some(dir) = logs.filter(|_| !broken.is_empty()) {
         running.entries().keep_logs(&dir.join(seed.to_string()))?;
     }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -217,7 +217,8 @@
          "elapsed_ms"],
         "A backend server refused or failed a request.";
     RelayBroken = 904, "relay_broken", Warn,
-        ["request", "attempt", "backend", "error", "last_event", "gap_ms"],
+        ["request", "attempt", "backend", "error", "suspects", "last_event",
+         "gap_ms"],
         "The answer of a backend server broke off.";
     PathChanged = 905, "path_changed", Info,
         ["request", "without", "backends", "result", "gap_ms"],
