--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -17,6 +17,12 @@
 /// requests will need is only estimated.
 const PLANNED_SHARE: f64 = 0.92;
 
+/// Engines from which on a path is sought among a sample first: the search
+/// grows with their number.
+const MOST_AT_ONCE: usize = 160;
+/// Engines of the sample.
+const SAMPLE: usize = 120;
+
 /// All backend servers by id.
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
@@ -254,19 +260,43 @@
         used: &BTreeSet<String>,
     ) -> Option<Path> {
         let engines = self.of_service(need.service);
-        let holders: Vec<PartHolder> =
-            engines.iter().map(|engine| holder(need, engine, used)).collect();
-        let mut rng = fastrand::Rng::new();
-        let parts = find_path(&holders, request, &mut rng)?;
-        let stage = |part: chestnutreach_routing::Part| Stage {
-            engine: engines[part.holder].clone(),
-            first_layer: part.first_layer,
-            end_layer: part.end_layer,
-        };
-        Some(Path { stages: parts.into_iter().map(stage).collect() })
+        if engines.len() > MOST_AT_ONCE {
+            let near = sample(&engines, request.data_centre);
+            let path = path_among(&near, need, request, used);
+            if path.is_some() {
+                return path;
+            }
+        }
+        path_among(&engines, need, request, used)
     }
 }
 
+/// Engines of a data centre, evenly from all of them.
+fn sample(engines: &[Arc<Engine>], data_centre: usize) -> Vec<Arc<Engine>> {
+    let here = || engines.iter().filter(|e| e.data_centre == data_centre);
+    let step = here().count().div_ceil(SAMPLE).max(1);
+    let skipped = fastrand::usize(..step);
+    here().skip(skipped).step_by(step).cloned().collect()
+}
+
+fn path_among(
+    engines: &[Arc<Engine>],
+    need: &PathNeed<'_>,
+    request: &PathRequest,
+    used: &BTreeSet<String>,
+) -> Option<Path> {
+    let holders: Vec<PartHolder> =
+        engines.iter().map(|engine| holder(need, engine, used)).collect();
+    let mut rng = fastrand::Rng::new();
+    let parts = find_path(&holders, request, &mut rng)?;
+    let stage = |part: chestnutreach_routing::Part| Stage {
+        engine: engines[part.holder].clone(),
+        first_layer: part.first_layer,
+        end_layer: part.end_layer,
+    };
+    Some(Path { stages: parts.into_iter().map(stage).collect() })
+}
+
 fn holder(
     need: &PathNeed<'_>,
     engine: &Engine,
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -33,7 +33,11 @@
 
 /// Time between messages to all others.
 const TELL_EVERY: Duration = Duration::from_millis(200);
-/// Silence after which another entry no longer counts.
+/// Most entries told at once; where there are more, each hears the others
+/// more rarely, so that the cost of an entry does not grow with their number.
+const TOLD_AT_ONCE: usize = 24;
+/// Silence after which another entry no longer counts, where all are told
+/// at once.
 const SILENT_MS: u64 = 2_500;
 /// Silence of the planner after which others look at its lease.
 const PLANNER_SILENT_MS: u64 = 700;
@@ -104,7 +108,8 @@
     /// Whether another entry plans, as far as is known.
     pub(crate) fn has_planner(&self, now_ms: u64) -> bool {
         let heard_ms = self.planner_ms.load(Relaxed);
-        heard_ms > 0 && now_ms.saturating_sub(heard_ms) < PLANNER_SILENT_MS
+        let silent_ms = PLANNER_SILENT_MS * self.rounds();
+        heard_ms > 0 && now_ms.saturating_sub(heard_ms) < silent_ms
     }
 
     /// What requests of all other entries send between data centres.
@@ -122,6 +127,11 @@
         self.lock().entry(address).or_insert(unheard);
     }
 
+    /// Rounds of messages in which all others are told.
+    fn rounds(&self) -> u64 {
+        self.lock().len().div_ceil(TOLD_AT_ONCE).max(1) as u64
+    }
+
     fn addresses(&self) -> Vec<SocketAddr> {
         self.lock().keys().copied().collect()
     }
@@ -160,13 +170,17 @@
 
 async fn tell(core: Arc<Core>, socket: Arc<Async<UdpSocket>>) {
     let mut sequence = 0;
+    let mut next = 0;
     loop {
         sequence += 1;
         let bytes = own_state(&core, sequence).encode_to_vec();
-        for address in core.peers.addresses() {
+        let addresses = core.peers.addresses();
+        for at in 0..addresses.len().min(TOLD_AT_ONCE) {
+            let address = addresses[(next + at) % addresses.len()];
             // A datagram that is lost is made up for by the next one.
             let _ = socket.send_to(&bytes, address).await;
         }
+        next = next.wrapping_add(TOLD_AT_ONCE) % addresses.len().max(1);
         forget_silent(&core);
         Timer::after(TELL_EVERY).await;
     }
@@ -289,10 +303,11 @@
 
 fn forget_silent(core: &Core) {
     let now_ms = now_ms();
+    let limit_ms = SILENT_MS * core.peers.rounds();
     let mut silent = Vec::new();
     core.peers.lock().retain(|_, peer| {
         let silent_ms = now_ms.saturating_sub(peer.heard_ms);
-        let is_silent = silent_ms > SILENT_MS;
+        let is_silent = silent_ms > limit_ms;
         if is_silent && peer.boot_id != 0 {
             silent.push((peer.vm.clone(), peer.boot_id, silent_ms));
         }
--- a/crates/direct/src/stream/attempt.rs
+++ b/crates/direct/src/stream/attempt.rs
@@ -5,7 +5,7 @@
 use chestnutreach_adapter::engine;
 use chestnutreach_http::{
     SharedStream,
-    relay::{AnswerHead, Inbound, Outbound, push_chunk},
+    relay::{AnswerHead, Inbound, Outbound, OutboundError, push_chunk},
 };
 use chestnutreach_site::Reuse;
 use chestnutreach_telemetry::{Event, emit};
@@ -52,18 +52,10 @@
             connection.send(&bytes).await?;
             exchange::own_head(&mut connection, id.as_deref(), &method).await
         };
-        let head = match self.supervise(&caller, work).await {
-            Waited::Done(Ok(head)) => head,
-            Waited::Done(Err(e)) => {
-                self.note_broken(&e);
-                return AttemptEnd::Broken;
-            }
-            Waited::CallerGone => return AttemptEnd::CallerGone,
-            Waited::GivenUp => {
-                self.note_broken(&self.left_because);
-                return AttemptEnd::Broken;
-            }
-            Waited::TimeOver => return AttemptEnd::TimeOver,
+        let waited = self.supervise(&caller, work).await;
+        let head = match self.sort(waited) {
+            Ok(head) => head,
+            Err(end) => return end,
         };
         if head.status != 200 {
             let is_not_run = exchange::is_not_run(&head);
@@ -76,6 +68,39 @@
         self.pass_events(inbound, &caller, &mut connection, &head).await
     }
 
+    /// What a wait gave, or how it ended the attempt.
+    fn sort<T>(
+        &self,
+        waited: Waited<Result<T, OutboundError>>,
+    ) -> Result<T, AttemptEnd> {
+        match waited {
+            Waited::Done(Ok(done)) => Ok(done),
+            Waited::Done(Err(e)) => {
+                self.note_broken(&e);
+                Err(AttemptEnd::Broken)
+            }
+            Waited::GivenUp => {
+                self.note_broken(&self.left_because);
+                Err(AttemptEnd::Broken)
+            }
+            Waited::CallerGone => Err(AttemptEnd::CallerGone),
+            Waited::TimeOver => Err(AttemptEnd::TimeOver),
+        }
+    }
+
+    /// What an answer that ended in order is.
+    fn end_of(&self, splitter: &EventSplitter) -> AttemptEnd {
+        if splitter.has_partial() {
+            self.note_broken(&"the last event is not whole");
+            return AttemptEnd::Broken;
+        }
+        if !self.is_head_sent {
+            self.note_broken(&"the stream has no event");
+            return AttemptEnd::Broken;
+        }
+        AttemptEnd::Whole
+    }
+
     async fn refused(
         &mut self,
         connection: &mut Outbound,
@@ -121,27 +146,11 @@
         }
         loop {
             let part = connection.next_part(&mut body);
-            let part = match self.supervise(caller, part).await {
-                Waited::Done(Ok(Some(part))) => part,
-                Waited::Done(Ok(None)) if splitter.has_partial() => {
-                    self.note_broken(&"the last event is not whole");
-                    return AttemptEnd::Broken;
-                }
-                Waited::Done(Ok(None)) if !self.is_head_sent => {
-                    self.note_broken(&"the stream has no event");
-                    return AttemptEnd::Broken;
-                }
-                Waited::Done(Ok(None)) => return AttemptEnd::Whole,
-                Waited::Done(Err(e)) => {
-                    self.note_broken(&e);
-                    return AttemptEnd::Broken;
-                }
-                Waited::CallerGone => return AttemptEnd::CallerGone,
-                Waited::GivenUp => {
-                    self.note_broken(&self.left_because);
-                    return AttemptEnd::Broken;
-                }
-                Waited::TimeOver => return AttemptEnd::TimeOver,
+            let waited = self.supervise(caller, part).await;
+            let part = match self.sort(waited) {
+                Ok(Some(part)) => part,
+                Ok(None) => return self.end_of(&splitter),
+                Err(end) => return end,
             };
             splitter.push(&part);
             if !self.take_events(&mut splitter, &mut out) {
