Let no entry outlive its emulated site

Cause (once in 18 and once in 36 runs of a test beside load: ": client account None" at an engine): tasks of lasting faults held the entries and started one again after the site had ended; such entries went on asking the store's port, which an engine of another run had by then. Ruled out: requests of the site's own entries, which all have an id.

--- a/crates/daemon/tests/users_platform/stops.rs
+++ b/crates/daemon/tests/users_platform/stops.rs
@@ -98,3 +98,21 @@
         .await;
     });
 }
+
+#[test]
+fn nothing_is_started_after_a_site_has_ended() {
+    let entries = on_site(async |running| {
+        // An entry that a lasting fault would start again later.
+        let fault = Fault {
+            at: Duration::ZERO,
+            kind: FaultKind::EntryKilled,
+            length: Duration::from_millis(200),
+        };
+        running.make_fault(&fault, &mut fastrand::Rng::with_seed(2));
+        running.entries.clone()
+    });
+    async_io::block_on(Timer::after(Duration::from_millis(600)));
+    let mut entries = entries.lock().unwrap();
+    assert!(entries.start_one(0).is_err());
+    assert!((0..entries.count()).all(|index| !entries.runs(index)));
+}
--- a/crates/emulator/src/entries.rs
+++ b/crates/emulator/src/entries.rs
@@ -26,6 +26,8 @@
     site: Site,
     store: SocketAddr,
     entries: Vec<Entry>,
+    /// Nothing is started any more.
+    is_closed: bool,
 }
 
 struct Entry {
@@ -50,6 +52,7 @@
             site: site.clone(),
             store,
             entries: Vec::new(),
+            is_closed: false,
         };
         for index in 0..site.entries {
             let ports = free_ports(index);
@@ -78,8 +81,11 @@
     ///
     /// # Errors
     ///
-    /// A file can't be written or the process not started.
+    /// A file can't be written, the process not started, or all are closed.
     pub fn start_one(&mut self, index: usize) -> io::Result<()> {
+        if self.is_closed {
+            return Err(io::Error::other("the site is closed"));
+        }
         let ports = self.entries[index].ports;
         let settings = self.dir.path().join(format!("entry-{index}.toml"));
         fs::write(&settings, self.site.settings(&ports, self.store))?;
@@ -147,20 +153,33 @@
         child.try_wait().ok().flatten().and_then(|status| status.code())
     }
 
+    /// Whether an entry's process was started and not ended here.
+    pub fn runs(&self, index: usize) -> bool {
+        self.entries[index].child.is_some()
+    }
+
     /// Where the balancer asks an entry.
     pub fn ready_address(&self, index: usize) -> SocketAddr {
         ([127, 0, 0, 1], self.entries[index].ports.ready).into()
     }
 }
 
-impl Drop for Entries {
-    fn drop(&mut self) {
+impl Entries {
+    /// Kills all entries, for good.
+    pub fn close(&mut self) {
+        self.is_closed = true;
         for index in 0..self.entries.len() {
             self.kill(index);
         }
     }
 }
 
+impl Drop for Entries {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
 /// Reads a target; status and body.
 pub async fn get(address: SocketAddr, target: &str) -> Option<(u16, String)> {
     let mut connection = Outbound::connect(address, CALL).await.ok()?;
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -99,6 +99,14 @@
     Ok(running)
 }
 
+impl Drop for Running {
+    /// Tasks of faults that last may hold the entries beyond the site: what
+    /// they started later would outlive this process.
+    fn drop(&mut self) {
+        self.entries().close();
+    }
+}
+
 impl Running {
     async fn are_ready(&self) -> bool {
         let until = Instant::now() + READY;
