One piece for the end of a request and its connection

plain.rs and stream.rs each chose the final reason from what may have run and the time left, each listed the statuses that promise nothing ran, and three places chose what becomes of the connection after an answer. A rule for clients that stands twice is changed once. They are Reason::at_end, promises_not_run and After::answer now; behaviour is as it was.

--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -33,6 +33,16 @@
 }
 
 impl Reason {
+    /// Why a request ends for which nothing more can be done.
+    pub(crate) fn at_end(may_have_run: bool, left_ms: u64) -> Reason {
+        match (may_have_run, left_ms) {
+            (true, 0) => Reason::TimeOver,
+            (true, _) => Reason::Unknown,
+            (false, 0) => Reason::TooLate,
+            (false, _) => Reason::NoBackend,
+        }
+    }
+
     pub(crate) fn status(self) -> u16 {
         match self {
             Reason::NoRoute => 404,
@@ -69,6 +79,12 @@
     }
 }
 
+/// Whether a status promises the client that nothing ran. It must not be
+/// passed on for a request that may have run.
+pub(crate) fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// An answer of our own.
 pub(crate) fn own_answer(
     reason: Reason,
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -39,6 +39,17 @@
     Cut,
 }
 
+impl After {
+    /// After an answer that was written, or broke off while it was.
+    pub(crate) fn answer(is_sent: bool, is_last: bool) -> After {
+        match (is_sent, is_last) {
+            (true, false) => After::Keep,
+            (true, true) => After::Close,
+            (false, _) => After::Cut,
+        }
+    }
+}
+
 /// How a request ended, for the logs.
 #[derive(Debug, Default)]
 pub(crate) struct Ended {
@@ -151,11 +162,7 @@
         reason: reason.name().to_owned(),
         ..Ended::default()
     };
-    let after = match (is_sent, is_last) {
-        (true, false) => After::Keep,
-        (true, true) => After::Close,
-        (false, _) => After::Cut,
-    };
+    let after = After::answer(is_sent, is_last);
     (ended, after)
 }
 
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     admit::Admitted,
-    answer::{Framing, Reason, passed_head},
+    answer::{Framing, Reason, passed_head, promises_not_run},
     callers::{After, Ended, refuse},
     clock::now_ms,
     core::Core,
@@ -123,7 +123,8 @@
                 .await
         }
         None => {
-            let reason = final_reason(admitted, may_have_run);
+            let left_ms = admitted.left_ms(now_ms());
+            let reason = Reason::at_end(may_have_run, left_ms);
             refuse(inbound, request, reason, is_last).await
         }
     };
@@ -137,16 +138,6 @@
     attempts < admitted.route.max_attempts && (may_repeat || !may_have_run)
 }
 
-fn final_reason(admitted: &Admitted, may_have_run: bool) -> Reason {
-    let is_over = admitted.left_ms(now_ms()) == 0;
-    match (may_have_run, is_over) {
-        (true, true) => Reason::TimeOver,
-        (true, false) => Reason::Unknown,
-        (false, true) => Reason::TooLate,
-        (false, false) => Reason::NoBackend,
-    }
-}
-
 /// When an attempt is given up: at the end, or while there is time for
 /// another one.
 fn attempt_end_ms(admitted: &Admitted, attempts: u32) -> u64 {
@@ -311,10 +302,7 @@
     may_have_run: bool,
     is_last: bool,
 ) -> (Ended, After) {
-    // These statuses promise that nothing ran, which the server did not say.
-    let is_false_promise =
-        matches!(head.status, 408 | 421 | 429 | 503) && may_have_run;
-    if is_false_promise {
+    if may_have_run && promises_not_run(head.status) {
         return refuse(inbound, request, Reason::Unknown, is_last).await;
     }
     let has_no_body =
@@ -332,11 +320,7 @@
     };
     let ended =
         Ended { outcome, status: head.status, events: 1, ..Ended::default() };
-    let after = match (is_sent, is_last) {
-        (true, false) => After::Keep,
-        (true, true) => After::Close,
-        (false, _) => After::Cut,
-    };
+    let after = After::answer(is_sent, is_last);
     (ended, after)
 }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     admit::Admitted,
-    answer::{Framing, Reason, passed_head},
+    answer::{Framing, Reason, passed_head, promises_not_run},
     callers::{After, Ended, refuse},
     clock::now_ms,
     core::Core,
@@ -317,24 +317,14 @@
 
     async fn finish(&mut self, inbound: &mut Inbound) -> After {
         self.ended.outcome = "completed";
-        if inbound.write(LAST_CHUNK).await.is_err() {
-            return After::Cut;
-        }
-        match self.is_last {
-            true => After::Close,
-            false => After::Keep,
-        }
+        let is_sent = inbound.write(LAST_CHUNK).await.is_ok();
+        After::answer(is_sent, self.is_last)
     }
 
     /// Ends a stream for which nothing more can be done.
     async fn give_up(&mut self, inbound: &mut Inbound) -> After {
-        let is_over = self.admitted.left_ms(now_ms()) == 0;
-        let reason = match (self.may_have_run, is_over) {
-            (true, true) => Reason::TimeOver,
-            (true, false) => Reason::Unknown,
-            (false, true) => Reason::TooLate,
-            (false, false) => Reason::NoBackend,
-        };
+        let left_ms = self.admitted.left_ms(now_ms());
+        let reason = Reason::at_end(self.may_have_run, left_ms);
         if self.is_head_sent {
             self.ended.outcome = "failed";
             self.ended.reason = reason.name().to_owned();
@@ -354,8 +344,7 @@
         head: &AnswerHead,
         body: &[u8],
     ) -> After {
-        let is_promise = matches!(head.status, 408 | 421 | 429 | 503);
-        if is_promise && self.may_have_run {
+        if self.may_have_run && promises_not_run(head.status) {
             return self.give_up(inbound).await;
         }
         let framing = Framing::Length(body.len());
@@ -364,10 +353,7 @@
         self.ended.outcome = "failed";
         self.ended.status = head.status;
         self.ended.reason = "engine".to_owned();
-        match (inbound.write(&bytes).await.is_ok(), self.is_last) {
-            (true, false) => After::Keep,
-            (true, true) => After::Close,
-            (false, _) => After::Cut,
-        }
+        let is_sent = inbound.write(&bytes).await.is_ok();
+        After::answer(is_sent, self.is_last)
     }
 }
