End an engine under streams where a test needs a resumption

It ended four engines by chance, and a stream is resumed only when its first engine ends; a run in which none of the four was first of a stream resumes nothing. Seen in a trial that printed the streams at each ended engine: the failed runs had none at all four.

Ruled out: late lines of the log (the run ended 6 s in, all lines there) and load (the rate was the same alone and beside five others).

--- a/crates/daemon/tests/users_platform/faults.rs
+++ b/crates/daemon/tests/users_platform/faults.rs
@@ -12,7 +12,8 @@
 use rstest::rstest;
 
 use crate::support::{
-    assert_all_served, assert_kept, on_site, streams, wait_until,
+    assert_all_served, assert_kept, on_site, play_while_first_engines_end,
+    streams, wait_until,
 };
 
 fn fault(at_ms: u64, kind: FaultKind, length_ms: u64) -> Fault {
@@ -42,12 +43,7 @@
 #[test]
 fn a_stream_whose_first_engine_ends_goes_on_without_a_seam() {
     on_site(async |running| {
-        let load = streams(25.0, Duration::from_secs(3));
-        // Every engine ends in turn, first ones among them.
-        let faults: Vec<Fault> = (0..5)
-            .map(|n| fault(500 + 400 * n, FaultKind::EngineEnds, 300))
-            .collect();
-        let report = running.play(&load, &faults).await;
+        let report = play_while_first_engines_end(running, 5).await;
         assert_all_served(&report);
         let further = report.further_arrivals();
         assert!(further > 0, "some stream was resumed: {further}");
--- a/crates/daemon/tests/users_platform/support.rs
+++ b/crates/daemon/tests/users_platform/support.rs
@@ -59,6 +59,23 @@
     }
 }
 
+/// Plays streams while first engines end, one after another, each under a
+/// stream.
+pub(crate) async fn play_while_first_engines_end(
+    running: &Running,
+    count: u64,
+) -> Report {
+    let load = streams(25.0, Duration::from_secs(3));
+    let end = async {
+        for _ in 0..count {
+            Timer::after(Duration::from_millis(400)).await;
+            running.end_first_engine(Duration::from_millis(300)).await;
+        }
+    };
+    let played = running.play(&load, &[]);
+    futures_lite::future::zip(played, end).await.0
+}
+
 /// Fails with the report unless no promise was broken.
 pub(crate) fn assert_kept(report: &Report) {
     let violations = report.violations();
--- a/crates/daemon/tests/users_platform/traces.rs
+++ b/crates/daemon/tests/users_platform/traces.rs
@@ -1,18 +1,16 @@
 //! From a failed request's id to its cause, as docs/OPERATIONS.md leads.
 
-use std::time::Duration;
-
-use async_io::Timer;
 use chestnutreach_emulator::{
     caller::{Kind, Outcome, TryEnd, Wish},
-    experiment::{Fault, FaultKind},
     site::Site,
     soak::Running,
     store::StoreFault,
 };
 use serde_json::Value;
 
-use crate::support::{on, on_site, one, streams, wait_until};
+use crate::support::{
+    on, on_site, one, play_while_first_engines_end, wait_until,
+};
 
 /// Lines of the logs that name a request, as step 1 of the page does.
 fn lines_of(running: &Running, request: &str) -> Vec<Value> {
@@ -65,21 +63,14 @@
 #[test]
 fn a_stream_that_broke_leads_to_its_engine() {
     on_site(async |running| {
-        let load = streams(25.0, Duration::from_secs(3));
-        let ends = |at_ms| Fault {
-            at: Duration::from_millis(at_ms),
-            kind: FaultKind::EngineEnds,
-            length: Duration::from_millis(300),
-        };
-        let faults = [ends(500), ends(900), ends(1_300), ends(1_700)];
-        let report = running.play(&load, &faults).await;
-        Timer::after(Duration::from_millis(400)).await;
-        let changed = |outcome: &&Outcome| {
+        let report = play_while_first_engines_end(running, 4).await;
+        let is_changed = |outcome: &&Outcome| {
             let lines = lines_of(running, &outcome.tries[0].id);
             named(&lines, "relay_broken").is_some()
         };
-        let outcome = report.outcomes.iter().find(changed);
-        let outcome = outcome.expect("a stream was resumed");
+        let resumed = || report.outcomes.iter().find(is_changed);
+        wait_until("a stream was resumed", async || resumed().is_some()).await;
+        let outcome = resumed().unwrap();
         let lines = ended(running, &outcome.tries[0].id).await;
         // Step 2: it was whole, after more than one attempt.
         let end = named(&lines, "relay_ended").unwrap();
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -352,6 +352,19 @@
             engines::start(&self.world, MODEL_SERVICE, &server.data_centre, 0);
     }
 
+    /// Ends the engine that is first of most streams, as soon as there is
+    /// one, and starts an empty one at its address later.
+    ///
+    /// An engine by chance may be first of no stream.
+    pub async fn end_first_engine(&self, empty_after: Duration) {
+        loop {
+            if let Some(engine) = self.world.busiest_first_engine() {
+                return self.replace(engine, empty_after);
+            }
+            Timer::after(LISTENER_ENDS).await;
+        }
+    }
+
     /// Ends an engine and starts an empty one at its address later.
     fn replace(&self, engine: SocketAddr, after: Duration) {
         self.world.end(engine);
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -194,6 +194,14 @@
         self.addresses(MODEL_SERVICE)
     }
 
+    /// The engine that is first of most streams; none without streams.
+    pub fn busiest_first_engine(&self) -> Option<SocketAddr> {
+        let state = self.lock();
+        let first =
+            state.servers.iter().filter(|(_, s)| !s.streams.is_empty());
+        first.max_by_key(|(_, s)| s.streams.len()).map(|(address, _)| *address)
+    }
+
     /// Addresses of servers of the plain service.
     pub fn plain_servers(&self) -> Vec<SocketAddr> {
         self.addresses(PLAIN_SERVICE)
