Streams that wait for a path do so in turns, by account, urgency and age

Cause: where no path had room, every request looked for one each 15 ms, and whoever happened to look first took what became free: shares went by who asks most, room by who needs least, and each look is a search over all engines.

Change: routing::turns on the fair queue that the product has; four turns, none granted beside one that has lasted 0.3 s; direct::queue wakes them; path_awaited in the logs, requests_waiting in the metrics.

Ruled out: one turn (a large request stops all others), a shared counter.

--- a/crates/daemon/tests/users_platform/traces.rs
+++ b/crates/daemon/tests/users_platform/traces.rs
@@ -60,6 +60,42 @@
     });
 }
 
+#[test]
+fn a_refused_stream_leads_to_the_missing_layers() {
+    on_site(async |running| {
+        for engine in running.world.engines() {
+            running.world.end(engine);
+        }
+        let wish = Wish { tries: 1, ..Wish::new(Kind::Stream, "a", 1) };
+        // The first may still be sent to engines that are not known to be
+        // gone.
+        let mut lines = Vec::new();
+        wait_until("a request waits in vain", async || {
+            let outcome = one(running, 0, &wish).await;
+            lines = ended(running, &outcome.tries[0].id).await;
+            named(&lines, "path_awaited").is_some()
+                && outcome.tries[0].end == TryEnd::Status(503)
+        })
+        .await;
+        // Step 2: it was refused for want of a path.
+        let end = named(&lines, "relay_ended").unwrap();
+        assert_eq!(end["reason"], "no_backend");
+        assert_eq!(end["attempts"], "0");
+        // Step 3: it waited in the queue, and for whom.
+        let awaited = named(&lines, "path_awaited").unwrap();
+        assert_eq!(awaited["result"], "none");
+        assert_eq!(awaited["account"], "kaolack");
+        // Step 4: no data centre holds all layers.
+        wait_until("the planner tells of the layers", async || {
+            let logs = running.logs();
+            let cover =
+                logs.lines().filter(|l| l.contains("\"cover_changed\""));
+            cover.last().is_some_and(|line| line.contains("x0"))
+        })
+        .await;
+    });
+}
+
 #[test]
 fn a_stream_that_broke_leads_to_its_engine() {
     on_site(async |running| {
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -15,8 +15,8 @@
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
 use crate::{
-    clock::now_ms, fleet::Fleet, peers::PeerTable, rate::Rate,
-    supervise::Streams,
+    clock::now_ms, fleet::Fleet, peers::PeerTable, queue::PathQueues,
+    rate::Rate, supervise::Streams,
 };
 
 /// Time left of the bound on withdrawn keys when they are refused: a request
@@ -45,6 +45,7 @@
     were_keys_stale: AtomicBool,
     pub(crate) fleet: Fleet,
     pub(crate) streams: Streams,
+    pub(crate) path_queues: PathQueues,
     pub(crate) peers: PeerTable,
     /// Bytes that own requests send between data centres.
     pub(crate) crossing: Rate,
@@ -83,6 +84,7 @@
             were_keys_stale: AtomicBool::new(false),
             fleet: Fleet::default(),
             streams: Streams::default(),
+            path_queues: PathQueues::default(),
             peers: PeerTable::default(),
             crossing: Rate::default(),
             retries: Mutex::default(),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 //! | `admit` | route, key and time of a request |
 //! | `plain` | requests with one whole answer |
 //! | `stream`, `supervise`, [`events`] | streams of events |
+//! | `queue` | streams that wait for a path |
 //! | `exchange` | one request to one backend server |
 //! | `answer` | answers of our own |
 //! | `peers` | what entries tell each other |
@@ -52,6 +53,7 @@
 mod place;
 mod plain;
 mod probe;
+mod queue;
 mod rate;
 mod stream;
 mod supervise;
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -218,7 +218,10 @@
         layout: &[LayoutEngine],
     ) {
         let names = &core.settings.data_centres;
-        let here = cover(model, layout);
+        let mut here = cover(model, layout);
+        // One without any engine is told as well.
+        let none = vec![0; model.layer_count as usize];
+        here.resize(here.len().max(names.len()), none);
         let text = |(at, counts): (usize, &Vec<u32>)| {
             let name = names.get(at).map_or("?", String::as_str);
             format!("{name} {}", runs(counts))
--- /dev/null
+++ b/crates/direct/src/queue.rs
@@ -0,0 +1,128 @@
+//! Streams that wait for a path, in turns.
+//!
+//! Who may look next is decided by [`Turns`]; here are the wake-ups. A place
+//! in a queue ends when it is dropped, whatever became of its request.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+};
+
+use async_channel::{Receiver, Sender};
+use chestnutreach_routing::{Priority, PushRefusalReason, TurnNeed, Turns};
+
+use crate::clock::now_ms;
+
+/// Tokens that may wait at an entry for a service: what the largest
+/// deployment's engines write and read in the longest wait, 1.5 s at
+/// 1.4 M tokens/s, all at one entry.
+const LIMIT_TOKENS: u64 = 2_100_000;
+/// Last value of urgency, from 0 to 9, for which a person waits.
+const HIGH_UNTIL: u8 = 1;
+/// The value of a request that states none: 5.
+const NORMAL_UNTIL: u8 = 5;
+
+/// The queues of an entry, by service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PathQueues {
+    by_service: Arc<Mutex<BTreeMap<String, Queue>>>,
+}
+
+#[derive(Debug)]
+struct Queue {
+    turns: Turns,
+    signals: BTreeMap<u64, Sender<()>>,
+}
+
+/// A place in a queue, and later a turn, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Place {
+    queues: PathQueues,
+    service: String,
+    key: u64,
+    granted: Receiver<()>,
+}
+
+impl Queue {
+    fn new() -> Queue {
+        Queue { turns: Turns::new(LIMIT_TOKENS), signals: BTreeMap::new() }
+    }
+
+    fn grant(&mut self) {
+        for key in self.turns.grant(now_ms()) {
+            if let Some(signal) = self.signals.get(&key) {
+                // Sent once for each key, into room for one.
+                let _ = signal.try_send(());
+            }
+        }
+    }
+}
+
+impl PathQueues {
+    /// Whether nobody waits, so that a request may look without a turn.
+    pub(crate) fn is_idle(&self, service: &str) -> bool {
+        let queues = self.lock();
+        queues.get(service).is_none_or(|queue| queue.turns.is_idle())
+    }
+
+    /// How many wait for a turn at a service.
+    pub(crate) fn waiting_count(&self, service: &str) -> usize {
+        let queues = self.lock();
+        queues.get(service).map_or(0, |queue| queue.turns.waiting_count())
+    }
+
+    /// Takes a place.
+    ///
+    /// # Errors
+    ///
+    /// The queue, or the account's part of it, is full.
+    pub(crate) fn try_join(
+        &self,
+        service: &str,
+        need: &TurnNeed<'_>,
+    ) -> Result<Place, PushRefusalReason> {
+        let mut queues = self.lock();
+        if !queues.contains_key(service) {
+            queues.insert(service.to_owned(), Queue::new());
+        }
+        let queue = queues.get_mut(service).expect("it was just added");
+        let key = queue.turns.try_join(need, now_ms())?;
+        let (signal, granted) = async_channel::bounded(1);
+        queue.signals.insert(key, signal);
+        queue.grant();
+        let service = service.to_owned();
+        Ok(Place { queues: self.clone(), service, key, granted })
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, Queue>> {
+        self.by_service.lock().expect("no holder panics")
+    }
+}
+
+impl Place {
+    /// Waits for the turn.
+    pub(crate) async fn turn(&self) {
+        // The sender lives in the queue as long as this does.
+        let _ = self.granted.recv().await;
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut queues = self.queues.lock();
+        if let Some(queue) = queues.get_mut(&self.service) {
+            queue.signals.remove(&self.key);
+            queue.turns.end(self.key);
+            queue.grant();
+        }
+    }
+}
+
+/// The priority of an urgency on the platform's scale, 0 first.
+pub(crate) fn priority_of(urgency: u8) -> Priority {
+    match urgency {
+        0..=HIGH_UNTIL => Priority::High,
+        _ if urgency <= NORMAL_UNTIL => Priority::Normal,
+        _ => Priority::Low,
+    }
+}
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -8,9 +8,8 @@
 //! client sees one answer, with the head of the first engine, and only whole
 //! events in their order.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
-use async_io::Timer;
 use chestnutreach_adapter::clients;
 use chestnutreach_http::relay::{
     AnswerHead, Inbound, LAST_CHUNK, RelayRequest,
@@ -25,13 +24,14 @@
     clock::now_ms,
     core::Core,
     engine::{Evidence, Hold},
-    fleet::{Path, PathNeed},
+    fleet::Path,
     probe,
     supervise::Listed,
 };
 
 mod attempt;
 mod pace;
+mod seek;
 mod told;
 mod watch;
 
@@ -43,15 +43,12 @@
 const LEAVE_WITHIN: f64 = 0.75;
 /// How long an engine that had no room or layers is avoided.
 const AVOID_MS: u64 = 250;
-/// Longest wait for a path before the first event.
-const MAX_WAIT_MS: u64 = 1_500;
-/// Pause before asking the shared bound again.
-const RETRY_AGAIN: Duration = Duration::from_millis(100);
-/// Pause before looking again for a path.
-const SEEK_AGAIN: Duration = Duration::from_millis(15);
 /// Share of the estimated answer that is planned with: it grows from none.
 const ANSWER_SHARE: f64 = 0.8;
 
+/// Cause of the attempt that a request makes as it comes.
+const FIRST: &str = "first";
+
 /// How an attempt ended.
 enum AttemptEnd {
     /// The stream is whole.
@@ -123,13 +120,14 @@
         pace: Pace::new(),
         leave_after_ms: leave_after_ms(core),
         left_because: "",
-        cause: "first",
+        cause: FIRST,
         ended: Ended::default(),
     };
     let metrics = core.metrics.service(&admitted.service.name);
     metrics.requests_in_flight.inc();
     let after = stream.run(inbound).await;
     metrics.requests_in_flight.dec();
+    stream.note_waiting();
     (stream.ended, after)
 }
 
@@ -226,80 +224,6 @@
         }
     }
 
-    /// Finds a path, waiting a moment for layers or room.
-    async fn seek_path(&mut self) -> bool {
-        // A stream that has begun is not given up while its client waits: a
-        // path may come with any engine that is back, and a cut would only
-        // have the client look for the same.
-        let until_ms = match self.is_head_sent {
-            true => self.admitted.end_ms,
-            false => self.admitted.end_ms.min(now_ms() + MAX_WAIT_MS),
-        };
-        if !self.may_send() || !self.may_attempt_more() {
-            return false;
-        }
-        // A stream that has begun waits for the shared bound to leave room,
-        // rather than break off.
-        let mut needs_retry = self.ended.attempts > 0;
-        let mut was_denied = false;
-        loop {
-            if let Some(path) = self.path_now() {
-                let service = &self.admitted.service.name;
-                let is_denied = needs_retry && !self.core.take_retry(service);
-                if is_denied && !was_denied {
-                    let id = self.admitted.id_text();
-                    self.core.note_retry_denied(service, id);
-                }
-                was_denied = is_denied;
-                needs_retry = is_denied;
-                if !needs_retry {
-                    self.holds = path.hold(self.tokens);
-                    self.path = path;
-                    return true;
-                }
-                if !self.is_head_sent {
-                    return false;
-                }
-            }
-            if now_ms() >= until_ms {
-                return false;
-            }
-            let pause = if needs_retry { RETRY_AGAIN } else { SEEK_AGAIN };
-            Timer::after(pause).await;
-        }
-    }
-
-    fn path_now(&self) -> Option<Path> {
-        let need = self.need();
-        if self.cause == "refused"
-            && !self.path.stages.is_empty()
-            && !self.without.contains(&self.path.first().id)
-            && !self.path.first().is_suspect()
-            && let Some(path) = self.core.fleet.detour(&need, &self.path)
-        {
-            return Some(path);
-        }
-        self.core.fleet.path(&need)
-    }
-
-    fn need(&self) -> PathNeed<'_> {
-        PathNeed {
-            service: &self.admitted.service.name,
-            model: self.model,
-            data_centre: self.core.own_data_centre(),
-            tokens: self.tokens,
-            without: &self.without,
-            now_ms: now_ms(),
-            crossing_use: self.core.crossing_use(self.model.pipe_mbps),
-        }
-    }
-
-    /// Counts what reading a prompt over new crossings sends.
-    fn note_crossing(&self, crossings: usize) {
-        let bytes = self.tokens as f64 * self.model.activation_bytes;
-        self.core.crossing.note(crossings as f64 * bytes, now_ms());
-    }
-
     /// Leaves out who refused.
     fn avoid(&mut self, at: Option<SocketAddr>) {
         self.cause = "refused";
--- /dev/null
+++ b/crates/direct/src/stream/seek.rs
@@ -0,0 +1,184 @@
+//! Finding a path, in turn where others wait for one too.
+//!
+//! A request that comes looks at once if nobody waits; else it takes a place
+//! in the queue of its service. One whose engines refused it, and a stream
+//! that has begun, had their turn and look beside the queue.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use chestnutreach_routing::TurnNeed;
+use chestnutreach_telemetry::{Event, emit};
+use futures_lite::FutureExt as _;
+
+use super::{FIRST, Stream};
+use crate::{
+    clock::now_ms,
+    fleet::{Path, PathNeed},
+    queue::{Place, priority_of},
+};
+
+/// Longest wait for a path before the first event.
+const MAX_WAIT_MS: u64 = 1_500;
+/// Pause before asking the shared bound again.
+const RETRY_AGAIN: Duration = Duration::from_millis(100);
+/// Pause before looking again for a path.
+const SEEK_AGAIN: Duration = Duration::from_millis(15);
+
+impl Stream<'_> {
+    /// Finds a path, waiting a moment for layers or room.
+    pub(super) async fn seek_path(&mut self) -> bool {
+        if !self.may_send() || !self.may_attempt_more() {
+            return false;
+        }
+        // A stream that has begun is not given up while its client waits: a
+        // path may come with any engine that is back, and a cut would only
+        // have the client look for the same.
+        let until_ms = match self.is_head_sent {
+            true => self.admitted.end_ms,
+            false => self.admitted.end_ms.min(now_ms() + MAX_WAIT_MS),
+        };
+        if self.cause != FIRST {
+            return self.look_until(until_ms).await;
+        }
+        let queues = &self.core.path_queues;
+        if queues.is_idle(&self.admitted.service.name) && self.take_path() {
+            return true;
+        }
+        self.wait_in_turn(until_ms).await
+    }
+
+    /// Waits in the queue, then looks for as long as there is time.
+    async fn wait_in_turn(&mut self, until_ms: u64) -> bool {
+        let joined_ms = now_ms();
+        let Some(place) = self.take_place(until_ms) else {
+            self.note_awaited(joined_ms, "full");
+            return false;
+        };
+        self.note_waiting();
+        let turn = async {
+            place.turn().await;
+            true
+        };
+        let late = async {
+            let wait_ms = until_ms.saturating_sub(joined_ms);
+            Timer::after(Duration::from_millis(wait_ms)).await;
+            false
+        };
+        let has_turn = turn.or(late).await;
+        let is_found = has_turn && self.look_until(until_ms).await;
+        drop(place);
+        self.note_awaited(joined_ms, if is_found { "path" } else { "none" });
+        is_found
+    }
+
+    fn take_place(&self, until_ms: u64) -> Option<Place> {
+        let need = TurnNeed {
+            account: self.admitted.account.as_deref().unwrap_or(""),
+            priority: priority_of(self.admitted.urgency),
+            tokens: self.tokens,
+            until_ms,
+        };
+        let queues = &self.core.path_queues;
+        queues.try_join(&self.admitted.service.name, &need).ok()
+    }
+
+    /// Looks for a path until one is there.
+    async fn look_until(&mut self, until_ms: u64) -> bool {
+        // A stream that has begun waits for the shared bound to leave room,
+        // rather than break off.
+        let mut needs_retry = self.ended.attempts > 0;
+        let mut was_denied = false;
+        loop {
+            if let Some(path) = self.path_now() {
+                let service = &self.admitted.service.name;
+                let is_denied = needs_retry && !self.core.take_retry(service);
+                if is_denied && !was_denied {
+                    let id = self.admitted.id_text();
+                    self.core.note_retry_denied(service, id);
+                }
+                was_denied = is_denied;
+                needs_retry = is_denied;
+                if !needs_retry {
+                    self.use_path(path);
+                    return true;
+                }
+                if !self.is_head_sent {
+                    return false;
+                }
+            }
+            if now_ms() >= until_ms {
+                return false;
+            }
+            let pause = if needs_retry { RETRY_AGAIN } else { SEEK_AGAIN };
+            Timer::after(pause).await;
+        }
+    }
+
+    /// Takes the path that is there now; false if there is none.
+    fn take_path(&mut self) -> bool {
+        let Some(path) = self.path_now() else { return false };
+        self.use_path(path);
+        true
+    }
+
+    fn use_path(&mut self, path: Path) {
+        self.holds = path.hold(self.tokens);
+        self.path = path;
+    }
+
+    fn path_now(&self) -> Option<Path> {
+        let need = self.need();
+        if self.cause == "refused"
+            && !self.path.stages.is_empty()
+            && !self.without.contains(&self.path.first().id)
+            && !self.path.first().is_suspect()
+            && let Some(path) = self.core.fleet.detour(&need, &self.path)
+        {
+            return Some(path);
+        }
+        self.core.fleet.path(&need)
+    }
+
+    pub(super) fn need(&self) -> PathNeed<'_> {
+        PathNeed {
+            service: &self.admitted.service.name,
+            model: self.model,
+            data_centre: self.core.own_data_centre(),
+            tokens: self.tokens,
+            without: &self.without,
+            now_ms: now_ms(),
+            crossing_use: self.core.crossing_use(self.model.pipe_mbps),
+        }
+    }
+
+    /// Counts what reading a prompt over new crossings sends.
+    pub(super) fn note_crossing(&self, crossings: usize) {
+        let bytes = self.tokens as f64 * self.model.activation_bytes;
+        self.core.crossing.note(crossings as f64 * bytes, now_ms());
+    }
+
+    /// Shows how many wait.
+    pub(super) fn note_waiting(&self) {
+        let service = &self.admitted.service.name;
+        let waiting = self.core.path_queues.waiting_count(service);
+        let metrics = self.core.metrics.service(service);
+        metrics.requests_waiting.set(waiting as i64);
+    }
+
+    fn note_awaited(&self, joined_ms: u64, result: &str) {
+        let service = &self.admitted.service.name;
+        emit(
+            Event::PathAwaited,
+            &[
+                ("request", &self.admitted.id_text()),
+                ("account", &self.admitted.account.as_deref().unwrap_or("")),
+                ("tokens", &self.tokens),
+                ("urgency", &self.admitted.urgency),
+                ("waiting", &self.core.path_queues.waiting_count(service)),
+                ("waited_ms", &(now_ms() - joined_ms)),
+                ("result", &result),
+            ],
+        );
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`layer_path`] | which engines run which layers of a request |
 //! | [`fair`], [`admission`] | who goes next, and who can finish in time |
 //! | [`gate`] | who may run on one server now, and who waits |
+//! | [`turns`] | who may seek a path now, and who waits |
 //! | [`flow`] | the most tokens a second the hardware allows |
 //!
 //! ```
@@ -74,6 +75,7 @@
 pub mod retry_window;
 mod search;
 mod server;
+pub mod turns;
 
 pub use admission::{
     Speed, TooLate, can_finish, expected_wait_ms, retry_after_ms,
@@ -93,3 +95,4 @@
 pub use priority::Priority;
 pub use retry::RetryBudget;
 pub use retry_window::{RetryBounds, RetryWindow, Sent};
+pub use turns::{TurnNeed, Turns};
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -271,6 +271,10 @@
     CoverChanged = 921, "cover_changed", Info,
         ["service", "cover"],
         "How many engines hold each layer, by data centre, has changed.";
+    PathAwaited = 922, "path_awaited", Info,
+        ["request", "account", "tokens", "urgency", "waiting", "waited_ms",
+         "result"],
+        "A stream waited for a path in the queue of its service.";
 }
 
 impl Event {
--- a/crates/telemetry/src/metrics/children.rs
+++ b/crates/telemetry/src/metrics/children.rs
@@ -30,6 +30,8 @@
 pub struct ServiceMetrics {
     /// Requests taken and not ended.
     pub requests_in_flight: IntGauge,
+    /// Requests that wait for a path.
+    pub requests_waiting: IntGauge,
     /// Requests that ended whole and within the service's target.
     pub requests_within_target: IntCounter,
     /// Attempts sent to a chain.
@@ -102,6 +104,7 @@
 
 pub(super) struct ServiceFamilies {
     requests_in_flight: IntGaugeVec,
+    requests_waiting: IntGaugeVec,
     requests_within_target: IntCounterVec,
     attempts: IntCounterVec,
     retries_denied: IntCounterVec,
@@ -127,6 +130,11 @@
                 SERVICE,
                 "Requests taken and not ended.",
             ),
+            requests_waiting: r.gauges(
+                "requests_waiting",
+                SERVICE,
+                "Requests that wait for a path.",
+            ),
             requests_within_target: r.counters(
                 "requests_within_target_total",
                 SERVICE,
@@ -193,6 +201,7 @@
         let n = &[name];
         ServiceMetrics {
             requests_in_flight: self.requests_in_flight.with_label_values(n),
+            requests_waiting: self.requests_waiting.with_label_values(n),
             requests_within_target: self
                 .requests_within_target
                 .with_label_values(n),
