One pure piece says whether a request may be handed on again

Cause: what may still be done for a request (may it have run, which backend servers count for max-attempts, which ended meanwhile) stood twice, in the two kinds of requests, among their sockets, where no model could play it.

Change: routing::attempts, used by both; a property test plays it against backend servers that run, lose, refuse and end, with three broken variants (a lost answer taken for a refusal, no bound, ends foreseen) that it notices.

--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -13,6 +13,7 @@
 
 use async_io::Timer;
 use chestnutreach_http::relay::{AnswerHead, Inbound, Outbound, RelayRequest};
+use chestnutreach_routing::{Attempts, Counted};
 use chestnutreach_site::Reuse;
 use chestnutreach_telemetry::{Event, emit};
 use futures_lite::FutureExt as _;
@@ -66,11 +67,14 @@
     is_last: bool,
 ) -> (Ended, After) {
     let mut tried = BTreeSet::new();
-    let mut attempts = 0;
-    let mut may_have_run = false;
+    let mut attempts = Attempts::new(
+        admitted.route.reuse.may_repeat(),
+        admitted.route.max_attempts as usize,
+        Counted::Handed,
+    );
     let mut kept = None;
     loop {
-        let is_further = attempts > 0;
+        let is_further = attempts.made() > 0;
         let service = &admitted.service.name;
         if is_further && !core.take_retry(service) {
             core.note_retry_denied(service, admitted.id_text());
@@ -80,10 +84,11 @@
         else {
             break;
         };
-        attempts += 1;
+        attempts.begin(&engine.id);
         tried.insert(engine.id.clone());
-        let limit_ms = attempt_end_ms(admitted, attempts);
-        let sent = Sent { engine: &engine, attempt: attempts, limit_ms };
+        let limit_ms = attempt_end_ms(admitted, attempts.made());
+        let sent =
+            Sent { engine: &engine, attempt: attempts.made(), limit_ms };
         let caller = inbound.stream().clone();
         let gone = async {
             caller.hung_up().await;
@@ -94,50 +99,46 @@
         match result {
             Attempt::Answered(head, body) => {
                 let is_failure = head.status >= 500;
-                may_have_run |= !exchange::is_not_run(&head);
+                if exchange::is_not_run(&head) {
+                    attempts.did_not_run();
+                }
                 kept = Some((head, body));
-                if !is_failure || !may_go_on(admitted, attempts, may_have_run)
-                {
+                if !is_failure {
                     break;
                 }
             }
             Attempt::CallerGone => {
                 let ended = Ended {
                     outcome: "caller_gone",
-                    attempts,
+                    attempts: attempts.made(),
                     ..Ended::default()
                 };
                 return (ended, After::Cut);
             }
-            Attempt::NotRun => {}
-            Attempt::Lost | Attempt::TimeOver => may_have_run = true,
+            Attempt::NotRun => attempts.did_not_run(),
+            Attempt::Lost | Attempt::TimeOver => {}
         }
         let is_over = admitted.left_ms(now_ms()) == 0;
-        if is_over || !may_go_on(admitted, attempts, may_have_run) {
+        if is_over || !attempts.may_go_on() {
             break;
         }
     }
     let (mut ended, after) = match kept {
         Some((head, body)) => {
+            let may_have_run = attempts.may_have_run();
             pass_on(inbound, request, &head, &body, may_have_run, is_last)
                 .await
         }
         None => {
             let left_ms = admitted.left_ms(now_ms());
-            let reason = Reason::at_end(may_have_run, left_ms);
+            let reason = Reason::at_end(attempts.may_have_run(), left_ms);
             refuse(inbound, request, reason, is_last).await
         }
     };
-    ended.attempts = attempts;
+    ended.attempts = attempts.made();
     (ended, after)
 }
 
-/// Whether another attempt is allowed by kind and number.
-fn may_go_on(admitted: &Admitted, attempts: u32, may_have_run: bool) -> bool {
-    let may_repeat = admitted.route.reuse == Reuse::Idempotent;
-    attempts < admitted.route.max_attempts && (may_repeat || !may_have_run)
-}
-
 /// When an attempt is given up: at the end, or while there is time for
 /// another one.
 fn attempt_end_ms(admitted: &Admitted, attempts: u32) -> u64 {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -14,6 +14,7 @@
 use chestnutreach_http::relay::{
     AnswerHead, Inbound, LAST_CHUNK, RelayRequest,
 };
+use chestnutreach_routing::{Attempts, Counted};
 use chestnutreach_site::Model;
 use futures_lite::FutureExt as _;
 
@@ -74,12 +75,10 @@
     listed: Listed,
     /// Engines that may not be used for this request.
     without: BTreeSet<String>,
-    /// First engines that it was sent to and that may have run it.
-    ran_at: BTreeSet<String>,
+    attempts: Attempts,
     path: Path,
     holds: Vec<Hold>,
     is_head_sent: bool,
-    may_have_run: bool,
     last_event: Option<u64>,
     pace: Pace,
     /// How long it stays on an engine that drains.
@@ -111,11 +110,14 @@
         tokens: needed_tokens(request, model),
         listed: core.streams.list(),
         without: BTreeSet::new(),
-        ran_at: BTreeSet::new(),
+        attempts: Attempts::new(
+            admitted.route.reuse.may_repeat(),
+            admitted.route.max_attempts as usize,
+            Counted::MayHaveRun,
+        ),
         path: Path::default(),
         holds: Vec::new(),
         is_head_sent: false,
-        may_have_run: false,
         last_event: last_event(request),
         pace: Pace::new(),
         leave_after_ms: leave_after_ms(core),
@@ -126,6 +128,7 @@
     let metrics = core.metrics.service(&admitted.service.name);
     metrics.requests_in_flight.inc();
     let after = stream.run(inbound).await;
+    stream.ended.attempts = stream.attempts.made();
     metrics.requests_in_flight.dec();
     stream.note_waiting();
     (stream.ended, after)
@@ -176,9 +179,7 @@
                 AttemptEnd::Failed(head, body) => {
                     self.without.insert(self.path.first().id.clone());
                     self.cause = "failed";
-                    let is_final = head.status < 500
-                        || !self.may_send()
-                        || !self.may_attempt_more();
+                    let is_final = head.status < 500 || !self.can_move();
                     if is_final && !self.is_head_sent {
                         return self.pass_failure(inbound, &head, &body).await;
                     }
@@ -194,16 +195,9 @@
         After::Cut
     }
 
-    /// Whether the kind of request and the time allow another attempt.
-    fn may_send(&self) -> bool {
-        let may_repeat = self.admitted.route.reuse.may_repeat();
-        let has_time = self.admitted.left_ms(now_ms()) > 0;
-        has_time && (may_repeat || !self.may_have_run)
-    }
-
-    /// Whether another first engine may get it.
-    fn may_attempt_more(&self) -> bool {
-        self.ran_at.len() < self.admitted.route.max_attempts as usize
+    /// Whether it may go to another first engine.
+    fn can_move(&self) -> bool {
+        self.admitted.left_ms(now_ms()) > 0 && self.attempts.may_go_on()
     }
 
     /// Takes that the first engine no longer answers this request. It does
@@ -220,7 +214,7 @@
             state.is_gone || evidence.is_some_and(|e| e != Evidence::Stalled)
         };
         if has_ended {
-            self.ran_at.remove(&first.id);
+            self.attempts.has_ended(&first.id);
         }
     }
 
@@ -234,11 +228,6 @@
         self.without.insert(engine.id.clone());
     }
 
-    /// Whether the stream could go on at another first engine.
-    fn can_move(&self) -> bool {
-        self.may_send() && self.may_attempt_more()
-    }
-
     async fn finish(&mut self, inbound: &mut Inbound) -> After {
         self.ended.outcome = "completed";
         let is_sent = inbound.write(LAST_CHUNK).await.is_ok();
@@ -248,7 +237,7 @@
     /// Ends a stream for which nothing more can be done.
     async fn give_up(&mut self, inbound: &mut Inbound) -> After {
         let left_ms = self.admitted.left_ms(now_ms());
-        let reason = Reason::at_end(self.may_have_run, left_ms);
+        let reason = Reason::at_end(self.attempts.may_have_run(), left_ms);
         if self.is_head_sent {
             self.ended.outcome = "failed";
             self.ended.reason = reason.name().to_owned();
@@ -268,7 +257,7 @@
         head: &AnswerHead,
         body: &[u8],
     ) -> After {
-        if self.may_have_run && promises_not_run(head.status) {
+        if self.attempts.may_have_run() && promises_not_run(head.status) {
             return self.give_up(inbound).await;
         }
         let framing = Framing::Length(body.len());
--- a/crates/direct/src/stream/attempt.rs
+++ b/crates/direct/src/stream/attempt.rs
@@ -42,10 +42,7 @@
         };
         let bytes = self.request_bytes();
         self.note_sent();
-        let is_new_here = self.ran_at.insert(first.id.clone());
-        self.ended.attempts += 1;
-        let was_run = self.may_have_run;
-        self.may_have_run = true;
+        self.attempts.begin(&first.id);
         let id = self.admitted.id.clone();
         let method = self.request.method.clone();
         let work = async {
@@ -58,10 +55,8 @@
             Err(end) => return end,
         };
         if head.status != 200 {
-            let is_not_run = exchange::is_not_run(&head);
-            self.may_have_run = was_run || !is_not_run;
-            if is_not_run && is_new_here {
-                self.ran_at.remove(&first.id);
+            if exchange::is_not_run(&head) {
+                self.attempts.did_not_run();
             }
             return self.refused(&mut connection, head).await;
         }
@@ -112,7 +107,7 @@
             Event::RelayAnswered,
             &[
                 ("request", &self.admitted.id_text()),
-                ("attempt", &self.ended.attempts),
+                ("attempt", &self.attempts.made()),
                 ("backend", &self.path.first().id),
                 ("status", &head.status),
                 ("at", &at.as_deref().unwrap_or("")),
--- a/crates/direct/src/stream/seek.rs
+++ b/crates/direct/src/stream/seek.rs
@@ -28,7 +28,7 @@
 impl Stream<'_> {
     /// Finds a path, waiting a moment for layers or room.
     pub(super) async fn seek_path(&mut self) -> bool {
-        if !self.may_send() || !self.may_attempt_more() {
+        if !self.can_move() {
             return false;
         }
         // A stream that has begun is not given up while its client waits: a
@@ -87,7 +87,7 @@
     async fn look_until(&mut self, until_ms: u64) -> bool {
         // A stream that has begun waits for the shared bound to leave room,
         // rather than break off.
-        let mut needs_retry = self.ended.attempts > 0;
+        let mut needs_retry = self.attempts.made() > 0;
         let mut was_denied = false;
         loop {
             if let Some(path) = self.path_now() {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`fleet`], [`network`] | what the manifest says of a service's servers |
 //! | [`live`], [`health`] | what this process knows of each one now |
 //! | [`policy`], [`chain`], [`mod@explain`] | the chain of a request, why |
+//! | [`attempts`] | whether a request may be handed to a backend again |
 //! | [`retry`] | whether a failure may be tried again |
 //! | [`retry_window`] | the same where all entries share a bound in time |
 //! | [`layer_path`] | which engines run which layers of a request |
@@ -52,6 +53,7 @@
 //! ```
 
 pub mod admission;
+pub mod attempts;
 pub mod chain;
 mod cost;
 mod drain;
@@ -80,6 +82,7 @@
 pub use admission::{
     Speed, TooLate, can_finish, expected_wait_ms, retry_after_ms,
 };
+pub use attempts::{Attempts, Counted};
 pub use chain::{Choice, Chooser, NoChain, NoChainReason, Shape, choose};
 pub use explain::{Candidate, CostParts, Explanation, LeftOut, explain};
 pub use fair::{FairQueue, Popped};
