The next planner knows of the orders of the one before

Cause: an order may be carried out seconds late, also after the planner that gave it has died. The next planner knew nothing of it, so its own move and the late one could rely on each other's copies of layers.

Orders name the engine's start, so that one meant for the process before at that address does nothing. A range of layers beyond the model's count no longer panics.

--- a/crates/daemon/tests/users_platform/traces.rs
+++ b/crates/daemon/tests/users_platform/traces.rs
@@ -88,9 +88,9 @@
         // Step 4: no data centre holds all layers.
         wait_until("the planner tells of the layers", async || {
             let logs = running.logs();
-            let cover =
+            let mut cover =
                 logs.lines().filter(|l| l.contains("\"cover_changed\""));
-            cover.last().is_some_and(|line| line.contains("x0"))
+            cover.next_back().is_some_and(|line| line.contains("x0"))
         })
         .await;
     });
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -6,7 +6,7 @@
 //! before; for a request that may run once, each of these would be an
 //! unknown end.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, time::Duration};
 
 use async_io::Timer;
 use chestnutreach_adapter::{clients, engine};
@@ -16,6 +16,8 @@
 };
 use futures_lite::FutureExt as _;
 
+use crate::engine::Engine;
+
 /// Time for dialling; a machine without power does not answer at all.
 pub(crate) const DIAL: Duration = Duration::from_millis(150);
 /// Longest answer to a call of our own.
@@ -107,23 +109,41 @@
     }
 }
 
-/// A call of our own, with a JSON body if there is one.
-pub(crate) async fn call(
-    address: SocketAddr,
-    method: &str,
-    target: &str,
+/// Asks an engine for its report.
+pub(crate) async fn report(
+    to: &Engine,
+) -> Result<(u16, Vec<u8>), OutboundError> {
+    let target = engine::REPORT_TARGET;
+    let head =
+        format!("GET {target} HTTP/1.1\r\nhost: {}\r\n\r\n", to.address);
+    call(to, "GET", head.as_bytes()).await
+}
+
+/// Gives an engine an order. It names the engine's start: an order that was
+/// meant for the one before it at this address must not take effect.
+pub(crate) async fn order(
+    to: &Engine,
     body: &[u8],
 ) -> Result<(u16, Vec<u8>), OutboundError> {
-    let mut connection = Outbound::connect(address, DIAL).await?;
-    let mut out = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
-    push_header(&mut out, "host", &address.to_string());
-    if !body.is_empty() {
-        push_header(&mut out, "content-type", "application/json");
-        push_header(&mut out, "content-length", &body.len().to_string());
-    }
+    let line = format!("POST {} HTTP/1.1\r\n", engine::ORDER_TARGET);
+    let mut out = line.into_bytes();
+    push_header(&mut out, "host", &to.address.to_string());
+    push_header(&mut out, engine::INSTANCE, &to.id);
+    push_header(&mut out, "content-type", "application/json");
+    push_header(&mut out, "content-length", &body.len().to_string());
     out.extend_from_slice(b"\r\n");
     out.extend_from_slice(body);
-    connection.send(&out).await?;
+    call(to, "POST", &out).await
+}
+
+/// Sends a request of our own; the status and body of its answer.
+async fn call(
+    to: &Engine,
+    method: &str,
+    bytes: &[u8],
+) -> Result<(u16, Vec<u8>), OutboundError> {
+    let mut connection = Outbound::connect(to.address, DIAL).await?;
+    connection.send(bytes).await?;
     let head = connection.read_head().await?;
     let body = head.body(method);
     let body = connection.read_body(body, MAX_CALL_BYTES).await?;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -18,7 +18,9 @@
 
 use async_io::{Async, Timer};
 use chestnutreach_adapter::store::StoreClient;
-use chestnutreach_protocol::peers::{EngineUse, PeerState, ServiceUse};
+use chestnutreach_protocol::peers::{
+    EngineUse, OpenOrder, PeerState, ServiceUse,
+};
 use chestnutreach_routing::Sent;
 use chestnutreach_site::tables::ENTRIES;
 use chestnutreach_telemetry::{Event, emit};
@@ -64,6 +66,8 @@
     planner_ms: AtomicU64,
     /// Highest number of a lease whose holder said that it gave it up.
     resigned: AtomicU64,
+    /// Orders that the last planner heard told of, and when.
+    orders: Mutex<(u64, Vec<OpenOrder>)>,
 }
 
 #[derive(Debug, Default)]
@@ -122,6 +126,16 @@
         self.resigned.load(Relaxed)
     }
 
+    /// Orders to engines of a service that the last planner told of, with
+    /// the time when each was given.
+    pub(crate) fn told_orders(&self, service: &str) -> Vec<(u64, OpenOrder)> {
+        let orders = self.orders.lock().expect("no holder panics");
+        let given_ms =
+            |order: &OpenOrder| orders.0.saturating_sub(order.age_ms.into());
+        let of_service = orders.1.iter().filter(|o| o.service == service);
+        of_service.map(|o| (given_ms(o), o.clone())).collect()
+    }
+
     fn add(&self, address: SocketAddr) {
         let unheard = Peer { heard_ms: now_ms(), ..Peer::default() };
         self.lock().entry(address).or_insert(unheard);
@@ -216,6 +230,7 @@
         crossing_kilobytes_per_s: (core.crossing.per_s(now_ms()) / 1e3) as u32,
         resigned: core.resigned.load(Relaxed),
         is_stopping: core.stopping_for_ms().is_some(),
+        open_orders: core.open_orders(),
     }
 }
 
@@ -255,8 +270,11 @@
     }
     take_sent(core, state);
     core.peers.resigned.fetch_max(state.resigned, Relaxed);
-    let planner_ms = if state.is_planner { now_ms() } else { 0 };
-    core.peers.planner_ms.fetch_max(planner_ms, Relaxed);
+    if state.is_planner {
+        core.peers.planner_ms.fetch_max(now_ms(), Relaxed);
+        let mut orders = core.peers.orders.lock().expect("no holder panics");
+        *orders = (now_ms(), state.open_orders.clone());
+    }
     take_use(core, state);
 }
 
--- a/crates/direct/src/probe.rs
+++ b/crates/direct/src/probe.rs
@@ -11,7 +11,7 @@
 use std::{io, sync::Arc, sync::atomic::Ordering::Relaxed, time::Duration};
 
 use async_io::Timer;
-use chestnutreach_adapter::engine::{REPORT_TARGET, Report, try_report};
+use chestnutreach_adapter::engine::{Report, try_report};
 use chestnutreach_http::relay::Outbound;
 use chestnutreach_telemetry::{Event, emit};
 
@@ -221,7 +221,7 @@
 }
 
 pub(crate) async fn ask(core: Arc<Core>, engine: Arc<Engine>) {
-    let body = exchange::call(engine.address, "GET", REPORT_TARGET, &[]);
+    let body = exchange::report(&engine);
     let Ok(Ok((200, body))) = exchange::within(REPORT, body).await else {
         return;
     };
--- a/crates/direct/src/stream/watch.rs
+++ b/crates/direct/src/stream/watch.rs
@@ -211,12 +211,7 @@
             let first = self.path.first().clone();
             let body =
                 engine::repath_body(self.admitted.id_text(), &path.value());
-            let call = exchange::call(
-                first.address,
-                "POST",
-                engine::ORDER_TARGET,
-                &body,
-            );
+            let call = exchange::order(&first, &body);
             let answer = within(ORDER, call).await;
             let result = match &answer {
                 Ok(Ok((status, _))) => status.to_string(),
--- a/crates/planner/src/layout.rs
+++ b/crates/planner/src/layout.rs
@@ -116,7 +116,8 @@
             let layer = layer as u32;
             !(window.first_layer..window.end_layer).contains(&layer)
         };
-        let loses_last = (held.first_layer..held.end_layer)
+        let last = held.end_layer.min(model.layer_count);
+        let loses_last = (held.first_layer..last)
             .map(|layer| layer as usize)
             .any(|l| given_up(l) && without.here[engine.data_centre][l] == 0);
         if loses_last {
@@ -224,7 +225,8 @@
     }
 
     fn window_worth(&self, data_centre: usize, range: LayerRange) -> u64 {
-        let layers = range.first_layer as usize..range.end_layer as usize;
+        let last = (range.end_layer as usize).min(self.all.len());
+        let layers = range.first_layer as usize..last;
         layers.map(|layer| self.worth(data_centre, layer)).sum()
     }
 
@@ -241,7 +243,8 @@
         let worths: Vec<u64> = (0..self.all.len())
             .map(|layer| self.worth(data_centre, layer))
             .collect();
-        let length = layers as usize;
+        // What an engine holds may be of a model with more layers.
+        let length = (layers as usize).min(worths.len());
         let mut sum: u64 = worths[..length].iter().sum();
         let (mut best, mut best_sum) = (0, sum);
         for first in 1..=worths.len() - length {
@@ -251,6 +254,6 @@
                 (best, best_sum) = (first, sum);
             }
         }
-        LayerRange::new(best as u32, best as u32 + layers)
+        LayerRange::new(best as u32, (best + length) as u32)
     }
 }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `growth` | adding capacity where it is least |
 //! | [`plan`] | the orders and their reasons |
 //! | [`layout`] | layers for engines that hold none, by memory |
+//! | [`order_book`] | orders that do not show yet |
 //!
 //! # Example
 //!
@@ -40,6 +41,7 @@
 mod draft;
 mod growth;
 pub mod layout;
+pub mod order_book;
 pub mod plan;
 pub mod service;
 mod tiling;
@@ -47,6 +49,7 @@
 pub use layout::{
     LayoutEngine, LayoutModel, Placement, cover, move_one, place_empty,
 };
+pub use order_book::{DueOrder, KnownEngine, OpenOrder, OrderBook};
 pub use plan::{Order, Plan, Reason, plan};
 pub use service::{
     CheckedService, Kind, LayerRange, Server, Service, ServiceError,
--- /dev/null
+++ b/crates/planner/src/order_book.rs
@@ -0,0 +1,231 @@
+//! Orders that were given to engines and do not show yet.
+//!
+//! An order that got no answer may have been lost, be carried out, or be
+//! carried out seconds later. So each carries the count of orders that its
+//! engine had begun, of which one takes effect, and until the list shows its
+//! effect the engine counts as holding what it was ordered to hold. A move,
+//! which gives layers up, is made only while no other order is open.
+//!
+//! A planner that takes over opens its book with the orders that the one
+//! before it told of: a move of that one may still come, and rely on the same
+//! copies as a new one. So that the others know of it, a move stands in the
+//! book for [`TOLD_FIRST_MS`] before it is sent. In the play of
+//! `tests/order_book.rs` a layer is lost in one of 2,700 runs otherwise. No
+//! moves for a while after taking over would do as well, and leave gaps open
+//! that long.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    layout::{LayoutEngine, LayoutModel, Placement, move_one, place_empty},
+    service::LayerRange,
+};
+
+/// After so long an order without effect is given again.
+pub const AGAIN_MS: u64 = 1_500;
+/// A gap must last so long before an engine moves to it: most are filled by
+/// engines that come back empty.
+pub const GAP_LASTS_MS: u64 = 1_000;
+/// After so long an order that had no effect is forgotten; late ones are
+/// carried out within 12 s.
+pub const FORGOTTEN_MS: u64 = 15_000;
+
+/// How long a move stands in the book before it is sent; other entries are
+/// told of the book every 0.2 s.
+pub const TOLD_FIRST_MS: u64 = 250;
+
+/// An engine as its planner knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownEngine<'a> {
+    /// New for each start of the engine.
+    pub id: &'a str,
+    /// Its memory and what it shows to hold.
+    pub layout: LayoutEngine,
+    /// Orders that it has begun.
+    pub orders_begun: u64,
+}
+
+/// An order that is to be sent now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DueOrder {
+    /// The engine, as an index.
+    pub engine: usize,
+    /// The layers.
+    pub range: LayerRange,
+    /// The count of orders begun that the engine must have.
+    pub orders_begun: u64,
+}
+
+/// An order that was given and does not show yet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OpenOrder {
+    /// Id of the engine.
+    pub engine: String,
+    /// The layers.
+    pub range: LayerRange,
+    /// The count of orders begun that the engine must have.
+    pub orders_begun: u64,
+    /// When it was given.
+    pub given_ms: u64,
+}
+
+/// The orders of one planner for one service.
+#[derive(Clone, Debug, Default)]
+pub struct OrderBook {
+    given: BTreeMap<String, Given>,
+    /// Since when there are gaps that no empty engine fills.
+    gap_since_ms: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Given {
+    range: LayerRange,
+    orders_begun: u64,
+    first_ms: u64,
+    /// When it is sent for the first time.
+    send_from_ms: u64,
+    last_ms: Option<u64>,
+    /// Times that it was sent.
+    sent: u32,
+}
+
+impl OrderBook {
+    /// The book of a planner that takes over, with the orders that the one
+    /// before it told of.
+    pub fn new(told: impl IntoIterator<Item = OpenOrder>) -> OrderBook {
+        let given = told.into_iter().map(|open| {
+            let given = Given {
+                range: open.range,
+                orders_begun: open.orders_begun,
+                first_ms: open.given_ms,
+                send_from_ms: open.given_ms,
+                last_ms: Some(open.given_ms),
+                sent: 1,
+            };
+            (open.engine, given)
+        });
+        OrderBook { given: given.collect(), gap_since_ms: None }
+    }
+
+    /// Orders that were given and do not show yet.
+    pub fn open(&self) -> impl Iterator<Item = OpenOrder> {
+        self.given.iter().map(|(engine, given)| OpenOrder {
+            engine: engine.clone(),
+            range: given.range,
+            orders_begun: given.orders_begun,
+            given_ms: given.first_ms,
+        })
+    }
+
+    /// How many orders were given and do not show yet.
+    pub fn open_count(&self) -> usize {
+        self.given.len()
+    }
+
+    /// Plans; the orders that are to be sent now, for the first time or
+    /// again.
+    pub fn due(
+        &mut self,
+        model: &LayoutModel,
+        engines: &[KnownEngine<'_>],
+        now_ms: u64,
+    ) -> Vec<DueOrder> {
+        self.forget_done(engines, now_ms);
+        let layout: Vec<LayoutEngine> =
+            engines.iter().map(|engine| self.as_ordered(engine)).collect();
+        let mut placements = place_empty(model, &layout);
+        if placements.is_empty() && self.given.is_empty() {
+            placements.extend(self.lasting_move(model, &layout, now_ms));
+        }
+        for placement in placements {
+            let engine = &engines[placement.engine];
+            let given = Given::new(engine, placement.range, now_ms);
+            self.given.insert(engine.id.to_owned(), given);
+        }
+        self.take_due(engines, now_ms)
+    }
+
+    /// What an engine holds once its open order is carried out.
+    fn as_ordered(&self, engine: &KnownEngine<'_>) -> LayoutEngine {
+        let given = self.given.get(engine.id);
+        let held = given.map(|given| given.range).or(engine.layout.held);
+        LayoutEngine { held, ..engine.layout }
+    }
+
+    /// A move that fills a gap which has lasted.
+    fn lasting_move(
+        &mut self,
+        model: &LayoutModel,
+        layout: &[LayoutEngine],
+        now_ms: u64,
+    ) -> Option<Placement> {
+        let Some(placement) = move_one(model, layout) else {
+            self.gap_since_ms = None;
+            return None;
+        };
+        let since_ms = *self.gap_since_ms.get_or_insert(now_ms);
+        if now_ms - since_ms < GAP_LASTS_MS {
+            return None;
+        }
+        self.gap_since_ms = None;
+        Some(placement)
+    }
+
+    fn take_due(
+        &mut self,
+        engines: &[KnownEngine<'_>],
+        now_ms: u64,
+    ) -> Vec<DueOrder> {
+        let mut due = Vec::new();
+        for (at, engine) in engines.iter().enumerate() {
+            let Some(given) = self.given.get_mut(engine.id) else {
+                continue;
+            };
+            let has_begun = engine.orders_begun > given.orders_begun;
+            let is_time = given
+                .last_ms
+                .is_none_or(|last_ms| now_ms - last_ms >= AGAIN_MS);
+            if is_time && !has_begun && now_ms >= given.send_from_ms {
+                given.last_ms = Some(now_ms);
+                given.sent += 1;
+                due.push(DueOrder {
+                    engine: at,
+                    range: given.range,
+                    orders_begun: given.orders_begun,
+                });
+            }
+        }
+        due
+    }
+
+    /// Forgets orders that the list shows, or that had no effect.
+    fn forget_done(&mut self, engines: &[KnownEngine<'_>], now_ms: u64) {
+        self.given.retain(|id, given| {
+            let Some(engine) = engines.iter().find(|e| e.id == *id) else {
+                return false;
+            };
+            let shows = engine.layout.held == Some(given.range);
+            // An order that was sent once and refused met others than this
+            // planner knew of; one that was sent again has begun itself.
+            let is_outdated =
+                given.sent <= 1 && engine.orders_begun > given.orders_begun;
+            !shows && !is_outdated && now_ms - given.first_ms < FORGOTTEN_MS
+        });
+    }
+}
+
+impl Given {
+    fn new(engine: &KnownEngine<'_>, range: LayerRange, now_ms: u64) -> Given {
+        // What it holds it was ordered to hold.
+        let is_move = engine.layout.held.is_some();
+        let told_first_ms = if is_move { TOLD_FIRST_MS } else { 0 };
+        Given {
+            range,
+            orders_begun: engine.orders_begun.max(u64::from(is_move)),
+            first_ms: now_ms,
+            send_from_ms: now_ms + told_first_ms,
+            last_ms: None,
+            sent: 0,
+        }
+    }
+}
--- a/crates/planner/tests/layout.rs
+++ b/crates/planner/tests/layout.rs
@@ -92,6 +92,20 @@
     assert_eq!(move_one(&MODEL, &engines), None);
 }
 
+#[test]
+fn layers_of_a_larger_model_are_no_trouble() {
+    let held = |first, end| LayoutEngine {
+        held: Some(LayerRange::new(first, end)),
+        ..engine(0, KINDS_MB[1])
+    };
+    let engines = [held(70, 100), held(70, 100), held(0, 90), held(95, 99)];
+    let moved = move_one(&MODEL, &engines);
+    assert!(moved.is_none_or(|moved| moved.range.end_layer <= 80));
+    let engines = [held(70, 100), held(70, 100), held(95, 99)];
+    let moved = move_one(&MODEL, &engines).unwrap();
+    assert!(moved.range.end_layer <= 80);
+}
+
 fn any_engines() -> impl Strategy<Value = Vec<LayoutEngine>> {
     let one = (0_usize..3, 0_usize..4, any::<bool>(), any::<bool>()).prop_map(
         |(data_centre, kind, is_sound, is_free)| LayoutEngine {
--- /dev/null
+++ b/crates/planner/tests/order_book.rs
@@ -0,0 +1,268 @@
+//! Orders of planners that come and go, some lost, some carried out late.
+//!
+//! Engines end and come back empty only while no order is under way, so that
+//! else whatever a data centre holds must be held ever after. Each planner
+//! sees a list that lags and suspects an engine of its own, and the next one
+//! knows of the orders of the one before it what that one last told.
+
+use chestnutreach_planner::{
+    DueOrder, KnownEngine, LayerRange, LayoutEngine, LayoutModel, OpenOrder,
+    OrderBook, cover,
+};
+
+const MODEL: LayoutModel = LayoutModel {
+    layer_count: 12,
+    layer_mb: 1_000.0,
+    token_layer_bytes: 10_000.0,
+};
+const ENGINES: usize = 7;
+const TICK_MS: u64 = 150;
+const LENGTH_MS: u64 = 90_000;
+/// Time between messages to the next planner.
+const TOLD_EVERY_MS: u64 = 150;
+/// How much later than the engine the list shows a change, at most.
+const LIST_LAG_MS: u64 = 900;
+/// How much later than sent an order is carried out, at most.
+const LATEST_MS: u64 = 12_000;
+
+/// What is left out of the planners, to see that the play notices.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Variant {
+    Whole,
+    /// A planner does not tell of its orders.
+    TellsNothing,
+    /// Engines do not compare the count of orders begun.
+    NoCount,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Engine {
+    /// Times that it was started.
+    starts: u32,
+    memory_mb: f64,
+    held: Option<LayerRange>,
+    orders_begun: u64,
+    /// What the list shows.
+    listed: (Option<LayerRange>, u64),
+    listed_at_ms: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Late {
+    at_ms: u64,
+    order: DueOrder,
+}
+
+struct Play {
+    variant: Variant,
+    rng: fastrand::Rng,
+    engines: Vec<Engine>,
+    late: Vec<Late>,
+    book: OrderBook,
+    /// What the planner last told of its orders.
+    told: Vec<OpenOrder>,
+    /// Engine that the planner does not count on.
+    suspect: usize,
+    moves: u32,
+}
+
+impl Play {
+    fn new(variant: Variant, seed: u64) -> Play {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let engine = |rng: &mut fastrand::Rng| {
+            let memory_mb = 1_000.0 * f64::from(rng.u32(4..8));
+            let layers = rng.u32(2..5);
+            let first = rng.u32(..=MODEL.layer_count - layers);
+            let range = LayerRange::new(first, first + layers);
+            let held = (rng.u8(..10) > 0).then_some(range);
+            let orders_begun = u64::from(held.is_some());
+            let listed = (held, orders_begun);
+            Engine {
+                starts: 1,
+                memory_mb,
+                held,
+                orders_begun,
+                listed,
+                listed_at_ms: None,
+            }
+        };
+        Play {
+            variant,
+            engines: (0..ENGINES).map(|_| engine(&mut rng)).collect(),
+            rng,
+            late: Vec::new(),
+            book: OrderBook::default(),
+            told: Vec::new(),
+            suspect: ENGINES,
+            moves: 0,
+        }
+    }
+
+    fn cover(&self) -> Vec<u32> {
+        let layout: Vec<LayoutEngine> =
+            self.engines.iter().map(|e| layout_engine(e, e.held)).collect();
+        cover(&MODEL, &layout).remove(0)
+    }
+
+    fn begin(&mut self, order: DueOrder, now_ms: u64) {
+        let lag_ms = self.rng.u64(..LIST_LAG_MS);
+        let engine = &mut self.engines[order.engine];
+        let is_expected = engine.orders_begun == order.orders_begun
+            || self.variant == Variant::NoCount;
+        if !is_expected || engine.held == Some(order.range) {
+            return;
+        }
+        self.moves += u32::from(engine.held.is_some());
+        engine.held = Some(order.range);
+        engine.orders_begun += 1;
+        engine.listed_at_ms = Some(now_ms + lag_ms);
+    }
+
+    fn plan(&mut self, now_ms: u64) {
+        let ids: Vec<String> = self
+            .engines
+            .iter()
+            .enumerate()
+            .map(|(at, engine)| format!("{at}-{}", engine.starts))
+            .collect();
+        let known: Vec<KnownEngine<'_>> = self
+            .engines
+            .iter()
+            .zip(&ids)
+            .enumerate()
+            .map(|(at, (engine, id))| KnownEngine {
+                id,
+                layout: LayoutEngine {
+                    is_sound: at != self.suspect,
+                    is_free: at != self.suspect,
+                    ..layout_engine(engine, engine.listed.0)
+                },
+                orders_begun: engine.listed.1,
+            })
+            .collect();
+        for order in self.book.due(&MODEL, &known, now_ms) {
+            match self.rng.u8(..4) {
+                // It is lost.
+                0 => {}
+                1 => {
+                    let at_ms = now_ms + self.rng.u64(..LATEST_MS);
+                    self.late.push(Late { at_ms, order });
+                }
+                _ => self.begin(order, now_ms),
+            }
+        }
+    }
+
+    fn take_over(&mut self) {
+        let told = match self.variant {
+            Variant::TellsNothing => Vec::new(),
+            _ => self.told.clone(),
+        };
+        self.book = OrderBook::new(told);
+        self.suspect = self.rng.usize(..2 * ENGINES);
+    }
+
+    /// An engine ends and comes back empty.
+    fn restart_one(&mut self) {
+        let at = self.rng.usize(..ENGINES);
+        let engine = &mut self.engines[at];
+        engine.starts += 1;
+        engine.held = None;
+        engine.orders_begun = 0;
+        engine.listed = (None, 0);
+        engine.listed_at_ms = None;
+    }
+
+    /// Layers that were held and no longer are, if it comes to that.
+    fn lost_layers(mut self) -> (Vec<usize>, u32) {
+        let mut before = self.cover();
+        for now_ms in (0..LENGTH_MS).step_by(TICK_MS as usize) {
+            for engine in &mut self.engines {
+                if engine.listed_at_ms.is_some_and(|at| at <= now_ms) {
+                    engine.listed = (engine.held, engine.orders_begun);
+                }
+            }
+            let due: Vec<Late> = self
+                .late
+                .iter()
+                .filter(|l| l.at_ms <= now_ms)
+                .copied()
+                .collect();
+            self.late.retain(|late| late.at_ms > now_ms);
+            due.iter().for_each(|late| self.begin(late.order, now_ms));
+            if self.rng.u8(..60) == 0 {
+                self.take_over();
+            }
+            let is_quiet = self.late.is_empty() && self.book.open_count() == 0;
+            if is_quiet && self.rng.u8(..20) == 0 {
+                self.restart_one();
+                before = self.cover();
+            }
+            self.plan(now_ms);
+            if now_ms % TOLD_EVERY_MS == 0 {
+                self.told = self.book.open().collect();
+            }
+            let after = self.cover();
+            let lost: Vec<usize> = (0..after.len())
+                .filter(|layer| before[*layer] > 0 && after[*layer] == 0)
+                .collect();
+            if !lost.is_empty() {
+                return (lost, self.moves);
+            }
+            before = after;
+        }
+        (Vec::new(), self.moves)
+    }
+}
+
+fn layout_engine(engine: &Engine, held: Option<LayerRange>) -> LayoutEngine {
+    LayoutEngine {
+        data_centre: 0,
+        memory_mb: engine.memory_mb,
+        held,
+        is_sound: true,
+        is_free: true,
+    }
+}
+
+/// Seeds with which a layer is lost where planners tell nothing: one in
+/// 2,700 of the first 30,000.
+const TELLS_NOTHING_LOSES: [u64; 4] = [1587, 8284, 10176, 10268];
+/// The same where engines compare no count, one in 2,000.
+const NO_COUNT_LOSES: [u64; 4] = [1477, 2677, 3422, 8813];
+/// Seeds beside these.
+const SEEDS: u64 = 400;
+
+/// Seeds that lose a layer, and moves in all of them.
+fn losing_seeds(variant: Variant) -> (Vec<u64>, u32) {
+    let mut losing = Vec::new();
+    let mut moves = 0;
+    let known = TELLS_NOTHING_LOSES.into_iter().chain(NO_COUNT_LOSES);
+    for seed in (0..SEEDS).chain(known) {
+        let (lost, moved) = Play::new(variant, seed).lost_layers();
+        moves += moved;
+        if !lost.is_empty() {
+            losing.push(seed);
+        }
+    }
+    (losing, moves)
+}
+
+#[test]
+fn no_last_copy_is_given_up_whatever_comes_late() {
+    let (losing, moves) = losing_seeds(Variant::Whole);
+    assert!(losing.is_empty(), "{losing:?}");
+    assert!(moves > 50, "the play moves engines: {moves}");
+}
+
+#[test]
+fn a_planner_that_tells_nothing_loses_layers() {
+    let (losing, _) = losing_seeds(Variant::TellsNothing);
+    assert_eq!(losing, TELLS_NOTHING_LOSES);
+}
+
+#[test]
+fn engines_that_compare_no_count_lose_layers() {
+    let (losing, _) = losing_seeds(Variant::NoCount);
+    assert_eq!(losing, NO_COUNT_LOSES);
+}
