The soak's links fail: late, reset, silent, cut one way

Change: the fleet's relay also cuts one way for a time; where an emulated site has links, one stands between each entry and the store and one before each server. Ten faults for experiments and for seeds from 2^20 on; earlier seeds stay what they are.

Ruled out: links for all sites, which would change every seed that is kept.

--- /dev/null
+++ b/crates/daemon/tests/users_platform/links.rs
@@ -0,0 +1,72 @@
+//! Connections that are late, cut one way, reset or silent.
+
+use std::time::Duration;
+
+use chestnutreach_emulator::{
+    caller::Kind,
+    experiment::{Fault, FaultKind},
+    link::LinkFault,
+    load::Load,
+    site::Site,
+};
+use rstest::rstest;
+
+use crate::support::{assert_all_served, assert_kept, on};
+
+fn site() -> Site {
+    Site { has_links: true, ..Site::small() }
+}
+
+fn load() -> Load {
+    Load {
+        per_s: [
+            (Kind::Stream, 15.0),
+            (Kind::Idempotent, 8.0),
+            (Kind::Once, 8.0),
+        ]
+        .into(),
+        length: Duration::from_secs(3),
+        events: Site::small().events,
+        seed: 31,
+    }
+}
+
+fn faults(kind: FaultKind) -> Vec<Fault> {
+    let at = |ms| Fault {
+        at: Duration::from_millis(ms),
+        kind,
+        length: Duration::from_millis(1_000),
+    };
+    vec![at(300), at(700), at(1_200)]
+}
+
+/// The store is out of reach for less than keys stay fresh.
+#[rstest]
+#[case::delayed(LinkFault::Delayed(Duration::from_millis(180)))]
+#[case::reset(LinkFault::Reset)]
+#[case::silent(LinkFault::Silent)]
+#[case::cut_forth(LinkFault::CutForth)]
+#[case::cut_back(LinkFault::CutBack)]
+fn all_is_served_while_ways_to_the_store_fail(#[case] fault: LinkFault) {
+    on(&site(), async |running| {
+        let faults = faults(FaultKind::StoreLink(fault));
+        assert_all_served(&running.play(&load(), &faults).await);
+    });
+}
+
+#[rstest]
+#[case::delayed(LinkFault::Delayed(Duration::from_millis(180)))]
+#[case::reset(LinkFault::Reset)]
+#[case::silent(LinkFault::Silent)]
+#[case::cut_forth(LinkFault::CutForth)]
+#[case::cut_back(LinkFault::CutBack)]
+fn no_promise_breaks_while_ways_to_servers_fail(#[case] fault: LinkFault) {
+    on(&site(), async |running| {
+        let faults = faults(FaultKind::ServerLink(fault));
+        let report = running.play(&load(), &faults).await;
+        assert_kept(&report);
+        let text = report.to_text();
+        assert!(report.served_share(Kind::Stream) > 0.9, "{text}");
+        assert!(running.recovers().await, "{text}");
+    });
+}
--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_input;
 mod faults;
+mod links;
 mod path;
 mod soak;
 mod stops;
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -7,6 +7,7 @@
 };
 
 use async_io::{Async, Timer};
+use chestnutreach_fleet::Relay;
 use chestnutreach_http::relay::{
     Inbound, InboundLimits, LAST_CHUNK, RelayRequest, push_chunk, push_header,
 };
@@ -72,8 +73,7 @@
     data_centre: &str,
     port: u16,
 ) -> io::Result<SocketAddr> {
-    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], port))?;
-    let address = listener.get_ref().local_addr()?;
+    let (listener, address) = listen(world, port)?;
     let id = world.add(address, service, data_centre);
     let accepting = world.clone();
     let accept = async move {
@@ -84,7 +84,7 @@
                 None
             };
             let Some(Ok((socket, _))) = accepted.or(ended).await else {
-                return;
+                return accepting.end_relay(address);
             };
             let serve = serve(accepting.clone(), address, id.clone(), socket);
             accepting.executor().spawn(serve).detach();
@@ -94,6 +94,25 @@
     Ok(address)
 }
 
+/// A listener on a port, behind a relay there where the site has links; the
+/// address that others know.
+fn listen(
+    world: &World,
+    port: u16,
+) -> io::Result<(Async<TcpListener>, SocketAddr)> {
+    let has_links = world.site().has_links;
+    let own_port = if has_links { 0 } else { port };
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], own_port))?;
+    let own = listener.get_ref().local_addr()?;
+    if !has_links {
+        return Ok((listener, own));
+    }
+    let relay = Relay::try_start_at(port, own)?;
+    let address = relay.address();
+    world.add_relay(relay);
+    Ok((listener, address))
+}
+
 async fn wait_for_end(world: &World, address: SocketAddr, id: &str) {
     while world
         .server(address)
@@ -185,6 +204,10 @@
     inbound: &mut Inbound,
     request: &RelayRequest,
 ) -> bool {
+    let expected = request.header("x-expected-instance");
+    if !world.is_instance(address, expected) {
+        return write_json(inbound, 421, &json!({})).await;
+    }
     let body: Value =
         serde_json::from_slice(&request.body).unwrap_or_default();
     let number = |name: &str| body[name].as_u64();
@@ -248,7 +271,7 @@
     world.check_request(&id, account, has_key);
     let Some(server) = world.server(address) else { return false };
     let expected = request.header("x-expected-instance");
-    if expected.is_some_and(|expected| expected != server.id) {
+    if !world.is_instance(address, expected) {
         return refuse(inbound, &id, 421, address).await;
     }
     match server.service {
--- a/crates/emulator/src/entries.rs
+++ b/crates/emulator/src/entries.rs
@@ -24,7 +24,8 @@
     binary: PathBuf,
     dir: tempfile::TempDir,
     site: Site,
-    store: SocketAddr,
+    /// Address of the store for each entry.
+    stores: Vec<SocketAddr>,
     entries: Vec<Entry>,
     /// Nothing is started any more.
     is_closed: bool,
@@ -36,7 +37,7 @@
 }
 
 impl Entries {
-    /// Starts the entries of a site.
+    /// Starts the entries of a site, each with an address of the store.
     ///
     /// # Errors
     ///
@@ -44,13 +45,13 @@
     pub fn start(
         binary: &Path,
         site: &Site,
-        store: SocketAddr,
+        stores: &[SocketAddr],
     ) -> io::Result<Entries> {
         let mut entries = Entries {
             binary: binary.to_owned(),
             dir: tempfile::tempdir()?,
             site: site.clone(),
-            store,
+            stores: stores.to_vec(),
             entries: Vec::new(),
             is_closed: false,
         };
@@ -88,7 +89,7 @@
         }
         let ports = self.entries[index].ports;
         let settings = self.dir.path().join(format!("entry-{index}.toml"));
-        fs::write(&settings, self.site.settings(&ports, self.store))?;
+        fs::write(&settings, self.site.settings(&ports, self.stores[index]))?;
         let log = fs::File::options()
             .create(true)
             .append(true)
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -24,7 +24,9 @@
 
 use ini::Ini;
 
-use crate::{caller::Kind, load::Load, site::Site, store::StoreFault};
+use crate::{
+    caller::Kind, link::LinkFault, load::Load, site::Site, store::StoreFault,
+};
 
 /// What happens at one moment.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -76,10 +78,17 @@
     StreamsReset,
     /// Plain servers send an answer of another request first.
     AnswersMixed,
+    /// An entry's way to the store fails.
+    StoreLink(LinkFault),
+    /// The way to a server fails, for all entries.
+    ServerLink(LinkFault),
 }
 
+/// Delay on a link, over what an entry waits for a dial.
+const LINK_DELAY: LinkFault = LinkFault::Delayed(Duration::from_millis(180));
+
 /// Every name of a fault, and what it is.
-const FAULTS: [(&str, FaultKind); 23] = [
+const FAULTS: [(&str, FaultKind); 33] = [
     ("engine-ends", FaultKind::EngineEnds),
     ("engine-dark", FaultKind::EngineDark),
     ("engine-slow", FaultKind::EngineSlow),
@@ -103,6 +112,16 @@
     ("address-reused", FaultKind::AddressReused),
     ("streams-reset", FaultKind::StreamsReset),
     ("answers-mixed", FaultKind::AnswersMixed),
+    ("store-link-delayed", FaultKind::StoreLink(LINK_DELAY)),
+    ("store-link-reset", FaultKind::StoreLink(LinkFault::Reset)),
+    ("store-link-silent", FaultKind::StoreLink(LinkFault::Silent)),
+    ("store-link-cut-forth", FaultKind::StoreLink(LinkFault::CutForth)),
+    ("store-link-cut-back", FaultKind::StoreLink(LinkFault::CutBack)),
+    ("server-link-delayed", FaultKind::ServerLink(LINK_DELAY)),
+    ("server-link-reset", FaultKind::ServerLink(LinkFault::Reset)),
+    ("server-link-silent", FaultKind::ServerLink(LinkFault::Silent)),
+    ("server-link-cut-forth", FaultKind::ServerLink(LinkFault::CutForth)),
+    ("server-link-cut-back", FaultKind::ServerLink(LinkFault::CutBack)),
 ];
 
 /// How long a fault lasts where nothing is said.
@@ -124,9 +143,15 @@
                 | FaultKind::EngineDrains
                 | FaultKind::AddressReused
                 | FaultKind::StreamsReset
+                | FaultKind::ServerLink(_)
         )
     }
 
+    /// Whether it is one of a link.
+    pub fn is_of_link(self) -> bool {
+        matches!(self, FaultKind::StoreLink(_) | FaultKind::ServerLink(_))
+    }
+
     /// Every fault that has a name.
     pub fn all() -> impl Iterator<Item = FaultKind> {
         FAULTS.iter().map(|fault| fault.1)
@@ -180,6 +205,8 @@
         let site = read_site(&ini, &mut findings);
         let load = read_load(&ini, &site, &mut findings);
         let faults = read_faults(&ini, &mut findings);
+        let has_links = faults.iter().any(|fault| fault.kind.is_of_link());
+        let site = Site { has_links, ..site };
         for name in ini.sections().flatten() {
             if !["site", "load", "faults"].contains(&name) {
                 findings.push(format!("[{name}] is not known"));
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -10,6 +10,7 @@
 //! |---|---|
 //! | [`world`] | engines, their layers, runs and faults |
 //! | [`store`] | the platform's store |
+//! | [`link`] | connections that are late, cut, reset or silent |
 //! | [`engines`] | the ports of engines and of the plain service |
 //! | [`site`] | what is emulated: counts, layers, configuration |
 //! | [`entries`] | the real program in processes of its own |
@@ -32,6 +33,7 @@
 pub mod engines;
 pub mod entries;
 pub mod experiment;
+pub mod link;
 pub mod load;
 pub mod report;
 pub mod site;
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -121,7 +121,7 @@
 fn run_soak(arguments: &ArgMatches) -> anyhow::Result<bool> {
     let binary: &PathBuf = arguments.get_one("binary").expect("a default");
     let count: u64 = *arguments.get_one("count").expect("a default");
-    let fresh = || fastrand::u64(..1 << 40);
+    let fresh = || fastrand::u64(1 << 20..1 << 40);
     let first = arguments.get_one("seed").copied().unwrap_or_else(fresh);
     let logs = arguments.get_one::<PathBuf>("logs");
     let executor = start_executor()?;
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -52,6 +52,8 @@
     pub retry_slack: f64,
     /// Time of the route of streams, in milliseconds.
     pub stream_timeout_ms: u64,
+    /// Whether connections to the store and to servers pass relays.
+    pub has_links: bool,
 }
 
 impl Site {
@@ -68,6 +70,7 @@
             plain_ms: 10,
             retry_slack: 200.0,
             stream_timeout_ms: 15_000,
+            has_links: false,
         }
     }
 
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -14,6 +14,7 @@
 use anyhow::Context as _;
 use async_executor::Executor;
 use async_io::Timer;
+use chestnutreach_fleet::Relay;
 use rustix::process::Signal;
 
 use crate::{
@@ -21,6 +22,7 @@
     engines,
     entries::{Entries, get},
     experiment::{Experiment, Fault, FaultKind},
+    link::LinkFault,
     load::{self, Load},
     report::Report,
     site::{KEY, MODEL_SERVICE, PLAIN_SERVICE, RETRY_RATIO, Site},
@@ -46,6 +48,9 @@
 const ENGINE_CUTS: Duration = Duration::from_millis(2_500);
 /// Faults of a seeded run.
 const FAULTS: usize = 6;
+/// Seeds from here on have links that fail as well; those before stay what
+/// they are.
+const LINK_SEEDS: u64 = 1 << 20;
 /// Load of a seeded run.
 const LENGTH: Duration = Duration::from_secs(6);
 
@@ -60,6 +65,8 @@
     /// Where clients connect.
     pub addresses: Vec<SocketAddr>,
     version: Mutex<u64>,
+    /// Relays between each entry and the store, where the site has links.
+    store_links: Vec<Arc<Relay>>,
     /// Planned stops and kills of entries, with their times.
     stops: Mutex<Vec<(SocketAddr, Instant)>>,
     kills: Mutex<Vec<SocketAddr>>,
@@ -80,7 +87,16 @@
     store.put("op", "config", &site.configuration(1, &[KEY]));
     let world = World::new(site, &store, executor);
     engines::start_all(&world)?;
-    let entries = Entries::start(binary, site, address)
+    let store_links: Vec<Arc<Relay>> = match site.has_links {
+        true => (0..site.entries)
+            .map(|_| Arc::new(Relay::start(address)))
+            .collect(),
+        false => Vec::new(),
+    };
+    let own = |at: usize| store_links.get(at).map(|link| link.address());
+    let stores: Vec<SocketAddr> =
+        (0..site.entries).map(|at| own(at).unwrap_or(address)).collect();
+    let entries = Entries::start(binary, site, &stores)
         .with_context(|| format!("entries of {}", binary.display()))?;
     let addresses = (0..entries.count()).map(|i| entries.address(i));
     let running = Running {
@@ -89,6 +105,7 @@
         world,
         entries: Arc::new(Mutex::new(entries)),
         version: Mutex::new(1),
+        store_links,
         stops: Mutex::default(),
         kills: Mutex::default(),
         executor: executor.clone(),
@@ -258,10 +275,39 @@
                     }
                 });
             }
+            (FaultKind::StoreLink(link), _) => {
+                let relay = self.store_links.get(entry).cloned();
+                self.break_link(relay, link, fault.length);
+            }
+            (FaultKind::ServerLink(link), _) => {
+                let mut servers = self.world.engines();
+                servers.extend(self.world.plain_servers());
+                let server = rng.choice(servers).unwrap_or(self.addresses[0]);
+                let relay = self.world.relay(server);
+                self.break_link(relay, link, fault.length);
+            }
             (_, None) => {}
         }
     }
 
+    /// Breaks a link for a time, if there is one.
+    fn break_link(
+        &self,
+        relay: Option<Arc<Relay>>,
+        fault: LinkFault,
+        length: Duration,
+    ) {
+        let Some(relay) = relay else { return };
+        fault.set(&relay, true);
+        // Its server may end sooner, and the relay with it.
+        let relay = Arc::downgrade(&relay);
+        self.later(length, async move {
+            if let Some(relay) = relay.upgrade() {
+                fault.set(&relay, false);
+            }
+        });
+    }
+
     fn note_stop(&self, entry: usize) {
         let mut stops = self.stops.lock().expect("no holder panics");
         stops.push((self.addresses[entry], Instant::now()));
@@ -460,9 +506,16 @@
 /// The experiment of a seed.
 pub fn experiment(seed: u64) -> Experiment {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let site =
-        Site { events: 60, retry_slack: SOAK_RETRY_SLACK, ..Site::small() };
-    let kinds: Vec<FaultKind> = FaultKind::all().collect();
+    let has_links = seed >= LINK_SEEDS;
+    let site = Site {
+        events: 60,
+        retry_slack: SOAK_RETRY_SLACK,
+        has_links,
+        ..Site::small()
+    };
+    let kinds: Vec<FaultKind> = FaultKind::all()
+        .filter(|kind| has_links || !kind.is_of_link())
+        .collect();
     let mut faults: Vec<Fault> = (0..FAULTS)
         .map(|_| Fault {
             at: LENGTH.mul_f64(0.1 + 0.8 * rng.f64()),
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -13,6 +13,7 @@
 
 use async_executor::Executor;
 use async_io::Timer;
+use chestnutreach_fleet::Relay;
 use serde_json::json;
 
 use crate::{
@@ -100,6 +101,8 @@
 #[derive(Debug, Default)]
 struct State {
     servers: BTreeMap<SocketAddr, ServerState>,
+    /// Relays before servers that run, where the site has links.
+    relays: BTreeMap<SocketAddr, Arc<Relay>>,
     seen: Seen,
     next_id: u64,
 }
@@ -179,6 +182,18 @@
         self.lock().servers.get(&address).cloned()
     }
 
+    /// Whether the server at an address is the expected one, if one is.
+    pub(crate) fn is_instance(
+        &self,
+        address: SocketAddr,
+        expected: Option<&str>,
+    ) -> bool {
+        let state = self.lock();
+        let server = state.servers.get(&address);
+        let is = |expected| server.is_some_and(|s| s.id == expected);
+        expected.is_none_or(is)
+    }
+
     /// Addresses of a service's servers that run.
     pub fn addresses(&self, service: &str) -> Vec<SocketAddr> {
         let state = self.lock();
@@ -218,6 +233,22 @@
         }
     }
 
+    /// Keeps the relay before a server until it ends.
+    pub(crate) fn add_relay(&self, relay: Relay) {
+        self.lock().relays.insert(relay.address(), Arc::new(relay));
+    }
+
+    /// The relay before a server, where the site has links.
+    pub fn relay(&self, address: SocketAddr) -> Option<Arc<Relay>> {
+        self.lock().relays.get(&address).cloned()
+    }
+
+    pub(crate) fn end_relay(&self, address: SocketAddr) {
+        let relay = self.lock().relays.remove(&address);
+        // It closes its connections, outside the lock.
+        drop(relay);
+    }
+
     /// What was seen so far.
     pub fn seen(&self) -> Seen {
         self.lock().seen.clone()
--- a/crates/emulator/tests/experiment.rs
+++ b/crates/emulator/tests/experiment.rs
@@ -25,6 +25,28 @@
     assert_eq!(findings.len(), 5, "{findings:?}");
 }
 
+#[test]
+fn a_fault_of_a_link_brings_links() {
+    let text = "[load]\nstream = 1\n[faults]\n";
+    let cut = "1 = store-link-cut-back for 2\n";
+    let has_links =
+        |text: &str| Experiment::try_parse(text).unwrap().site.has_links;
+    assert!(!has_links(text));
+    assert!(has_links(&format!("{text}{cut}")));
+}
+
+#[test]
+fn earlier_seeds_have_no_links() {
+    let has_link = |seed| {
+        let experiment = soak::experiment(seed);
+        let is_of_link = experiment.faults.iter().any(|f| f.kind.is_of_link());
+        assert!(experiment.site.has_links || !is_of_link);
+        is_of_link
+    };
+    assert!((2_000..2_100).all(|seed| !has_link(seed)));
+    assert!((1 << 20..(1 << 20) + 10).any(has_link));
+}
+
 #[test]
 fn a_seed_gives_the_same_experiment() {
     assert_eq!(soak::experiment(7), soak::experiment(7));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,4 +28,4 @@
 pub use client::{Answer, Caller};
 pub use fleet::Fleet;
 pub use plan::Plan;
-pub use relay::Relay;
+pub use relay::{Relay, Way};
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -4,11 +4,13 @@
 //! open can be reset, or made silent: their bytes are read and dropped, so
 //! that neither end hears or feels anything, while new connections work. They
 //! can be stalled: their bytes are kept and passed on later, also when the
-//! sender has closed by then. All bytes can be delayed.
+//! sender has closed by then. One way can be cut for a time, for connections
+//! that open meanwhile as well: what was sent arrives when it ends. All bytes
+//! can be delayed.
 
 use std::{
     io::{self, Read as _, Write as _},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -28,6 +30,15 @@
 /// Pause between two looks at a connection whose end has come.
 const END_PAUSE: Duration = Duration::from_millis(1);
 
+/// Which way bytes pass.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// From the caller.
+    Forth,
+    /// To the caller.
+    Back,
+}
+
 /// A relay before one address; it ends when dropped.
 #[derive(Debug)]
 pub struct Relay {
@@ -39,6 +50,8 @@
 struct Shared {
     target: SocketAddr,
     delay_ms: AtomicU64,
+    is_cut_forth: AtomicBool,
+    is_cut_back: AtomicBool,
     has_ended: AtomicBool,
     pairs: Mutex<Vec<Arc<Pair>>>,
 }
@@ -54,12 +67,37 @@
 }
 
 impl Relay {
-    /// Starts a relay before an address.
-    pub(crate) fn start(target: SocketAddr) -> Relay {
+    /// Starts a relay before an address, on a port of its own.
+    ///
+    /// # Panics
+    ///
+    /// No port is free.
+    pub fn start(target: SocketAddr) -> Relay {
         let (address, listener) = free_listener();
+        Relay::start_on(address, listener, target)
+    }
+
+    /// Starts a relay before an address, on a port.
+    ///
+    /// # Errors
+    ///
+    /// The port can't be opened.
+    pub fn try_start_at(port: u16, target: SocketAddr) -> io::Result<Relay> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, port))?;
+        let address = listener.local_addr()?;
+        Ok(Relay::start_on(address, listener, target))
+    }
+
+    fn start_on(
+        address: SocketAddr,
+        listener: TcpListener,
+        target: SocketAddr,
+    ) -> Relay {
         let shared = Arc::new(Shared {
             target,
             delay_ms: AtomicU64::new(0),
+            is_cut_forth: AtomicBool::new(false),
+            is_cut_back: AtomicBool::new(false),
             has_ended: AtomicBool::new(false),
             pairs: Mutex::default(),
         });
@@ -101,6 +139,11 @@
         }
     }
 
+    /// Holds up what passes one way, or no longer does.
+    pub fn cut(&self, way: Way, is_cut: bool) {
+        self.shared.cut_flag(way).store(is_cut, Ordering::Release);
+    }
+
     /// Delays what passes either way by this time.
     pub fn slow(&self, delay: Duration) {
         let delay_ms = delay.as_millis() as u64;
@@ -124,6 +167,13 @@
         self.pairs.lock().expect("no holder panics")
     }
 
+    fn cut_flag(&self, way: Way) -> &AtomicBool {
+        match way {
+            Way::Forth => &self.is_cut_forth,
+            Way::Back => &self.is_cut_back,
+        }
+    }
+
     fn accept(self: Arc<Self>, listener: &TcpListener) {
         for caller in listener.incoming().flatten() {
             if self.has_ended.load(Ordering::Acquire) {
@@ -151,22 +201,27 @@
         let (to_target, to_caller) = (pair.clone(), pair);
         let (shared, back) = (self.clone(), self.clone());
         thread::spawn(move || {
-            shared.pass(&to_target, &to_target.caller, &to_target.target);
+            shared.pass(&to_target, Way::Forth);
         });
         thread::spawn(move || {
-            back.pass(&to_caller, &to_caller.target, &to_caller.caller);
+            back.pass(&to_caller, Way::Back);
         });
         Ok(())
     }
 
     /// Passes bytes one way until either end closes.
-    fn pass(&self, pair: &Pair, from: &TcpStream, to: &TcpStream) {
-        let mut to = to;
+    fn pass(&self, pair: &Pair, way: Way) {
+        let (from, mut to) = match way {
+            Way::Forth => (&pair.caller, &pair.target),
+            Way::Back => (&pair.target, &pair.caller),
+        };
+        let is_cut = self.cut_flag(way);
         let mut waiting = Vec::new();
         let mut has_ended = false;
         while !has_ended && !self.has_ended.load(Ordering::Acquire) {
             has_ended = !read_more(from, &mut waiting);
-            if pair.is_stalled.load(Ordering::Acquire) {
+            let is_stalled = pair.is_stalled.load(Ordering::Acquire);
+            if is_stalled || is_cut.load(Ordering::Acquire) {
                 // The end waits behind what came before it.
                 has_ended = false;
                 continue;
