Open the circles of routing and planner; one type for what a chain is chosen for

Cause: chain, cost, explain, label and search imported one another, as did fleet and its errors, live and server, fair and its accounts, and four modules of the planner; choose, its two kin and explain took the same eight arguments in eleven places.

Change: shape, no_chain, candidate, backend_spec, load_report and order stand alone below those that use them; ChainNeed holds what a choice is made for and from. Public names stay at the crates' roots.

--- a/crates/bench/src/decision.rs
+++ b/crates/bench/src/decision.rs
@@ -7,8 +7,8 @@
 use std::{hint::black_box, time::Instant};
 
 use chestnutreach_routing::{
-    BackendSpec, Chooser, Fleet, Live, LoadReport, Network, Policy, Presence,
-    Shape,
+    BackendSpec, ChainNeed, Chooser, Fleet, Live, LoadReport, Network, Policy,
+    Presence, Shape,
 };
 use serde::Serialize;
 
@@ -75,17 +75,10 @@
             let shape = Shape::new(rng.u32(50..2_000), rng.u32(20..400))
                 .deadline_ms(600_000)
                 .prefix(rng.u64(..));
+            let (fleet, live) = (&self.fleet, &self.live);
+            let need = ChainNeed::new(fleet, live, &shape, &policy, NOW_MS);
             let start = Instant::now();
-            let choice = chooser.choose(
-                &self.fleet,
-                &self.live,
-                &shape,
-                &policy,
-                &[],
-                0,
-                NOW_MS,
-                rng,
-            );
+            let choice = chooser.choose(&need, rng);
             let elapsed_ns = start.elapsed().as_nanos() as u64;
             self.times_ns.push(elapsed_ns);
             black_box(choice).expect("a chain");
--- a/crates/cli/tests/cli/control.rs
+++ b/crates/cli/tests/cli/control.rs
@@ -14,8 +14,7 @@
     serve_control,
 };
 use chestnutreach_routing::{
-    BackendIndex, Explanation,
-    explain::{Candidate, CostParts, LeftOut},
+    BackendIndex, Candidate, CostParts, Explanation, LeftOut,
 };
 use rstest::rstest;
 
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -14,7 +14,7 @@
 use chestnutreach_entry::Entry;
 use chestnutreach_node::InForce;
 use chestnutreach_protocol::{Link, Links, RequestId};
-use chestnutreach_routing::{Priority, chain::Shape};
+use chestnutreach_routing::{Priority, Shape};
 use chestnutreach_side::Side;
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
--- a/crates/decisions/src/entry.rs
+++ b/crates/decisions/src/entry.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use chestnutreach_routing::{
-    BackendIndex, Chooser, Ended, Fleet, Live, Policy, Presence, RetryBudget,
-    Shape,
+    BackendIndex, ChainNeed, Choice, Chooser, Ended, Fleet, Live, NoChain,
+    Policy, Presence, RetryBudget, Shape,
 };
 
 use crate::{
@@ -98,17 +98,11 @@
         avoid: &[BackendIndex],
         now_ms: u64,
     ) -> Result<Vec<BackendIndex>, u64> {
-        let choice = choose(
-            &mut self.chooser,
-            fleet,
-            &self.live,
-            shape,
-            &self.policy,
-            avoid,
-            self.data_centre,
-            now_ms,
-            &mut self.rng,
-        );
+        let need =
+            ChainNeed::new(fleet, &self.live, shape, &self.policy, now_ms)
+                .avoid(avoid)
+                .entry_data_centre(self.data_centre);
+        let choice = choose(&mut self.chooser, &need, &mut self.rng);
         match choice {
             Ok(choice) => Ok(choice.stages),
             Err(no_chain) => Err(no_chain.retry_after_ms),
@@ -145,18 +139,9 @@
 
 type ChooseFn = fn(
     &mut Chooser,
-    &Fleet,
-    &Live,
-    &Shape,
-    &Policy,
-    &[BackendIndex],
-    u32,
-    u64,
+    &ChainNeed<'_>,
     &mut fastrand::Rng,
-) -> Result<
-    chestnutreach_routing::Choice,
-    chestnutreach_routing::NoChain,
->;
+) -> Result<Choice, NoChain>;
 
 fn baseline(
     common: &Common,
--- a/crates/decisions/src/work.rs
+++ b/crates/decisions/src/work.rs
@@ -8,8 +8,8 @@
 use std::{hint::black_box, time::Instant};
 
 use chestnutreach_routing::{
-    BackendIndex, BackendSpec, Chooser, Fleet, Live, LoadReport, Network,
-    Policy, Presence, Shape, explain,
+    BackendIndex, BackendSpec, ChainNeed, Chooser, Fleet, Live, LoadReport,
+    Network, Policy, Presence, Shape, explain,
 };
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -101,16 +101,10 @@
 
 fn looked_at(snapshot: &Snapshot, rng: &mut fastrand::Rng) -> usize {
     let shape = shape(rng);
-    let explanation = explain(
-        &snapshot.fleet,
-        &snapshot.live,
-        &shape,
-        &Policy::default(),
-        &[],
-        0,
-        NOW_MS,
-        rng,
-    );
+    let policy = Policy::default();
+    let Snapshot { fleet, live } = snapshot;
+    let need = ChainNeed::new(fleet, live, &shape, &policy, NOW_MS);
+    let explanation = explain(&need, rng);
     explanation.candidates.len()
 }
 
@@ -155,18 +149,17 @@
     for at in 0..DECISIONS_PER_ROUND {
         let shape = shape(rng);
         let avoid = [BackendIndex((at % fleet.len()) as u32)];
+        let need =
+            ChainNeed::new(fleet, live, &shape, &policy, NOW_MS).avoid(&avoid);
         let start = Instant::now();
-        let choice = chooser
-            .choose(fleet, live, &shape, &policy, &avoid, 0, NOW_MS, rng);
+        let choice = chooser.choose(&need, rng);
         let elapsed = start.elapsed();
         sampled += black_box(choice).expect("a chain").cost;
         // Unlike `saturating_record`, this widens the histogram.
         times
             .record(elapsed.as_nanos() as u64)
             .expect("an automatic histogram takes any value");
-        let choice = chooser.choose_by_full_scan(
-            fleet, live, &shape, &policy, &avoid, 0, NOW_MS, rng,
-        );
+        let choice = chooser.choose_by_full_scan(&need, rng);
         scanned += choice.expect("a chain").cost;
     }
     sampled / scanned
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -20,6 +20,7 @@
     CloseReason, Identity, Link, LinkEvent, Links, RequestId,
     wire::{self, frame::Body},
 };
+use chestnutreach_routing::{ChainNeed, Shape};
 use chestnutreach_telemetry::{Event, Metrics, emit};
 
 use crate::{
@@ -213,22 +214,19 @@
     pub fn explain(
         &self,
         service: &str,
-        shape: &chestnutreach_routing::chain::Shape,
+        shape: &Shape,
     ) -> Result<String, String> {
         let view = self.shared.view.load();
         let Some(service) = view.services.get(service) else {
             return Err(format!("service {service:?} is not known"));
         };
-        let explanation = chestnutreach_routing::explain(
-            &service.fleet,
-            &service.live,
-            shape,
-            &self.shared.policy(),
-            &[],
-            service.data_centre,
-            self.shared.clock.now_ms(),
-            &mut fastrand::Rng::new(),
-        );
+        let policy = self.shared.policy();
+        let now_ms = self.shared.clock.now_ms();
+        let (fleet, live) = (&service.fleet, &service.live);
+        let need = ChainNeed::new(fleet, live, shape, &policy, now_ms)
+            .entry_data_centre(service.data_centre);
+        let rng = &mut fastrand::Rng::new();
+        let explanation = chestnutreach_routing::explain(&need, rng);
         serde_json::to_string(&explanation).map_err(|e| e.to_string())
     }
 }
--- a/crates/entry/src/recent.rs
+++ b/crates/entry/src/recent.rs
@@ -13,11 +13,7 @@
 };
 
 use chestnutreach_protocol::RequestId;
-use chestnutreach_routing::{
-    chain::{Choice, Shape},
-    fleet::BackendIndex,
-    live::Ended,
-};
+use chestnutreach_routing::{BackendIndex, Choice, Ended, Shape};
 use chestnutreach_state::Outcome;
 use serde::Serialize;
 
--- a/crates/entry/src/session/dispatch.rs
+++ b/crates/entry/src/session/dispatch.rs
@@ -7,10 +7,7 @@
     wire::{self, frame::Body},
 };
 use chestnutreach_routing::{
-    Priority,
-    chain::{self, NoChainReason, Shape},
-    fleet::BackendIndex,
-    live::Presence,
+    BackendIndex, ChainNeed, NoChainReason, Presence, Priority, Shape, choose,
 };
 use chestnutreach_state::NotRunReason;
 
@@ -119,16 +116,13 @@
     /// Why there is no chain; noted as the last refusal as well.
     fn choose(&mut self, shape: &Shape) -> Result<Vec<BackendIndex>, String> {
         let service = &self.job.service;
-        let choice = chain::choose(
-            &service.fleet,
-            &service.live,
-            shape,
-            &self.entry.policy(),
-            &self.avoid,
-            service.data_centre,
-            self.entry.clock.now_ms(),
-            &mut fastrand::Rng::new(),
-        );
+        let policy = self.entry.policy();
+        let now_ms = self.entry.clock.now_ms();
+        let (fleet, live) = (&service.fleet, &service.live);
+        let need = ChainNeed::new(fleet, live, shape, &policy, now_ms)
+            .avoid(&self.avoid)
+            .entry_data_centre(service.data_centre);
+        let choice = choose(&need, &mut fastrand::Rng::new());
         match choice {
             Ok(choice) => {
                 self.choices.chosen(&choice, shape, &self.avoid);
--- a/crates/planner/src/draft.rs
+++ b/crates/planner/src/draft.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     capacity,
-    plan::{Order, Reason},
+    order::{Order, Reason},
     service::{CheckedService, LayerRange},
 };
 
--- a/crates/planner/src/growth.rs
+++ b/crates/planner/src/growth.rs
@@ -5,7 +5,7 @@
 //! nothing useful, the cheapest for what it adds up to the demand; or, where
 //! there is none, one from a segment that has more than it needs.
 
-use crate::{draft::Draft, plan::Reason, service::LayerRange};
+use crate::{draft::Draft, order::Reason, service::LayerRange};
 
 /// Layers between two boundaries, and what servers carry through them.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -11,7 +11,8 @@
 //! | `draft` | a plan while it is made |
 //! | `tiling` | making a chain possible again |
 //! | `growth` | adding capacity where it is least |
-//! | [`plan`] | the orders and their reasons |
+//! | [`plan`] | the orders that bring a service there |
+//! | [`order`] | an order and its reason |
 //! | [`layout`] | layers for engines that hold none, by memory |
 //! | [`order_book`] | orders that do not show yet |
 //!
@@ -41,6 +42,7 @@
 mod draft;
 mod growth;
 pub mod layout;
+pub mod order;
 pub mod order_book;
 pub mod plan;
 pub mod service;
@@ -49,8 +51,9 @@
 pub use layout::{
     LayoutEngine, LayoutModel, Placement, cover, move_one, place_empty,
 };
+pub use order::{Order, Reason};
 pub use order_book::{DueOrder, KnownEngine, OpenOrder, OrderBook};
-pub use plan::{Order, Plan, Reason, plan};
+pub use plan::{Plan, plan};
 pub use service::{
     CheckedService, Kind, LayerRange, Server, Service, ServiceError,
 };
--- a/crates/planner/src/tiling.rs
+++ b/crates/planner/src/tiling.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     draft::Draft,
-    plan::Reason,
+    order::Reason,
     service::{Kind, LayerRange},
 };
 
--- a/crates/routing/examples/decision_time.rs
+++ b/crates/routing/examples/decision_time.rs
@@ -10,8 +10,8 @@
 use std::{hint::black_box, time::Instant};
 
 use chestnutreach_routing::{
-    BackendIndex, BackendSpec, Chooser, Fleet, Live, LoadReport, Network,
-    Policy, Presence, Shape,
+    BackendIndex, BackendSpec, ChainNeed, Chooser, Fleet, Live, LoadReport,
+    Network, Policy, Presence, Shape,
 };
 
 const FLEET_SIZES: [usize; 3] = [50, 500, 1_100];
@@ -168,17 +168,10 @@
             Chooser::choose
         };
         let start = Instant::now();
-        let choice = choose(
-            chooser,
-            &case.fleet,
-            &case.live,
-            &shape,
-            &policy,
-            &avoid,
-            0,
-            NOW_MS,
-            rng,
-        );
+        let need =
+            ChainNeed::new(&case.fleet, &case.live, &shape, &policy, NOW_MS)
+                .avoid(&avoid);
+        let choice = choose(chooser, &need, rng);
         let elapsed = start.elapsed();
         case.cost_sum += black_box(choice).expect("a chain").cost;
         case.times_ns.push(elapsed.as_nanos() as u64);
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -6,7 +6,7 @@
 
 use std::fmt;
 
-use crate::{chain::Shape, cost::step_share};
+use crate::{cost::step_share, shape::Shape};
 
 const MS_PER_S: f64 = 1_000.0;
 const SMOOTHING: f64 = 0.1;
--- a/crates/routing/src/chain.rs
+++ b/crates/routing/src/chain.rs
@@ -14,70 +14,67 @@
 //! | the cheapest tiling is too late | the fastest is looked for |
 //! | that one is too late as well | [`NoChainReason::TooLate`] |
 
-use std::fmt;
-
 use crate::{
     cost::Pricing,
     fleet::{BackendIndex, Fleet},
     live::Live,
+    no_chain::{NoChain, NoChainReason, no_chain},
     policy::{Policy, Weights},
-    priority::Priority,
     search::{Found, Reach, Search},
+    shape::Shape,
 };
 
-const MIN_RETRY_MS: u64 = 200;
-const MAX_RETRY_MS: u64 = 30_000;
-/// Without a server the fleet has to change first.
-const NO_CANDIDATE_RETRY_MS: u64 = 1_000;
-
-/// What matters of a request for the choice of its chain.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Shape {
-    /// Length of the prompt.
-    pub prompt_tokens: u32,
-    /// Expected length of the answer.
-    pub output_tokens: u32,
-    /// What is left of the caller's time, from now.
-    pub deadline_ms: u64,
-    /// How urgent it is.
-    pub priority: Priority,
-    /// Key of its longest prefix that may be cached.
-    pub prefix: Option<u64>,
+/// What a chain is chosen for, and from what.
+#[derive(Clone, Copy, Debug)]
+pub struct ChainNeed<'a> {
+    fleet: &'a Fleet,
+    live: &'a Live,
+    shape: &'a Shape,
+    policy: &'a Policy,
+    avoid: &'a [BackendIndex],
+    entry_data_centre: u32,
+    now_ms: u64,
 }
 
-impl Shape {
-    /// A request of normal priority without a deadline or prefix.
-    pub fn new(prompt_tokens: u32, output_tokens: u32) -> Shape {
-        Shape {
-            prompt_tokens,
-            output_tokens,
-            deadline_ms: u64::MAX,
-            priority: Priority::Normal,
-            prefix: None,
+impl<'a> ChainNeed<'a> {
+    /// Asked by an entry in data centre 0, with no server to avoid.
+    pub fn new(
+        fleet: &'a Fleet,
+        live: &'a Live,
+        shape: &'a Shape,
+        policy: &'a Policy,
+        now_ms: u64,
+    ) -> ChainNeed<'a> {
+        ChainNeed {
+            fleet,
+            live,
+            shape,
+            policy,
+            avoid: &[],
+            entry_data_centre: 0,
+            now_ms,
         }
     }
 
-    /// What is left of the caller's time, from now.
-    pub fn deadline_ms(mut self, deadline_ms: u64) -> Shape {
-        self.deadline_ms = deadline_ms;
+    /// Servers that the request has to avoid.
+    pub fn avoid(mut self, avoid: &'a [BackendIndex]) -> ChainNeed<'a> {
+        self.avoid = avoid;
         self
     }
 
-    /// How urgent it is.
-    pub fn priority(mut self, priority: Priority) -> Shape {
-        self.priority = priority;
+    /// Data centre of the entry, as an index.
+    pub fn entry_data_centre(mut self, index: u32) -> ChainNeed<'a> {
+        self.entry_data_centre = index;
         self
     }
 
-    /// Key of its longest prefix that may be cached.
-    pub fn prefix(mut self, prefix: u64) -> Shape {
-        self.prefix = Some(prefix);
-        self
+    pub(crate) fn fleet(&self) -> &'a Fleet {
+        self.fleet
     }
 
-    /// Prompt and answer together.
-    pub fn tokens(&self) -> u32 {
-        self.prompt_tokens.saturating_add(self.output_tokens)
+    fn pricing(&self) -> Pricing<'a> {
+        let ChainNeed { fleet, live, shape, policy, now_ms, .. } = *self;
+        Pricing::new(fleet, live, shape, policy, now_ms)
     }
 }
 
@@ -96,77 +93,16 @@
     pub cost: f64,
 }
 
-/// No chain for a request: nothing was sent anywhere.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct NoChain {
-    /// Why.
-    pub reason: NoChainReason,
-    /// When to come back, spread so that callers do not come together.
-    pub retry_after_ms: u64,
-}
-
-/// Why there is no chain.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[non_exhaustive]
-pub enum NoChainReason {
-    /// No server that is there continues from a layer.
-    NoCandidate {
-        /// The layer.
-        first_layer: u32,
-    },
-    /// There are servers, but the request has to avoid all of them.
-    AllAvoided,
-    /// The fastest chain found is too slow.
-    TooLate {
-        /// What it needs.
-        needed_ms: u64,
-    },
-}
-
-impl fmt::Display for NoChain {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.reason {
-            NoChainReason::NoCandidate { first_layer } => {
-                write!(f, "no backend server continues at layer {first_layer}")
-            }
-            NoChainReason::AllAvoided => {
-                f.write_str("every backend server has been tried")
-            }
-            NoChainReason::TooLate { needed_ms } => {
-                write!(f, "the fastest chain needs {needed_ms} ms")
-            }
-        }
-    }
-}
-
-impl std::error::Error for NoChain {}
-
 /// Chooses the chain of a request; see the module.
 ///
 /// # Panics
 ///
 /// When `live` is of another fleet and shorter.
-#[allow(clippy::too_many_arguments)]
 pub fn choose(
-    fleet: &Fleet,
-    live: &Live,
-    shape: &Shape,
-    policy: &Policy,
-    avoid: &[BackendIndex],
-    entry_data_centre: u32,
-    now_ms: u64,
+    need: &ChainNeed<'_>,
     rng: &mut fastrand::Rng,
 ) -> Result<Choice, NoChain> {
-    Chooser::new().choose(
-        fleet,
-        live,
-        shape,
-        policy,
-        avoid,
-        entry_data_centre,
-        now_ms,
-        rng,
-    )
+    Chooser::new().choose(need, rng)
 }
 
 /// Chooses with buffers that are kept between choices.
@@ -182,41 +118,26 @@
     }
 
     /// Like [`choose`].
-    #[allow(clippy::too_many_arguments)]
     pub fn choose(
         &mut self,
-        fleet: &Fleet,
-        live: &Live,
-        shape: &Shape,
-        policy: &Policy,
-        avoid: &[BackendIndex],
-        entry_data_centre: u32,
-        now_ms: u64,
+        need: &ChainNeed<'_>,
         rng: &mut fastrand::Rng,
     ) -> Result<Choice, NoChain> {
-        let pricing = Pricing::new(fleet, live, shape, policy, now_ms);
-        let choice = self.run(pricing, avoid, entry_data_centre, rng)?;
-        remember(fleet, live, &choice.stages);
+        let choice = self.run(need, rng)?;
+        remember(need.fleet, need.live, &choice.stages);
         Ok(choice)
     }
 
     /// Like [`Chooser::choose`] over every server: what sampling is measured
     /// against. Its cost grows with the fleet.
-    #[allow(clippy::too_many_arguments)]
     pub fn choose_by_full_scan(
         &mut self,
-        fleet: &Fleet,
-        live: &Live,
-        shape: &Shape,
-        policy: &Policy,
-        avoid: &[BackendIndex],
-        entry_data_centre: u32,
-        now_ms: u64,
+        need: &ChainNeed<'_>,
         rng: &mut fastrand::Rng,
     ) -> Result<Choice, NoChain> {
-        let pricing = Pricing::new(fleet, live, shape, policy, now_ms);
-        let entry = entry_data_centre;
-        match self.search.run(&pricing, avoid, entry, Reach::All, rng) {
+        let pricing = need.pricing();
+        let entry = need.entry_data_centre;
+        match self.search.run(&pricing, need.avoid, entry, Reach::All, rng) {
             Ok(found) => Ok(self.choice(&found)),
             Err(reason) => Err(no_chain(reason, rng)),
         }
@@ -228,21 +149,20 @@
 
     pub(crate) fn run(
         &mut self,
-        mut pricing: Pricing<'_>,
-        avoid: &[BackendIndex],
-        entry: u32,
+        need: &ChainNeed<'_>,
         rng: &mut fastrand::Rng,
     ) -> Result<Choice, NoChain> {
+        let mut pricing = need.pricing();
         let deadline_ms = pricing.shape.deadline_ms;
         let found = self
-            .find(&pricing, avoid, entry, rng)
+            .find(&pricing, need, rng)
             .map_err(|reason| no_chain(reason, rng))?;
         if found.total_ms <= deadline_ms as f64 {
             return Ok(self.choice(&found));
         }
         pricing.weights = Weights::fastest();
         let found = self
-            .find(&pricing, avoid, entry, rng)
+            .find(&pricing, need, rng)
             .map_err(|reason| no_chain(reason, rng))?;
         if found.total_ms <= deadline_ms as f64 {
             return Ok(self.choice(&found));
@@ -254,10 +174,10 @@
     fn find(
         &mut self,
         pricing: &Pricing<'_>,
-        avoid: &[BackendIndex],
-        entry: u32,
+        need: &ChainNeed<'_>,
         rng: &mut fastrand::Rng,
     ) -> Result<Found, NoChainReason> {
+        let (avoid, entry) = (need.avoid, need.entry_data_centre);
         let mut run =
             |reach| self.search.run(pricing, avoid, entry, reach, rng);
         run(Reach::Sampled)
@@ -284,15 +204,3 @@
         boundary = fleet.facts(index).next_boundary as usize;
     }
 }
-
-fn no_chain(reason: NoChainReason, rng: &mut fastrand::Rng) -> NoChain {
-    let base_ms = match reason {
-        NoChainReason::NoCandidate { .. } => NO_CANDIDATE_RETRY_MS,
-        NoChainReason::AllAvoided => MIN_RETRY_MS,
-        // Half of it: others finish while this caller waits.
-        NoChainReason::TooLate { needed_ms } => {
-            (needed_ms / 2).clamp(MIN_RETRY_MS, MAX_RETRY_MS)
-        }
-    };
-    NoChain { reason, retry_after_ms: base_ms + rng.u64(0..=base_ms) }
-}
--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -12,13 +12,14 @@
 //! * A plain service has no tokens: its stage takes the smoothed time of its
 //!   answers, once there were any.
 
+use serde::Serialize;
+
 use crate::{
-    chain::Shape,
-    explain::CostParts,
     fleet::{BackendIndex, Facts, Fleet},
     live::{Live, Presence, TypicalLoad},
     policy::{Policy, Weights},
     server::Reading,
+    shape::Shape,
 };
 
 const MS_PER_S: f64 = 1_000.0;
@@ -42,6 +43,27 @@
     ms_per_micro: f64,
 }
 
+/// Parts of a stage's cost.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct CostParts {
+    /// Wait until it begins; a chain counts its longest only.
+    pub wait_ms: f64,
+    /// The prompt.
+    pub prompt_ms: f64,
+    /// One output token.
+    pub step_ms: f64,
+    /// Price of its time, in millionths of the currency.
+    pub price_micros: f64,
+    /// Load as share of its places, with the ramp and unseen requests.
+    pub utilisation: f64,
+    /// The price as it counts.
+    pub weighted_price: f64,
+    /// The load as it counts.
+    pub weighted_load: f64,
+    /// All but the wait as it counts, moved within the near-equal band.
+    pub weighted: f64,
+}
+
 /// Cost of one stage.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StageCost {
--- a/crates/routing/src/explain.rs
+++ b/crates/routing/src/explain.rs
@@ -8,11 +8,10 @@
 use serde::Serialize;
 
 use crate::{
-    chain::{Chooser, NoChain, NoChainReason, Shape},
-    cost::Pricing,
-    fleet::{BackendIndex, BackendSpec, Fleet},
-    live::Live,
-    policy::Policy,
+    candidate::Candidate,
+    chain::{ChainNeed, Chooser},
+    fleet::BackendIndex,
+    no_chain::{NoChain, NoChainReason},
 };
 
 /// What a choice looked at and came to.
@@ -39,108 +38,15 @@
     pub candidates: Vec<Candidate>,
 }
 
-/// One server that was looked at.
-#[derive(Clone, Debug, Serialize)]
-pub struct Candidate {
-    /// Its place in the fleet.
-    pub index: BackendIndex,
-    /// Its name.
-    pub backend: String,
-    /// First layer it holds.
-    pub first_layer: u32,
-    /// First layer it no longer holds.
-    pub end_layer: u32,
-    /// Why it was left out before its cost was looked at.
-    pub left_out: Option<LeftOut>,
-    /// What a stage there would cost.
-    pub cost: Option<CostParts>,
-    /// Part of the chain.
-    pub is_chosen: bool,
-}
-
-/// Why a server was left out.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LeftOut {
-    /// The request has to avoid it.
-    Avoided,
-    /// Absent or leaving.
-    NotPresent,
-    /// Its health is in doubt, and others are there.
-    Suspect,
-}
-
-/// Parts of a stage's cost.
-#[derive(Clone, Copy, Debug, Serialize)]
-pub struct CostParts {
-    /// Wait until it begins; a chain counts its longest only.
-    pub wait_ms: f64,
-    /// The prompt.
-    pub prompt_ms: f64,
-    /// One output token.
-    pub step_ms: f64,
-    /// Price of its time, in millionths of the currency.
-    pub price_micros: f64,
-    /// Load as share of its places, with the ramp and unseen requests.
-    pub utilisation: f64,
-    /// The price as it counts.
-    pub weighted_price: f64,
-    /// The load as it counts.
-    pub weighted_load: f64,
-    /// All but the wait as it counts, moved within the near-equal band.
-    pub weighted: f64,
-}
-
-impl Candidate {
-    pub(crate) fn left_out(
-        index: BackendIndex,
-        spec: &BackendSpec,
-        reason: LeftOut,
-    ) -> Candidate {
-        Candidate { left_out: Some(reason), ..Candidate::bare(index, spec) }
-    }
-
-    pub(crate) fn weighed(
-        index: BackendIndex,
-        spec: &BackendSpec,
-        cost: CostParts,
-    ) -> Candidate {
-        Candidate { cost: Some(cost), ..Candidate::bare(index, spec) }
-    }
-
-    fn bare(index: BackendIndex, spec: &BackendSpec) -> Candidate {
-        Candidate {
-            index,
-            backend: spec.name.clone(),
-            first_layer: spec.first_layer,
-            end_layer: spec.end_layer,
-            left_out: None,
-            cost: None,
-            is_chosen: false,
-        }
-    }
-}
-
 /// Like [`crate::choose`], with what it looked at.
-#[allow(clippy::too_many_arguments)]
-pub fn explain(
-    fleet: &Fleet,
-    live: &Live,
-    shape: &Shape,
-    policy: &Policy,
-    avoid: &[BackendIndex],
-    entry_data_centre: u32,
-    now_ms: u64,
-    rng: &mut fastrand::Rng,
-) -> Explanation {
+pub fn explain(need: &ChainNeed<'_>, rng: &mut fastrand::Rng) -> Explanation {
     let mut chooser = Chooser::new();
     chooser.search_mut().record = Some(Vec::new());
-    let pricing = Pricing::new(fleet, live, shape, policy, now_ms);
-    let result = chooser.run(pricing, avoid, entry_data_centre, rng);
+    let result = chooser.run(need, rng);
     let record = chooser.search_mut().record.take().unwrap_or_default();
     match result {
         Ok(choice) => {
-            let name = |&i: &BackendIndex| fleet.spec(i).name.clone();
+            let name = |&i: &BackendIndex| need.fleet().spec(i).name.clone();
             Explanation {
                 stages: choice.stages.iter().map(name).collect(),
                 first_token_ms: choice.first_token_ms,
--- a/crates/routing/src/fair.rs
+++ b/crates/routing/src/fair.rs
@@ -30,6 +30,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+pub use crate::fair_account::LEAD_TOKENS;
 use crate::{
     fair_account::{
         Account, DEFAULT_WEIGHT, LEVEL_COUNT, Sequence, VirtualTime,
@@ -38,8 +39,6 @@
     priority::Priority,
 };
 
-/// Lead of an account's place for each level above low, over its weight.
-pub const LEAD_TOKENS: u64 = 4_096;
 /// Waiting that raises an item by one level within its account.
 pub const PROMOTE_MS: u64 = 5_000;
 /// An account may hold this many times the free room.
--- a/crates/routing/src/fair_account.rs
+++ b/crates/routing/src/fair_account.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use crate::{fair::LEAD_TOKENS, priority::Priority};
+use crate::priority::Priority;
+
+/// Lead of an account's place for each level above low, over its weight.
+pub const LEAD_TOKENS: u64 = 4_096;
 
 pub(crate) const LEVEL_COUNT: usize = Priority::ALL.len();
 
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -12,8 +12,7 @@
 
 use std::{collections::BTreeMap, ops::Range};
 
-use serde::Serialize;
-
+pub use crate::backend_spec::{BackendIndex, BackendSpec};
 use crate::{
     fleet_error::{FleetError, check},
     network::Network,
@@ -23,41 +22,6 @@
 const MS_PER_S: f64 = 1_000.0;
 const MS_PER_HOUR: f64 = 3_600_000.0;
 
-/// Place of a backend server in its [`Fleet`].
-#[derive(
-    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-pub struct BackendIndex(pub u32);
-
-impl BackendIndex {
-    pub(crate) fn at(self) -> usize {
-        self.0 as usize
-    }
-}
-
-/// What the manifest says of a backend server.
-#[derive(Clone, Debug, PartialEq)]
-pub struct BackendSpec {
-    /// Unique in the fleet.
-    pub name: String,
-    /// Index of its data centre.
-    pub data_centre: u32,
-    /// First layer it holds; 0 for a plain service.
-    pub first_layer: u32,
-    /// First layer it no longer holds; 0 for a plain service.
-    pub end_layer: u32,
-    /// Price, in millionths of the deployment's currency an hour.
-    pub price_micros_per_hour: u64,
-    /// First guess through all layers; 0 where unknown.
-    pub prompt_tokens_per_s: u32,
-    /// First guess through all layers, all sequences together; 0 if unknown.
-    pub output_tokens_per_s: u32,
-    /// Requests it runs at the same time.
-    pub max_running: u32,
-    /// Tokens its cache holds.
-    pub cache_tokens: u64,
-}
-
 /// One service's backend servers.
 #[derive(Clone, Debug)]
 pub struct Fleet {
--- a/crates/routing/src/fleet_error.rs
+++ b/crates/routing/src/fleet_error.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, fmt};
 
-use crate::{fleet::BackendSpec, network::Network};
+use crate::{backend_spec::BackendSpec, network::Network};
 
 const MAX_LAYER_COUNT: u32 = 4_096;
 
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -19,9 +19,9 @@
 
 use crate::{
     admission::{self, Speed},
-    chain::Shape,
     drain::Drain,
     fair::FairQueue,
+    shape::Shape,
 };
 
 /// Longest wait for a later stage: the earlier ones stand idle meanwhile.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,7 +8,7 @@
 //! | [`priority`] | the order of requests |
 //! | [`fleet`], [`network`] | what the manifest says of a service's servers |
 //! | [`live`], [`health`] | what this process knows of each one now |
-//! | [`policy`], [`chain`], [`mod@explain`] | the chain of a request, why |
+//! | [`policy`], [`shape`], [`chain`], [`mod@explain`] | the chain of a request, why |
 //! | [`attempts`] | whether a request may be handed to a backend again |
 //! | [`retry`] | whether a failure may be tried again |
 //! | [`retry_window`] | the same where all entries share a bound in time |
@@ -20,7 +20,8 @@
 //!
 //! ```
 //! use chestnutreach_routing::{
-//!     BackendSpec, Fleet, Live, Network, Policy, Presence, Shape, choose,
+//!     BackendSpec, ChainNeed, Fleet, Live, Network, Policy, Presence, Shape,
+//!     choose,
 //! };
 //!
 //! let half = |name: &str, first_layer, end_layer| BackendSpec {
@@ -44,8 +45,8 @@
 //! let shape = Shape::new(500, 100).deadline_ms(20_000);
 //! let mut rng = fastrand::Rng::with_seed(7);
 //! let policy = Policy::default();
-//! let choice =
-//!     choose(&fleet, &live, &shape, &policy, &[], 0, 1_000, &mut rng)?;
+//! let need = ChainNeed::new(&fleet, &live, &shape, &policy, 1_000);
+//! let choice = choose(&need, &mut rng)?;
 //! let names: Vec<&str> =
 //!     choice.stages.iter().map(|&i| fleet.spec(i).name.as_str()).collect();
 //! assert_eq!(names, ["lower", "upper"]);
@@ -54,6 +55,8 @@
 
 pub mod admission;
 pub mod attempts;
+mod backend_spec;
+mod candidate;
 pub mod chain;
 mod cost;
 mod drain;
@@ -69,22 +72,27 @@
 mod label;
 pub mod layer_path;
 pub mod live;
+mod load_report;
 mod memory;
 pub mod network;
+mod no_chain;
 pub mod policy;
 pub mod priority;
 pub mod retry;
 pub mod retry_window;
 mod search;
 mod server;
+pub mod shape;
 pub mod turns;
 
 pub use admission::{
     Speed, TooLate, can_finish, expected_wait_ms, retry_after_ms,
 };
 pub use attempts::{Attempts, Counted};
-pub use chain::{Choice, Chooser, NoChain, NoChainReason, Shape, choose};
-pub use explain::{Candidate, CostParts, Explanation, LeftOut, explain};
+pub use candidate::{Candidate, LeftOut};
+pub use chain::{ChainNeed, Choice, Chooser, choose};
+pub use cost::CostParts;
+pub use explain::{Explanation, explain};
 pub use fair::{FairQueue, Popped};
 pub use fair_refusal::{PushRefusal, PushRefusalReason};
 pub use fleet::{BackendIndex, BackendSpec, Fleet};
@@ -94,8 +102,10 @@
 pub use layer_path::{Part, PartHolder, PathRequest, find_path};
 pub use live::{Ended, Live, LoadReport, Presence};
 pub use network::Network;
+pub use no_chain::{NoChain, NoChainReason};
 pub use policy::Policy;
 pub use priority::Priority;
 pub use retry::RetryBudget;
 pub use retry_window::{RetryBounds, RetryWindow, Sent};
+pub use shape::Shape;
 pub use turns::{TurnNeed, Turns};
--- a/crates/routing/src/search.rs
+++ b/crates/routing/src/search.rs
@@ -7,11 +7,11 @@
 //! candidates is found whenever there is one.
 
 use crate::{
-    chain::NoChainReason,
+    candidate::{Candidate, LeftOut},
     cost::{Pricing, StageCost},
-    explain::{Candidate, LeftOut},
     fleet::BackendIndex,
     label::{BEAM, Beam, Label, NO_PARENT},
+    no_chain::NoChainReason,
 };
 
 mod pick;
--- a/crates/routing/src/search/pick.rs
+++ b/crates/routing/src/search/pick.rs
@@ -6,7 +6,9 @@
 //! cost.
 
 use super::{Reach, Search};
-use crate::{cost::Pricing, explain::LeftOut, fleet::BackendIndex, live::mix};
+use crate::{
+    candidate::LeftOut, cost::Pricing, fleet::BackendIndex, live::mix,
+};
 
 const RENDEZVOUS_COUNT: u64 = 2;
 /// Draws for each wanted candidate before the boundary is scanned.
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     health::Health,
-    live::{LoadReport, Presence},
+    load_report::{LoadReport, Presence},
 };
 
 /// Prefixes remembered of each server; older ones are overwritten.
--- a/crates/routing/tests/chain.rs
+++ b/crates/routing/tests/chain.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use chestnutreach_routing::{
-    BackendIndex, BackendSpec, Choice, Chooser, Ended, Fleet, FleetFinding,
-    Live, Network, NoChain, NoChainReason, Policy, Presence, Priority, Shape,
-    choose, explain,
+    BackendIndex, BackendSpec, ChainNeed, Choice, Chooser, Ended, Fleet,
+    FleetFinding, Live, Network, NoChain, NoChainReason, Policy, Presence,
+    Priority, Shape, choose, explain,
 };
 use common::{NOW_MS, fleet, numbered, report, serving, spec};
 use proptest::prelude::*;
@@ -22,7 +22,8 @@
     seed: u64,
 ) -> Result<Choice, NoChain> {
     let mut rng = fastrand::Rng::with_seed(seed);
-    choose(fleet, live, shape, policy, avoid, 0, NOW_MS, &mut rng)
+    let need = ChainNeed::new(fleet, live, shape, policy, NOW_MS).avoid(avoid);
+    choose(&need, &mut rng)
 }
 
 /// How often each server is part of a chain, over many seeds.
@@ -131,9 +132,8 @@
         let shape = Shape::new(100, 10).prefix(seed);
         // Before the choice, which is remembered; explaining is not.
         let mut rng = fastrand::Rng::with_seed(seed);
-        let explanation = explain(
-            &fleet, &live, &shape, &policy, &avoid, 0, NOW_MS, &mut rng,
-        );
+        let need = ChainNeed::new(&fleet, &live, &shape, &policy, NOW_MS);
+        let explanation = explain(&need.avoid(&avoid), &mut rng);
         let result = run(&fleet, &live, &shape, &policy, &avoid, seed);
         prop_assert_eq!(result.is_ok(), has_tiling(layers, &servers));
         let Ok(choice) = result else { return Ok(()) };
@@ -239,8 +239,8 @@
     for _ in 0..600 {
         let shape = Shape::new(500, 100);
         let policy = Policy::default();
-        let choice =
-            choose(&fleet, &live, &shape, &policy, &[], 0, late_ms, &mut rng);
+        let need = ChainNeed::new(&fleet, &live, &shape, &policy, late_ms);
+        let choice = choose(&need, &mut rng);
         counts[choice.expect("a chain").stages[0].0 as usize] += 1;
     }
     assert!(counts[0] < 2 * 600 / 6, "{counts:?}");
@@ -312,9 +312,8 @@
     let policy = Policy::default();
     let mut seen = std::collections::BTreeMap::new();
     for _ in 0..50 {
-        let choice = chooser
-            .choose(&fleet, &live, &shape, &policy, &[], 0, NOW_MS, &mut rng)
-            .expect("a chain");
+        let need = ChainNeed::new(&fleet, &live, &shape, &policy, NOW_MS);
+        let choice = chooser.choose(&need, &mut rng).expect("a chain");
         live.note_prefix(choice.stages[0], 77);
         *seen.entry(choice.stages[0]).or_insert(0) += 1;
     }
--- a/crates/routing/tests/stampede.rs
+++ b/crates/routing/tests/stampede.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use chestnutreach_routing::{
-    BackendIndex, Fleet, Live, Policy, Presence, Shape, choose,
+    BackendIndex, ChainNeed, Fleet, Live, Policy, Presence, Shape, choose,
 };
 use common::{NOW_MS, fleet, numbered, report};
 use rstest::rstest;
@@ -60,16 +60,8 @@
         let mut rng = fastrand::Rng::with_seed(entry);
         for at in 0..REQUESTS_PER_ENTRY {
             let now_ms = NOW_MS + at as u64;
-            let choice = choose(
-                &fleet,
-                &live,
-                &shape,
-                &policy,
-                &[],
-                0,
-                now_ms,
-                &mut rng,
-            );
+            let need = ChainNeed::new(&fleet, &live, &shape, &policy, now_ms);
+            let choice = choose(&need, &mut rng);
             let stage = choice.expect("a chain").stages[0];
             live.dispatched(stage, shape.tokens(), now_ms);
             sent[stage.0 as usize] += 1;
--- a/crates/side/src/run/admit.rs
+++ b/crates/side/src/run/admit.rs
@@ -9,7 +9,7 @@
         self, Accepted, FailureReason, RefusalReason, Refused, frame::Body,
     },
 };
-use chestnutreach_routing::chain::Shape;
+use chestnutreach_routing::Shape;
 use chestnutreach_state::Admission;
 use chestnutreach_telemetry::{Event, emit};
 
--- a/crates/side/src/run/mod.rs
+++ b/crates/side/src/run/mod.rs
@@ -28,7 +28,7 @@
     link::BusyGuard,
     wire::{self, FailureReason, Output, Stage, frame::Body},
 };
-use chestnutreach_routing::chain::Shape;
+use chestnutreach_routing::Shape;
 
 use crate::backend::Backend;
 
