Open the circles of the entry on the users' platform

Cause: the types of a request's end stood with the connections that use what ends requests, the table of the other entries with the messages that need the core, which needs the table.

Change: ended, peer_table; the table does what it needs of a message itself.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -1,7 +1,10 @@
 //! The connections of clients.
 
-use std::time::Duration;
-use std::{net::TcpStream, sync::Arc, sync::atomic::Ordering::Relaxed};
+use std::{
+    net::TcpStream,
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+};
 
 use async_io::{Async, Timer};
 use chestnutreach_adapter::clients;
@@ -16,6 +19,7 @@
     admit::{Admitted, admit},
     answer::{self, Reason},
     core::Core,
+    ended::{After, Ended, refuse},
     plain, stream,
 };
 
@@ -28,41 +32,6 @@
 /// two looks to send clients elsewhere.
 const TAKE_WHILE_STOPPING_MS: u64 = 2_600;
 
-/// What becomes of a connection after an answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum After {
-    /// It stays open.
-    Keep,
-    /// It is closed in order.
-    Close,
-    /// It is cut, so that the answer does not look whole.
-    Cut,
-}
-
-impl After {
-    /// After an answer that was written, or broke off while it was.
-    pub(crate) fn answer(is_sent: bool, is_last: bool) -> After {
-        match (is_sent, is_last) {
-            (true, false) => After::Keep,
-            (true, true) => After::Close,
-            (false, _) => After::Cut,
-        }
-    }
-}
-
-/// How a request ended, for the logs.
-#[derive(Debug, Default)]
-pub(crate) struct Ended {
-    pub(crate) outcome: &'static str,
-    pub(crate) status: u16,
-    pub(crate) reason: String,
-    pub(crate) attempts: u32,
-    pub(crate) path_changes: u32,
-    pub(crate) events: u64,
-    pub(crate) first_ms: Option<u64>,
-    pub(crate) max_gap_ms: u64,
-}
-
 /// Serves the requests of a connection one after another.
 pub(crate) async fn serve(core: Arc<Core>, socket: Async<TcpStream>) {
     let Ok(mut inbound) = Inbound::new(socket) else {
@@ -146,26 +115,6 @@
     after
 }
 
-/// Sends an answer of our own.
-pub(crate) async fn refuse(
-    inbound: &mut Inbound,
-    request: &RelayRequest,
-    reason: Reason,
-    is_last: bool,
-) -> (Ended, After) {
-    let id = request.header(clients::REQUEST_ID);
-    let bytes = answer::own_answer(reason, id, is_last);
-    let is_sent = inbound.write(&bytes).await.is_ok();
-    let ended = Ended {
-        outcome: reason.outcome(),
-        status: reason.status(),
-        reason: reason.name().to_owned(),
-        ..Ended::default()
-    };
-    let after = After::answer(is_sent, is_last);
-    (ended, after)
-}
-
 fn note_ended(
     core: &Core,
     request: &RelayRequest,
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -16,7 +16,7 @@
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
 use crate::{
-    clock::now_ms, fleet::Fleet, peers::PeerTable, queue::PathQueues,
+    clock::now_ms, fleet::Fleet, peer_table::PeerTable, queue::PathQueues,
     rate::Rate, supervise::Streams,
 };
 
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -12,7 +12,10 @@
 
 use chestnutreach_site::{Backend, BackendState};
 
-use crate::{clock::now_ms, probe::FLOWING_MS, rate::Rate};
+use crate::{clock::now_ms, rate::Rate};
+
+/// Progress so recent shows that an engine lives.
+pub(crate) const FLOWING_MS: u64 = 60;
 
 /// Units in which entries tell each other memory, in tokens times layers.
 const TOLD_UNIT: u64 = 1_000;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,7 +22,8 @@
 //! | `queue` | streams that wait for a path |
 //! | `exchange` | one request to one backend server |
 //! | `answer` | answers of our own |
-//! | `peers` | what entries tell each other |
+//! | `ended` | how a request ended |
+//! | `peers`, `peer_table` | what entries tell each other |
 //! | `lease`, `place` | who plans, and the orders |
 //!
 //! # Example
@@ -42,6 +43,7 @@
 mod callers;
 mod clock;
 mod core;
+mod ended;
 mod engine;
 pub mod entry;
 pub mod events;
@@ -49,6 +51,7 @@
 mod fleet;
 mod follow;
 mod lease;
+mod peer_table;
 mod peers;
 mod place;
 mod plain;
--- /dev/null
+++ b/crates/direct/src/peer_table.rs
@@ -0,0 +1,199 @@
+//! What is known of the other entries.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+};
+
+use chestnutreach_protocol::peers::{OpenOrder, PeerState};
+use chestnutreach_routing::Sent;
+
+use crate::clock::now_ms;
+
+/// Most entries told at once; where there are more, each hears the others
+/// more rarely, so that the cost of an entry does not grow with their number.
+pub(crate) const TOLD_AT_ONCE: usize = 24;
+/// Silence of the planner after which others look at its lease.
+const PLANNER_SILENT_MS: u64 = 700;
+/// Entries assumed before others were heard.
+const ASSUMED_ENTRIES: usize = 8;
+
+/// The other entries.
+#[derive(Debug, Default)]
+pub(crate) struct PeerTable {
+    peers: Mutex<BTreeMap<SocketAddr, Peer>>,
+    /// What processes told, by boot id. It outlives them for a window: what
+    /// they sent counts that long.
+    told: Mutex<BTreeMap<u64, Told>>,
+    /// When another entry last said that it holds the planner's lease.
+    planner_ms: AtomicU64,
+    /// Highest number of a lease whose holder said that it gave it up.
+    resigned: AtomicU64,
+    /// Orders that the last planner heard told of, and when.
+    orders: Mutex<(u64, Vec<OpenOrder>)>,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    boot_id: u64,
+    vm: String,
+    sequence: u64,
+    heard_ms: u64,
+    crossing_bytes_per_s: f64,
+}
+
+/// An entry that fell silent.
+#[derive(Debug)]
+pub(crate) struct Silent {
+    pub(crate) vm: String,
+    pub(crate) boot_id: u64,
+    pub(crate) silent_ms: u64,
+}
+
+/// What a message changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Heard {
+    /// It is older than one before.
+    Stale,
+    /// Of a process that was known.
+    Known,
+    /// Of a new process; the one before it at this address, if there was.
+    New(Option<u64>),
+}
+
+/// What a process told that it sent to services.
+#[derive(Debug, Default)]
+struct Told {
+    heard_ms: u64,
+    /// Requests and further arrivals by service.
+    sent: BTreeMap<String, Sent>,
+}
+
+impl PeerTable {
+    /// Entries that share what is shared, with this one.
+    pub(crate) fn entry_count(&self) -> usize {
+        let peers = self.lock();
+        let live = peers.values().filter(|p| p.boot_id != 0).count();
+        if peers.is_empty() {
+            return ASSUMED_ENTRIES;
+        }
+        live.max(peers.len()) + 1
+    }
+
+    /// What others sent to a service within the window, as they told.
+    /// Empty where an entry that is listed has not told.
+    pub(crate) fn others_sent(&self, service: &str) -> Vec<Sent> {
+        if self.lock().values().any(|peer| peer.boot_id == 0) {
+            return Vec::new();
+        }
+        let told = self.told.lock().expect("no holder panics");
+        let sent = |told: &Told| told.sent.get(service).copied();
+        told.values().map(|t| sent(t).unwrap_or_default()).collect()
+    }
+
+    /// Whether another entry plans, as far as is known.
+    pub(crate) fn has_planner(&self, now_ms: u64) -> bool {
+        let heard_ms = self.planner_ms.load(Relaxed);
+        let silent_ms = PLANNER_SILENT_MS * self.rounds();
+        heard_ms > 0 && now_ms.saturating_sub(heard_ms) < silent_ms
+    }
+
+    /// What requests of all other entries send between data centres.
+    pub(crate) fn crossing_bytes_per_s(&self) -> f64 {
+        self.lock().values().map(|peer| peer.crossing_bytes_per_s).sum()
+    }
+
+    /// Highest number of a lease whose holder said that it gave it up.
+    pub(crate) fn resigned(&self) -> u64 {
+        self.resigned.load(Relaxed)
+    }
+
+    /// Orders to engines of a service that the last planner told of, with
+    /// the time when each was given.
+    pub(crate) fn told_orders(&self, service: &str) -> Vec<(u64, OpenOrder)> {
+        let orders = self.orders.lock().expect("no holder panics");
+        let given_ms =
+            |order: &OpenOrder| orders.0.saturating_sub(order.age_ms.into());
+        let of_service = orders.1.iter().filter(|o| o.service == service);
+        of_service.map(|o| (given_ms(o), o.clone())).collect()
+    }
+
+    pub(crate) fn add(&self, address: SocketAddr) {
+        let unheard = Peer { heard_ms: now_ms(), ..Peer::default() };
+        self.lock().entry(address).or_insert(unheard);
+    }
+
+    /// Takes a message of a process.
+    pub(crate) fn hear(&self, from: SocketAddr, state: &PeerState) -> Heard {
+        let mut peers = self.lock();
+        let peer = peers.entry(from).or_default();
+        let is_new = peer.boot_id != state.boot_id;
+        if !is_new && state.sequence <= peer.sequence {
+            return Heard::Stale;
+        }
+        let old = (peer.boot_id != 0).then_some(peer.boot_id);
+        peer.boot_id = state.boot_id;
+        peer.vm.clone_from(&state.vm);
+        peer.sequence = state.sequence;
+        peer.heard_ms = now_ms();
+        peer.crossing_bytes_per_s =
+            f64::from(state.crossing_kilobytes_per_s) * 1e3;
+        drop(peers);
+        self.resigned.fetch_max(state.resigned, Relaxed);
+        if state.is_planner {
+            self.planner_ms.fetch_max(now_ms(), Relaxed);
+            let mut orders = self.orders.lock().expect("no holder panics");
+            *orders = (now_ms(), state.open_orders.clone());
+        }
+        if is_new { Heard::New(old) } else { Heard::Known }
+    }
+
+    /// Keeps what a process sent to services within the window.
+    pub(crate) fn take_sent(&self, state: &PeerState, window_ms: u64) {
+        let now_ms = now_ms();
+        let sent = state.services.iter();
+        let sent = sent.map(|s| {
+            let sent = Sent { requests: s.requests, further: s.further };
+            (s.service.clone(), sent)
+        });
+        let new = Told { heard_ms: now_ms, sent: sent.collect() };
+        let mut told = self.told.lock().expect("no holder panics");
+        told.insert(state.boot_id, new);
+        told.retain(|_, t| now_ms.saturating_sub(t.heard_ms) < window_ms);
+    }
+
+    /// Takes out the entries that were silent for so long in each round.
+    pub(crate) fn take_silent(&self, limit_ms: u64) -> Vec<Silent> {
+        let now_ms = now_ms();
+        let limit_ms = limit_ms * self.rounds();
+        let mut out = Vec::new();
+        self.lock().retain(|_, peer| {
+            let silent_ms = now_ms.saturating_sub(peer.heard_ms);
+            let is_silent = silent_ms > limit_ms;
+            if is_silent && peer.boot_id != 0 {
+                let vm = peer.vm.clone();
+                let boot_id = peer.boot_id;
+                out.push(Silent { vm, boot_id, silent_ms });
+            }
+            !is_silent
+        });
+        out
+    }
+
+    /// Rounds of messages in which all others are told.
+    fn rounds(&self) -> u64 {
+        self.lock().len().div_ceil(TOLD_AT_ONCE).max(1) as u64
+    }
+
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.lock().keys().copied().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Peer>> {
+        self.peers.lock().expect("no holder panics")
+    }
+}
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -9,19 +9,13 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, UdpSocket},
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering::Relaxed},
-    },
+    sync::{Arc, atomic::Ordering::Relaxed},
     time::Duration,
 };
 
 use async_io::{Async, Timer};
 use chestnutreach_adapter::store::StoreClient;
-use chestnutreach_protocol::peers::{
-    EngineUse, OpenOrder, PeerState, ServiceUse,
-};
-use chestnutreach_routing::Sent;
+use chestnutreach_protocol::peers::{EngineUse, PeerState, ServiceUse};
 use chestnutreach_site::tables::ENTRIES;
 use chestnutreach_telemetry::{Event, emit};
 use prost::Message as _;
@@ -30,19 +24,15 @@
     clock::now_ms,
     core::Core,
     engine::{Engine, Use},
+    peer_table::{Heard, TOLD_AT_ONCE},
     probe,
 };
 
 /// Time between messages to all others.
 const TELL_EVERY: Duration = Duration::from_millis(200);
-/// Most entries told at once; where there are more, each hears the others
-/// more rarely, so that the cost of an entry does not grow with their number.
-const TOLD_AT_ONCE: usize = 24;
 /// Silence after which another entry no longer counts, where all are told
 /// at once.
 const SILENT_MS: u64 = 2_500;
-/// Silence of the planner after which others look at its lease.
-const PLANNER_SILENT_MS: u64 = 700;
 /// Time for a call of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 /// When the table is read, after the start.
@@ -52,108 +42,6 @@
 const READ_EVERY: Duration = Duration::from_secs(20);
 /// Longest datagram taken.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
-/// Entries assumed before others were heard.
-const ASSUMED_ENTRIES: usize = 8;
-
-/// The other entries.
-#[derive(Debug, Default)]
-pub(crate) struct PeerTable {
-    peers: Mutex<BTreeMap<SocketAddr, Peer>>,
-    /// What processes told, by boot id. It outlives them for a window: what
-    /// they sent counts that long.
-    told: Mutex<BTreeMap<u64, Told>>,
-    /// When another entry last said that it holds the planner's lease.
-    planner_ms: AtomicU64,
-    /// Highest number of a lease whose holder said that it gave it up.
-    resigned: AtomicU64,
-    /// Orders that the last planner heard told of, and when.
-    orders: Mutex<(u64, Vec<OpenOrder>)>,
-}
-
-#[derive(Debug, Default)]
-struct Peer {
-    boot_id: u64,
-    vm: String,
-    sequence: u64,
-    heard_ms: u64,
-    crossing_bytes_per_s: f64,
-}
-
-/// What a process told that it sent to services.
-#[derive(Debug, Default)]
-struct Told {
-    heard_ms: u64,
-    /// Requests and further arrivals by service.
-    sent: BTreeMap<String, Sent>,
-}
-
-impl PeerTable {
-    /// Entries that share what is shared, with this one.
-    pub(crate) fn entry_count(&self) -> usize {
-        let peers = self.lock();
-        let live = peers.values().filter(|p| p.boot_id != 0).count();
-        if peers.is_empty() {
-            return ASSUMED_ENTRIES;
-        }
-        live.max(peers.len()) + 1
-    }
-
-    /// What others sent to a service within the window, as they told.
-    /// Empty where an entry that is listed has not told.
-    pub(crate) fn others_sent(&self, service: &str) -> Vec<Sent> {
-        if self.lock().values().any(|peer| peer.boot_id == 0) {
-            return Vec::new();
-        }
-        let told = self.told.lock().expect("no holder panics");
-        let sent = |told: &Told| told.sent.get(service).copied();
-        told.values().map(|t| sent(t).unwrap_or_default()).collect()
-    }
-
-    /// Whether another entry plans, as far as is known.
-    pub(crate) fn has_planner(&self, now_ms: u64) -> bool {
-        let heard_ms = self.planner_ms.load(Relaxed);
-        let silent_ms = PLANNER_SILENT_MS * self.rounds();
-        heard_ms > 0 && now_ms.saturating_sub(heard_ms) < silent_ms
-    }
-
-    /// What requests of all other entries send between data centres.
-    pub(crate) fn crossing_bytes_per_s(&self) -> f64 {
-        self.lock().values().map(|peer| peer.crossing_bytes_per_s).sum()
-    }
-
-    /// Highest number of a lease whose holder said that it gave it up.
-    pub(crate) fn resigned(&self) -> u64 {
-        self.resigned.load(Relaxed)
-    }
-
-    /// Orders to engines of a service that the last planner told of, with
-    /// the time when each was given.
-    pub(crate) fn told_orders(&self, service: &str) -> Vec<(u64, OpenOrder)> {
-        let orders = self.orders.lock().expect("no holder panics");
-        let given_ms =
-            |order: &OpenOrder| orders.0.saturating_sub(order.age_ms.into());
-        let of_service = orders.1.iter().filter(|o| o.service == service);
-        of_service.map(|o| (given_ms(o), o.clone())).collect()
-    }
-
-    fn add(&self, address: SocketAddr) {
-        let unheard = Peer { heard_ms: now_ms(), ..Peer::default() };
-        self.lock().entry(address).or_insert(unheard);
-    }
-
-    /// Rounds of messages in which all others are told.
-    fn rounds(&self) -> u64 {
-        self.lock().len().div_ceil(TOLD_AT_ONCE).max(1) as u64
-    }
-
-    fn addresses(&self) -> Vec<SocketAddr> {
-        self.lock().keys().copied().collect()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Peer>> {
-        self.peers.lock().expect("no holder panics")
-    }
-}
 
 /// Opens the socket for messages between entries.
 pub(crate) fn open(core: &Core) -> std::io::Result<Async<UdpSocket>> {
@@ -238,22 +126,10 @@
     if state.boot_id == core.boot_id || state.boot_id == 0 {
         return;
     }
-    let old = {
-        let mut peers = core.peers.lock();
-        let peer = peers.entry(from).or_default();
-        let is_new = peer.boot_id != state.boot_id;
-        if !is_new && state.sequence <= peer.sequence {
-            return;
-        }
-        let old = (is_new && peer.boot_id != 0).then_some(peer.boot_id);
-        let was_known = !is_new;
-        peer.boot_id = state.boot_id;
-        peer.vm.clone_from(&state.vm);
-        peer.sequence = state.sequence;
-        peer.heard_ms = now_ms();
-        peer.crossing_bytes_per_s =
-            f64::from(state.crossing_kilobytes_per_s) * 1e3;
-        if !was_known {
+    match core.peers.hear(from, state) {
+        Heard::Stale => return,
+        Heard::Known => {}
+        Heard::New(old) => {
             emit(
                 Event::PeerFound,
                 &[
@@ -262,36 +138,15 @@
                     ("peer_boot_id", &state.boot_id),
                 ],
             );
+            if let Some(old) = old {
+                forget_use(core, old);
+            }
         }
-        old
-    };
-    if let Some(old) = old {
-        forget_use(core, old);
-    }
-    take_sent(core, state);
-    core.peers.resigned.fetch_max(state.resigned, Relaxed);
-    if state.is_planner {
-        core.peers.planner_ms.fetch_max(now_ms(), Relaxed);
-        let mut orders = core.peers.orders.lock().expect("no holder panics");
-        *orders = (now_ms(), state.open_orders.clone());
     }
+    core.peers.take_sent(state, core.settings.bounds.retry_window_ms);
     take_use(core, state);
 }
 
-fn take_sent(core: &Core, state: &PeerState) {
-    let now_ms = now_ms();
-    let window_ms = core.settings.bounds.retry_window_ms;
-    let sent = state.services.iter();
-    let sent = sent.map(|s| {
-        let sent = Sent { requests: s.requests, further: s.further };
-        (s.service.clone(), sent)
-    });
-    let new = Told { heard_ms: now_ms, sent: sent.collect() };
-    let mut told = core.peers.told.lock().expect("no holder panics");
-    told.insert(state.boot_id, new);
-    told.retain(|_, t| now_ms.saturating_sub(t.heard_ms) < window_ms);
-}
-
 fn take_use(core: &Arc<Core>, state: &PeerState) {
     let told: BTreeMap<u32, &EngineUse> =
         state.engines.iter().map(|used| (used.engine, used)).collect();
@@ -320,25 +175,14 @@
 }
 
 fn forget_silent(core: &Core) {
-    let now_ms = now_ms();
-    let limit_ms = SILENT_MS * core.peers.rounds();
-    let mut silent = Vec::new();
-    core.peers.lock().retain(|_, peer| {
-        let silent_ms = now_ms.saturating_sub(peer.heard_ms);
-        let is_silent = silent_ms > limit_ms;
-        if is_silent && peer.boot_id != 0 {
-            silent.push((peer.vm.clone(), peer.boot_id, silent_ms));
-        }
-        !is_silent
-    });
-    for (vm, boot_id, silent_ms) in silent {
-        forget_use(core, boot_id);
+    for silent in core.peers.take_silent(SILENT_MS) {
+        forget_use(core, silent.boot_id);
         emit(
             Event::PeerLost,
             &[
-                ("peer_vm", &vm),
-                ("peer_boot_id", &boot_id),
-                ("silent_ms", &silent_ms),
+                ("peer_vm", &silent.vm),
+                ("peer_boot_id", &silent.boot_id),
+                ("silent_ms", &silent.silent_ms),
             ],
         );
     }
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -21,9 +21,9 @@
 use crate::{
     admit::Admitted,
     answer::{Framing, Reason, passed_head, promises_not_run},
-    callers::{After, Ended, refuse},
     clock::now_ms,
     core::Core,
+    ended::{After, Ended, refuse},
     engine::{Engine, Hold},
     exchange::{self, Addressed},
     fleet::takes_work,
--- a/crates/direct/src/probe.rs
+++ b/crates/direct/src/probe.rs
@@ -18,7 +18,7 @@
 use crate::{
     clock::now_ms,
     core::Core,
-    engine::{Engine, Evidence, Suspicion},
+    engine::{Engine, Evidence, FLOWING_MS, Suspicion},
     exchange,
     fleet::Path,
 };
@@ -31,8 +31,6 @@
 const DIALS: usize = 2;
 /// Time for a report.
 const REPORT: Duration = Duration::from_millis(250);
-/// Progress so recent shows that an engine lives.
-pub(crate) const FLOWING_MS: u64 = 60;
 /// Shortest time between two reports of an engine.
 const REPORT_EVERY_MS: u64 = 1_500;
 /// Shortest time for which others' waiting counts against an engine.
