Open the circles of the product's own entry

Cause: eight modules of crates/entry imported one another: what all share stood with what starts it, a let-in request with the routes, the claim of a key with the task that drives keyed requests, which side processes there are with the links to them.

No behaviour changes.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -17,11 +17,12 @@
 
 use crate::{
     answer::{self, REQUEST_HEADER},
+    call::Call,
     language, models,
-    node::Shared,
     openai::Endpoint,
     plain,
     session::Ending,
+    shared::Shared,
     stop::Counted,
     terms::{DeadlineLimits, Terms},
     view::{AccountView, ServiceView, View},
@@ -117,16 +118,6 @@
     arrived: Instant,
 }
 
-/// What every handler gets.
-pub(crate) struct Call {
-    pub(crate) received: Received,
-    pub(crate) account: Arc<AccountView>,
-    pub(crate) service: Arc<ServiceView>,
-    pub(crate) terms: Terms,
-    pub(crate) request: RequestId,
-    pub(crate) arrived: Instant,
-}
-
 type Routed = Result<Response, Box<Response>>;
 
 async fn route(
--- /dev/null
+++ b/crates/entry/src/call.rs
@@ -0,0 +1,21 @@
+//! A request that was let in, as its handler gets it.
+
+use std::{sync::Arc, time::Instant};
+
+use chestnutreach_http::Received;
+use chestnutreach_protocol::RequestId;
+
+use crate::{
+    terms::Terms,
+    view::{AccountView, ServiceView},
+};
+
+/// What every handler gets.
+pub(crate) struct Call {
+    pub(crate) received: Received,
+    pub(crate) account: Arc<AccountView>,
+    pub(crate) service: Arc<ServiceView>,
+    pub(crate) terms: Terms,
+    pub(crate) request: RequestId,
+    pub(crate) arrived: Instant,
+}
--- a/crates/entry/src/language.rs
+++ b/crates/entry/src/language.rs
@@ -18,12 +18,12 @@
 
 use crate::{
     answer::{self, OUTCOME_HEADER, REQUEST_HEADER},
-    api::Call,
-    node::Shared,
+    call::Call,
     openai::{
         AnswerShape, Asked, Chunks, Endpoint, Usage, answer::error_event,
     },
     session::{Job, JobWork, Progress},
+    shared::Shared,
     source::{self, Source},
     tally::Tally,
     view::ServiceView,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,12 +4,15 @@
 //! |---|---|
 //! | [`node`] | the process as a whole |
 //! | `view` | the manifest in force, made ready for requests |
-//! | `peers` | links to side processes, and what they say |
+//! | `shared` | what all its parts share |
+//! | `peers` | which side processes there are |
+//! | `sides` | links to them, and what they say |
 //! | `listed` | what the platform's list says of VMs that leave |
 //! | `session` | one request over all its attempts |
+//! | `session_event`, `ending` | what reaches it, how it ends |
 //! | `kept` | answers kept for repeats |
-//! | `keyed` | requests with an idempotency key |
-//! | `api` | which request goes where, and who may send it |
+//! | `keyed`, `key_hold` | requests with an idempotency key, its claim |
+//! | `api`, `call` | which request goes where, and who may send it |
 //! | [`terms`] | the headers that say how a request is served |
 //! | `models` | the list of models |
 //! | [`openai`] | the published shapes of requests and answers |
@@ -24,7 +27,10 @@
 
 mod answer;
 mod api;
+mod call;
+mod ending;
 mod kept;
+mod key_hold;
 mod keyed;
 mod language;
 mod listed;
@@ -36,6 +42,9 @@
 mod plain;
 mod recent;
 mod session;
+mod session_event;
+mod shared;
+mod sides;
 mod source;
 pub mod stop;
 mod tally;
--- a/crates/entry/src/openai.rs
+++ b/crates/entry/src/openai.rs
@@ -13,21 +13,15 @@
 //! | [`request`] | what is read of a request, and its checks |
 //! | `fields` | the fields as they are parsed |
 //! | [`answer`] | whole answers and streamed chunks |
+//! | [`endpoint`] | which of the two endpoints |
 
 pub mod answer;
+pub mod endpoint;
 mod fields;
 pub mod request;
 
 pub use self::{
     answer::{AnswerShape, Chunks, Usage},
+    endpoint::Endpoint,
     request::{Asked, ShapeError},
 };
-
-/// Which of the two endpoints a request came to.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Endpoint {
-    /// `/v1/chat/completions`.
-    Chat,
-    /// `/v1/completions`.
-    Completions,
-}
--- a/crates/entry/src/openai/answer.rs
+++ b/crates/entry/src/openai/answer.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use serde_json::json;
 
-use super::Endpoint;
+use super::endpoint::Endpoint;
 
 /// Characters that JSON takes as they are but that client libraries which
 /// read events as lines of text may take for an end of line.
--- a/crates/entry/src/openai/request.rs
+++ b/crates/entry/src/openai/request.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 
 use super::{
-    Endpoint,
+    endpoint::Endpoint,
     fields::{Body, Content, Message, Object, Part, Texts},
 };
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -12,10 +12,10 @@
 
 use crate::{
     answer::{self, OUTCOME_HEADER, REQUEST_HEADER},
-    api::Call,
+    call::Call,
     language::deadline,
-    node::Shared,
     session::{Job, JobWork, Progress},
+    shared::Shared,
     source::{self, Source},
     tally::Tally,
 };
--- a/crates/entry/src/session/dispatch.rs
+++ b/crates/entry/src/session/dispatch.rs
@@ -12,7 +12,7 @@
 use chestnutreach_state::NotRunReason;
 
 use super::{Attempt, Cause, Ending, JobWork, Phase, Progress, Session};
-use crate::{keyed::Hold, view::ServiceView};
+use crate::{key_hold::Hold, view::ServiceView};
 
 /// Part of the time left that a side process is not given, so that its own
 /// answer at the deadline comes before the caller's time is over.
--- a/crates/entry/src/session/events.rs
+++ b/crates/entry/src/session/events.rs
@@ -10,10 +10,8 @@
 use chestnutreach_telemetry::{Event, emit};
 use futures_lite::FutureExt as _;
 
-use super::{
-    Attempt, Cause, Ending, Phase, Progress, Session, SessionEvent,
-    ending::{failure_words, refusal_words},
-};
+use super::{Attempt, Cause, Ending, Phase, Progress, Session, SessionEvent};
+use crate::ending::{failure_words, refusal_words};
 
 impl Session {
     /// Waits for what the first stage sends, or for the deadline.
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -23,7 +23,6 @@
 //! | `recover` | going on after a lost connection |
 
 mod dispatch;
-mod ending;
 mod events;
 mod recover;
 
@@ -35,39 +34,16 @@
 
 use async_io::Timer;
 use chestnutreach_platform::claims::Claim;
-use chestnutreach_protocol::{
-    Link, RequestId,
-    link::BusyGuard,
-    wire::{self, frame::Body},
-};
+use chestnutreach_protocol::{Link, RequestId, link::BusyGuard, wire};
 use chestnutreach_routing::{Priority, fleet::BackendIndex, live::Ended};
 use chestnutreach_state::{NotRunReason, Outcome};
 
-pub(crate) use self::ending::{Cause, Ending};
+pub(crate) use crate::ending::{Cause, Ending};
 use crate::{
-    keyed::KeyedRequest, node::Shared, recent::Choices, view::ServiceView,
+    key_hold::KeyedRequest, recent::Choices, session_event::SessionEvent,
+    shared::Shared, view::ServiceView,
 };
 
-/// What reaches a session from links.
-// A box would cost an allocation for each token.
-#[allow(clippy::large_enum_variant)]
-pub(crate) enum SessionEvent {
-    /// A frame of the request.
-    Frame {
-        /// Link it came over.
-        link_id: u64,
-        /// The frame.
-        body: Body,
-    },
-    /// A link has closed.
-    Closed {
-        /// Its number.
-        link_id: u64,
-    },
-    /// The entry stops and gives requests no more time.
-    Cut,
-}
-
 /// What a request is, for all its attempts.
 pub(crate) struct Job {
     pub(crate) request: RequestId,
--- a/crates/entry/src/session/recover.rs
+++ b/crates/entry/src/session/recover.rs
@@ -12,7 +12,7 @@
 use futures_lite::FutureExt as _;
 
 use super::{Cause, Ending, Phase, Session, SessionEvent};
-use crate::keyed::in_progress_ms;
+use crate::key_hold::in_progress_ms;
 
 /// Wait between two questions to a side process that does not answer.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 
 use crate::{
-    api::Call,
-    keyed::{self, KeyedRequest},
-    node::Shared,
+    call::Call,
+    key_hold::KeyedRequest,
+    keyed,
     session::{Ending, Job, Progress, Session},
+    shared::Shared,
 };
 
 /// A request under way, as its handler sees it.
--- a/crates/entry/src/tally.rs
+++ b/crates/entry/src/tally.rs
@@ -13,9 +13,9 @@
 };
 
 use crate::{
-    api::Call,
-    node::{InFlight, Shared},
+    call::Call,
     session::Ending,
+    shared::{InFlight, Shared},
 };
 
 /// Counts a request from its start to its one outcome.
