--- a/crates/daemon/tests/users_platform/faults.rs
+++ b/crates/daemon/tests/users_platform/faults.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use async_io::Timer;
 use chestnutreach_emulator::{
-    caller::Kind,
+    caller::{Kind, Wish},
     experiment::{Fault, FaultKind},
     load::Load,
     report::Report,
@@ -12,8 +13,8 @@
 use rstest::rstest;
 
 use crate::support::{
-    assert_all_served, assert_kept, on_site, play_while_first_engines_end,
-    streams, wait_until,
+    assert_all_served, assert_kept, on, on_site, one,
+    play_while_first_engines_end, streams, wait_until,
 };
 
 fn fault(at_ms: u64, kind: FaultKind, length_ms: u64) -> Fault {
@@ -102,3 +103,33 @@
     assert_kept(&report);
     assert!(report.served_share(Kind::Stream) > 0.9, "{}", report.to_text());
 }
+
+/// An engine whose row has lapsed may live and run what it was sent, so it
+/// counts for the route's `max-attempts`, which is 2.
+#[test]
+fn engines_that_lapsed_and_live_count_as_attempts() {
+    let site = Site { events: 150, ..Site::small() };
+    on(&site, async |running| {
+        let lapse_all = async || {
+            Timer::after(Duration::from_millis(500)).await;
+            for first in running.world.first_engines() {
+                running.world.unlist(first);
+                // The stream looks for what its pause means, and leaves.
+                running.world.change(first, |s| s.slowness = 40.0);
+            }
+        };
+        let wish = Wish { tries: 1, ..Wish::new(Kind::Stream, "a", 150) };
+        let lapse = async {
+            lapse_all().await;
+            lapse_all().await;
+            Timer::after(Duration::from_millis(1_500)).await;
+            for engine in running.world.engines() {
+                running.world.change(engine, |s| s.slowness = 1.0);
+            }
+        };
+        let stream = one(running, 0, &wish);
+        let (outcome, ()) = futures_lite::future::zip(stream, lapse).await;
+        let arrivals = running.world.seen().arrivals;
+        assert_eq!(arrivals[&outcome.tries[0].id], 2, "{outcome:?}");
+    });
+}
--- a/crates/direct/src/probe.rs
+++ b/crates/direct/src/probe.rs
@@ -166,27 +166,42 @@
     if engine.is_probing.swap(true, Relaxed) {
         return;
     }
-    let mut last = None;
+    let dialled = dial(&engine).await;
+    engine.is_probing.store(false, Relaxed);
+    match dialled {
+        Ok(()) => clear(&engine),
+        Err(e) => note_unreached(&core, &engine, &e),
+    }
+}
+
+/// Whether the process of an engine has ended, or is out of reach, as far as
+/// a dial shows. What is there at the address of one that has left the list
+/// may be another process; it is taken for the same.
+pub(crate) async fn has_ended(core: &Arc<Core>, engine: &Arc<Engine>) -> bool {
+    if !engine.lock().is_gone {
+        probe(core.clone(), engine.clone()).await;
+    }
+    let (is_gone, suspicion) = {
+        let state = engine.lock();
+        (state.is_gone, state.suspicion)
+    };
+    if suspicion.is_some_and(|s| s.evidence != Evidence::Stalled) {
+        return true;
+    }
+    is_gone && dial(engine).await.is_err()
+}
+
+/// Dials; a lost packet alone is no failure.
+async fn dial(engine: &Engine) -> io::Result<()> {
+    let mut dialled = Ok(());
     for _ in 0..DIALS {
-        match Outbound::connect(engine.address, DIAL).await {
-            Ok(_) => {
-                last = None;
-                break;
-            }
-            Err(e) => {
-                let is_silent = e.kind() == io::ErrorKind::TimedOut;
-                last = Some(e);
-                if !is_silent {
-                    break;
-                }
-            }
+        dialled = Outbound::connect(engine.address, DIAL).await.map(|_| ());
+        let is_silent = |e: &io::Error| e.kind() == io::ErrorKind::TimedOut;
+        if !dialled.as_ref().is_err_and(is_silent) {
+            break;
         }
     }
-    engine.is_probing.store(false, Relaxed);
-    match last {
-        None => clear(&engine),
-        Some(e) => note_unreached(&core, &engine, &e),
-    }
+    dialled
 }
 
 /// Dials the engines of a path that nothing speaks for.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -24,7 +24,7 @@
     clock::now_ms,
     core::Core,
     ended::{After, Ended, refuse},
-    engine::{Evidence, Hold},
+    engine::Hold,
     fleet::Path,
     probe,
     supervise::Listed,
@@ -202,18 +202,13 @@
 
     /// Takes that the first engine no longer answers this request. It does
     /// not count as one that ran it if it has ended, which a dial shows now;
-    /// one that ends later has still run it.
+    /// one that ends later has still run it, and one that the list lacks may
+    /// live.
     async fn leave_first(&mut self) {
         let first = self.path.first().clone();
         self.without.insert(first.id.clone());
         self.cause = "resumed";
-        probe::probe(self.core.clone(), first.clone()).await;
-        let has_ended = {
-            let state = first.lock();
-            let evidence = state.suspicion.map(|s| s.evidence);
-            state.is_gone || evidence.is_some_and(|e| e != Evidence::Stalled)
-        };
-        if has_ended {
+        if probe::has_ended(self.core, &first).await {
             self.attempts.has_ended(&first.id);
         }
     }
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -404,8 +404,8 @@
     /// An engine by chance may be first of no stream.
     pub async fn end_first_engine(&self, empty_after: Duration) {
         loop {
-            if let Some(engine) = self.world.busiest_first_engine() {
-                return self.replace(engine, empty_after);
+            if let Some(engine) = self.world.first_engines().first() {
+                return self.replace(*engine, empty_after);
             }
             Timer::after(LISTENER_ENDS).await;
         }
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -209,12 +209,14 @@
         self.addresses(MODEL_SERVICE)
     }
 
-    /// The engine that is first of most streams; none without streams.
-    pub fn busiest_first_engine(&self) -> Option<SocketAddr> {
+    /// Engines that are first of streams, most streams first.
+    pub fn first_engines(&self) -> Vec<SocketAddr> {
         let state = self.lock();
-        let first =
-            state.servers.iter().filter(|(_, s)| !s.streams.is_empty());
-        first.max_by_key(|(_, s)| s.streams.len()).map(|(address, _)| *address)
+        let with_streams =
+            state.servers.iter().map(|(a, s)| (s.streams.len(), a));
+        let mut first: Vec<_> = with_streams.filter(|f| f.0 > 0).collect();
+        first.sort_by_key(|(count, _)| std::cmp::Reverse(*count));
+        first.into_iter().map(|(_, address)| *address).collect()
     }
 
     /// Addresses of servers of the plain service.
@@ -300,6 +302,13 @@
         self.lapse_later(address, listed);
     }
 
+    /// Takes a server's row away while it serves on.
+    pub fn unlist(&self, address: SocketAddr) {
+        if let Some(server) = self.server(address) {
+            self.shared.store.drop_row(TABLE, &server.id);
+        }
+    }
+
     /// Lets a server fall silent.
     pub fn darken(&self, address: SocketAddr) {
         self.change(address, |server| server.life = Life::Dark);
