--- a/crates/cli/tests/cli/site.rs
+++ b/crates/cli/tests/cli/site.rs
@@ -101,13 +101,19 @@
     assert_eq!(good.code, 0, "{}{}", good.out, good.error);
     let dir = tempfile::tempdir().unwrap();
     let bad = dir.path().join("bad.toml");
-    fs::write(&bad, "[roles.a]\non = \"x\"\nshare = 2.0\n").unwrap();
+    fs::write(&bad, "[roles.a]\non = \"x\"\nshare = 2.0\nmetrics = \"x/y\"\n")
+        .unwrap();
     let bad = bad.to_str().unwrap();
     let run = run(&["check", "--deploy", bad, "--settings", bad]);
     assert_eq!(run.code, 2);
-    for place in
-        ["build", "roles.a.run", "roles.a.on", "roles.a.share", "node-name"]
-    {
+    for place in [
+        "build",
+        "roles.a.run",
+        "roles.a.on",
+        "roles.a.share",
+        "roles.a.metrics",
+        "node-name",
+    ] {
         assert!(run.out.contains(place), "{place}: {}", run.out);
     }
 }
--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -28,7 +28,7 @@
 const LOOK_AT_FILE: Duration = Duration::from_secs(2);
 
 /// Runs an entry until it is told to stop.
-pub(crate) fn main(is_check: bool) -> ExitCode {
+pub(crate) fn main(is_check: bool, metrics_port: Option<u16>) -> ExitCode {
     let (path, settings) = match load() {
         Ok(loaded) => loaded,
         Err(message) => {
@@ -40,7 +40,7 @@
         println!("{}: no findings", path.display());
         return ExitCode::SUCCESS;
     }
-    match run(&path, settings) {
+    match run(&path, settings, metrics_port) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::from(EXIT_CUT),
         Err(e) => {
@@ -71,10 +71,15 @@
     try_parse(&text)
 }
 
-fn run(path: &Path, settings: NodeSettings) -> anyhow::Result<usize> {
+fn run(
+    path: &Path,
+    settings: NodeSettings,
+    metrics_port: Option<u16>,
+) -> anyhow::Result<usize> {
     let lines = chestnutreach_telemetry::log::init_buffered(LogLevel::Info)?;
     let executor = Arc::new(Executor::new());
-    let entry = DirectEntry::start(settings.clone(), executor.clone())?;
+    let entry =
+        DirectEntry::start(settings.clone(), metrics_port, executor.clone())?;
     let follow = follow_file(path.to_owned(), settings);
     executor.spawn(follow).detach();
     let stop = async {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -27,7 +27,8 @@
 fn main() -> ExitCode {
     let arguments = command().get_matches();
     if arguments.get_flag("users-platform") {
-        return direct::main(arguments.get_flag("check"));
+        let metrics_port = arguments.get_one("metrics-port").copied();
+        return direct::main(arguments.get_flag("check"), metrics_port);
     }
     let path: &PathBuf =
         arguments.get_one("settings").expect("clap asks for it");
@@ -71,6 +72,14 @@
                 .conflicts_with("settings")
                 .help("Run as an entry with the platform's settings file"),
         )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .value_name("PORT")
+                .value_parser(value_parser!(u16).range(1..))
+                .requires("users-platform")
+                .help("Show the metrics at this port as well"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
--- a/crates/daemon/tests/users_platform/path.rs
+++ b/crates/daemon/tests/users_platform/path.rs
@@ -81,6 +81,19 @@
     });
 }
 
+#[test]
+fn metrics_are_at_the_port_asked_for_if_it_is_free() {
+    on_site(async |running| {
+        let at = running.entries.lock().unwrap().metrics_address();
+        let (status, text) = get(at, "/metrics").await.unwrap();
+        assert_eq!(status, 200);
+        assert!(text.contains("chestnutreach_requests_waiting"));
+        // The others of this machine serve without it.
+        let logs = running.logs();
+        assert_eq!(logs.matches("\"metrics_port_taken\"").count(), 2);
+    });
+}
+
 #[test]
 fn metrics_and_status_are_shown() {
     on_site(async |running| {
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -1,7 +1,7 @@
 //! Starting and stopping an entry.
 
 use std::{
-    error, fmt, io,
+    error, fmt, io, iter,
     net::{SocketAddr, TcpListener},
     sync::{Arc, atomic::Ordering::Relaxed},
     time::Duration,
@@ -66,13 +66,16 @@
 }
 
 impl DirectEntry {
-    /// Opens the ports and starts the tasks of an entry.
+    /// Opens the ports and starts the tasks of an entry. Metrics are at the
+    /// first internal port, and at `metrics_port` as well if that is free:
+    /// an entry that can't be watched still serves.
     ///
     /// # Errors
     ///
     /// A port can't be opened.
     pub fn start(
         settings: NodeSettings,
+        metrics_port: Option<u16>,
         executor: Arc<Executor<'static>>,
     ) -> Result<DirectEntry, StartError> {
         let (stop, closing) = async_channel::bounded(1);
@@ -88,13 +91,20 @@
             source,
         })?;
         let ops = listen("metrics", inner)?;
+        let more_ops = metrics_port.and_then(|port| {
+            let address = SocketAddr::new(settings.ip, port);
+            let listener = listen("metrics", address);
+            listener.map_err(|e| note_port_taken(port, &e)).ok()
+        });
         let lease = Arc::new(Lease::new(&core));
         let executor = core.executor.clone();
         executor.spawn(serve_clients(core.clone(), clients)).detach();
         executor.spawn(serve_ready(core.clone(), ready)).detach();
-        executor
-            .spawn(serve_ops(ops, executor.clone(), ops_state(&core)))
-            .detach();
+        let state = ops_state(&core);
+        for ops in iter::once(ops).chain(more_ops) {
+            let serve = serve_ops(ops, executor.clone(), state.clone());
+            executor.spawn(serve).detach();
+        }
         executor.spawn(follow::follow_configuration(core.clone())).detach();
         executor.spawn(follow::follow_backends(core.clone())).detach();
         executor.spawn(peers::run(core.clone(), socket)).detach();
@@ -199,6 +209,13 @@
     }
 }
 
+fn note_port_taken(port: u16, error: &StartError) {
+    emit(
+        Event::MetricsPortTaken,
+        &[("port", &port), ("error", &error.to_string())],
+    );
+}
+
 fn ops_state(core: &Arc<Core>) -> Arc<OpsState> {
     let status = {
         let core = core.clone();
--- a/crates/emulator/src/entries.rs
+++ b/crates/emulator/src/entries.rs
@@ -27,6 +27,8 @@
     /// Address of the store for each entry.
     stores: Vec<SocketAddr>,
     entries: Vec<Entry>,
+    /// Asked for by all entries; on one machine the first one gets it.
+    metrics: SocketAddr,
     /// Nothing is started any more.
     is_closed: bool,
 }
@@ -53,6 +55,7 @@
             site: site.clone(),
             stores: stores.to_vec(),
             entries: Vec::new(),
+            metrics: free_address(),
             is_closed: false,
         };
         for index in 0..site.entries {
@@ -78,6 +81,11 @@
         ([127, 0, 0, 1], self.entries[index].ports.inner).into()
     }
 
+    /// Where the first entry shows its metrics as well.
+    pub fn metrics_address(&self) -> SocketAddr {
+        self.metrics
+    }
+
     /// Starts an entry that does not run.
     ///
     /// # Errors
@@ -96,6 +104,8 @@
             .open(self.log_path(index))?;
         let child = Command::new(&self.binary)
             .arg("--users-platform")
+            .arg("--metrics-port")
+            .arg(self.metrics.port().to_string())
             .env(SETTINGS_VARIABLE, &settings)
             .stdin(Stdio::null())
             .stderr(log.try_clone()?)
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -275,6 +275,9 @@
         ["request", "account", "tokens", "urgency", "waiting", "waited_ms",
          "result"],
         "A stream waited for a path in the queue of its service.";
+    MetricsPortTaken = 923, "metrics_port_taken", Warn,
+        ["port", "error"],
+        "The metrics can't be had at the port that was asked for.";
 }
 
 impl Event {
