A stream whose answer is lost without a sign is left once later ones begin

A stream that has not begun was never left, since it may wait its turn.

Change: routing::first_wait tells one that is overtaken from one that waits: two later ones have begun, it has waited 0.7 of the route's target and three times as long as all but one of the last eight. Under overload all wait long and nobody moves; each move still needs the attempts and the shared bound.

Ruled out: a fixed time (under overload all would move at once), reports of the engines (they are priced and tell of no lost answer), the longest of the eight waits as the measure (one slow start hides the rest).

Test: streams of which 0.3 vanish at every engine go on.

--- a/crates/daemon/tests/users_platform/faults.rs
+++ b/crates/daemon/tests/users_platform/faults.rs
@@ -104,6 +104,24 @@
     assert!(report.served_share(Kind::Stream) > 0.9, "{}", report.to_text());
 }
 
+#[test]
+fn streams_whose_answers_vanish_go_on_elsewhere() {
+    on_site(async |running| {
+        // Enough that began to tell who is overdue.
+        let load = streams(25.0, Duration::from_secs(1));
+        assert_all_served(&running.play(&load, &[]).await);
+        for engine in running.world.engines() {
+            running.world.change(engine, |server| server.swallows = 0.3);
+        }
+        let load = streams(25.0, Duration::from_secs(3));
+        let report = running.play(&load, &[]).await;
+        assert_kept(&report);
+        assert!(report.further_arrivals() > 0, "{}", report.to_text());
+        let logs = running.logs();
+        assert!(logs.contains("later ones have begun"));
+    });
+}
+
 /// An engine whose row has lapsed may live and run what it was sent, so it
 /// counts for the route's `max-attempts`, which is 2.
 #[test]
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwapOption;
 use async_executor::Executor;
 use chestnutreach_protocol::peers::OpenOrder;
-use chestnutreach_routing::{RetryBounds, RetryWindow, Sent};
+use chestnutreach_routing::{FirstWaits, RetryBounds, RetryWindow, Sent};
 use chestnutreach_site::{Configuration, Limits, NodeSettings};
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
@@ -51,6 +51,7 @@
     /// Bytes that own requests send between data centres.
     pub(crate) crossing: Rate,
     retries: Mutex<BTreeMap<String, RetryWindow>>,
+    first_waits: Mutex<BTreeMap<String, FirstWaits>>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) readiness: Arc<Readiness>,
     /// When the stop began; 0 before.
@@ -89,6 +90,7 @@
             peers: PeerTable::default(),
             crossing: Rate::default(),
             retries: Mutex::default(),
+            first_waits: Mutex::default(),
             metrics: Arc::new(metrics),
             readiness: Arc::new(Readiness::new(&conditions)),
             stopping_ms: AtomicU64::new(0),
@@ -242,6 +244,28 @@
         window.take(&bounds, entries, &others, now_ms())
     }
 
+    /// A stream that was sent then has its first event.
+    pub(crate) fn note_first_event(&self, service: &str, sent_ms: u64) {
+        let mut waits = self.first_waits.lock().expect("no holder panics");
+        if !waits.contains_key(service) {
+            waits.insert(service.to_owned(), FirstWaits::new());
+        }
+        let waits = waits.get_mut(service).expect("it was just added");
+        waits.note(sent_ms, now_ms());
+    }
+
+    /// Whether a stream that was sent then will hardly begin any more.
+    pub(crate) fn is_overdue(
+        &self,
+        service: &str,
+        sent_ms: u64,
+        least_ms: u64,
+    ) -> bool {
+        let waits = self.first_waits.lock().expect("no holder panics");
+        let waits = waits.get(service);
+        waits.is_some_and(|w| w.is_overdue(sent_ms, least_ms, now_ms()))
+    }
+
     /// Tells that a request may not be sent again now.
     pub(crate) fn note_retry_denied(&self, service: &str, request: &str) {
         self.metrics.service(service).retries_denied.inc();
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -260,6 +260,13 @@
         self.progress_ms.store(now_ms, Relaxed);
     }
 
+    /// Whether work flowed through it or a dial reached it of late.
+    pub(crate) fn lives(&self, now_ms: u64, within_ms: u64) -> bool {
+        let reached_ms = self.lock().reached_ms;
+        self.quiet_ms(now_ms) < within_ms
+            || now_ms.saturating_sub(reached_ms) < within_ms
+    }
+
     /// Time since a stream through it last made progress.
     pub(crate) fn quiet_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.progress_ms.load(Relaxed))
--- a/crates/direct/src/stream/attempt.rs
+++ b/crates/direct/src/stream/attempt.rs
@@ -190,7 +190,11 @@
 
     fn note_progress(&mut self) {
         let now_ms = now_ms();
-        let metrics = self.core.metrics.service(&self.admitted.service.name);
+        let service = &self.admitted.service.name;
+        let metrics = self.core.metrics.service(service);
+        if !self.pace.has_begun {
+            self.core.note_first_event(service, self.pace.moved_ms);
+        }
         let gap_ms = self.pace.moved(now_ms);
         let gap = Duration::from_millis(gap_ms).as_secs_f64();
         match self.ended.first_ms {
--- a/crates/direct/src/stream/watch.rs
+++ b/crates/direct/src/stream/watch.rs
@@ -13,7 +13,7 @@
     clock::now_ms,
     engine::Engine,
     exchange::{self, within},
-    fleet::{Path, PathNeed},
+    fleet::{Path, PathNeed, Stage},
     probe,
 };
 
@@ -24,6 +24,11 @@
 /// A stream that stands still for so long, while others of its first engine
 /// move, goes on elsewhere: clients leave after 2 s.
 const GIVE_UP_MS: u64 = 900;
+/// Share of the route's target that a stream is given to begin in any case:
+/// another engine then begins within the target.
+const OVERDUE_SHARE: f64 = 0.7;
+/// An engine that was heard of within this time lives.
+const LIVES_MS: u64 = 250;
 /// Time for an order.
 pub(super) const ORDER: Duration = Duration::from_millis(350);
 /// Orders for one detour: the first may meet another engine without room.
@@ -145,8 +150,30 @@
             self.pace.is_told = true;
             probe::ask_path(self.core, &self.path);
         }
-        self.left_because = "the connection is silent";
-        !self.is_connection_silent(quiet_ms) || !self.can_move()
+        self.left_because = match self.pace.has_begun {
+            true => "the connection is silent",
+            false => "later ones have begun",
+        };
+        let is_silent =
+            self.is_connection_silent(quiet_ms) || self.is_overdue();
+        !is_silent || !self.can_move()
+    }
+
+    /// Whether this stream has not begun although all engines of its path
+    /// live and others began long after they were sent later: its answer is
+    /// lost.
+    fn is_overdue(&self) -> bool {
+        let now_ms = now_ms();
+        let target_ms = self.admitted.route.target_ms as f64;
+        let least_ms = (OVERDUE_SHARE * target_ms) as u64;
+        let lives = |stage: &Stage| stage.engine.lives(now_ms, LIVES_MS);
+        !self.pace.has_begun
+            && self.core.is_overdue(
+                &self.admitted.service.name,
+                self.pace.moved_ms,
+                least_ms,
+            )
+            && self.path.stages.iter().all(lives)
     }
 
     /// Whether this stream alone stands still: its first engine sends for
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     site::{MODEL_SERVICE, ONCE_PATH, PLAIN_SERVICE, STREAM_PATH},
-    world::{Life, Part, STALL, StreamState, World, layers_json},
+    world::{Life, Part, STALL, ServerState, StreamState, World, layers_json},
 };
 
 /// Time between looks at a server's life.
@@ -365,9 +365,15 @@
         server.streams.insert(id.to_owned(), state);
     });
     world.note_run(id);
-    let resets = world
-        .server(address)
-        .is_some_and(|server| fastrand::f64() < server.loses_answers);
+    let server = world.server(address);
+    let share = |share: fn(&ServerState) -> f64| {
+        fastrand::f64() < server.as_ref().map_or(0.0, share)
+    };
+    if share(|server| server.swallows) {
+        Timer::after(STALL).await;
+        return false;
+    }
+    let resets = share(|server| server.loses_answers);
     let is_whole =
         !resets && send_events(world, address, inbound, request, id).await;
     world.change(address, |server| {
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -68,6 +68,9 @@
     pub slowness: f64,
     /// Share of requests whose answer is lost after they ran.
     pub loses_answers: f64,
+    /// Share of streams that run and whose answer never comes, without a
+    /// sign.
+    pub swallows: f64,
     /// Share of requests that fail with 500.
     pub fails: f64,
     /// Whether an answer of another request comes first.
@@ -169,6 +172,7 @@
             orders: 0,
             slowness: 1.0,
             loses_answers: 0.0,
+            swallows: 0.0,
             fails: 0.0,
             mixes_answers: false,
             streams: BTreeMap::new(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`fair`], [`admission`] | who goes next, and who can finish in time |
 //! | [`gate`] | who may run on one server now, and who waits |
 //! | [`turns`] | who may seek a path now, and who waits |
+//! | [`first_wait`] | whether a stream will hardly begin any more |
 //! | [`flow`] | the most tokens a second the hardware allows |
 //!
 //! ```
@@ -64,6 +65,7 @@
 pub mod fair;
 mod fair_account;
 mod fair_refusal;
+pub mod first_wait;
 pub mod fleet;
 mod fleet_error;
 pub mod flow;
@@ -95,6 +97,7 @@
 pub use explain::{Explanation, explain};
 pub use fair::{FairQueue, Popped};
 pub use fair_refusal::{PushRefusal, PushRefusalReason};
+pub use first_wait::FirstWaits;
 pub use fleet::{BackendIndex, BackendSpec, Fleet};
 pub use fleet_error::{FleetError, FleetFinding};
 pub use flow::{Mix, throughput_bound};
