Planners tell of their moves only

Cause: read as a newcomer: the holder told the others of all its open orders. An empty fleet of 1,100 engines has 1,100 of them, 44 KB in one message; entries take 16 KB and would no longer hear the planner at all.

Change: only moves are told, of which one at most is open; an order to an empty engine gives no copy up.

--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -118,7 +118,7 @@
         crossing_kilobytes_per_s: (core.crossing.per_s(now_ms()) / 1e3) as u32,
         resigned: core.resigned.load(Relaxed),
         is_stopping: core.stopping_for_ms().is_some(),
-        open_orders: core.open_orders(),
+        open_moves: core.open_moves(),
     }
 }
 
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -3,12 +3,16 @@
 //! What is ordered, and again, is decided by [`OrderBook`] from what is known
 //! of the engines; here are the turns, the calls and the lines of the logs.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+};
 
 use async_io::Timer;
 use chestnutreach_adapter::engine::place_body;
 use chestnutreach_planner::{
-    DueOrder, KnownEngine, LayerRange, LayoutEngine, LayoutModel, OpenOrder,
+    DueOrder, KnownEngine, LayerRange, LayoutEngine, LayoutModel, OpenMove,
     OrderBook, cover, order_book::FORGOTTEN_MS,
 };
 use chestnutreach_protocol::peers;
@@ -41,10 +45,11 @@
         match lease.may_act() {
             Some(number) => {
                 planner.round(&core, &lease, number).await;
-                core.set_open_orders(planner.open_orders(&core));
+                core.set_open_moves(planner.open_moves(&core));
             }
             None => planner = Planner::default(),
         }
+        core.orders_waiting.store(planner.open_count(), Relaxed);
     }
 }
 
@@ -59,15 +64,19 @@
 }
 
 impl Planner {
+    fn open_count(&self) -> usize {
+        self.books.values().map(OrderBook::open_count).sum()
+    }
+
     /// What others are told, for the next planner.
-    fn open_orders(&self, core: &Core) -> Vec<(u64, peers::OpenOrder)> {
+    fn open_moves(&self, core: &Core) -> Vec<(u64, peers::OpenMove)> {
         let books = self.books.iter();
-        let orders = books.flat_map(|(service, book)| {
-            book.open().map(move |open| (service, open))
+        let moves = books.flat_map(|(service, book)| {
+            book.open_moves().map(move |open| (service, open))
         });
-        let told = |(service, open): (&String, OpenOrder)| {
+        let told = |(service, open): (&String, OpenMove)| {
             let engine = core.fleet.get(&open.engine)?;
-            let order = peers::OpenOrder {
+            let told = peers::OpenMove {
                 service: service.clone(),
                 engine: engine.hash,
                 first_layer: open.range.first_layer,
@@ -75,9 +84,9 @@
                 orders_begun: open.orders_begun,
                 age_ms: 0,
             };
-            Some((open.given_ms, order))
+            Some((open.given_ms, told))
         };
-        orders.filter_map(told).collect()
+        moves.filter_map(told).collect()
     }
 
     async fn round(
@@ -128,7 +137,7 @@
         };
         self.note_cover(core, service, &layout_model, &known);
         if !self.books.contains_key(service) {
-            let book = OrderBook::new(told_orders(core, service, &engines));
+            let book = OrderBook::new(told_moves(core, service, &engines));
             self.books.insert(service.to_owned(), book);
         }
         let book = self.books.get_mut(service).expect("it was just added");
@@ -175,25 +184,25 @@
     }
 }
 
-/// Orders of the planners before, that one of this entry among them, which
-/// may still be carried out.
-fn told_orders(
+/// Moves of the planners before, this entry's own among them, which may still
+/// be carried out.
+fn told_moves(
     core: &Core,
     service: &str,
     engines: &[Arc<Engine>],
-) -> Vec<OpenOrder> {
-    let known = |(given_ms, order): (u64, peers::OpenOrder)| {
-        let engine = engines.iter().find(|e| e.hash == order.engine)?;
-        Some(OpenOrder {
+) -> Vec<OpenMove> {
+    let known = |(given_ms, told): (u64, peers::OpenMove)| {
+        let engine = engines.iter().find(|e| e.hash == told.engine)?;
+        Some(OpenMove {
             engine: engine.id.clone(),
-            range: LayerRange::new(order.first_layer, order.end_layer),
-            orders_begun: order.orders_begun,
+            range: LayerRange::new(told.first_layer, told.end_layer),
+            orders_begun: told.orders_begun,
             given_ms,
         })
     };
     let now_ms = now_ms();
-    let told = core.peers.told_orders(service).into_iter();
-    let own = core.own_orders(service).into_iter();
+    let told = core.peers.told_moves(service).into_iter();
+    let own = core.own_moves(service).into_iter();
     let recent = told
         .chain(own)
         .filter(|(given_ms, _)| now_ms - given_ms < FORGOTTEN_MS);
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -52,7 +52,7 @@
     LayoutEngine, LayoutModel, Placement, cover, move_one, place_empty,
 };
 pub use order::{Order, Reason};
-pub use order_book::{DueOrder, KnownEngine, OpenOrder, OrderBook};
+pub use order_book::{DueOrder, KnownEngine, OpenMove, OrderBook};
 pub use plan::{Plan, plan};
 pub use service::{
     CheckedService, Kind, LayerRange, Server, Service, ServiceError,
--- a/crates/planner/src/order_book.rs
+++ b/crates/planner/src/order_book.rs
@@ -6,8 +6,8 @@
 //! effect the engine counts as holding what it was ordered to hold. A move,
 //! which gives layers up, is made only while no other order is open.
 //!
-//! A planner that takes over opens its book with the orders that the one
-//! before it told of: a move of that one may still come, and rely on the same
+//! A planner that takes over opens its book with the moves that the one
+//! before it told of: they may still come, and rely on the same
 //! copies as a new one. So that the others know of it, a move stands in the
 //! book for [`TOLD_FIRST_MS`] before it is sent. In the play of
 //! `tests/order_book.rs` a layer is lost in one of 2,700 runs otherwise. No
@@ -56,9 +56,9 @@
     pub orders_begun: u64,
 }
 
-/// An order that was given and does not show yet.
+/// An order to move that was given and does not show yet.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct OpenOrder {
+pub struct OpenMove {
     /// Id of the engine.
     pub engine: String,
     /// The layers.
@@ -81,6 +81,8 @@
 struct Given {
     range: LayerRange,
     orders_begun: u64,
+    /// Whether the engine gives layers up for it.
+    is_move: bool,
     first_ms: u64,
     /// When it is sent for the first time.
     send_from_ms: u64,
@@ -90,14 +92,15 @@
 }
 
 impl OrderBook {
-    /// The book of a planner that takes over, with the orders that the one
+    /// The book of a planner that takes over, with the moves that the one
     /// before it told of.
-    pub fn new(told: impl IntoIterator<Item = OpenOrder>) -> OrderBook {
+    pub fn new(told: impl IntoIterator<Item = OpenMove>) -> OrderBook {
         let given = told.into_iter().map(|open| {
             let given = Given {
                 range: open.range,
                 orders_begun: open.orders_begun,
                 first_ms: open.given_ms,
+                is_move: true,
                 send_from_ms: open.given_ms,
                 last_ms: Some(open.given_ms),
                 sent: 1,
@@ -107,9 +110,11 @@
         OrderBook { given: given.collect(), gap_since_ms: None }
     }
 
-    /// Orders that were given and do not show yet.
-    pub fn open(&self) -> impl Iterator<Item = OpenOrder> {
-        self.given.iter().map(|(engine, given)| OpenOrder {
+    /// Moves that were given and do not show yet; one at most, unless one
+    /// was told of.
+    pub fn open_moves(&self) -> impl Iterator<Item = OpenMove> {
+        let moves = self.given.iter().filter(|(_, given)| given.is_move);
+        moves.map(|(engine, given)| OpenMove {
             engine: engine.clone(),
             range: given.range,
             orders_begun: given.orders_begun,
@@ -222,6 +227,7 @@
         Given {
             range,
             orders_begun: engine.orders_begun.max(u64::from(is_move)),
+            is_move,
             first_ms: now_ms,
             send_from_ms: now_ms + told_first_ms,
             last_ms: None,
