--- a/crates/direct/src/stream/watch.rs
+++ b/crates/direct/src/stream/watch.rs
@@ -160,8 +160,7 @@
     }
 
     /// Whether this stream has not begun although all engines of its path
-    /// live and others began long after they were sent later: its answer is
-    /// lost.
+    /// live and streams that were sent later have begun: its answer is lost.
     fn is_overdue(&self) -> bool {
         let now_ms = now_ms();
         let target_ms = self.admitted.route.target_ms as f64;
