--- a/crates/daemon/tests/users_platform/links.rs
+++ b/crates/daemon/tests/users_platform/links.rs
@@ -40,18 +40,12 @@
     vec![at(300), at(700), at(1_200)]
 }
 
-/// The store is out of reach for less than keys stay fresh.
-#[rstest]
-#[case::delayed(LinkFault::Delayed(Duration::from_millis(180)))]
-#[case::reset(LinkFault::Reset)]
-#[case::silent(LinkFault::Silent)]
-#[case::cut_forth(LinkFault::CutForth)]
-#[case::cut_back(LinkFault::CutBack)]
-fn all_is_served_while_ways_to_the_store_fail(#[case] fault: LinkFault) {
-    on(&site(), async |running| {
-        let faults = faults(FaultKind::StoreLink(fault));
-        assert_all_served(&running.play(&load(), &faults).await);
-    });
+/// Which links fail.
+#[derive(Clone, Copy, Debug)]
+enum Links {
+    /// Those to the store, for less time than keys stay fresh.
+    ToStore,
+    ToServers,
 }
 
 #[rstest]
@@ -60,12 +54,21 @@
 #[case::silent(LinkFault::Silent)]
 #[case::cut_forth(LinkFault::CutForth)]
 #[case::cut_back(LinkFault::CutBack)]
-fn no_promise_breaks_while_ways_to_servers_fail(#[case] fault: LinkFault) {
+fn no_promise_breaks_while_links_fail(
+    #[case] fault: LinkFault,
+    #[values(Links::ToStore, Links::ToServers)] links: Links,
+) {
     on(&site(), async |running| {
-        let faults = faults(FaultKind::ServerLink(fault));
-        let report = running.play(&load(), &faults).await;
-        assert_kept(&report);
+        let kind = match links {
+            Links::ToStore => FaultKind::StoreLink(fault),
+            Links::ToServers => FaultKind::ServerLink(fault),
+        };
+        let report = running.play(&load(), &faults(kind)).await;
         let text = report.to_text();
+        match links {
+            Links::ToStore => assert_all_served(&report),
+            Links::ToServers => assert_kept(&report),
+        }
         assert!(report.served_share(Kind::Stream) > 0.9, "{text}");
         assert!(running.recovers().await, "{text}");
     });
