Let a test of stops wait for work of its load, not of its long streams

Its log: the side process was told to stop 13 ms after its link to the second entry opened, with two requests in flight. The new work that the test waits for was one of its four long streams, which begin at the same time as the load; of the load itself nothing had run there yet.

Change: all four long streams run before the load begins. The checks stay as they are.

--- a/crates/daemon/tests/fleet_members.rs
+++ b/crates/daemon/tests/fleet_members.rs
@@ -134,6 +134,15 @@
                 thread::spawn(move || caller.stream(&name, 1_500, |_| {}))
             })
             .collect();
+        // Else one of them may be the new work that is waited for, and the
+        // load may have none there yet when the process is told to stop.
+        fleet
+            .wait_for("the long streams to run", |fleet| {
+                let mut ran = ran_on(fleet, "desk-0a");
+                ran.append(&mut ran_on(fleet, "desk-0b"));
+                ran.len() == long.len()
+            })
+            .unwrap();
         let load = Load::start(fleet, LoadPlan::default());
         wait_for_new_work(fleet, "desk-0a");
         let left = Instant::now();
