Close gaps of layers by engines that grow, several moves at once

The planner moved one engine at a time, only one whose layers were all doubled, only while no other order was open, and 4 s passed until a moved engine had let end what passed through it.

Ruled out: more copies.

Change: engines beside a gap take its layers on as well, which gives nothing up and waits for nothing; where that is not enough for any, what one engine holds alone is taken on so that that one can move; moves count on what engines surely hold in place of waiting for all other orders. A planner that takes over plans at once where engines hold layers.

--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -31,8 +31,8 @@
 
 /// Time between plans.
 const PLAN_EVERY: Duration = Duration::from_millis(150);
-/// The first plan waits until no new engine has come for so long, so that it
-/// is made for all.
+/// The plan for an empty fleet waits until no new engine has come for so
+/// long, so that it is made for all.
 const SETTLED_MS: u64 = 500;
 /// Time for an order.
 const ORDER: Duration = Duration::from_millis(600);
@@ -110,7 +110,11 @@
 
     /// Whether the engines that start together have all come.
     fn has_settled(&mut self, core: &Core) -> bool {
-        let count = core.fleet.all().len();
+        let engines = core.fleet.all();
+        if engines.iter().any(|engine| engine.lock().row.held.is_some()) {
+            return true;
+        }
+        let count = engines.len();
         let now_ms = now_ms();
         if count > self.engine_count {
             self.grown_ms = now_ms;
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -14,6 +14,8 @@
 //! | [`plan`] | the orders that bring a service there |
 //! | [`order`] | an order and its reason |
 //! | [`layout`] | layers for engines that hold none, by memory |
+//! | [`mend`] | what engines that hold layers do where some are lacking |
+//! | `cover` | how many engines hold each layer |
 //! | [`order_book`] | orders that do not show yet |
 //!
 //! # Example
@@ -39,18 +41,19 @@
 //! ```
 
 pub mod capacity;
+mod cover;
 mod draft;
 mod growth;
 pub mod layout;
+pub mod mend;
 pub mod order;
 pub mod order_book;
 pub mod plan;
 pub mod service;
 mod tiling;
 
-pub use layout::{
-    LayoutEngine, LayoutModel, Placement, cover, move_one, place_empty,
-};
+pub use layout::{LayoutEngine, LayoutModel, Placement, cover, place_empty};
+pub use mend::{grow_into_gaps, grow_to_free, move_one};
 pub use order::{Order, Reason};
 pub use order_book::{DueOrder, KnownEngine, OpenMove, OrderBook};
 pub use plan::{Plan, plan};
--- a/crates/planner/src/order_book.rs
+++ b/crates/planner/src/order_book.rs
@@ -3,8 +3,9 @@
 //! An order that got no answer may have been lost, be carried out, or be
 //! carried out seconds later. So each carries the count of orders that its
 //! engine had begun, of which one takes effect, and until the list shows its
-//! effect the engine counts as holding what it was ordered to hold. A move,
-//! which gives layers up, is made only while no other order is open.
+//! effect the engine counts as holding what it was ordered to hold, but as
+//! surely holding only what it holds before and after. A move gives up only
+//! what others surely hold.
 //!
 //! A planner that takes over opens its book with the moves that the one
 //! before it told of: they may still come, and rely on the same
@@ -17,14 +18,19 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    layout::{LayoutEngine, LayoutModel, Placement, move_one, place_empty},
+    cover::Cover,
+    layout::{LayoutEngine, LayoutModel, Placement, place_empty},
+    mend::{grow_into_gaps, grow_to_free, move_sure},
     service::LayerRange,
 };
 
 /// After so long an order without effect is given again.
 pub const AGAIN_MS: u64 = 1_500;
-/// A gap must last so long before an engine moves to it: most are filled by
-/// engines that come back empty.
+/// A gap must last so long before engines grow into it: longer than an
+/// engine that is only slow to answer is suspected.
+pub const GROW_AFTER_MS: u64 = 300;
+/// And so long before an engine moves to it: most are filled by engines that
+/// grow or come back empty.
 pub const GAP_LASTS_MS: u64 = 1_000;
 /// After so long an order that had no effect is forgotten; late ones are
 /// carried out within 12 s.
@@ -73,7 +79,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct OrderBook {
     given: BTreeMap<String, Given>,
-    /// Since when there are gaps that no empty engine fills.
+    /// Since when there are gaps that no order closes.
     gap_since_ms: Option<u64>,
 }
 
@@ -110,8 +116,7 @@
         OrderBook { given: given.collect(), gap_since_ms: None }
     }
 
-    /// Moves that were given and do not show yet; one at most, unless one
-    /// was told of.
+    /// Moves that were given and do not show yet.
     pub fn open_moves(&self) -> impl Iterator<Item = OpenMove> {
         let moves = self.given.iter().filter(|(_, given)| given.is_move);
         moves.map(|(engine, given)| OpenMove {
@@ -136,44 +141,81 @@
         now_ms: u64,
     ) -> Vec<DueOrder> {
         self.forget_done(engines, now_ms);
-        let layout: Vec<LayoutEngine> =
+        let mut layout: Vec<LayoutEngine> =
             engines.iter().map(|engine| self.as_ordered(engine)).collect();
-        let mut placements = place_empty(model, &layout);
-        if placements.is_empty() && self.given.is_empty() {
-            placements.extend(self.lasting_move(model, &layout, now_ms));
+        for placement in place_empty(model, &layout) {
+            self.give(engines, &mut layout, placement, now_ms);
         }
-        for placement in placements {
-            let engine = &engines[placement.engine];
-            let given = Given::new(engine, placement.range, now_ms);
-            self.given.insert(engine.id.to_owned(), given);
+        for placement in self.mend(model, engines, &layout, now_ms) {
+            self.give(engines, &mut layout, placement, now_ms);
         }
         self.take_due(engines, now_ms)
     }
 
-    /// What an engine holds once its open order is carried out.
+    fn give(
+        &mut self,
+        engines: &[KnownEngine<'_>],
+        layout: &mut [LayoutEngine],
+        placement: Placement,
+        now_ms: u64,
+    ) {
+        let engine = &engines[placement.engine];
+        let given = Given::new(engine, placement.range, now_ms);
+        self.given.insert(engine.id.to_owned(), given);
+        layout[placement.engine] = self.as_ordered(engine);
+    }
+
+    /// What an engine holds once its open order is carried out. Until then
+    /// it gets no other.
     fn as_ordered(&self, engine: &KnownEngine<'_>) -> LayoutEngine {
-        let given = self.given.get(engine.id);
-        let held = given.map(|given| given.range).or(engine.layout.held);
-        LayoutEngine { held, ..engine.layout }
+        let Some(given) = self.given.get(engine.id) else {
+            return engine.layout;
+        };
+        LayoutEngine {
+            held: Some(given.range),
+            is_free: false,
+            ..engine.layout
+        }
     }
 
-    /// A move that fills a gap which has lasted.
-    fn lasting_move(
+    /// What an engine holds whether its open order is carried out or not.
+    fn surely_held(&self, engine: &KnownEngine<'_>) -> Option<LayerRange> {
+        let held = engine.layout.held?;
+        match self.given.get(engine.id) {
+            Some(given) => held.shared(given.range),
+            None => Some(held),
+        }
+    }
+
+    /// What closes gaps that have lasted.
+    fn mend(
         &mut self,
         model: &LayoutModel,
+        engines: &[KnownEngine<'_>],
         layout: &[LayoutEngine],
         now_ms: u64,
-    ) -> Option<Placement> {
-        let Some(placement) = move_one(model, layout) else {
+    ) -> Vec<Placement> {
+        let cover = Cover::new(model, layout);
+        if !(0..cover.here.len()).any(|at| cover.has_gap(at)) {
             self.gap_since_ms = None;
-            return None;
-        };
+            return Vec::new();
+        }
         let since_ms = *self.gap_since_ms.get_or_insert(now_ms);
-        if now_ms - since_ms < GAP_LASTS_MS {
-            return None;
+        if now_ms - since_ms < GROW_AFTER_MS {
+            return Vec::new();
+        }
+        let grown = grow_into_gaps(model, layout);
+        if !grown.is_empty() || now_ms - since_ms < GAP_LASTS_MS {
+            return grown;
+        }
+        let sure: Vec<_> =
+            engines.iter().map(|engine| self.surely_held(engine)).collect();
+        match move_sure(model, layout, &sure) {
+            Some(moved) => vec![moved],
+            None if self.given.is_empty() => grow_to_free(model, layout),
+            // What is under way may free an engine.
+            None => Vec::new(),
         }
-        self.gap_since_ms = None;
-        Some(placement)
     }
 
     fn take_due(
@@ -221,12 +263,13 @@
 
 impl Given {
     fn new(engine: &KnownEngine<'_>, range: LayerRange, now_ms: u64) -> Given {
-        // What it holds it was ordered to hold.
-        let is_move = engine.layout.held.is_some();
+        let held = engine.layout.held;
+        let is_move = held.is_some_and(|held| !range.contains(held));
         let told_first_ms = if is_move { TOLD_FIRST_MS } else { 0 };
         Given {
             range,
-            orders_begun: engine.orders_begun.max(u64::from(is_move)),
+            // What it holds it was ordered to hold.
+            orders_begun: engine.orders_begun.max(held.is_some().into()),
             is_move,
             first_ms: now_ms,
             send_from_ms: now_ms + told_first_ms,
--- a/crates/planner/src/service.rs
+++ b/crates/planner/src/service.rs
@@ -33,11 +33,16 @@
         let Some(other) = other else {
             return self.layers();
         };
+        self.layers() - self.shared(other).map_or(0, LayerRange::layers)
+    }
+
+    /// The layers that another range has as well, if there are any.
+    pub fn shared(self, other: LayerRange) -> Option<LayerRange> {
         let shared = LayerRange {
             first_layer: self.first_layer.max(other.first_layer),
             end_layer: self.end_layer.min(other.end_layer),
         };
-        self.layers() - shared.layers()
+        (shared.layers() > 0).then_some(shared)
     }
 }
 
