Orders without the lease where nothing is given up; parts of the join

Change: while no holder is heard, the entry with the lowest number among those heard gives the orders that give no layer up; an engine takes one of two orders on the same count, so any number of such planners is safe. A holder that stops tells the others by message as well.

Change: each entry has a part of the join, even among those that crossed within 5 s: 0.3 s and 2.0 s. Ruled out: a fixed multiple of an even part (9.6 s where all cross).

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -11,7 +11,9 @@
 use arc_swap::ArcSwapOption;
 use async_executor::Executor;
 use chestnutreach_protocol::peers::OpenMove;
-use chestnutreach_routing::{FirstWaits, RetryBounds, RetryWindow, Sent};
+use chestnutreach_routing::{
+    CrossingBounds, CrossingPart, FirstWaits, RetryBounds, RetryWindow, Sent,
+};
 use chestnutreach_site::{Configuration, Limits, NodeSettings};
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
@@ -28,6 +30,10 @@
 /// first window: with the share of the one before it, the bound holds.
 const SHARE_WHILE_NEW: f64 = 0.3;
 
+/// A process younger than this does not stand in for the planner: it has not
+/// heard all others yet, and a first planner is found within 1 s.
+const MIN_STAND_IN_AGE_MS: u64 = 3_000;
+
 /// Why an entry is not ready.
 pub(crate) const NEEDS_CONFIGURATION: &str = "configuration";
 pub(crate) const NEEDS_BACKENDS: &str = "backends";
@@ -50,6 +56,7 @@
     pub(crate) peers: PeerTable,
     /// Bytes that own requests send between data centres.
     pub(crate) crossing: Rate,
+    crossing_part: Mutex<CrossingPart>,
     retries: Mutex<BTreeMap<String, RetryWindow>>,
     first_waits: Mutex<BTreeMap<String, FirstWaits>>,
     pub(crate) metrics: Arc<Metrics>,
@@ -91,6 +98,7 @@
             path_queues: PathQueues::default(),
             peers: PeerTable::default(),
             crossing: Rate::default(),
+            crossing_part: Mutex::default(),
             retries: Mutex::default(),
             first_waits: Mutex::default(),
             metrics: Arc::new(metrics),
@@ -302,12 +310,44 @@
         moves.iter().map(aged).collect()
     }
 
+    /// Whether this entry gives the orders that need no lease: no holder is
+    /// heard of, and it comes first among the entries that are heard.
+    pub(crate) fn stands_in(&self) -> bool {
+        let now_ms = now_ms();
+        now_ms.saturating_sub(self.started_ms) >= MIN_STAND_IN_AGE_MS
+            && self.stopping_for_ms().is_none()
+            && !self.peers.has_planner(now_ms)
+            && self.peers.comes_first(self.boot_id, now_ms)
+    }
+
     /// Use of what joins data centres, as far as entries have told; 1 is
-    /// full.
+    /// full. It is full for this entry where its own part is used up.
     pub(crate) fn crossing_use(&self, pipe_mbps: f64) -> f64 {
+        let bounds = self.crossing_bounds(pipe_mbps);
+        let mut part = self.crossing_part.lock().expect("no holder panics");
+        if !part.has_left(&bounds, now_ms()) {
+            return 1.0;
+        }
+        drop(part);
         let own = self.crossing.per_s(now_ms());
-        let bytes_per_s = own + self.peers.crossing_bytes_per_s();
-        bytes_per_s * 8.0 / (pipe_mbps.max(1.0) * 1e6)
+        (own + self.peers.crossing_bytes_per_s()) / bounds.bytes_per_s
+    }
+
+    /// Counts what a request sends between data centres.
+    pub(crate) fn note_crossing(&self, pipe_mbps: f64, bytes: f64) {
+        let bounds = self.crossing_bounds(pipe_mbps);
+        let mut part = self.crossing_part.lock().expect("no holder panics");
+        part.take(&bounds, bytes, now_ms());
+        drop(part);
+        self.crossing.note(bytes, now_ms());
+    }
+
+    fn crossing_bounds(&self, pipe_mbps: f64) -> CrossingBounds {
+        CrossingBounds {
+            bytes_per_s: pipe_mbps.max(1.0) * 1e6 / 8.0,
+            entries: self.peers.entry_count(),
+            crossing: self.peers.crossing_count(now_ms()) + 1,
+        }
     }
 
     /// Index of a data centre; a name that the settings lack is the last.
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -139,7 +139,7 @@
             Event::DaemonStopping,
             &[("cause", &cause), ("in_flight", &in_flight)],
         );
-        self.lease.release().await;
+        self.lease.release(core).await;
         self.stop.close();
         let grace_ms = core.settings.bounds.grace_ms;
         let limit_ms = grace_ms.saturating_sub(CUT_BEFORE_MS);
--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -98,8 +98,12 @@
         }
     }
 
-    /// Gives the lease back, so that another entry need not wait.
-    pub(crate) async fn release(&self) {
+    /// Gives the lease back, so that another entry need not wait; the others
+    /// hear of it even if the store does not answer.
+    pub(crate) async fn release(&self, core: &Core) {
+        if let Some(number) = self.may_act() {
+            core.resigned.store(number.as_u64(), Relaxed);
+        }
         let command = self.holder().release(now_ms());
         if let Some(command) = command {
             self.carry_out(command).await;
--- a/crates/direct/src/peer_table.rs
+++ b/crates/direct/src/peer_table.rs
@@ -19,6 +19,12 @@
 pub(crate) const TOLD_AT_ONCE: usize = 24;
 /// Silence of the planner after which others look at its lease.
 const PLANNER_SILENT_MS: u64 = 700;
+/// Silence after which an entry no longer comes before others: four of its
+/// messages.
+const ABSENT_MS: u64 = 900;
+/// How long an entry shares what joins data centres after it used it: a part
+/// lets it cross once in some seconds only.
+const CROSSES_MS: u64 = 5_000;
 /// Entries assumed before others were heard.
 const ASSUMED_ENTRIES: usize = 8;
 
@@ -43,7 +49,10 @@
     vm: String,
     sequence: u64,
     heard_ms: u64,
+    is_stopping: bool,
     crossing_bytes_per_s: f64,
+    /// When it last told that it sends between data centres; 0 if never.
+    crossed_ms: u64,
 }
 
 /// An entry that fell silent.
@@ -102,11 +111,35 @@
         heard_ms > 0 && now_ms.saturating_sub(heard_ms) < silent_ms
     }
 
+    /// Whether a process has the lowest number of those that are heard and
+    /// go on. Not one that hears fewer than half of them: it is rather cut
+    /// off itself.
+    pub(crate) fn comes_first(&self, boot_id: u64, now_ms: u64) -> bool {
+        let absent_ms = ABSENT_MS * self.rounds();
+        let peers = self.lock();
+        let is_heard = |peer: &&Peer| {
+            peer.boot_id != 0
+                && now_ms.saturating_sub(peer.heard_ms) < absent_ms
+        };
+        let heard = || peers.values().filter(is_heard);
+        2 * heard().count() >= peers.len()
+            && heard().all(|p| p.is_stopping || p.boot_id > boot_id)
+    }
+
     /// What requests of all other entries send between data centres.
     pub(crate) fn crossing_bytes_per_s(&self) -> f64 {
         self.lock().values().map(|peer| peer.crossing_bytes_per_s).sum()
     }
 
+    /// Other entries that told of late that they send between data centres.
+    pub(crate) fn crossing_count(&self, now_ms: u64) -> usize {
+        let crosses = |peer: &&Peer| {
+            let at_ms = peer.crossed_ms;
+            at_ms > 0 && now_ms.saturating_sub(at_ms) < CROSSES_MS
+        };
+        self.lock().values().filter(crosses).count()
+    }
+
     /// Highest number of a lease whose holder said that it gave it up.
     pub(crate) fn resigned(&self) -> u64 {
         self.resigned.load(Relaxed)
@@ -140,8 +173,12 @@
         peer.vm.clone_from(&state.vm);
         peer.sequence = state.sequence;
         peer.heard_ms = now_ms();
+        peer.is_stopping = state.is_stopping;
         peer.crossing_bytes_per_s =
             f64::from(state.crossing_kilobytes_per_s) * 1e3;
+        if state.crossing_kilobytes_per_s > 0 {
+            peer.crossed_ms = now_ms();
+        }
         drop(peers);
         self.resigned.fetch_max(state.resigned, Relaxed);
         if state.is_planner {
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -1,4 +1,5 @@
-//! Orders to engines to hold layers, given by whoever holds the lease.
+//! Orders to engines to hold layers, given by whoever holds the lease, or
+//! stands in for it.
 //!
 //! What is ordered, and again, is decided by [`OrderBook`] from what is known
 //! of the engines; here are the turns, the calls and the lines of the logs.
@@ -13,7 +14,7 @@
 use chestnutreach_adapter::engine::place_body;
 use chestnutreach_planner::{
     DueOrder, KnownEngine, LayerRange, LayoutEngine, LayoutModel, OpenMove,
-    OrderBook, cover, order_book::FORGOTTEN_MS,
+    OrderBook, Scope, cover, order_book::FORGOTTEN_MS,
 };
 use chestnutreach_protocol::peers;
 use chestnutreach_site::{BackendState, Model};
@@ -37,22 +38,70 @@
 /// Time for an order.
 const ORDER: Duration = Duration::from_millis(600);
 
-/// Plans while this entry holds the lease.
+/// Plans while this entry holds the lease, or stands in for its holder.
 pub(crate) async fn run(core: Arc<Core>, lease: Arc<Lease>) {
     let mut planner = Planner::default();
+    let mut last = None;
     loop {
         Timer::after(PLAN_EVERY).await;
-        match lease.may_act() {
-            Some(number) => {
-                planner.round(&core, &lease, number).await;
+        let mandate = Mandate::of(&core, &lease);
+        if mandate != last {
+            planner = Planner::default();
+            note_mandate(last, mandate);
+            last = mandate;
+        }
+        if let Some(mandate) = mandate {
+            planner.round(&core, &lease, mandate);
+            if mandate.scope() == Scope::All {
                 core.set_open_moves(planner.open_moves(&core));
             }
-            None => planner = Planner::default(),
         }
         core.orders_waiting.store(planner.open_count(), Relaxed);
     }
 }
 
+/// By what right this entry gives orders.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Mandate {
+    /// It holds the lease with this number.
+    Lease(FencingNumber),
+    /// No holder is heard of, and this entry stands in: it orders only what
+    /// gives no layer up. Else the layers of engines that die are lacking
+    /// until the lease of a killed holder ends, and while no entry reaches
+    /// the store: for 3.3 and 4.2 s on a played day.
+    StandIn,
+}
+
+impl Mandate {
+    fn of(core: &Core, lease: &Lease) -> Option<Mandate> {
+        let held = lease.may_act().map(Mandate::Lease);
+        held.or_else(|| core.stands_in().then_some(Mandate::StandIn))
+    }
+
+    fn scope(self) -> Scope {
+        match self {
+            Mandate::Lease(_) => Scope::All,
+            Mandate::StandIn => Scope::NothingGivenUp,
+        }
+    }
+
+    /// The number that its orders carry.
+    fn fence(self) -> Option<u64> {
+        match self {
+            Mandate::Lease(number) => Some(number.as_u64()),
+            Mandate::StandIn => None,
+        }
+    }
+}
+
+fn note_mandate(last: Option<Mandate>, mandate: Option<Mandate>) {
+    let (before, now) =
+        (last == Some(Mandate::StandIn), mandate == Some(Mandate::StandIn));
+    if before != now {
+        emit(Event::StandIn, &[("stands_in", &now)]);
+    }
+}
+
 #[derive(Default)]
 struct Planner {
     /// Orders, by service.
@@ -89,12 +138,7 @@
         moves.filter_map(told).collect()
     }
 
-    async fn round(
-        &mut self,
-        core: &Arc<Core>,
-        lease: &Arc<Lease>,
-        number: FencingNumber,
-    ) {
+    fn round(&mut self, core: &Arc<Core>, lease: &Lease, mandate: Mandate) {
         let Some(configuration) = core.configuration() else {
             return;
         };
@@ -103,7 +147,7 @@
         }
         for service in configuration.services.values() {
             if let Some(model) = &service.model {
-                self.plan(core, lease, number, &service.name, model).await;
+                self.plan(core, lease, mandate, &service.name, model);
             }
         }
     }
@@ -123,11 +167,11 @@
         count > 0 && now_ms.saturating_sub(self.grown_ms) >= SETTLED_MS
     }
 
-    async fn plan(
+    fn plan(
         &mut self,
         core: &Arc<Core>,
-        lease: &Arc<Lease>,
-        number: FencingNumber,
+        lease: &Lease,
+        mandate: Mandate,
         service: &str,
         model: &Model,
     ) {
@@ -145,14 +189,15 @@
             self.books.insert(service.to_owned(), book);
         }
         let book = self.books.get_mut(service).expect("it was just added");
-        for due in book.due(&layout_model, &known, now_ms()) {
+        let scope = mandate.scope();
+        for due in book.due(&layout_model, &known, scope, now_ms()) {
             // Deciding took time; another one may plan by now.
-            if lease.may_act() != Some(number) {
+            if Mandate::of(core, lease) != Some(mandate) {
                 return;
             }
             let engine = engines[due.engine].clone();
-            let task =
-                order(core.clone(), engine, due, number, service.to_owned());
+            let service = service.to_owned();
+            let task = order(core.clone(), engine, due, mandate, service);
             core.executor.spawn(task).detach();
         }
     }
@@ -250,10 +295,11 @@
     core: Arc<Core>,
     engine: Arc<Engine>,
     due: DueOrder,
-    number: FencingNumber,
+    mandate: Mandate,
     service: String,
 ) {
     let name = format!("place {}", due.range);
+    let number = mandate.fence().map_or_else(String::new, |n| n.to_string());
     emit(
         Event::OrderSent,
         &[
@@ -263,7 +309,7 @@
             ("fence", &number),
         ],
     );
-    let body = place_body(due.range, number.as_u64(), due.orders_begun);
+    let body = place_body(due.range, mandate.fence(), due.orders_begun);
     let call = exchange::order(&engine, &body);
     let reason = match within(ORDER, call).await {
         Ok(Ok((200..=299, _))) => return,
--- a/crates/direct/src/stream/seek.rs
+++ b/crates/direct/src/stream/seek.rs
@@ -154,8 +154,9 @@
 
     /// Counts what reading a prompt over new crossings sends.
     pub(super) fn note_crossing(&self, crossings: usize) {
-        let bytes = self.tokens as f64 * self.model.activation_bytes;
-        self.core.crossing.note(crossings as f64 * bytes, now_ms());
+        let each = self.tokens as f64 * self.model.activation_bytes;
+        let bytes = crossings as f64 * each;
+        self.core.note_crossing(self.model.pipe_mbps, bytes);
     }
 
     /// Shows how many wait.
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -55,7 +55,7 @@
 pub use layout::{LayoutEngine, LayoutModel, Placement, cover, place_empty};
 pub use mend::{grow_into_gaps, grow_to_free, move_one};
 pub use order::{Order, Reason};
-pub use order_book::{DueOrder, KnownEngine, OpenMove, OrderBook};
+pub use order_book::{DueOrder, KnownEngine, OpenMove, OrderBook, Scope};
 pub use plan::{Plan, plan};
 pub use service::{
     CheckedService, Kind, LayerRange, Server, Service, ServiceError,
--- a/crates/planner/src/order_book.rs
+++ b/crates/planner/src/order_book.rs
@@ -40,6 +40,16 @@
 /// told of the book every 0.2 s.
 pub const TOLD_FIRST_MS: u64 = 250;
 
+/// What a planner may order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Scope {
+    /// Anything.
+    All,
+    /// Only what gives no layer up. Any number of planners may do so at
+    /// once: of two orders to an engine one takes effect.
+    NothingGivenUp,
+}
+
 /// An engine as its planner knows it.
 #[derive(Clone, Copy, Debug)]
 pub struct KnownEngine<'a> {
@@ -138,6 +148,7 @@
         &mut self,
         model: &LayoutModel,
         engines: &[KnownEngine<'_>],
+        scope: Scope,
         now_ms: u64,
     ) -> Vec<DueOrder> {
         self.forget_done(engines, now_ms);
@@ -146,7 +157,7 @@
         for placement in place_empty(model, &layout) {
             self.give(engines, &mut layout, placement, now_ms);
         }
-        for placement in self.mend(model, engines, &layout, now_ms) {
+        for placement in self.mend(model, engines, &layout, scope, now_ms) {
             self.give(engines, &mut layout, placement, now_ms);
         }
         self.take_due(engines, now_ms)
@@ -193,6 +204,7 @@
         model: &LayoutModel,
         engines: &[KnownEngine<'_>],
         layout: &[LayoutEngine],
+        scope: Scope,
         now_ms: u64,
     ) -> Vec<Placement> {
         let cover = Cover::new(model, layout);
@@ -210,7 +222,11 @@
         }
         let sure: Vec<_> =
             engines.iter().map(|engine| self.surely_held(engine)).collect();
-        match move_sure(model, layout, &sure) {
+        let moved = match scope {
+            Scope::All => move_sure(model, layout, &sure),
+            Scope::NothingGivenUp => None,
+        };
+        match moved {
             Some(moved) => vec![moved],
             None if self.given.is_empty() => grow_to_free(model, layout),
             // What is under way may free an engine.
--- a/crates/planner/tests/order_book.rs
+++ b/crates/planner/tests/order_book.rs
@@ -7,7 +7,7 @@
 
 use chestnutreach_planner::{
     DueOrder, KnownEngine, LayerRange, LayoutEngine, LayoutModel, OpenMove,
-    OrderBook, cover,
+    OrderBook, Scope, cover,
     order_book::{GAP_LASTS_MS, GROW_AFTER_MS},
 };
 
@@ -141,7 +141,7 @@
                 orders_begun: engine.listed.1,
             })
             .collect();
-        for order in self.book.due(&MODEL, &known, now_ms) {
+        for order in self.book.due(&MODEL, &known, Scope::All, now_ms) {
             match self.rng.u8(..4) {
                 // It is lost.
                 0 => {}
@@ -253,7 +253,9 @@
     let mut book = OrderBook::default();
     let mut orders = Vec::new();
     for now_ms in (0..3_000).step_by(TICK_MS as usize) {
-        for order in book.due(&MODEL, &known(&ids, &layout), now_ms) {
+        for order in
+            book.due(&MODEL, &known(&ids, &layout), Scope::All, now_ms)
+        {
             let before = layout[order.engine].held.unwrap();
             assert!(order.range.contains(before), "{order:?}");
             layout[order.engine].held = Some(order.range);
@@ -279,7 +281,7 @@
     let mut book = OrderBook::default();
     let mut moved = None;
     for now_ms in (0..3_000).step_by(TICK_MS as usize) {
-        let due = book.due(&MODEL, &known(&ids, &layout), now_ms);
+        let due = book.due(&MODEL, &known(&ids, &layout), Scope::All, now_ms);
         moved = moved.or(due.into_iter().find(|o| o.engine < 4));
     }
     let moved = moved.expect("one of the doubled engines moves");
--- a/crates/routing/src/layer_path.rs
+++ b/crates/routing/src/layer_path.rs
@@ -9,6 +9,8 @@
 
 use std::collections::BTreeSet;
 
+use crate::crossing::MOST_USED;
+
 /// Price of a change of engine, in milliseconds of a token's time: a wait for
 /// the pass that runs there, and the way.
 const CHANGE_MS: f64 = 0.8;
@@ -26,7 +28,7 @@
 /// which it counts as full. Then no path crosses, even where no other is:
 /// everything that waits there would hold memory in all data centres until
 /// none is left for requests that need not cross.
-const CROSSING_USE: (f64, f64) = (0.2, 0.6);
+const CROSSING_USE: (f64, f64) = (0.2, MOST_USED);
 /// Price of starting in another data centre, where only the events of one
 /// stream cross, in the same unit.
 const FAR_START_MS: f64 = 1.0;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -108,6 +108,9 @@
     VmLeaving = 210, "vm_leaving", Info,
         ["vm", "source"],
         "A VM is leaving and gets no new work.";
+    StandIn = 211, "stand_in", Warn,
+        ["stands_in"],
+        "This process gives the orders that need no lease, or no longer does.";
 
     LinkOpened = 301, "link_opened", Info,
         ["peer_vm", "peer_address", "peer_boot_id"],
