Leave out first engines whose streams fail

Change: the circuit of routing::health, which the product's own way uses, now stands before each first engine; where all are open, they are tried again.

--- a/crates/daemon/tests/users_platform/faults.rs
+++ b/crates/daemon/tests/users_platform/faults.rs
@@ -1,6 +1,6 @@
 //! Faults of engines and of the plain service, under streams.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use async_io::Timer;
 use chestnutreach_emulator::{
@@ -17,6 +17,10 @@
     play_while_first_engines_end, streams, wait_until,
 };
 
+/// Failures that an entry takes from an engine in 4 s: three in a row, one
+/// for each trial after 0.5, 1 and 2 s, and those that were under way.
+const MOST_FAILURES: usize = 9;
+
 fn fault(at_ms: u64, kind: FaultKind, length_ms: u64) -> Fault {
     Fault {
         at: Duration::from_millis(at_ms),
@@ -41,6 +45,30 @@
     assert_all_served(&play(&load, &faults));
 }
 
+#[test]
+fn an_engine_that_fails_streams_at_once_is_left_out() {
+    on_site(async |running| {
+        let holds_first = |address: &SocketAddr| {
+            let server = running.world.server(*address);
+            server.is_some_and(|s| s.held.is_some_and(|held| held.0 == 0))
+        };
+        let mut engines = running.world.engines().into_iter();
+        let failing = engines.find(holds_first).expect("layers are held");
+        running.world.change(failing, |server| server.fails = 1.0);
+        let load = streams(40.0, Duration::from_secs(4));
+        let report = running.play(&load, &[]).await;
+        assert_kept(&report);
+        let logs = running.logs();
+        let is_failure = |line: &&str| {
+            line.contains("relay_answered") && line.contains("\"500\"")
+        };
+        let failures = logs.lines().filter(is_failure).count();
+        // Some in a row and a few trials at each entry, of 160 streams.
+        let most = MOST_FAILURES * running.addresses.len();
+        assert!((1..=most).contains(&failures), "{failures}");
+    });
+}
+
 #[test]
 fn a_stream_whose_first_engine_ends_goes_on_without_a_seam() {
     on_site(async |running| {
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -10,6 +10,7 @@
     },
 };
 
+use chestnutreach_routing::Health;
 use chestnutreach_site::{Backend, BackendState};
 
 use crate::{clock::now_ms, rate::Rate};
@@ -47,6 +48,9 @@
     /// When a stream through it last made progress.
     progress_ms: AtomicU64,
     pub(crate) is_probing: AtomicBool,
+    /// How streams that were sent to it first were answered. An engine that
+    /// fails at once looks idle, and would be chosen ever more often.
+    pub(crate) answers: Health,
     state: Mutex<EngineState>,
 }
 
@@ -183,6 +187,7 @@
             own_work: Rate::default(),
             progress_ms: AtomicU64::new(0),
             is_probing: AtomicBool::new(false),
+            answers: Health::new(),
             state: Mutex::new(EngineState {
                 row,
                 row_version,
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -44,6 +44,7 @@
 }
 
 /// What a path is sought for.
+#[derive(Clone, Copy)]
 pub(crate) struct PathNeed<'a> {
     pub(crate) service: &'a str,
     pub(crate) model: &'a Model,
@@ -52,6 +53,8 @@
     /// Engines that may not be used, by id.
     pub(crate) without: &'a BTreeSet<String>,
     pub(crate) now_ms: u64,
+    /// Whether engines that failed of late are not to be first.
+    pub(crate) is_choosy: bool,
     /// Use of what joins data centres; 1 is full.
     pub(crate) crossing_use: f64,
 }
@@ -189,7 +192,22 @@
             crossing_use: need.crossing_use,
             crossing_takes_ms: need.model.crossing_takes_ms(need.tokens),
         };
-        self.part(need, &request, &BTreeSet::new())
+        let none = BTreeSet::new();
+        let path = self.part(need, &request, &none);
+        if path.is_some() || !self.has_failing(need) {
+            return path;
+        }
+        // Where all that could be first have failed, they are tried again.
+        let need = PathNeed { is_choosy: false, ..*need };
+        self.part(&need, &request, &none)
+    }
+
+    /// Whether engines that may not be first are left out for their answers.
+    fn has_failing(&self, need: &PathNeed<'_>) -> bool {
+        let engines = self.lock();
+        let of_service = |e: &&Arc<Engine>| e.service == need.service;
+        let mut engines = engines.values().filter(of_service);
+        engines.any(|e| !e.answers.is_open_to_requests(need.now_ms))
     }
 
     /// A path without its bad engines, with the same first one; none where
@@ -320,7 +338,9 @@
         busy: engine.reading_share(need.now_ms) * state.slowness,
         total_token_layers: (total as f64 * PLANNED_SHARE) as u64,
         is_usable: !is_named && takes_work(&state, need.now_ms),
-        may_be_first: engine.first_count() < u64::from(state.row.slots),
+        may_be_first: engine.first_count() < u64::from(state.row.slots)
+            && (!need.is_choosy
+                || engine.answers.is_open_to_requests(need.now_ms)),
     }
 }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -171,7 +171,9 @@
                 // Nothing may be sent for a client that has left.
                 None => return self.note_caller_gone(),
             }
-            match self.attempt(inbound).await {
+            let end = self.attempt(inbound).await;
+            self.note_answer(&end);
+            match end {
                 AttemptEnd::Whole => return self.finish(inbound).await,
                 AttemptEnd::CallerGone => return self.note_caller_gone(),
                 AttemptEnd::NotRun(at) => self.avoid(at),
@@ -190,6 +192,21 @@
         }
     }
 
+    /// Takes what the end of an attempt says of its first engine; that it
+    /// has begun was noted then.
+    fn note_answer(&self, end: &AttemptEnd) {
+        let first = self.path.first();
+        match end {
+            AttemptEnd::Failed(head, _) if head.status >= 500 => {
+                first.answers.note_failure(now_ms());
+            }
+            AttemptEnd::Broken if !self.pace.has_begun => {
+                first.answers.note_failure(now_ms());
+            }
+            _ => first.answers.note_neutral(),
+        }
+    }
+
     fn note_caller_gone(&mut self) -> After {
         self.ended.outcome = "caller_gone";
         After::Cut
--- a/crates/direct/src/stream/attempt.rs
+++ b/crates/direct/src/stream/attempt.rs
@@ -43,6 +43,7 @@
         let bytes = self.request_bytes();
         self.note_sent();
         self.attempts.begin(&first.id);
+        first.answers.note_sent(now_ms());
         let id = self.admitted.id.clone();
         let method = self.request.method.clone();
         let work = async {
@@ -192,7 +193,8 @@
         let now_ms = now_ms();
         let service = &self.admitted.service.name;
         let metrics = self.core.metrics.service(service);
-        if !self.pace.has_begun {
+        let had_begun = self.pace.has_begun;
+        if !had_begun {
             self.core.note_first_event(service, self.pace.moved_ms);
         }
         let gap_ms = self.pace.moved(now_ms);
@@ -208,6 +210,9 @@
                 metrics.time_between_tokens.observe(gap);
             }
         }
+        if !had_begun {
+            self.path.first().answers.note_success(now_ms);
+        }
         let is_first = self.ended.events == 1;
         for stage in &self.path.stages {
             stage.engine.note_progress(now_ms);
--- a/crates/direct/src/stream/seek.rs
+++ b/crates/direct/src/stream/seek.rs
@@ -148,6 +148,7 @@
             tokens: self.tokens,
             without: &self.without,
             now_ms: now_ms(),
+            is_choosy: true,
             crossing_use: self.core.crossing_use(self.model.pipe_mbps),
         }
     }
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -369,6 +369,9 @@
     let share = |share: fn(&ServerState) -> f64| {
         fastrand::f64() < server.as_ref().map_or(0.0, share)
     };
+    if share(|server| server.fails) {
+        return answer_failed(world, address, inbound, id).await;
+    }
     if share(|server| server.swallows) {
         Timer::after(STALL).await;
         return false;
@@ -382,6 +385,23 @@
     is_whole
 }
 
+async fn answer_failed(
+    world: &World,
+    address: SocketAddr,
+    inbound: &mut Inbound,
+    id: &str,
+) -> bool {
+    world.change(address, |server| {
+        server.streams.remove(id);
+    });
+    let mut out = b"HTTP/1.1 500 x\r\n".to_vec();
+    push_header(&mut out, "x-request-id", id);
+    push_header(&mut out, "x-response-signature", &signature(id));
+    push_header(&mut out, "content-length", "0");
+    out.extend_from_slice(b"\r\n");
+    inbound.write(&out).await.is_ok()
+}
+
 async fn send_events(
     world: &World,
     address: SocketAddr,
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -48,6 +48,8 @@
     EngineDark,
     /// An engine becomes slow.
     EngineSlow,
+    /// An engine answers streams with failures.
+    EngineFails,
     /// An engine leaves in order.
     EngineDrains,
     /// An empty engine comes.
@@ -88,10 +90,11 @@
 const LINK_DELAY: LinkFault = LinkFault::Delayed(Duration::from_millis(180));
 
 /// Every name of a fault, and what it is.
-const FAULTS: [(&str, FaultKind); 33] = [
+const FAULTS: [(&str, FaultKind); 34] = [
     ("engine-ends", FaultKind::EngineEnds),
     ("engine-dark", FaultKind::EngineDark),
     ("engine-slow", FaultKind::EngineSlow),
+    ("engine-fails", FaultKind::EngineFails),
     ("engine-drains", FaultKind::EngineDrains),
     ("engine-comes", FaultKind::EngineComes),
     ("answers-lost", FaultKind::AnswersLost),
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -27,7 +27,7 @@
     report::Report,
     site::{KEY, MODEL_SERVICE, PLAIN_SERVICE, RETRY_RATIO, Site},
     store::{Store, StoreFault},
-    world::World,
+    world::{ServerState, World},
 };
 
 /// Time for a site to be ready.
@@ -168,11 +168,22 @@
                 self.replace_gone(engine, fault.length);
             }
             (FaultKind::EngineSlow, Some(engine)) => {
-                self.for_a_time(fault.length, move |world, is_on| {
-                    world.change(engine, |server| {
+                self.switch(
+                    fault.length,
+                    move |_| vec![engine],
+                    |server, is_on| {
                         server.slowness = if is_on { 8.0 } else { 1.0 };
-                    });
-                });
+                    },
+                );
+            }
+            (FaultKind::EngineFails, Some(engine)) => {
+                self.switch(
+                    fault.length,
+                    move |_| vec![engine],
+                    |server, is_on| {
+                        server.fails = if is_on { 1.0 } else { 0.0 };
+                    },
+                );
             }
             (FaultKind::EngineDrains, Some(engine)) => {
                 self.start_engine_like(engine);
@@ -182,23 +193,22 @@
                 self.start_engine_like(engine);
             }
             (FaultKind::AnswersLost, _) => {
-                self.for_a_time(fault.length, |world, is_on| {
-                    for address in world.plain_servers() {
-                        world.change(address, |server| {
-                            server.loses_answers =
-                                if is_on { 0.5 } else { 0.0 };
-                        });
-                    }
-                });
+                self.switch(
+                    fault.length,
+                    World::plain_servers,
+                    |server, is_on| {
+                        server.loses_answers = if is_on { 0.5 } else { 0.0 };
+                    },
+                );
             }
             (FaultKind::PlainFails, _) => {
-                self.for_a_time(fault.length, |world, is_on| {
-                    for address in world.plain_servers() {
-                        world.change(address, |server| {
-                            server.fails = if is_on { 0.5 } else { 0.0 };
-                        });
-                    }
-                });
+                self.switch(
+                    fault.length,
+                    World::plain_servers,
+                    |server, is_on| {
+                        server.fails = if is_on { 0.5 } else { 0.0 };
+                    },
+                );
             }
             (FaultKind::Store(kind), _) => {
                 self.store.set_fault(kind);
@@ -257,23 +267,17 @@
                 });
             }
             (FaultKind::StreamsReset, _) => {
-                self.for_a_time(fault.length, |world, is_on| {
-                    for address in world.engines() {
-                        world.change(address, |server| {
-                            server.loses_answers =
-                                if is_on { STREAMS_RESET } else { 0.0 };
-                        });
-                    }
+                self.switch(fault.length, World::engines, |server, is_on| {
+                    server.loses_answers =
+                        if is_on { STREAMS_RESET } else { 0.0 };
                 });
             }
             (FaultKind::AnswersMixed, _) => {
-                self.for_a_time(fault.length, |world, is_on| {
-                    for address in world.plain_servers() {
-                        world.change(address, |server| {
-                            server.mixes_answers = is_on;
-                        });
-                    }
-                });
+                self.switch(
+                    fault.length,
+                    World::plain_servers,
+                    |server, is_on| server.mixes_answers = is_on,
+                );
             }
             (FaultKind::StoreLink(link), _) => {
                 let relay = self.store_links.get(entry).cloned();
@@ -381,14 +385,21 @@
         self.executor.spawn(task).detach();
     }
 
-    fn for_a_time(
+    /// Sets something on servers, and back after a time.
+    fn switch(
         &self,
         length: Duration,
-        set: impl Fn(&World, bool) + Send + 'static,
+        servers: impl Fn(&World) -> Vec<SocketAddr> + Send + 'static,
+        set: impl Fn(&mut ServerState, bool) + Send + 'static,
     ) {
-        set(&self.world, true);
+        let set_all = move |world: &World, is_on| {
+            for address in servers(world) {
+                world.change(address, |server| set(server, is_on));
+            }
+        };
+        set_all(&self.world, true);
         let world = self.world.clone();
-        self.later(length, async move { set(&world, false) });
+        self.later(length, async move { set_all(&world, false) });
     }
 
     fn start_engine_like(&self, engine: SocketAddr) {
