--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -11,7 +11,7 @@
 };
 
 use chestnutreach_routing::Health;
-use chestnutreach_site::{Backend, BackendState, LayerRange};
+use chestnutreach_site::{Backend, BackendState};
 
 use crate::{clock::now_ms, rate::Rate};
 
@@ -79,16 +79,6 @@
     others: BTreeMap<u64, Use>,
     /// When it was first seen leaving.
     pub(crate) leaving_since_ms: Option<u64>,
-    /// What the planner is moving it to.
-    pub(crate) moving: Option<Moving>,
-}
-
-/// A move of an engine that the planner told of.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Moving {
-    pub(crate) to: LayerRange,
-    /// When this entry first heard of it.
-    pub(crate) since_ms: u64,
 }
 
 impl EngineState {
@@ -98,41 +88,6 @@
         Some(now_ms.saturating_sub(since_ms))
     }
 
-    /// How long some of these layers have been about to be given up; none if
-    /// they stay.
-    pub(crate) fn giving_up_ms(
-        &self,
-        layers: LayerRange,
-        now_ms: u64,
-    ) -> Option<u64> {
-        let moving = self.moving.filter(|m| !m.to.contains(layers))?;
-        Some(now_ms.saturating_sub(moving.since_ms))
-    }
-
-    /// Layers that new requests may use: not those that an order is about to
-    /// take away.
-    pub(crate) fn lasting_layers(&self) -> Option<LayerRange> {
-        let held = self.row.held?;
-        match self.moving {
-            Some(moving) => held.shared(moving.to),
-            None => Some(held),
-        }
-    }
-
-    /// Takes what the planner tells of its moves; true if that is new.
-    pub(crate) fn take_move(
-        &mut self,
-        to: Option<LayerRange>,
-        now_ms: u64,
-    ) -> bool {
-        let to = to.filter(|to| self.row.held != Some(*to));
-        if self.moving.map(|moving| moving.to) == to {
-            return false;
-        }
-        self.moving = to.map(|to| Moving { to, since_ms: now_ms });
-        self.moving.is_some()
-    }
-
     /// Whether a dial may show something new: not while work flows through
     /// it, and more rarely the more dials have reached it in vain, since
     /// all that wait for something else would dial it.
@@ -165,7 +120,6 @@
         if self.row.held != row.held {
             self.failures = 0;
             self.avoided_until_ms = 0;
-            self.moving = None;
         }
         self.row = row;
         self.row_version = version;
@@ -248,7 +202,6 @@
                 orders_begun: 0,
                 others: BTreeMap::new(),
                 leaving_since_ms: None,
-                moving: None,
             }),
         }
     }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -7,15 +7,11 @@
 };
 
 use chestnutreach_adapter::engine::path_value;
-use chestnutreach_protocol::peers::OpenMove;
 use chestnutreach_routing::{PartHolder, PathRequest, find_path};
-use chestnutreach_site::{Backend, BackendState, LayerRange, Model};
+use chestnutreach_site::{Backend, BackendState, Model};
 use chestnutreach_telemetry::{Event, emit};
 
-use crate::{
-    clock::now_ms,
-    engine::{Engine, EngineState, Hold},
-};
+use crate::engine::{Engine, EngineState, Hold};
 
 /// Share of an engine's memory for requests that is planned with: what
 /// requests will need is only estimated.
@@ -63,20 +59,6 @@
     pub(crate) crossing_use: f64,
 }
 
-impl Stage {
-    fn layers(&self) -> LayerRange {
-        LayerRange::new(self.first_layer, self.end_layer)
-    }
-
-    /// How long its engine, or its layers there, have been leaving; none if
-    /// they stay.
-    pub(crate) fn leaving_ms(&self, now_ms: u64) -> Option<u64> {
-        let state = self.engine.lock();
-        let given_up_ms = state.giving_up_ms(self.layers(), now_ms);
-        state.leaving_ms(now_ms).max(given_up_ms)
-    }
-}
-
 impl Path {
     pub(crate) fn first(&self) -> &Arc<Engine> {
         &self.stages[0].engine
@@ -192,19 +174,6 @@
         Some(engine)
     }
 
-    /// Takes the moves of engines of which the planner tells, by their short
-    /// ids; true if one of them is new.
-    pub(crate) fn take_moves(&self, moves: &[OpenMove]) -> bool {
-        let mut is_any_new = false;
-        for engine in self.all() {
-            let told = moves.iter().find(|told| told.engine == engine.hash);
-            let to = told
-                .map(|told| LayerRange::new(told.first_layer, told.end_layer));
-            is_any_new |= engine.lock().take_move(to, now_ms());
-        }
-        is_any_new
-    }
-
     /// Takes a backend server out of the list.
     pub(crate) fn remove(&self, id: &str) -> Option<Arc<Engine>> {
         let engine = self.lock().remove(id)?;
@@ -249,9 +218,12 @@
         path: &Path,
     ) -> Option<Path> {
         let is_bad = |stage: &Stage| {
-            need.without.contains(&stage.engine.id)
-                || stage.engine.is_suspect()
-                || stage.leaving_ms(need.now_ms).is_some()
+            let engine = &stage.engine;
+            let state = engine.lock();
+            need.without.contains(&engine.id)
+                || state.is_gone
+                || state.suspicion.is_some()
+                || state.leaving_since_ms.is_some()
         };
         self.fill(need, path, is_bad)
             .or_else(|| self.fill(need, path, |_| true))
@@ -353,16 +325,14 @@
     let kind = kind.and_then(|kind| need.model.kinds.get(kind));
     let is_named =
         need.without.contains(&engine.id) || used.contains(&engine.id);
-    let (Some(kind), Some(held), Some(lasting)) =
-        (kind, state.row.held, state.lasting_layers())
-    else {
+    let (Some(kind), Some(held)) = (kind, state.row.held) else {
         return unusable(engine.data_centre);
     };
     let total = need.model.token_layers_beside(kind, held.layers());
     PartHolder {
         data_centre: engine.data_centre,
-        first_layer: lasting.first_layer,
-        end_layer: lasting.end_layer,
+        first_layer: held.first_layer,
+        end_layer: held.end_layer,
         layer_ms: need.model.step_part_ms(kind, 1) * state.slowness,
         used_token_layers: engine.used_token_layers(),
         busy: engine.reading_share(need.now_ms) * state.slowness,
