Cut what still passes through layers that a move gives up

Only where all streams of the service may go on elsewhere; else it lets them end, as before.

Tests: streams_leave_layers_that_a_move_gives_up, the shapes of both orders.

--- a/crates/daemon/tests/users_platform/faults.rs
+++ b/crates/daemon/tests/users_platform/faults.rs
@@ -1,6 +1,10 @@
 //! Faults of engines and of the plain service, under streams.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    hash::{DefaultHasher, Hash as _, Hasher as _},
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+};
 
 use async_io::Timer;
 use chestnutreach_emulator::{
@@ -8,8 +12,11 @@
     experiment::{Fault, FaultKind},
     load::Load,
     report::Report,
-    site::Site,
+    site::{MODEL_SERVICE, Site},
+    world::ServerState,
 };
+use chestnutreach_protocol::peers::{OpenMove, PeerState};
+use prost::Message as _;
 use rstest::rstest;
 
 use crate::support::{
@@ -69,6 +76,47 @@
     });
 }
 
+#[test]
+fn streams_leave_layers_that_a_move_gives_up() {
+    on_site(async |running| {
+        let engines = running.world.engines();
+        let servers = engines.iter().filter_map(|e| running.world.server(*e));
+        let later = |s: &ServerState| s.held.is_some_and(|held| held.0 > 0);
+        let moved = servers.into_iter().find(later).expect("layers are held");
+        let mut hasher = DefaultHasher::new();
+        moved.id.hash(&mut hasher);
+        let planner = PeerState {
+            boot_id: 1,
+            is_planner: true,
+            open_moves: vec![OpenMove {
+                service: MODEL_SERVICE.to_owned(),
+                engine: hasher.finish() as u32,
+                first_layer: 0,
+                end_layer: 1,
+                ..OpenMove::default()
+            }],
+            ..PeerState::default()
+        };
+        let load = streams(40.0, Duration::from_secs(3));
+        let told = async {
+            let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+            for sequence in 1..40 {
+                let state = PeerState { sequence, ..planner.clone() };
+                for entry in 0..running.addresses.len() {
+                    let address = running.ops_address(entry);
+                    socket.send_to(&state.encode_to_vec(), address).unwrap();
+                }
+                Timer::after(Duration::from_millis(50)).await;
+            }
+        };
+        let played = running.play(&load, &[]);
+        let (report, ()) = futures_lite::future::zip(played, told).await;
+        assert_all_served(&report);
+        assert_eq!(report.further_arrivals(), 0, "{}", report.to_text());
+        assert!(running.logs().contains("path_changed"));
+    });
+}
+
 #[test]
 fn a_stream_whose_first_engine_ends_goes_on_without_a_seam() {
     on_site(async |running| {
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -290,6 +290,15 @@
     /// with the times at which they were given.
     pub(crate) fn set_open_moves(&self, moves: Vec<(u64, OpenMove)>) {
         *self.moves.lock().expect("no holder panics") = moves;
+        self.take_moves(&self.open_moves());
+    }
+
+    /// Takes that engines are about to give layers up: requests leave those
+    /// before the order comes, so that it need not wait for them to end.
+    pub(crate) fn take_moves(&self, moves: &[OpenMove]) {
+        if self.fleet.take_moves(moves) {
+            self.streams.nudge_all();
+        }
     }
 
     /// Moves of engines of a service that this entry last gave.
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -11,7 +11,7 @@
 };
 
 use chestnutreach_routing::Health;
-use chestnutreach_site::{Backend, BackendState};
+use chestnutreach_site::{Backend, BackendState, LayerRange};
 
 use crate::{clock::now_ms, rate::Rate};
 
@@ -79,6 +79,8 @@
     others: BTreeMap<u64, Use>,
     /// When it was first seen leaving.
     pub(crate) leaving_since_ms: Option<u64>,
+    /// Layers to which the planner is moving it.
+    pub(crate) moving: Option<LayerRange>,
 }
 
 impl EngineState {
@@ -88,6 +90,29 @@
         Some(now_ms.saturating_sub(since_ms))
     }
 
+    /// Whether some of these layers are about to be given up.
+    pub(crate) fn gives_up(&self, layers: LayerRange) -> bool {
+        self.moving.is_some_and(|to| !to.contains(layers))
+    }
+
+    /// Layers that new requests may use: not those that an order is about to
+    /// take away.
+    pub(crate) fn lasting_layers(&self) -> Option<LayerRange> {
+        let held = self.row.held?;
+        match self.moving {
+            Some(to) => held.shared(to),
+            None => Some(held),
+        }
+    }
+
+    /// Takes what the planner tells of its moves; true if that is new.
+    pub(crate) fn take_move(&mut self, to: Option<LayerRange>) -> bool {
+        let to = to.filter(|to| self.row.held != Some(*to));
+        let is_new = to.is_some() && self.moving != to;
+        self.moving = to;
+        is_new
+    }
+
     /// Whether a dial may show something new: not while work flows through
     /// it, and more rarely the more dials have reached it in vain, since
     /// all that wait for something else would dial it.
@@ -120,6 +145,7 @@
         if self.row.held != row.held {
             self.failures = 0;
             self.avoided_until_ms = 0;
+            self.moving = None;
         }
         self.row = row;
         self.row_version = version;
@@ -202,6 +228,7 @@
                 orders_begun: 0,
                 others: BTreeMap::new(),
                 leaving_since_ms: None,
+                moving: None,
             }),
         }
     }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -7,8 +7,9 @@
 };
 
 use chestnutreach_adapter::engine::path_value;
+use chestnutreach_protocol::peers::OpenMove;
 use chestnutreach_routing::{PartHolder, PathRequest, find_path};
-use chestnutreach_site::{Backend, BackendState, Model};
+use chestnutreach_site::{Backend, BackendState, LayerRange, Model};
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::engine::{Engine, EngineState, Hold};
@@ -59,6 +60,22 @@
     pub(crate) crossing_use: f64,
 }
 
+impl Stage {
+    fn layers(&self) -> LayerRange {
+        LayerRange::new(self.first_layer, self.end_layer)
+    }
+
+    /// How long its engine has been leaving; none if it stays.
+    pub(crate) fn leaving_ms(&self, now_ms: u64) -> Option<u64> {
+        self.engine.lock().leaving_ms(now_ms)
+    }
+
+    /// Whether its layers there are about to be given up.
+    pub(crate) fn is_given_up(&self) -> bool {
+        self.engine.lock().gives_up(self.layers())
+    }
+}
+
 impl Path {
     pub(crate) fn first(&self) -> &Arc<Engine> {
         &self.stages[0].engine
@@ -174,6 +191,19 @@
         Some(engine)
     }
 
+    /// Takes the moves of engines of which the planner tells, by their short
+    /// ids; true if one of them is new.
+    pub(crate) fn take_moves(&self, moves: &[OpenMove]) -> bool {
+        let mut is_any_new = false;
+        for engine in self.all() {
+            let told = moves.iter().find(|told| told.engine == engine.hash);
+            let to = told
+                .map(|told| LayerRange::new(told.first_layer, told.end_layer));
+            is_any_new |= engine.lock().take_move(to);
+        }
+        is_any_new
+    }
+
     /// Takes a backend server out of the list.
     pub(crate) fn remove(&self, id: &str) -> Option<Arc<Engine>> {
         let engine = self.lock().remove(id)?;
@@ -218,12 +248,10 @@
         path: &Path,
     ) -> Option<Path> {
         let is_bad = |stage: &Stage| {
-            let engine = &stage.engine;
-            let state = engine.lock();
-            need.without.contains(&engine.id)
-                || state.is_gone
-                || state.suspicion.is_some()
-                || state.leaving_since_ms.is_some()
+            need.without.contains(&stage.engine.id)
+                || stage.engine.is_suspect()
+                || stage.leaving_ms(need.now_ms).is_some()
+                || stage.is_given_up()
         };
         self.fill(need, path, is_bad)
             .or_else(|| self.fill(need, path, |_| true))
@@ -325,14 +353,16 @@
     let kind = kind.and_then(|kind| need.model.kinds.get(kind));
     let is_named =
         need.without.contains(&engine.id) || used.contains(&engine.id);
-    let (Some(kind), Some(held)) = (kind, state.row.held) else {
+    let (Some(kind), Some(held), Some(lasting)) =
+        (kind, state.row.held, state.lasting_layers())
+    else {
         return unusable(engine.data_centre);
     };
     let total = need.model.token_layers_beside(kind, held.layers());
     PartHolder {
         data_centre: engine.data_centre,
-        first_layer: held.first_layer,
-        end_layer: held.end_layer,
+        first_layer: lasting.first_layer,
+        end_layer: lasting.end_layer,
         layer_ms: need.model.step_part_ms(kind, 1) * state.slowness,
         used_token_layers: engine.used_token_layers(),
         busy: engine.reading_share(need.now_ms) * state.slowness,
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -144,6 +144,9 @@
         }
     }
     core.peers.take_sent(state, core.settings.bounds.retry_window_ms);
+    if state.is_planner {
+        core.take_moves(&state.open_moves);
+    }
     take_use(core, state);
 }
 
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -17,7 +17,7 @@
     OrderBook, Scope, cover, order_book::FORGOTTEN_MS,
 };
 use chestnutreach_protocol::peers;
-use chestnutreach_site::{BackendState, Model};
+use chestnutreach_site::{BackendState, Model, Passing};
 use chestnutreach_state::FencingNumber;
 use chestnutreach_telemetry::{Event, emit};
 
@@ -291,6 +291,19 @@
     texts.join(" ")
 }
 
+/// What becomes of streams that still pass through layers that are given up.
+///
+/// They were told to leave before the order; those that could not are cut and
+/// go on elsewhere, where all may. To let them end took 4 to 7 s on a played
+/// day, in which the gap stayed open for all others.
+fn passing(core: &Core, service: &str) -> Passing {
+    let configuration = core.configuration();
+    match configuration.is_some_and(|c| c.streams_may_go_on(service)) {
+        true => Passing::IsCut,
+        false => Passing::Ends,
+    }
+}
+
 async fn order(
     core: Arc<Core>,
     engine: Arc<Engine>,
@@ -309,7 +322,9 @@
             ("fence", &number),
         ],
     );
-    let body = place_body(due.range, mandate.fence(), due.orders_begun);
+    let passing = passing(&core, &service);
+    let body =
+        place_body(due.range, mandate.fence(), due.orders_begun, passing);
     let call = exchange::order(&engine, &body);
     let reason = match within(ORDER, call).await {
         Ok(Ok((200..=299, _))) => return,
--- a/crates/direct/src/stream/watch.rs
+++ b/crates/direct/src/stream/watch.rs
@@ -11,7 +11,6 @@
 use super::{Stream, pace::LOOK_MS};
 use crate::{
     clock::now_ms,
-    engine::Engine,
     exchange::{self, within},
     fleet::{Path, PathNeed, Stage},
     probe,
@@ -51,12 +50,11 @@
 }
 
 /// Whether an engine can't be counted on to end what it runs: it seems dead,
-/// or has been leaving for long.
-fn is_lost(engine: &Engine, leave_after_ms: u64) -> bool {
-    let state = engine.lock();
-    let leaving_ms = state.leaving_ms(now_ms());
-    state.is_gone
-        || state.suspicion.is_some()
+/// has been leaving for long, or waits with a move until this has ended.
+fn is_lost(stage: &Stage, leave_after_ms: u64) -> bool {
+    let leaving_ms = stage.leaving_ms(now_ms());
+    stage.engine.is_suspect()
+        || stage.is_given_up()
         || leaving_ms.is_some_and(|ms| ms >= leave_after_ms)
 }
 
@@ -112,7 +110,7 @@
         };
         let leaving = self.path.stages[1..]
             .iter()
-            .filter_map(|stage| stage.engine.lock().leaving_ms(now_ms));
+            .filter_map(|stage| stage.leaving_ms(now_ms));
         let wait = match leaving.max() {
             Some(ms) => {
                 let left_ms = self.leave_after_ms.saturating_sub(ms).max(40);
@@ -131,8 +129,7 @@
             return !self.can_move();
         }
         let rest = &self.path.stages[1..];
-        if rest.iter().any(|stage| is_lost(&stage.engine, self.leave_after_ms))
-        {
+        if rest.iter().any(|stage| is_lost(stage, self.leave_after_ms)) {
             return self.change_path().await;
         }
         let quiet_ms = self.pace.quiet_ms(now_ms());
--- a/crates/site/src/backend.rs
+++ b/crates/site/src/backend.rs
@@ -34,6 +34,16 @@
     Draining,
 }
 
+/// What becomes of requests that pass through layers which an engine is
+/// ordered to give up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Passing {
+    /// The engine lets them end before it takes other layers.
+    Ends,
+    /// They are cut there.
+    IsCut,
+}
+
 /// A kind of accelerator.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ModelKind {
--- a/crates/site/src/configuration.rs
+++ b/crates/site/src/configuration.rs
@@ -22,6 +22,14 @@
 }
 
 impl Configuration {
+    /// Whether every stream that a service may get can go on elsewhere.
+    pub fn streams_may_go_on(&self, service: &str) -> bool {
+        let routes = self.routes.values().flatten();
+        let mut here =
+            routes.filter(|r| r.shares.iter().any(|s| s.service == service));
+        here.all(|route| route.reuse != Reuse::Stream)
+    }
+
     /// The route of a request, by host and longest prefix of the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.split(':').next().unwrap_or(host);
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -31,7 +31,9 @@
 pub mod settings;
 pub mod tables;
 
-pub use backend::{Backend, BackendState, LayerRange, Model, ModelKind};
+pub use backend::{
+    Backend, BackendState, LayerRange, Model, ModelKind, Passing,
+};
 pub use configuration::{
     Configuration, Finding, Limits, Reuse, Route, Service, Share,
 };
