Split core, fleet and place; a value for each service in one place

core had grown to hold what crosses between data centres, fleet the path itself, place the right to order; each stands in a module of its own. The look-up that makes a service's value stood four times and is ByService; the tries of a request are made by Admitted for both kinds. The emulator's engines serve what they keep while the rest loads. Test: one entry stands in while nobody can hold the lease.

--- a/crates/daemon/tests/users_platform/stops.rs
+++ b/crates/daemon/tests/users_platform/stops.rs
@@ -7,6 +7,7 @@
     caller::{Kind, Wish},
     experiment::{Fault, FaultKind},
     site::Site,
+    store::StoreFault,
 };
 use rustix::process::Signal;
 
@@ -99,6 +100,26 @@
     });
 }
 
+#[test]
+fn one_entry_stands_in_while_nobody_can_hold_the_lease() {
+    on_site(async |running| {
+        running.store.set_fault(StoreFault::Silent);
+        wait_until("an entry stands in", async || {
+            running.logs().contains("\"stands_in\":\"true\"")
+        })
+        .await;
+        let logs = running.logs();
+        let began = |line: &&str| line.contains("\"stands_in\":\"true\"");
+        assert_eq!(logs.lines().filter(began).count(), 1, "one of all");
+        running.store.set_fault(StoreFault::None);
+        wait_until("it leaves the orders to a holder", async || {
+            running.planner().await.is_some()
+                && running.logs().contains("\"stands_in\":\"false\"")
+        })
+        .await;
+    });
+}
+
 #[test]
 fn nothing_is_started_after_a_site_has_ended() {
     let entries = on_site(async |running| {
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -4,6 +4,7 @@
 
 use chestnutreach_adapter::clients;
 use chestnutreach_http::relay::RelayRequest;
+use chestnutreach_routing::{Attempts, Counted};
 use chestnutreach_site::{Configuration, Route, Service};
 
 use crate::{answer::Reason, clock::now_ms, core::Core};
@@ -34,6 +35,12 @@
         self.end_ms.saturating_sub(now_ms)
     }
 
+    /// Its tries at backend servers, none of them made.
+    pub(crate) fn attempts(&self, counted: Counted) -> Attempts {
+        let most = self.route.max_attempts as usize;
+        Attempts::new(self.route.reuse.may_repeat(), most, counted)
+    }
+
     pub(crate) fn id_text(&self) -> &str {
         self.id.as_deref().unwrap_or("")
     }
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -1,25 +1,20 @@
 //! What the tasks of an entry share.
 
-use std::{
-    collections::BTreeMap,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed},
-    },
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed},
 };
 
 use arc_swap::ArcSwapOption;
 use async_executor::Executor;
 use chestnutreach_protocol::peers::OpenMove;
-use chestnutreach_routing::{
-    CrossingBounds, CrossingPart, FirstWaits, RetryBounds, RetryWindow, Sent,
-};
+use chestnutreach_routing::{FirstWaits, RetryBounds, RetryWindow, Sent};
 use chestnutreach_site::{Configuration, Limits, NodeSettings};
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
 use crate::{
-    clock::now_ms, fleet::Fleet, peer_table::PeerTable, queue::PathQueues,
-    rate::Rate, supervise::Streams,
+    by_service::ByService, clock::now_ms, crossing::Crossing, fleet::Fleet,
+    peer_table::PeerTable, queue::PathQueues, supervise::Streams,
 };
 
 /// Time left of the bound on withdrawn keys when they are refused: a request
@@ -54,11 +49,10 @@
     pub(crate) streams: Streams,
     pub(crate) path_queues: PathQueues,
     pub(crate) peers: PeerTable,
-    /// Bytes that own requests send between data centres.
-    pub(crate) crossing: Rate,
-    crossing_part: Mutex<CrossingPart>,
-    retries: Mutex<BTreeMap<String, RetryWindow>>,
-    first_waits: Mutex<BTreeMap<String, FirstWaits>>,
+    /// What own requests send between data centres.
+    pub(crate) crossing: Crossing,
+    retries: ByService<RetryWindow>,
+    first_waits: ByService<FirstWaits>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) readiness: Arc<Readiness>,
     /// When the stop began; 0 before.
@@ -97,10 +91,9 @@
             streams: Streams::default(),
             path_queues: PathQueues::default(),
             peers: PeerTable::default(),
-            crossing: Rate::default(),
-            crossing_part: Mutex::default(),
-            retries: Mutex::default(),
-            first_waits: Mutex::default(),
+            crossing: Crossing::default(),
+            retries: ByService::default(),
+            first_waits: ByService::default(),
             metrics: Arc::new(metrics),
             readiness: Arc::new(Readiness::new(&conditions)),
             stopping_ms: AtomicU64::new(0),
@@ -208,33 +201,23 @@
     /// Counts a client's request to a service.
     pub(crate) fn note_request(&self, service: &str) {
         let bounds = self.retry_bounds();
-        let mut retries = self.retries.lock().expect("no holder panics");
-        if !retries.contains_key(service) {
-            retries.insert(service.to_owned(), RetryWindow::new());
-        }
-        let window = retries.get_mut(service).expect("it was just added");
-        window.note_request(&bounds, now_ms());
+        let note = |window: &mut RetryWindow| {
+            window.note_request(&bounds, now_ms());
+        };
+        self.retries.change(service, note);
     }
 
     /// What this entry sent to each service within the window.
     pub(crate) fn sent_to_services(&self) -> Vec<(String, Sent)> {
         let bounds = self.retry_bounds();
-        let mut retries = self.retries.lock().expect("no holder panics");
-        let sent = |(name, window): (&String, &mut RetryWindow)| {
-            (name.clone(), window.sent(&bounds, now_ms()))
-        };
-        retries.iter_mut().map(sent).collect()
+        self.retries.of_each(|window| window.sent(&bounds, now_ms()))
     }
 
     /// Further arrivals that are left of this entry's own part, by service.
     pub(crate) fn retries_left(&self) -> Vec<(String, f64)> {
         let bounds = self.retry_bounds();
         let entries = self.peers.entry_count();
-        let mut retries = self.retries.lock().expect("no holder panics");
-        let left = |(name, window): (&String, &mut RetryWindow)| {
-            (name.clone(), window.left(&bounds, entries, now_ms()))
-        };
-        retries.iter_mut().map(left).collect()
+        self.retries.of_each(|window| window.left(&bounds, entries, now_ms()))
     }
 
     /// How long the store has not answered; 0 if it does.
@@ -249,20 +232,17 @@
     pub(crate) fn take_retry(&self, service: &str) -> bool {
         let bounds = self.retry_bounds();
         let entries = self.peers.entry_count();
-        let mut retries = self.retries.lock().expect("no holder panics");
-        let window = retries.entry(service.to_owned()).or_default();
         let others = self.peers.others_sent(service);
-        window.take(&bounds, entries, &others, now_ms())
+        let take = |window: &mut RetryWindow| {
+            window.take(&bounds, entries, &others, now_ms())
+        };
+        self.retries.change(service, take)
     }
 
     /// A stream that was sent then has its first event.
     pub(crate) fn note_first_event(&self, service: &str, sent_ms: u64) {
-        let mut waits = self.first_waits.lock().expect("no holder panics");
-        if !waits.contains_key(service) {
-            waits.insert(service.to_owned(), FirstWaits::new());
-        }
-        let waits = waits.get_mut(service).expect("it was just added");
-        waits.note(sent_ms, now_ms());
+        let note = |waits: &mut FirstWaits| waits.note(sent_ms, now_ms());
+        self.first_waits.change(service, note);
     }
 
     /// Whether a stream that was sent then will hardly begin any more.
@@ -272,9 +252,9 @@
         sent_ms: u64,
         least_ms: u64,
     ) -> bool {
-        let waits = self.first_waits.lock().expect("no holder panics");
-        let waits = waits.get(service);
-        waits.is_some_and(|w| w.is_overdue(sent_ms, least_ms, now_ms()))
+        let is_overdue =
+            |waits: &FirstWaits| waits.is_overdue(sent_ms, least_ms, now_ms());
+        self.first_waits.look(service, is_overdue).unwrap_or(false)
     }
 
     /// Tells that a request may not be sent again now.
@@ -329,36 +309,6 @@
             && self.peers.comes_first(self.boot_id, now_ms)
     }
 
-    /// Use of what joins data centres, as far as entries have told; 1 is
-    /// full. It is full for this entry where its own part is used up.
-    pub(crate) fn crossing_use(&self, pipe_mbps: f64) -> f64 {
-        let bounds = self.crossing_bounds(pipe_mbps);
-        let mut part = self.crossing_part.lock().expect("no holder panics");
-        if !part.has_left(&bounds, now_ms()) {
-            return 1.0;
-        }
-        drop(part);
-        let own = self.crossing.per_s(now_ms());
-        (own + self.peers.crossing_bytes_per_s()) / bounds.bytes_per_s
-    }
-
-    /// Counts what a request sends between data centres.
-    pub(crate) fn note_crossing(&self, pipe_mbps: f64, bytes: f64) {
-        let bounds = self.crossing_bounds(pipe_mbps);
-        let mut part = self.crossing_part.lock().expect("no holder panics");
-        part.take(&bounds, bytes, now_ms());
-        drop(part);
-        self.crossing.note(bytes, now_ms());
-    }
-
-    fn crossing_bounds(&self, pipe_mbps: f64) -> CrossingBounds {
-        CrossingBounds {
-            bytes_per_s: pipe_mbps.max(1.0) * 1e6 / 8.0,
-            entries: self.peers.entry_count(),
-            crossing: self.peers.crossing_count(now_ms()) + 1,
-        }
-    }
-
     /// Index of a data centre; a name that the settings lack is the last.
     pub(crate) fn data_centre(&self, name: &str) -> usize {
         let names = &self.settings.data_centres;
--- /dev/null
+++ b/crates/direct/src/crossing.rs
@@ -0,0 +1,51 @@
+//! What the requests of this entry send between data centres.
+
+use std::sync::Mutex;
+
+use chestnutreach_routing::{CrossingBounds, CrossingPart};
+
+use crate::{clock::now_ms, peer_table::PeerTable, rate::Rate};
+
+/// What was sent of late, and what is left of this entry's part.
+#[derive(Debug, Default)]
+pub(crate) struct Crossing {
+    sent: Rate,
+    part: Mutex<CrossingPart>,
+}
+
+impl Crossing {
+    /// Bytes a second that this entry sends.
+    pub(crate) fn own_bytes_per_s(&self) -> f64 {
+        self.sent.per_s(now_ms())
+    }
+
+    /// Use of what joins data centres, as far as entries have told; 1 is
+    /// full. It is full for this entry where its own part is used up.
+    pub(crate) fn share(&self, peers: &PeerTable, pipe_mbps: f64) -> f64 {
+        let bounds = bounds(peers, pipe_mbps);
+        let mut part = self.part.lock().expect("no holder panics");
+        if !part.has_left(&bounds, now_ms()) {
+            return 1.0;
+        }
+        drop(part);
+        let all = self.own_bytes_per_s() + peers.crossing_bytes_per_s();
+        all / bounds.bytes_per_s
+    }
+
+    /// Counts what a request sends.
+    pub(crate) fn note(&self, peers: &PeerTable, pipe_mbps: f64, bytes: f64) {
+        let bounds = bounds(peers, pipe_mbps);
+        let mut part = self.part.lock().expect("no holder panics");
+        part.take(&bounds, bytes, now_ms());
+        drop(part);
+        self.sent.note(bytes, now_ms());
+    }
+}
+
+fn bounds(peers: &PeerTable, pipe_mbps: f64) -> CrossingBounds {
+    CrossingBounds {
+        bytes_per_s: pipe_mbps.max(1.0) * 1e6 / 8.0,
+        entries: peers.entry_count(),
+        crossing: peers.crossing_count(now_ms()) + 1,
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,8 +11,11 @@
 //! |---|---|
 //! | [`entry`] | starting and stopping an entry |
 //! | `core` | what the tasks of an entry share |
+//! | `by_service` | something for each service |
 //! | `follow` | configuration and list of backend servers, by feeds |
 //! | `fleet`, `engine` | what is known of backend servers |
+//! | `path` | the engines that a request passes through |
+//! | `crossing` | what goes between data centres |
 //! | `rate` | amounts a second |
 //! | `probe` | noticing that one is dead, slow, or back |
 //! | `callers` | the connections of clients |
@@ -24,7 +27,7 @@
 //! | `answer` | answers of our own |
 //! | `ended` | how a request ended |
 //! | `peers`, `peer_table` | what entries tell each other |
-//! | `lease`, `place` | who plans, and the orders |
+//! | `lease`, `mandate`, `place` | who plans, and the orders |
 //!
 //! # Example
 //!
@@ -40,9 +43,11 @@
 
 mod admit;
 mod answer;
+mod by_service;
 mod callers;
 mod clock;
 mod core;
+mod crossing;
 mod ended;
 mod engine;
 pub mod entry;
@@ -51,6 +56,8 @@
 mod fleet;
 mod follow;
 mod lease;
+mod mandate;
+mod path;
 mod peer_table;
 mod peers;
 mod place;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -115,7 +115,8 @@
         engines: engines.collect(),
         services: services.collect(),
         is_planner: core.is_planner.load(Relaxed),
-        crossing_kilobytes_per_s: (core.crossing.per_s(now_ms()) / 1e3) as u32,
+        crossing_kilobytes_per_s: (core.crossing.own_bytes_per_s() / 1e3)
+            as u32,
         resigned: core.resigned.load(Relaxed),
         is_stopping: core.stopping_for_ms().is_some(),
         open_moves: core.open_moves(),
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -18,7 +18,6 @@
 };
 use chestnutreach_protocol::peers;
 use chestnutreach_site::{BackendState, Model, Passing};
-use chestnutreach_state::FencingNumber;
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{
@@ -27,6 +26,7 @@
     engine::Engine,
     exchange::{self, within},
     lease::Lease,
+    mandate::{Mandate, note_mandate},
     probe,
 };
 
@@ -60,48 +60,6 @@
     }
 }
 
-/// By what right this entry gives orders.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Mandate {
-    /// It holds the lease with this number.
-    Lease(FencingNumber),
-    /// No holder is heard of, and this entry stands in: it orders only what
-    /// gives no layer up. Else the layers of engines that die are lacking
-    /// until the lease of a killed holder ends, and while no entry reaches
-    /// the store: for 3.3 and 4.2 s on a played day.
-    StandIn,
-}
-
-impl Mandate {
-    fn of(core: &Core, lease: &Lease) -> Option<Mandate> {
-        let held = lease.may_act().map(Mandate::Lease);
-        held.or_else(|| core.stands_in().then_some(Mandate::StandIn))
-    }
-
-    fn scope(self) -> Scope {
-        match self {
-            Mandate::Lease(_) => Scope::All,
-            Mandate::StandIn => Scope::NothingGivenUp,
-        }
-    }
-
-    /// The number that its orders carry.
-    fn fence(self) -> Option<u64> {
-        match self {
-            Mandate::Lease(number) => Some(number.as_u64()),
-            Mandate::StandIn => None,
-        }
-    }
-}
-
-fn note_mandate(last: Option<Mandate>, mandate: Option<Mandate>) {
-    let (before, now) =
-        (last == Some(Mandate::StandIn), mandate == Some(Mandate::StandIn));
-    if before != now {
-        emit(Event::StandIn, &[("stands_in", &now)]);
-    }
-}
-
 #[derive(Default)]
 struct Planner {
     /// Orders, by service.
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -13,7 +13,7 @@
 
 use async_io::Timer;
 use chestnutreach_http::relay::{AnswerHead, Inbound, Outbound, RelayRequest};
-use chestnutreach_routing::{Attempts, Counted};
+use chestnutreach_routing::Counted;
 use chestnutreach_site::Reuse;
 use chestnutreach_telemetry::{Event, emit};
 use futures_lite::FutureExt as _;
@@ -67,11 +67,7 @@
     is_last: bool,
 ) -> (Ended, After) {
     let mut tried = BTreeSet::new();
-    let mut attempts = Attempts::new(
-        admitted.route.reuse.may_repeat(),
-        admitted.route.max_attempts as usize,
-        Counted::Handed,
-    );
+    let mut attempts = admitted.attempts(Counted::Handed);
     let mut kept = None;
     loop {
         let is_further = attempts.made() > 0;
--- a/crates/direct/src/probe.rs
+++ b/crates/direct/src/probe.rs
@@ -20,7 +20,7 @@
     core::Core,
     engine::{Engine, Evidence, FLOWING_MS, Suspicion},
     exchange,
-    fleet::Path,
+    path::Path,
 };
 
 /// Time for a dial; ways are below 2 ms and engines accept within 1 ms.
@@ -294,7 +294,7 @@
                 let task = probe(core.clone(), engine.clone());
                 core.executor.spawn(task).detach();
             } else if is_slow {
-                let stages = vec![crate::fleet::Stage {
+                let stages = vec![crate::path::Stage {
                     engine,
                     first_layer: 0,
                     end_layer: 0,
--- a/crates/direct/src/queue.rs
+++ b/crates/direct/src/queue.rs
@@ -3,15 +3,12 @@
 //! Who may look next is decided by [`Turns`]; here are the wake-ups. A place
 //! in a queue ends when it is dropped, whatever became of its request.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, Mutex},
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 use async_channel::{Receiver, Sender};
 use chestnutreach_routing::{Priority, PushRefusalReason, TurnNeed, Turns};
 
-use crate::clock::now_ms;
+use crate::{by_service::ByService, clock::now_ms};
 
 /// Tokens that may wait at an entry for a service: what the largest
 /// deployment's engines write and read in the longest wait, 1.5 s at
@@ -25,7 +22,7 @@
 /// The queues of an entry, by service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PathQueues {
-    by_service: Arc<Mutex<BTreeMap<String, Queue>>>,
+    by_service: Arc<ByService<Queue>>,
 }
 
 #[derive(Debug)]
@@ -43,11 +40,13 @@
     granted: Receiver<()>,
 }
 
-impl Queue {
-    fn new() -> Queue {
+impl Default for Queue {
+    fn default() -> Queue {
         Queue { turns: Turns::new(LIMIT_TOKENS), signals: BTreeMap::new() }
     }
+}
 
+impl Queue {
     fn grant(&mut self) {
         for key in self.turns.grant(now_ms()) {
             if let Some(signal) = self.signals.get(&key) {
@@ -61,14 +60,14 @@
 impl PathQueues {
     /// Whether nobody waits, so that a request may look without a turn.
     pub(crate) fn is_idle(&self, service: &str) -> bool {
-        let queues = self.lock();
-        queues.get(service).is_none_or(|queue| queue.turns.is_idle())
+        let is_idle = |queue: &Queue| queue.turns.is_idle();
+        self.by_service.look(service, is_idle).unwrap_or(true)
     }
 
     /// How many wait for a turn at a service.
     pub(crate) fn waiting_count(&self, service: &str) -> usize {
-        let queues = self.lock();
-        queues.get(service).map_or(0, |queue| queue.turns.waiting_count())
+        let count = |queue: &Queue| queue.turns.waiting_count();
+        self.by_service.look(service, count).unwrap_or(0)
     }
 
     /// Takes a place.
@@ -81,22 +80,17 @@
         service: &str,
         need: &TurnNeed<'_>,
     ) -> Result<Place, PushRefusalReason> {
-        let mut queues = self.lock();
-        if !queues.contains_key(service) {
-            queues.insert(service.to_owned(), Queue::new());
-        }
-        let queue = queues.get_mut(service).expect("it was just added");
-        let key = queue.turns.try_join(need, now_ms())?;
         let (signal, granted) = async_channel::bounded(1);
-        queue.signals.insert(key, signal);
-        queue.grant();
+        let join = |queue: &mut Queue| {
+            let key = queue.turns.try_join(need, now_ms())?;
+            queue.signals.insert(key, signal);
+            queue.grant();
+            Ok(key)
+        };
+        let key = self.by_service.change(service, join)?;
         let service = service.to_owned();
         Ok(Place { queues: self.clone(), service, key, granted })
     }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, Queue>> {
-        self.by_service.lock().expect("no holder panics")
-    }
 }
 
 impl Place {
@@ -109,12 +103,11 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let mut queues = self.queues.lock();
-        if let Some(queue) = queues.get_mut(&self.service) {
+        self.queues.by_service.change(&self.service, |queue| {
             queue.signals.remove(&self.key);
             queue.turns.end(self.key);
             queue.grant();
-        }
+        });
     }
 }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -25,7 +25,7 @@
     core::Core,
     ended::{After, Ended, refuse},
     engine::Hold,
-    fleet::Path,
+    path::Path,
     probe,
     supervise::Listed,
 };
@@ -110,11 +110,7 @@
         tokens: needed_tokens(request, model),
         listed: core.streams.list(),
         without: BTreeSet::new(),
-        attempts: Attempts::new(
-            admitted.route.reuse.may_repeat(),
-            admitted.route.max_attempts as usize,
-            Counted::MayHaveRun,
-        ),
+        attempts: admitted.attempts(Counted::MayHaveRun),
         path: Path::default(),
         holds: Vec::new(),
         is_head_sent: false,
--- a/crates/direct/src/stream/seek.rs
+++ b/crates/direct/src/stream/seek.rs
@@ -14,7 +14,8 @@
 use super::{FIRST, Stream};
 use crate::{
     clock::now_ms,
-    fleet::{Path, PathNeed},
+    fleet::PathNeed,
+    path::Path,
     queue::{Place, priority_of},
 };
 
@@ -149,7 +150,10 @@
             without: &self.without,
             now_ms: now_ms(),
             is_choosy: true,
-            crossing_use: self.core.crossing_use(self.model.pipe_mbps),
+            crossing_use: self
+                .core
+                .crossing
+                .share(&self.core.peers, self.model.pipe_mbps),
         }
     }
 
@@ -157,7 +161,8 @@
     pub(super) fn note_crossing(&self, crossings: usize) {
         let each = self.tokens as f64 * self.model.activation_bytes;
         let bytes = crossings as f64 * each;
-        self.core.note_crossing(self.model.pipe_mbps, bytes);
+        let core = self.core;
+        core.crossing.note(&core.peers, self.model.pipe_mbps, bytes);
     }
 
     /// Shows how many wait.
--- a/crates/direct/src/stream/watch.rs
+++ b/crates/direct/src/stream/watch.rs
@@ -12,7 +12,8 @@
 use crate::{
     clock::now_ms,
     exchange::{self, within},
-    fleet::{Path, PathNeed, Stage},
+    fleet::PathNeed,
+    path::{Path, Stage},
     probe,
 };
 
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -383,7 +383,11 @@
                 return 200;
             }
             server.orders += 1;
-            server.held = None;
+            // What it keeps is served while the rest loads.
+            server.held = server.held.and_then(|held| {
+                let kept = (held.0.max(range.0), held.1.min(range.1));
+                (kept.0 < kept.1).then_some(kept)
+            });
             if range.1 - range.0 > most {
                 let text = format!("{address} was ordered to hold {range:?}");
                 state.seen.violations.push(text);
