--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -253,10 +253,21 @@
 ///
 /// They were told to leave before the order; those that could not are cut and
 /// go on elsewhere, where all may. To let them end took 4 to 7 s on a played
-/// day, in which the gap stayed open for all others.
-fn passing(core: &Core, service: &str) -> Passing {
+/// day, in which the gap stayed open for all others. Those that begin at the
+/// engine can't be led around it, and all at once would use up the shared
+/// bound on further arrivals: they may end.
+fn passing(
+    core: &Core,
+    service: &str,
+    engine: &Engine,
+    range: LayerRange,
+) -> Passing {
     let configuration = core.configuration();
-    match configuration.is_some_and(|c| c.streams_may_go_on(service)) {
+    let may_go_on =
+        configuration.is_some_and(|c| c.streams_may_go_on(service));
+    let held = engine.lock().row.held;
+    let is_first = held.is_some_and(|held| held.first_layer == 0);
+    match may_go_on && (!is_first || range.first_layer == 0) {
         true => Passing::IsCut,
         false => Passing::Ends,
     }
@@ -280,7 +291,7 @@
             ("fence", &number),
         ],
     );
-    let passing = passing(&core, &service);
+    let passing = passing(&core, &service, &engine, due.range);
     let body =
         place_body(due.range, mandate.fence(), due.orders_begun, passing);
     let call = exchange::order(&engine, &body);
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -196,7 +196,10 @@
             AttemptEnd::Failed(head, _) if head.status >= 500 => {
                 first.answers.note_failure(now_ms());
             }
-            AttemptEnd::Broken if !self.pace.has_begun => {
+            // One further on that died speaks against no first engine.
+            AttemptEnd::Broken
+                if !self.pace.has_begun && !self.has_dead_stage() =>
+            {
                 first.answers.note_failure(now_ms());
             }
             _ => first.answers.note_neutral(),
--- a/crates/direct/src/stream/watch.rs
+++ b/crates/direct/src/stream/watch.rs
@@ -210,7 +210,7 @@
     }
 
     /// Whether an engine after the first has died, and not just drains.
-    fn has_dead_stage(&self) -> bool {
+    pub(super) fn has_dead_stage(&self) -> bool {
         let rest = &self.path.stages[1..];
         rest.iter().any(|stage| stage.engine.is_suspect())
     }
