Know engines by their start; rows of other writers name none

Cause: an engine may start again under the id that it had. The entry knew it by its id alone: a process whose end a dial had shown was never used again (a port that answers again is a new process), its count of orders, use and attempts were those of the start before, and so were moves that peers told. One row whose value was no base64, or no text, failed the whole call, so that the list stood still; an unknown state was read as draining; a known engine whose row became unreadable stayed in use.

Ruled out: new ids made by the entry from what it sees (a restart between two looks shows nothing but the time of the start).

Change: a start is (id, born). Rows and reports carry it; everything that is kept of an engine is kept by start, in a new record for each; rows and reports of an earlier start change nothing; a later start ends the one before it. Rows that can't be used are told once each, in bounded number, and stop no others. Services that are not configured are not dialled.

--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -6,6 +6,7 @@
 mod links;
 mod path;
 mod soak;
+mod starts;
 mod stops;
 mod store;
 mod support;
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -15,6 +15,7 @@
 use crate::{
     by_service::ByService, clock::now_ms, crossing::Crossing, fleet::Fleet,
     peer_table::PeerTable, queue::PathQueues, supervise::Streams,
+    unusable_rows::UnusableRows,
 };
 
 /// Time left of the bound on withdrawn keys when they are refused: a request
@@ -46,6 +47,7 @@
     confirmed_ms: AtomicU64,
     were_keys_stale: AtomicBool,
     pub(crate) fleet: Fleet,
+    pub(crate) unusable_rows: UnusableRows,
     pub(crate) streams: Streams,
     pub(crate) path_queues: PathQueues,
     pub(crate) peers: PeerTable,
@@ -88,6 +90,7 @@
             confirmed_ms: AtomicU64::new(0),
             were_keys_stale: AtomicBool::new(false),
             fleet: Fleet::default(),
+            unusable_rows: UnusableRows::default(),
             streams: Streams::default(),
             path_queues: PathQueues::default(),
             peers: PeerTable::default(),
@@ -111,6 +114,13 @@
         self.configuration.load_full()
     }
 
+    /// Whether the configuration in force has a service of this name.
+    pub(crate) fn has_service(&self, name: &str) -> bool {
+        let configuration = self.configuration.load();
+        let configuration = configuration.as_ref();
+        configuration.is_some_and(|c| c.services.contains_key(name))
+    }
+
     pub(crate) fn limits(&self) -> Limits {
         let configuration = self.configuration.load();
         configuration.as_ref().map_or_else(Limits::default, |c| c.limits)
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -1,6 +1,7 @@
 //! What an entry knows of one backend server.
 
 use std::{
+    cmp::Ordering,
     collections::BTreeMap,
     hash::{DefaultHasher, Hash as _, Hasher as _},
     net::SocketAddr,
@@ -29,7 +30,11 @@
 #[derive(Debug)]
 pub(crate) struct Engine {
     pub(crate) id: String,
-    /// Short form of the id among entries.
+    /// Name of this start of it, under which it counts.
+    pub(crate) incarnation: String,
+    /// Unix time of that start, in milliseconds.
+    pub(crate) started_unix_ms: Option<u64>,
+    /// Short form of the incarnation among entries.
     pub(crate) hash: u32,
     pub(crate) address: SocketAddr,
     pub(crate) service: String,
@@ -61,6 +66,11 @@
     pub(crate) row_version: u64,
     /// It has left the list, or another one has its address.
     pub(crate) is_gone: bool,
+    /// A later start has its id: its process has ended.
+    pub(crate) is_replaced: bool,
+    /// What the list has under its id is no row of an engine, so that it gets
+    /// nothing new; what it runs goes on.
+    pub(crate) is_row_unusable: bool,
     pub(crate) suspicion: Option<Suspicion>,
     /// Above 1 for one that is slow.
     pub(crate) slowness: f64,
@@ -150,6 +160,28 @@
         self.row = row;
         self.row_version = version;
         self.is_gone = false;
+        self.is_row_unusable = false;
+    }
+}
+
+/// Of which start of a backend server something tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Told {
+    /// Of one before, or of none where the start is known: it holds no more.
+    Earlier,
+    Same,
+    /// The process that is known has ended.
+    Later,
+}
+
+impl Told {
+    /// Compares the start that is told with the one that is known.
+    pub(crate) fn of(told: Option<u64>, known: Option<u64>) -> Told {
+        match told.cmp(&known) {
+            Ordering::Less => Told::Earlier,
+            Ordering::Equal => Told::Same,
+            Ordering::Greater => Told::Later,
+        }
     }
 }
 
@@ -198,9 +230,12 @@
         data_centre: usize,
     ) -> Engine {
         let mut hasher = DefaultHasher::new();
-        row.id.hash(&mut hasher);
+        let incarnation = row.incarnation();
+        incarnation.hash(&mut hasher);
         Engine {
             id: row.id.clone(),
+            incarnation,
+            started_unix_ms: row.started_unix_ms,
             hash: hasher.finish() as u32,
             address: row.address,
             service: row.service.clone(),
@@ -218,6 +253,8 @@
                 row,
                 row_version,
                 is_gone: false,
+                is_replaced: false,
+                is_row_unusable: false,
                 suspicion: None,
                 slowness: 1.0,
                 avoided_until_ms: 0,
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -12,7 +12,7 @@
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{
-    engine::{Engine, EngineState},
+    engine::{Engine, EngineState, Told},
     path::{Path, Stage},
 };
 
@@ -39,7 +39,7 @@
     pub(crate) model: &'a Model,
     pub(crate) data_centre: usize,
     pub(crate) tokens: u64,
-    /// Engines that may not be used, by id.
+    /// Engines that may not be used, by incarnation.
     pub(crate) without: &'a BTreeSet<String>,
     pub(crate) now_ms: u64,
     /// Whether engines that failed of late are not to be first.
@@ -48,6 +48,16 @@
     pub(crate) crossing_use: f64,
 }
 
+/// What came of a row.
+pub(crate) enum Applied {
+    /// The start was known.
+    Known,
+    /// A start that was not known; what ran under its id has ended.
+    New(Arc<Engine>),
+    /// It is older than what is known, or tells no start where one is known.
+    OfEarlierStart,
+}
+
 impl Fleet {
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Arc<Engine>>> {
         self.engines.lock().expect("no holder panics")
@@ -75,29 +85,55 @@
         here.next().cloned()
     }
 
-    /// Takes a row; the engine if it was not known.
+    /// The engine of this start.
+    pub(crate) fn incarnation(&self, name: &str) -> Option<Arc<Engine>> {
+        let engines = self.lock();
+        engines.values().find(|e| e.incarnation == name).cloned()
+    }
+
+    /// Takes a row.
     pub(crate) fn apply(
         &self,
         row: Backend,
         row_version: u64,
         data_centre: usize,
-    ) -> Option<Arc<Engine>> {
+    ) -> Applied {
         let known = self.get(&row.id);
+        let told = known.as_ref().map_or(Told::Later, |known| {
+            Told::of(row.started_unix_ms, known.started_unix_ms)
+        });
+        if told == Told::Earlier {
+            return Applied::OfEarlierStart;
+        }
         note_listed(&row, row_version, known.as_deref());
-        if let Some(engine) = known {
+        if let Some(engine) = &known
+            && told == Told::Same
+        {
             let mut state = engine.lock();
             if row_version >= state.row_version {
                 state.take_row(row, row_version);
             }
-            return None;
+            return Applied::Known;
+        }
+        if let Some(old) = &known {
+            old.lock().is_replaced = true;
         }
         // Another one at the same address: the old one has ended.
-        if let Some(old) = self.at(row.address) {
+        for old in known.into_iter().chain(self.at(row.address)) {
             old.lock().is_gone = true;
         }
         let engine = Arc::new(Engine::new(row, row_version, data_centre));
         self.lock().insert(engine.id.clone(), engine.clone());
-        Some(engine)
+        Applied::New(engine)
+    }
+
+    /// Takes that the list has no row of an engine under an id; true if an
+    /// engine is used no more for it.
+    pub(crate) fn disown(&self, id: &str) -> bool {
+        let Some(engine) = self.get(id) else { return false };
+        let was_unusable =
+            std::mem::replace(&mut engine.lock().is_row_unusable, true);
+        !was_unusable
     }
 
     /// Takes the moves of engines of which the planner tells, by their short
@@ -157,7 +193,7 @@
         path: &Path,
     ) -> Option<Path> {
         let is_bad = |stage: &Stage| {
-            need.without.contains(&stage.engine.id)
+            need.without.contains(&stage.engine.incarnation)
                 || stage.engine.is_suspect()
                 || stage.leaving_ms(need.now_ms).is_some()
                 || stage.is_given_up()
@@ -180,7 +216,7 @@
             .iter()
             .enumerate()
             .filter(|(at, stage)| *at == 0 || !is_bad(stage))
-            .map(|(_, stage)| stage.engine.id.clone())
+            .map(|(_, stage)| stage.engine.incarnation.clone())
             .collect();
         let mut at = 0;
         while at < rest.len() {
@@ -201,7 +237,8 @@
                 crossing_takes_ms: need.model.crossing_takes_ms(need.tokens),
             };
             let part = self.part(need, &request, &used)?;
-            used.extend(part.stages.iter().map(|s| s.engine.id.clone()));
+            let names = part.stages.iter();
+            used.extend(names.map(|s| s.engine.incarnation.clone()));
             out.stages.extend(part.stages);
             at += run;
         }
@@ -260,8 +297,8 @@
     let state = engine.lock();
     let kind = state.row.kind.as_ref();
     let kind = kind.and_then(|kind| need.model.kinds.get(kind));
-    let is_named =
-        need.without.contains(&engine.id) || used.contains(&engine.id);
+    let name = &engine.incarnation;
+    let is_named = need.without.contains(name) || used.contains(name);
     let (Some(kind), Some(held), Some(lasting)) =
         (kind, state.row.held, state.lasting_layers())
     else {
@@ -301,6 +338,7 @@
 pub(crate) fn takes_work(state: &EngineState, now_ms: u64) -> bool {
     state.row.state == BackendState::Ready
         && !state.is_gone
+        && !state.is_row_unusable
         && state.suspicion.is_none()
         && state.avoided_until_ms <= now_ms
 }
@@ -308,12 +346,16 @@
 fn note_listed(row: &Backend, row_version: u64, known: Option<&Engine>) {
     let is_same = known.is_some_and(|engine| {
         let old = &engine.lock().row;
-        old.state == row.state && old.held == row.held
+        old.state == row.state
+            && old.held == row.held
+            && old.started_unix_ms == row.started_unix_ms
     });
     if is_same {
         return;
     }
     let layers = row.held.map_or_else(String::new, |held| held.to_string());
+    let started = row.started_unix_ms;
+    let started = started.map_or_else(String::new, |ms| ms.to_string());
     let state = match row.state {
         BackendState::Ready => "ready",
         BackendState::Draining => "draining",
@@ -323,6 +365,7 @@
         &[
             ("backend", &row.id),
             ("address", &row.address),
+            ("started_unix_ms", &started),
             ("state", &state),
             ("layers", &layers),
             ("row_version", &row_version),
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -24,6 +24,7 @@
 use crate::{
     clock::now_ms,
     core::{Core, NEEDS_BACKENDS},
+    fleet::Applied,
     probe,
 };
 
@@ -48,6 +49,8 @@
 const MAX_PAUSES: u32 = 2;
 /// An outage of the store, from which on lapsed entries are kept.
 const OUTAGE_MS: u64 = 400;
+/// Longest text of what is wrong with a row: it may quote the row.
+const MAX_ERROR_CHARS: usize = 160;
 /// How long lapsed entries are kept after the store's return.
 const KEEP_LAPSED_MS: u64 = 1_900;
 
@@ -278,26 +281,55 @@
 
 fn apply_backend(core: &Arc<Core>, row: &Row, health: &Health) {
     if row.is_dropped {
+        core.unusable_rows.forget(&row.key);
         remove(core, &row.key, row.version, health);
         return;
     }
-    match backends::try_backend(row) {
-        Ok(backend) => {
-            let data_centre = core.data_centre(&backend.data_centre);
-            let is_leaving = backend.state == BackendState::Draining;
-            let new = core.fleet.apply(backend, row.version, data_centre);
-            if is_leaving {
-                core.streams.nudge_all();
-            }
-            if let Some(engine) = new {
-                probe::watch(core, engine);
-            }
+    let backend = match backends::try_backend(row) {
+        Ok(backend) => backend,
+        Err(error) => return disown(core, row, &error),
+    };
+    let data_centre = core.data_centre(&backend.data_centre);
+    let is_leaving = backend.state == BackendState::Draining;
+    match core.fleet.apply(backend, row.version, data_centre) {
+        Applied::Known if is_leaving => core.streams.nudge_all(),
+        Applied::Known => {}
+        Applied::New(engine) => {
+            // What ran on the start before it, if there was one, has ended.
+            core.streams.nudge_all();
+            probe::watch(core, engine);
+        }
+        Applied::OfEarlierStart => {
+            let error = "it tells of no start, or of an earlier one";
+            return note_unusable(core, row, error);
         }
-        Err(error) => emit(
-            Event::ManifestUnusable,
-            &[("generation", &row.version), ("findings", &error)],
-        ),
     }
+    core.unusable_rows.forget(&row.key);
+}
+
+/// Takes that a row is no engine's: another writer may have put it there, and
+/// an engine of that name may serve on.
+fn disown(core: &Core, row: &Row, error: &str) {
+    if core.fleet.disown(&row.key) {
+        core.streams.nudge_all();
+    }
+    note_unusable(core, row, error);
+}
+
+/// Tells of a row that names no backend server, once until it is readable.
+fn note_unusable(core: &Core, row: &Row, error: &str) {
+    if !core.unusable_rows.is_news(&row.key) {
+        return;
+    }
+    let error: String = error.chars().take(MAX_ERROR_CHARS).collect();
+    emit(
+        Event::BackendRowUnusable,
+        &[
+            ("backend", &row.key),
+            ("row_version", &row.version),
+            ("error", &error),
+        ],
+    );
 }
 
 /// Takes an entry out, or keeps it for a moment after an outage.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `by_service` | something for each service |
 //! | `follow` | configuration and list of backend servers, by feeds |
 //! | `fleet`, `engine` | what is known of backend servers |
+//! | `unusable_rows` | rows that name none, for the logs |
 //! | `path` | the engines that a request passes through |
 //! | `crossing` | what goes between data centres |
 //! | `rate` | amounts a second |
@@ -67,5 +68,6 @@
 mod rate;
 mod stream;
 mod supervise;
+mod unusable_rows;
 
 pub use entry::{DirectEntry, StartError};
--- a/crates/direct/src/path.rs
+++ b/crates/direct/src/path.rs
@@ -77,8 +77,8 @@
         now_ms: u64,
     ) {
         for stage in &self.stages {
-            let id = &stage.engine.id;
-            if before.stages.iter().any(|s| s.engine.id == *id) {
+            let same = |s: &Stage| Arc::ptr_eq(&s.engine, &stage.engine);
+            if before.stages.iter().any(same) {
                 continue;
             }
             let kind = stage.engine.lock().row.kind.clone();
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -82,7 +82,7 @@
             book.open_moves().map(move |open| (service, open))
         });
         let told = |(service, open): (&String, OpenMove)| {
-            let engine = core.fleet.get(&open.engine)?;
+            let engine = core.fleet.incarnation(&open.engine)?;
             let told = peers::OpenMove {
                 service: service.clone(),
                 engine: engine.hash,
@@ -201,7 +201,7 @@
     let known = |(given_ms, told): (u64, peers::OpenMove)| {
         let engine = engines.iter().find(|e| e.hash == told.engine)?;
         Some(OpenMove {
-            engine: engine.id.clone(),
+            engine: engine.incarnation.clone(),
             range: LayerRange::new(told.first_layer, told.end_layer),
             orders_begun: told.orders_begun,
             given_ms,
@@ -222,9 +222,10 @@
     let kind = kind.and_then(|kind| model.kinds.get(kind));
     let is_sound = state.row.state == BackendState::Ready
         && !state.is_gone
+        && !state.is_row_unusable
         && state.suspicion.is_none();
     KnownEngine {
-        id: &engine.id,
+        id: &engine.incarnation,
         layout: LayoutEngine {
             data_centre: engine.data_centre,
             memory_mb: kind.map_or(0.0, |kind| kind.memory_mb),
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -80,8 +80,8 @@
         else {
             break;
         };
-        attempts.begin(&engine.id);
-        tried.insert(engine.id.clone());
+        attempts.begin(&engine.incarnation);
+        tried.insert(engine.incarnation.clone());
         let limit_ms = attempt_end_ms(admitted, attempts.made());
         let sent =
             Sent { engine: &engine, attempt: attempts.made(), limit_ms };
@@ -179,7 +179,7 @@
         let load = e.first_count() * 100 / slots;
         (e.lock().failures.min(3), load, e.data_centre != own)
     };
-    let fresh = engines.iter().filter(|e| !tried.contains(&e.id));
+    let fresh = engines.iter().filter(|e| !tried.contains(&e.incarnation));
     fresh.filter(takes).min_by_key(rank).cloned()
 }
 
--- a/crates/direct/src/probe.rs
+++ b/crates/direct/src/probe.rs
@@ -18,7 +18,7 @@
 use crate::{
     clock::now_ms,
     core::Core,
-    engine::{Engine, Evidence, FLOWING_MS, Suspicion},
+    engine::{Engine, Evidence, FLOWING_MS, Suspicion, Told},
     exchange,
     path::Path,
 };
@@ -66,6 +66,11 @@
         if engine.lock().is_gone {
             return;
         }
+        // Who serves nothing that is configured may be anybody's address.
+        if !core.has_service(&engine.service) {
+            Timer::after(REDIAL).await;
+            continue;
+        }
         let since_ms = now_ms();
         match Outbound::connect(engine.address, WATCH_DIAL).await {
             Ok(connection) => {
@@ -181,10 +186,13 @@
     if !engine.lock().is_gone {
         probe(core.clone(), engine.clone()).await;
     }
-    let (is_gone, suspicion) = {
+    let (is_gone, is_replaced, suspicion) = {
         let state = engine.lock();
-        (state.is_gone, state.suspicion)
+        (state.is_gone, state.is_replaced, state.suspicion)
     };
+    if is_replaced {
+        return true;
+    }
     if suspicion.is_some_and(|s| s.evidence != Evidence::Stalled) {
         return true;
     }
@@ -248,6 +256,13 @@
 }
 
 fn take_report(core: &Core, engine: &Engine, report: &Report) {
+    match told_by(engine, report) {
+        Told::Same => {}
+        // It came late, or is of another writer.
+        Told::Earlier => return,
+        // What runs there now has a row of its own, or soon will.
+        Told::Later => return suspect(core, engine, Evidence::Refused),
+    }
     let slowness = match report.slowness {
         slowness if slowness < SLOW_FROM => 1.0,
         slowness => slowness,
@@ -258,12 +273,20 @@
         let Some(dead) = core.fleet.at(stalled.at) else { continue };
         // It may be back, while the report is of before.
         let is_flowing = dead.quiet_ms(now_ms()) < FLOWING_MS;
-        if !is_flowing && dead.id != engine.id {
+        if !is_flowing && dead.incarnation != engine.incarnation {
             suspect(core, &dead, Evidence::Stalled);
         }
     }
 }
 
+/// Of which start a report tells.
+fn told_by(engine: &Engine, report: &Report) -> Told {
+    match engine.started_unix_ms {
+        Some(known) => Told::of(report.started_unix_ms, Some(known)),
+        None => Told::Same,
+    }
+}
+
 fn note_slowness(engine: &Engine, slowness: f64) {
     let mut state = engine.lock();
     let is_same = (state.slowness - slowness).abs() < 0.1;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -73,7 +73,7 @@
     /// Tokens of the prompt and of what the client has already.
     tokens: u64,
     listed: Listed,
-    /// Engines that may not be used for this request.
+    /// Engines that may not be used for this request, by incarnation.
     without: BTreeSet<String>,
     attempts: Attempts,
     path: Path,
@@ -175,7 +175,8 @@
                 AttemptEnd::NotRun(at) => self.avoid(at),
                 AttemptEnd::Broken => self.leave_first().await,
                 AttemptEnd::Failed(head, body) => {
-                    self.without.insert(self.path.first().id.clone());
+                    let first = self.path.first();
+                    self.without.insert(first.incarnation.clone());
                     self.cause = "failed";
                     let is_final = head.status < 500 || !self.can_move();
                     if is_final && !self.is_head_sent {
@@ -222,10 +223,10 @@
     /// live.
     async fn leave_first(&mut self) {
         let first = self.path.first().clone();
-        self.without.insert(first.id.clone());
+        self.without.insert(first.incarnation.clone());
         self.cause = "resumed";
         if probe::has_ended(self.core, &first).await {
-            self.attempts.has_ended(&first.id);
+            self.attempts.has_ended(&first.incarnation);
         }
     }
 
@@ -236,7 +237,7 @@
         let named = at.and_then(|at| self.core.fleet.at(at));
         let engine = named.unwrap_or_else(|| first.clone());
         engine.lock().avoid_longer(now_ms(), AVOID_MS);
-        self.without.insert(engine.id.clone());
+        self.without.insert(engine.incarnation.clone());
     }
 
     async fn finish(&mut self, inbound: &mut Inbound) -> After {
--- a/crates/direct/src/stream/attempt.rs
+++ b/crates/direct/src/stream/attempt.rs
@@ -42,7 +42,7 @@
         };
         let bytes = self.request_bytes();
         self.note_sent();
-        self.attempts.begin(&first.id);
+        self.attempts.begin(&first.incarnation);
         first.answers.note_sent(now_ms());
         let id = self.admitted.id.clone();
         let method = self.request.method.clone();
--- a/crates/direct/src/stream/seek.rs
+++ b/crates/direct/src/stream/seek.rs
@@ -132,7 +132,7 @@
         let need = self.need();
         if self.cause == "refused"
             && !self.path.stages.is_empty()
-            && !self.without.contains(&self.path.first().id)
+            && !self.without.contains(&self.path.first().incarnation)
             && !self.path.first().is_suspect()
             && let Some(path) = self.core.fleet.detour(&need, &self.path)
         {
--- a/crates/direct/src/stream/watch.rs
+++ b/crates/direct/src/stream/watch.rs
@@ -269,7 +269,7 @@
                         .and_then(|at| self.core.fleet.at(at));
                     match named {
                         Some(engine) => {
-                            self.without.insert(engine.id.clone());
+                            self.without.insert(engine.incarnation.clone());
                         }
                         None => return true,
                     }
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -57,11 +57,29 @@
     data_centre: &str,
     port: u16,
 ) -> io::Result<SocketAddr> {
-    let address = start_untold(world, service, data_centre, port)?;
+    let address = start_untold(world, service, data_centre, port, None)?;
     world.tell(address);
     Ok(address)
 }
 
+/// Starts an engine again under the id that it had, empty.
+///
+/// # Errors
+///
+/// The port can't be opened.
+pub fn start_again(
+    world: &World,
+    address: SocketAddr,
+    server: &ServerState,
+) -> io::Result<()> {
+    let id = Some(server.id.as_str());
+    let place = &server.data_centre;
+    let port = address.port();
+    let address = start_untold(world, server.service, place, port, id)?;
+    world.tell(address);
+    Ok(())
+}
+
 /// Starts a server that has not written its row yet.
 ///
 /// # Errors
@@ -72,9 +90,10 @@
     service: &'static str,
     data_centre: &str,
     port: u16,
+    old_id: Option<&str>,
 ) -> io::Result<SocketAddr> {
     let (listener, address) = listen(world, port)?;
-    let id = world.add(address, service, data_centre);
+    let id = world.add(address, service, data_centre, old_id);
     let accepting = world.clone();
     let accept = async move {
         loop {
@@ -187,6 +206,7 @@
         "models": [],
         "busy": false,
         "seq": server.orders,
+        "born": server.started_unix_ms,
         "queued": 0,
         "active": server.streams.len(),
         "kv-used": 0,
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -44,6 +44,10 @@
 pub enum FaultKind {
     /// An engine's process ends; an empty one starts in its place.
     EngineEnds,
+    /// An engine's process ends and starts again, empty, under its id.
+    EngineRestarts,
+    /// Another writer writes rows that no server writes.
+    RowsForeign,
     /// An engine falls silent for good.
     EngineDark,
     /// An engine becomes slow.
@@ -90,7 +94,7 @@
 const LINK_DELAY: LinkFault = LinkFault::Delayed(Duration::from_millis(180));
 
 /// Every name of a fault, and what it is.
-const FAULTS: [(&str, FaultKind); 34] = [
+const FAULTS: [(&str, FaultKind); 36] = [
     ("engine-ends", FaultKind::EngineEnds),
     ("engine-dark", FaultKind::EngineDark),
     ("engine-slow", FaultKind::EngineSlow),
@@ -125,6 +129,8 @@
     ("server-link-silent", FaultKind::ServerLink(LinkFault::Silent)),
     ("server-link-cut-forth", FaultKind::ServerLink(LinkFault::CutForth)),
     ("server-link-cut-back", FaultKind::ServerLink(LinkFault::CutBack)),
+    ("engine-restarts", FaultKind::EngineRestarts),
+    ("rows-foreign", FaultKind::RowsForeign),
 ];
 
 /// How long a fault lasts where nothing is said.
@@ -142,6 +148,7 @@
         matches!(
             self,
             FaultKind::EngineEnds
+                | FaultKind::EngineRestarts
                 | FaultKind::EngineDark
                 | FaultKind::EngineDrains
                 | FaultKind::AddressReused
@@ -155,6 +162,11 @@
         matches!(self, FaultKind::StoreLink(_) | FaultKind::ServerLink(_))
     }
 
+    /// Whether it is one of starts under the same id, or of rows.
+    pub fn is_of_identity(self) -> bool {
+        matches!(self, FaultKind::EngineRestarts | FaultKind::RowsForeign)
+    }
+
     /// Every fault that has a name.
     pub fn all() -> impl Iterator<Item = FaultKind> {
         FAULTS.iter().map(|fault| fault.1)
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -51,6 +51,8 @@
 /// Seeds from here on have links that fail as well; those before stay what
 /// they are.
 const LINK_SEEDS: u64 = 1 << 20;
+/// Seeds from here on have starts under the same id and foreign rows as well.
+const IDENTITY_SEEDS: u64 = 1 << 21;
 /// Load of a seeded run.
 const LENGTH: Duration = Duration::from_secs(6);
 
@@ -163,6 +165,12 @@
             (FaultKind::EngineEnds, Some(engine)) => {
                 self.replace(engine, fault.length);
             }
+            (FaultKind::EngineRestarts, Some(engine)) => {
+                self.restart_engine(engine, LISTENER_ENDS);
+            }
+            (FaultKind::RowsForeign, _) => {
+                self.world.overwrite_rows(fault.length);
+            }
             (FaultKind::EngineDark, Some(engine)) => {
                 self.world.darken(engine);
                 self.replace_gone(engine, fault.length);
@@ -263,6 +271,7 @@
                         PLAIN_SERVICE,
                         &place,
                         engine.port(),
+                        None,
                     );
                 });
             }
@@ -428,6 +437,17 @@
         self.replace_gone(engine, after);
     }
 
+    /// Ends an engine and starts it again, empty, under its id.
+    pub fn restart_engine(&self, engine: SocketAddr, after: Duration) {
+        let Some(server) = self.world.server(engine) else { return };
+        self.world.end_unnoticed(engine);
+        let world = self.world.clone();
+        self.later(after.max(LISTENER_ENDS), async move {
+            // An address that is still held is reused by nobody.
+            let _ = engines::start_again(&world, engine, &server);
+        });
+    }
+
     fn replace_gone(&self, engine: SocketAddr, after: Duration) {
         let Some(server) = self.world.server(engine) else { return };
         let world = self.world.clone();
@@ -526,6 +546,7 @@
     };
     let kinds: Vec<FaultKind> = FaultKind::all()
         .filter(|kind| has_links || !kind.is_of_link())
+        .filter(|kind| seed >= IDENTITY_SEEDS || !kind.is_of_identity())
         .collect();
     let mut faults: Vec<Fault> = (0..FAULTS)
         .map(|_| Fault {
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -115,6 +115,11 @@
         self.lock().set(table, key, Some(value))
     }
 
+    /// Writes a row whose value is no base64.
+    pub fn put_unreadable(&self, table: &str, key: &str) -> u64 {
+        self.lock().set(table, key, Some("\u{7}no base64".to_owned()))
+    }
+
     /// Has feeds tell of a row as it was once, while reads show it as it is.
     pub fn tell_stale(&self, table: &str, key: &str, value: &Value) {
         let value = BASE64.encode(value.to_string());
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -27,8 +27,12 @@
 const LAPSE: Duration = Duration::from_millis(1_200);
 /// How long a server that drains still serves.
 const DRAIN: Duration = Duration::from_millis(1_500);
+/// One of so many engines has its row overwritten.
+const OVERWRITTEN_EVERY: usize = 4;
 /// Time to load layers.
 const LOAD: Duration = Duration::from_millis(150);
+/// Start of the first server, in Unix milliseconds; each later one is greater.
+const FIRST_START_UNIX_MS: u64 = 1_796_000_000_000;
 /// How long work waits for a dead engine before it is cut.
 pub(crate) const STALL: Duration = Duration::from_millis(3_000);
 
@@ -52,8 +56,10 @@
 /// A backend server.
 #[derive(Clone, Debug)]
 pub struct ServerState {
-    /// New for each start.
+    /// Its name; a restart may keep it.
     pub id: String,
+    /// Unix time of its start, in milliseconds.
+    pub started_unix_ms: u64,
     /// Its service.
     pub service: &'static str,
     /// Its data centre.
@@ -153,18 +159,22 @@
         self.shared.state.lock().expect("no holder panics")
     }
 
-    /// Starts a server at an address; its id.
+    /// Starts a server at an address, under the id that it had or a new one;
+    /// its id.
     pub(crate) fn add(
         &self,
         address: SocketAddr,
         service: &'static str,
         data_centre: &str,
+        old_id: Option<&str>,
     ) -> String {
         let mut state = self.lock();
         state.next_id += 1;
-        let id = format!("i-{:04}", state.next_id);
+        let new_id = || format!("i-{:04}", state.next_id);
+        let id = old_id.map_or_else(new_id, str::to_owned);
         let server = ServerState {
             id: id.clone(),
+            started_unix_ms: FIRST_START_UNIX_MS + state.next_id,
             service,
             data_centre: data_centre.to_owned(),
             life: Life::Serving,
@@ -297,12 +307,17 @@
         self.end_listed(address, LAPSE);
     }
 
-    /// Ends a server's process, whose row stays for so long.
-    pub fn end_listed(&self, address: SocketAddr, listed: Duration) {
+    /// Ends a server's process, whose row stays.
+    pub fn end_unnoticed(&self, address: SocketAddr) {
         self.change(address, |server| {
             server.life = Life::Ended;
             server.streams.clear();
         });
+    }
+
+    /// Ends a server's process, whose row stays for so long.
+    pub fn end_listed(&self, address: SocketAddr, listed: Duration) {
+        self.end_unnoticed(address);
         self.lapse_later(address, listed);
     }
 
@@ -331,6 +346,28 @@
         self.shared.executor.spawn(later).detach();
     }
 
+    /// Writes rows of another writer for so long: in place of the rows of some
+    /// servers, and beside them.
+    pub fn overwrite_rows(&self, length: Duration) {
+        let store = &self.shared.store;
+        for (number, value) in foreign_rows().iter().enumerate() {
+            store.put(TABLE, &format!("other-{number}"), value);
+        }
+        let engines: Vec<SocketAddr> =
+            self.engines().into_iter().step_by(OVERWRITTEN_EVERY).collect();
+        for (address, value) in engines.iter().zip(foreign_rows()) {
+            if let Some(server) = self.server(*address) {
+                store.put(TABLE, &server.id, &value);
+            }
+        }
+        let world = self.clone();
+        let later = async move {
+            Timer::after(length).await;
+            engines.into_iter().for_each(|address| world.tell(address));
+        };
+        self.shared.executor.spawn(later).detach();
+    }
+
     fn lapse_later(&self, address: SocketAddr, listed: Duration) {
         let Some(server) = self.server(address) else { return };
         let store = self.shared.store.clone();
@@ -355,6 +392,7 @@
             "slots": 64,
             "state": state,
             "seq": 7,
+            "born": server.started_unix_ms,
         });
         if server.service == MODEL_SERVICE {
             row["kind"] = json!("card");
@@ -511,6 +549,34 @@
     }
 }
 
+/// Rows that no server writes.
+fn foreign_rows() -> [serde_json::Value; 6] {
+    let row = json!({
+        "service": MODEL_SERVICE,
+        "address": "127.0.0.1:9",
+        "zone": "hall-a",
+        "slots": 64,
+        "state": "ready",
+        "seq": 7,
+        "born": FIRST_START_UNIX_MS,
+        "kind": "card",
+        "layers": {"from": 0, "target": 5, "version": 1},
+    });
+    let with = |name: &str, value: serde_json::Value| {
+        let mut changed = row.clone();
+        changed[name] = value;
+        changed
+    };
+    [
+        json!("no row"),
+        with("state", json!("sleeping")),
+        with("born", json!("yesterday")),
+        with("address", json!(9)),
+        with("layers", json!({"from": "first"})),
+        with("slots", serde_json::Value::Null),
+    ]
+}
+
 /// Layers as rows and reports tell them.
 pub(crate) fn layers_json(held: Option<(u32, u32)>) -> serde_json::Value {
     match held {
--- a/crates/planner/src/order_book.rs
+++ b/crates/planner/src/order_book.rs
@@ -75,7 +75,7 @@
 /// An order to move that was given and does not show yet.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OpenMove {
-    /// Id of the engine.
+    /// Incarnation of the engine.
     pub engine: String,
     /// The layers.
     pub range: LayerRange,
--- a/crates/site/src/backend.rs
+++ b/crates/site/src/backend.rs
@@ -7,8 +7,10 @@
 /// What a backend server says of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Backend {
-    /// New for each start of the server.
+    /// Its name; a restart may keep it.
     pub id: String,
+    /// Unix time of its start, in milliseconds; none where it tells none.
+    pub started_unix_ms: Option<u64>,
     /// Service that it serves.
     pub service: String,
     /// Where it listens.
@@ -25,6 +27,17 @@
     pub held: Option<LayerRange>,
 }
 
+impl Backend {
+    /// Name of this start of the server. What is known of one start holds
+    /// for no other.
+    pub fn incarnation(&self) -> String {
+        match self.started_unix_ms {
+            Some(started_unix_ms) => format!("{}@{started_unix_ms}", self.id),
+            None => self.id.clone(),
+        }
+    }
+}
+
 /// Whether a backend server takes work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BackendState {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -236,7 +236,8 @@
         ["backend", "address", "suspected_ms"],
         "A suspected backend server answers again.";
     BackendListed = 909, "backend_listed", Info,
-        ["backend", "address", "state", "layers", "row_version"],
+        ["backend", "address", "started_unix_ms", "state", "layers",
+         "row_version"],
         "The list of backend servers has a new or changed entry.";
     BackendGone = 910, "backend_gone", Info,
         ["backend", "address", "row_version", "held_back_ms"],
@@ -278,6 +279,9 @@
         ["request", "account", "tokens", "urgency", "waiting", "waited_ms",
          "result"],
         "A stream waited for a path in the queue of its service.";
+    BackendRowUnusable = 924, "backend_row_unusable", Warn,
+        ["backend", "row_version", "error"],
+        "A row of the list names no backend server; the others hold.";
     MetricsPortTaken = 923, "metrics_port_taken", Warn,
         ["port", "error"],
         "The metrics can't be had at the port that was asked for.";
