Refuse at once what would begin late; late requests wait behind

Cause: past what fits, whatever waits takes room from what comes later.

Change: routing::room_wait decides whether a stream without room may wait. In a peak of up to 1.5 s all may, those that can begin in time first. After that only those that will begin in time by the tokens before them and the rate at which tokens found room in the last second, and whose account has not had its max-min fair share of the last 4 s; the others are refused at once (no_room) and told to come back when what runs now has ended, spread over as long again. Streams that can no longer begin in time have turns only while none can.

--- a/crates/daemon/tests/users_platform/faults.rs
+++ b/crates/daemon/tests/users_platform/faults.rs
@@ -90,7 +90,8 @@
 /// What a planner tells that is about to leave an engine one layer.
 fn told_move(engine: &ServerState, sequence: u64) -> PeerState {
     let mut hasher = DefaultHasher::new();
-    engine.id.hash(&mut hasher);
+    let incarnation = format!("{}@{}", engine.id, engine.started_unix_ms);
+    incarnation.hash(&mut hasher);
     let open_move = OpenMove {
         service: MODEL_SERVICE.to_owned(),
         engine: hasher.finish() as u32,
--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -1,13 +1,21 @@
 //! Answers of our own, and heads of answers that are passed on.
 
+use std::time::Duration;
+
 use chestnutreach_adapter::{clients, engine};
 use chestnutreach_http::relay::{AnswerHead, is_end_to_end, push_header};
 
-/// Time after which a client that was refused may come back, in seconds.
-/// A path or a place is usually free again after a few answers.
-const COME_BACK_S: f64 = 0.2;
+/// Time after which a client that was refused may come back where nothing
+/// tells more, in milliseconds: a place is usually free again after a few
+/// answers.
+const COME_BACK_MS: u64 = 200;
 /// Part of it that is varied, so that clients do not come back together.
-const COME_BACK_SPREAD_S: f64 = 0.3;
+const COME_BACK_SPREAD_MS: u64 = 300;
+
+/// A time to come back for a client of whom nothing more is known.
+pub(crate) fn usual_come_back_ms() -> u64 {
+    COME_BACK_MS + fastrand::u64(0..=COME_BACK_SPREAD_MS)
+}
 
 /// Why a request ends with an answer of our own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -24,6 +32,8 @@
     Stopping,
     /// No backend server can take it now.
     NoBackend,
+    /// It would begin too late: what waits before it takes the room.
+    NoRoom,
     /// The client's time was over before it could be sent.
     TooLate,
     /// It was sent and may have run, and no answer can be had.
@@ -51,6 +61,7 @@
             | Reason::KeysStale
             | Reason::Stopping
             | Reason::NoBackend
+            | Reason::NoRoom
             | Reason::TooLate => 503,
             Reason::Unknown => 502,
             Reason::TimeOver => 504,
@@ -65,6 +76,7 @@
             Reason::KeysStale => "keys_stale",
             Reason::Stopping => "stopping",
             Reason::NoBackend => "no_backend",
+            Reason::NoRoom => "no_room",
             Reason::TooLate => "too_late",
             Reason::Unknown => "unknown",
             Reason::TimeOver => "time_over",
@@ -89,6 +101,7 @@
 pub(crate) fn own_answer(
     reason: Reason,
     request_id: Option<&str>,
+    come_back_ms: u64,
     is_last: bool,
 ) -> Vec<u8> {
     let status = reason.status();
@@ -100,7 +113,7 @@
         push_header(&mut out, clients::REQUEST_ID, id);
     }
     if status == 503 {
-        let after_s = COME_BACK_S + COME_BACK_SPREAD_S * fastrand::f64();
+        let after_s = Duration::from_millis(come_back_ms).as_secs_f64();
         let after = format!("{after_s:.2}");
         push_header(&mut out, clients::RETRY_AFTER, &after);
     }
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -8,7 +8,9 @@
 use arc_swap::ArcSwapOption;
 use async_executor::Executor;
 use chestnutreach_protocol::peers::OpenMove;
-use chestnutreach_routing::{FirstWaits, RetryBounds, RetryWindow, Sent};
+use chestnutreach_routing::{
+    FirstWaits, RetryBounds, RetryWindow, RoomWaits, Sent,
+};
 use chestnutreach_site::{Configuration, Limits, NodeSettings};
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
@@ -55,6 +57,8 @@
     pub(crate) crossing: Crossing,
     retries: ByService<RetryWindow>,
     first_waits: ByService<FirstWaits>,
+    /// What finds room, and what waits for it.
+    pub(crate) room_waits: Arc<ByService<RoomWaits>>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) readiness: Arc<Readiness>,
     /// When the stop began; 0 before.
@@ -97,6 +101,7 @@
             crossing: Crossing::default(),
             retries: ByService::default(),
             first_waits: ByService::default(),
+            room_waits: Arc::default(),
             metrics: Arc::new(metrics),
             readiness: Arc::new(Readiness::new(&conditions)),
             stopping_ms: AtomicU64::new(0),
@@ -267,6 +272,11 @@
         self.first_waits.look(service, is_overdue).unwrap_or(false)
     }
 
+    /// How long streams of a service usually wait for their first event.
+    pub(crate) fn usual_first_ms(&self, service: &str) -> Option<u64> {
+        self.first_waits.look(service, FirstWaits::usual_ms)?
+    }
+
     /// Tells that a request may not be sent again now.
     pub(crate) fn note_retry_denied(&self, service: &str, request: &str) {
         self.metrics.service(service).retries_denied.inc();
--- a/crates/direct/src/ended.rs
+++ b/crates/direct/src/ended.rs
@@ -3,7 +3,7 @@
 use chestnutreach_adapter::clients;
 use chestnutreach_http::relay::{Inbound, RelayRequest};
 
-use crate::answer::{Reason, own_answer};
+use crate::answer::{Reason, own_answer, usual_come_back_ms};
 
 /// What becomes of a connection after an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,9 +46,22 @@
     request: &RelayRequest,
     reason: Reason,
     is_last: bool,
+) -> (Ended, After) {
+    let come_back_ms = usual_come_back_ms();
+    refuse_until(inbound, request, reason, come_back_ms, is_last).await
+}
+
+/// Sends an answer of our own; where it may be asked again, with the time
+/// after which.
+pub(crate) async fn refuse_until(
+    inbound: &mut Inbound,
+    request: &RelayRequest,
+    reason: Reason,
+    come_back_ms: u64,
+    is_last: bool,
 ) -> (Ended, After) {
     let id = request.header(clients::REQUEST_ID);
-    let bytes = own_answer(reason, id, is_last);
+    let bytes = own_answer(reason, id, come_back_ms, is_last);
     let is_sent = inbound.write(&bytes).await.is_ok();
     let ended = Ended {
         outcome: reason.outcome(),
--- a/crates/direct/src/queue.rs
+++ b/crates/direct/src/queue.rs
@@ -31,6 +31,14 @@
     signals: BTreeMap<u64, Sender<()>>,
 }
 
+/// What goes before a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Before {
+    /// For how long somebody has waited without a break.
+    pub(crate) busy_for_ms: u64,
+    pub(crate) tokens: u64,
+}
+
 /// A place in a queue, and later a turn, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Place {
@@ -70,6 +78,20 @@
         self.by_service.look(service, count).unwrap_or(0)
     }
 
+    /// What goes before a request that comes now.
+    pub(crate) fn before(
+        &self,
+        service: &str,
+        account: &str,
+        tokens: u64,
+    ) -> Before {
+        let before = |queue: &Queue| Before {
+            busy_for_ms: queue.turns.busy_for_ms(now_ms()),
+            tokens: queue.turns.tokens_before(account, tokens),
+        };
+        self.by_service.look(service, before).unwrap_or_default()
+    }
+
     /// Takes a place.
     ///
     /// # Errors
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -23,7 +23,7 @@
     answer::{Framing, Reason, passed_head, promises_not_run},
     clock::now_ms,
     core::Core,
-    ended::{After, Ended, refuse},
+    ended::{After, Ended, refuse, refuse_until},
     engine::Hold,
     path::Path,
     probe,
@@ -32,11 +32,13 @@
 
 mod attempt;
 mod pace;
+mod room;
 mod seek;
 mod told;
 mod watch;
 
 use pace::Pace;
+use room::RunningTokens;
 
 /// Streams leave an engine that drains one after another over this part of
 /// the time for which it surely serves on: the engines that stand in read
@@ -78,6 +80,9 @@
     attempts: Attempts,
     path: Path,
     holds: Vec<Hold>,
+    running: Option<RunningTokens>,
+    /// Whether it was not let wait for room.
+    is_refused_room: bool,
     is_head_sent: bool,
     last_event: Option<u64>,
     pace: Pace,
@@ -113,6 +118,8 @@
         attempts: admitted.attempts(Counted::MayHaveRun),
         path: Path::default(),
         holds: Vec::new(),
+        running: None,
+        is_refused_room: false,
         is_head_sent: false,
         last_event: last_event(request),
         pace: Pace::new(),
@@ -123,6 +130,7 @@
     };
     let metrics = core.metrics.service(&admitted.service.name);
     metrics.requests_in_flight.inc();
+    stream.note_asked();
     let after = stream.run(inbound).await;
     stream.ended.attempts = stream.attempts.made();
     metrics.requests_in_flight.dec();
@@ -186,6 +194,7 @@
                 AttemptEnd::TimeOver => return self.give_up(inbound).await,
             }
             self.holds.clear();
+            self.running = None;
         }
     }
 
@@ -250,13 +259,24 @@
     async fn give_up(&mut self, inbound: &mut Inbound) -> After {
         let left_ms = self.admitted.left_ms(now_ms());
         let reason = Reason::at_end(self.attempts.may_have_run(), left_ms);
+        let reason = match reason {
+            Reason::NoBackend if self.is_refused_room => Reason::NoRoom,
+            reason => reason,
+        };
         if self.is_head_sent {
             self.ended.outcome = "failed";
             self.ended.reason = reason.name().to_owned();
             return After::Cut;
         }
-        let (ended, after) =
-            refuse(inbound, self.request, reason, self.is_last).await;
+        let come_back_ms = self.come_back_ms();
+        let (ended, after) = refuse_until(
+            inbound,
+            self.request,
+            reason,
+            come_back_ms,
+            self.is_last,
+        )
+        .await;
         self.ended.outcome = ended.outcome;
         self.ended.status = ended.status;
         self.ended.reason = ended.reason;
--- /dev/null
+++ b/crates/direct/src/stream/room.rs
@@ -0,0 +1,130 @@
+//! Whether a stream may wait for room, and what it takes of it.
+
+use std::sync::Arc;
+
+use chestnutreach_routing::{RoomNeed, RoomWait, RoomWaits};
+use chestnutreach_telemetry::{Event, emit};
+
+use super::Stream;
+use crate::{by_service::ByService, clock::now_ms};
+
+/// Multiple of the usual wait for the first event that is kept for it.
+const FIRST_EVENT_FACTOR: f64 = 1.5;
+/// Share of the route's target that a stream may wait in any case: where
+/// first events take the whole target, refusing all would serve nobody.
+const LEAST_WAIT_SHARE: f64 = 0.25;
+
+/// Tokens of a stream that runs, until it is dropped.
+pub(super) struct RunningTokens {
+    waits: Arc<ByService<RoomWaits>>,
+    service: String,
+    tokens: u64,
+}
+
+impl Drop for RunningTokens {
+    fn drop(&mut self) {
+        let end = |waits: &mut RoomWaits| waits.end(self.tokens);
+        self.waits.change(&self.service, end);
+    }
+}
+
+impl Stream<'_> {
+    fn account(&self) -> &str {
+        self.admitted.account.as_deref().unwrap_or("")
+    }
+
+    /// Counts that it asks for room.
+    pub(super) fn note_asked(&self) {
+        let ask = |waits: &mut RoomWaits| {
+            waits.ask(self.account(), self.tokens, now_ms());
+        };
+        let service = &self.admitted.service.name;
+        self.core.room_waits.change(service, ask);
+    }
+
+    /// Counts that it has found room.
+    pub(super) fn note_running(&mut self) {
+        let service = &self.admitted.service.name;
+        let waits = self.core.room_waits.clone();
+        let account = self.account();
+        let begin = |waits: &mut RoomWaits| {
+            waits.begin(account, self.tokens, now_ms());
+        };
+        waits.change(service, begin);
+        let service = service.clone();
+        let tokens = self.tokens;
+        self.running = Some(RunningTokens { waits, service, tokens });
+    }
+
+    /// How long it may wait and still begin within its route's target.
+    pub(super) fn in_time_ms(&self) -> u64 {
+        let target_ms = self.admitted.route.target_ms as f64;
+        let service = &self.admitted.service.name;
+        let first_ms = self.core.usual_first_ms(service).unwrap_or(0) as f64;
+        let spent_ms = now_ms().saturating_sub(self.admitted.received_ms);
+        let left_ms =
+            target_ms - spent_ms as f64 - FIRST_EVENT_FACTOR * first_ms;
+        left_ms.max(LEAST_WAIT_SHARE * target_ms) as u64
+    }
+
+    /// Whether it may wait for room; how long, in milliseconds.
+    pub(super) fn may_wait_ms(&mut self) -> Option<u64> {
+        let service = &self.admitted.service.name;
+        let account = self.account();
+        let queues = &self.core.path_queues;
+        let before = queues.before(service, account, self.tokens);
+        let need = RoomNeed {
+            account,
+            tokens: self.tokens,
+            tokens_before: before.tokens,
+            in_time_ms: self.in_time_ms(),
+            waited_for_ms: before.busy_for_ms,
+        };
+        let decide = |waits: &mut RoomWaits| {
+            let now_ms = now_ms();
+            (waits.wait(&need, now_ms), waits.tokens_per_s(now_ms))
+        };
+        let (wait, tokens_per_s) =
+            self.core.room_waits.change(service, decide);
+        match wait {
+            RoomWait::UpTo(ms) => Some(ms),
+            RoomWait::Refused(expected_ms) => {
+                self.note_refused(&need, expected_ms, tokens_per_s);
+                self.is_refused_room = true;
+                None
+            }
+        }
+    }
+
+    /// Time after which its client is to come back.
+    pub(super) fn come_back_ms(&self) -> u64 {
+        let service = &self.admitted.service.name;
+        let come_back = |waits: &mut RoomWaits| {
+            waits.come_back_ms(now_ms(), &mut fastrand::Rng::new())
+        };
+        self.core.room_waits.change(service, come_back)
+    }
+
+    fn note_refused(
+        &self,
+        need: &RoomNeed<'_>,
+        expected_ms: Option<u64>,
+        tokens_per_s: u64,
+    ) {
+        let expected =
+            expected_ms.map_or_else(String::new, |ms| ms.to_string());
+        emit(
+            Event::RoomRefused,
+            &[
+                ("request", &self.admitted.id_text()),
+                ("account", &need.account),
+                ("tokens", &need.tokens),
+                ("tokens_before", &need.tokens_before),
+                ("tokens_per_s", &tokens_per_s),
+                ("expected_ms", &expected),
+                ("in_time_ms", &need.in_time_ms),
+                ("busy_for_ms", &need.waited_for_ms),
+            ],
+        );
+    }
+}
--- a/crates/direct/src/stream/seek.rs
+++ b/crates/direct/src/stream/seek.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use chestnutreach_routing::TurnNeed;
+use chestnutreach_routing::{TurnNeed, room_wait::LONGEST_WAIT_MS};
 use chestnutreach_telemetry::{Event, emit};
 use futures_lite::FutureExt as _;
 
@@ -19,8 +19,6 @@
     queue::{Place, priority_of},
 };
 
-/// Longest wait for a path before the first event.
-const MAX_WAIT_MS: u64 = 1_500;
 /// Pause before asking the shared bound again.
 const RETRY_AGAIN: Duration = Duration::from_millis(100);
 /// Pause before looking again for a path.
@@ -37,7 +35,7 @@
         // have the client look for the same.
         let until_ms = match self.is_head_sent {
             true => self.admitted.end_ms,
-            false => self.admitted.end_ms.min(now_ms() + MAX_WAIT_MS),
+            false => self.admitted.end_ms.min(now_ms() + LONGEST_WAIT_MS),
         };
         if self.cause != FIRST {
             return self.look_until(until_ms).await;
@@ -46,7 +44,12 @@
         if queues.is_idle(&self.admitted.service.name) && self.take_path() {
             return true;
         }
-        self.wait_in_turn(until_ms).await
+        match self.may_wait_ms() {
+            Some(wait_ms) => {
+                self.wait_in_turn(until_ms.min(now_ms() + wait_ms)).await
+            }
+            None => false,
+        }
     }
 
     /// Waits in the queue, then looks for as long as there is time.
@@ -78,6 +81,7 @@
             account: self.admitted.account.as_deref().unwrap_or(""),
             priority: priority_of(self.admitted.urgency),
             tokens: self.tokens,
+            in_time_until_ms: now_ms() + self.in_time_ms(),
             until_ms,
         };
         let queues = &self.core.path_queues;
@@ -126,6 +130,7 @@
     fn use_path(&mut self, path: Path) {
         self.holds = path.hold(self.tokens);
         self.path = path;
+        self.note_running();
     }
 
     fn path_now(&self) -> Option<Path> {
--- a/crates/routing/src/first_wait.rs
+++ b/crates/routing/src/first_wait.rs
@@ -38,6 +38,14 @@
         self.last.push_back((sent_ms, now_ms.saturating_sub(sent_ms)));
     }
 
+    /// How long requests of late waited once they were sent, the middle one;
+    /// none before any.
+    pub fn usual_ms(&self) -> Option<u64> {
+        let mut waits: Vec<u64> = self.last.iter().map(|l| l.1).collect();
+        waits.sort_unstable();
+        waits.get(waits.len() / 2).copied()
+    }
+
     /// Whether a request that was sent then and has no event yet will hardly
     /// get one. It is given `least_ms` in any case.
     pub fn is_overdue(
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -83,9 +83,11 @@
 pub mod priority;
 pub mod retry;
 pub mod retry_window;
+pub mod room_wait;
 mod search;
 mod server;
 pub mod shape;
+mod shares;
 pub mod turns;
 
 pub use admission::{
@@ -112,5 +114,6 @@
 pub use priority::Priority;
 pub use retry::RetryBudget;
 pub use retry_window::{RetryBounds, RetryWindow, Sent};
+pub use room_wait::{RoomNeed, RoomWait, RoomWaits};
 pub use shape::Shape;
 pub use turns::{TurnNeed, Turns};
--- a/crates/routing/src/turns.rs
+++ b/crates/routing/src/turns.rs
@@ -10,6 +10,10 @@
 //! [`HELD_BACK_MS`], no further ones are granted: what becomes free then adds
 //! up for the request that has waited, which is the bound on starvation by
 //! size. The bound by urgency and by account is that of the queue.
+//!
+//! Requests that can no longer begin in time wait in a queue of their own,
+//! which has its turns once the other one is empty: what is late anyway must
+//! not make late what could begin in time.
 
 use std::collections::BTreeMap;
 
@@ -24,6 +28,11 @@
 /// longest wait, so that several large requests in a row get theirs.
 pub const HELD_BACK_MS: u64 = 300;
 
+/// Nobody waits for so long before it counts as a break: a queue that lets in
+/// only what begins in time is empty now and then while more is asked for than
+/// fits.
+pub const BREAK_MS: u64 = 500;
+
 /// A request that asks for a turn.
 #[derive(Clone, Copy, Debug)]
 pub struct TurnNeed<'a> {
@@ -33,16 +42,40 @@
     pub priority: Priority,
     /// Tokens that it will hold.
     pub tokens: u64,
+    /// Until when it can begin in time.
+    pub in_time_until_ms: u64,
     /// When it stops waiting.
     pub until_ms: u64,
 }
 
+/// A request that waits for a turn.
+#[derive(Clone, Debug)]
+struct Waiter {
+    key: u64,
+    account: String,
+    priority: Priority,
+    tokens: u64,
+    until_ms: u64,
+}
+
+/// A turn.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    since_ms: u64,
+    tokens: u64,
+}
+
 /// Who seeks a path now, and who waits to.
 #[derive(Debug)]
 pub struct Turns {
-    waiting: FairQueue<u64>,
-    /// Since when each turn is held, by key.
-    held: BTreeMap<u64, u64>,
+    /// Those that can begin in time.
+    waiting: FairQueue<Waiter>,
+    /// Those that can't any more.
+    late: FairQueue<Waiter>,
+    /// Since when and until when somebody sought or waited without a break.
+    busy_ms: Option<(u64, u64)>,
+    /// Turns, by key.
+    held: BTreeMap<u64, Held>,
     next_key: u64,
 }
 
@@ -51,6 +84,8 @@
     pub fn new(limit_tokens: u64) -> Turns {
         Turns {
             waiting: FairQueue::new(limit_tokens),
+            late: FairQueue::new(limit_tokens),
+            busy_ms: None,
             held: BTreeMap::new(),
             next_key: 0,
         }
@@ -58,12 +93,28 @@
 
     /// Whether nobody seeks a path or waits to.
     pub fn is_idle(&self) -> bool {
-        self.held.is_empty() && self.waiting.is_empty()
+        self.held.is_empty() && self.waiting.is_empty() && self.late.is_empty()
+    }
+
+    /// For how long somebody has sought or waited, without a break of
+    /// [`BREAK_MS`].
+    pub fn busy_for_ms(&self, now_ms: u64) -> u64 {
+        let Some((since_ms, until_ms)) = self.busy_ms else { return 0 };
+        let is_over =
+            self.is_idle() && now_ms.saturating_sub(until_ms) >= BREAK_MS;
+        if is_over { 0 } else { now_ms.saturating_sub(since_ms) }
+    }
+
+    /// Tokens of the requests that would have their turn before one of an
+    /// account that joins now, at most.
+    pub fn tokens_before(&self, account: &str, tokens: u64) -> u64 {
+        let held: u64 = self.held.values().map(|held| held.tokens).sum();
+        held + self.waiting.tokens_before(account, tokens)
     }
 
     /// How many wait for a turn.
     pub fn waiting_count(&self) -> usize {
-        self.waiting.len()
+        self.waiting.len() + self.late.len()
     }
 
     /// Joins; the key by which turns are granted and ended.
@@ -77,42 +128,75 @@
         now_ms: u64,
     ) -> Result<u64, PushRefusalReason> {
         let key = self.next_key;
-        let pushed = self.waiting.push(
-            need.account,
-            need.priority,
-            need.tokens,
-            need.until_ms,
+        let waiter = Waiter {
             key,
-            now_ms,
-        );
-        pushed.map_err(|refusal| refusal.reason)?;
+            account: need.account.to_owned(),
+            priority: need.priority,
+            tokens: need.tokens,
+            until_ms: need.until_ms,
+        };
+        let in_time_until_ms = need.in_time_until_ms.min(need.until_ms);
+        push(&mut self.waiting, waiter, in_time_until_ms, now_ms)?;
         self.next_key += 1;
+        let since_ms = now_ms - self.busy_for_ms(now_ms);
+        self.busy_ms = Some((since_ms, now_ms));
         Ok(key)
     }
 
     /// Grants the turns that are free, in order.
     pub fn grant(&mut self, now_ms: u64) -> Vec<u64> {
-        self.waiting.expire(now_ms);
+        if !self.is_idle() {
+            let since_ms = now_ms - self.busy_for_ms(now_ms);
+            self.busy_ms = Some((since_ms, now_ms));
+        }
+        for waiter in self.waiting.expire(now_ms) {
+            let until_ms = waiter.until_ms;
+            // One that may not wait any longer has no place there, and whose
+            // queue is full leaves at its time.
+            let _ = push(&mut self.late, waiter, until_ms, now_ms);
+        }
+        self.late.expire(now_ms);
         let mut granted = Vec::new();
         while self.may_grant(now_ms)
-            && let Some(next) = self.waiting.pop(now_ms)
+            && let Some(next) = self.pop(now_ms)
         {
-            self.held.insert(next.item, now_ms);
-            granted.push(next.item);
+            let held = Held { since_ms: now_ms, tokens: next.tokens };
+            self.held.insert(next.key, held);
+            granted.push(next.key);
         }
         granted
     }
 
+    fn pop(&mut self, now_ms: u64) -> Option<Waiter> {
+        let next = self.waiting.pop(now_ms);
+        let next = next.or_else(|| self.late.pop(now_ms));
+        next.map(|next| next.item)
+    }
+
     /// Ends a turn, or the wait for one.
     pub fn end(&mut self, key: u64) {
         if self.held.remove(&key).is_none() {
-            self.waiting.remove(|waiting| *waiting == key);
+            self.waiting.remove(|waiter| waiter.key == key);
+            self.late.remove(|waiter| waiter.key == key);
         }
     }
 
     fn may_grant(&self, now_ms: u64) -> bool {
         let is_old =
-            |since: &u64| now_ms.saturating_sub(*since) >= HELD_BACK_MS;
+            |held: &Held| now_ms.saturating_sub(held.since_ms) >= HELD_BACK_MS;
         self.held.len() < MOST_TURNS && !self.held.values().any(is_old)
     }
 }
+
+fn push(
+    queue: &mut FairQueue<Waiter>,
+    waiter: Waiter,
+    until_ms: u64,
+    now_ms: u64,
+) -> Result<(), PushRefusalReason> {
+    let account = waiter.account.clone();
+    let (priority, tokens) = (waiter.priority, waiter.tokens);
+    queue
+        .push(&account, priority, tokens, until_ms, waiter, now_ms)
+        .map_err(|refusal| refusal.reason)
+}
--- a/crates/routing/tests/turns.rs
+++ b/crates/routing/tests/turns.rs
@@ -84,6 +84,7 @@
             account: &account.to_string(),
             priority: Priority::Normal,
             tokens,
+            in_time_until_ms: until_ms,
             until_ms,
         };
         let key = self.turns.try_join(&need, now_ms).unwrap();
@@ -200,6 +201,7 @@
             account: "a",
             priority: Priority::Normal,
             tokens: 10,
+            in_time_until_ms: 10_000,
             until_ms: 10_000,
         };
         turns.try_join(&need, at_ms).unwrap()
@@ -251,6 +253,7 @@
                 account,
                 priority: *priority,
                 tokens: 100,
+                in_time_until_ms: 10_000,
                 until_ms: 10_000,
             };
             keys.push(turns.try_join(&need, now_ms).unwrap());
@@ -282,6 +285,7 @@
                         account: &account.to_string(),
                         priority: Priority::Normal,
                         tokens: 100,
+                        in_time_until_ms: now_ms + 100_000,
                         until_ms: now_ms + 100_000,
                     };
                     open.push(turns.try_join(&need, now_ms).unwrap());
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -279,12 +279,16 @@
         ["request", "account", "tokens", "urgency", "waiting", "waited_ms",
          "result"],
         "A stream waited for a path in the queue of its service.";
-    BackendRowUnusable = 924, "backend_row_unusable", Warn,
-        ["backend", "row_version", "error"],
-        "A row of the list names no backend server; the others hold.";
     MetricsPortTaken = 923, "metrics_port_taken", Warn,
         ["port", "error"],
         "The metrics can't be had at the port that was asked for.";
+    BackendRowUnusable = 924, "backend_row_unusable", Warn,
+        ["backend", "row_version", "error"],
+        "A row of the list names no backend server; the others hold.";
+    RoomRefused = 925, "room_refused", Info,
+        ["request", "account", "tokens", "tokens_before", "tokens_per_s",
+         "expected_ms", "in_time_ms", "busy_for_ms"],
+        "A stream was refused at once: it would have begun too late.";
 }
 
 impl Event {
