--- a/crates/planner/src/mend.rs
+++ b/crates/planner/src/mend.rs
@@ -262,7 +262,8 @@
                 );
                 let may_grow =
                     (is_before || is_after) && range.layers() < most;
-                let room = self.room_after(*at, range.layers() + 1);
+                let engine = &self.engines[*at];
+                let room = room_beside(self.model, engine, range.layers() + 1);
                 may_grow.then_some((room, *at, is_before))
             };
             let roomiest = ranges
@@ -281,12 +282,4 @@
         }
         Some(())
     }
-
-    /// Room for requests beside so many layers, in tokens.
-    fn room_after(&self, engine: usize, layers: u32) -> f64 {
-        let layers = f64::from(layers);
-        let memory_mb = self.engines[engine].memory_mb;
-        let free_mb = memory_mb - layers * self.model.layer_mb;
-        free_mb * 1e6 / (layers * self.model.token_layer_bytes)
-    }
 }
--- a/crates/planner/src/order_book.rs
+++ b/crates/planner/src/order_book.rs
@@ -223,6 +223,13 @@
         }
     }
 
+    fn all_surely_held(
+        &self,
+        engines: &[KnownEngine<'_>],
+    ) -> Vec<Option<LayerRange>> {
+        engines.iter().map(|engine| self.surely_held(engine)).collect()
+    }
+
     /// What closes gaps that have lasted.
     fn mend(
         &mut self,
@@ -248,8 +255,7 @@
         if !grown.is_empty() || lasted_ms < GAP_LASTS_MS {
             return grown;
         }
-        let sure: Vec<_> =
-            engines.iter().map(|engine| self.surely_held(engine)).collect();
+        let sure = self.all_surely_held(engines);
         let moved = match scope {
             Scope::All => move_sure(model, layout, &sure),
             Scope::NothingGivenUp => None,
@@ -275,8 +281,7 @@
         if scope != Scope::All || !self.given.is_empty() {
             return Vec::new();
         }
-        let sure: Vec<_> =
-            engines.iter().map(|engine| self.surely_held(engine)).collect();
+        let sure = self.all_surely_held(engines);
         let Some(moved) = move_spare(model, layout, &sure) else {
             self.scarce_since_ms = None;
             return Vec::new();
