Silence proves that an engine has ended only once it lasts

Change: routing::end_proof: refused connections prove an end at once, silence after 0.3 s. A stream that leaves a silent first engine goes on as far as its route allows; only where the bound forbids another attempt are the engines that it left asked again, with a dial of 0.3 s.

--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -11,6 +11,7 @@
     },
 };
 
+pub(crate) use chestnutreach_routing::Evidence;
 use chestnutreach_routing::Health;
 use chestnutreach_site::{Backend, BackendState, LayerRange};
 
@@ -202,27 +203,6 @@
     pub(crate) evidence: Evidence,
 }
 
-/// What speaks for a backend server being dead or out of reach.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Evidence {
-    /// It refuses connections: its process has ended.
-    Refused,
-    /// It does not answer at all.
-    Silent,
-    /// Another engine waits for it.
-    Stalled,
-}
-
-impl Evidence {
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            Evidence::Refused => "refused",
-            Evidence::Silent => "silent",
-            Evidence::Stalled => "stalled",
-        }
-    }
-}
-
 impl Engine {
     pub(crate) fn new(
         row: Backend,
--- a/crates/direct/src/probe.rs
+++ b/crates/direct/src/probe.rs
@@ -13,6 +13,9 @@
 use async_io::Timer;
 use chestnutreach_adapter::engine::{Report, try_report};
 use chestnutreach_http::relay::Outbound;
+use chestnutreach_routing::{
+    EndProof, end_proof, end_proof::SILENCE_PROVES_MS,
+};
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{
@@ -179,10 +182,15 @@
     }
 }
 
-/// Whether the process of an engine has ended, or is out of reach, as far as
-/// a dial shows. What is there at the address of one that has left the list
-/// may be another process; it is taken for the same.
-pub(crate) async fn has_ended(core: &Arc<Core>, engine: &Arc<Engine>) -> bool {
+/// Whether the process of an engine has surely ended, or is out of reach, as
+/// far as dials show; those that would show it are awaited if `is_patient`.
+/// What is there at the address of one that has left the list may be another
+/// process; it is taken for the same.
+pub(crate) async fn has_ended(
+    core: &Arc<Core>,
+    engine: &Arc<Engine>,
+    is_patient: bool,
+) -> bool {
     if !engine.lock().is_gone {
         probe(core.clone(), engine.clone()).await;
     }
@@ -190,13 +198,17 @@
         let state = engine.lock();
         (state.is_gone, state.is_replaced, state.suspicion)
     };
-    if is_replaced {
-        return true;
-    }
-    if suspicion.is_some_and(|s| s.evidence != Evidence::Stalled) {
-        return true;
+    let lasted_ms = suspicion.map_or(0, |s| now_ms() - s.since_ms);
+    match end_proof(suspicion.map(|s| s.evidence), lasted_ms) {
+        EndProof::Ended => true,
+        _ if is_replaced => true,
+        EndProof::Unsure => {
+            let limit = Duration::from_millis(SILENCE_PROVES_MS);
+            is_patient
+                && Outbound::connect(engine.address, limit).await.is_err()
+        }
+        EndProof::Lives => is_gone && dial(engine).await.is_err(),
     }
-    is_gone && dial(engine).await.is_err()
 }
 
 /// Dials; a lost packet alone is no failure.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -24,7 +24,7 @@
     clock::now_ms,
     core::Core,
     ended::{After, Ended, refuse, refuse_until},
-    engine::Hold,
+    engine::{Engine, Hold},
     path::Path,
     probe,
     supervise::Listed,
@@ -78,6 +78,8 @@
     /// Engines that may not be used for this request, by incarnation.
     without: BTreeSet<String>,
     attempts: Attempts,
+    /// First engines that it left and that may live.
+    left: Vec<Arc<Engine>>,
     path: Path,
     holds: Vec<Hold>,
     running: Option<RunningTokens>,
@@ -116,6 +118,7 @@
         listed: core.streams.list(),
         without: BTreeSet::new(),
         attempts: admitted.attempts(Counted::MayHaveRun),
+        left: Vec::new(),
         path: Path::default(),
         holds: Vec::new(),
         running: None,
@@ -229,13 +232,23 @@
     /// Takes that the first engine no longer answers this request. It does
     /// not count as one that ran it if it has ended, which a dial shows now;
     /// one that ends later has still run it, and one that the list lacks may
-    /// live.
+    /// live. Where only its silence speaks for an end, that is asked again
+    /// once the bound of the route forbids another attempt.
     async fn leave_first(&mut self) {
         let first = self.path.first().clone();
         self.without.insert(first.incarnation.clone());
         self.cause = "resumed";
-        if probe::has_ended(self.core, &first).await {
-            self.attempts.has_ended(&first.incarnation);
+        match probe::has_ended(self.core, &first, false).await {
+            true => self.attempts.has_ended(&first.incarnation),
+            false => self.left.push(first),
+        }
+        if self.attempts.may_go_on() {
+            return;
+        }
+        for left in std::mem::take(&mut self.left) {
+            if probe::has_ended(self.core, &left, true).await {
+                self.attempts.has_ended(&left.incarnation);
+            }
         }
     }
 
