Give the first layers to as many engines as have places for what fits

Change: the first group gets one engine more at a time, as long as what can run, the least of room and of places, grows by 2% and more.

--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -155,6 +155,7 @@
             layer_count: model.layer_count,
             layer_mb: model.layer_mb,
             token_layer_bytes: model.token_layer_bytes,
+            first_tokens: first_tokens(model, &engines.all),
         };
         self.note_cover(core, service, &layout_model, &known);
         if !self.books.contains_key(service) {
@@ -236,6 +237,16 @@
     recent.filter_map(known).collect()
 }
 
+/// Tokens of the requests that an engine takes as their first one.
+fn first_tokens(model: &Model, engines: &[Arc<Engine>]) -> f64 {
+    let places = engines.iter().map(|engine| engine.lock().row.slots);
+    let usual = model.usual_prompt_tokens + model.usual_answer_tokens;
+    match (places.min(), usual) {
+        (None | Some(0), _) | (_, 0) => f64::INFINITY,
+        (Some(places), usual) => f64::from(places) * f64::from(usual),
+    }
+}
+
 fn known_engine<'a>(model: &Model, engine: &'a Engine) -> KnownEngine<'a> {
     let state = engine.lock();
     let kind = state.row.kind.as_ref();
--- a/crates/planner/src/layout.rs
+++ b/crates/planner/src/layout.rs
@@ -37,6 +37,9 @@
     pub layer_mb: f64,
     /// Memory of a request for each token and layer, in bytes.
     pub token_layer_bytes: f64,
+    /// Tokens of the requests that an engine takes as their first one, as
+    /// many as it has places; infinite where nothing bounds them.
+    pub first_tokens: f64,
 }
 
 /// An engine as far as memory goes.
--- a/crates/planner/src/shape.rs
+++ b/crates/planner/src/shape.rs
@@ -18,6 +18,12 @@
 //! refuse one of more than 32 parts. So there are never more than
 //! [`MOST_GROUPS`] groups where the engines can hold a whole copy that way,
 //! and down to [`ENOUGH_GROUPS`] where memory allows.
+//!
+//! An engine takes only so many requests as their first one, and only those
+//! that hold layer 0 can be that. The load that a larger first group answers:
+//! many short requests at a time, whose memory fits while they wait for a
+//! place at one of two first engines. So the first group has as many engines
+//! as raise what the data centre can run, the least of room and of places.
 
 use crate::layout::{LayoutModel, MIN_TOKENS};
 
@@ -33,6 +39,12 @@
 /// takes room from requests, and a path of so many parts is about as long as
 /// one through pairs in a data centre of 30 engines.
 const ENOUGH_GROUPS: usize = 16;
+/// Engines for each one of the first group, at least: the others hold most of
+/// the layers.
+const LEAST_BESIDE_FIRST: usize = 4;
+/// By how much more must run for another engine in the first group: each one
+/// takes room from all layers.
+const MORE_RUNS: f64 = 1.02;
 /// Steps of the search for the common room.
 const SEARCH_STEPS: usize = 40;
 
@@ -102,7 +114,41 @@
             }
             shape = next;
         }
-        shape
+        shape.with_more_first(model, &members)
+    }
+
+    /// The same with as many engines in the first group as raise what can run.
+    fn with_more_first(
+        mut self,
+        model: &LayoutModel,
+        members: &[(usize, f64)],
+    ) -> Shape {
+        let count = self.groups.len();
+        if count < 2 {
+            return self;
+        }
+        loop {
+            let first = self.groups[0].engines.len() + 1;
+            let are_places_enough =
+                self.runs_tokens(model) >= self.room_tokens;
+            if are_places_enough || first > members.len() / LEAST_BESIDE_FIRST
+            {
+                return self;
+            }
+            let next = Shape::with_first(model, members, count, first);
+            let is_better =
+                next.runs_tokens(model) > MORE_RUNS * self.runs_tokens(model);
+            if !is_better || !next.is_whole || !next.is_within_share(model) {
+                return self;
+            }
+            self = next;
+        }
+    }
+
+    /// Tokens of requests that can run at the same time.
+    fn runs_tokens(&self, model: &LayoutModel) -> f64 {
+        let first = self.groups.first().map_or(0, |g| g.engines.len());
+        self.room_tokens.min(first as f64 * model.first_tokens)
     }
 
     /// Room that two engines of a group bring to a layer, in tokens; all of
@@ -135,6 +181,19 @@
         Shape::of(model, members, even_groups(members, count))
     }
 
+    /// The same with so many of the smallest in the first group.
+    fn with_first(
+        model: &LayoutModel,
+        members: &[(usize, f64)],
+        count: usize,
+        first: usize,
+    ) -> Shape {
+        let (first, others) = members.split_at(first);
+        let mut groups = vec![Group::new(first)];
+        groups.extend(even_groups(others, count - 1));
+        Shape::of(model, members, groups)
+    }
+
     /// Of groups, with the most room that leaves a whole copy.
     fn of(
         model: &LayoutModel,
--- a/crates/planner/tests/fleet_sizes.rs
+++ b/crates/planner/tests/fleet_sizes.rs
@@ -11,6 +11,7 @@
     layer_count: 80,
     layer_mb: 1_750.0,
     token_layer_bytes: 7_375.0,
+    first_tokens: f64::INFINITY,
 };
 /// Memory of each kind of accelerator, in megabytes, and how many of 130
 /// engines are of it.
@@ -155,3 +156,23 @@
     }
     parts
 }
+
+/// Engines that hold the first layer have places for what has room, where a
+/// quarter of the engines is enough for that.
+#[rstest]
+#[case::of_today(130)]
+#[case::of_300(300)]
+#[case::of_1000(1_000)]
+#[case::of_3000(3_000)]
+fn the_first_layer_has_places_for_what_fits(#[case] count: usize) {
+    let first_tokens = 192.0 * 930.0;
+    let model = LayoutModel { first_tokens, ..MODEL };
+    let mut engines = engines(count);
+    let placed = place_empty(&model, &engines);
+    apply(&mut engines, &placed);
+    for (data_centre, here) in cover(&model, &engines).iter().enumerate() {
+        let places = f64::from(here[0]) * first_tokens;
+        let room = room(&engines, data_centre);
+        assert!(places >= 0.9 * room, "{places:.0} for {room:.0}");
+    }
+}
--- a/crates/planner/tests/layout_baselines.rs
+++ b/crates/planner/tests/layout_baselines.rs
@@ -17,6 +17,7 @@
     layer_count: 80,
     layer_mb: 1_750.0,
     token_layer_bytes: 7_375.0,
+    first_tokens: f64::INFINITY,
 };
 /// Memory in megabytes and rate of each kind of accelerator.
 const KINDS: [(f64, f64); 4] =
--- a/crates/planner/tests/mend.rs
+++ b/crates/planner/tests/mend.rs
@@ -10,6 +10,7 @@
     layer_count: 80,
     layer_mb: 1_750.0,
     token_layer_bytes: 4_100.0,
+    first_tokens: f64::INFINITY,
 };
 /// Memory of four kinds of accelerators, in megabytes.
 const KINDS_MB: [f64; 4] = [72_000.0, 36_000.0, 21_600.0, 14_400.0];
--- a/crates/planner/tests/order_book.rs
+++ b/crates/planner/tests/order_book.rs
@@ -16,6 +16,7 @@
     layer_count: 12,
     layer_mb: 1_000.0,
     token_layer_bytes: 10_000.0,
+    first_tokens: f64::INFINITY,
 };
 const ENGINES: usize = 7;
 const TICK_MS: u64 = 150;
