Share what an entry learns: feeds, watches of engines, what is found of them

Cause: 68 entries each follow both feeds and keep an idle connection to each of 130 engines, and what one finds of a slow or dead engine reaches the others by turns or not at all.

Ways weighed: longer pauses of the feeds (all know later); a fixed reader for all (one point to lose, a wide join between data centres); gossip with random peers (age and bytes grow with the count); side slots as watchers (a machine each).

Change: crates/membership, without clock or I/O: duties by rendezvous hashing, whom an entry asks for a table, and copies of tables that answer in place of the store. Of four entries or more of a data centre one asks the store and the others ask it, with the age of what is told; who hears an old age tries the store, then any other entry. Two entries watch an engine. What is found of an engine is told to all at once in an alert: dead or back is looked at, how slow it is the engine said itself. Use told by others is kept by who told it, so a message costs by what it names. Requests wait up to 250 ms after a start for the first read.

--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod links;
 mod path;
+mod sharing;
 mod soak;
 mod starts;
 mod stops;
--- /dev/null
+++ b/crates/daemon/tests/users_platform/sharing.rs
@@ -0,0 +1,143 @@
+//! Entries of a data centre that share what one of them learns.
+
+use std::time::Duration;
+
+use chestnutreach_emulator::{
+    caller::{Kind, Wish},
+    site::{KEY, Site},
+    soak::Running,
+    store::StoreFault,
+};
+use rustix::process::Signal;
+
+use crate::support::{assert_all_served, on, one, streams, wait_until};
+
+const LIST: &str = "servers";
+const CONFIGURATION: &str = "op";
+
+fn site() -> Site {
+    Site {
+        data_centres: vec!["hall-a".to_owned()],
+        engines_each: 6,
+        entries: 6,
+        ..Site::small()
+    }
+}
+
+/// Whom an entry asks for a table; none while it does not answer.
+async fn asks(running: &Running, entry: usize, table: &str) -> Option<String> {
+    let status = running.status(entry).await?;
+    let feeds = status["feeds"].as_array()?.iter();
+    let mut of_table = feeds.filter(|feed| feed["table"] == table);
+    Some(of_table.next()?["asks"].as_str()?.to_owned())
+}
+
+/// Entries that ask the store for a table.
+async fn readers(running: &Running, table: &str) -> Vec<usize> {
+    let mut readers = Vec::new();
+    for entry in 0..running.addresses.len() {
+        if asks(running, entry, table).await.as_deref() == Some("store") {
+            readers.push(entry);
+        }
+    }
+    readers
+}
+
+/// Waits until few entries ask the store: one, and whoever plans.
+async fn wait_until_shared(running: &Running) {
+    for table in [LIST, CONFIGURATION] {
+        wait_until("few entries ask the store", async || {
+            readers(running, table).await.len() <= 2
+        })
+        .await;
+    }
+}
+
+fn wish(key: &str) -> Wish {
+    Wish {
+        key: key.to_owned(),
+        tries: 1,
+        ..Wish::new(Kind::Idempotent, "a", 1)
+    }
+}
+
+async fn wait_until_served(running: &Running, entry: usize, key: &str) {
+    wait_until("the key is served", async || {
+        one(running, entry, &wish(key)).await.is_served()
+    })
+    .await;
+}
+
+#[test]
+fn few_entries_ask_the_store_and_all_hear_of_changes() {
+    on(&site(), async |running| {
+        wait_until_shared(running).await;
+        running.configure(&[KEY, "another"]);
+        for entry in 0..running.addresses.len() {
+            wait_until_served(running, entry, "another").await;
+        }
+        let load = streams(20.0, Duration::from_secs(2));
+        assert_all_served(&running.play(&load, &[]).await);
+    });
+}
+
+#[test]
+fn each_engine_is_watched_by_two_entries() {
+    on(&site(), async |running| {
+        let engines = running.world.engines().len() as u64;
+        wait_until("each engine is watched twice", async || {
+            let mut watched = 0;
+            for entry in 0..running.addresses.len() {
+                let status = running.status(entry).await;
+                let status = status.unwrap_or_default();
+                watched += status["engines_watched"].as_u64().unwrap_or(0);
+            }
+            watched == 2 * engines
+        })
+        .await;
+    });
+}
+
+struct Case {
+    signal: Signal,
+}
+
+#[rstest::rstest]
+#[case::ends(Case { signal: Signal::KILL })]
+#[case::freezes(Case { signal: Signal::STOP })]
+fn changes_reach_all_others_when_the_readers_fall_silent(#[case] case: Case) {
+    on(&site(), async |running| {
+        wait_until_shared(running).await;
+        let readers = readers(running, CONFIGURATION).await;
+        for reader in &readers {
+            running.signal(*reader, case.signal);
+        }
+        running.configure(&[KEY, "another"]);
+        let all = 0..running.addresses.len();
+        for entry in all.filter(|entry| !readers.contains(entry)) {
+            wait_until_served(running, entry, "another").await;
+        }
+        for reader in &readers {
+            running.signal(*reader, Signal::CONT);
+        }
+    });
+}
+
+#[test]
+fn an_entry_that_starts_while_the_store_is_away_hears_from_others() {
+    on(&site(), async |running| {
+        wait_until_shared(running).await;
+        running.store.set_fault(StoreFault::Busy);
+        let before = running.status(0).await.expect("it answers");
+        running.restart(0);
+        wait_until("it has configuration and list", async || {
+            let Some(status) = running.status(0).await else { return false };
+            let backends = status["backends"].as_array();
+            status["boot_id"] != before["boot_id"]
+                && status["configuration"] == before["configuration"]
+                && backends.is_some_and(|b| !b.is_empty())
+        })
+        .await;
+        running.store.set_fault(StoreFault::None);
+    });
+}
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -7,7 +7,7 @@
 use chestnutreach_routing::{Attempts, Counted};
 use chestnutreach_site::{Configuration, Route, Service};
 
-use crate::{answer::Reason, clock::now_ms, core::Core};
+use crate::{answer::Reason, core::Core};
 
 /// Time of a client that states none: the platform's clients all do.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
@@ -53,16 +53,18 @@
     pub(crate) configuration: u64,
 }
 
-/// Checks a request against the configuration in force.
+/// Checks a request that came then against the configuration in force.
 pub(crate) fn admit(
     core: &Core,
     request: &RelayRequest,
+    received_ms: u64,
 ) -> Result<Admitted, NotAdmitted> {
     let Some(configuration) = core.configuration() else {
         let reason = Reason::NoConfiguration;
         return Err(NotAdmitted { reason, configuration: 0 });
     };
-    admit_by(core, &configuration, request).map_err(|reason| NotAdmitted {
+    let admitted = admit_by(core, &configuration, request, received_ms);
+    admitted.map_err(|reason| NotAdmitted {
         reason,
         configuration: configuration.version,
     })
@@ -72,6 +74,7 @@
     core: &Core,
     configuration: &Arc<Configuration>,
     request: &RelayRequest,
+    received_ms: u64,
 ) -> Result<Admitted, Reason> {
     let host = request.header("host").unwrap_or_default();
     let route = configuration
@@ -81,7 +84,6 @@
     let account = account(core, configuration, &route, request)?;
     let service = service(configuration, &route)?;
     core.note_request(&service.name);
-    let received_ms = now_ms();
     let wait_ms = request
         .header(clients::DEADLINE_MS)
         .and_then(|value| value.trim().parse::<f64>().ok())
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -32,6 +32,10 @@
 /// two looks to send clients elsewhere.
 const TAKE_WHILE_STOPPING_MS: u64 = 2_600;
 
+/// Time after the start for which requests wait for the first read: the
+/// smallest entries take 70 ms for it, and streams are to begin within 500 ms.
+const FIRST_READ_MS: u64 = 250;
+
 /// Serves the requests of a connection one after another.
 pub(crate) async fn serve(core: Arc<Core>, socket: Async<TcpStream>) {
     let Ok(mut inbound) = Inbound::new(socket) else {
@@ -102,7 +106,10 @@
             let reason = Reason::Stopping;
             Err(NotAdmitted { reason, configuration: 0 })
         }
-        _ => admit(core, request),
+        _ => {
+            wait_for_first_configuration(core).await;
+            admit(core, request, started_ms)
+        }
     };
     let (ended, after) = match &admitted {
         Ok(admitted) if admitted.route.reuse.is_stream() => {
@@ -118,6 +125,26 @@
     after
 }
 
+/// Lets a request that came as the process started wait for the first read of
+/// the configuration. Where all entries start together, clients come before
+/// it: at 14 entries that were back after 0.8 s, 77 requests were refused for
+/// want of it, all within 5 ms of a start. Where the store does not answer
+/// that read, the request is refused at once.
+async fn wait_for_first_configuration(core: &Core) {
+    let configured = core.configured.list();
+    let age_ms = core.age_ms();
+    let is_first_read = core.configuration().is_none()
+        && core.store_lost_for_ms() == 0
+        && age_ms < FIRST_READ_MS;
+    if !is_first_read {
+        return;
+    }
+    let limit = async {
+        Timer::after(Duration::from_millis(FIRST_READ_MS - age_ms)).await;
+    };
+    configured.nudged().or(limit).await;
+}
+
 fn note_ended(
     core: &Core,
     request: &RelayRequest,
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -2,7 +2,9 @@
 
 use std::sync::{
     Arc, Mutex,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed},
+    atomic::{
+        AtomicBool, AtomicU16, AtomicU64, AtomicUsize, Ordering::Relaxed,
+    },
 };
 
 use arc_swap::ArcSwapOption;
@@ -15,9 +17,9 @@
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
 use crate::{
-    by_service::ByService, clock::now_ms, crossing::Crossing, fleet::Fleet,
-    peer_table::PeerTable, queue::PathQueues, supervise::Streams,
-    unusable_rows::UnusableRows,
+    alerts::Alerts, by_service::ByService, clock::now_ms, crossing::Crossing,
+    feeds::Feeds, fleet::Fleet, nudges::Nudges, peer_table::PeerTable,
+    queue::PathQueues, told_use::ToldUse, unusable_rows::UnusableRows,
 };
 
 /// Time left of the bound on withdrawn keys when they are refused: a request
@@ -50,9 +52,19 @@
     were_keys_stale: AtomicBool,
     pub(crate) fleet: Fleet,
     pub(crate) unusable_rows: UnusableRows,
-    pub(crate) streams: Streams,
+    pub(crate) streams: Nudges,
+    /// Those that wait for a configuration.
+    pub(crate) configured: Nudges,
     pub(crate) path_queues: PathQueues,
     pub(crate) peers: PeerTable,
+    /// What the store holds.
+    pub(crate) feeds: Feeds,
+    /// Port at which this entry answers in place of the store.
+    pub(crate) feed_port: AtomicU16,
+    /// What was just found of engines.
+    pub(crate) alerts: Alerts,
+    /// Engines that others told that they use.
+    pub(crate) told_use: ToldUse,
     /// What own requests send between data centres.
     pub(crate) crossing: Crossing,
     retries: ByService<RetryWindow>,
@@ -95,9 +107,14 @@
             were_keys_stale: AtomicBool::new(false),
             fleet: Fleet::default(),
             unusable_rows: UnusableRows::default(),
-            streams: Streams::default(),
+            streams: Nudges::default(),
+            configured: Nudges::default(),
             path_queues: PathQueues::default(),
             peers: PeerTable::default(),
+            feeds: Feeds::new(),
+            feed_port: AtomicU16::new(0),
+            alerts: Alerts::default(),
+            told_use: ToldUse::default(),
             crossing: Crossing::default(),
             retries: ByService::default(),
             first_waits: ByService::default(),
@@ -142,6 +159,7 @@
         self.metrics.generation.set(new.version as i64);
         self.configuration.store(Some(Arc::new(new)));
         self.readiness.clear(NEEDS_CONFIGURATION);
+        self.configured.nudge_all();
         true
     }
 
@@ -157,6 +175,7 @@
     pub(crate) fn note_store_lost(&self) {
         if self.store_lost_ms.load(Relaxed) == 0 {
             self.store_lost_ms.store(now_ms(), Relaxed);
+            self.configured.nudge_all();
         }
     }
 
@@ -329,6 +348,16 @@
             && self.peers.comes_first(self.boot_id, now_ms)
     }
 
+    /// Other entries of this data centre that are heard and go on.
+    pub(crate) fn entries_here(&self) -> Vec<u64> {
+        self.peers.live_in(&self.settings.data_centre, now_ms())
+    }
+
+    /// Time since this process started.
+    pub(crate) fn age_ms(&self) -> u64 {
+        now_ms().saturating_sub(self.started_ms)
+    }
+
     /// Index of a data centre; a name that the settings lack is the last.
     pub(crate) fn data_centre(&self, name: &str) -> usize {
         let names = &self.settings.data_centres;
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -54,6 +54,8 @@
     /// When a stream through it last made progress.
     progress_ms: AtomicU64,
     pub(crate) is_probing: AtomicBool,
+    /// Whether this entry keeps an idle connection to it.
+    pub(crate) is_watched: AtomicBool,
     /// How streams that were sent to it first were answered. An engine that
     /// fails at once looks idle, and would be chosen ever more often.
     pub(crate) answers: Health,
@@ -81,6 +83,10 @@
     pub(crate) reached_ms: u64,
     /// Dials that reached it since work last flowed through it.
     pub(crate) dials_in_vain: u32,
+    /// When another entry last told of it in an alert.
+    pub(crate) alerted_ms: u64,
+    /// When it was last heard how slow it is.
+    pub(crate) slow_heard_ms: u64,
     /// When its report was last asked for.
     pub(crate) asked_ms: u64,
     /// Failures in a row.
@@ -228,6 +234,7 @@
             own_work: Rate::default(),
             progress_ms: AtomicU64::new(0),
             is_probing: AtomicBool::new(false),
+            is_watched: AtomicBool::new(false),
             answers: Health::new(),
             state: Mutex::new(EngineState {
                 row,
@@ -240,6 +247,8 @@
                 avoided_until_ms: 0,
                 reached_ms: 0,
                 dials_in_vain: 0,
+                alerted_ms: 0,
+                slow_heard_ms: 0,
                 asked_ms: 0,
                 failures: 0,
                 orders_begun: 0,
@@ -287,22 +296,21 @@
     /// Takes what another entry uses; none once it has gone.
     pub(crate) fn set_other(&self, boot_id: u64, told: Option<Use>) {
         let mut state = self.lock();
-        match told {
-            Some(told) => {
-                state.others.insert(boot_id, told);
-            }
-            None => {
-                state.others.remove(&boot_id);
-            }
-        }
-        let sum = |of: fn(&Use) -> u32| {
-            state.others.values().map(|told| u64::from(of(told))).sum()
+        let old = match told {
+            Some(told) => state.others.insert(boot_id, told),
+            None => state.others.remove(&boot_id),
+        };
+        let (old, new) = (old.unwrap_or_default(), told.unwrap_or_default());
+        // Under the lock: the sums are those of the map.
+        let change = |sum: &AtomicU64, of: fn(&Use) -> u32, unit: u64| {
+            let (old, new) = (u64::from(of(&old)), u64::from(of(&new)));
+            let others = sum.load(Relaxed) - old * unit;
+            sum.store(others + new * unit, Relaxed);
         };
-        let used: u64 = sum(|told| told.kilo_token_layers);
-        self.others_token_layers.store(used * TOLD_UNIT, Relaxed);
-        self.others_first.store(sum(|told| told.first_count), Relaxed);
-        let work = sum(|told| told.work_ms_per_s);
-        self.others_work_ms_per_s.store(work, Relaxed);
+        let memory = |told: &Use| told.kilo_token_layers;
+        change(&self.others_token_layers, memory, TOLD_UNIT);
+        change(&self.others_first, |told| told.first_count, 1);
+        change(&self.others_work_ms_per_s, |told| told.work_ms_per_s, 1);
     }
 
     pub(crate) fn note_progress(&self, now_ms: u64) {
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -18,7 +18,7 @@
 use crate::{
     callers,
     core::{Core, IS_STOPPING},
-    follow,
+    engine_watch, feed_port, follow,
     lease::Lease,
     peers, place, probe,
 };
@@ -96,6 +96,13 @@
             let listener = listen("metrics", address);
             listener.map_err(|e| note_port_taken(port, &e)).ok()
         });
+        let feeds = feed_port::open(&core).map_err(|source| StartError {
+            what: "feeds for other entries",
+            address: inner,
+            source,
+        })?;
+        let feed_port = feeds.get_ref().local_addr().map_or(0, |a| a.port());
+        core.feed_port.store(feed_port, Relaxed);
         let lease = Arc::new(Lease::new(&core));
         let executor = core.executor.clone();
         executor.spawn(serve_clients(core.clone(), clients)).detach();
@@ -107,7 +114,9 @@
         }
         executor.spawn(follow::follow_configuration(core.clone())).detach();
         executor.spawn(follow::follow_backends(core.clone())).detach();
+        executor.spawn(feed_port::serve(core.clone(), feeds)).detach();
         executor.spawn(peers::run(core.clone(), socket)).detach();
+        executor.spawn(engine_watch::run(core.clone())).detach();
         executor.spawn(probe::recheck(core.clone())).detach();
         executor.spawn(place::run(core.clone(), lease.clone())).detach();
         let seek = {
@@ -244,6 +253,9 @@
             "used_token_layers": engine.used_token_layers(),
         })
     };
+    let is_watched =
+        |e: &Arc<crate::engine::Engine>| e.is_watched.load(Relaxed);
+    let watched = core.fleet.all().iter().filter(|e| is_watched(e)).count();
     let engines: Vec<_> = core.fleet.all().into_iter().map(engine).collect();
     let left = |(service, left): (String, f64)| serde_json::json!({"service": service, "left": left.floor()});
     let retries: Vec<_> = core.retries_left().into_iter().map(left).collect();
@@ -257,6 +269,8 @@
         "boot_id": core.boot_id.to_string(),
         "configuration": core.configuration().map(|c| c.version),
         "configuration_age_ms": core.confirmed_age_ms(),
+        "feeds": core.feeds.status(),
+        "engines_watched": watched,
         "is_planner": core.is_planner.load(Relaxed),
         "entries": core.peers.entry_count(),
         "in_flight": core.in_flight.load(Relaxed),
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -22,8 +22,13 @@
     listed: ArcSwapOption<Listed>,
 }
 
-/// Backend servers of each service.
-type Listed = BTreeMap<String, Arc<OfService>>;
+/// Backend servers by what they are sought by.
+#[derive(Debug, Default)]
+pub(crate) struct Listed {
+    services: BTreeMap<String, Arc<OfService>>,
+    /// By the short form of the incarnation.
+    pub(crate) by_hash: BTreeMap<u32, Arc<Engine>>,
+}
 
 /// The backend servers of a service.
 #[derive(Debug, Default)]
@@ -48,7 +53,7 @@
     /// The start was known.
     Known,
     /// A start that was not known; what ran under its id has ended.
-    New(Arc<Engine>),
+    New,
     /// It is older than what is known, or tells no start where one is known.
     OfEarlierStart,
 }
@@ -68,11 +73,15 @@
 
     /// The backend servers of a service.
     pub(crate) fn of_service(&self, service: &str) -> Arc<OfService> {
-        let listed = match &*self.listed.load() {
+        self.listed().services.get(service).cloned().unwrap_or_default()
+    }
+
+    /// All backend servers, for look-ups.
+    pub(crate) fn listed(&self) -> Arc<Listed> {
+        match &*self.listed.load() {
             Some(listed) => listed.clone(),
             None => self.list(),
-        };
-        listed.get(service).cloned().unwrap_or_default()
+        }
     }
 
     fn list(&self) -> Arc<Listed> {
@@ -83,8 +92,11 @@
             of_services.entry(service).or_default().add(engine);
         }
         let shared = |(name, of): (String, OfService)| (name, Arc::new(of));
-        let listed: Listed = of_services.into_iter().map(shared).collect();
-        let listed = Arc::new(listed);
+        let by_hash = engines.values().map(|e| (e.hash, e.clone()));
+        let listed = Arc::new(Listed {
+            services: of_services.into_iter().map(shared).collect(),
+            by_hash: by_hash.collect(),
+        });
         // Under the lock: a change after it takes this out again.
         self.listed.store(Some(listed.clone()));
         listed
@@ -137,9 +149,9 @@
         }
         let engine = Arc::new(Engine::new(row, row_version, data_centre));
         let mut engines = self.lock();
-        engines.insert(engine.id.clone(), engine.clone());
+        engines.insert(engine.id.clone(), engine);
         self.listed.store(None);
-        Applied::New(engine)
+        Applied::New
     }
 
     /// Takes that the list has no row of an engine under an id; true if an
--- a/crates/direct/src/supervise.rs
+++ b/crates/direct/src/nudges.rs
@@ -1,4 +1,4 @@
-//! Streams in progress, to wake them when what they wait for has changed.
+//! Waking whoever waits for something that has changed.
 
 use std::{
     collections::BTreeMap,
@@ -10,9 +10,9 @@
 
 use async_channel::{Receiver, Sender};
 
-/// The streams of an entry.
+/// Those that wait, such as the streams of an entry.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Streams {
+pub(crate) struct Nudges {
     shared: Arc<Shared>,
 }
 
@@ -22,7 +22,7 @@
     nudges: Mutex<BTreeMap<u64, Sender<()>>>,
 }
 
-/// One stream among them, until it is dropped.
+/// One among them, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Listed {
     key: u64,
@@ -30,7 +30,7 @@
     nudged: Receiver<()>,
 }
 
-impl Streams {
+impl Nudges {
     pub(crate) fn list(&self) -> Listed {
         let (sender, nudged) = async_channel::bounded(1);
         let key = self.shared.next.fetch_add(1, Relaxed);
@@ -38,7 +38,7 @@
         Listed { key, shared: self.shared.clone(), nudged }
     }
 
-    /// Has every stream look at its engines.
+    /// Has all of them look again.
     pub(crate) fn nudge_all(&self) {
         for sender in self.nudges().values() {
             // One that is full has been nudged and not looked yet.
--- a/crates/direct/src/peer_table.rs
+++ b/crates/direct/src/peer_table.rs
@@ -50,6 +50,8 @@
     sequence: u64,
     heard_ms: u64,
     is_stopping: bool,
+    data_centre: String,
+    feed_port: u16,
     crossing_bytes_per_s: f64,
     /// When it last told that it sends between data centres; 0 if never.
     crossed_ms: u64,
@@ -126,6 +128,28 @@
             && heard().all(|p| p.is_stopping || p.boot_id > boot_id)
     }
 
+    /// Entries of a data centre that are heard and go on, by boot id.
+    pub(crate) fn live_in(&self, data_centre: &str, now_ms: u64) -> Vec<u64> {
+        let absent_ms = ABSENT_MS * self.rounds();
+        let peers = self.lock();
+        let is_live = |peer: &&Peer| {
+            peer.boot_id != 0
+                && !peer.is_stopping
+                && peer.data_centre == data_centre
+                && now_ms.saturating_sub(peer.heard_ms) < absent_ms
+        };
+        peers.values().filter(is_live).map(|peer| peer.boot_id).collect()
+    }
+
+    /// Where an entry answers in place of the store.
+    pub(crate) fn feed_address(&self, boot_id: u64) -> Option<SocketAddr> {
+        let peers = self.lock();
+        let (from, peer) =
+            peers.iter().find(|(_, peer)| peer.boot_id == boot_id)?;
+        let is_told = peer.feed_port != 0;
+        is_told.then(|| SocketAddr::new(from.ip(), peer.feed_port))
+    }
+
     /// What requests of all other entries send between data centres.
     pub(crate) fn crossing_bytes_per_s(&self) -> f64 {
         self.lock().values().map(|peer| peer.crossing_bytes_per_s).sum()
@@ -174,6 +198,8 @@
         peer.sequence = state.sequence;
         peer.heard_ms = now_ms();
         peer.is_stopping = state.is_stopping;
+        peer.data_centre.clone_from(&state.data_centre);
+        peer.feed_port = u16::try_from(state.feed_port).unwrap_or(0);
         peer.crossing_bytes_per_s =
             f64::from(state.crossing_kilobytes_per_s) * 1e3;
         if state.crossing_kilobytes_per_s > 0 {
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -7,7 +7,7 @@
 //! find each other in a table of the store, and from then on by who sends.
 
 use std::{
-    collections::BTreeMap,
+    collections::BTreeSet,
     net::{SocketAddr, UdpSocket},
     sync::{Arc, atomic::Ordering::Relaxed},
     time::Duration,
@@ -40,6 +40,8 @@
     [Duration::ZERO, Duration::from_millis(1_500), Duration::from_secs(4)];
 /// Time between later looks at the table.
 const READ_EVERY: Duration = Duration::from_secs(20);
+/// Time within which alerts are gathered.
+const ALERT_GATHERS: Duration = Duration::from_millis(10);
 /// Longest datagram taken.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -57,6 +59,8 @@
     let socket = Arc::new(socket);
     let told = tell(core.clone(), socket.clone());
     core.executor.spawn(told).detach();
+    let alerted = tell_alerts(core.clone(), socket.clone());
+    core.executor.spawn(alerted).detach();
     core.executor.spawn(find(core.clone())).detach();
     let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -88,16 +92,48 @@
     }
 }
 
+/// Tells all others at once what was just found of engines: by turns the
+/// last of many would hear of it a second later.
+async fn tell_alerts(core: Arc<Core>, socket: Arc<Async<UdpSocket>>) {
+    loop {
+        core.alerts.wait().await;
+        // Engines that were lost together are told together.
+        Timer::after(ALERT_GATHERS).await;
+        let alert = PeerState {
+            boot_id: core.boot_id,
+            is_alert: true,
+            engines: core.alerts.take(),
+            ..PeerState::default()
+        };
+        let bytes = alert.encode_to_vec();
+        for address in core.peers.addresses() {
+            // One that is lost is made up for by the next state.
+            let _ = socket.send_to(&bytes, address).await;
+        }
+    }
+}
+
 fn own_state(core: &Core, sequence: u64) -> PeerState {
-    let engine_use = |engine: Arc<crate::engine::Engine>| {
+    let engine_use = |engine: Arc<Engine>| {
         let used = engine.own_use(now_ms());
-        let is_suspect = engine.lock().suspicion.is_some();
-        (used != Use::default() || is_suspect).then_some(EngineUse {
+        let (is_suspect, slowness) = {
+            let state = engine.lock();
+            (state.suspicion.is_some(), state.slowness)
+        };
+        // Who watches it repeats how slow it is, for those who missed it.
+        let is_told_slow = slowness > 1.0 && engine.is_watched.load(Relaxed);
+        let is_told = used != Use::default() || is_suspect || is_told_slow;
+        is_told.then_some(EngineUse {
             engine: engine.hash,
             used_kilo_token_layers: used.kilo_token_layers,
             first_count: used.first_count,
             work_ms_per_s: used.work_ms_per_s,
             is_suspect,
+            is_cleared: false,
+            slowness_percent: match is_told_slow {
+                true => percent(slowness),
+                false => 0,
+            },
         })
     };
     let engines = core.fleet.all().into_iter().filter_map(engine_use);
@@ -120,6 +156,9 @@
         resigned: core.resigned.load(Relaxed),
         is_stopping: core.stopping_for_ms().is_some(),
         open_moves: core.open_moves(),
+        data_centre: core.settings.data_centre.clone(),
+        feed_port: core.feed_port.load(Relaxed).into(),
+        is_alert: false,
     }
 }
 
@@ -127,6 +166,10 @@
     if state.boot_id == core.boot_id || state.boot_id == 0 {
         return;
     }
+    if state.is_alert {
+        take_alert(core, state);
+        return;
+    }
     match core.peers.hear(from, state) {
         Heard::Stale => return,
         Heard::Known => {}
@@ -152,25 +195,57 @@
 }
 
 fn take_use(core: &Arc<Core>, state: &PeerState) {
-    let told: BTreeMap<u32, &EngineUse> =
-        state.engines.iter().map(|used| (used.engine, used)).collect();
-    for engine in core.fleet.all() {
-        let used = told.get(&engine.hash);
-        let told_use = used.map(|u| Use {
-            kilo_token_layers: u.used_kilo_token_layers,
-            first_count: u.first_count,
-            work_ms_per_s: u.work_ms_per_s,
-        });
-        engine.set_other(state.boot_id, told_use);
-        // What another one found is looked at, not believed: it may itself
-        // be cut off. And not at each message: many that are cut off would
-        // have all others dial all engines.
-        let is_named = used.is_some_and(|u| u.is_suspect);
-        if is_named && !engine.is_suspect() && is_dial_due(&engine) {
-            let task = probe::probe(core.clone(), engine);
-            core.executor.spawn(task).detach();
+    let listed = core.fleet.listed();
+    let told: BTreeSet<u32> = state.engines.iter().map(|u| u.engine).collect();
+    for hash in core.told_use.replace(state.boot_id, told) {
+        if let Some(engine) = listed.by_hash.get(&hash) {
+            engine.set_other(state.boot_id, None);
         }
     }
+    for used in &state.engines {
+        let Some(engine) = listed.by_hash.get(&used.engine) else { continue };
+        let told_use = Use {
+            kilo_token_layers: used.used_kilo_token_layers,
+            first_count: used.first_count,
+            work_ms_per_s: used.work_ms_per_s,
+        };
+        engine.set_other(state.boot_id, Some(told_use));
+        take_news(core, engine, used);
+    }
+}
+
+fn take_alert(core: &Arc<Core>, state: &PeerState) {
+    let listed = core.fleet.listed();
+    for told in &state.engines {
+        let Some(engine) = listed.by_hash.get(&told.engine) else { continue };
+        engine.lock().alerted_ms = now_ms();
+        take_news(core, engine, told);
+    }
+}
+
+/// Takes what another entry found of an engine. That it is dead or back is
+/// looked at, not believed: the other one may itself be cut off. And not at
+/// each message: many that are cut off would have all others dial all
+/// engines. How slow it is the engine has said itself.
+fn take_news(core: &Arc<Core>, engine: &Arc<Engine>, told: &EngineUse) {
+    let is_suspect = engine.is_suspect();
+    let is_news = match (told.is_suspect, told.is_cleared) {
+        (true, _) => !is_suspect && is_dial_due(engine),
+        (false, is_cleared) => is_cleared && is_suspect,
+    };
+    if is_news {
+        let task = probe::probe(core.clone(), engine.clone());
+        core.executor.spawn(task).detach();
+    }
+    if told.slowness_percent > 0 {
+        let slowness = f64::from(told.slowness_percent) / 100.0;
+        probe::take_slowness(engine, slowness, now_ms());
+    }
+}
+
+/// A factor as a percentage.
+pub(crate) fn percent(factor: f64) -> u32 {
+    (factor * 100.0).round() as u32
 }
 
 fn is_dial_due(engine: &Engine) -> bool {
@@ -193,8 +268,11 @@
 }
 
 fn forget_use(core: &Core, boot_id: u64) {
-    for engine in core.fleet.all() {
-        engine.set_other(boot_id, None);
+    let listed = core.fleet.listed();
+    for hash in core.told_use.replace(boot_id, BTreeSet::new()) {
+        if let Some(engine) = listed.by_hash.get(&hash) {
+            engine.set_other(boot_id, None);
+        }
     }
 }
 
--- a/crates/direct/src/probe.rs
+++ b/crates/direct/src/probe.rs
@@ -13,6 +13,7 @@
 use async_io::Timer;
 use chestnutreach_adapter::engine::{Report, try_report};
 use chestnutreach_http::relay::Outbound;
+use chestnutreach_protocol::peers::EngineUse;
 use chestnutreach_routing::{
     EndProof, end_proof, end_proof::SILENCE_PROVES_MS,
 };
@@ -24,12 +25,11 @@
     engine::{Engine, Evidence, FLOWING_MS, Suspicion, Told},
     exchange,
     path::Path,
+    peers::percent,
 };
 
 /// Time for a dial; ways are below 2 ms and engines accept within 1 ms.
 const DIAL: Duration = Duration::from_millis(25);
-/// Time for a dial of the watch, which is in no hurry.
-const WATCH_DIAL: Duration = Duration::from_millis(300);
 /// Dials before silence counts: a lost packet is sent again only after 1 s.
 const DIALS: usize = 2;
 /// Time for a report.
@@ -40,57 +40,20 @@
 const STALLED_MS: u64 = 3_000;
 /// Time between looks at suspected engines.
 const RECHECK: Duration = Duration::from_millis(400);
-/// A watch that ends sooner makes the next one wait longer.
-const LIVES_MS: u64 = 1_500;
-/// Most doublings of that wait.
-const MAX_DOUBLINGS: u32 = 4;
-/// Pause before a watched engine is dialled again.
-const REDIAL: Duration = Duration::from_millis(300);
+/// Rounds of such looks until an entry looks at an engine that others watch:
+/// they tell when it is back.
+const OTHERS_EVERY: u32 = 5;
+/// What others said of a slow engine is asked anew after so long.
+const SLOW_HEARD_MS: u64 = 4_000;
+/// An alert of another entry so recent need not be repeated.
+const ALERTED_MS: u64 = 1_000;
 /// Share of engines that are silent from which on no more are suspected.
 /// Above the share that went dark at once on any played day.
 const OWN_FAULT_SHARE: f64 = 0.4;
 /// Slowness below it is told as none.
 const SLOW_FROM: f64 = 1.2;
 
-/// Watches a new backend server until it leaves the list.
-pub(crate) fn watch(core: &Arc<Core>, engine: Arc<Engine>) {
-    let is_model_engine = engine.lock().row.kind.is_some();
-    if is_model_engine {
-        let task = keep_watch(core.clone(), engine);
-        core.executor.spawn(task).detach();
-    }
-}
-
-async fn keep_watch(core: Arc<Core>, engine: Arc<Engine>) {
-    // Connections in a row that ended soon: an engine with a long queue
-    // resets those that it has no room for.
-    let mut short_lived = 0;
-    loop {
-        if engine.lock().is_gone {
-            return;
-        }
-        // Who serves nothing that is configured may be anybody's address.
-        if !core.has_service(&engine.service) {
-            Timer::after(REDIAL).await;
-            continue;
-        }
-        let since_ms = now_ms();
-        match Outbound::connect(engine.address, WATCH_DIAL).await {
-            Ok(connection) => {
-                engine.lock().reached_ms = now_ms();
-                connection.ended().await;
-                // It has ended the connection: idle for long, or dead.
-                probe(core.clone(), engine.clone()).await;
-            }
-            Err(e) => note_unreached(&core, &engine, &e),
-        }
-        let is_short = now_ms() - since_ms < LIVES_MS;
-        short_lived = if is_short { short_lived + 1 } else { 0 };
-        Timer::after(REDIAL * (1 << short_lived.min(MAX_DOUBLINGS))).await;
-    }
-}
-
-fn note_unreached(core: &Core, engine: &Engine, error: &io::Error) {
+pub(crate) fn note_unreached(core: &Core, engine: &Engine, error: &io::Error) {
     let evidence = match error.kind() {
         io::ErrorKind::TimedOut => Evidence::Silent,
         _ => Evidence::Refused,
@@ -141,9 +104,25 @@
         ],
     );
     core.streams.nudge_all();
+    // Others that wait for an engine may not reach those that they need.
+    if evidence != Evidence::Stalled {
+        alert(core, engine, EngineUse { is_suspect: true, ..news(engine) });
+    }
+}
+
+fn news(engine: &Engine) -> EngineUse {
+    EngineUse { engine: engine.hash, ..EngineUse::default() }
+}
+
+/// Tells all others, unless one of them just did.
+fn alert(core: &Core, engine: &Engine, news: EngineUse) {
+    let alerted_ms = engine.lock().alerted_ms;
+    if now_ms().saturating_sub(alerted_ms) >= ALERTED_MS {
+        core.alerts.tell(news);
+    }
 }
 
-fn clear(engine: &Engine) {
+pub(crate) fn clear(core: &Core, engine: &Engine) {
     let now_ms = now_ms();
     let mut state = engine.lock();
     state.reached_ms = now_ms;
@@ -167,6 +146,7 @@
             ("suspected_ms", &(now_ms - suspicion.since_ms)),
         ],
     );
+    alert(core, engine, EngineUse { is_cleared: true, ..news(engine) });
 }
 
 /// Dials an engine and takes what that shows.
@@ -177,7 +157,7 @@
     let dialled = dial(&engine).await;
     engine.is_probing.store(false, Relaxed);
     match dialled {
-        Ok(()) => clear(&engine),
+        Ok(()) => clear(&core, &engine),
         Err(e) => note_unreached(&core, &engine, &e),
     }
 }
@@ -239,20 +219,23 @@
 
 /// Asks the engines of a path for reports, where that was not done of late.
 pub(crate) fn ask_path(core: &Arc<Core>, path: &Path) {
-    let now_ms = now_ms();
     for stage in &path.stages {
-        let engine = &stage.engine;
-        let mut state = engine.lock();
-        if now_ms.saturating_sub(state.asked_ms) < REPORT_EVERY_MS {
-            continue;
-        }
-        state.asked_ms = now_ms;
-        drop(state);
-        let task = ask(core.clone(), engine.clone());
-        core.executor.spawn(task).detach();
+        ask_one(core, &stage.engine);
     }
 }
 
+fn ask_one(core: &Arc<Core>, engine: &Arc<Engine>) {
+    let now_ms = now_ms();
+    let mut state = engine.lock();
+    if now_ms.saturating_sub(state.asked_ms) < REPORT_EVERY_MS {
+        return;
+    }
+    state.asked_ms = now_ms;
+    drop(state);
+    let task = ask(core.clone(), engine.clone());
+    core.executor.spawn(task).detach();
+}
+
 pub(crate) async fn ask(core: Arc<Core>, engine: Arc<Engine>) {
     let body = exchange::report(&engine);
     let Ok(Ok((200, body))) = exchange::within(REPORT, body).await else {
@@ -279,7 +262,10 @@
         slowness if slowness < SLOW_FROM => 1.0,
         slowness => slowness,
     };
-    note_slowness(engine, slowness);
+    if take_slowness(engine, slowness, now_ms()) {
+        let slowness_percent = percent(slowness);
+        core.alerts.tell(EngineUse { slowness_percent, ..news(engine) });
+    }
     engine.lock().orders_begun = report.orders_begun;
     for stalled in &report.stalled {
         let Some(dead) = core.fleet.at(stalled.at) else { continue };
@@ -299,10 +285,16 @@
     }
 }
 
-fn note_slowness(engine: &Engine, slowness: f64) {
+/// Takes how slow an engine said that it is; true if that is new.
+pub(crate) fn take_slowness(
+    engine: &Engine,
+    slowness: f64,
+    now_ms: u64,
+) -> bool {
     let mut state = engine.lock();
     let is_same = (state.slowness - slowness).abs() < 0.1;
     state.slowness = slowness;
+    state.slow_heard_ms = now_ms;
     drop(state);
     if !is_same {
         emit(
@@ -314,27 +306,30 @@
             ],
         );
     }
+    !is_same
 }
 
-/// Looks again at engines that are suspected or slow.
+/// Looks again at engines that are suspected or slow: those that this entry
+/// watches at once, the others where nobody tells of them.
 pub(crate) async fn recheck(core: Arc<Core>) {
-    loop {
+    for round in 0_u32.. {
         Timer::after(RECHECK).await;
+        let is_round_of_all = round % OTHERS_EVERY == 0;
         for engine in core.fleet.all() {
-            let (is_suspect, is_slow) = {
+            let is_watched = engine.is_watched.load(Relaxed);
+            let (is_suspect, is_slow, heard_ms) = {
                 let state = engine.lock();
-                (state.suspicion.is_some(), state.slowness > 1.0)
+                let is_slow = state.slowness > 1.0;
+                (state.suspicion.is_some(), is_slow, state.slow_heard_ms)
             };
-            if is_suspect {
+            if is_suspect && (is_watched || is_round_of_all) {
                 let task = probe(core.clone(), engine.clone());
                 core.executor.spawn(task).detach();
-            } else if is_slow {
-                let stages = vec![crate::path::Stage {
-                    engine,
-                    first_layer: 0,
-                    end_layer: 0,
-                }];
-                ask_path(&core, &Path { stages });
+            } else if is_slow && !is_suspect {
+                let heard_for_ms = now_ms().saturating_sub(heard_ms);
+                if is_watched || heard_for_ms >= SLOW_HEARD_MS {
+                    ask_one(&core, &engine);
+                }
             }
         }
     }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -25,9 +25,9 @@
     core::Core,
     ended::{After, Ended, refuse, refuse_until},
     engine::{Engine, Hold},
+    nudges::Listed,
     path::Path,
     probe,
-    supervise::Listed,
 };
 
 mod attempt;
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -364,14 +364,17 @@
         (0..entries.count()).map(log).collect()
     }
 
+    /// What an entry knows, as it says itself; none if it doesn't answer.
+    pub async fn status(&self, entry: usize) -> Option<serde_json::Value> {
+        let (_, text) = get(self.ops_address(entry), "/status").await?;
+        serde_json::from_str(&text).ok()
+    }
+
     /// Which entry plans, as it says itself.
     pub async fn planner(&self) -> Option<usize> {
         for entry in 0..self.addresses.len() {
-            let address = self.ops_address(entry);
-            let status = get(address, "/status").await;
-            let is_planner =
-                status.is_some_and(|s| s.1.contains("\"is_planner\":true"));
-            if is_planner {
+            let status = self.status(entry).await;
+            if status.is_some_and(|status| status["is_planner"] == true) {
                 return Some(entry);
             }
         }
@@ -464,6 +467,11 @@
         });
     }
 
+    /// Kills an entry and starts it again.
+    pub fn restart(&self, entry: usize) {
+        self.restart_later(entry, Duration::ZERO);
+    }
+
     fn restart_later(&self, entry: usize, after: Duration) {
         let entries = self.entries.clone();
         self.later(after, async move {
--- /dev/null
+++ b/crates/membership/tests/table_copies.rs
@@ -0,0 +1,171 @@
+//! Copies of a table against the table itself: whoever follows a copy, with
+//! gaps, late and by way of copies of copies, knows what the table held as of
+//! the version that it was told, and never goes back.
+
+use std::collections::BTreeMap;
+
+use chestnutreach_membership::{Change, TableCopy};
+use proptest::prelude::*;
+
+/// The table and its history.
+#[derive(Default)]
+struct Store {
+    version: u64,
+    history: Vec<Change>,
+}
+
+impl Store {
+    fn change(&mut self, key: u8, value: Option<u8>) {
+        self.version += 1;
+        self.history.push(Change {
+            key: key.to_string(),
+            value: value.map(|byte| vec![byte]),
+            version: self.version,
+        });
+    }
+
+    /// Rows as of a version.
+    fn at(&self, version: u64) -> BTreeMap<String, Vec<u8>> {
+        let mut rows = BTreeMap::new();
+        for change in self.history.iter().filter(|c| c.version <= version) {
+            match &change.value {
+                Some(value) => rows.insert(change.key.clone(), value.clone()),
+                None => rows.remove(&change.key),
+            };
+        }
+        rows
+    }
+
+    fn after(&self, version: u64) -> Vec<Change> {
+        let later = self.history.iter().filter(|c| c.version > version);
+        // The feed tells the last change of each row.
+        let mut last = BTreeMap::new();
+        for change in later {
+            last.insert(change.key.clone(), change.clone());
+        }
+        last.into_values().collect()
+    }
+
+    fn all(&self) -> Vec<Change> {
+        let mut last = BTreeMap::new();
+        for change in &self.history {
+            last.insert(change.key.clone(), change.clone());
+        }
+        last.into_values().filter(|c| c.value.is_some()).collect()
+    }
+}
+
+/// An entry: its copy and what it has made of it.
+#[derive(Default)]
+struct Entry {
+    copy: TableCopy,
+    rows: BTreeMap<String, Vec<u8>>,
+    after: Option<u64>,
+}
+
+impl Entry {
+    fn take_all(&mut self, rows: Vec<Change>, version: u64) {
+        if self.after.is_some_and(|after| after > version) {
+            return;
+        }
+        let bytes = |c: &Change| (c.key.clone(), c.value.clone());
+        let known = rows.iter().map(bytes);
+        self.rows = known.filter_map(|(k, v)| Some((k, v?))).collect();
+        self.copy.replace(rows, version);
+        self.after = Some(version);
+    }
+
+    fn take_changes(&mut self, changes: Vec<Change>, version: u64) {
+        for change in &changes {
+            match &change.value {
+                Some(value) => {
+                    self.rows.insert(change.key.clone(), value.clone());
+                }
+                None => {
+                    self.rows.remove(&change.key);
+                }
+            }
+        }
+        self.copy.extend(changes, version);
+        self.after = self.after.max(Some(version));
+    }
+
+    fn ask_store(&mut self, store: &Store) {
+        match self.after {
+            None => self.take_all(store.all(), store.version),
+            Some(after) => {
+                self.take_changes(store.after(after), store.version);
+            }
+        }
+    }
+
+    fn ask(&mut self, other: &TableCopy) {
+        let Some(version) = other.version() else { return };
+        let changes = self.after.and_then(|after| other.after(after));
+        match changes {
+            Some(changes) => {
+                let changes = changes.into_iter().cloned().collect();
+                self.take_changes(changes, version);
+            }
+            None => {
+                let all = other.all().cloned().collect();
+                self.take_all(all, version);
+            }
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Change(u8, Option<u8>),
+    AskStore(usize),
+    Ask(usize, usize),
+    /// An entry starts anew and knows nothing.
+    Start(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let value = prop::option::weighted(0.7, any::<u8>());
+    prop_oneof![
+        (0_u8..6, value).prop_map(|(key, value)| Step::Change(key, value)),
+        (0_usize..4).prop_map(Step::AskStore),
+        (0_usize..4, 0_usize..4).prop_map(|(a, b)| Step::Ask(a, b)),
+        (0_usize..4).prop_map(Step::Start),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn what_is_known_is_what_the_table_held(
+        steps in prop::collection::vec(step(), 1..120),
+    ) {
+        let mut store = Store::default();
+        let mut entries: [Entry; 4] = Default::default();
+        for step in steps {
+            let before: Vec<_> = entries.iter().map(|e| e.after).collect();
+            let mut started = None;
+            match step {
+                Step::Change(key, value) => store.change(key, value),
+                Step::AskStore(at) => entries[at].ask_store(&store),
+                Step::Ask(at, other) => {
+                    let copy = entries[other].copy.clone();
+                    entries[at].ask(&copy);
+                }
+                Step::Start(at) => {
+                    entries[at] = Entry::default();
+                    started = Some(at);
+                }
+            }
+            for (at, entry) in entries.iter().enumerate() {
+                if started != Some(at) {
+                    prop_assert!(entry.after >= before[at]);
+                }
+                let known = entry.after.unwrap_or(0);
+                prop_assert!(known <= store.version);
+                if entry.after.is_some() {
+                    prop_assert_eq!(&entry.rows, &store.at(known));
+                }
+            }
+        }
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -294,6 +294,9 @@
         ["request", "without", "backends", "refused_by", "result", "gap_ms",
          "again_ms"],
         "The first engine of a stream refused to use other engines.";
+    FeedSourceChanged = 927, "feed_source_changed", Info,
+        ["table", "source", "peer_boot_id", "age_ms"],
+        "This entry asks another one, or the store itself, for a table.";
 }
 
 impl Event {
