Fewer calls and lines: who seeks the lease, starts, messages, summed-up logs

While nobody plans, all 68 entries seek the lease, each with a read several times its duration, and again at each tick while the store refuses; each start reads the table of entries three times. Entries of other data centres were told as often as the own ones, and a bound on silence of 0.9 s was not two messages at 68 entries.

Change: four entries by rank seek the lease, all after 6 s without a holder; an entry reads the table of entries once after its row is there; entries of a data centre tell each other at 0.2 s, others at 0.2 s times a twelfth of their number, whoever plans 96 at once, and silence is counted in messages at that interval (membership::telling); peer_found and peer_lost sum up 0.2 s, backends_read a whole list.

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -100,7 +100,6 @@
         Core {
             boot_id: fastrand::u64(1..),
             started_ms: now_ms(),
-            settings,
             executor,
             configuration: ArcSwapOption::empty(),
             confirmed_ms: AtomicU64::new(0),
@@ -110,7 +109,7 @@
             streams: Nudges::default(),
             configured: Nudges::default(),
             path_queues: PathQueues::default(),
-            peers: PeerTable::default(),
+            peers: PeerTable::new(&settings.data_centre),
             feeds: Feeds::new(),
             feed_port: AtomicU16::new(0),
             alerts: Alerts::default(),
@@ -129,6 +128,7 @@
             moves: Mutex::default(),
             resigned: AtomicU64::new(0),
             store_lost_ms: AtomicU64::new(0),
+            settings,
         }
     }
 
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -116,12 +116,14 @@
         engines.values().find(|e| e.incarnation == name).cloned()
     }
 
-    /// Takes a row.
+    /// Takes a row, with a line in the logs if it changes something; not for
+    /// one that is new with the whole list.
     pub(crate) fn apply(
         &self,
         row: Backend,
         row_version: u64,
         data_centre: usize,
+        is_whole: bool,
     ) -> Applied {
         let known = self.get(&row.id);
         let told = known.as_ref().map_or(Told::Later, |known| {
@@ -130,7 +132,9 @@
         if told == Told::Earlier {
             return Applied::OfEarlierStart;
         }
-        note_listed(&row, row_version, known.as_deref());
+        if known.is_some() || !is_whole {
+            note_listed(&row, row_version, known.as_deref());
+        }
         if let Some(engine) = &known
             && told == Told::Same
         {
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -45,6 +45,10 @@
 const ENTRY_WAIT: Duration = Duration::from_millis(600);
 /// The same where what is known is old, and the next one may know better.
 const ENTRY_WAIT_WHILE_OLD: Duration = Duration::from_millis(150);
+/// Age from which on the next one hardly knows better: the store is away.
+const HOPELESS_MS: u64 = 4_000;
+/// Shortest time between two lines that tell which other entry is asked.
+const TOLD_EVERY_MS: u64 = 5_000;
 /// Time beyond its wait after which a call counts as lost.
 const CALL_SLACK: Duration = Duration::from_millis(500);
 /// The same at another entry, which is near.
@@ -87,6 +91,8 @@
     after: Option<u64>,
     /// Whom it asked last.
     source: Source,
+    /// When that was last told.
+    told_ms: u64,
 }
 
 impl Follower {
@@ -101,6 +107,7 @@
             health: Health::new(table),
             after: None,
             source: Source::Store,
+            told_ms: 0,
         }
     }
 
@@ -204,9 +211,9 @@
         let kept = self.asker.take().filter(|a| a.address() == address);
         let asker = kept.unwrap_or_else(|| Asker::new(address));
         let table = self.feed().table;
-        let wait = match self.feed().age_ms() > STALE_MS {
-            true => ENTRY_WAIT_WHILE_OLD,
-            false => ENTRY_WAIT,
+        let wait = match self.feed().age_ms() {
+            STALE_MS..HOPELESS_MS => ENTRY_WAIT_WHILE_OLD,
+            _ => ENTRY_WAIT,
         };
         let timeout = wait + ENTRY_SLACK;
         let asked = asker.ask(table, self.after, wait, timeout).await;
@@ -285,8 +292,18 @@
         if source == self.source {
             return;
         }
+        let is_same_kind = matches!(
+            (self.source, source),
+            (Source::Entry(_), Source::Entry(_))
+        );
         self.source = source;
         self.feed().set_source(source);
+        // While the store is away, one entry after the other is asked.
+        let now_ms = now_ms();
+        if is_same_kind && now_ms < self.told_ms + TOLD_EVERY_MS {
+            return;
+        }
+        self.told_ms = now_ms;
         let (name, boot_id) = match source {
             Source::Store => ("store", String::new()),
             Source::Entry(boot_id) => ("entry", boot_id.to_string()),
--- a/crates/direct/src/lease.rs
+++ b/crates/direct/src/lease.rs
@@ -7,6 +7,7 @@
 
 use async_io::Timer;
 use chestnutreach_adapter::store::{Row, StoreClient, StoreError};
+use chestnutreach_membership::duty;
 use chestnutreach_site::tables::{LEASE, LEASE_KEY};
 use chestnutreach_state::{
     FencingNumber, LeaseCommand, LeaseHolder, LeaseOptions, LeaseRow,
@@ -26,6 +27,14 @@
 const CUT_MS: u64 = 500;
 /// Time between looks at the state machine.
 const TICK: Duration = Duration::from_millis(150);
+/// Entries that seek the lease: enough that one reaches the store. If all 68
+/// of a fleet sought it, each takeover would cost some 400 calls.
+const CANDIDATES: usize = 4;
+/// Number of the duty to seek it.
+const LEASE_DUTY: u64 = 3;
+/// Time without a holder after which all seek it: a candidate must see the
+/// row unchanged for 3 s.
+const ALL_SEEK_MS: u64 = 6_000;
 /// Time for a call of the store.
 const TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -81,7 +90,9 @@
         let mut holder = self.holder();
         holder.holder_resigned(resigned);
         let is_held = matches!(holder.state(), LeaseState::Held { .. });
-        if !is_held && (is_cut(core) || core.peers.has_planner(now_ms())) {
+        let has_planner = core.peers.has_planner(now_ms());
+        let seeks = !has_planner && !is_cut(core) && is_candidate(core);
+        if !is_held && !seeks {
             return None;
         }
         holder.tick(now_ms())
@@ -162,6 +173,20 @@
     }
 }
 
+/// Whether this entry is among the few that seek the lease while nobody is
+/// heard to hold it; all do once those few have not taken it.
+fn is_candidate(core: &Core) -> bool {
+    let now_ms = now_ms();
+    let unheld_ms = core.age_ms().min(core.peers.planner_silent_ms(now_ms));
+    unheld_ms >= ALL_SEEK_MS
+        || duty::holds(
+            core.boot_id,
+            core.peers.live(now_ms),
+            LEASE_DUTY,
+            CANDIDATES,
+        )
+}
+
 /// Whether the store has been out of reach for so long that another entry
 /// should plan.
 fn is_cut(core: &Core) -> bool {
--- a/crates/direct/src/listed_rows.rs
+++ b/crates/direct/src/listed_rows.rs
@@ -17,6 +17,7 @@
 use crate::{
     clock::now_ms,
     core::{Core, NEEDS_BACKENDS},
+    engine::Engine,
     fleet::Applied,
 };
 
@@ -34,14 +35,44 @@
             remove(core, &engine.id, rows.version);
         }
     }
+    let before = core.fleet.all().len();
     for row in &rows.rows {
-        apply(core, row);
+        apply_row(core, row, true);
     }
     core.readiness.clear(NEEDS_BACKENDS);
+    note_read(core, rows, before);
 }
 
 /// Takes a row that is new or has changed.
 pub(crate) fn apply(core: &Arc<Core>, row: &Row) {
+    apply_row(core, row, false);
+}
+
+/// Sums up a read of the whole list: a line for each engine at each start
+/// were 31,000 of 100,000 lines at 68 entries before 130 engines.
+fn note_read(core: &Core, rows: &Rows, before: usize) {
+    let engines = core.fleet.all();
+    let is_draining =
+        |e: &Arc<Engine>| e.lock().row.state == BackendState::Draining;
+    let is_empty = |e: &Arc<Engine>| {
+        let state = e.lock();
+        state.row.kind.is_some() && state.row.held.is_none()
+    };
+    let draining = engines.iter().filter(|e| is_draining(e)).count();
+    let without_layers = engines.iter().filter(|e| is_empty(e)).count();
+    emit(
+        Event::BackendsRead,
+        &[
+            ("row_version", &rows.version),
+            ("backends", &engines.len()),
+            ("new", &engines.len().saturating_sub(before)),
+            ("draining", &draining),
+            ("without_layers", &without_layers),
+        ],
+    );
+}
+
+fn apply_row(core: &Arc<Core>, row: &Row, is_whole: bool) {
     if row.is_dropped {
         core.unusable_rows.forget(&row.key);
         remove(core, &row.key, row.version);
@@ -53,7 +84,7 @@
     };
     let data_centre = core.data_centre(&backend.data_centre);
     let is_leaving = backend.state == BackendState::Draining;
-    match core.fleet.apply(backend, row.version, data_centre) {
+    match core.fleet.apply(backend, row.version, data_centre, is_whole) {
         Applied::Known if is_leaving => core.streams.nudge_all(),
         Applied::Known => {}
         // What ran on the start before it, if there was one, has ended.
--- a/crates/direct/src/peer_table.rs
+++ b/crates/direct/src/peer_table.rs
@@ -9,19 +9,12 @@
     },
 };
 
+use chestnutreach_membership::telling::{Whom, planner_silent_ms};
 use chestnutreach_protocol::peers::{OpenMove, PeerState};
 use chestnutreach_routing::Sent;
 
 use crate::clock::now_ms;
 
-/// Most entries told at once; where there are more, each hears the others
-/// more rarely, so that the cost of an entry does not grow with their number.
-pub(crate) const TOLD_AT_ONCE: usize = 24;
-/// Silence of the planner after which others look at its lease.
-const PLANNER_SILENT_MS: u64 = 700;
-/// Silence after which an entry no longer comes before others: four of its
-/// messages.
-const ABSENT_MS: u64 = 900;
 /// How long an entry shares what joins data centres after it used it: a part
 /// lets it cross once in some seconds only.
 const CROSSES_MS: u64 = 5_000;
@@ -31,10 +24,14 @@
 /// The other entries.
 #[derive(Debug, Default)]
 pub(crate) struct PeerTable {
+    /// The data centre of this entry.
+    data_centre: String,
     peers: Mutex<BTreeMap<SocketAddr, Peer>>,
     /// What processes told, by boot id. It outlives them for a window: what
     /// they sent counts that long.
     told: Mutex<BTreeMap<u64, Told>>,
+    /// Names of those that were found since they were last taken.
+    found: Mutex<Vec<String>>,
     /// When another entry last said that it holds the planner's lease.
     planner_ms: AtomicU64,
     /// Highest number of a lease whose holder said that it gave it up.
@@ -65,6 +62,13 @@
     pub(crate) silent_ms: u64,
 }
 
+impl Silent {
+    /// Its name in logs, with the time for which it was silent.
+    pub(crate) fn name(&self) -> String {
+        format!("{}/{} {}", self.vm, self.boot_id, self.silent_ms)
+    }
+}
+
 /// What a message changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Heard {
@@ -84,7 +88,51 @@
     sent: BTreeMap<String, Sent>,
 }
 
+/// How many are near and far.
+#[derive(Clone, Copy, Debug)]
+struct Counts {
+    near: usize,
+    far: usize,
+}
+
+impl Counts {
+    fn of(peers: &BTreeMap<SocketAddr, Peer>, data_centre: &str) -> Counts {
+        let is_near = |p: &&Peer| p.whom(data_centre) == Whom::Near;
+        let near = peers.values().filter(is_near).count();
+        Counts { near, far: peers.len() - near }
+    }
+
+    fn of_whom(self, whom: Whom) -> usize {
+        match whom {
+            Whom::Near => self.near,
+            Whom::Far => self.far,
+            Whom::ByPlanner => self.near + self.far,
+        }
+    }
+
+    /// Silence after which an entry no longer counts.
+    fn absent_ms(self, peer: &Peer, data_centre: &str) -> u64 {
+        let whom = peer.whom(data_centre);
+        whom.absent_ms(self.of_whom(whom))
+    }
+}
+
+impl Peer {
+    fn whom(&self, data_centre: &str) -> Whom {
+        match self.data_centre == data_centre {
+            true => Whom::Near,
+            false => Whom::Far,
+        }
+    }
+}
+
 impl PeerTable {
+    /// Of an entry of a data centre.
+    pub(crate) fn new(data_centre: &str) -> PeerTable {
+        let data_centre = data_centre.to_owned();
+        PeerTable { data_centre, ..PeerTable::default() }
+    }
+
     /// Entries that share what is shared, with this one.
     pub(crate) fn entry_count(&self) -> usize {
         let peers = self.lock();
@@ -109,19 +157,30 @@
     /// Whether another entry plans, as far as is known.
     pub(crate) fn has_planner(&self, now_ms: u64) -> bool {
         let heard_ms = self.planner_ms.load(Relaxed);
-        let silent_ms = PLANNER_SILENT_MS * self.rounds();
+        let silent_ms = planner_silent_ms(self.lock().len());
         heard_ms > 0 && now_ms.saturating_sub(heard_ms) < silent_ms
     }
 
+    /// Time since another entry last said that it plans.
+    pub(crate) fn planner_silent_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.planner_ms.load(Relaxed))
+    }
+
+    /// All entries that are heard and go on, by boot id.
+    pub(crate) fn live(&self, now_ms: u64) -> Vec<u64> {
+        self.live_where(now_ms, |_| true)
+    }
+
     /// Whether a process has the lowest number of those that are heard and
     /// go on. Not one that hears fewer than half of them: it is rather cut
     /// off itself.
     pub(crate) fn comes_first(&self, boot_id: u64, now_ms: u64) -> bool {
-        let absent_ms = ABSENT_MS * self.rounds();
         let peers = self.lock();
+        let counts = Counts::of(&peers, &self.data_centre);
         let is_heard = |peer: &&Peer| {
             peer.boot_id != 0
-                && now_ms.saturating_sub(peer.heard_ms) < absent_ms
+                && now_ms.saturating_sub(peer.heard_ms)
+                    < counts.absent_ms(peer, &self.data_centre)
         };
         let heard = || peers.values().filter(is_heard);
         2 * heard().count() >= peers.len()
@@ -130,13 +189,22 @@
 
     /// Entries of a data centre that are heard and go on, by boot id.
     pub(crate) fn live_in(&self, data_centre: &str, now_ms: u64) -> Vec<u64> {
-        let absent_ms = ABSENT_MS * self.rounds();
+        self.live_where(now_ms, |peer| peer.data_centre == data_centre)
+    }
+
+    fn live_where(
+        &self,
+        now_ms: u64,
+        is_wanted: impl Fn(&Peer) -> bool,
+    ) -> Vec<u64> {
         let peers = self.lock();
+        let counts = Counts::of(&peers, &self.data_centre);
         let is_live = |peer: &&Peer| {
             peer.boot_id != 0
                 && !peer.is_stopping
-                && peer.data_centre == data_centre
-                && now_ms.saturating_sub(peer.heard_ms) < absent_ms
+                && is_wanted(peer)
+                && now_ms.saturating_sub(peer.heard_ms)
+                    < counts.absent_ms(peer, &self.data_centre)
         };
         peers.values().filter(is_live).map(|peer| peer.boot_id).collect()
     }
@@ -193,6 +261,10 @@
             return Heard::Stale;
         }
         let old = (peer.boot_id != 0).then_some(peer.boot_id);
+        if is_new {
+            let name = format!("{}={from}/{}", state.vm, state.boot_id);
+            self.found.lock().expect("no holder panics").push(name);
+        }
         peer.boot_id = state.boot_id;
         peer.vm.clone_from(&state.vm);
         peer.sequence = state.sequence;
@@ -229,14 +301,22 @@
         told.retain(|_, t| now_ms.saturating_sub(t.heard_ms) < window_ms);
     }
 
-    /// Takes out the entries that were silent for so long in each round.
-    pub(crate) fn take_silent(&self, limit_ms: u64) -> Vec<Silent> {
+    /// Names of entries that were found since the last call.
+    pub(crate) fn take_found(&self) -> Vec<String> {
+        std::mem::take(&mut *self.found.lock().expect("no holder panics"))
+    }
+
+    /// Takes out the entries that were silent for long.
+    pub(crate) fn take_silent(&self) -> Vec<Silent> {
         let now_ms = now_ms();
-        let limit_ms = limit_ms * self.rounds();
         let mut out = Vec::new();
-        self.lock().retain(|_, peer| {
+        let mut peers = self.lock();
+        let counts = Counts::of(&peers, &self.data_centre);
+        peers.retain(|_, peer| {
             let silent_ms = now_ms.saturating_sub(peer.heard_ms);
-            let is_silent = silent_ms > limit_ms;
+            let whom = peer.whom(&self.data_centre);
+            let is_silent =
+                silent_ms > whom.forgotten_ms(counts.of_whom(whom));
             if is_silent && peer.boot_id != 0 {
                 let vm = peer.vm.clone();
                 let boot_id = peer.boot_id;
@@ -247,15 +327,20 @@
         out
     }
 
-    /// Rounds of messages in which all others are told.
-    fn rounds(&self) -> u64 {
-        self.lock().len().div_ceil(TOLD_AT_ONCE).max(1) as u64
-    }
-
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         self.lock().keys().copied().collect()
     }
 
+    /// Addresses of the entries of this data centre, or of the others and of
+    /// those that were not heard yet.
+    pub(crate) fn addresses_of(&self, whom: Whom) -> Vec<SocketAddr> {
+        let peers = self.lock();
+        let is_told = |(_, peer): &(&SocketAddr, &Peer)| {
+            peer.whom(&self.data_centre) == whom
+        };
+        peers.iter().filter(is_told).map(|(address, _)| *address).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Peer>> {
         self.peers.lock().expect("no holder panics")
     }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -14,7 +14,8 @@
 };
 
 use async_io::{Async, Timer};
-use chestnutreach_adapter::store::StoreClient;
+use chestnutreach_adapter::store::{StoreClient, StoreError};
+use chestnutreach_membership::telling::{EVERY_MS, Rounds, Whom};
 use chestnutreach_protocol::peers::{EngineUse, PeerState, ServiceUse};
 use chestnutreach_site::tables::ENTRIES;
 use chestnutreach_telemetry::{Event, emit};
@@ -24,24 +25,23 @@
     clock::now_ms,
     core::Core,
     engine::{Engine, Use},
-    peer_table::{Heard, TOLD_AT_ONCE},
+    peer_table::{Heard, Silent},
     probe,
 };
 
-/// Time between messages to all others.
-const TELL_EVERY: Duration = Duration::from_millis(200);
-/// Silence after which another entry no longer counts, where all are told
-/// at once.
-const SILENT_MS: u64 = 2_500;
+/// Time between messages.
+const TELL_EVERY: Duration = Duration::from_millis(EVERY_MS);
 /// Time for a call of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
-/// When the table is read, after the start.
-const READ_AFTER: [Duration; 3] =
-    [Duration::ZERO, Duration::from_millis(1_500), Duration::from_secs(4)];
-/// Time between later looks at the table.
-const READ_EVERY: Duration = Duration::from_secs(20);
+/// Time before the table is read again after a failure.
+const READ_AGAIN: Duration = Duration::from_millis(1_500);
+/// Time between later looks at the table: entries hear each other from their
+/// first messages on.
+const READ_EVERY: Duration = Duration::from_secs(60);
 /// Time within which alerts are gathered.
 const ALERT_GATHERS: Duration = Duration::from_millis(10);
+/// Most names of entries in a line of the logs.
+const MAX_NAMES: usize = 24;
 /// Longest datagram taken.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -76,22 +76,30 @@
 
 async fn tell(core: Arc<Core>, socket: Arc<Async<UdpSocket>>) {
     let mut sequence = 0;
-    let mut next = 0;
+    let mut rounds = [Rounds::default(), Rounds::default()];
     loop {
         sequence += 1;
         let bytes = own_state(&core, sequence).encode_to_vec();
-        let addresses = core.peers.addresses();
-        for at in 0..addresses.len().min(TOLD_AT_ONCE) {
-            let address = addresses[(next + at) % addresses.len()];
+        for address in told_now(&core, &mut rounds) {
             // A datagram that is lost is made up for by the next one.
             let _ = socket.send_to(&bytes, address).await;
         }
-        next = next.wrapping_add(TOLD_AT_ONCE) % addresses.len().max(1);
         forget_silent(&core);
         Timer::after(TELL_EVERY).await;
     }
 }
 
+/// Who is told now: some of this data centre, fewer of the others.
+fn told_now(core: &Core, rounds: &mut [Rounds; 2]) -> Vec<SocketAddr> {
+    let is_planner = core.is_planner.load(Relaxed);
+    let turn = |(whom, rounds): (Whom, &mut Rounds)| {
+        let told = if is_planner { Whom::ByPlanner } else { whom };
+        rounds.take(&core.peers.addresses_of(whom), told.at_once())
+    };
+    let whom = [Whom::Near, Whom::Far].into_iter();
+    whom.zip(rounds).flat_map(turn).collect()
+}
+
 /// Tells all others at once what was just found of engines: by turns the
 /// last of many would hear of it a second later.
 async fn tell_alerts(core: Arc<Core>, socket: Arc<Async<UdpSocket>>) {
@@ -174,14 +182,6 @@
         Heard::Stale => return,
         Heard::Known => {}
         Heard::New(old) => {
-            emit(
-                Event::PeerFound,
-                &[
-                    ("peer_vm", &state.vm),
-                    ("peer_address", &from),
-                    ("peer_boot_id", &state.boot_id),
-                ],
-            );
             if let Some(old) = old {
                 forget_use(core, old);
             }
@@ -253,18 +253,32 @@
     engine.lock().is_dial_due(now_ms, engine.quiet_ms(now_ms))
 }
 
+/// Forgets those that are silent, and sums up who came and went since.
 fn forget_silent(core: &Core) {
-    for silent in core.peers.take_silent(SILENT_MS) {
+    let silent = core.peers.take_silent();
+    for silent in &silent {
         forget_use(core, silent.boot_id);
-        emit(
-            Event::PeerLost,
-            &[
-                ("peer_vm", &silent.vm),
-                ("peer_boot_id", &silent.boot_id),
-                ("silent_ms", &silent.silent_ms),
-            ],
-        );
     }
+    let lost = silent.iter().map(Silent::name).collect();
+    note_peers(core, Event::PeerLost, lost);
+    note_peers(core, Event::PeerFound, core.peers.take_found());
+}
+
+fn note_peers(core: &Core, event: Event, names: Vec<String>) {
+    if names.is_empty() {
+        return;
+    }
+    let told: Vec<&str> =
+        names.iter().take(MAX_NAMES).map(String::as_str).collect();
+    let known = core.peers.addresses().len();
+    emit(
+        event,
+        &[
+            ("peers", &told.join(", ")),
+            ("count", &names.len()),
+            ("known", &known),
+        ],
+    );
 }
 
 fn forget_use(core: &Core, boot_id: u64) {
@@ -277,35 +291,57 @@
 }
 
 /// Lists this entry and looks for others.
+///
+/// Of two entries that start together, one reads the table after the other
+/// has written its row, and tells it; so one read after the own row is there
+/// is enough, and the later ones only make up for what went wrong.
 async fn find(core: Arc<Core>) {
     let store = StoreClient::new(core.settings.store_address);
     let own = SocketAddr::new(core.settings.ip, port(&core));
     let mut is_listed = false;
-    for round in 0.. {
-        Timer::after(READ_AFTER.get(round).copied().unwrap_or(READ_EVERY))
-            .await;
-        if !is_listed {
-            let value = own.to_string();
-            let vm = &core.settings.vm;
-            let write = store.write_row(
-                ENTRIES,
-                vm,
-                None,
-                value.as_bytes(),
-                STORE_TIMEOUT,
-            );
-            is_listed = write.await.is_ok();
-        }
-        let Ok(rows) = store.read_table(ENTRIES, STORE_TIMEOUT).await else {
-            continue;
+    loop {
+        let pause = match find_once(&core, &store, own, &mut is_listed).await {
+            Ok(Looked::Read) => READ_EVERY,
+            Ok(Looked::Written) => Duration::ZERO,
+            Err(_) => READ_AGAIN,
         };
-        for row in &rows.rows {
-            let address = std::str::from_utf8(&row.value)
-                .ok()
-                .and_then(|text| text.parse::<SocketAddr>().ok());
-            if let Some(address) = address.filter(|a| *a != own) {
-                core.peers.add(address);
-            }
+        Timer::after(pause).await;
+    }
+}
+
+/// What a look at the table came to.
+enum Looked {
+    /// It was read while the own row was there.
+    Read,
+    /// The own row was not there before.
+    Written,
+}
+
+/// Reads the table, and writes the own row where it is not there yet.
+async fn find_once(
+    core: &Core,
+    store: &StoreClient,
+    own: SocketAddr,
+    is_listed: &mut bool,
+) -> Result<Looked, StoreError> {
+    let rows = store.read_table(ENTRIES, STORE_TIMEOUT).await?;
+    for row in &rows.rows {
+        let address = std::str::from_utf8(&row.value)
+            .ok()
+            .and_then(|text| text.parse::<SocketAddr>().ok());
+        *is_listed |= row.key == core.settings.vm && address == Some(own);
+        if let Some(address) = address.filter(|a| *a != own) {
+            core.peers.add(address);
         }
     }
+    if *is_listed {
+        return Ok(Looked::Read);
+    }
+    let value = own.to_string();
+    let vm = &core.settings.vm;
+    store
+        .write_row(ENTRIES, vm, None, value.as_bytes(), STORE_TIMEOUT)
+        .await?;
+    *is_listed = true;
+    Ok(Looked::Written)
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -14,6 +14,7 @@
 //! |---|---|
 //! | [`duty`] | whose duty something is |
 //! | [`source`] | where an entry asks for what the store holds |
+//! | [`telling`] | how often entries tell each other, what silence means |
 //! | [`table`] | a copy of a table that answers in place of the store |
 //!
 //! # Example
@@ -32,6 +33,7 @@
 pub mod duty;
 pub mod source;
 pub mod table;
+pub mod telling;
 
 pub use source::{Around, Outcome, Source, Sources};
 pub use table::{Change, TableCopy};
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -265,11 +265,11 @@
         ["cause", "findings"],
         "The settings file was read again.";
     PeerFound = 918, "peer_found", Info,
-        ["peer_vm", "peer_address", "peer_boot_id"],
-        "Another entry tells what it knows.";
+        ["peers", "count", "known"],
+        "Other entries tell what they know, or do so after a new start.";
     PeerLost = 919, "peer_lost", Info,
-        ["peer_vm", "peer_boot_id", "silent_ms"],
-        "Another entry is silent and is no longer counted.";
+        ["peers", "count", "known"],
+        "Other entries are silent and are no longer counted.";
     LinesDropped = 920, "lines_dropped", Warn,
         ["count"],
         "The buffer of the logs was full and lines were dropped.";
@@ -297,6 +297,9 @@
     FeedSourceChanged = 927, "feed_source_changed", Info,
         ["table", "source", "peer_boot_id", "age_ms"],
         "This entry asks another one, or the store itself, for a table.";
+    BackendsRead = 928, "backends_read", Info,
+        ["row_version", "backends", "new", "draining", "without_layers"],
+        "The whole list of backend servers was read.";
 }
 
 impl Event {
