--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -17,9 +17,14 @@
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
 use crate::{
-    alerts::Alerts, by_service::ByService, clock::now_ms, crossing::Crossing,
-    feeds::Feeds, fleet::Fleet, nudges::Nudges, peer_table::PeerTable,
-    queue::PathQueues, told_use::ToldUse, unusable_rows::UnusableRows,
+    by_service::ByService,
+    clock::now_ms,
+    known::{
+        alerts::Alerts, feeds::Feeds, fleet::Fleet, peer_table::PeerTable,
+        told_use::ToldUse, unusable_rows::UnusableRows,
+    },
+    nudges::Nudges,
+    request::{crossing::Crossing, queue::PathQueues},
 };
 
 /// Time left of the bound on withdrawn keys when they are refused: a request
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -16,11 +16,10 @@
 use chestnutreach_telemetry::{Event, OpsState, emit, port::Port, serve_ops};
 
 use crate::{
-    callers,
     core::{Core, IS_STOPPING},
-    engine_watch, feed_port, follow,
-    lease::Lease,
-    peers, place, probe,
+    known::{engine_watch, feed_port, follow, peers, probe},
+    orders::{lease::Lease, place},
+    request::callers,
 };
 
 /// Descriptors left for engines, peers and files.
@@ -239,7 +238,7 @@
 
 /// What the entry knows, for operators.
 fn status(core: &Core) -> serde_json::Value {
-    let engine = |engine: Arc<crate::engine::Engine>| {
+    let engine = |engine: Arc<crate::known::engine::Engine>| {
         let state = engine.lock();
         serde_json::json!({
             "id": engine.id,
@@ -254,7 +253,7 @@
         })
     };
     let is_watched =
-        |e: &Arc<crate::engine::Engine>| e.is_watched.load(Relaxed);
+        |e: &Arc<crate::known::engine::Engine>| e.is_watched.load(Relaxed);
     let watched = core.fleet.all().iter().filter(|e| is_watched(e)).count();
     let engines: Vec<_> = core.fleet.all().into_iter().map(engine).collect();
     let left = |(service, left): (String, f64)| serde_json::json!({"service": service, "left": left.floor()});
--- a/crates/direct/src/engine_watch.rs
+++ b/crates/direct/src/known/engine_watch.rs
@@ -15,7 +15,11 @@
 use chestnutreach_http::relay::Outbound;
 use chestnutreach_membership::duty;
 
-use crate::{clock::now_ms, core::Core, engine::Engine, probe};
+use crate::{
+    clock::now_ms,
+    core::Core,
+    known::{engine::Engine, probe},
+};
 
 /// Entries that watch an engine: one may be busy, cut off or about to end.
 const WATCHERS: usize = 2;
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/known/follow.rs
@@ -23,10 +23,12 @@
 use crate::{
     clock::now_ms,
     core::Core,
-    feed_health::Health,
-    feed_port::Asker,
-    feeds::{Feed, STALE_MS, rows_of},
-    listed_rows,
+    known::{
+        feed_health::Health,
+        feed_port::Asker,
+        feeds::{Feed, STALE_MS, rows_of},
+        listed_rows,
+    },
 };
 
 /// Wait of a call of the configuration's feed. Two calls that fail must fit
--- a/crates/direct/src/listed_rows.rs
+++ b/crates/direct/src/known/listed_rows.rs
@@ -17,8 +17,7 @@
 use crate::{
     clock::now_ms,
     core::{Core, NEEDS_BACKENDS},
-    engine::Engine,
-    fleet::Applied,
+    known::{engine::Engine, fleet::Applied},
 };
 
 /// Longest text of what is wrong with a row: it may quote the row.
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/known/peers.rs
@@ -24,9 +24,11 @@
 use crate::{
     clock::now_ms,
     core::Core,
-    engine::{Engine, Use},
-    peer_table::{Heard, Silent},
-    probe,
+    known::{
+        engine::{Engine, Use},
+        peer_table::{Heard, Silent},
+        probe,
+    },
 };
 
 /// Time between messages.
--- a/crates/direct/src/probe.rs
+++ b/crates/direct/src/known/probe.rs
@@ -22,10 +22,11 @@
 use crate::{
     clock::now_ms,
     core::Core,
-    engine::{Engine, Evidence, FLOWING_MS, Suspicion, Told},
-    exchange,
-    path::Path,
-    peers::percent,
+    known::{
+        engine::{Engine, Evidence, FLOWING_MS, Suspicion, Told},
+        peers::percent,
+    },
+    request::{exchange, path::Path},
 };
 
 /// Time for a dial; ways are below 2 ms and engines accept within 1 ms.
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/orders/place.rs
@@ -23,11 +23,15 @@
 use crate::{
     clock::now_ms,
     core::Core,
-    engine::{Engine, Evidence},
-    exchange::{self, within},
-    lease::Lease,
-    mandate::{Mandate, note_mandate},
-    probe,
+    known::{
+        engine::{Engine, Evidence},
+        probe,
+    },
+    orders::{
+        lease::Lease,
+        mandate::{Mandate, note_mandate},
+    },
+    request::exchange::{self, within},
 };
 
 /// Time between plans.
--- /dev/null
+++ b/crates/direct/src/request.rs
@@ -0,0 +1,27 @@
+//! The way of a request: admitted, queued, sent along a path, answered.
+//!
+//! | module | what it holds |
+//! |---|---|
+//! | `callers` | the connections of clients |
+//! | `admit` | route, key and time of a request |
+//! | `plain` | requests with one whole answer |
+//! | `stream`, [`events`] | streams of events |
+//! | `queue` | streams that wait for a path |
+//! | `route` | seeking a path |
+//! | `path` | the engines that a request passes through |
+//! | `crossing` | what goes between data centres |
+//! | `exchange` | one request to one backend server |
+//! | `answer`, `ended` | answers of our own, and how a request ended |
+
+pub(crate) mod admit;
+pub(crate) mod answer;
+pub(crate) mod callers;
+pub(crate) mod crossing;
+pub(crate) mod ended;
+pub mod events;
+pub(crate) mod exchange;
+pub(crate) mod path;
+pub(crate) mod plain;
+pub(crate) mod queue;
+pub(crate) mod route;
+pub(crate) mod stream;
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/request/admit.rs
@@ -7,7 +7,7 @@
 use chestnutreach_routing::{Attempts, Counted};
 use chestnutreach_site::{Configuration, Route, Service};
 
-use crate::{answer::Reason, core::Core};
+use crate::{core::Core, request::answer::Reason};
 
 /// Time of a client that states none: the platform's clients all do.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/request/callers.rs
@@ -16,11 +16,13 @@
 use futures_lite::FutureExt as _;
 
 use crate::{
-    admit::{Admitted, NotAdmitted, admit},
-    answer::{self, Reason},
     core::Core,
-    ended::{After, Ended, refuse},
-    plain, stream,
+    request::{
+        admit::{Admitted, NotAdmitted, admit},
+        answer::{self, Reason},
+        ended::{After, Ended, refuse},
+        plain, stream,
+    },
 };
 
 /// How long a body may take beyond the head.
--- a/crates/direct/src/ended.rs
+++ b/crates/direct/src/request/ended.rs
@@ -3,7 +3,7 @@
 use chestnutreach_adapter::clients;
 use chestnutreach_http::relay::{Inbound, RelayRequest};
 
-use crate::answer::{Reason, own_answer, usual_come_back_ms};
+use crate::request::answer::{Reason, own_answer, usual_come_back_ms};
 
 /// What becomes of a connection after an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -19,14 +19,18 @@
 use futures_lite::FutureExt as _;
 
 use crate::{
-    admit::Admitted,
-    answer::{Framing, Reason, passed_head, promises_not_run},
     clock::now_ms,
     core::Core,
-    ended::{After, Ended, refuse},
-    engine::{Engine, Hold},
-    exchange::{self, Addressed},
-    fleet::takes_work,
+    known::{
+        engine::{Engine, Hold},
+        fleet::takes_work,
+    },
+    request::{
+        admit::Admitted,
+        answer::{Framing, Reason, passed_head, promises_not_run},
+        ended::{After, Ended, refuse},
+        exchange::{self, Addressed},
+    },
 };
 
 /// Longest answer that is passed on.
--- a/crates/direct/src/route.rs
+++ b/crates/direct/src/request/route.rs
@@ -13,9 +13,11 @@
 use chestnutreach_site::Model;
 
 use crate::{
-    engine::Engine,
-    fleet::{Fleet, OfService, takes_work},
-    path::{Path, Stage},
+    known::{
+        engine::Engine,
+        fleet::{Fleet, OfService, takes_work},
+    },
+    request::path::{Path, Stage},
 };
 
 /// Share of an engine's memory for requests that is planned with: what
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -19,15 +19,19 @@
 use futures_lite::FutureExt as _;
 
 use crate::{
-    admit::Admitted,
-    answer::{Framing, Reason, passed_head, promises_not_run},
     clock::now_ms,
     core::Core,
-    ended::{After, Ended, refuse, refuse_until},
-    engine::{Engine, Hold},
+    known::{
+        engine::{Engine, Hold},
+        probe,
+    },
     nudges::Listed,
-    path::Path,
-    probe,
+    request::{
+        admit::Admitted,
+        answer::{Framing, Reason, passed_head, promises_not_run},
+        ended::{After, Ended, refuse, refuse_until},
+        path::Path,
+    },
 };
 
 mod attempt;
--- a/crates/direct/src/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -15,11 +15,13 @@
     watch::{ORDER, Waited},
 };
 use crate::{
-    answer::{Framing, passed_head},
     clock::now_ms,
-    events::EventSplitter,
-    exchange::{self, Addressed, within},
-    probe,
+    known::probe,
+    request::{
+        answer::{Framing, passed_head},
+        events::EventSplitter,
+        exchange::{self, Addressed, within},
+    },
 };
 
 /// Paths that engines may call malformed before the request itself counts as
--- a/crates/direct/src/stream/seek.rs
+++ b/crates/direct/src/request/stream/seek.rs
@@ -14,9 +14,11 @@
 use super::{FIRST, Stream};
 use crate::{
     clock::now_ms,
-    path::Path,
-    queue::{Place, priority_of},
-    route::PathNeed,
+    request::{
+        path::Path,
+        queue::{Place, priority_of},
+        route::PathNeed,
+    },
 };
 
 /// Pause before asking the shared bound again.
--- a/crates/direct/src/stream/watch.rs
+++ b/crates/direct/src/request/stream/watch.rs
@@ -11,10 +11,12 @@
 use super::{Stream, pace::LOOK_MS};
 use crate::{
     clock::now_ms,
-    exchange::{self, within},
-    path::{Path, Stage},
-    probe,
-    route::PathNeed,
+    known::probe,
+    request::{
+        exchange::{self, within},
+        path::{Path, Stage},
+        route::PathNeed,
+    },
 };
 
 /// Longest time between looks.
