--- a/crates/daemon/tests/users_platform/sharing.rs
+++ b/crates/daemon/tests/users_platform/sharing.rs
@@ -15,15 +15,6 @@
 const LIST: &str = "servers";
 const CONFIGURATION: &str = "op";
 
-fn site() -> Site {
-    Site {
-        data_centres: vec!["hall-a".to_owned()],
-        engines_each: 6,
-        entries: 6,
-        ..Site::small()
-    }
-}
-
 /// Whom an entry asks for a table; none while it does not answer.
 async fn asks(running: &Running, entry: usize, table: &str) -> Option<String> {
     let status = running.status(entry).await?;
@@ -70,7 +61,7 @@
 
 #[test]
 fn few_entries_ask_the_store_and_all_hear_of_changes() {
-    on(&site(), async |running| {
+    on(&Site::shared(), async |running| {
         wait_until_shared(running).await;
         running.configure(&[KEY, "another"]);
         for entry in 0..running.addresses.len() {
@@ -83,7 +74,7 @@
 
 #[test]
 fn each_engine_is_watched_by_two_entries() {
-    on(&site(), async |running| {
+    on(&Site::shared(), async |running| {
         let engines = running.world.engines().len() as u64;
         wait_until("each engine is watched twice", async || {
             let mut watched = 0;
@@ -106,7 +97,7 @@
 #[case::ends(Case { signal: Signal::KILL })]
 #[case::freezes(Case { signal: Signal::STOP })]
 fn changes_reach_all_others_when_the_readers_fall_silent(#[case] case: Case) {
-    on(&site(), async |running| {
+    on(&Site::shared(), async |running| {
         wait_until_shared(running).await;
         let readers = readers(running, CONFIGURATION).await;
         for reader in &readers {
@@ -125,7 +116,7 @@
 
 #[test]
 fn an_entry_that_starts_while_the_store_is_away_hears_from_others() {
-    on(&site(), async |running| {
+    on(&Site::shared(), async |running| {
         wait_until_shared(running).await;
         running.store.set_fault(StoreFault::Busy);
         let before = running.status(0).await.expect("it answers");
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -74,6 +74,17 @@
         }
     }
 
+    /// One data centre with eight engines and six entries, of which one reads
+    /// the store's feeds for the others.
+    pub fn shared() -> Site {
+        Site {
+            engines_each: 8,
+            data_centres: vec!["hall-a".to_owned()],
+            entries: 6,
+            ..Site::small()
+        }
+    }
+
     /// Layers that all engines could hold.
     pub fn memory_in_layers(&self) -> u32 {
         let each = (ENGINE_MB / LAYER_MB) as u32;
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -53,6 +53,8 @@
 const LINK_SEEDS: u64 = 1 << 20;
 /// Seeds from here on have starts under the same id and foreign rows as well.
 const IDENTITY_SEEDS: u64 = 1 << 21;
+/// Seeds from which on entries of one data centre share what they learn.
+const SHARED_SEEDS: u64 = 1 << 22;
 /// Load of a seeded run.
 const LENGTH: Duration = Duration::from_secs(6);
 
@@ -546,12 +548,12 @@
 pub fn experiment(seed: u64) -> Experiment {
     let mut rng = fastrand::Rng::with_seed(seed);
     let has_links = seed >= LINK_SEEDS;
-    let site = Site {
-        events: 60,
-        retry_slack: SOAK_RETRY_SLACK,
-        has_links,
-        ..Site::small()
+    let base = match seed >= SHARED_SEEDS {
+        true => Site::shared(),
+        false => Site::small(),
     };
+    let site =
+        Site { events: 60, retry_slack: SOAK_RETRY_SLACK, has_links, ..base };
     let kinds: Vec<FaultKind> = FaultKind::all()
         .filter(|kind| has_links || !kind.is_of_link())
         .filter(|kind| seed >= IDENTITY_SEEDS || !kind.is_of_identity())
