Never take a whole list that is older than what is known

Cause, found on reading: after the store had forgotten its history an entry asks for all rows anew, and may ask another entry whose copy is older; the check compared with what it would ask for next, which it had just dropped, so engines that the older list lacks were taken out.

Change: the copy itself says whether what is told is newer.

Tests: the property of copies forgets histories as well (fails with the check before, passes now); a variant of the sources in which nobody heeds ages is caught.

--- a/crates/direct/src/known/feeds.rs
+++ b/crates/direct/src/known/feeds.rs
@@ -140,11 +140,12 @@
         self.back_ms.fetch_max(back_ms, Relaxed);
     }
 
-    /// Takes all rows.
-    pub(crate) fn replace(&self, rows: &Rows) {
+    /// Takes all rows; false where newer ones are known.
+    pub(crate) fn replace(&self, rows: &Rows) -> bool {
         let changes = rows.rows.iter().map(change_of).collect();
-        self.copy().replace(changes, rows.version);
+        let is_taken = self.copy().replace(changes, rows.version);
         self.news.nudge_all();
+        is_taken
     }
 
     /// Takes rows that changed.
--- a/crates/direct/src/known/follow.rs
+++ b/crates/direct/src/known/follow.rs
@@ -228,12 +228,9 @@
             let back_ms = asked.made_ms.saturating_sub(back_age_ms);
             self.feed().note_back(back_ms);
         }
-        // What is known here may be newer than what that entry knows.
-        let is_older = self.after.is_some_and(|v| v > answer.version);
         let is_whole = answer.is_whole;
         let rows = rows_of(answer);
         match is_whole {
-            true if is_older => {}
             true => self.take_all(&rows),
             false => self.take_changes(&rows),
         }
@@ -247,8 +244,12 @@
         Outcome::Fresh
     }
 
+    /// Takes all rows, unless what is known here is newer, as it may be than
+    /// what another entry knows.
     fn take_all(&self, rows: &Rows) {
-        self.feed().replace(rows);
+        if !self.feed().replace(rows) {
+            return;
+        }
         match self.kind {
             Kind::Configuration => {
                 for row in &rows.rows {
--- a/crates/membership/tests/sources.rs
+++ b/crates/membership/tests/sources.rs
@@ -61,6 +61,8 @@
 
 struct World {
     fault: Fault,
+    /// Age from which on what is told is old.
+    stale_ms: u64,
     entries: Vec<Entry>,
     /// Readers in their order.
     ranked: Vec<u64>,
@@ -81,7 +83,7 @@
         let entries: Vec<Entry> = (0..count).map(entry).collect();
         let ids = entries.iter().map(|e| e.boot_id);
         let ranked = chestnutreach_membership::duty::ranked(ids, FEED);
-        World { fault, entries, ranked }
+        World { fault, stale_ms: STALE_MS, entries, ranked }
     }
 
     fn is_first(&self, boot_id: u64, count: usize) -> bool {
@@ -197,7 +199,7 @@
             None => Outcome::Failed,
             Some(confirmed_ms) => {
                 entry.confirmed_ms = entry.confirmed_ms.max(confirmed_ms);
-                match now_ms - confirmed_ms > STALE_MS {
+                match now_ms - confirmed_ms > self.stale_ms {
                     true => Outcome::Stale,
                     false => Outcome::Fresh,
                 }
@@ -323,3 +325,13 @@
         assert!(calls <= case.calls_per_s, "{seed}: {calls:.1} a second");
     }
 }
+
+/// What the ages are for: where nobody heeds them, two readers that the store
+/// refuses leave all others with what they had.
+#[test]
+fn without_ages_refused_readers_keep_all_others_back() {
+    let fault = Fault::Refused(2, 8_000);
+    let world = World { stale_ms: u64::MAX, ..World::new(fault, 14, 1) };
+    let oldest_ms = world.play().oldest_ms();
+    assert!(oldest_ms > TRUSTED_MS, "{oldest_ms} ms");
+}
--- a/crates/membership/tests/table_copies.rs
+++ b/crates/membership/tests/table_copies.rs
@@ -65,14 +65,13 @@
 
 impl Entry {
     fn take_all(&mut self, rows: Vec<Change>, version: u64) {
-        if self.after.is_some_and(|after| after > version) {
-            return;
-        }
         let bytes = |c: &Change| (c.key.clone(), c.value.clone());
-        let known = rows.iter().map(bytes);
-        self.rows = known.filter_map(|(k, v)| Some((k, v?))).collect();
-        self.copy.replace(rows, version);
-        self.after = Some(version);
+        let told: Vec<_> = rows.iter().map(bytes).collect();
+        if self.copy.replace(rows, version) {
+            let told = told.into_iter();
+            self.rows = told.filter_map(|(k, v)| Some((k, v?))).collect();
+        }
+        self.after = self.after.max(Some(version));
     }
 
     fn take_changes(&mut self, changes: Vec<Change>, version: u64) {
@@ -122,6 +121,8 @@
     Ask(usize, usize),
     /// An entry starts anew and knows nothing.
     Start(usize),
+    /// The store has forgotten what an entry would ask for next.
+    Forget(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -131,6 +132,7 @@
         (0_usize..4).prop_map(Step::AskStore),
         (0_usize..4, 0_usize..4).prop_map(|(a, b)| Step::Ask(a, b)),
         (0_usize..4).prop_map(Step::Start),
+        (0_usize..4).prop_map(Step::Forget),
     ]
 }
 
@@ -142,7 +144,8 @@
         let mut store = Store::default();
         let mut entries: [Entry; 4] = Default::default();
         for step in steps {
-            let before: Vec<_> = entries.iter().map(|e| e.after).collect();
+            let version = |entry: &Entry| entry.copy.version();
+            let before: Vec<_> = entries.iter().map(version).collect();
             let mut started = None;
             match step {
                 Step::Change(key, value) => store.change(key, value),
@@ -155,14 +158,15 @@
                     entries[at] = Entry::default();
                     started = Some(at);
                 }
+                Step::Forget(at) => entries[at].after = None,
             }
             for (at, entry) in entries.iter().enumerate() {
                 if started != Some(at) {
-                    prop_assert!(entry.after >= before[at]);
+                    prop_assert!(entry.copy.version() >= before[at]);
                 }
-                let known = entry.after.unwrap_or(0);
+                let known = entry.copy.version().unwrap_or(0);
                 prop_assert!(known <= store.version);
-                if entry.after.is_some() {
+                if entry.copy.version().is_some() {
                     prop_assert_eq!(&entry.rows, &store.at(known));
                 }
             }
