--- a/crates/direct/src/known/alerts.rs
+++ b/crates/direct/src/known/alerts.rs
@@ -41,3 +41,8 @@
         std::mem::take(&mut *pending).into_values().collect()
     }
 }
+
+/// A factor as a percentage, as entries tell it.
+pub(crate) fn percent(factor: f64) -> u32 {
+    (factor * 100.0).round() as u32
+}
--- a/crates/direct/src/known/peers.rs
+++ b/crates/direct/src/known/peers.rs
@@ -25,6 +25,7 @@
     clock::now_ms,
     core::Core,
     known::{
+        alerts::percent,
         engine::{Engine, Use},
         peer_table::{Heard, Silent},
         probe,
@@ -245,11 +246,6 @@
     }
 }
 
-/// A factor as a percentage.
-pub(crate) fn percent(factor: f64) -> u32 {
-    (factor * 100.0).round() as u32
-}
-
 fn is_dial_due(engine: &Engine) -> bool {
     let now_ms = now_ms();
     engine.lock().is_dial_due(now_ms, engine.quiet_ms(now_ms))
--- a/crates/direct/src/known/probe.rs
+++ b/crates/direct/src/known/probe.rs
@@ -23,8 +23,8 @@
     clock::now_ms,
     core::Core,
     known::{
+        alerts::percent,
         engine::{Engine, Evidence, FLOWING_MS, Suspicion, Told},
-        peers::percent,
     },
     request::{exchange, path::Path},
 };
