--- a/crates/direct/src/known/peer_table.rs
+++ b/crates/direct/src/known/peer_table.rs
@@ -110,10 +110,12 @@
         }
     }
 
-    /// Silence after which an entry no longer counts.
-    fn absent_ms(self, peer: &Peer, data_centre: &str) -> u64 {
+    /// Whether an entry has told of late.
+    fn is_heard(self, peer: &Peer, data_centre: &str, now_ms: u64) -> bool {
         let whom = peer.whom(data_centre);
-        whom.absent_ms(self.of_whom(whom))
+        let absent_ms = whom.absent_ms(self.of_whom(whom));
+        let silent_ms = now_ms.saturating_sub(peer.heard_ms);
+        peer.boot_id != 0 && silent_ms < absent_ms
     }
 }
 
@@ -177,11 +179,8 @@
     pub(crate) fn comes_first(&self, boot_id: u64, now_ms: u64) -> bool {
         let peers = self.lock();
         let counts = Counts::of(&peers, &self.data_centre);
-        let is_heard = |peer: &&Peer| {
-            peer.boot_id != 0
-                && now_ms.saturating_sub(peer.heard_ms)
-                    < counts.absent_ms(peer, &self.data_centre)
-        };
+        let is_heard =
+            |p: &&Peer| counts.is_heard(p, &self.data_centre, now_ms);
         let heard = || peers.values().filter(is_heard);
         2 * heard().count() >= peers.len()
             && heard().all(|p| p.is_stopping || p.boot_id > boot_id)
@@ -200,11 +199,9 @@
         let peers = self.lock();
         let counts = Counts::of(&peers, &self.data_centre);
         let is_live = |peer: &&Peer| {
-            peer.boot_id != 0
-                && !peer.is_stopping
+            !peer.is_stopping
                 && is_wanted(peer)
-                && now_ms.saturating_sub(peer.heard_ms)
-                    < counts.absent_ms(peer, &self.data_centre)
+                && counts.is_heard(peer, &self.data_centre, now_ms)
         };
         peers.values().filter(is_live).map(|peer| peer.boot_id).collect()
     }
