A stop cuts no request that has come

Cause: an entry that stopped counted a request from the moment it had been read whole, and ended 2.7 s after the signal if it counted none. A request of which the head or a part of the body had come was cut, and so was one that waited in the queue of the port as the process ended: its client could not tell whether it had run. Change: a request counts from its first bytes on; the port closes 2.6 s after the signal, once its queue is empty, so that later clients are refused, and what connected just before has 0.1 s to send its request. A connection that completes between the last look at the queue and the close, some microseconds, is still cut by the kernel; nothing short of handing the queue to another process changes that. Two tests, which fail before: a request half read as the stop begins gets its 503; the port of a stopping entry refuses before the process has ended.

--- a/crates/daemon/tests/users_platform/stops.rs
+++ b/crates/daemon/tests/users_platform/stops.rs
@@ -1,6 +1,10 @@
 //! Planned stops and reloads.
 
-use std::time::Duration;
+use std::{
+    io::{Read as _, Write as _},
+    net::TcpStream,
+    time::{Duration, Instant},
+};
 
 use async_io::Timer;
 use chestnutreach_emulator::{
@@ -45,6 +49,57 @@
     });
 }
 
+/// A client could not tell whether a request ran whose connection ended
+/// without an answer.
+#[test]
+fn a_stop_answers_what_it_has_begun_to_read() {
+    on_site(async |running| {
+        let mut client = TcpStream::connect(running.addresses[0]).unwrap();
+        let limit = Some(Duration::from_secs(10));
+        client.set_read_timeout(limit).unwrap();
+        let head = "POST /once/a HTTP/1.1\r\nHost: a.example\r\n\
+                    Content-Length: 5\r\n\r\nhe";
+        client.write_all(head.as_bytes()).unwrap();
+        running.signal(0, Signal::TERM);
+        // Longer than a stop lasts where nothing is to be ended.
+        Timer::after(Duration::from_millis(3_300)).await;
+        assert_eq!(running.exit_code(0), None, "it waits for the rest");
+        client.write_all(b"llo").unwrap();
+        let mut answer = Vec::new();
+        client.read_to_end(&mut answer).unwrap();
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        wait_until("it ends", async || running.exit_code(0) == Some(0)).await;
+    });
+}
+
+/// What waits in the queue of the port of a process that ends is cut unread;
+/// so the port closes before, and clients are refused.
+#[test]
+fn the_port_closes_before_a_stopping_entry_ends() {
+    let site = Site { events: 450, ..Site::small() };
+    on(&site, async |running| {
+        let wish = Wish { tries: 1, ..Wish::new(Kind::Stream, "a", 450) };
+        let refused = async {
+            Timer::after(Duration::from_millis(400)).await;
+            running.signal(0, Signal::TERM);
+            let started = Instant::now();
+            let address = running.addresses[0];
+            wait_until("connections are refused", async || {
+                TcpStream::connect(address).is_err()
+            })
+            .await;
+            (started.elapsed(), running.exit_code(0))
+        };
+        // It keeps the entry from ending.
+        let stream = one(running, 0, &wish);
+        let (_, (elapsed, exit)) =
+            futures_lite::future::zip(stream, refused).await;
+        assert_eq!(exit, None, "it ended before its port closed");
+        assert!(elapsed >= Duration::from_millis(2_500), "{elapsed:?}");
+    });
+}
+
 #[test]
 fn a_rolling_restart_under_load_loses_nothing() {
     on_site(async |running| {
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -3,6 +3,7 @@
 use std::{
     error, fmt, io, iter,
     net::{SocketAddr, TcpListener},
+    pin::pin,
     sync::{Arc, atomic::Ordering::Relaxed},
     time::Duration,
 };
@@ -14,6 +15,7 @@
 };
 use chestnutreach_site::NodeSettings;
 use chestnutreach_telemetry::{Event, OpsState, emit, port::Port, serve_ops};
+use futures_lite::FutureExt as _;
 
 use crate::{
     core::{Core, IS_STOPPING},
@@ -30,9 +32,9 @@
 const CUT_BEFORE_MS: u64 = 350;
 /// Time between looks at what still runs.
 const LOOK: Duration = Duration::from_millis(20);
-/// A stop lasts at least so long: the balancer needs two looks to send
-/// clients elsewhere.
-const LEAST_STOP_MS: u64 = 2_700;
+/// A stop lasts at least so long: after the port has closed, what connected
+/// just before still sends its request.
+const LEAST_STOP_MS: u64 = callers::TAKE_WHILE_STOPPING_MS + 100;
 /// Connections of the balancer at once.
 const MAX_READY_CONNECTIONS: usize = 64;
 
@@ -183,8 +185,19 @@
     let most = descriptors.saturating_sub(OTHER_DESCRIPTORS);
     let most = (most / DESCRIPTORS_EACH).max(1);
     let port = Port::new(listener, "clients", most);
+    let mut is_closed = pin!(port_closes(&core));
     loop {
-        let accepted = port.accept().await;
+        // What waits in the queue of the port goes before its close: the
+        // kernel would cut connections whose requests nobody has read, and
+        // their clients could not tell whether these ran.
+        let next = async { Some(port.accept().await) };
+        let closed = async {
+            is_closed.as_mut().await;
+            None
+        };
+        let Some(accepted) = next.or(closed).await else {
+            return;
+        };
         let core_here = core.clone();
         let serve = async move {
             let _slot = accepted.slot;
@@ -194,6 +207,15 @@
     }
 }
 
+/// Waits until a stop has lasted so long that no client should come any more.
+async fn port_closes(core: &Core) {
+    // Nothing is ever sent over it.
+    let _ = core.closing.recv().await;
+    let elapsed_ms = core.stopping_for_ms().unwrap_or(0);
+    let left_ms = callers::TAKE_WHILE_STOPPING_MS.saturating_sub(elapsed_ms);
+    Timer::after(Duration::from_millis(left_ms)).await;
+}
+
 /// Tells the balancer whether to send clients.
 async fn serve_ready(core: Arc<Core>, listener: Async<TcpListener>) {
     let port = Port::new(listener, "readiness", MAX_READY_CONNECTIONS);
--- a/crates/direct/src/request/callers.rs
+++ b/crates/direct/src/request/callers.rs
@@ -31,8 +31,8 @@
 /// be on its way.
 const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(1_000);
 /// Time of a stop in which new requests are still taken: the balancer needs
-/// two looks to send clients elsewhere.
-const TAKE_WHILE_STOPPING_MS: u64 = 2_600;
+/// two looks to send clients elsewhere. After it the port closes.
+pub(crate) const TAKE_WHILE_STOPPING_MS: u64 = 2_600;
 
 /// Time after the start for which requests wait for the first read: the
 /// smallest entries take 70 ms for it, and streams are to begin within 500 ms.
@@ -69,6 +69,8 @@
         if bytes.await.is_err() {
             return After::Close;
         }
+        // From its first bytes on: a stop ends no request that has come.
+        let _in_flight = InFlight::new(core);
         match inbound.receive(&inbound_limits(&limits)).await {
             Ok(request) => match handle(core, inbound, &request).await {
                 After::Keep => {}
@@ -100,7 +102,6 @@
     inbound: &mut Inbound,
     request: &RelayRequest,
 ) -> After {
-    core.in_flight.fetch_add(1, Relaxed);
     let started_ms = crate::clock::now_ms();
     let is_last = request.is_last || core.stopping_for_ms().is_some();
     let admitted = match core.stopping_for_ms() {
@@ -123,10 +124,25 @@
         Err(not) => refuse(inbound, request, not.reason, is_last).await,
     };
     note_ended(core, request, admitted.as_ref(), &ended, started_ms);
-    core.in_flight.fetch_sub(1, Relaxed);
     after
 }
 
+/// A request that is read or served, until dropped.
+struct InFlight<'a>(&'a Core);
+
+impl InFlight<'_> {
+    fn new(core: &Core) -> InFlight<'_> {
+        core.in_flight.fetch_add(1, Relaxed);
+        InFlight(core)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Relaxed);
+    }
+}
+
 /// Lets a request that came as the process started wait for the first read of
 /// the configuration. Where all entries start together, clients come before
 /// it: at 14 entries that were back after 0.8 s, 77 requests were refused for
