--- a/crates/daemon/src/direct.rs
+++ b/crates/daemon/src/direct.rs
@@ -82,10 +82,14 @@
         DirectEntry::start(settings.clone(), metrics_port, executor.clone())?;
     let follow = follow_file(path.to_owned(), settings);
     executor.spawn(follow).detach();
-    let stop = async {
-        let cause = stop_signal(path).await?;
+    let path = path.to_owned();
+    let stop = async move {
+        let cause = stop_signal(&path).await?;
         anyhow::Ok(entry.stop(cause).await)
     };
+    // A task of its own: else each wake of this thread would look for
+    // signals.
+    let stop = executor.spawn(stop);
     let cut = async_io::block_on(executor.run(stop))?;
     lines.write_out();
     Ok(cut)
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -3,16 +3,15 @@
 use std::time::Duration;
 
 use chestnutreach_adapter::engine;
-use chestnutreach_http::{
-    SharedStream,
-    relay::{AnswerHead, Inbound, Outbound, OutboundError, push_chunk},
+use chestnutreach_http::relay::{
+    AnswerHead, Inbound, Outbound, OutboundError, push_chunk,
 };
 use chestnutreach_site::Reuse;
 use chestnutreach_telemetry::{Event, emit};
 
 use super::{
     AttemptEnd, Stream,
-    watch::{ORDER, Waited},
+    watch::{ORDER, Waited, Watch},
 };
 use crate::{
     clock::now_ms,
@@ -56,7 +55,8 @@
             connection.send(&bytes).await?;
             exchange::own_head(&mut connection, id.as_deref(), &method).await
         };
-        let waited = self.supervise(&caller, work).await;
+        let mut watch = Watch::new(&caller);
+        let waited = self.supervise(&mut watch, work).await;
         let head = match self.sort(waited) {
             Ok(head) => head,
             Err(end) => return end,
@@ -67,7 +67,7 @@
             }
             return self.refused(&mut connection, head).await;
         }
-        self.pass_events(inbound, &caller, &mut connection, &head).await
+        self.pass_events(inbound, &mut watch, &mut connection, &head).await
     }
 
     /// What a wait gave, or how it ended the attempt.
@@ -140,7 +140,7 @@
     async fn pass_events(
         &mut self,
         inbound: &mut Inbound,
-        caller: &SharedStream,
+        watch: &mut Watch<'_>,
         connection: &mut Outbound,
         head: &AnswerHead,
     ) -> AttemptEnd {
@@ -152,7 +152,7 @@
         }
         loop {
             let part = connection.next_part(&mut body);
-            let waited = self.supervise(caller, part).await;
+            let waited = self.supervise(watch, part).await;
             let part = match self.sort(waited) {
                 Ok(Some(part)) => part,
                 Ok(None) => return self.end_of(&splitter),
--- a/crates/direct/src/request/stream/watch.rs
+++ b/crates/direct/src/request/stream/watch.rs
@@ -1,7 +1,11 @@
 //! Looking after a stream while it runs: noticing that it stands still, and
 //! leading it around engines that die.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{
+    pin::{Pin, pin},
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_io::Timer;
 use chestnutreach_adapter::engine;
@@ -44,6 +48,35 @@
     TimeOver,
 }
 
+/// What is waited for beside the engine, from one event to the next: made
+/// anew for each event, it would cost several calls of the kernel each time.
+pub(super) struct Watch<'a> {
+    gone: Pin<Box<dyn Future<Output = ()> + Send + 'a>>,
+    timer: Timer,
+    /// When the timer is due.
+    look_at: Option<Instant>,
+}
+
+impl Watch<'_> {
+    pub(super) fn new(caller: &SharedStream) -> Watch<'_> {
+        Watch {
+            gone: Box::pin(caller.hung_up()),
+            timer: Timer::never(),
+            look_at: None,
+        }
+    }
+
+    /// Sets the timer, unless it is due sooner: looks that come too soon are
+    /// rarer than events.
+    fn look_within(&mut self, wait: Duration) {
+        let wanted_at = Instant::now() + wait;
+        if self.look_at.is_none_or(|look_at| look_at > wanted_at) {
+            self.timer.set_at(wanted_at);
+            self.look_at = Some(wanted_at);
+        }
+    }
+}
+
 /// What woke a supervised wait.
 enum Woken<T> {
     Done(T),
@@ -65,17 +98,16 @@
     /// Waits for the engine while it looks after the stream.
     pub(super) async fn supervise<T>(
         &mut self,
-        caller: &SharedStream,
+        watch: &mut Watch<'_>,
         work: impl Future<Output = T>,
     ) -> Waited<T> {
         let mut work = pin!(work);
-        let mut gone = pin!(caller.hung_up());
         loop {
-            let wait = self.next_look();
+            watch.look_within(self.next_look());
             let woken = {
                 let done = async { Woken::Done(work.as_mut().await) };
                 let gone = async {
-                    gone.as_mut().await;
+                    watch.gone.as_mut().await;
                     Woken::CallerGone
                 };
                 let nudged = async {
@@ -83,7 +115,7 @@
                     Woken::Nudged
                 };
                 let look = async {
-                    Timer::after(wait).await;
+                    (&mut watch.timer).await;
                     Woken::Look
                 };
                 done.or(gone).or(nudged).or(look).await
@@ -91,7 +123,8 @@
             match woken {
                 Woken::Done(done) => return Waited::Done(done),
                 Woken::CallerGone => return Waited::CallerGone,
-                Woken::Nudged | Woken::Look => {}
+                Woken::Nudged => {}
+                Woken::Look => watch.look_at = None,
             }
             if self.admitted.left_ms(now_ms()) == 0 {
                 return Waited::TimeOver;
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -65,6 +65,8 @@
     /// Bytes of `unread` that were taken.
     taken: usize,
     chunk: Vec<u8>,
+    /// Whether the last read took all that had arrived.
+    is_drained: bool,
     max_head_bytes: usize,
 }
 
@@ -75,6 +77,7 @@
             unread: Vec::new(),
             taken: 0,
             chunk: vec![0; READ_BYTES],
+            is_drained: false,
             max_head_bytes: MAX_HEAD_BYTES,
         }
     }
@@ -93,7 +96,12 @@
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
         self.unread.drain(..self.taken);
         self.taken = 0;
+        if self.is_drained {
+            // Saves a read that finds nothing for each event of a stream.
+            self.stream.readable().await?;
+        }
         let count = self.stream.read(&mut self.chunk).await?;
+        self.is_drained = count < self.chunk.len();
         self.unread.extend_from_slice(&self.chunk[..count]);
         Ok(count)
     }
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -56,7 +56,13 @@
     pub async fn hung_up(&self) {
         let mut byte = [0];
         loop {
-            match self.socket.peek(&mut byte).await {
+            match self.socket.get_ref().peek(&mut byte) {
+                // `Async::peek` would look again whenever its task runs.
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    if self.readable().await.is_err() {
+                        return;
+                    }
+                }
                 Ok(0) | Err(_) => return,
                 // Unread bytes of a next request stand before the end.
                 Ok(_) if self.has_ended() => return,
@@ -67,6 +73,11 @@
         }
     }
 
+    /// Waits until bytes or the end of the connection can be read.
+    pub(crate) async fn readable(&self) -> io::Result<()> {
+        self.socket.readable().await
+    }
+
     /// Ends the connection for all who hold it.
     pub(crate) fn shut_down(&self) {
         // An error means that it has ended before.
