Requests wait for the first configuration as long as it may come

Cause: where all entries start together, requests waited until 250 ms after the start, a figure of an older deployment whose smallest entries read their configuration in 70 ms. Here they take 330 ms, and 15 of 23 entries refused five to fifteen requests each at 235 ms, 130 in all, a tenth of a second before they could have served them. Change: routing::first_read decides: up to 1 s after the start while the store has not failed, half of the client's time at most, so that another entry can still be tried; refused at once where the store fails.

--- a/crates/direct/src/request/admit.rs
+++ b/crates/direct/src/request/admit.rs
@@ -84,11 +84,7 @@
     let account = account(core, configuration, &route, request)?;
     let service = service(configuration, &route)?;
     core.note_request(&service.name);
-    let wait_ms = request
-        .header(clients::DEADLINE_MS)
-        .and_then(|value| value.trim().parse::<f64>().ok())
-        .map_or(DEFAULT_DEADLINE_MS, |ms| ms.max(0.0) as u64);
-    let deadline_ms = received_ms.saturating_add(wait_ms);
+    let deadline_ms = received_ms.saturating_add(client_time_ms(request));
     let timeout_ms = received_ms + route.timeout_ms;
     let rank = account.as_ref().and_then(|a| a.1);
     Ok(Admitted {
@@ -104,6 +100,14 @@
     })
 }
 
+/// Time for which its client waits.
+pub(crate) fn client_time_ms(request: &RelayRequest) -> u64 {
+    request
+        .header(clients::DEADLINE_MS)
+        .and_then(|value| value.trim().parse::<f64>().ok())
+        .map_or(DEFAULT_DEADLINE_MS, |ms| ms.max(0.0) as u64)
+}
+
 /// Name and rank of the client account.
 fn account(
     core: &Core,
--- a/crates/direct/src/request/callers.rs
+++ b/crates/direct/src/request/callers.rs
@@ -11,6 +11,7 @@
 use chestnutreach_http::relay::{
     Inbound, InboundError, InboundLimits, RelayRequest,
 };
+use chestnutreach_routing::FirstRead;
 use chestnutreach_site::Limits;
 use chestnutreach_telemetry::{Event, emit};
 use futures_lite::FutureExt as _;
@@ -18,7 +19,7 @@
 use crate::{
     core::Core,
     request::{
-        admit::{Admitted, NotAdmitted, admit},
+        admit::{self, Admitted, NotAdmitted, admit},
         answer::{self, Reason},
         ended::{After, Ended, refuse},
         plain, stream,
@@ -34,10 +35,6 @@
 /// two looks to send clients elsewhere. After it the port closes.
 pub(crate) const TAKE_WHILE_STOPPING_MS: u64 = 2_600;
 
-/// Time after the start for which requests wait for the first read: the
-/// smallest entries take 70 ms for it, and streams are to begin within 500 ms.
-const FIRST_READ_MS: u64 = 250;
-
 /// Serves the requests of a connection one after another.
 pub(crate) async fn serve(core: Arc<Core>, socket: Async<TcpStream>) {
     let Ok(mut inbound) = Inbound::new(socket) else {
@@ -110,7 +107,7 @@
             Err(NotAdmitted { reason, configuration: 0 })
         }
         _ => {
-            wait_for_first_configuration(core).await;
+            wait_for_first_configuration(core, request).await;
             admit(core, request, started_ms)
         }
     };
@@ -144,23 +141,27 @@
 }
 
 /// Lets a request that came as the process started wait for the first read of
-/// the configuration. Where all entries start together, clients come before
-/// it: at 14 entries that were back after 0.8 s, 77 requests were refused for
-/// want of it, all within 5 ms of a start. Where the store does not answer
-/// that read, the request is refused at once.
-async fn wait_for_first_configuration(core: &Core) {
-    let configured = core.configured.list();
-    let age_ms = core.age_ms();
-    let is_first_read = core.configuration().is_none()
-        && core.store_lost_for_ms() == 0
-        && age_ms < FIRST_READ_MS;
-    if !is_first_read {
-        return;
+/// the configuration, as long as that may come.
+async fn wait_for_first_configuration(core: &Core, request: &RelayRequest) {
+    let came_ms = crate::clock::now_ms();
+    let client_ms = admit::client_time_ms(request);
+    loop {
+        let configured = core.configured.list();
+        if core.configuration().is_some() {
+            return;
+        }
+        let waited_ms = crate::clock::now_ms() - came_ms;
+        let read = FirstRead {
+            age_ms: core.age_ms(),
+            is_store_lost: core.store_lost_for_ms() > 0,
+            client_left_ms: client_ms.saturating_sub(2 * waited_ms),
+        };
+        let Some(wait_ms) = read.wait_ms() else { return };
+        let limit = async {
+            Timer::after(Duration::from_millis(wait_ms)).await;
+        };
+        configured.nudged().or(limit).await;
     }
-    let limit = async {
-        Timer::after(Duration::from_millis(FIRST_READ_MS - age_ms)).await;
-    };
-    configured.nudged().or(limit).await;
 }
 
 fn note_ended(
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`fair`], [`admission`] | who goes next, and who can finish in time |
 //! | [`gate`] | who may run on one server now, and who waits |
 //! | [`turns`] | who may seek a path now, and who waits |
+//! | [`first_read`] | how long a request waits for the first configuration |
 //! | [`first_wait`] | whether a stream will hardly begin any more |
 //! | [`flow`] | the most tokens a second the hardware allows |
 //!
@@ -67,6 +68,7 @@
 pub mod fair;
 mod fair_account;
 mod fair_refusal;
+pub mod first_read;
 pub mod first_wait;
 pub mod fleet;
 mod fleet_error;
@@ -103,6 +105,7 @@
 pub use explain::{Explanation, explain};
 pub use fair::{FairQueue, Popped};
 pub use fair_refusal::{PushRefusal, PushRefusalReason};
+pub use first_read::FirstRead;
 pub use first_wait::FirstWaits;
 pub use fleet::{BackendIndex, BackendSpec, Fleet};
 pub use fleet_error::{FleetError, FleetFinding};
