Test: entries keep no withdrawn key alive for each other

Change: a data centre of six entries that share a feed, as separate processes; the store silent, or turning all away; a key is withdrawn that nobody can hear of. Once its bound has passed since the store's last word, every entry is asked over and over for 2.5 s and serves it no more, nor after the store is back. Not covered: a store that turns away all but a few entries (the stand-in does not tell callers apart).

--- a/crates/daemon/tests/users_platform/sharing.rs
+++ b/crates/daemon/tests/users_platform/sharing.rs
@@ -1,7 +1,8 @@
 //! Entries of a data centre that share what one of them learns.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use chestnutreach_emulator::{
     caller::{Kind, Wish},
     site::{KEY, Site},
@@ -132,3 +133,50 @@
         running.store.set_fault(StoreFault::None);
     });
 }
+
+/// Time after the withdrawal of a key for which it may be served: the bound
+/// in the site's settings.
+const REVOKED: Duration = Duration::from_millis(5_000);
+/// For how long all entries are asked after that.
+const ASKED: Duration = Duration::from_millis(2_500);
+
+struct Outage {
+    fault: StoreFault,
+    /// Calls that wait at the store as it fails may get its word for so long.
+    last_word: Duration,
+}
+
+/// What entries tell each other is as old as the store's last word: they keep
+/// no withdrawn key alive for each other.
+#[rstest::rstest]
+#[case::silent(Outage {
+    fault: StoreFault::Silent, last_word: Duration::ZERO,
+})]
+#[case::turns_all_away(Outage {
+    fault: StoreFault::Busy, last_word: Duration::from_millis(1_500),
+})]
+fn no_entry_serves_a_key_past_its_bound(#[case] outage: Outage) {
+    on(&Site::shared(), async |running| {
+        wait_until_shared(running).await;
+        wait_until_served(running, 0, KEY).await;
+        running.store.set_fault(outage.fault);
+        Timer::after(outage.last_word).await;
+        // Withdrawn, and nobody can hear of it.
+        running.configure(&["another"]);
+        Timer::after(REVOKED).await;
+        let until = Instant::now() + ASKED;
+        let entries = running.addresses.len();
+        while Instant::now() < until {
+            for entry in 0..entries {
+                let outcome = one(running, entry, &wish(KEY)).await;
+                assert!(!outcome.is_served(), "{entry}: {outcome:?}");
+            }
+        }
+        running.store.set_fault(StoreFault::None);
+        for entry in 0..entries {
+            wait_until_served(running, entry, "another").await;
+            let outcome = one(running, entry, &wish(KEY)).await;
+            assert!(!outcome.is_served(), "{entry}: {outcome:?}");
+        }
+    });
+}
