Fast engines hold layers beside slower ones

Cause: the layout gave each layer the same room and knew nothing of pace. On the shifted deployment 62 of 80 layers of a path ran on kinds ten times as slow as the fastest; a stream took 2.05 s at the median (36.9 ms an event), and how long it runs decides what every loss cuts: 73 in 100 of the streams that began in the 2 s before all entries are lost. Change: Shape knows two ways, and takes the second where a token takes at most 0.9 of the time, with no more layers held alone and 0.45 of the room. The path search already prices time and fill, so that the load itself decides: paths go through the fast engines while these have room.

--- a/crates/direct/src/orders/place.rs
+++ b/crates/direct/src/orders/place.rs
@@ -269,6 +269,7 @@
         layout: LayoutEngine {
             data_centre: engine.data_centre,
             memory_mb: kind.map_or(0.0, |kind| kind.memory_mb),
+            layer_ms: kind.map_or(0.0, |kind| model.step_part_ms(kind, 1)),
             held: state.row.held,
             is_sound,
             is_free: is_sound && kind.is_some(),
--- a/crates/planner/src/layout.rs
+++ b/crates/planner/src/layout.rs
@@ -17,7 +17,7 @@
     cover::Cover,
     room::{Rooms, room_beside},
     service::LayerRange,
-    shape::Shape,
+    shape::{Group, Member, Shape, Way},
 };
 
 /// Least room for requests beside the layers, in tokens.
@@ -49,6 +49,8 @@
     pub data_centre: usize,
     /// Memory, in megabytes.
     pub memory_mb: f64,
+    /// Time of a token through one layer, in milliseconds.
+    pub layer_ms: f64,
     /// Layers that it holds or was ordered to hold.
     pub held: Option<LayerRange>,
     /// Whether what it holds can be counted on.
@@ -124,6 +126,31 @@
         placements.extend(held.map(|at| Placement { engine: *at, range }));
         first = end;
     }
+    if let Way::FastBeside(fast) = &shape.way {
+        placements.extend(fast_row(model, shape, fast));
+    }
+    placements
+}
+
+/// Fast engines in a row from the last layer on downwards, again from there
+/// once all layers have one.
+fn fast_row(
+    model: &LayoutModel,
+    shape: &Shape,
+    fast: &[Group],
+) -> Vec<Placement> {
+    let mut placements = Vec::new();
+    let mut end = model.layer_count;
+    for group in fast {
+        let layers = shape.fast_layers(model, group).min(end);
+        let range = LayerRange::new(end - layers, end);
+        let held = group.engines.iter().filter(|_| layers > 0);
+        placements.extend(held.map(|at| Placement { engine: *at, range }));
+        end = match range.first_layer {
+            0 => model.layer_count,
+            first => first,
+        };
+    }
     placements
 }
 
@@ -149,7 +176,10 @@
         let is_any = layers > 0;
         return is_any.then(|| cover.best_window(data_centre, layers));
     }
-    let layers = with_room(0.5);
+    let layers = match shape.fast_of(at) {
+        Some(group) => shape.fast_layers(model, group),
+        None => with_room(0.5),
+    };
     if layers == 0 {
         return None;
     }
@@ -176,7 +206,12 @@
         .iter()
         .enumerate()
         .filter(|(_, e)| e.data_centre == data_centre && e.is_sound);
-    Shape::new(model, here.map(|(at, e)| (at, e.memory_mb)))
+    let member = |(engine, e): (usize, &LayoutEngine)| Member {
+        engine,
+        memory_mb: e.memory_mb,
+        layer_ms: e.layer_ms,
+    };
+    Shape::new(model, here.map(member))
 }
 
 /// Layers that fit beside so many tokens of requests.
--- a/crates/planner/src/shape.rs
+++ b/crates/planner/src/shape.rs
@@ -24,6 +24,15 @@
 //! many short requests at a time, whose memory fits while they wait for a
 //! place at one of two first engines. So the first group has as many engines
 //! as raise what the data centre can run, the least of room and of places.
+//!
+//! A stream is as slow as the sum of its parts, and how long it runs decides
+//! what every loss cuts and how much memory it holds. So where a few engines
+//! are much faster than the others, they hold as many layers as leave them a
+//! part of the common room, beside slower ones that hold the same
+//! ([`Way::FastBeside`]). Paths go through the fast ones while these have
+//! room, and through the others once they are full or lost: the load itself
+//! decides between time and room. Layers that a fast engine holds are held
+//! by one less of the slower ones, which pays for it.
 
 use crate::layout::{LayoutModel, MIN_TOKENS};
 
@@ -45,9 +54,43 @@
 /// By how much more must run for another engine in the first group: each one
 /// takes room from all layers.
 const MORE_RUNS: f64 = 1.02;
+/// An engine is fast whose layers take at most this share of the time that
+/// those of the middle one take.
+const FAST_SHARE: f64 = 0.5;
+/// Room of a fast engine that holds layers beside slower ones, as a share of
+/// the common room: with less it is full at the usual load, with more it
+/// holds fewer layers.
+const FAST_ROOM: f64 = 0.6;
+/// Share of the even room that must be left where fast engines stand beside
+/// others: streams that are faster hold their memory for less time.
+const LEAST_EVEN_ROOM: f64 = 0.45;
+/// Most time of a token, as a share of that of the even way, for which room
+/// is given.
+const MOST_EVEN_TIME: f64 = 0.9;
 /// Steps of the search for the common room.
 const SEARCH_STEPS: usize = 40;
 
+/// An engine of a data centre.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Member {
+    /// The engine, as an index.
+    pub(crate) engine: usize,
+    /// Its memory, in megabytes.
+    pub(crate) memory_mb: f64,
+    /// Time of a token through one layer, in milliseconds.
+    pub(crate) layer_ms: f64,
+}
+
+/// How fast engines are used.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Way {
+    /// Like all others: each layer has the same room.
+    Even,
+    /// They hold layers beside slower ones: a row of them, from the last
+    /// layer on downwards.
+    FastBeside(Vec<Group>),
+}
+
 /// Engines that hold the same layers.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Group {
@@ -57,15 +100,22 @@
     memory_mb: f64,
     /// Memory of the smallest one, in megabytes.
     least_mb: f64,
+    /// Mean time of a token through one layer, in milliseconds.
+    layer_ms: f64,
 }
 
 impl Group {
-    fn new(members: &[(usize, f64)]) -> Group {
-        let memories = members.iter().map(|member| member.1);
+    fn new(members: &[Member]) -> Group {
+        let memories = members.iter().map(|member| member.memory_mb);
         Group {
-            engines: members.iter().map(|member| member.0).collect(),
+            engines: members.iter().map(|member| member.engine).collect(),
             memory_mb: memories.clone().sum(),
             least_mb: memories.fold(f64::MAX, f64::min),
+            layer_ms: members
+                .iter()
+                .map(|member| member.layer_ms)
+                .sum::<f64>()
+                / members.len().max(1) as f64,
         }
     }
 
@@ -94,34 +144,143 @@
     pub(crate) groups: Vec<Group>,
     /// Whether they hold a whole copy.
     pub(crate) is_whole: bool,
+    /// What fast engines hold.
+    pub(crate) way: Way,
 }
 
 impl Shape {
-    /// Of engines with their memory in megabytes.
+    /// Of engines: the even way, unless fast engines can stand beside the
+    /// others at little cost in room.
     pub(crate) fn new(
         model: &LayoutModel,
-        engines: impl Iterator<Item = (usize, f64)>,
+        engines: impl Iterator<Item = Member>,
     ) -> Shape {
-        let mut members: Vec<(usize, f64)> = engines.collect();
-        members.sort_by(|a, b| a.1.total_cmp(&b.1));
+        let mut members: Vec<Member> = engines.collect();
+        members.sort_by(|a, b| a.memory_mb.total_cmp(&b.memory_mb));
+        let even = Shape::even(model, &members);
+        let (fast, slow) = split_fast(&members);
+        if fast.is_empty() || !even.is_whole {
+            return even;
+        }
+        let copies = members.len().div_ceil(even.groups.len()).max(2);
+        let fewer = even.layers_of_fewer(model, copies);
+        // Where there is room for fewer requests than one engine takes as
+        // their first, room binds before time.
+        let least_tokens =
+            model.first_tokens.max(LEAST_EVEN_ROOM * even.room_tokens);
+        let is_better = |beside: &Shape| {
+            beside.room_tokens >= least_tokens
+                && beside.token_ms(model)
+                    <= MOST_EVEN_TIME * even.token_ms(model)
+        };
+        // No layer with fewer holders where room allows, else no more of
+        // them than in the even way.
+        let beside = [0, fewer].into_iter().find_map(|most_fewer| {
+            Shape::fast_beside(model, &fast, &slow, copies, most_fewer)
+                .filter(is_better)
+        });
+        beside.unwrap_or(even)
+    }
+
+    /// Layers of groups of fewer engines than these.
+    fn layers_of_fewer(&self, model: &LayoutModel, copies: usize) -> u32 {
+        let fewer = self.groups.iter().filter(|g| g.engines.len() < copies);
+        fewer.map(|group| group.layers(model, self.room_tokens)).sum()
+    }
+
+    /// Time of a token through all layers, by the fast engines where they
+    /// hold some, in milliseconds.
+    fn token_ms(&self, model: &LayoutModel) -> f64 {
+        let fast: &[Group] = match &self.way {
+            Way::Even => &[],
+            Way::FastBeside(fast) => fast,
+        };
+        let mut left = model.layer_count;
+        let mut token_ms = 0.0;
+        let fast = fast.iter().map(|g| (g, self.fast_layers(model, g)));
+        // The groups of more engines are first, the fast ones last.
+        let others = self.groups.iter();
+        let others = others.map(|g| (g, g.layers(model, self.room_tokens)));
+        for (group, layers) in fast.chain(others) {
+            let layers = layers.min(left);
+            token_ms += f64::from(layers) * group.layer_ms;
+            left -= layers;
+        }
+        token_ms
+    }
+
+    /// The even way: all engines in groups.
+    fn even(model: &LayoutModel, members: &[Member]) -> Shape {
         let enough = members.len().div_ceil(2).min(ENOUGH_GROUPS);
-        let mut shape = Shape::first(model, &members);
+        let mut shape = Shape::first(model, members);
         while shape.groups.len() > enough {
             let next =
-                Shape::with_groups(model, &members, shape.groups.len() - 1);
+                Shape::with_groups(model, members, shape.groups.len() - 1);
             if !next.is_whole || !next.is_within_share(model) {
                 break;
             }
             shape = next;
         }
-        shape.with_more_first(model, &members)
+        shape.with_more_first(model, members)
+    }
+
+    /// Fast engines beside groups of the others: of `copies` engines where no
+    /// fast one holds the layers, of one less where one does. As few of the
+    /// larger groups as leave no more layers to fewer holders than allowed.
+    fn fast_beside(
+        model: &LayoutModel,
+        fast: &[Member],
+        slow: &[Member],
+        copies: usize,
+        most_fewer: u32,
+    ) -> Option<Shape> {
+        let row: Vec<Group> =
+            fast.iter().rev().map(|m| Group::new(&[*m])).collect();
+        let first_copies = first_copies(model, slow, copies);
+        for larger in 1..=slow.len() / copies {
+            let rest = larger_groups(slow, larger, copies, first_copies);
+            let Some((mut groups, rest)) = rest else { return None };
+            let larger_count = groups.len();
+            groups.extend(rest.chunks(copies - 1).map(Group::new));
+            if groups.len() > MOST_GROUPS {
+                continue;
+            }
+            let shape = Shape::of(model, slow, groups);
+            let layers = |group: &Group, share: f64| {
+                group.layers(model, share * shape.room_tokens)
+            };
+            let of_larger = shape.groups[..larger_count].iter();
+            let alone: u32 = of_larger.map(|g| layers(g, 1.0)).sum();
+            let beside: u32 = row.iter().map(|g| layers(g, FAST_ROOM)).sum();
+            if shape.is_whole
+                && alone + beside + most_fewer >= model.layer_count
+            {
+                return Some(Shape { way: Way::FastBeside(row), ..shape });
+            }
+        }
+        None
+    }
+
+    /// An engine by itself, if it holds layers beside slower ones.
+    pub(crate) fn fast_of(&self, engine: usize) -> Option<&Group> {
+        match &self.way {
+            Way::Even => None,
+            Way::FastBeside(fast) => {
+                fast.iter().find(|group| group.engines.contains(&engine))
+            }
+        }
+    }
+
+    /// Layers that a fast engine holds beside others.
+    pub(crate) fn fast_layers(&self, model: &LayoutModel, of: &Group) -> u32 {
+        of.layers(model, FAST_ROOM * self.room_tokens)
     }
 
     /// The same with as many engines in the first group as raise what can run.
     fn with_more_first(
         mut self,
         model: &LayoutModel,
-        members: &[(usize, f64)],
+        members: &[Member],
     ) -> Shape {
         let count = self.groups.len();
         if count < 2 {
@@ -161,7 +320,7 @@
     }
 
     /// As many groups as may be: engines alone where they are few.
-    fn first(model: &LayoutModel, members: &[(usize, f64)]) -> Shape {
+    fn first(model: &LayoutModel, members: &[Member]) -> Shape {
         let most = members.len().min(MOST_GROUPS);
         let grouped = Shape::with_groups(model, members, most);
         match grouped.is_whole || members.len() <= MOST_GROUPS {
@@ -175,7 +334,7 @@
     /// at the smallest.
     fn with_groups(
         model: &LayoutModel,
-        members: &[(usize, f64)],
+        members: &[Member],
         count: usize,
     ) -> Shape {
         Shape::of(model, members, even_groups(members, count))
@@ -184,7 +343,7 @@
     /// The same with so many of the smallest in the first group.
     fn with_first(
         model: &LayoutModel,
-        members: &[(usize, f64)],
+        members: &[Member],
         count: usize,
         first: usize,
     ) -> Shape {
@@ -197,13 +356,13 @@
     /// Of groups, with the most room that leaves a whole copy.
     fn of(
         model: &LayoutModel,
-        members: &[(usize, f64)],
+        members: &[Member],
         groups: Vec<Group>,
     ) -> Shape {
         let layers = |tokens: f64| -> u32 {
             groups.iter().map(|group| group.layers(model, tokens)).sum()
         };
-        let largest_mb = members.last().map_or(0.0, |last| last.1);
+        let largest_mb = members.last().map_or(0.0, |last| last.memory_mb);
         let mut low = MIN_TOKENS;
         let is_whole = layers(low) >= model.layer_count;
         let mut high = (largest_mb * 1e6 / model.token_layer_bytes).max(low);
@@ -214,7 +373,7 @@
                 false => high = middle,
             }
         }
-        Shape { room_tokens: low, groups, is_whole }
+        Shape { room_tokens: low, groups, is_whole, way: Way::Even }
     }
 
     fn is_within_share(&self, model: &LayoutModel) -> bool {
@@ -230,7 +389,7 @@
 
 /// Engines in so many groups of nearly the same count, those of one more
 /// first and at the smallest, the others from the largest on.
-fn even_groups(members: &[(usize, f64)], count: usize) -> Vec<Group> {
+fn even_groups(members: &[Member], count: usize) -> Vec<Group> {
     let (each, more) = match count {
         0 => (1, 0),
         _ => (members.len() / count, members.len() % count),
@@ -240,3 +399,35 @@
     let large = large.chunks(each.max(1)).rev().map(Group::new);
     small.chain(large).collect()
 }
+
+/// The fast engines and the others, each in the order given.
+fn split_fast(members: &[Member]) -> (Vec<Member>, Vec<Member>) {
+    let mut times: Vec<f64> = members.iter().map(|m| m.layer_ms).collect();
+    times.sort_by(f64::total_cmp);
+    let middle_ms = times.get(times.len() / 2).copied().unwrap_or(0.0);
+    let is_fast = |m: &Member| m.layer_ms <= FAST_SHARE * middle_ms;
+    members.iter().partition(|member| is_fast(member))
+}
+
+/// Engines of the first group, for as many places as that one would have
+/// where all layers are held by so many.
+fn first_copies(model: &LayoutModel, slow: &[Member], copies: usize) -> usize {
+    let even = Shape::with_groups(model, slow, slow.len() / copies);
+    let even = even.with_more_first(model, slow);
+    even.groups.first().map_or(copies, |g| g.engines.len().max(copies))
+}
+
+/// So many groups of the smallest engines, the first one of more, with the
+/// engines that are left.
+fn larger_groups(
+    slow: &[Member],
+    count: usize,
+    copies: usize,
+    first_copies: usize,
+) -> Option<(Vec<Group>, &[Member])> {
+    let (first, slow) = slow.split_at_checked(first_copies)?;
+    let (larger, rest) = slow.split_at_checked((count - 1) * copies)?;
+    let mut groups = vec![Group::new(first)];
+    groups.extend(larger.chunks(copies).map(Group::new));
+    Some((groups, rest))
+}
--- a/crates/planner/tests/fleet_sizes.rs
+++ b/crates/planner/tests/fleet_sizes.rs
@@ -34,6 +34,7 @@
     let engine = |(at, memory_mb): (usize, f64)| LayoutEngine {
         data_centre: at % DATA_CENTRES,
         memory_mb,
+        layer_ms: 1.0,
         held: None,
         is_sound: true,
         is_free: true,
--- a/crates/planner/tests/layout.rs
+++ b/crates/planner/tests/layout.rs
@@ -19,6 +19,7 @@
     LayoutEngine {
         data_centre,
         memory_mb,
+        layer_ms: 1.0,
         held: None,
         is_sound: true,
         is_free: true,
--- a/crates/planner/tests/layout_baselines.rs
+++ b/crates/planner/tests/layout_baselines.rs
@@ -56,6 +56,7 @@
             let engine = LayoutEngine {
                 data_centre: 0,
                 memory_mb,
+                layer_ms: 1.0,
                 held: None,
                 is_sound: true,
                 is_free: true,
--- a/crates/planner/tests/load_ladder.rs
+++ b/crates/planner/tests/load_ladder.rs
@@ -194,6 +194,7 @@
     let engine = |memory_mb| LayoutEngine {
         data_centre: 0,
         memory_mb,
+        layer_ms: 1.0,
         held: None,
         is_sound: true,
         is_free: true,
--- a/crates/planner/tests/mend.rs
+++ b/crates/planner/tests/mend.rs
@@ -19,6 +19,7 @@
     LayoutEngine {
         data_centre: 0,
         memory_mb,
+        layer_ms: 1.0,
         held: held.map(|(first, end)| LayerRange::new(first, end)),
         is_sound: true,
         is_free: true,
--- a/crates/planner/tests/order_book.rs
+++ b/crates/planner/tests/order_book.rs
@@ -224,6 +224,7 @@
     let engine = |memory_mb, first, end| LayoutEngine {
         data_centre: 0,
         memory_mb,
+        layer_ms: 1.0,
         held: Some(LayerRange::new(first, end)),
         is_sound: true,
         is_free: true,
@@ -346,6 +347,7 @@
     let engine = |first, end| LayoutEngine {
         data_centre: 0,
         memory_mb: 12_000.0,
+        layer_ms: 1.0,
         held: Some(LayerRange::new(first, end)),
         is_sound: true,
         is_free: true,
@@ -430,6 +432,7 @@
     LayoutEngine {
         data_centre: 0,
         memory_mb: engine.memory_mb,
+        layer_ms: 1.0,
         held,
         is_sound: true,
         is_free: true,
