Paths are planned as if entries that have not told use as much as this one

Cause: after all entries are lost, the clients of all streams come back within milliseconds, and no entry has told another what it uses: each finds the same engines empty. Change: routing::assumed_use; an entry that is listed and has not told counts as much as this one uses of each engine, until it tells.

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -363,6 +363,11 @@
         now_ms().saturating_sub(self.started_ms)
     }
 
+    /// Other entries whose use of engines is not known yet.
+    pub(crate) fn untold_entries(&self) -> u64 {
+        self.peers.untold_count() as u64
+    }
+
     /// Index of a data centre; a name that the settings lack is the last.
     pub(crate) fn data_centre(&self, name: &str) -> usize {
         let names = &self.settings.data_centres;
--- a/crates/direct/src/known/engine.rs
+++ b/crates/direct/src/known/engine.rs
@@ -12,7 +12,7 @@
 };
 
 pub(crate) use chestnutreach_routing::Evidence;
-use chestnutreach_routing::Health;
+use chestnutreach_routing::{Health, KnownUse};
 use chestnutreach_site::{Backend, BackendState, LayerRange};
 
 use crate::{clock::now_ms, rate::Rate};
@@ -268,6 +268,13 @@
         self.own_token_layers.load(Relaxed) + others
     }
 
+    /// Memory that requests use, where so many entries have not told.
+    pub(crate) fn planned_token_layers(&self, untold_entries: u64) -> u64 {
+        let own = self.own_token_layers.load(Relaxed);
+        let told = self.others_token_layers.load(Relaxed);
+        KnownUse { own, told, untold_entries }.planned()
+    }
+
     pub(crate) fn first_count(&self) -> u64 {
         self.own_first.load(Relaxed) + self.others_first.load(Relaxed)
     }
--- a/crates/direct/src/known/peer_table.rs
+++ b/crates/direct/src/known/peer_table.rs
@@ -145,6 +145,12 @@
         live.max(peers.len()) + 1
     }
 
+    /// Entries that are listed and have not told anything; none where no
+    /// other is listed.
+    pub(crate) fn untold_count(&self) -> usize {
+        self.lock().values().filter(|p| p.boot_id == 0).count()
+    }
+
     /// What others sent to a service within the window, as they told.
     /// Empty where an entry that is listed has not told.
     pub(crate) fn others_sent(&self, service: &str) -> Vec<Sent> {
--- a/crates/direct/src/request/route.rs
+++ b/crates/direct/src/request/route.rs
@@ -45,6 +45,8 @@
     pub(crate) is_choosy: bool,
     /// Use of what joins data centres; 1 is full.
     pub(crate) crossing_use: f64,
+    /// Other entries that have not told yet what they use.
+    pub(crate) untold_entries: u64,
 }
 
 impl Fleet {
@@ -213,7 +215,7 @@
         first_layer: lasting.first_layer,
         end_layer: lasting.end_layer,
         layer_ms: need.model.step_part_ms(kind, 1) * state.slowness,
-        used_token_layers: engine.used_token_layers(),
+        used_token_layers: engine.planned_token_layers(need.untold_entries),
         busy: engine.reading_share(need.now_ms) * state.slowness,
         total_token_layers: (total as f64 * PLANNED_SHARE) as u64,
         is_usable: !is_named && takes_work(&state, need.now_ms),
--- a/crates/direct/src/request/stream/seek.rs
+++ b/crates/direct/src/request/stream/seek.rs
@@ -161,6 +161,7 @@
                 .core
                 .crossing
                 .share(&self.core.peers, self.model.pipe_mbps),
+            untold_entries: self.core.untold_entries(),
         }
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`attempts`] | whether a request may be handed to a backend again |
 //! | [`retry`] | whether a failure may be tried again |
 //! | [`retry_window`] | the same where all entries share a bound in time |
+//! | [`assumed_use`] | what entries that have not told yet are taken to use |
 //! | [`layer_path`] | which engines run which layers of a request |
 //! | [`fair`], [`admission`] | who goes next, and who can finish in time |
 //! | [`gate`] | who may run on one server now, and who waits |
@@ -56,6 +57,7 @@
 //! ```
 
 pub mod admission;
+pub mod assumed_use;
 pub mod attempts;
 mod backend_spec;
 mod candidate;
@@ -96,6 +98,7 @@
 pub use admission::{
     Speed, TooLate, can_finish, expected_wait_ms, retry_after_ms,
 };
+pub use assumed_use::KnownUse;
 pub use attempts::{Attempts, Counted};
 pub use candidate::{Candidate, LeftOut};
 pub use chain::{ChainNeed, Choice, Chooser, choose};
