Looks at pauses follow from the route's pause target, waits from the sheet

Change: routing::pause_look: a quarter of the target may pass before the first look (62 ms at 250, 75 at 300, 90 without a target, 50 at least); it decides apart from I/O, at two targets, with a replay of an engine that dies under its streams. Waiting counts for stall_ms of the settings. Ruled out as the larger part: dials (50 ms) and the order (5 ms).

--- a/crates/direct/src/known/probe.rs
+++ b/crates/direct/src/known/probe.rs
@@ -37,8 +37,6 @@
 const REPORT: Duration = Duration::from_millis(250);
 /// Shortest time between two reports of an engine.
 const REPORT_EVERY_MS: u64 = 1_500;
-/// Shortest time for which others' waiting counts against an engine.
-const STALLED_MS: u64 = 3_000;
 /// Time between looks at suspected engines.
 const RECHECK: Duration = Duration::from_millis(400);
 /// Rounds of such looks until an entry looks at an engine that others watch:
@@ -81,7 +79,8 @@
 pub(crate) fn suspect(core: &Core, engine: &Engine, evidence: Evidence) {
     let now_ms = now_ms();
     let least_ms = match evidence {
-        Evidence::Stalled => STALLED_MS,
+        // Others may wait for it that long before that shows.
+        Evidence::Stalled => core.settings.bounds.stall_ms,
         Evidence::Refused | Evidence::Silent => 0,
     };
     {
--- a/crates/direct/src/request/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -132,7 +132,7 @@
         is_refused_room: false,
         is_head_sent: false,
         last_event: last_event(request),
-        pace: Pace::new(),
+        pace: Pace::new(admitted.route.gap_target_ms),
         leave_after_ms: leave_after_ms(core),
         left_because: "",
         cause: FIRST,
--- a/crates/direct/src/request/stream/pace.rs
+++ b/crates/direct/src/request/stream/pace.rs
@@ -1,15 +1,11 @@
 //! How fast a stream goes, and when a pause is worth a look.
 
+use chestnutreach_routing::PauseLook;
+
 use crate::clock::now_ms;
 
 /// A stream that has not begun is looked at after this time.
 const FIRST_LOOK_MS: u64 = 260;
-/// A stream that has begun is looked at after a pause of this many usual
-/// ones and a little.
-const LOOK_FACTOR: f64 = 1.9;
-const LOOK_SLACK_MS: f64 = 20.0;
-/// Bounds of that time.
-pub(super) const LOOK_MS: (u64, u64) = (90, 600);
 /// Usual pause before any was seen.
 const USUAL_GAP_MS: f64 = 45.0;
 /// Weight of the newest pause in the usual one.
@@ -19,14 +15,15 @@
 
 /// Time after a refused order to change the path until the next, at first; it
 /// doubles, and up to a half is added, so that streams that meet the same
-/// refusal do not all ask again together. Without it one stream gave the same
-/// order 99 times in 0.5 s on a played day.
+/// refusal do not all ask again together. Without it a stream would give the
+/// same order at each look.
 const ORDER_AGAIN_MS: u64 = 50;
 /// Most doublings of that time: 0.8 s, less than clients wait.
 const MAX_ORDER_DOUBLINGS: u32 = 4;
 
 /// How fast a stream goes.
 pub(super) struct Pace {
+    look: PauseLook,
     /// When the last event came, or the attempt began.
     pub(super) moved_ms: u64,
     /// When the path was last changed.
@@ -44,8 +41,10 @@
 }
 
 impl Pace {
-    pub(super) fn new() -> Pace {
+    /// Of a stream whose route has this longest pause that is in time.
+    pub(super) fn new(gap_target_ms: Option<u64>) -> Pace {
         Pace {
+            look: PauseLook::new(gap_target_ms),
             moved_ms: now_ms(),
             changed_ms: 0,
             usual_gap_ms: USUAL_GAP_MS,
@@ -108,7 +107,11 @@
         if !self.has_begun {
             return FIRST_LOOK_MS;
         }
-        let look = LOOK_FACTOR * self.usual_gap_ms + LOOK_SLACK_MS;
-        (look as u64).clamp(LOOK_MS.0, LOOK_MS.1)
+        self.look.after_ms(self.usual_gap_ms)
+    }
+
+    /// The shortest pause that is worth a look.
+    pub(super) fn least_look_ms(&self) -> u64 {
+        self.look.least_ms()
     }
 }
--- a/crates/direct/src/request/stream/watch.rs
+++ b/crates/direct/src/request/stream/watch.rs
@@ -12,7 +12,7 @@
 use chestnutreach_http::SharedStream;
 use futures_lite::FutureExt as _;
 
-use super::{Stream, pace::LOOK_MS};
+use super::Stream;
 use crate::{
     clock::now_ms,
     known::probe,
@@ -217,12 +217,12 @@
         let first = self.path.first();
         self.pace.has_begun
             && quiet_ms >= GIVE_UP_MS
-            && first.quiet_ms(now_ms()) < LOOK_MS.0
+            && first.quiet_ms(now_ms()) < self.pace.least_look_ms()
     }
 
     /// A first engine that still sends is not lost, whatever dials show.
     fn is_first_lost(&self) -> bool {
-        self.pace.quiet_ms(now_ms()) >= LOOK_MS.0
+        self.pace.quiet_ms(now_ms()) >= self.pace.least_look_ms()
     }
 
     /// Whether to go on at another first engine rather than by this detour:
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`turns`] | who may seek a path now, and who waits |
 //! | [`first_read`] | how long a request waits for the first configuration |
 //! | [`first_wait`] | whether a stream will hardly begin any more |
+//! | [`pause_look`] | when a stream that pauses is looked at |
 //! | [`flow`] | the most tokens a second the hardware allows |
 //!
 //! ```
@@ -84,6 +85,7 @@
 mod memory;
 pub mod network;
 mod no_chain;
+pub mod pause_look;
 pub mod policy;
 pub mod priority;
 pub mod retry;
@@ -118,6 +120,7 @@
 pub use live::{Ended, Live, LoadReport, Presence};
 pub use network::Network;
 pub use no_chain::{NoChain, NoChainReason};
+pub use pause_look::PauseLook;
 pub use policy::Policy;
 pub use priority::Priority;
 pub use retry::RetryBudget;
