--- a/crates/direct/src/known/probe.rs
+++ b/crates/direct/src/known/probe.rs
@@ -46,8 +46,8 @@
 const SLOW_HEARD_MS: u64 = 4_000;
 /// An alert of another entry so recent need not be repeated.
 const ALERTED_MS: u64 = 1_000;
-/// Share of engines that are silent from which on no more are suspected.
-/// Above the share that went dark at once on any played day.
+/// Share of engines that are silent from which on no more are suspected: more
+/// than a data centre's fault takes away.
 const OWN_FAULT_SHARE: f64 = 0.4;
 /// Slowness below it is told as none.
 const SLOW_FROM: f64 = 1.2;
--- a/crates/direct/src/orders/mandate.rs
+++ b/crates/direct/src/orders/mandate.rs
@@ -14,7 +14,7 @@
     /// No holder is heard of, and this entry stands in: it orders only what
     /// gives no layer up. Else the layers of engines that die are lacking
     /// until the lease of a killed holder ends, and while no entry reaches
-    /// the store: for 3.3 and 4.2 s on a played day.
+    /// the store.
     StandIn,
 }
 
--- a/crates/direct/src/orders/place.rs
+++ b/crates/direct/src/orders/place.rs
@@ -294,8 +294,8 @@
 /// What becomes of streams that still pass through layers that are given up.
 ///
 /// They were told to leave before the order; those that could not are cut and
-/// go on elsewhere, where all may. To let them end took 4 to 7 s on a played
-/// day, in which the gap stayed open for all others. Those that begin at the
+/// go on elsewhere, where all may: while they ended, the gap would stay open
+/// for all others. Those that begin at the
 /// engine can't be led around it, and all at once would use up the shared
 /// bound on further arrivals: they may end.
 fn passing(
--- a/crates/planner/src/mend.rs
+++ b/crates/planner/src/mend.rs
@@ -127,7 +127,7 @@
             .window_worth(data_centre, window)
             .saturating_sub(without.window_worth(data_centre, held));
         // Streams can't be led around their first engine, and it loads only
-        // once they have ended: 4 s and more on a played day.
+        // once they have ended.
         let rank = (held.first_layer > 0, gain);
         let is_best = best.is_none_or(|(most, _)| rank > most);
         if gain >= WORTH_UNHELD_HERE && is_best {
--- a/crates/planner/src/shape.rs
+++ b/crates/planner/src/shape.rs
@@ -239,7 +239,7 @@
         let first_copies = first_copies(model, slow, copies);
         for larger in 1..=slow.len() / copies {
             let rest = larger_groups(slow, larger, copies, first_copies);
-            let Some((mut groups, rest)) = rest else { return None };
+            let (mut groups, rest) = rest?;
             let larger_count = groups.len();
             groups.extend(rest.chunks(copies - 1).map(Group::new));
             if groups.len() > MOST_GROUPS {
