Fast engines stand beside others only where every layer has two holders

In one data centre the fast way was taken with 27 layers held alone; two engines of it were lost, a gap opened there, and the fastest engine moved to it: 20 layers to load, the gap open for 5 s while two other data centres had gaps as well. Change: the second try, with as many layers held alone as in the even way, goes.

--- a/crates/planner/src/shape.rs
+++ b/crates/planner/src/shape.rs
@@ -163,7 +163,6 @@
             return even;
         }
         let copies = members.len().div_ceil(even.groups.len()).max(2);
-        let fewer = even.layers_of_fewer(model, copies);
         // Where there is room for fewer requests than one engine takes as
         // their first, room binds before time.
         let least_tokens =
@@ -173,19 +172,8 @@
                 && beside.token_ms(model)
                     <= MOST_EVEN_TIME * even.token_ms(model)
         };
-        // No layer with fewer holders where room allows, else no more of
-        // them than in the even way.
-        let beside = [0, fewer].into_iter().find_map(|most_fewer| {
-            Shape::fast_beside(model, &fast, &slow, copies, most_fewer)
-                .filter(is_better)
-        });
-        beside.unwrap_or(even)
-    }
-
-    /// Layers of groups of fewer engines than these.
-    fn layers_of_fewer(&self, model: &LayoutModel, copies: usize) -> u32 {
-        let fewer = self.groups.iter().filter(|g| g.engines.len() < copies);
-        fewer.map(|group| group.layers(model, self.room_tokens)).sum()
+        let beside = Shape::fast_beside(model, &fast, &slow, copies);
+        beside.filter(is_better).unwrap_or(even)
     }
 
     /// Time of a token through all layers, by the fast engines where they
@@ -226,13 +214,13 @@
 
     /// Fast engines beside groups of the others: of `copies` engines where no
     /// fast one holds the layers, of one less where one does. As few of the
-    /// larger groups as leave no more layers to fewer holders than allowed.
+    /// larger groups as leave no layer to fewer holders than that: a gap in a
+    /// data centre whose fast engines hold much takes long to close.
     fn fast_beside(
         model: &LayoutModel,
         fast: &[Member],
         slow: &[Member],
         copies: usize,
-        most_fewer: u32,
     ) -> Option<Shape> {
         let row: Vec<Group> =
             fast.iter().rev().map(|m| Group::new(&[*m])).collect();
@@ -250,11 +238,9 @@
                 group.layers(model, share * shape.room_tokens)
             };
             let of_larger = shape.groups[..larger_count].iter();
-            let alone: u32 = of_larger.map(|g| layers(g, 1.0)).sum();
+            let others: u32 = of_larger.map(|g| layers(g, 1.0)).sum();
             let beside: u32 = row.iter().map(|g| layers(g, FAST_ROOM)).sum();
-            if shape.is_whole
-                && alone + beside + most_fewer >= model.layer_count
-            {
+            if shape.is_whole && others + beside >= model.layer_count {
                 return Some(Shape { way: Way::FastBeside(row), ..shape });
             }
         }
