--- a/crates/planner/src/layout.rs
+++ b/crates/planner/src/layout.rs
@@ -15,9 +15,10 @@
 
 use crate::{
     cover::Cover,
+    fast_beside,
     room::{Rooms, room_beside},
     service::LayerRange,
-    shape::{Group, Member, Shape, Way},
+    shape::{Member, Shape},
 };
 
 /// Least room for requests beside the layers, in tokens.
@@ -126,23 +127,17 @@
         placements.extend(held.map(|at| Placement { engine: *at, range }));
         first = end;
     }
-    if let Way::FastBeside(fast) = &shape.way {
-        placements.extend(fast_row(model, shape, fast));
-    }
+    placements.extend(fast_row(model, shape));
     placements
 }
 
 /// Fast engines in a row from the last layer on downwards, again from there
 /// once all layers have one.
-fn fast_row(
-    model: &LayoutModel,
-    shape: &Shape,
-    fast: &[Group],
-) -> Vec<Placement> {
+fn fast_row(model: &LayoutModel, shape: &Shape) -> Vec<Placement> {
     let mut placements = Vec::new();
     let mut end = model.layer_count;
-    for group in fast {
-        let layers = shape.fast_layers(model, group).min(end);
+    for (group, tokens) in shape.fast() {
+        let layers = group.layers(model, tokens).min(end);
         let range = LayerRange::new(end - layers, end);
         let held = group.engines.iter().filter(|_| layers > 0);
         placements.extend(held.map(|at| Placement { engine: *at, range }));
@@ -176,8 +171,9 @@
         let is_any = layers > 0;
         return is_any.then(|| cover.best_window(data_centre, layers));
     }
-    let layers = match shape.fast_of(at) {
-        Some(group) => shape.fast_layers(model, group),
+    let mut fast = shape.fast();
+    let layers = match fast.find(|(group, _)| group.engines.contains(&at)) {
+        Some((group, tokens)) => group.layers(model, tokens),
         None => with_room(0.5),
     };
     if layers == 0 {
@@ -211,7 +207,10 @@
         memory_mb: e.memory_mb,
         layer_ms: e.layer_ms,
     };
-    Shape::new(model, here.map(member))
+    let mut members: Vec<Member> = here.map(member).collect();
+    members.sort_by(|a, b| a.memory_mb.total_cmp(&b.memory_mb));
+    let even = Shape::even(model, &members);
+    fast_beside::better_than(model, &members, &even).unwrap_or(even)
 }
 
 /// Layers that fit beside so many tokens of requests.
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `cover` | how many engines hold each layer |
 //! | `room` | room for requests on each layer |
 //! | `shape` | which engines of a data centre hold the same layers |
+//! | `fast_beside` | fast engines beside slower ones that hold the same |
 //! | [`order_book`] | orders that do not show yet |
 //!
 //! # Example
@@ -45,6 +46,7 @@
 pub mod capacity;
 mod cover;
 mod draft;
+mod fast_beside;
 mod growth;
 pub mod layout;
 pub mod mend;
--- a/crates/planner/src/shape.rs
+++ b/crates/planner/src/shape.rs
@@ -25,14 +25,8 @@
 //! place at one of two first engines. So the first group has as many engines
 //! as raise what the data centre can run, the least of room and of places.
 //!
-//! A stream is as slow as the sum of its parts, and how long it runs decides
-//! what every loss cuts and how much memory it holds. So where a few engines
-//! are much faster than the others, they hold as many layers as leave them a
-//! part of the common room, beside slower ones that hold the same
-//! ([`Way::FastBeside`]). Paths go through the fast ones while these have
-//! room, and through the others once they are full or lost: the load itself
-//! decides between time and room. Layers that a fast engine holds are held
-//! by one less of the slower ones, which pays for it.
+//! Engines that are much faster than the others may stand beside them
+//! instead: see [`crate::fast_beside`].
 
 use crate::layout::{LayoutModel, MIN_TOKENS};
 
@@ -43,7 +37,7 @@
 const LAYER_SHARE: f64 = 0.72;
 /// Most groups, so that a path through them has parts left for a detour
 /// before engines refuse it at 32.
-const MOST_GROUPS: usize = 24;
+pub(crate) const MOST_GROUPS: usize = 24;
 /// Groups from which on fewer gain little: each further replica of all layers
 /// takes room from requests, and a path of so many parts is about as long as
 /// one through pairs in a data centre of 30 engines.
@@ -54,19 +48,6 @@
 /// By how much more must run for another engine in the first group: each one
 /// takes room from all layers.
 const MORE_RUNS: f64 = 1.02;
-/// An engine is fast whose layers take at most this share of the time that
-/// those of the middle one take.
-const FAST_SHARE: f64 = 0.5;
-/// Room of a fast engine that holds layers beside slower ones, as a share of
-/// the common room: with less it is full at the usual load, with more it
-/// holds fewer layers.
-const FAST_ROOM: f64 = 0.6;
-/// Share of the even room that must be left where fast engines stand beside
-/// others: streams that are faster hold their memory for less time.
-const LEAST_EVEN_ROOM: f64 = 0.45;
-/// Most time of a token, as a share of that of the even way, for which room
-/// is given.
-const MOST_EVEN_TIME: f64 = 0.9;
 /// Steps of the search for the common room.
 const SEARCH_STEPS: usize = 40;
 
@@ -87,8 +68,8 @@
     /// Like all others: each layer has the same room.
     Even,
     /// They hold layers beside slower ones: a row of them, from the last
-    /// layer on downwards.
-    FastBeside(Vec<Group>),
+    /// layer on downwards, each with this room, in tokens.
+    FastBeside { row: Vec<Group>, room_tokens: f64 },
 }
 
 /// Engines that hold the same layers.
@@ -105,7 +86,7 @@
 }
 
 impl Group {
-    fn new(members: &[Member]) -> Group {
+    pub(crate) fn new(members: &[Member]) -> Group {
         let memories = members.iter().map(|member| member.memory_mb);
         Group {
             engines: members.iter().map(|member| member.engine).collect(),
@@ -149,43 +130,12 @@
 }
 
 impl Shape {
-    /// Of engines: the even way, unless fast engines can stand beside the
-    /// others at little cost in room.
-    pub(crate) fn new(
-        model: &LayoutModel,
-        engines: impl Iterator<Item = Member>,
-    ) -> Shape {
-        let mut members: Vec<Member> = engines.collect();
-        members.sort_by(|a, b| a.memory_mb.total_cmp(&b.memory_mb));
-        let even = Shape::even(model, &members);
-        let (fast, slow) = split_fast(&members);
-        if fast.is_empty() || !even.is_whole {
-            return even;
-        }
-        let copies = members.len().div_ceil(even.groups.len()).max(2);
-        // Where there is room for fewer requests than one engine takes as
-        // their first, room binds before time.
-        let least_tokens =
-            model.first_tokens.max(LEAST_EVEN_ROOM * even.room_tokens);
-        let is_better = |beside: &Shape| {
-            beside.room_tokens >= least_tokens
-                && beside.token_ms(model)
-                    <= MOST_EVEN_TIME * even.token_ms(model)
-        };
-        let beside = Shape::fast_beside(model, &fast, &slow, copies);
-        beside.filter(is_better).unwrap_or(even)
-    }
-
     /// Time of a token through all layers, by the fast engines where they
     /// hold some, in milliseconds.
-    fn token_ms(&self, model: &LayoutModel) -> f64 {
-        let fast: &[Group] = match &self.way {
-            Way::Even => &[],
-            Way::FastBeside(fast) => fast,
-        };
+    pub(crate) fn token_ms(&self, model: &LayoutModel) -> f64 {
         let mut left = model.layer_count;
         let mut token_ms = 0.0;
-        let fast = fast.iter().map(|g| (g, self.fast_layers(model, g)));
+        let fast = self.fast().map(|(g, tokens)| (g, g.layers(model, tokens)));
         // The groups of more engines are first, the fast ones last.
         let others = self.groups.iter();
         let others = others.map(|g| (g, g.layers(model, self.room_tokens)));
@@ -197,8 +147,8 @@
         token_ms
     }
 
-    /// The even way: all engines in groups.
-    fn even(model: &LayoutModel, members: &[Member]) -> Shape {
+    /// The even way: all engines in groups, from the smallest on.
+    pub(crate) fn even(model: &LayoutModel, members: &[Member]) -> Shape {
         let enough = members.len().div_ceil(2).min(ENOUGH_GROUPS);
         let mut shape = Shape::first(model, members);
         while shape.groups.len() > enough {
@@ -212,58 +162,18 @@
         shape.with_more_first(model, members)
     }
 
-    /// Fast engines beside groups of the others: of `copies` engines where no
-    /// fast one holds the layers, of one less where one does. As few of the
-    /// larger groups as leave no layer to fewer holders than that: a gap in a
-    /// data centre whose fast engines hold much takes long to close.
-    fn fast_beside(
-        model: &LayoutModel,
-        fast: &[Member],
-        slow: &[Member],
-        copies: usize,
-    ) -> Option<Shape> {
-        let row: Vec<Group> =
-            fast.iter().rev().map(|m| Group::new(&[*m])).collect();
-        let first_copies = first_copies(model, slow, copies);
-        for larger in 1..=slow.len() / copies {
-            let rest = larger_groups(slow, larger, copies, first_copies);
-            let (mut groups, rest) = rest?;
-            let larger_count = groups.len();
-            groups.extend(rest.chunks(copies - 1).map(Group::new));
-            if groups.len() > MOST_GROUPS {
-                continue;
-            }
-            let shape = Shape::of(model, slow, groups);
-            let layers = |group: &Group, share: f64| {
-                group.layers(model, share * shape.room_tokens)
-            };
-            let of_larger = shape.groups[..larger_count].iter();
-            let others: u32 = of_larger.map(|g| layers(g, 1.0)).sum();
-            let beside: u32 = row.iter().map(|g| layers(g, FAST_ROOM)).sum();
-            if shape.is_whole && others + beside >= model.layer_count {
-                return Some(Shape { way: Way::FastBeside(row), ..shape });
-            }
-        }
-        None
-    }
-
-    /// An engine by itself, if it holds layers beside slower ones.
-    pub(crate) fn fast_of(&self, engine: usize) -> Option<&Group> {
-        match &self.way {
-            Way::Even => None,
-            Way::FastBeside(fast) => {
-                fast.iter().find(|group| group.engines.contains(&engine))
-            }
-        }
-    }
-
-    /// Layers that a fast engine holds beside others.
-    pub(crate) fn fast_layers(&self, model: &LayoutModel, of: &Group) -> u32 {
-        of.layers(model, FAST_ROOM * self.room_tokens)
+    /// The engines that hold layers beside slower ones, each by itself, with
+    /// the room that it keeps, in tokens.
+    pub(crate) fn fast(&self) -> impl Iterator<Item = (&Group, f64)> {
+        let (row, room_tokens): (&[Group], f64) = match &self.way {
+            Way::Even => (&[], 0.0),
+            Way::FastBeside { row, room_tokens } => (row, *room_tokens),
+        };
+        row.iter().map(move |group| (group, room_tokens))
     }
 
     /// The same with as many engines in the first group as raise what can run.
-    fn with_more_first(
+    pub(crate) fn with_more_first(
         mut self,
         model: &LayoutModel,
         members: &[Member],
@@ -318,7 +228,7 @@
 
     /// Engines in so many groups of nearly the same count, those of one more
     /// at the smallest.
-    fn with_groups(
+    pub(crate) fn with_groups(
         model: &LayoutModel,
         members: &[Member],
         count: usize,
@@ -340,7 +250,7 @@
     }
 
     /// Of groups, with the most room that leaves a whole copy.
-    fn of(
+    pub(crate) fn of(
         model: &LayoutModel,
         members: &[Member],
         groups: Vec<Group>,
@@ -385,35 +295,3 @@
     let large = large.chunks(each.max(1)).rev().map(Group::new);
     small.chain(large).collect()
 }
-
-/// The fast engines and the others, each in the order given.
-fn split_fast(members: &[Member]) -> (Vec<Member>, Vec<Member>) {
-    let mut times: Vec<f64> = members.iter().map(|m| m.layer_ms).collect();
-    times.sort_by(f64::total_cmp);
-    let middle_ms = times.get(times.len() / 2).copied().unwrap_or(0.0);
-    let is_fast = |m: &Member| m.layer_ms <= FAST_SHARE * middle_ms;
-    members.iter().partition(|member| is_fast(member))
-}
-
-/// Engines of the first group, for as many places as that one would have
-/// where all layers are held by so many.
-fn first_copies(model: &LayoutModel, slow: &[Member], copies: usize) -> usize {
-    let even = Shape::with_groups(model, slow, slow.len() / copies);
-    let even = even.with_more_first(model, slow);
-    even.groups.first().map_or(copies, |g| g.engines.len().max(copies))
-}
-
-/// So many groups of the smallest engines, the first one of more, with the
-/// engines that are left.
-fn larger_groups(
-    slow: &[Member],
-    count: usize,
-    copies: usize,
-    first_copies: usize,
-) -> Option<(Vec<Group>, &[Member])> {
-    let (first, slow) = slow.split_at_checked(first_copies)?;
-    let (larger, rest) = slow.split_at_checked((count - 1) * copies)?;
-    let mut groups = vec![Group::new(first)];
-    groups.extend(larger.chunks(copies).map(Group::new));
-    Some((groups, rest))
-}
