--- a/crates/planner/src/fast_beside.rs
+++ b/crates/planner/src/fast_beside.rs
@@ -22,8 +22,9 @@
 /// holds fewer layers.
 const FAST_ROOM: f64 = 0.6;
 /// Share of the even room that must be left where fast engines stand beside
-/// others: streams that are faster hold their memory for less time.
-const LEAST_EVEN_ROOM: f64 = 0.45;
+/// others: far past the usual load room binds, and streams that are faster
+/// make up for a part of it only.
+const LEAST_EVEN_ROOM: f64 = 0.75;
 /// Most time of a token, as a share of that of the even way, for which room
 /// is given.
 const MOST_EVEN_TIME: f64 = 0.9;
