Broken attempts tell fingerprint, time since they began and events

Cause: the incident's hypotheses can't be told apart from the logs: nothing says which ids are the same request (client account, path, body), nor whether an attempt that broke off had begun. Change: relay_broken carries a digest of the request, how long the engine had been answering (empty where it had not begun), and the events of that attempt. The digest is taken only where a line is written. No logic changes.

--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -11,6 +11,7 @@
 //! | `path` | the engines that a request passes through |
 //! | `crossing` | what goes between data centres |
 //! | `exchange` | one request to one backend server |
+//! | `fingerprint` | what tells that two requests are the same |
 //! | `answer`, `ended` | answers of our own, and how a request ended |
 
 pub(crate) mod admit;
@@ -20,6 +21,7 @@
 pub(crate) mod ended;
 pub mod events;
 pub(crate) mod exchange;
+pub(crate) mod fingerprint;
 pub(crate) mod path;
 pub(crate) mod plain;
 pub(crate) mod queue;
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -30,6 +30,7 @@
         answer::{Framing, Reason, passed_head, promises_not_run},
         ended::{After, Ended, refuse},
         exchange::{self, Addressed},
+        fingerprint,
     },
 };
 
@@ -207,7 +208,7 @@
         match Outbound::connect(engine.address, exchange::DIAL).await {
             Ok(connection) => connection,
             Err(e) => {
-                note_broken(admitted, sent, &e, started_ms);
+                note_broken(request, admitted, sent, &e, started_ms);
                 return Attempt::NotRun;
             }
         };
@@ -237,7 +238,7 @@
         match exchange.await {
             Ok((head, body)) => answered(admitted, sent, head, body),
             Err::<_, chestnutreach_http::relay::OutboundError>(e) => {
-                note_broken(admitted, sent, &e, started_ms);
+                note_broken(request, admitted, sent, &e, started_ms);
                 Attempt::Lost
             }
         }
@@ -341,11 +342,13 @@
 }
 
 fn note_broken(
+    request: &RelayRequest,
     admitted: &Admitted,
     sent: &Sent<'_>,
     error: &dyn std::fmt::Display,
     started_ms: u64,
 ) {
+    let account = admitted.account.as_deref().unwrap_or_default();
     emit(
         Event::RelayBroken,
         &[
@@ -354,6 +357,7 @@
             ("backend", &sent.engine.id),
             ("error", &error),
             ("gap_ms", &now_ms().saturating_sub(started_ms)),
+            ("fingerprint", &fingerprint::of(request, account)),
         ],
     );
 }
--- a/crates/direct/src/request/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -14,7 +14,7 @@
 use chestnutreach_http::relay::{
     AnswerHead, Inbound, LAST_CHUNK, RelayRequest,
 };
-use chestnutreach_routing::{Attempts, Counted};
+use chestnutreach_routing::{Attempts, Counted, Fingerprint};
 use chestnutreach_site::Model;
 use futures_lite::FutureExt as _;
 
@@ -30,6 +30,7 @@
         admit::Admitted,
         answer::{Framing, Reason, passed_head, promises_not_run},
         ended::{After, Ended, refuse, refuse_until},
+        fingerprint,
         path::Path,
     },
 };
@@ -231,6 +232,11 @@
         After::Cut
     }
 
+    fn fingerprint(&self) -> Fingerprint {
+        let account = self.admitted.account.as_deref();
+        fingerprint::of(self.request, account.unwrap_or_default())
+    }
+
     /// Whether it may go to another first engine.
     fn can_move(&self) -> bool {
         self.admitted.left_ms(now_ms()) > 0 && self.attempts.may_go_on()
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -67,6 +67,7 @@
             }
             return self.refused(&mut connection, head).await;
         }
+        self.pace.note_head(now_ms());
         self.pass_events(inbound, &mut watch, &mut connection, &head).await
     }
 
@@ -189,6 +190,7 @@
             }
             self.last_event = event.id.or(self.last_event);
             self.ended.events += 1;
+            self.pace.attempt_events += 1;
             bytes.extend_from_slice(&event.bytes);
         }
         if bytes.is_empty() {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -222,7 +222,7 @@
         "A backend server refused or failed a request.";
     RelayBroken = 904, "relay_broken", Warn,
         ["request", "attempt", "backend", "error", "suspects", "last_event",
-         "gap_ms"],
+         "gap_ms", "fingerprint", "begun_ms", "attempt_events"],
         "The answer of a backend server broke off.";
     PathChanged = 905, "path_changed", Info,
         ["request", "without", "backends", "result", "gap_ms"],
