--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -2,6 +2,7 @@
 //! stand-ins of its store, engines and a plain service.
 
 mod bad_input;
+mod crashing_requests;
 mod faults;
 mod links;
 mod path;
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -296,7 +296,7 @@
     }
     match server.service {
         PLAIN_SERVICE => {
-            run_plain(world, &server, inbound, request, &id).await
+            run_plain(world, address, &server, inbound, request, &id).await
         }
         _ => run_stream(world, address, inbound, request, &id).await,
     }
@@ -319,11 +319,16 @@
 
 async fn run_plain(
     world: &World,
+    address: SocketAddr,
     server: &crate::world::ServerState,
     inbound: &mut Inbound,
     request: &RelayRequest,
     id: &str,
 ) -> bool {
+    if let Some(arrival) = world.note_crashing(&token_of(request)) {
+        world.crash(address, arrival).await;
+        return false;
+    }
     world.note_run(id);
     let runs = world.seen().runs.get(id).copied().unwrap_or(0);
     if runs > 1 && request.path().starts_with(ONCE_PATH) {
@@ -380,6 +385,7 @@
     if let Some((at, status)) = world.missing_part(&path) {
         return refuse(inbound, id, status, at).await;
     }
+    let arrival = world.note_crashing(&token_of(request));
     let state = StreamState { path, stalled_at: None };
     world.change(address, |server| {
         server.streams.insert(id.to_owned(), state);
@@ -396,6 +402,12 @@
         Timer::after(STALL).await;
         return false;
     }
+    if let Some(arrival) = arrival {
+        if inbound.write(&stream_head(id)).await.is_ok() {
+            world.crash(address, arrival).await;
+        }
+        return false;
+    }
     let resets = share(|server| server.loses_answers);
     let is_whole =
         !resets && send_events(world, address, inbound, request, id).await;
@@ -422,6 +434,16 @@
     inbound.write(&out).await.is_ok()
 }
 
+fn stream_head(id: &str) -> Vec<u8> {
+    let mut head = b"HTTP/1.1 200 OK\r\n".to_vec();
+    push_header(&mut head, "x-request-id", id);
+    push_header(&mut head, "x-response-signature", &signature(id));
+    push_header(&mut head, "content-type", "text/event-stream");
+    push_header(&mut head, "transfer-encoding", "chunked");
+    head.extend_from_slice(b"\r\n");
+    head
+}
+
 async fn send_events(
     world: &World,
     address: SocketAddr,
@@ -429,13 +451,7 @@
     request: &RelayRequest,
     id: &str,
 ) -> bool {
-    let mut head = b"HTTP/1.1 200 OK\r\n".to_vec();
-    push_header(&mut head, "x-request-id", id);
-    push_header(&mut head, "x-response-signature", &signature(id));
-    push_header(&mut head, "content-type", "text/event-stream");
-    push_header(&mut head, "transfer-encoding", "chunked");
-    head.extend_from_slice(b"\r\n");
-    if inbound.write(&head).await.is_err() {
+    if inbound.write(&stream_head(id)).await.is_err() {
         return false;
     }
     let last = request.header("last-event-id");
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -17,6 +17,7 @@
 use serde_json::json;
 
 use crate::{
+    engines,
     site::{ACCOUNT, MODEL_SERVICE, PLAIN_SERVICE, Site},
     store::Store,
 };
@@ -36,6 +37,13 @@
 /// How long work waits for a dead engine before it is cut.
 pub(crate) const STALL: Duration = Duration::from_millis(3_000);
 
+/// Requests whose token begins so crash each server that begins to run them.
+pub const CRASHING: &str = "crash";
+/// How long a server runs such a request until it crashes.
+const CRASHES_AFTER: Duration = Duration::from_millis(40);
+/// How long a server that crashed is away.
+const CRASH_LASTS: Duration = Duration::from_millis(900);
+
 /// Whether a server runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Life {
@@ -105,6 +113,46 @@
     pub arrivals: BTreeMap<String, u32>,
     /// Orders to change a path that were carried out.
     pub path_changes: u64,
+    /// Arrivals of requests that crash servers, in their order.
+    pub crashing: Vec<Crashing>,
+}
+
+/// An arrival of a request that crashes servers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Crashing {
+    /// What the request is about; the same for all copies of it.
+    pub token: String,
+    /// When it arrived.
+    pub at: Instant,
+    /// When the server crashed under it; none where it did not.
+    pub crashed_at: Option<Instant>,
+}
+
+impl Seen {
+    /// When servers crashed under a request, in order.
+    pub fn crashes_of(&self, token: &str) -> Vec<Instant> {
+        let own = self.crashing.iter().filter(|c| c.token == token);
+        let mut crashes: Vec<Instant> =
+            own.filter_map(|c| c.crashed_at).collect();
+        crashes.sort();
+        crashes
+    }
+
+    /// Arrivals of a request later than this after its crash of this number,
+    /// counted from 1.
+    pub fn arrivals_after_crash(
+        &self,
+        token: &str,
+        crash: usize,
+        later_than: Duration,
+    ) -> usize {
+        let crashes = self.crashes_of(token);
+        let Some(crashed_at) = crashes.get(crash - 1) else { return 0 };
+        let is_late = |c: &&Crashing| {
+            c.token == token && c.at > *crashed_at + later_than
+        };
+        self.crashing.iter().filter(is_late).count()
+    }
 }
 
 #[derive(Debug, Default)]
@@ -280,6 +328,46 @@
         *count.or_default() += 1;
     }
 
+    /// Notes the arrival of a request if it crashes servers; which arrival.
+    pub(crate) fn note_crashing(&self, token: &str) -> Option<usize> {
+        if !token.starts_with(CRASHING) {
+            return None;
+        }
+        let mut state = self.lock();
+        let arrivals = &mut state.seen.crashing;
+        arrivals.push(Crashing {
+            token: token.to_owned(),
+            at: Instant::now(),
+            crashed_at: None,
+        });
+        Some(arrivals.len() - 1)
+    }
+
+    /// Crashes a server under a request; an empty one is back later.
+    pub(crate) async fn crash(&self, address: SocketAddr, arrival: usize) {
+        let Some(server) = self.server(address) else { return };
+        Timer::after(CRASHES_AFTER).await;
+        // Another request may have crashed it meanwhile.
+        let runs = |s: ServerState| s.id == server.id && s.life != Life::Ended;
+        if !self.server(address).is_some_and(runs) {
+            return;
+        }
+        self.lock().seen.crashing[arrival].crashed_at = Some(Instant::now());
+        self.end(address);
+        let world = self.clone();
+        let later = async move {
+            Timer::after(CRASH_LASTS).await;
+            // An address that is still held is reused by nobody.
+            let _ = engines::start(
+                &world,
+                server.service,
+                &server.data_centre,
+                address.port(),
+            );
+        };
+        self.shared.executor.spawn(later).detach();
+    }
+
     pub(crate) fn note_run(&self, request: &str) {
         let mut state = self.lock();
         let count = state.seen.runs.entry(request.to_owned());
