A stream that crashed three engines is quarantined at all entries

What callers saw: a stream that crashes each engine that begins it came again at any entry; for half a minute most requests were late, refused or failed. Cause: an entry knew a request by its id only. Nothing told that an id that came was the request under which engines had just ended, an ended engine does not count for the bound on attempts, and entries told each other of the ends of engines, not of what ran there. Ruled out: orders beyond memory (30 of 75 ends had none near), load alone (no end in the 10 s without such requests). Change: a request is known again by a digest of account, method, host, target and body. What had begun less than 300 ms or 4 events before its engine crashed is a suspect; a suspect runs in a trial, one copy at a time in the fleet, at the least used engine where no other is on trial; a run that lasts clears it; three crashes, two of them in trials, quarantine it for ten minutes. Entries tell each other by the alerts that tell ends of engines, and repeat it with their states. Sets of crashes with marks that are only ever set: order, loss and repetition of news do not matter. Why it works: the identity no longer depends on the id or the entry, and the count on who saw the crash. The emulator's client waits for at most a third of its time, as the users' clients do; it waited for ten minutes.

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -21,7 +21,8 @@
     clock::now_ms,
     known::{
         alerts::Alerts, feeds::Feeds, fleet::Fleet, peer_table::PeerTable,
-        told_use::ToldUse, unusable_rows::UnusableRows,
+        suspects::SuspectTable, told_use::ToldUse,
+        unusable_rows::UnusableRows,
     },
     nudges::Nudges,
     request::{crossing::Crossing, queue::PathQueues},
@@ -68,6 +69,8 @@
     pub(crate) feed_port: AtomicU16,
     /// What was just found of engines.
     pub(crate) alerts: Alerts,
+    /// Requests under which engines crashed.
+    pub(crate) suspects: SuspectTable,
     /// Engines that others told that they use.
     pub(crate) told_use: ToldUse,
     /// What own requests send between data centres.
@@ -118,6 +121,7 @@
             feeds: Feeds::new(),
             feed_port: AtomicU16::new(0),
             alerts: Alerts::default(),
+            suspects: SuspectTable::default(),
             told_use: ToldUse::default(),
             crossing: Crossing::default(),
             retries: ByService::default(),
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -294,6 +294,7 @@
         "engines_watched": watched,
         "is_planner": core.is_planner.load(Relaxed),
         "entries": core.peers.entry_count(),
+        "suspects": core.suspects.status(),
         "in_flight": core.in_flight.load(Relaxed),
         "backends": engines,
     })
--- a/crates/direct/src/known.rs
+++ b/crates/direct/src/known.rs
@@ -9,6 +9,7 @@
 //! | `fleet`, `engine` | what is known of backend servers |
 //! | `probe` | noticing that one is dead, slow, or back |
 //! | `engine_watch`, `alerts` | who watches which engine, and tells all |
+//! | `suspects` | requests under which engines crashed |
 //! | `peers`, `peer_table`, `told_use` | what entries tell each other |
 
 pub(crate) mod alerts;
@@ -23,5 +24,6 @@
 pub(crate) mod peer_table;
 pub(crate) mod peers;
 pub(crate) mod probe;
+pub(crate) mod suspects;
 pub(crate) mod told_use;
 pub(crate) mod unusable_rows;
--- a/crates/direct/src/known/alerts.rs
+++ b/crates/direct/src/known/alerts.rs
@@ -1,14 +1,41 @@
-//! What this entry has just found of engines, to tell all others at once.
+//! What this entry has just found, to tell all others at once.
 
-use std::{collections::BTreeMap, sync::Mutex};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Mutex, MutexGuard},
+};
 
 use async_channel::{Receiver, Sender};
-use chestnutreach_protocol::peers::EngineUse;
+use chestnutreach_protocol::peers::{EngineUse, RequestTrial};
+use chestnutreach_routing::Fingerprint;
 
-/// What is told with the next alert, by the short hash of the engine.
+/// What is told with the next alert.
+#[derive(Debug, Default)]
+pub(crate) struct Pending {
+    /// Engines, by their short hash.
+    pub(crate) engines: BTreeMap<u32, EngineUse>,
+    /// Requests of which something is new.
+    pub(crate) suspects: BTreeSet<Fingerprint>,
+    /// Trials that began at an engine, or ended.
+    trials: BTreeMap<Fingerprint, Option<u32>>,
+}
+
+impl Pending {
+    /// The trials as they are told.
+    pub(crate) fn trials(&self) -> Vec<RequestTrial> {
+        let trial =
+            |(of, engine): (&Fingerprint, &Option<u32>)| RequestTrial {
+                fingerprint: of.0,
+                engine: engine.unwrap_or_default(),
+            };
+        self.trials.iter().map(trial).collect()
+    }
+}
+
+/// What waits for the next alert.
 #[derive(Debug)]
 pub(crate) struct Alerts {
-    pending: Mutex<BTreeMap<u32, EngineUse>>,
+    pending: Mutex<Pending>,
     sender: Sender<()>,
     receiver: Receiver<()>,
 }
@@ -21,24 +48,41 @@
 }
 
 impl Alerts {
-    /// Tells of an engine with the next alert.
-    pub(crate) fn tell(&self, news: EngineUse) {
-        let mut pending = self.pending.lock().expect("no holder panics");
-        pending.insert(news.engine, news);
-        drop(pending);
+    fn lock(&self) -> MutexGuard<'_, Pending> {
+        self.pending.lock().expect("no holder panics")
+    }
+
+    fn wake(&self) {
         // One that is full has a signal on the way.
         let _ = self.sender.try_send(());
     }
 
+    /// Tells of an engine with the next alert.
+    pub(crate) fn tell(&self, news: EngineUse) {
+        self.lock().engines.insert(news.engine, news);
+        self.wake();
+    }
+
+    /// Tells of a request under which engines crashed.
+    pub(crate) fn tell_suspect(&self, request: Fingerprint) {
+        self.lock().suspects.insert(request);
+        self.wake();
+    }
+
+    /// Tells that a request is on trial at an engine, or no longer.
+    pub(crate) fn tell_trial(&self, of: Fingerprint, engine: Option<u32>) {
+        self.lock().trials.insert(of, engine);
+        self.wake();
+    }
+
     /// Waits until there is something to tell.
     pub(crate) async fn wait(&self) {
         // The sender lives as long as this does.
         let _ = self.receiver.recv().await;
     }
 
-    pub(crate) fn take(&self) -> Vec<EngineUse> {
-        let mut pending = self.pending.lock().expect("no holder panics");
-        std::mem::take(&mut *pending).into_values().collect()
+    pub(crate) fn take(&self) -> Pending {
+        std::mem::take(&mut *self.lock())
     }
 }
 
--- a/crates/direct/src/known/peers.rs
+++ b/crates/direct/src/known/peers.rs
@@ -17,6 +17,7 @@
 use chestnutreach_adapter::store::{StoreClient, StoreError};
 use chestnutreach_membership::telling::{EVERY_MS, Rounds, Whom};
 use chestnutreach_protocol::peers::{EngineUse, PeerState, ServiceUse};
+use chestnutreach_routing::Fingerprint;
 use chestnutreach_site::tables::ENTRIES;
 use chestnutreach_telemetry::{Event, emit};
 use prost::Message as _;
@@ -28,7 +29,7 @@
         alerts::percent,
         engine::{Engine, Use},
         peer_table::{Heard, Silent},
-        probe,
+        probe, suspects,
     },
 };
 
@@ -110,10 +111,15 @@
         core.alerts.wait().await;
         // Engines that were lost together are told together.
         Timer::after(ALERT_GATHERS).await;
+        let pending = core.alerts.take();
+        let suspects = pending.suspects.iter();
+        let news_of = |of: &Fingerprint| core.suspects.news_of(*of);
         let alert = PeerState {
             boot_id: core.boot_id,
             is_alert: true,
-            engines: core.alerts.take(),
+            suspects: suspects.filter_map(news_of).collect(),
+            trials: pending.trials(),
+            engines: pending.engines.into_values().collect(),
             ..PeerState::default()
         };
         let bytes = alert.encode_to_vec();
@@ -170,6 +176,8 @@
         data_centre: core.settings.data_centre.clone(),
         feed_port: core.feed_port.load(Relaxed).into(),
         is_alert: false,
+        suspects: core.suspects.news(),
+        trials: Vec::new(),
     }
 }
 
@@ -177,6 +185,7 @@
     if state.boot_id == core.boot_id || state.boot_id == 0 {
         return;
     }
+    suspects::hear(core, state);
     if state.is_alert {
         take_alert(core, state);
         return;
--- a/crates/direct/src/known/probe.rs
+++ b/crates/direct/src/known/probe.rs
@@ -202,6 +202,15 @@
     }
 }
 
+/// Whether an engine has crashed, as far as is known now: its process ended,
+/// and it was not leaving. One that is silent may be cut off.
+pub(crate) fn has_crashed(engine: &Engine) -> bool {
+    let state = engine.lock();
+    let evidence = state.suspicion.map(|suspicion| suspicion.evidence);
+    let has_ended = state.is_replaced || evidence == Some(Evidence::Refused);
+    has_ended && state.leaving_since_ms.is_none()
+}
+
 /// Dials; a lost packet alone is no failure.
 async fn dial(engine: &Engine, dials: usize) -> io::Result<()> {
     let mut dialled = Ok(());
--- /dev/null
+++ b/crates/direct/src/known/suspects.rs
@@ -0,0 +1,322 @@
+//! Requests under which engines crashed, as all entries know them.
+//!
+//! The decisions are in [`chestnutreach_routing::quarantine`]; here they meet
+//! the clock, the logs and the other entries. Requests on the way look here
+//! first without a lock: most of the time nothing is known of any.
+
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicUsize, Ordering::Relaxed},
+    },
+};
+
+use chestnutreach_protocol::peers::{
+    EngineCrash, PeerState, RequestTrial, SuspectRequest,
+};
+use chestnutreach_routing::{
+    Fingerprint, RunStart, SuspectNews, Suspects, Trials, Verdict,
+    quarantine::CrashNews,
+};
+use chestnutreach_telemetry::{Event, emit};
+
+use crate::{clock::now_ms, core::Core, known::engine::Engine};
+
+/// Requests under which engines crashed, and their trials.
+#[derive(Debug, Default)]
+pub(crate) struct SuspectTable {
+    state: Mutex<State>,
+    /// Requests that are remembered.
+    count: AtomicUsize,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    suspects: Suspects,
+    trials: Trials,
+}
+
+/// A run that broke off as its engine crashed.
+pub(crate) struct CrashedRun<'a> {
+    /// Id of the request.
+    pub(crate) request: &'a str,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) engine: &'a Engine,
+    pub(crate) start: RunStart,
+    pub(crate) is_in_trial: bool,
+}
+
+/// A trial of a request of this entry, until it is dropped.
+pub(crate) struct TrialHold {
+    core: Arc<Core>,
+    fingerprint: Fingerprint,
+}
+
+impl Drop for TrialHold {
+    fn drop(&mut self) {
+        let core = &self.core;
+        let mut state = core.suspects.lock();
+        state.trials.end(self.fingerprint, core.boot_id);
+        drop(state);
+        core.alerts.tell_trial(self.fingerprint, None);
+    }
+}
+
+impl SuspectTable {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// Changes what is known of requests.
+    fn change<T>(&self, change: impl FnOnce(&mut Suspects) -> T) -> T {
+        let mut state = self.lock();
+        let changed = change(&mut state.suspects);
+        self.count.store(state.suspects.len(), Relaxed);
+        changed
+    }
+
+    /// Whether nothing is known of any request.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.count.load(Relaxed) == 0
+    }
+
+    /// What may be done with a request.
+    pub(crate) fn verdict(&self, request: Fingerprint) -> Verdict {
+        self.lock().suspects.verdict(request, now_ms())
+    }
+
+    /// Engines at which a suspect is on trial, by their short hashes.
+    pub(crate) fn trial_engines(&self) -> BTreeSet<u32> {
+        self.lock().trials.servers(now_ms())
+    }
+
+    /// Whether the trial of a request is still this process's.
+    pub(crate) fn is_trial_held(
+        &self,
+        request: Fingerprint,
+        boot_id: u64,
+    ) -> bool {
+        self.lock().trials.is_held(request, boot_id, now_ms())
+    }
+
+    /// What is told of requests with the next state; what has expired is
+    /// forgotten.
+    pub(crate) fn news(&self) -> Vec<SuspectRequest> {
+        if self.is_empty() {
+            return Vec::new();
+        }
+        let now_ms = now_ms();
+        let news = self.change(|suspects| {
+            suspects.forget(now_ms);
+            suspects.news(now_ms)
+        });
+        news.into_iter().map(to_message).collect()
+    }
+
+    /// What is told at once of a request.
+    pub(crate) fn news_of(&self, of: Fingerprint) -> Option<SuspectRequest> {
+        let news = self.lock().suspects.news_of(of, now_ms());
+        news.map(to_message)
+    }
+
+    /// All requests that are remembered, for operators.
+    pub(crate) fn status(&self) -> Vec<serde_json::Value> {
+        let now_ms = now_ms();
+        let state = self.lock();
+        let suspects = &state.suspects;
+        let of_request = |(request, _)| {
+            let news = suspects.news_of(request, now_ms)?;
+            let (name, left_ms) = match suspects.verdict(request, now_ms) {
+                Verdict::Free => ("free", 0),
+                Verdict::Suspect { .. } => ("suspect", 0),
+                Verdict::Quarantined { until_ms, .. } => {
+                    ("quarantined", until_ms.saturating_sub(now_ms))
+                }
+            };
+            Some(serde_json::json!({
+                "fingerprint": request.to_string(),
+                "verdict": name,
+                "left_ms": left_ms,
+                "crashes": crashes_json(&news),
+            }))
+        };
+        suspects.iter().filter_map(of_request).collect()
+    }
+}
+
+fn crashes_json(news: &SuspectNews) -> Vec<serde_json::Value> {
+    let crash = |crash: &CrashNews| {
+        serde_json::json!({
+            "backend_hash": format!("{:08x}", crash.server),
+            "age_ms": crash.age_ms,
+            "is_in_trial": crash.is_in_trial,
+            "is_void": crash.is_void,
+        })
+    };
+    news.crashes.iter().map(crash).collect()
+}
+
+fn to_message(news: SuspectNews) -> SuspectRequest {
+    let crash = |crash: CrashNews| EngineCrash {
+        engine: crash.server,
+        age_ms: crash.age_ms,
+        is_in_trial: crash.is_in_trial,
+        is_void: crash.is_void,
+    };
+    SuspectRequest {
+        fingerprint: news.fingerprint.0,
+        crashes: news.crashes.into_iter().map(crash).collect(),
+    }
+}
+
+fn from_message(told: &SuspectRequest) -> SuspectNews {
+    let crash = |crash: &EngineCrash| CrashNews {
+        server: crash.engine,
+        age_ms: crash.age_ms,
+        is_in_trial: crash.is_in_trial,
+        is_void: crash.is_void,
+    };
+    SuspectNews {
+        fingerprint: Fingerprint(told.fingerprint),
+        crashes: told.crashes.iter().map(crash).collect(),
+    }
+}
+
+/// Takes that an engine crashed under a run that had only just begun.
+pub(crate) fn note_crash(core: &Core, run: &CrashedRun<'_>) {
+    let now_ms = now_ms();
+    let fingerprint = run.fingerprint;
+    let before = core.suspects.verdict(fingerprint);
+    let is_news = core.suspects.change(|suspects| {
+        let server = run.engine.hash;
+        suspects.note_crash(fingerprint, server, run.is_in_trial, now_ms)
+    });
+    let begun_ms = run.start.age_ms(now_ms);
+    let begun_ms = begun_ms.map_or_else(String::new, |ms| ms.to_string());
+    emit(
+        Event::RequestSuspected,
+        &[
+            ("request", &run.request),
+            ("fingerprint", &fingerprint),
+            ("backend", &run.engine.id),
+            ("begun_ms", &begun_ms),
+            ("attempt_events", &run.start.events()),
+            ("is_in_trial", &run.is_in_trial),
+            ("crashes", &crash_count(core, fingerprint)),
+        ],
+    );
+    if is_news {
+        core.alerts.tell_suspect(fingerprint);
+        note_change(core, fingerprint, before, "own");
+    }
+}
+
+/// Takes that a run of a request has lasted: it crashes nothing.
+pub(crate) fn note_lasted(core: &Core, fingerprint: Fingerprint, id: &str) {
+    if core.suspects.verdict(fingerprint) != Verdict::Free {
+        clear(core, fingerprint, id, "lasted");
+    }
+}
+
+/// Has crashes under a request no longer count; true if some did.
+pub(crate) fn clear(
+    core: &Core,
+    fingerprint: Fingerprint,
+    request: &str,
+    cause: &str,
+) -> bool {
+    let crashes = crash_count(core, fingerprint);
+    let clear =
+        |suspects: &mut Suspects| suspects.clear(fingerprint, now_ms());
+    if !core.suspects.change(clear) {
+        return false;
+    }
+    emit(
+        Event::RequestCleared,
+        &[
+            ("request", &request),
+            ("fingerprint", &fingerprint),
+            ("crashes", &crashes),
+            ("cause", &cause),
+        ],
+    );
+    core.alerts.tell_suspect(fingerprint);
+    true
+}
+
+fn crash_count(core: &Core, fingerprint: Fingerprint) -> usize {
+    match core.suspects.verdict(fingerprint) {
+        Verdict::Free => 0,
+        Verdict::Suspect { crashes }
+        | Verdict::Quarantined { crashes, .. } => crashes,
+    }
+}
+
+/// Tells of a request that is quarantined now and was not before, and has
+/// the streams that run it leave their engines.
+fn note_change(
+    core: &Core,
+    fingerprint: Fingerprint,
+    before: Verdict,
+    source: &str,
+) {
+    let now = core.suspects.verdict(fingerprint);
+    let Verdict::Quarantined { crashes, until_ms } = now else { return };
+    if matches!(before, Verdict::Quarantined { .. }) {
+        return;
+    }
+    core.metrics.requests_quarantined.inc();
+    let left_ms = until_ms.saturating_sub(now_ms());
+    emit(
+        Event::RequestQuarantined,
+        &[
+            ("fingerprint", &fingerprint),
+            ("crashes", &crashes),
+            ("left_ms", &left_ms),
+            ("source", &source),
+        ],
+    );
+    core.streams.nudge_all();
+}
+
+/// Begins a trial of a request at an engine, unless one of them is on trial.
+pub(crate) fn try_trial(
+    core: &Arc<Core>,
+    fingerprint: Fingerprint,
+    engine: &Engine,
+) -> Option<TrialHold> {
+    let mut state = core.suspects.lock();
+    let (server, holder) = (engine.hash, core.boot_id);
+    if !state.trials.try_begin(fingerprint, server, holder, now_ms()) {
+        return None;
+    }
+    drop(state);
+    core.alerts.tell_trial(fingerprint, Some(server));
+    Some(TrialHold { core: core.clone(), fingerprint })
+}
+
+/// Takes what another entry tells of requests and their trials.
+pub(crate) fn hear(core: &Core, told: &PeerState) {
+    for suspect in &told.suspects {
+        let news = from_message(suspect);
+        let fingerprint = news.fingerprint;
+        let before = core.suspects.verdict(fingerprint);
+        let hear = |suspects: &mut Suspects| suspects.hear(&news, now_ms());
+        if core.suspects.change(hear) {
+            note_change(core, fingerprint, before, "told");
+        }
+    }
+    for trial in &told.trials {
+        hear_trial(core, told.boot_id, trial);
+    }
+}
+
+fn hear_trial(core: &Core, holder: u64, told: &RequestTrial) {
+    let fingerprint = Fingerprint(told.fingerprint);
+    let trials = &mut core.suspects.lock().trials;
+    match told.engine {
+        0 => trials.end(fingerprint, holder),
+        server => trials.hear(fingerprint, server, holder, now_ms()),
+    }
+}
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -12,6 +12,7 @@
 //! | `crossing` | what goes between data centres |
 //! | `exchange` | one request to one backend server |
 //! | `fingerprint` | what tells that two requests are the same |
+//! | `isolation` | where and when a request may run that crashes servers |
 //! | `answer`, `ended` | answers of our own, and how a request ended |
 
 pub(crate) mod admit;
@@ -22,6 +23,7 @@
 pub mod events;
 pub(crate) mod exchange;
 pub(crate) mod fingerprint;
+pub(crate) mod isolation;
 pub(crate) mod path;
 pub(crate) mod plain;
 pub(crate) mod queue;
--- a/crates/direct/src/request/answer.rs
+++ b/crates/direct/src/request/answer.rs
@@ -40,6 +40,10 @@
     Unknown,
     /// Its time is over, and it may have run.
     TimeOver,
+    /// Servers crashed under requests like it.
+    Quarantined,
+    /// Servers crashed under it.
+    CrashedServers,
 }
 
 impl Reason {
@@ -62,8 +66,9 @@
             | Reason::Stopping
             | Reason::NoBackend
             | Reason::NoRoom
-            | Reason::TooLate => 503,
-            Reason::Unknown => 502,
+            | Reason::TooLate
+            | Reason::Quarantined => 503,
+            Reason::Unknown | Reason::CrashedServers => 502,
             Reason::TimeOver => 504,
         }
     }
@@ -80,12 +85,15 @@
             Reason::TooLate => "too_late",
             Reason::Unknown => "unknown",
             Reason::TimeOver => "time_over",
+            Reason::Quarantined => "quarantined",
+            Reason::CrashedServers => "crashed_servers",
         }
     }
 
     pub(crate) fn outcome(self) -> &'static str {
         match self {
             Reason::Unknown | Reason::TimeOver => "unknown",
+            Reason::CrashedServers => "failed",
             _ => "not_run",
         }
     }
--- a/crates/direct/src/request/route.rs
+++ b/crates/direct/src/request/route.rs
@@ -47,6 +47,8 @@
     pub(crate) crossing_use: f64,
     /// Other entries that have not told yet what they use.
     pub(crate) untold_entries: u64,
+    /// The only engine that may be first, where there is one.
+    pub(crate) only_first: Option<&'a Arc<Engine>>,
 }
 
 impl Fleet {
@@ -153,6 +155,11 @@
             return path_among(&engines.all, need, request, used);
         }
         let mut near = sample(&engines, request.data_centre);
+        if let Some(first) = need.only_first
+            && !near.iter().any(|engine| Arc::ptr_eq(engine, first))
+        {
+            near.push(first.clone());
+        }
         let path = path_among(&near, need, request, used);
         if path.is_some() {
             return path;
@@ -166,6 +173,31 @@
     }
 }
 
+/// The engine outside of a set that runs the fewest requests first, of those
+/// that may be first; one of the own data centre if there is one.
+pub(crate) fn least_used_first(
+    fleet: &Fleet,
+    need: &PathNeed<'_>,
+    outside: &BTreeSet<u32>,
+) -> Option<Arc<Engine>> {
+    let may_be_first = |engine: &&Arc<Engine>| {
+        let state = engine.lock();
+        let layers = state.lasting_layers();
+        !outside.contains(&engine.hash)
+            && !need.without.contains(&engine.incarnation)
+            && layers.is_some_and(|layers| layers.first_layer == 0)
+            && takes_work(&state, need.now_ms)
+            && engine.first_count() < u64::from(state.row.slots)
+    };
+    let rank = |engine: &&Arc<Engine>| {
+        let is_far = engine.data_centre != need.data_centre;
+        (is_far, engine.first_count(), engine.hash)
+    };
+    let engines = fleet.of_service(need.service);
+    let usable = engines.all.iter().filter(may_be_first);
+    usable.min_by_key(rank).cloned()
+}
+
 /// Engines of a data centre, evenly from all of them.
 fn sample(engines: &OfService, data_centre: usize) -> Vec<Arc<Engine>> {
     let Some(here) = engines.here.get(data_centre) else {
@@ -219,7 +251,10 @@
         busy: engine.reading_share(need.now_ms) * state.slowness,
         total_token_layers: (total as f64 * PLANNED_SHARE) as u64,
         is_usable: !is_named && takes_work(&state, need.now_ms),
-        may_be_first: engine.first_count() < u64::from(state.row.slots)
+        may_be_first: need
+            .only_first
+            .is_none_or(|first| first.incarnation == engine.incarnation)
+            && engine.first_count() < u64::from(state.row.slots)
             && (!need.is_choosy
                 || engine.answers.is_open_to_requests(need.now_ms)),
     }
--- a/crates/direct/src/request/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -8,7 +8,11 @@
 //! client sees one answer, with the head of the first engine, and only whole
 //! events in their order.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+};
 
 use chestnutreach_adapter::clients;
 use chestnutreach_http::relay::{
@@ -30,12 +34,13 @@
         admit::Admitted,
         answer::{Framing, Reason, passed_head, promises_not_run},
         ended::{After, Ended, refuse, refuse_until},
-        fingerprint,
+        isolation::{self, Trial},
         path::Path,
     },
 };
 
 mod attempt;
+mod isolate;
 mod pace;
 mod room;
 mod seek;
@@ -90,6 +95,11 @@
     path: Path,
     holds: Vec<Hold>,
     running: Option<RunningTokens>,
+    fingerprint: OnceLock<Fingerprint>,
+    /// Its trial, if this attempt is one.
+    trial: Option<Trial>,
+    /// It has run for so long that it crashes no engine.
+    has_lasted: bool,
     /// Whether it was not let wait for room.
     is_refused_room: bool,
     is_head_sent: bool,
@@ -130,6 +140,9 @@
         path: Path::default(),
         holds: Vec::new(),
         running: None,
+        fingerprint: OnceLock::new(),
+        trial: None,
+        has_lasted: false,
         is_refused_room: false,
         is_head_sent: false,
         last_event: last_event(request),
@@ -179,7 +192,7 @@
                 caller.hung_up().await;
                 None
             };
-            let sought = async { Some(self.seek_path().await) };
+            let sought = async { Some(self.find_path().await) };
             match sought.or(gone).await {
                 Some(true) => {}
                 Some(false) => return self.give_up(inbound).await,
@@ -189,7 +202,10 @@
             let end = self.attempt(inbound).await;
             self.note_answer(&end);
             match end {
-                AttemptEnd::Whole => return self.finish(inbound).await,
+                AttemptEnd::Whole => {
+                    self.note_lasted();
+                    return self.finish(inbound).await;
+                }
                 AttemptEnd::CallerGone => return self.note_caller_gone(),
                 AttemptEnd::NotRun(at) => self.avoid(at),
                 AttemptEnd::Broken => self.leave_first().await,
@@ -204,8 +220,8 @@
                 }
                 AttemptEnd::TimeOver => return self.give_up(inbound).await,
             }
-            self.holds.clear();
-            self.running = None;
+            self.release_path();
+            self.trial = None;
         }
     }
 
@@ -232,11 +248,6 @@
         After::Cut
     }
 
-    fn fingerprint(&self) -> Fingerprint {
-        let account = self.admitted.account.as_deref();
-        fingerprint::of(self.request, account.unwrap_or_default())
-    }
-
     /// Whether it may go to another first engine.
     fn can_move(&self) -> bool {
         self.admitted.left_ms(now_ms()) > 0 && self.attempts.may_go_on()
@@ -251,9 +262,13 @@
         let first = self.path.first().clone();
         self.without.insert(first.incarnation.clone());
         self.cause = "resumed";
+        let may_crash = self.pace.run.may_crash(now_ms());
         match probe::has_ended(self.core, &first, false).await {
             true => self.attempts.has_ended(&first.incarnation),
-            false => self.left.push(first),
+            false => self.left.push(first.clone()),
+        }
+        if may_crash {
+            self.note_crash(&first);
         }
         if self.attempts.may_go_on() {
             return;
@@ -284,17 +299,28 @@
     /// Ends a stream for which nothing more can be done.
     async fn give_up(&mut self, inbound: &mut Inbound) -> After {
         let left_ms = self.admitted.left_ms(now_ms());
-        let reason = Reason::at_end(self.attempts.may_have_run(), left_ms);
-        let reason = match reason {
+        let may_have_run = self.attempts.may_have_run();
+        let quarantine_left_ms = self.quarantine_left_ms();
+        let reason = match Reason::at_end(may_have_run, left_ms) {
+            _ if quarantine_left_ms.is_some() && may_have_run => {
+                Reason::CrashedServers
+            }
+            _ if quarantine_left_ms.is_some() => Reason::Quarantined,
             Reason::NoBackend if self.is_refused_room => Reason::NoRoom,
             reason => reason,
         };
+        if let Some(left_ms) = quarantine_left_ms {
+            let id = self.admitted.id_text();
+            let fingerprint = self.fingerprint();
+            isolation::note_refused(self.core, id, fingerprint, left_ms);
+        }
         if self.is_head_sent {
             self.ended.outcome = "failed";
             self.ended.reason = reason.name().to_owned();
             return After::Cut;
         }
-        let come_back_ms = self.come_back_ms();
+        let come_back_ms =
+            quarantine_left_ms.unwrap_or_else(|| self.come_back_ms());
         let (ended, after) = refuse_until(
             inbound,
             self.request,
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -67,7 +67,7 @@
             }
             return self.refused(&mut connection, head).await;
         }
-        self.pace.note_head(now_ms());
+        self.pace.run.note_begun(now_ms());
         self.pass_events(inbound, &mut watch, &mut connection, &head).await
     }
 
@@ -190,7 +190,7 @@
             }
             self.last_event = event.id.or(self.last_event);
             self.ended.events += 1;
-            self.pace.attempt_events += 1;
+            self.pace.run.note_event();
             bytes.extend_from_slice(&event.bytes);
         }
         if bytes.is_empty() {
@@ -225,6 +225,9 @@
         if !had_begun {
             self.path.first().answers.note_success(now_ms);
         }
+        if !self.has_lasted && self.pace.run.has_lasted(now_ms) {
+            self.note_lasted();
+        }
         let is_first = self.ended.events == 1;
         for stage in &self.path.stages {
             stage.engine.note_progress(now_ms);
--- a/crates/direct/src/request/stream/pace.rs
+++ b/crates/direct/src/request/stream/pace.rs
@@ -1,6 +1,6 @@
 //! How fast a stream goes, and when a pause is worth a look.
 
-use chestnutreach_routing::PauseLook;
+use chestnutreach_routing::{PauseLook, RunStart};
 
 use crate::clock::now_ms;
 
@@ -30,10 +30,8 @@
     pub(super) changed_ms: u64,
     pub(super) usual_gap_ms: f64,
     pub(super) has_begun: bool,
-    /// When the engine of this attempt began to answer.
-    head_ms: Option<u64>,
-    /// Events of this attempt.
-    pub(super) attempt_events: u64,
+    /// The start of the run of this attempt.
+    pub(super) run: RunStart,
     /// Time until the next look at a pause.
     pub(super) look_again_ms: u64,
     /// Whether the pause was told in the logs.
@@ -53,8 +51,7 @@
             changed_ms: 0,
             usual_gap_ms: USUAL_GAP_MS,
             has_begun: false,
-            head_ms: None,
-            attempt_events: 0,
+            run: RunStart::new(),
             look_again_ms: LOOK_AGAIN_MS,
             is_told: false,
             refused_orders: 0,
@@ -88,19 +85,7 @@
     pub(super) fn begin_attempt(&mut self) {
         self.moved_ms = now_ms();
         self.has_begun = false;
-        self.head_ms = None;
-        self.attempt_events = 0;
-    }
-
-    /// The engine of this attempt has begun to answer.
-    pub(super) fn note_head(&mut self, now_ms: u64) {
-        self.head_ms = Some(now_ms);
-    }
-
-    /// How long it has been answering; none before.
-    pub(super) fn begun_ms(&self, now_ms: u64) -> Option<u64> {
-        let head_ms = self.head_ms?;
-        Some(now_ms.saturating_sub(head_ms))
+        self.run = RunStart::new();
     }
 
     pub(super) fn moved(&mut self, now_ms: u64) -> u64 {
--- a/crates/direct/src/request/stream/seek.rs
+++ b/crates/direct/src/request/stream/seek.rs
@@ -26,21 +26,24 @@
 /// Pause before looking again for a path.
 const SEEK_AGAIN: Duration = Duration::from_millis(15);
 
+/// What came of looking for a path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Look {
+    Found,
+    /// There is one, and the shared bound has nothing left.
+    Denied,
+    None,
+}
+
 impl Stream<'_> {
     /// Finds a path, waiting a moment for layers or room.
     pub(super) async fn seek_path(&mut self) -> bool {
         if !self.can_move() {
             return false;
         }
-        // A stream that has begun is not given up while its client waits: a
-        // path may come with any engine that is back, and a cut would only
-        // have the client look for the same.
-        let until_ms = match self.is_head_sent {
-            true => self.admitted.end_ms,
-            false => self.admitted.end_ms.min(now_ms() + LONGEST_WAIT_MS),
-        };
+        let until_ms = self.seek_until_ms();
         if self.cause != FIRST {
-            return self.look_until(until_ms).await;
+            return self.look_until(until_ms).await == Look::Found;
         }
         let queues = &self.core.path_queues;
         if queues.is_idle(&self.admitted.service.name) && self.take_path() {
@@ -54,6 +57,17 @@
         }
     }
 
+    /// Until when a path is sought.
+    pub(super) fn seek_until_ms(&self) -> u64 {
+        // A stream that has begun is not given up while its client waits: a
+        // path may come with any engine that is back, and a cut would only
+        // have the client look for the same.
+        match self.is_head_sent {
+            true => self.admitted.end_ms,
+            false => self.admitted.end_ms.min(now_ms() + LONGEST_WAIT_MS),
+        }
+    }
+
     /// Waits in the queue, then looks for as long as there is time.
     async fn wait_in_turn(&mut self, until_ms: u64) -> bool {
         let joined_ms = now_ms();
@@ -72,7 +86,8 @@
             false
         };
         let has_turn = turn.or(late).await;
-        let is_found = has_turn && self.look_until(until_ms).await;
+        let is_found =
+            has_turn && self.look_until(until_ms).await == Look::Found;
         drop(place);
         self.note_awaited(joined_ms, if is_found { "path" } else { "none" });
         is_found
@@ -91,7 +106,7 @@
     }
 
     /// Looks for a path until one is there.
-    async fn look_until(&mut self, until_ms: u64) -> bool {
+    pub(super) async fn look_until(&mut self, until_ms: u64) -> Look {
         // A stream that has begun waits for the shared bound to leave room,
         // rather than break off.
         let mut needs_retry = self.attempts.made() > 0;
@@ -108,14 +123,14 @@
                 needs_retry = is_denied;
                 if !needs_retry {
                     self.use_path(path);
-                    return true;
+                    return Look::Found;
                 }
                 if !self.is_head_sent {
-                    return false;
+                    return Look::Denied;
                 }
             }
             if now_ms() >= until_ms {
-                return false;
+                return Look::None;
             }
             let pause = if needs_retry { RETRY_AGAIN } else { SEEK_AGAIN };
             Timer::after(pause).await;
@@ -135,6 +150,12 @@
         self.note_running();
     }
 
+    /// Gives up a path that was not used.
+    pub(super) fn release_path(&mut self) {
+        self.holds.clear();
+        self.running = None;
+    }
+
     fn path_now(&self) -> Option<Path> {
         let need = self.need();
         if self.cause == "refused"
@@ -162,6 +183,7 @@
                 .crossing
                 .share(&self.core.peers, self.model.pipe_mbps),
             untold_entries: self.core.untold_entries(),
+            only_first: self.trial.as_ref().map(|trial| &trial.engine),
         }
     }
 
--- a/crates/direct/src/request/stream/told.rs
+++ b/crates/direct/src/request/stream/told.rs
@@ -36,7 +36,7 @@
 
     pub(super) fn note_broken(&self, error: &dyn Display) {
         let last = self.last_event.map_or_else(String::new, |e| e.to_string());
-        let begun_ms = self.pace.begun_ms(now_ms());
+        let begun_ms = self.pace.run.age_ms(now_ms());
         let begun_ms = begun_ms.map_or_else(String::new, |ms| ms.to_string());
         emit(
             Event::RelayBroken,
@@ -50,7 +50,7 @@
                 ("gap_ms", &self.pace.quiet_ms(now_ms())),
                 ("fingerprint", &self.fingerprint()),
                 ("begun_ms", &begun_ms),
-                ("attempt_events", &self.pace.attempt_events),
+                ("attempt_events", &self.pace.run.events()),
             ],
         );
     }
--- a/crates/direct/src/request/stream/watch.rs
+++ b/crates/direct/src/request/stream/watch.rs
@@ -160,6 +160,10 @@
     /// Looks for the cause of a pause and leads the stream around it; false
     /// when it must go on elsewhere.
     async fn look_after(&mut self) -> bool {
+        if self.quarantine_left_ms().is_some() {
+            self.left_because = "the request is quarantined";
+            return false;
+        }
         if self.path.first().is_suspect() && self.is_first_lost() {
             self.left_because = "the first engine seems dead";
             return !self.can_move();
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -23,6 +23,9 @@
 const GAP: Duration = Duration::from_secs(2);
 /// Time for a new connection.
 const DIAL: Duration = Duration::from_secs(1);
+/// A client that is told when to come back waits for at most one part in so
+/// many of the time that it has left.
+const COME_BACK_PART: u32 = 3;
 
 /// Kinds of requests.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -174,13 +177,17 @@
         let entry = entries[(first_entry + index) % entries.len()];
         let id = format!("{:016x}", fastrand::u64(..));
         let (end, come_back) = try_once(wish, entry, &id, &mut reading).await;
-        let may_again = may_try_again(wish.kind, &end);
+        let may_again =
+            may_try_again(wish.kind, &end) && index + 1 < wish.tries;
         let ended_at = Instant::now();
         reading.outcome.tries.push(Try { id, entry, end, ended_at });
         if !may_again {
             break;
         }
-        Timer::after(come_back.unwrap_or_default()).await;
+        let deadline = wish.kind.deadline();
+        let left = deadline.saturating_sub(start.elapsed());
+        let come_back = come_back.unwrap_or_default();
+        Timer::after(come_back.min(left / COME_BACK_PART)).await;
     }
     reading.outcome
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`first_read`] | how long a request waits for the first configuration |
 //! | [`first_wait`] | whether a stream will hardly begin any more |
 //! | [`pause_look`] | when a stream that pauses is looked at |
+//! | [`quarantine`] | which requests crash servers, and may not run |
 //! | [`flow`] | the most tokens a second the hardware allows |
 //!
 //! ```
@@ -89,6 +90,7 @@
 pub mod pause_look;
 pub mod policy;
 pub mod priority;
+pub mod quarantine;
 pub mod retry;
 pub mod retry_window;
 pub mod room_wait;
@@ -125,6 +127,7 @@
 pub use pause_look::PauseLook;
 pub use policy::Policy;
 pub use priority::Priority;
+pub use quarantine::{RunStart, SuspectNews, Suspects, Trials, Verdict};
 pub use retry::RetryBudget;
 pub use retry_window::{RetryBounds, RetryWindow, Sent};
 pub use room_wait::{RoomNeed, RoomWait, RoomWaits};
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -300,6 +300,22 @@
     BackendsRead = 928, "backends_read", Info,
         ["row_version", "backends", "new", "draining", "without_layers"],
         "The whole list of backend servers was read.";
+    RequestSuspected = 929, "request_suspected", Warn,
+        ["request", "fingerprint", "backend", "begun_ms", "attempt_events",
+         "is_in_trial", "crashes"],
+        "A backend server crashed under a request that had just begun there.";
+    RequestQuarantined = 930, "request_quarantined", Error,
+        ["fingerprint", "crashes", "left_ms", "source"],
+        "A request that crashes backend servers is refused from here on.";
+    RequestCleared = 931, "request_cleared", Info,
+        ["request", "fingerprint", "crashes", "cause"],
+        "Crashes under a request no longer count.";
+    QuarantineRefused = 932, "quarantine_refused", Info,
+        ["request", "fingerprint", "left_ms"],
+        "A request was refused since it crashes backend servers.";
+    TrialBegun = 933, "trial_begun", Info,
+        ["request", "fingerprint", "backend", "crashes", "waited_ms"],
+        "A suspect runs, apart from other suspects.";
 }
 
 impl Event {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -62,6 +62,10 @@
     pub control_bytes_sent: IntCounter,
     /// Bytes received that are not part of a request.
     pub control_bytes_received: IntCounter,
+    /// Requests that were quarantined, as this process heard.
+    pub requests_quarantined: IntCounter,
+    /// Requests refused by a quarantine.
+    pub quarantine_refusals: IntCounter,
     /// Claims in one group commit.
     pub claim_commit_size: Histogram,
     step_refusals: IntCounterVec,
@@ -107,6 +111,14 @@
             "control_received_bytes_total",
             "Bytes received from other processes outside requests.",
         );
+        let requests_quarantined = r.counter(
+            "requests_quarantined_total",
+            "Requests that were quarantined, as this process heard.",
+        );
+        let quarantine_refusals = r.counter(
+            "quarantine_refusals_total",
+            "Requests refused by a quarantine.",
+        );
         let claim_commit_size = r.histogram(
             "claim_commit_size",
             &COMMIT_SIZES,
@@ -142,6 +154,8 @@
             links_lost,
             control_bytes_sent,
             control_bytes_received,
+            requests_quarantined,
+            quarantine_refusals,
             claim_commit_size,
             step_refusals,
             table_operations,
