Plain requests that crash their servers are quarantined as streams are

What callers saw: the same fault at plain services: an idempotent lookup, or a non-idempotent letter whose caller asks again, ends one server after another. Cause: as for streams; besides, a plain request whose answer was lost did not look whether its server had ended at all. Change: a lost answer dials its server once; if that has crashed, the request is a suspect there, since an answer comes whole and nobody sees when its run began. Trials, clearing and quarantine are those of streams, in one type that both use (Suspicion).

--- a/crates/direct/src/known/suspects.rs
+++ b/crates/direct/src/known/suspects.rs
@@ -53,6 +53,15 @@
     fingerprint: Fingerprint,
 }
 
+impl TrialHold {
+    /// Whether no trial of another entry goes before it.
+    pub(crate) fn is_held(&self) -> bool {
+        let holder = self.core.boot_id;
+        let trials = &self.core.suspects.lock().trials;
+        trials.is_held(self.fingerprint, holder, now_ms())
+    }
+}
+
 impl Drop for TrialHold {
     fn drop(&mut self) {
         let core = &self.core;
@@ -91,15 +100,6 @@
         self.lock().trials.servers(now_ms())
     }
 
-    /// Whether the trial of a request is still this process's.
-    pub(crate) fn is_trial_held(
-        &self,
-        request: Fingerprint,
-        boot_id: u64,
-    ) -> bool {
-        self.lock().trials.is_held(request, boot_id, now_ms())
-    }
-
     /// What is told of requests with the next state; what has expired is
     /// forgotten.
     pub(crate) fn news(&self) -> Vec<SuspectRequest> {
--- a/crates/direct/src/request/answer.rs
+++ b/crates/direct/src/request/answer.rs
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Why a request ends that is quarantined.
+    pub(crate) fn in_quarantine(may_have_run: bool) -> Reason {
+        match may_have_run {
+            true => Reason::CrashedServers,
+            false => Reason::Quarantined,
+        }
+    }
+
     pub(crate) fn status(self) -> u16 {
         match self {
             Reason::NoRoute => 404,
--- a/crates/direct/src/request/isolation.rs
+++ b/crates/direct/src/request/isolation.rs
@@ -1,12 +1,17 @@
-//! Where and when a suspect may run.
+//! Where and when a request may run that may crash its engines.
 //!
 //! A request under which engines crashed runs in a trial. Of several engines
 //! the one with the fewest requests takes it, where a crash does least harm.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use async_io::Timer;
-use chestnutreach_routing::{Fingerprint, Verdict};
+use chestnutreach_http::relay::RelayRequest;
+use chestnutreach_routing::{Fingerprint, RunStart, Verdict};
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{
@@ -14,8 +19,10 @@
     core::Core,
     known::{
         engine::Engine,
-        suspects::{self, TrialHold},
+        probe,
+        suspects::{self, CrashedRun, TrialHold},
     },
+    request::{admit::Admitted, fingerprint},
 };
 
 /// Time in which entries that begin a trial at the same moment hear of each
@@ -24,11 +31,10 @@
 /// Pause before looking again for an engine without a trial.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
 
-/// A trial that may be made now.
+/// A trial that may be made now. Others are kept from it until it is dropped.
 pub(crate) struct Trial {
     pub(crate) engine: Arc<Engine>,
-    /// Keeps others from it.
-    pub(crate) _hold: TrialHold,
+    hold: TrialHold,
 }
 
 /// How a request may run.
@@ -37,55 +43,88 @@
     Free,
     /// In a trial.
     Trial(Trial),
-    /// Not before its quarantine is over.
-    Quarantined,
-    /// No trial could begin in its time.
+    /// Not now: it is quarantined, or no trial could begin in its time.
     None,
 }
 
-/// A request that wants to run.
-pub(crate) struct Asker<'a> {
-    pub(crate) core: &'a Arc<Core>,
-    /// Id of the request.
-    pub(crate) request: &'a str,
-    pub(crate) fingerprint: Fingerprint,
-    /// Until when it may wait for a trial.
-    pub(crate) until_ms: u64,
+/// What is known of a request that may crash its engines.
+pub(crate) struct Suspicion<'a> {
+    core: &'a Arc<Core>,
+    request: &'a RelayRequest,
+    admitted: &'a Admitted,
+    /// Taken only where something is known of requests.
+    fingerprint: OnceLock<Fingerprint>,
+    /// It has run for so long that it crashes none.
+    has_lasted: bool,
 }
 
-/// Time left of the quarantine of a request; none where it is in none.
-pub(crate) fn quarantine_left_ms(
-    core: &Core,
-    fingerprint: Fingerprint,
-) -> Option<u64> {
-    match core.suspects.verdict(fingerprint) {
-        Verdict::Quarantined { until_ms, .. } => {
-            Some(until_ms.saturating_sub(now_ms()))
+impl<'a> Suspicion<'a> {
+    pub(crate) fn new(
+        core: &'a Arc<Core>,
+        request: &'a RelayRequest,
+        admitted: &'a Admitted,
+    ) -> Suspicion<'a> {
+        Suspicion {
+            core,
+            request,
+            admitted,
+            fingerprint: OnceLock::new(),
+            has_lasted: false,
+        }
+    }
+
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let account = self.admitted.account.as_deref().unwrap_or_default();
+        let of = || fingerprint::of(self.request, account);
+        *self.fingerprint.get_or_init(of)
+    }
+
+    /// Whether it has run for so long that it crashes none.
+    pub(crate) fn has_lasted(&self) -> bool {
+        self.has_lasted
+    }
+
+    fn verdict(&self) -> Verdict {
+        if self.has_lasted || self.core.suspects.is_empty() {
+            return Verdict::Free;
+        }
+        self.core.suspects.verdict(self.fingerprint())
+    }
+
+    /// Whether it may not run like any other.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.verdict() != Verdict::Free
+    }
+
+    /// Time left of its quarantine; none where it is in none.
+    pub(crate) fn quarantine_left_ms(&self) -> Option<u64> {
+        match self.verdict() {
+            Verdict::Quarantined { until_ms, .. } => {
+                Some(until_ms.saturating_sub(now_ms()))
+            }
+            Verdict::Free | Verdict::Suspect { .. } => None,
         }
-        Verdict::Free | Verdict::Suspect { .. } => None,
     }
-}
 
-impl Asker<'_> {
-    /// Waits until it may run; `choose` names an engine outside of a set of
-    /// short hashes.
+    /// Waits until it may run, but not beyond a time; `choose` names an
+    /// engine outside of a set of short hashes.
     pub(crate) async fn turn(
         &self,
+        until_ms: u64,
         choose: impl Fn(&BTreeSet<u32>) -> Option<Arc<Engine>>,
     ) -> Turn {
-        let suspects = &self.core.suspects;
         let asked_ms = now_ms();
         loop {
-            let crashes = match suspects.verdict(self.fingerprint) {
+            let crashes = match self.verdict() {
                 Verdict::Free => return Turn::Free,
                 Verdict::Suspect { crashes } => crashes,
-                Verdict::Quarantined { .. } => return Turn::Quarantined,
+                Verdict::Quarantined { .. } => return Turn::None,
             };
             if let Some(trial) = self.try_trial(&choose).await {
                 self.note_trial(&trial, crashes, now_ms() - asked_ms);
                 return Turn::Trial(trial);
             }
-            if now_ms() >= self.until_ms {
+            if now_ms() >= until_ms {
                 return Turn::None;
             }
             Timer::after(LOOK_AGAIN).await;
@@ -98,41 +137,65 @@
     ) -> Option<Trial> {
         let core = self.core;
         let engine = choose(&core.suspects.trial_engines())?;
-        let hold = suspects::try_trial(core, self.fingerprint, &engine)?;
+        let hold = suspects::try_trial(core, self.fingerprint(), &engine)?;
+        let trial = Trial { engine, hold };
         Timer::after(SETTLE).await;
-        let suspects = &core.suspects;
-        let is_held = suspects.is_trial_held(self.fingerprint, core.boot_id);
-        is_held.then_some(Trial { engine, _hold: hold })
+        trial.hold.is_held().then_some(trial)
+    }
+
+    /// Takes that a run has lasted: it crashes nothing.
+    pub(crate) fn note_lasted(&mut self) {
+        self.has_lasted = true;
+        if !self.core.suspects.is_empty() {
+            let id = self.admitted.id_text();
+            suspects::note_lasted(self.core, self.fingerprint(), id);
+        }
+    }
+
+    /// Takes that a run that had just begun broke off at an engine, which
+    /// may have crashed.
+    pub(crate) fn note_broken(
+        &self,
+        engine: &Engine,
+        start: RunStart,
+        is_in_trial: bool,
+    ) {
+        if self.has_lasted || !probe::has_crashed(engine) {
+            return;
+        }
+        let run = CrashedRun {
+            request: self.admitted.id_text(),
+            fingerprint: self.fingerprint(),
+            engine,
+            start,
+            is_in_trial,
+        };
+        suspects::note_crash(self.core, &run);
     }
 
     fn note_trial(&self, trial: &Trial, crashes: usize, waited_ms: u64) {
         emit(
             Event::TrialBegun,
             &[
-                ("request", &self.request),
-                ("fingerprint", &self.fingerprint),
+                ("request", &self.admitted.id_text()),
+                ("fingerprint", &self.fingerprint()),
                 ("backend", &trial.engine.id),
                 ("crashes", &crashes),
                 ("waited_ms", &waited_ms),
             ],
         );
     }
-}
 
-/// Tells that a request is refused since it is quarantined.
-pub(crate) fn note_refused(
-    core: &Core,
-    request: &str,
-    fingerprint: Fingerprint,
-    left_ms: u64,
-) {
-    core.metrics.quarantine_refusals.inc();
-    emit(
-        Event::QuarantineRefused,
-        &[
-            ("request", &request),
-            ("fingerprint", &fingerprint),
-            ("left_ms", &left_ms),
-        ],
-    );
+    /// Tells that it is refused since it is quarantined.
+    pub(crate) fn note_refused(&self, left_ms: u64) {
+        self.core.metrics.quarantine_refusals.inc();
+        emit(
+            Event::QuarantineRefused,
+            &[
+                ("request", &self.admitted.id_text()),
+                ("fingerprint", &self.fingerprint()),
+                ("left_ms", &left_ms),
+            ],
+        );
+    }
 }
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -3,7 +3,8 @@
 //! The answer is read whole before it is passed on, so that one that breaks
 //! off can be replaced: an idempotent request goes to another backend server,
 //! within its attempts and the shared bound. One that may run once is sent
-//! on only while it surely has not run.
+//! on only while it surely has not run. An answer comes whole at the end of a
+//! run, so whatever was sent may be why its backend server crashes.
 
 use std::{
     collections::BTreeSet,
@@ -13,7 +14,7 @@
 
 use async_io::Timer;
 use chestnutreach_http::relay::{AnswerHead, Inbound, Outbound, RelayRequest};
-use chestnutreach_routing::Counted;
+use chestnutreach_routing::{Counted, RunStart};
 use chestnutreach_site::Reuse;
 use chestnutreach_telemetry::{Event, emit};
 use futures_lite::FutureExt as _;
@@ -24,13 +25,15 @@
     known::{
         engine::{Engine, Hold},
         fleet::takes_work,
+        probe,
     },
     request::{
         admit::Admitted,
         answer::{Framing, Reason, passed_head, promises_not_run},
-        ended::{After, Ended, refuse},
+        ended::{After, Ended, refuse, refuse_until},
         exchange::{self, Addressed},
         fingerprint,
+        isolation::{Suspicion, Trial, Turn},
     },
 };
 
@@ -74,15 +77,19 @@
     let mut tried = BTreeSet::new();
     let mut attempts = admitted.attempts(Counted::Handed);
     let mut kept = None;
+    let mut suspicion = Suspicion::new(core, request, admitted);
     loop {
         let is_further = attempts.made() > 0;
         let service = &admitted.service.name;
+        if suspicion.quarantine_left_ms().is_some() {
+            break;
+        }
         if is_further && !core.take_retry(service) {
             core.note_retry_denied(service, admitted.id_text());
             break;
         }
-        let Some(engine) = wait_for_engine(core, admitted, &tried).await
-        else {
+        let sought = seek_engine(core, admitted, &suspicion, &tried);
+        let Some((engine, trial)) = sought.await else {
             break;
         };
         attempts.begin(&engine.incarnation);
@@ -97,6 +104,10 @@
         };
         let result = attempt(core, request, admitted, &sent).or(gone).await;
         note_result(&engine, &result);
+        let is_in_trial = trial.is_some();
+        note_suspicion(core, &mut suspicion, &engine, &result, is_in_trial)
+            .await;
+        drop(trial);
         match result {
             Attempt::Answered(head, body) => {
                 let is_failure = head.status >= 500;
@@ -131,15 +142,83 @@
                 .await
         }
         None => {
-            let left_ms = admitted.left_ms(now_ms());
-            let reason = Reason::at_end(attempts.may_have_run(), left_ms);
-            refuse(inbound, request, reason, is_last).await
+            let may_have_run = attempts.may_have_run();
+            give_up(
+                inbound,
+                request,
+                admitted,
+                &suspicion,
+                may_have_run,
+                is_last,
+            )
+            .await
         }
     };
     ended.attempts = attempts.made();
     (ended, after)
 }
 
+/// The least busy backend server, waiting a moment if none takes work; with a
+/// trial there for a suspect.
+async fn seek_engine(
+    core: &Core,
+    admitted: &Admitted,
+    suspicion: &Suspicion<'_>,
+    tried: &BTreeSet<String>,
+) -> Option<(Arc<Engine>, Option<Trial>)> {
+    let wait_ms = WAIT_SHARE * admitted.route.target_ms as f64;
+    let until_ms = admitted.end_ms.min(now_ms() + wait_ms as u64);
+    let choose = |outside: &_| least_busy(core, admitted, tried, outside);
+    match suspicion.turn(until_ms, choose).await {
+        Turn::Free => {
+            let engine = wait_for_engine(core, admitted, tried, until_ms);
+            Some((engine.await?, None))
+        }
+        Turn::Trial(trial) => Some((trial.engine.clone(), Some(trial))),
+        Turn::None => None,
+    }
+}
+
+/// Takes what an attempt says of the request: an answer that it crashed
+/// nothing, a broken one that it may have.
+async fn note_suspicion(
+    core: &Arc<Core>,
+    suspicion: &mut Suspicion<'_>,
+    engine: &Arc<Engine>,
+    result: &Attempt,
+    is_in_trial: bool,
+) {
+    match result {
+        Attempt::Answered(head, _) if !exchange::is_not_run(head) => {
+            suspicion.note_lasted();
+        }
+        Attempt::Lost => {
+            probe::has_ended(core, engine, false).await;
+            suspicion.note_broken(engine, RunStart::new(), is_in_trial);
+        }
+        _ => {}
+    }
+}
+
+/// Ends a request for which nothing more can be done.
+async fn give_up(
+    inbound: &mut Inbound,
+    request: &RelayRequest,
+    admitted: &Admitted,
+    suspicion: &Suspicion<'_>,
+    may_have_run: bool,
+    is_last: bool,
+) -> (Ended, After) {
+    let Some(left_ms) = suspicion.quarantine_left_ms() else {
+        let left_ms = admitted.left_ms(now_ms());
+        let reason = Reason::at_end(may_have_run, left_ms);
+        return refuse(inbound, request, reason, is_last).await;
+    };
+    suspicion.note_refused(left_ms);
+    let reason = Reason::in_quarantine(may_have_run);
+    refuse_until(inbound, request, reason, left_ms, is_last).await
+}
+
 /// When an attempt is given up: at the end, or while there is time for
 /// another one.
 fn attempt_end_ms(admitted: &Admitted, attempts: u32) -> u64 {
@@ -151,16 +230,16 @@
     admitted.end_ms.min(admitted.received_ms + hedge_ms as u64)
 }
 
-/// The least busy backend server, waiting a moment if none takes work.
+/// The least busy backend server, waiting until then if none takes work.
 async fn wait_for_engine(
     core: &Core,
     admitted: &Admitted,
     tried: &BTreeSet<String>,
+    until_ms: u64,
 ) -> Option<Arc<Engine>> {
-    let wait_ms = WAIT_SHARE * admitted.route.target_ms as f64;
-    let until_ms = admitted.end_ms.min(now_ms() + wait_ms as u64);
+    let none = BTreeSet::new();
     loop {
-        if let Some(engine) = least_busy(core, admitted, tried) {
+        if let Some(engine) = least_busy(core, admitted, tried, &none) {
             return Some(engine);
         }
         if now_ms() >= until_ms {
@@ -170,10 +249,12 @@
     }
 }
 
+/// The least busy backend server outside of a set of short hashes.
 fn least_busy(
     core: &Core,
     admitted: &Admitted,
     tried: &BTreeSet<String>,
+    outside: &BTreeSet<u32>,
 ) -> Option<Arc<Engine>> {
     let now_ms = now_ms();
     let own = core.own_data_centre();
@@ -184,7 +265,10 @@
         let load = e.first_count() * 100 / slots;
         (e.lock().failures.min(3), load, e.data_centre != own)
     };
-    let fresh = engines.all.iter().filter(|e| !tried.contains(&e.incarnation));
+    let is_fresh = |e: &&Arc<Engine>| {
+        !tried.contains(&e.incarnation) && !outside.contains(&e.hash)
+    };
+    let fresh = engines.all.iter().filter(is_fresh);
     fresh.filter(takes).min_by_key(rank).cloned()
 }
 
--- a/crates/direct/src/request/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -8,17 +8,13 @@
 //! client sees one answer, with the head of the first engine, and only whole
 //! events in their order.
 
-use std::{
-    collections::BTreeSet,
-    net::SocketAddr,
-    sync::{Arc, OnceLock},
-};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use chestnutreach_adapter::clients;
 use chestnutreach_http::relay::{
     AnswerHead, Inbound, LAST_CHUNK, RelayRequest,
 };
-use chestnutreach_routing::{Attempts, Counted, Fingerprint};
+use chestnutreach_routing::{Attempts, Counted};
 use chestnutreach_site::Model;
 use futures_lite::FutureExt as _;
 
@@ -34,7 +30,7 @@
         admit::Admitted,
         answer::{Framing, Reason, passed_head, promises_not_run},
         ended::{After, Ended, refuse, refuse_until},
-        isolation::{self, Trial},
+        isolation::{Suspicion, Trial},
         path::Path,
     },
 };
@@ -95,11 +91,9 @@
     path: Path,
     holds: Vec<Hold>,
     running: Option<RunningTokens>,
-    fingerprint: OnceLock<Fingerprint>,
+    suspicion: Suspicion<'a>,
     /// Its trial, if this attempt is one.
     trial: Option<Trial>,
-    /// It has run for so long that it crashes no engine.
-    has_lasted: bool,
     /// Whether it was not let wait for room.
     is_refused_room: bool,
     is_head_sent: bool,
@@ -140,9 +134,8 @@
         path: Path::default(),
         holds: Vec::new(),
         running: None,
-        fingerprint: OnceLock::new(),
+        suspicion: Suspicion::new(core, request, admitted),
         trial: None,
-        has_lasted: false,
         is_refused_room: false,
         is_head_sent: false,
         last_event: last_event(request),
@@ -203,7 +196,7 @@
             self.note_answer(&end);
             match end {
                 AttemptEnd::Whole => {
-                    self.note_lasted();
+                    self.suspicion.note_lasted();
                     return self.finish(inbound).await;
                 }
                 AttemptEnd::CallerGone => return self.note_caller_gone(),
@@ -268,7 +261,8 @@
             false => self.left.push(first.clone()),
         }
         if may_crash {
-            self.note_crash(&first);
+            let is_in_trial = self.trial.is_some();
+            self.suspicion.note_broken(&first, self.pace.run, is_in_trial);
         }
         if self.attempts.may_go_on() {
             return;
@@ -300,19 +294,16 @@
     async fn give_up(&mut self, inbound: &mut Inbound) -> After {
         let left_ms = self.admitted.left_ms(now_ms());
         let may_have_run = self.attempts.may_have_run();
-        let quarantine_left_ms = self.quarantine_left_ms();
+        let quarantine_left_ms = self.suspicion.quarantine_left_ms();
         let reason = match Reason::at_end(may_have_run, left_ms) {
-            _ if quarantine_left_ms.is_some() && may_have_run => {
-                Reason::CrashedServers
+            _ if quarantine_left_ms.is_some() => {
+                Reason::in_quarantine(may_have_run)
             }
-            _ if quarantine_left_ms.is_some() => Reason::Quarantined,
             Reason::NoBackend if self.is_refused_room => Reason::NoRoom,
             reason => reason,
         };
         if let Some(left_ms) = quarantine_left_ms {
-            let id = self.admitted.id_text();
-            let fingerprint = self.fingerprint();
-            isolation::note_refused(self.core, id, fingerprint, left_ms);
+            self.suspicion.note_refused(left_ms);
         }
         if self.is_head_sent {
             self.ended.outcome = "failed";
--- a/crates/direct/src/request/stream/told.rs
+++ b/crates/direct/src/request/stream/told.rs
@@ -48,7 +48,7 @@
                 ("suspects", &self.suspects()),
                 ("last_event", &last),
                 ("gap_ms", &self.pace.quiet_ms(now_ms())),
-                ("fingerprint", &self.fingerprint()),
+                ("fingerprint", &self.suspicion.fingerprint()),
                 ("begun_ms", &begun_ms),
                 ("attempt_events", &self.pace.run.events()),
             ],
--- a/crates/direct/src/request/stream/watch.rs
+++ b/crates/direct/src/request/stream/watch.rs
@@ -160,7 +160,7 @@
     /// Looks for the cause of a pause and leads the stream around it; false
     /// when it must go on elsewhere.
     async fn look_after(&mut self) -> bool {
-        if self.quarantine_left_ms().is_some() {
+        if self.suspicion.quarantine_left_ms().is_some() {
             self.left_because = "the request is quarantined";
             return false;
         }
