Operators see requests that crash engines, and free them

The port of operators takes orders by POST; other roles take none. site trace also leads from a refused id to what was noted of the same request under other ids. Tests: the tool against two entries, freeing over processes, and messages of requests that no entry writes (no crashes, ages beyond time, 150 at once), which end no entry.

--- /dev/null
+++ b/crates/cli/src/site/quarantine.rs
@@ -0,0 +1,171 @@
+//! Requests that crash engines, as the entries know them, and freeing them.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use anyhow::Context as _;
+use chestnutreach_http::{Client, ClientOptions};
+use clap::{Arg, ArgMatches, Command};
+use serde_json::{Value, json};
+
+use super::state::{self, STORE};
+use crate::{args, daemons, exit::Exit, output, output::Table};
+
+pub(crate) const NAME: &str = "quarantine";
+const FREE: &str = "free";
+/// Digits of a fingerprint.
+const FINGERPRINT_DIGITS: usize = 16;
+
+/// Its arguments.
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Shows requests that crash engines, or frees one of them")
+        .arg(args::address(STORE, "The platform's store").required(true))
+        .arg(
+            Arg::new(FREE)
+                .long(FREE)
+                .value_name("FINGERPRINT")
+                .value_parser(fingerprint)
+                .help("Free this request; entries tell each other"),
+        )
+        .arg(args::timeout(daemons::TIMEOUT_MS))
+        .arg(args::json())
+}
+
+fn fingerprint(text: &str) -> Result<String, String> {
+    let is_digit = |c: char| c.is_ascii_hexdigit();
+    if text.len() != FINGERPRINT_DIGITS || !text.chars().all(is_digit) {
+        let wanted = format!("{FINGERPRINT_DIGITS} hexadecimal digits");
+        return Err(format!("{text:?} is no fingerprint: {wanted}"));
+    }
+    Ok(text.to_ascii_lowercase())
+}
+
+/// Prints the requests, or frees one.
+pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let store: SocketAddr = *args::required(matches, STORE);
+    let timeout = args::timeout_of(matches);
+    let entries = async_io::block_on(state::entries(store, timeout))?;
+    if let Some(fingerprint) = matches.get_one::<String>(FREE) {
+        return async_io::block_on(free(&entries, fingerprint, timeout));
+    }
+    let mut statuses = BTreeMap::new();
+    for (name, address) in entries {
+        let status = async_io::block_on(state::status(address, timeout));
+        statuses.insert(name, status);
+    }
+    let silent = statuses.values().any(Option::is_none);
+    let suspects = by_fingerprint(&statuses);
+    if args::is_json(matches) {
+        output::print_json(&suspects)?;
+    } else {
+        print(&statuses, &suspects)?;
+    }
+    Ok(if silent { Exit::Lagging } else { Exit::Done })
+}
+
+/// What each entry says of each request.
+fn by_fingerprint(
+    statuses: &BTreeMap<String, Option<Value>>,
+) -> BTreeMap<String, BTreeMap<String, Value>> {
+    let mut suspects: BTreeMap<String, BTreeMap<String, Value>> =
+        BTreeMap::new();
+    for (entry, status) in statuses {
+        let told = status.as_ref().and_then(|s| s["suspects"].as_array());
+        for suspect in told.into_iter().flatten() {
+            let Some(name) = suspect["fingerprint"].as_str() else { continue };
+            let of_entries = suspects.entry(name.to_owned()).or_default();
+            of_entries.insert(entry.clone(), suspect.clone());
+        }
+    }
+    suspects
+}
+
+fn print(
+    statuses: &BTreeMap<String, Option<Value>>,
+    suspects: &BTreeMap<String, BTreeMap<String, Value>>,
+) -> anyhow::Result<()> {
+    for (entry, status) in statuses {
+        if status.is_none() {
+            output::print_text(&format!("{entry} does not answer"))?;
+        }
+    }
+    let mut table = Table::new([
+        "fingerprint",
+        "state",
+        "left s",
+        "crashes",
+        "in trials",
+        "void",
+        "last s ago",
+        "entries",
+    ]);
+    for (fingerprint, of_entries) in suspects {
+        // What most is known of.
+        let crashes =
+            |told: &&Value| told["crashes"].as_array().map_or(0, Vec::len);
+        let Some(told) = of_entries.values().max_by_key(crashes) else {
+            continue;
+        };
+        table.push(row(fingerprint, told, of_entries.len(), statuses.len()));
+    }
+    output::print_text(&table.to_string())
+}
+
+fn row(
+    fingerprint: &str,
+    told: &Value,
+    knowing: usize,
+    entries: usize,
+) -> [String; 8] {
+    let crashes = told["crashes"].as_array().cloned().unwrap_or_default();
+    let count = |name: &str| {
+        let with = crashes.iter().filter(|crash| crash[name] == true);
+        with.count().to_string()
+    };
+    let ages = crashes.iter().filter_map(|crash| crash["age_ms"].as_u64());
+    let last_ms = ages.min().unwrap_or(0);
+    let left_ms = told["left_ms"].as_u64().unwrap_or(0);
+    [
+        fingerprint.to_owned(),
+        told["verdict"].as_str().unwrap_or("").to_owned(),
+        (left_ms / 1_000).to_string(),
+        crashes.len().to_string(),
+        count("is_in_trial"),
+        count("is_void"),
+        (last_ms / 1_000).to_string(),
+        format!("{knowing} of {entries}"),
+    ]
+}
+
+/// Frees a request at the first entry that answers, which tells the others.
+async fn free(
+    entries: &[(String, SocketAddr)],
+    fingerprint: &str,
+    timeout: Duration,
+) -> anyhow::Result<Exit> {
+    for (name, address) in entries {
+        let Ok(answer) = order(*address, fingerprint, timeout).await else {
+            continue;
+        };
+        if answer["is_freed"] == true {
+            output::print_text(&format!("{fingerprint} freed at {name}"))?;
+            return Ok(Exit::Done);
+        }
+    }
+    eprintln!("no entry that answers knows of {fingerprint}");
+    Ok(Exit::Failed)
+}
+
+async fn order(
+    address: SocketAddr,
+    fingerprint: &str,
+    timeout: Duration,
+) -> anyhow::Result<Value> {
+    let client = Client::new(address, ClientOptions::new());
+    let target = format!("/quarantine/{fingerprint}/free");
+    let body = json!({}).to_string().into_bytes();
+    let request = client.post_json(&target, body);
+    let request = request.map_err(|e| anyhow::anyhow!(e))?;
+    let (_, body) = client.send(request, timeout).await?;
+    serde_json::from_slice(&body).context("the answer is no JSON")
+}
--- a/crates/cli/src/site/state.rs
+++ b/crates/cli/src/site/state.rs
@@ -59,12 +59,11 @@
     let backends = backends.collect::<Result<Vec<_>, String>>();
     let lease = client.read_row(LEASE, LEASE_KEY, timeout).await?;
     let lease = lease.and_then(|r| serde_json::from_slice(&r.value).ok());
-    let rows = client.read_table(ENTRIES, timeout).await?.rows;
     Ok(Stored {
         configuration,
         backends: backends.map_err(|e| anyhow::anyhow!(e))?,
         lease: lease.unwrap_or(Value::Null),
-        entries: rows.iter().filter_map(entry).collect(),
+        entries: entries(store, timeout).await?,
     })
 }
 
@@ -109,13 +108,27 @@
     Ok(if is_lagging { Exit::Lagging } else { Exit::Done })
 }
 
-async fn status(address: SocketAddr, timeout: Duration) -> Option<Value> {
+/// What an entry says of itself; none if it does not answer.
+pub(crate) async fn status(
+    address: SocketAddr,
+    timeout: Duration,
+) -> Option<Value> {
     let client = Client::new(address, ClientOptions::new());
     let request = client.get("/status").ok()?;
     let (_, body) = client.send(request, timeout).await.ok()?;
     serde_json::from_slice(&body).ok()
 }
 
+/// The entries that the store lists.
+pub(crate) async fn entries(
+    store: SocketAddr,
+    timeout: Duration,
+) -> anyhow::Result<Vec<(String, SocketAddr)>> {
+    let rows = StoreClient::new(store).read_table(ENTRIES, timeout).await;
+    let rows = rows.with_context(|| format!("the store at {store}"))?.rows;
+    Ok(rows.iter().filter_map(entry).collect())
+}
+
 /// How many ready engines hold each layer, by service and data centre.
 fn cover(stored: &Stored) -> BTreeMap<String, BTreeMap<String, Vec<u32>>> {
     let mut cover: BTreeMap<String, BTreeMap<String, Vec<u32>>> =
--- a/crates/cli/src/site/trace.rs
+++ b/crates/cli/src/site/trace.rs
@@ -2,7 +2,7 @@
 //!
 //! The lines of the request come first. Then what the entries noted of the
 //! backend servers that it names and of the store, from a little before its
-//! first line to its last.
+//! first line to its last, and of the same request under other ids.
 
 use std::collections::BTreeSet;
 
@@ -70,7 +70,10 @@
     for line in own {
         print(line)?;
     }
-    output::print_text("what was noted of its backend servers and the store")?;
+    output::print_text(
+        "what was noted of its backend servers, of the store, and of the same \
+         request under other ids",
+    )?;
     for line in around {
         print(line)?;
     }
@@ -102,12 +105,27 @@
     )
 }
 
-/// Lines of the backend servers that the request names, and of the store.
+/// Events of requests that crash backend servers.
+const OF_QUARANTINE: [&str; 4] = [
+    "request_suspected",
+    "request_quarantined",
+    "request_cleared",
+    "trial_begun",
+];
+
+/// Lines of the backend servers that the request names, of the store, and of
+/// the same request under other ids.
 fn around<'a>(lines: &'a [Line], own: &[&Line]) -> Vec<&'a Line> {
     let named: BTreeSet<String> =
         own.iter().flat_map(|line| backends(line)).collect();
     let entries: BTreeSet<&str> =
         own.iter().map(|line| line.file.as_str()).collect();
+    let fingerprints: BTreeSet<&str> = own
+        .iter()
+        .map(|line| line.field("fingerprint"))
+        .filter(|fingerprint| !fingerprint.is_empty())
+        .collect();
+    let own_id = own[0].field("request");
     let last = &own[own.len() - 1].at;
     let is_around = |line: &&Line| {
         let is_before = line.at <= *last;
@@ -115,7 +133,10 @@
             && entries.contains(line.file.as_str());
         let is_backend = line.field("request").is_empty()
             && backends(line).iter().any(|id| named.contains(id));
-        is_before && (is_store || is_backend)
+        let is_same = OF_QUARANTINE.contains(&line.name())
+            && line.field("request") != own_id
+            && fingerprints.contains(line.field("fingerprint"));
+        is_before && (is_store || is_backend || is_same)
     };
     lines.iter().filter(is_around).collect()
 }
--- a/crates/cli/tests/cli/burn.rs
+++ b/crates/cli/tests/cli/burn.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, sync::Arc, time::Duration};
 
-use chestnutreach_telemetry::{Metrics, OpsState, Readiness, serve_ops};
+use chestnutreach_telemetry::{Metrics, OpsState, Readiness, ops, serve_ops};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -217,14 +217,15 @@
 
 fn serve_metrics() -> (std::net::SocketAddr, Arc<Metrics>) {
     let metrics = Arc::new(Metrics::new("entry", "vm-1"));
-    let ops = OpsState {
+    let state = OpsState {
         metrics: metrics.clone(),
         readiness: Arc::new(Readiness::new(&[])),
         status: Box::new(|| json!({"vm": "vm-1", "boot_id": u64::MAX})),
+        order: ops::no_orders(),
     };
     let (listener, address) = listen();
     let executor = executor();
-    let serving = serve_ops(listener, executor.clone(), Arc::new(ops));
+    let serving = serve_ops(listener, executor.clone(), Arc::new(state));
     executor.spawn(serving).detach();
     (address, metrics)
 }
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -4,5 +4,6 @@
 mod burn;
 mod check;
 mod control;
+mod quarantine;
 mod site;
 mod support;
--- a/crates/daemon/src/roles.rs
+++ b/crates/daemon/src/roles.rs
@@ -23,7 +23,7 @@
 use chestnutreach_telemetry::{
     Event, Metrics, OpsState, Readiness, emit,
     metrics::{TableOperation, TableResult},
-    serve_ops,
+    ops, serve_ops,
 };
 
 use crate::{
@@ -102,12 +102,13 @@
         status: impl Fn() -> serde_json::Value + Send + Sync + 'static,
     ) -> anyhow::Result<()> {
         let listener = listen("operators", node.ops_address)?;
-        let ops = Arc::new(OpsState {
+        let state = Arc::new(OpsState {
             metrics: self.metrics.clone(),
             readiness: self.readiness.clone(),
             status: Box::new(status),
+            order: ops::no_orders(),
         });
-        let task = serve_ops(listener, self.executor.clone(), ops);
+        let task = serve_ops(listener, self.executor.clone(), state);
         self.executor.spawn(task).detach();
         Ok(())
     }
--- a/crates/daemon/tests/users_platform/crashing_requests.rs
+++ b/crates/daemon/tests/users_platform/crashing_requests.rs
@@ -2,19 +2,27 @@
 
 use std::{
     collections::BTreeSet,
+    net::{SocketAddr, TcpStream, UdpSocket},
     time::{Duration, Instant},
 };
 
-use async_io::Timer;
+use async_io::{Async, Timer};
 use chestnutreach_emulator::{
     caller::{Kind, Outcome, TryEnd, Wish},
     site::Site,
     soak::Running,
     world::CRASHING,
 };
+use chestnutreach_protocol::peers::{
+    EngineCrash, PeerState, RequestTrial, SuspectRequest,
+};
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
+use prost::Message as _;
 use rstest::rstest;
 
-use crate::support::{assert_kept, on, one, streams, wait_until};
+use crate::support::{
+    assert_all_served, assert_kept, on, on_site, one, streams, wait_until,
+};
 
 /// Time within which all entries know of what happened, as of the platform's
 /// bound on contact.
@@ -150,3 +158,92 @@
         assert_eq!(arrivals(), before);
     });
 }
+
+#[test]
+fn an_operator_frees_a_request_at_all_entries() {
+    on(&site(), async |running| {
+        let wish = crashing(Kind::Stream, 1);
+        one(running, 1, &wish).await;
+        let fingerprints = quarantined(running);
+        let fingerprint = fingerprints.first().expect("it is quarantined");
+        let target = format!("/quarantine/{fingerprint}/free");
+        let answer = post(running.ops_address(0), &target).await;
+        assert!(answer.contains(r#"{"is_freed":true}"#), "{answer}");
+        Timer::after(TOLD_WITHIN).await;
+        let before = running.world.seen().crashing.len();
+        one(running, 2, &wish).await;
+        assert!(running.world.seen().crashing.len() > before);
+    });
+}
+
+/// Posts to a port that answers one request; the whole answer.
+async fn post(address: SocketAddr, target: &str) -> String {
+    let mut socket = Async::<TcpStream>::connect(address).await.unwrap();
+    let head = format!(
+        "POST {target} HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n"
+    );
+    socket.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    socket.read_to_string(&mut answer).await.unwrap();
+    answer
+}
+
+/// A message that no entry writes.
+struct Bad {
+    suspects: Vec<SuspectRequest>,
+    trials: Vec<RequestTrial>,
+}
+
+#[rstest]
+#[case::no_crash(Bad {
+    suspects: vec![SuspectRequest { fingerprint: 1, crashes: Vec::new() }],
+    trials: Vec::new(),
+})]
+#[case::old_beyond_time(Bad {
+    suspects: vec![SuspectRequest {
+        fingerprint: 1,
+        crashes: vec![EngineCrash {
+            engine: 0,
+            age_ms: u64::MAX,
+            is_in_trial: true,
+            is_void: false,
+        }],
+    }],
+    trials: Vec::new(),
+})]
+#[case::many(Bad {
+    suspects: (0..150)
+        .map(|fingerprint| SuspectRequest {
+            fingerprint,
+            crashes: vec![EngineCrash::default(); 3],
+        })
+        .collect(),
+    trials: (0..150)
+        .map(|fingerprint| RequestTrial { fingerprint, engine: 7 })
+        .collect(),
+})]
+fn a_message_of_requests_ends_no_entry(#[case] bad: Bad) {
+    on_site(async |running| {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        for is_alert in [false, true] {
+            let told = PeerState {
+                boot_id: 1,
+                sequence: 1 + u64::from(is_alert),
+                is_alert,
+                suspects: bad.suspects.clone(),
+                trials: bad.trials.clone(),
+                ..PeerState::default()
+            };
+            for entry in 0..running.addresses.len() {
+                let address = running.ops_address(entry);
+                socket.send_to(&told.encode_to_vec(), address).unwrap();
+            }
+        }
+        let load = streams(20.0, Duration::from_secs(2));
+        let report = running.play(&load, &[]).await;
+        assert_all_served(&report);
+        for entry in 0..running.addresses.len() {
+            assert_eq!(running.exit_code(entry), None);
+        }
+    });
+}
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -13,13 +13,14 @@
 use chestnutreach_http::{
     Received, Response, ServerOptions, serve_connection,
 };
+use chestnutreach_routing::Fingerprint;
 use chestnutreach_site::NodeSettings;
 use chestnutreach_telemetry::{Event, OpsState, emit, port::Port, serve_ops};
 use futures_lite::FutureExt as _;
 
 use crate::{
     core::{Core, IS_STOPPING},
-    known::{engine_watch, feed_port, follow, peers, probe},
+    known::{engine_watch, feed_port, follow, peers, probe, suspects},
     orders::{lease::Lease, place},
     request::callers,
 };
@@ -251,13 +252,26 @@
         let core = core.clone();
         move || status(&core)
     };
+    let order = {
+        let core = core.clone();
+        move |path: &str| order(&core, path)
+    };
     Arc::new(OpsState {
         metrics: core.metrics.clone(),
         readiness: core.readiness.clone(),
         status: Box::new(status),
+        order: Box::new(order),
     })
 }
 
+/// Frees a request that is quarantined, at all entries.
+fn order(core: &Core, path: &str) -> Option<serde_json::Value> {
+    let text = path.strip_prefix("/quarantine/")?.strip_suffix("/free")?;
+    let fingerprint = text.parse::<Fingerprint>().ok()?;
+    let is_freed = suspects::clear(core, fingerprint, "", "operator");
+    Some(serde_json::json!({"is_freed": is_freed}))
+}
+
 /// What the entry knows, for operators.
 fn status(core: &Core) -> serde_json::Value {
     let engine = |engine: Arc<crate::known::engine::Engine>| {
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -115,6 +115,11 @@
         self.lock().set(table, key, Some(value))
     }
 
+    /// Writes a row whose value is a text as it stands.
+    pub fn put_text(&self, table: &str, key: &str, text: &str) -> u64 {
+        self.lock().set(table, key, Some(BASE64.encode(text)))
+    }
+
     /// Writes a row whose value is no base64.
     pub fn put_unreadable(&self, table: &str, key: &str) -> u64 {
         self.lock().set(table, key, Some("\u{7}no base64".to_owned()))
--- a/crates/telemetry/src/ops.rs
+++ b/crates/telemetry/src/ops.rs
@@ -6,6 +6,7 @@
 //! | `/ready` | 200, or 503 with what the process waits for |
 //! | `/live` | 200 while the process answers |
 //! | `/status` | what the process knows of itself, as JSON |
+//! | others, by `POST` | orders of an operator that this process takes |
 //!
 //! A connection carries one request and lives for a bounded time: a scraper
 //! that went silent then holds nothing for long. Dialling for each scrape
@@ -46,6 +47,16 @@
 /// Makes the answer of `/status`.
 pub type StatusFn = Box<dyn Fn() -> serde_json::Value + Send + Sync>;
 
+/// Carries out an order, named by its path; none for a path that is no order
+/// of this process.
+pub type OrderFn =
+    Box<dyn Fn(&str) -> Option<serde_json::Value> + Send + Sync>;
+
+/// Takes no orders.
+pub fn no_orders() -> OrderFn {
+    Box::new(|_| None)
+}
+
 /// What the port shows.
 pub struct OpsState {
     /// Answer of `/metrics`.
@@ -54,6 +65,8 @@
     pub readiness: Arc<Readiness>,
     /// Answer of `/status`.
     pub status: StatusFn,
+    /// Answer of a `POST`.
+    pub order: OrderFn,
 }
 
 /// Serves the port until the future is dropped.
@@ -96,21 +109,25 @@
 }
 
 async fn answer(received: Received, ops: &OpsState) -> Response {
-    let method = received.request.method();
-    let mut response = match method {
-        Method::Get | Method::Head => {
-            answer_path(received.request.url().path(), ops)
-        }
-        _ => {
-            let mut response = Response::new(StatusCode::MethodNotAllowed);
-            response.insert_header("allow", "GET, HEAD");
-            response
-        }
+    let path = received.request.url().path();
+    let mut response = match received.request.method() {
+        Method::Get | Method::Head => answer_path(path, ops),
+        Method::Post => match (ops.order)(path) {
+            Some(answer) => json_response(StatusCode::Ok, &answer),
+            None => not_allowed(),
+        },
+        _ => not_allowed(),
     };
     response.insert_header("connection", "close");
     response
 }
 
+fn not_allowed() -> Response {
+    let mut response = Response::new(StatusCode::MethodNotAllowed);
+    response.insert_header("allow", "GET, HEAD");
+    response
+}
+
 fn answer_path(path: &str, ops: &OpsState) -> Response {
     match path {
         "/metrics" => metrics(ops),
--- a/crates/telemetry/tests/ops.rs
+++ b/crates/telemetry/tests/ops.rs
@@ -23,6 +23,9 @@
         metrics: Arc::new(Metrics::new("entry", "vm-1")),
         readiness: Arc::new(Readiness::new(&["manifest"])),
         status: Box::new(|| json!({"vm": "vm-1"})),
+        order: Box::new(|path| {
+            (path == "/order").then(|| json!({"is_done": true}))
+        }),
     });
     let served = state.clone();
     thread::spawn(move || {
@@ -88,6 +91,18 @@
         content_type: "",
         body: "",
     },
+    Case {
+        request: ("POST", "/order"),
+        status: "200",
+        content_type: "application/json",
+        body: r#"{"is_done":true}"#,
+    },
+    Case {
+        request: ("GET", "/order"),
+        status: "404",
+        content_type: "",
+        body: "",
+    },
     Case {
         request: ("POST", "/metrics"),
         status: "405",
