--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -88,13 +88,16 @@
     StoreLink(LinkFault),
     /// The way to a server fails, for all entries.
     ServerLink(LinkFault),
+    /// A stream that crashes each engine that begins it comes again and
+    /// again, at any entry.
+    RequestCrashes,
 }
 
 /// Delay on a link, over what an entry waits for a dial.
 const LINK_DELAY: LinkFault = LinkFault::Delayed(Duration::from_millis(180));
 
 /// Every name of a fault, and what it is.
-const FAULTS: [(&str, FaultKind); 36] = [
+const FAULTS: [(&str, FaultKind); 37] = [
     ("engine-ends", FaultKind::EngineEnds),
     ("engine-dark", FaultKind::EngineDark),
     ("engine-slow", FaultKind::EngineSlow),
@@ -131,6 +134,7 @@
     ("server-link-cut-back", FaultKind::ServerLink(LinkFault::CutBack)),
     ("engine-restarts", FaultKind::EngineRestarts),
     ("rows-foreign", FaultKind::RowsForeign),
+    ("request-crashes", FaultKind::RequestCrashes),
 ];
 
 /// How long a fault lasts where nothing is said.
@@ -154,6 +158,7 @@
                 | FaultKind::AddressReused
                 | FaultKind::StreamsReset
                 | FaultKind::ServerLink(_)
+                | FaultKind::RequestCrashes
         )
     }
 
@@ -167,6 +172,11 @@
         matches!(self, FaultKind::EngineRestarts | FaultKind::RowsForeign)
     }
 
+    /// Whether it is one of requests.
+    pub fn is_of_request(self) -> bool {
+        self == FaultKind::RequestCrashes
+    }
+
     /// Every fault that has a name.
     pub fn all() -> impl Iterator<Item = FaultKind> {
         FAULTS.iter().map(|fault| fault.1)
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -5,6 +5,7 @@
 //! site must serve again, and no promise may have been broken.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     path::Path,
     sync::{Arc, Mutex},
@@ -27,7 +28,7 @@
     report::Report,
     site::{KEY, MODEL_SERVICE, PLAIN_SERVICE, RETRY_RATIO, Site},
     store::{Store, StoreFault},
-    world::{ServerState, World},
+    world::{CRASHING, Seen, ServerState, World},
 };
 
 /// Time for a site to be ready.
@@ -55,6 +56,15 @@
 const IDENTITY_SEEDS: u64 = 1 << 21;
 /// Seeds from which on entries of one data centre share what they learn.
 const SHARED_SEEDS: u64 = 1 << 22;
+/// Seeds from here on have requests that crash engines as well.
+const CRASH_SEEDS: u64 = 1 << 23;
+/// Pause until such a request comes again.
+const CRASHING_EVERY: Duration = Duration::from_millis(200);
+/// Time within which all entries know of what happened.
+const CONTACT: Duration = Duration::from_millis(3_000);
+/// Arrivals of such a request that are allowed later than that after its third
+/// crash.
+const MOST_LATE_ARRIVALS: usize = 3;
 /// Load of a seeded run.
 const LENGTH: Duration = Duration::from_secs(6);
 
@@ -301,10 +311,30 @@
                 let relay = self.world.relay(server);
                 self.break_link(relay, link, fault.length);
             }
+            (FaultKind::RequestCrashes, _) => {
+                self.have_request_crash(rng.u32(..), fault.length);
+            }
             (_, None) => {}
         }
     }
 
+    /// Has a stream come again and again that crashes its engines.
+    fn have_request_crash(&self, number: u32, length: Duration) {
+        let token = format!("{CRASHING}-{number}");
+        let wish = Wish::new(Kind::Stream, &token, 1);
+        let wish = Wish { tries: 1, ..wish };
+        let entries = self.addresses.clone();
+        let until = Instant::now() + length + CONTACT;
+        let come = async move {
+            while Instant::now() < until {
+                let first = fastrand::usize(..entries.len());
+                make(&wish, &entries, first, Duration::ZERO).await;
+                Timer::after(CRASHING_EVERY).await;
+            }
+        };
+        self.executor.spawn(come).detach();
+    }
+
     /// Breaks a link for a time, if there is one.
     fn break_link(
         &self,
@@ -557,6 +587,7 @@
     let kinds: Vec<FaultKind> = FaultKind::all()
         .filter(|kind| has_links || !kind.is_of_link())
         .filter(|kind| seed >= IDENTITY_SEEDS || !kind.is_of_identity())
+        .filter(|kind| seed >= CRASH_SEEDS || !kind.is_of_request())
         .collect();
     let mut faults: Vec<Fault> = (0..FAULTS)
         .map(|_| Fault {
@@ -565,6 +596,9 @@
             length: Duration::from_millis(rng.u64(300..2_500)),
         })
         .collect();
+    if seed >= CRASH_SEEDS {
+        faults[0].kind = FaultKind::RequestCrashes;
+    }
     faults.sort_by_key(|fault| fault.at);
     let load = Load {
         per_s: [
@@ -623,6 +657,33 @@
         .then(|| format!("{further} further arrivals, over {bound:.0}"))
 }
 
+/// Requests that went on to engines long after three had crashed.
+fn crashed_on(seen: &Seen) -> Vec<String> {
+    let tokens: BTreeSet<&str> =
+        seen.crashing.iter().map(|c| c.token.as_str()).collect();
+    let late = |token: &&str| {
+        seen.arrivals_after_crash(token, 3, CONTACT) > MOST_LATE_ARRIVALS
+    };
+    let broken = tokens.into_iter().filter(late);
+    broken.map(|token| format!("{token}: goes on to engines")).collect()
+}
+
+/// Requests that were quarantined beyond those that crash engines.
+fn harmless_quarantined(running: &Running) -> Option<String> {
+    let seen = running.world.seen();
+    let crashing: BTreeSet<&str> =
+        seen.crashing.iter().map(|c| c.token.as_str()).collect();
+    let logs = running.logs();
+    let fingerprint = |line| {
+        let rest = str::split_once(line, "\"fingerprint\":\"")?.1;
+        rest.split('"').next()
+    };
+    let lines = logs.lines().filter(|l| l.contains("request_quarantined"));
+    let quarantined: BTreeSet<&str> = lines.filter_map(fingerprint).collect();
+    (quarantined.len() > crashing.len())
+        .then(|| format!("{quarantined:?} quarantined for {crashing:?}"))
+}
+
 /// What a seeded run broke; empty when nothing. Logs of entries are kept in
 /// a directory when something was.
 ///
@@ -643,6 +704,8 @@
     if !running.recovers().await {
         broken.push(format!("not served again within {RECOVER:?}"));
     }
+    broken.extend(crashed_on(&running.world.seen()));
+    broken.extend(harmless_quarantined(&running));
     broken.extend(beyond_bound(&report, experiment.site.retry_slack));
     if let Some(dir) = logs.filter(|_| !broken.is_empty()) {
         running.entries().keep_logs(&dir.join(seed.to_string()))?;
