What is told of quarantined requests does not grow with the entries

Cause: each state repeated up to four older requests; an entry among hundreds hears 180 states a second, so that one quarantined request would have cost 10 KB a second (180 x 55 bytes), the whole bound for control (computed). Change: an entry hears of each three times a second, and 80 times of all, whatever their number: some 0.2 KB a second for one, 4.4 KB for 27 and more. Tests: one request among hundreds of entries is told 1 to 9 times a second; 60 requests still reach an entry that hears only states within 3 s.

--- a/crates/direct/src/known/peers.rs
+++ b/crates/direct/src/known/peers.rs
@@ -176,11 +176,20 @@
         data_centre: core.settings.data_centre.clone(),
         feed_port: core.feed_port.load(Relaxed).into(),
         is_alert: false,
-        suspects: core.suspects.news(),
+        suspects: core.suspects.news(states_per_s(core)),
         trials: Vec::new(),
     }
 }
 
+/// States that an entry hears in a second, about as many as it sends.
+fn states_per_s(core: &Core) -> f64 {
+    let at_once = [Whom::Near, Whom::Far]
+        .into_iter()
+        .map(|whom| core.peers.addresses_of(whom).len().min(whom.at_once()));
+    let at_once: usize = at_once.sum();
+    at_once as f64 * 1e3 / EVERY_MS as f64
+}
+
 fn take(core: &Arc<Core>, from: SocketAddr, state: &PeerState) {
     if state.boot_id == core.boot_id || state.boot_id == 0 {
         return;
--- a/crates/direct/src/known/suspects.rs
+++ b/crates/direct/src/known/suspects.rs
@@ -123,16 +123,16 @@
         self.lock().trials.servers(now_ms())
     }
 
-    /// What is told of requests with the next state; what has expired is
-    /// forgotten.
-    pub(crate) fn news(&self) -> Vec<SuspectRequest> {
+    /// What is told of requests with the next state, of which each entry hears
+    /// so many a second; what has expired is forgotten.
+    pub(crate) fn news(&self, states_per_s: f64) -> Vec<SuspectRequest> {
         if self.is_empty() {
             return Vec::new();
         }
         let now_ms = now_ms();
         let news = self.change(|suspects| {
             suspects.forget(now_ms);
-            suspects.news(now_ms)
+            suspects.news(now_ms, states_per_s, &mut fastrand::Rng::new())
         });
         news.into_iter().map(to_message).collect()
     }
--- a/crates/routing/src/quarantine/suspects.rs
+++ b/crates/routing/src/quarantine/suspects.rs
@@ -25,9 +25,10 @@
 const NEWS_MS: u64 = 2_000;
 /// Most requests that are told anew with one message.
 const MAX_NEWS: usize = 16;
-/// Older ones that are told with each message in turn, for entries that have
-/// just started or were cut off.
-const OLD_NEWS: usize = 4;
+/// How often an entry that has just started, or was cut off, hears of each
+/// older one in a second, and of how many of them at most.
+const OLD_TOLD_PER_S: f64 = 3.0;
+const MOST_OLD_PER_S: f64 = 80.0;
 
 /// A crash of a server under a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -332,9 +333,14 @@
         Some(evidence.news(request, now_ms))
     }
 
-    /// What is told with the next message: news, and some older ones in turn
-    /// that still matter.
-    pub fn news(&mut self, now_ms: u64) -> Vec<SuspectNews> {
+    /// What is told with the next message, of which each entry hears so many a
+    /// second: news, and some older ones in turn that still matter.
+    pub fn news(
+        &mut self,
+        now_ms: u64,
+        messages_per_s: f64,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<SuspectNews> {
         let is_new = |evidence: &Evidence| {
             now_ms.saturating_sub(evidence.changed_ms) < NEWS_MS
         };
@@ -345,9 +351,16 @@
         let matters = |(_, evidence): &(&Fingerprint, &Evidence)| {
             !is_new(evidence) && evidence.counted().next().is_some()
         };
+        let all = self.requests.iter().filter(matters).count();
+        let per_s = (OLD_TOLD_PER_S * all as f64).min(MOST_OLD_PER_S);
+        let share = per_s / messages_per_s.max(1.0);
+        let count = share as usize + usize::from(rng.f64() < share.fract());
+        if count == 0 {
+            return told;
+        }
         let in_turn = self.requests.range(from..).filter(matters);
-        let mut old: Vec<_> = in_turn.take(OLD_NEWS + 1).collect();
-        let next = if old.len() > OLD_NEWS { old.pop() } else { None };
+        let mut old: Vec<_> = in_turn.take(count + 1).collect();
+        let next = if old.len() > count { old.pop() } else { None };
         self.next_told = next.map(|(request, _)| *request);
         told.extend(old.into_iter().map(|(r, e)| e.news(*r, now_ms)));
         told
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -188,14 +188,28 @@
     let mut started = Suspects::new();
     let later_ms = NOW_MS + 10_000;
     // Three others tell five times a second each; contact is 3 s.
-    for _ in 0..3 * 5 * 3 {
-        for news in suspects.news(later_ms) {
+    let per_s = 3 * 5;
+    let mut rng = fastrand::Rng::with_seed(5);
+    for _ in 0..per_s * 3 {
+        for news in suspects.news(later_ms, per_s.into(), &mut rng) {
             started.hear(&news, later_ms);
         }
     }
     assert_eq!(started.len(), count as usize);
 }
 
+#[test]
+fn what_is_told_of_one_request_does_not_grow_with_entries() {
+    let mut suspects = quarantined(NOW_MS);
+    let later_ms = NOW_MS + 10_000;
+    let mut rng = fastrand::Rng::with_seed(5);
+    // Each of hundreds of entries hears 180 messages a second.
+    let per_s = 180.0;
+    let told = (0..180).flat_map(|_| suspects.news(later_ms, per_s, &mut rng));
+    let told = told.count();
+    assert!((1..=9).contains(&told), "{told} times a second");
+}
+
 fn any_news() -> impl Strategy<Value = SuspectNews> {
     let crash = (0_u32..6, 0_u64..5_000, any::<bool>(), any::<bool>());
     let crash = crash.prop_map(|(server, age_ms, is_in_trial, is_void)| {
--- a/crates/routing/tests/quarantine_replay.rs
+++ b/crates/routing/tests/quarantine_replay.rs
@@ -392,7 +392,8 @@
         for entry in 0..ENTRIES {
             let now_ms = self.now_ms;
             let suspects = &mut self.entries[entry].suspects;
-            for news in suspects.news(now_ms) {
+            let heard_per_s = (ENTRIES as f64 - 1.0) * 5.0;
+            for news in suspects.news(now_ms, heard_per_s, &mut self.rng) {
                 self.tell(entry, Message::News(news));
             }
         }
