Postmortem of requests that crash engines; a run that ended is not looked at again

The start of a run outlived its attempt while the next path was sought: a client that left meanwhile had the old engine looked at once more.

--- a/crates/direct/src/request/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -14,7 +14,7 @@
 use chestnutreach_http::relay::{
     AnswerHead, Inbound, LAST_CHUNK, RelayRequest,
 };
-use chestnutreach_routing::{Attempts, Counted};
+use chestnutreach_routing::{Attempts, Counted, RunStart};
 use chestnutreach_site::Model;
 use futures_lite::FutureExt as _;
 
@@ -222,6 +222,7 @@
             }
             self.release_path();
             self.trial = None;
+            self.pace.run = RunStart::new();
         }
     }
 
