Emulator: servers of a site that is over end

The process held 19,540 of 20,000 descriptors: each site's servers went on after it, some 450 descriptors a seed, until accepting failed and ended servers. Change: a site that is dropped ends its servers and relays.

--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -132,9 +132,11 @@
 
 impl Drop for Running {
     /// Tasks of faults that last may hold the entries beyond the site: what
-    /// they started later would outlive this process.
+    /// they started later would outlive this process. Servers that went on
+    /// would hold their descriptors through all later seeds.
     fn drop(&mut self) {
         self.entries().close();
+        self.world.end_all();
     }
 }
 
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -409,6 +409,19 @@
         self.lapse_later(address, listed);
     }
 
+    /// Ends all servers and closes their connections.
+    pub(crate) fn end_all(&self) {
+        let mut state = self.lock();
+        for server in state.servers.values_mut() {
+            server.life = Life::Ended;
+            server.streams.clear();
+        }
+        let relays = std::mem::take(&mut state.relays);
+        // They close their connections, outside the lock.
+        drop(state);
+        drop(relays);
+    }
+
     /// Takes a server's row away while it serves on.
     pub fn unlist(&self, address: SocketAddr) {
         if let Some(server) = self.server(address) {
