--- a/crates/cli/tests/cli/site.rs
+++ b/crates/cli/tests/cli/site.rs
@@ -155,3 +155,31 @@
     assert_eq!(found.code, 0, "{}", found.error);
     assert_eq!(found.out.lines().count(), 3, "{}", found.out);
 }
+
+const QUARANTINE: &str = concat!(
+    r#"{"timestamp":"2026-01-01T00:00:01.100Z","message":"m","kvs":{"name":"request_suspected","request":"r1","fingerprint":"f1","backend":"i-1","crashes":"1"}}"#,
+    "\n",
+    r#"{"timestamp":"2026-01-01T00:00:01.200Z","message":"m","kvs":{"name":"request_quarantined","fingerprint":"f1","crashes":"3"}}"#,
+    "\n",
+    r#"{"timestamp":"2026-01-01T00:00:01.300Z","message":"m","kvs":{"name":"request_suspected","request":"r2","fingerprint":"f2","backend":"i-2","crashes":"1"}}"#,
+    "\n",
+    r#"{"timestamp":"2026-01-01T00:00:02.000Z","message":"m","kvs":{"name":"quarantine_refused","request":"r3","fingerprint":"f1","left_ms":"9"}}"#,
+    "\n",
+    r#"{"timestamp":"2026-01-01T00:00:02.001Z","message":"m","kvs":{"name":"relay_ended","request":"r3","route":"r-a","outcome":"not_run","attempts":"0","changes":"0","reason":"quarantined"}}"#,
+    "\n",
+);
+
+#[test]
+fn a_trace_of_a_refused_id_leads_to_the_crashes_under_other_ids() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("logs");
+    fs::write(&path, QUARANTINE).unwrap();
+    let logs = path.to_str().unwrap();
+    let run = run(&["trace", "--request", "r3", "--logs", logs]);
+    assert_eq!(run.code, 0, "{}", run.error);
+    assert!(run.out.contains("not_run, quarantined"), "{}", run.out);
+    let (_, around) = run.out.split_once("under other ids").unwrap();
+    assert!(around.contains("request_suspected"), "{around}");
+    assert!(around.contains("request_quarantined"), "{around}");
+    assert!(!around.contains("f2"), "{around}");
+}
