--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -60,6 +60,8 @@
 const CRASH_SEEDS: u64 = 1 << 23;
 /// Pause until such a request comes again.
 const CRASHING_EVERY: Duration = Duration::from_millis(200);
+/// How long it does so beyond the time of its fault.
+const CRASHING_LASTS: Duration = Duration::from_millis(9_000);
 /// Time within which all entries know of what happened.
 const CONTACT: Duration = Duration::from_millis(3_000);
 /// Arrivals of such a request that are allowed later than that after its third
@@ -326,7 +328,7 @@
         let wish = Wish::new(Kind::Stream, &token, 1);
         let wish = Wish { tries: 1, ..wish };
         let entries = self.addresses.clone();
-        let until = Instant::now() + length + CONTACT;
+        let until = Instant::now() + length + CRASHING_LASTS;
         let come = async move {
             while Instant::now() < until {
                 let first = fastrand::usize(..entries.len());
