--- a/crates/cli/src/site/quarantine.rs
+++ b/crates/cli/src/site/quarantine.rs
@@ -4,7 +4,8 @@
 
 use anyhow::Context as _;
 use chestnutreach_http::{Client, ClientOptions};
-use clap::{Arg, ArgMatches, Command};
+use chestnutreach_routing::Fingerprint;
+use clap::{Arg, ArgMatches, Command, value_parser};
 use serde_json::{Value, json};
 
 use super::state::{self, STORE};
@@ -12,8 +13,6 @@
 
 pub(crate) const NAME: &str = "quarantine";
 const FREE: &str = "free";
-/// Digits of a fingerprint.
-const FINGERPRINT_DIGITS: usize = 16;
 
 /// Its arguments.
 pub(crate) fn command() -> Command {
@@ -24,29 +23,20 @@
             Arg::new(FREE)
                 .long(FREE)
                 .value_name("FINGERPRINT")
-                .value_parser(fingerprint)
+                .value_parser(value_parser!(Fingerprint))
                 .help("Free this request; entries tell each other"),
         )
         .arg(args::timeout(daemons::TIMEOUT_MS))
         .arg(args::json())
 }
 
-fn fingerprint(text: &str) -> Result<String, String> {
-    let is_digit = |c: char| c.is_ascii_hexdigit();
-    if text.len() != FINGERPRINT_DIGITS || !text.chars().all(is_digit) {
-        let wanted = format!("{FINGERPRINT_DIGITS} hexadecimal digits");
-        return Err(format!("{text:?} is no fingerprint: {wanted}"));
-    }
-    Ok(text.to_ascii_lowercase())
-}
-
 /// Prints the requests, or frees one.
 pub(crate) fn run(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let store: SocketAddr = *args::required(matches, STORE);
     let timeout = args::timeout_of(matches);
     let entries = async_io::block_on(state::entries(store, timeout))?;
-    if let Some(fingerprint) = matches.get_one::<String>(FREE) {
-        return async_io::block_on(free(&entries, fingerprint, timeout));
+    if let Some(fingerprint) = matches.get_one::<Fingerprint>(FREE) {
+        return async_io::block_on(free(&entries, *fingerprint, timeout));
     }
     let mut statuses = BTreeMap::new();
     for (name, address) in entries {
@@ -140,7 +130,7 @@
 /// Frees a request at the first entry that answers, which tells the others.
 async fn free(
     entries: &[(String, SocketAddr)],
-    fingerprint: &str,
+    fingerprint: Fingerprint,
     timeout: Duration,
 ) -> anyhow::Result<Exit> {
     for (name, address) in entries {
@@ -158,7 +148,7 @@
 
 async fn order(
     address: SocketAddr,
-    fingerprint: &str,
+    fingerprint: Fingerprint,
     timeout: Duration,
 ) -> anyhow::Result<Value> {
     let client = Client::new(address, ClientOptions::new());
--- a/crates/daemon/tests/users_platform/crashing_requests.rs
+++ b/crates/daemon/tests/users_platform/crashing_requests.rs
@@ -1,7 +1,6 @@
 //! Requests that crash each server that begins to run them, and come again.
 
 use std::{
-    collections::BTreeSet,
     net::{SocketAddr, TcpStream, UdpSocket},
     time::{Duration, Instant},
 };
@@ -101,17 +100,6 @@
     lines.join("\n")
 }
 
-/// Fingerprints that entries told as quarantined.
-fn quarantined(running: &Running) -> BTreeSet<String> {
-    let logs = running.logs();
-    let lines = logs.lines().filter(|l| l.contains("request_quarantined"));
-    let fingerprint = |line: &str| {
-        let start = line.find("\"fingerprint\":\"")? + 15;
-        Some(line[start..].chars().take(16).collect())
-    };
-    lines.filter_map(fingerprint).collect()
-}
-
 #[test]
 fn copies_at_all_entries_at_once_crash_no_more_than_run_already() {
     on(&site(), async |running| {
@@ -140,7 +128,7 @@
         let played = running.play(&load, &[]);
         let report = futures_lite::future::zip(played, both).await.0;
         assert_kept(&report);
-        assert_eq!(quarantined(running).len(), wishes.len());
+        assert_eq!(running.quarantined().len(), wishes.len());
         let seen = running.world.seen();
         for wish in &wishes {
             let late = seen.arrivals_after_crash(&wish.token, 3, CONTACT);
@@ -174,9 +162,9 @@
         let wish = crashing(Kind::Stream, 1);
         one(running, 1, &wish).await;
         // Lines of the logs come a moment later.
-        let is_told = async || !quarantined(running).is_empty();
+        let is_told = async || !running.quarantined().is_empty();
         wait_until("it is quarantined", is_told).await;
-        let fingerprints = quarantined(running);
+        let fingerprints = running.quarantined();
         let fingerprint = &fingerprints.first().expect("it is told");
         let target = format!("/quarantine/{fingerprint}/free");
         let answer = post(running.ops_address(0), &target).await;
--- a/crates/direct/src/known/peers.rs
+++ b/crates/direct/src/known/peers.rs
@@ -16,7 +16,9 @@
 use async_io::{Async, Timer};
 use chestnutreach_adapter::store::{StoreClient, StoreError};
 use chestnutreach_membership::telling::{EVERY_MS, Rounds, Whom};
-use chestnutreach_protocol::peers::{EngineUse, PeerState, ServiceUse};
+use chestnutreach_protocol::peers::{
+    EngineUse, PeerState, ServiceUse, SuspectRequest,
+};
 use chestnutreach_routing::Fingerprint;
 use chestnutreach_site::tables::ENTRIES;
 use chestnutreach_telemetry::{Event, emit};
@@ -176,11 +178,18 @@
         data_centre: core.settings.data_centre.clone(),
         feed_port: core.feed_port.load(Relaxed).into(),
         is_alert: false,
-        suspects: core.suspects.news(states_per_s(core)),
+        suspects: suspect_news(core),
         trials: Vec::new(),
     }
 }
 
+fn suspect_news(core: &Core) -> Vec<SuspectRequest> {
+    if core.suspects.is_empty() {
+        return Vec::new();
+    }
+    core.suspects.news(states_per_s(core))
+}
+
 /// States that an entry hears in a second, about as many as it sends.
 fn states_per_s(core: &Core) -> f64 {
     let at_once = [Whom::Near, Whom::Far]
--- a/crates/direct/src/known/suspects.rs
+++ b/crates/direct/src/known/suspects.rs
@@ -49,6 +49,13 @@
     trials: Trials,
 }
 
+/// What a change came to for its request.
+struct Changed {
+    is_news: bool,
+    before: Verdict,
+    now: Verdict,
+}
+
 /// A run that broke off when it had just begun.
 #[derive(Clone, Debug)]
 pub(crate) struct BrokenRun {
@@ -97,12 +104,20 @@
         self.state.lock().expect("no holder panics")
     }
 
-    /// Changes what is known of requests.
-    fn change<T>(&self, change: impl FnOnce(&mut Suspects) -> T) -> T {
+    /// Changes what is known of a request; true from `change` is news.
+    fn change(
+        &self,
+        of: Fingerprint,
+        change: impl FnOnce(&mut Suspects, u64) -> bool,
+    ) -> Changed {
+        let now_ms = now_ms();
         let mut state = self.lock();
-        let changed = change(&mut state.suspects);
-        self.count.store(state.suspects.len(), Relaxed);
-        changed
+        let suspects = &mut state.suspects;
+        let before = suspects.verdict(of, now_ms);
+        let is_news = change(suspects, now_ms);
+        let now = suspects.verdict(of, now_ms);
+        self.count.store(suspects.len(), Relaxed);
+        Changed { is_news, before, now }
     }
 
     /// Whether nothing is known of any request.
@@ -126,14 +141,13 @@
     /// What is told of requests with the next state, of which each entry hears
     /// so many a second; what has expired is forgotten.
     pub(crate) fn news(&self, states_per_s: f64) -> Vec<SuspectRequest> {
-        if self.is_empty() {
-            return Vec::new();
-        }
         let now_ms = now_ms();
-        let news = self.change(|suspects| {
-            suspects.forget(now_ms);
-            suspects.news(now_ms, states_per_s, &mut fastrand::Rng::new())
-        });
+        let mut rng = fastrand::Rng::new();
+        let mut state = self.lock();
+        let suspects = &mut state.suspects;
+        suspects.forget(now_ms);
+        self.count.store(suspects.len(), Relaxed);
+        let news = suspects.news(now_ms, states_per_s, &mut rng);
         news.into_iter().map(to_message).collect()
     }
 
@@ -148,23 +162,23 @@
         let now_ms = now_ms();
         let state = self.lock();
         let suspects = &state.suspects;
-        let of_request = |(request, _)| {
+        let of_request = |request| {
             let news = suspects.news_of(request, now_ms)?;
-            let (name, left_ms) = match suspects.verdict(request, now_ms) {
-                Verdict::Free => ("free", 0),
-                Verdict::Suspect { .. } => ("suspect", 0),
-                Verdict::Quarantined { until_ms, .. } => {
-                    ("quarantined", until_ms.saturating_sub(now_ms))
-                }
+            let verdict = suspects.verdict(request, now_ms);
+            let name = match verdict {
+                Verdict::Free => "free",
+                Verdict::Suspect { .. } => "suspect",
+                Verdict::Quarantined { .. } => "quarantined",
             };
+            let left_ms = verdict.quarantine_left_ms(now_ms);
             Some(serde_json::json!({
                 "fingerprint": request.to_string(),
                 "verdict": name,
-                "left_ms": left_ms,
+                "left_ms": left_ms.unwrap_or(0),
                 "crashes": crashes_json(&news),
             }))
         };
-        suspects.iter().filter_map(of_request).collect()
+        suspects.requests().filter_map(of_request).collect()
     }
 }
 
@@ -240,14 +254,12 @@
 
 /// Takes that an engine crashed under a run that had only just begun.
 fn note_crash(core: &Core, run: &BrokenRun) {
-    let now_ms = now_ms();
     let fingerprint = run.fingerprint;
-    let before = core.suspects.verdict(fingerprint);
-    let is_news = core.suspects.change(|suspects| {
+    let changed = core.suspects.change(fingerprint, |suspects, now_ms| {
         let server = run.engine.hash;
         suspects.note_crash(fingerprint, server, run.is_in_trial, now_ms)
     });
-    let begun_ms = run.start.age_ms(now_ms);
+    let begun_ms = run.start.age_ms(now_ms());
     let begun_ms = begun_ms.map_or_else(String::new, |ms| ms.to_string());
     emit(
         Event::RequestSuspected,
@@ -258,12 +270,12 @@
             ("begun_ms", &begun_ms),
             ("attempt_events", &run.start.events()),
             ("is_in_trial", &run.is_in_trial),
-            ("crashes", &crash_count(core, fingerprint)),
+            ("crashes", &changed.now.crashes()),
         ],
     );
-    if is_news {
+    if changed.is_news {
         core.alerts.tell_suspect(fingerprint);
-        note_change(core, fingerprint, before, "own");
+        note_change(core, fingerprint, &changed, "own");
     }
 }
 
@@ -281,10 +293,10 @@
     request: &str,
     cause: &str,
 ) -> bool {
-    let crashes = crash_count(core, fingerprint);
     let clear =
-        |suspects: &mut Suspects| suspects.clear(fingerprint, now_ms());
-    if !core.suspects.change(clear) {
+        |suspects: &mut Suspects, now_ms| suspects.clear(fingerprint, now_ms);
+    let changed = core.suspects.change(fingerprint, clear);
+    if !changed.is_news {
         return false;
     }
     emit(
@@ -292,7 +304,7 @@
         &[
             ("request", &request),
             ("fingerprint", &fingerprint),
-            ("crashes", &crashes),
+            ("crashes", &changed.before.crashes()),
             ("cause", &cause),
         ],
     );
@@ -300,34 +312,25 @@
     true
 }
 
-fn crash_count(core: &Core, fingerprint: Fingerprint) -> usize {
-    match core.suspects.verdict(fingerprint) {
-        Verdict::Free => 0,
-        Verdict::Suspect { crashes }
-        | Verdict::Quarantined { crashes, .. } => crashes,
-    }
-}
-
 /// Tells of a request that is quarantined now and was not before, and has
 /// the streams that run it leave their engines.
 fn note_change(
     core: &Core,
     fingerprint: Fingerprint,
-    before: Verdict,
+    changed: &Changed,
     source: &str,
 ) {
-    let now = core.suspects.verdict(fingerprint);
-    let Verdict::Quarantined { crashes, until_ms } = now else { return };
-    if matches!(before, Verdict::Quarantined { .. }) {
+    let now_ms = now_ms();
+    let Some(left_ms) = changed.now.quarantine_left_ms(now_ms) else { return };
+    if matches!(changed.before, Verdict::Quarantined { .. }) {
         return;
     }
     core.metrics.requests_quarantined.inc();
-    let left_ms = until_ms.saturating_sub(now_ms());
     emit(
         Event::RequestQuarantined,
         &[
             ("fingerprint", &fingerprint),
-            ("crashes", &crashes),
+            ("crashes", &changed.now.crashes()),
             ("left_ms", &left_ms),
             ("source", &source),
         ],
@@ -357,10 +360,11 @@
     for suspect in &told.suspects {
         let news = from_message(suspect);
         let fingerprint = news.fingerprint;
-        let before = core.suspects.verdict(fingerprint);
-        let hear = |suspects: &mut Suspects| suspects.hear(&news, now_ms());
-        if core.suspects.change(hear) {
-            note_change(core, fingerprint, before, "told");
+        let hear =
+            |suspects: &mut Suspects, now_ms| suspects.hear(&news, now_ms);
+        let changed = core.suspects.change(fingerprint, hear);
+        if changed.is_news {
+            note_change(core, fingerprint, &changed, "told");
         }
     }
     for trial in &told.trials {
--- a/crates/direct/src/request/isolation.rs
+++ b/crates/direct/src/request/isolation.rs
@@ -21,7 +21,7 @@
         engine::Engine,
         suspects::{self, BrokenRun, TrialHold},
     },
-    request::{admit::Admitted, fingerprint},
+    request::{admit::Admitted, answer::Reason, fingerprint},
 };
 
 /// Time in which entries that begin a trial, or lose an engine, at the same
@@ -101,12 +101,7 @@
 
     /// Time left of its quarantine; none where it is in none.
     pub(crate) fn quarantine_left_ms(&self) -> Option<u64> {
-        match self.verdict() {
-            Verdict::Quarantined { until_ms, .. } => {
-                Some(until_ms.saturating_sub(now_ms()))
-            }
-            Verdict::Free | Verdict::Suspect { .. } => None,
-        }
+        self.verdict().quarantine_left_ms(now_ms())
     }
 
     /// Waits until it may run, but not beyond a time; `choose` names an
@@ -218,8 +213,14 @@
         );
     }
 
-    /// Tells that it is refused since it is quarantined.
-    pub(crate) fn note_refused(&self, left_ms: u64) {
+    /// Why it ends, and when it may come back, where it is quarantined.
+    pub(crate) fn refusal(&self, may_have_run: bool) -> Option<(Reason, u64)> {
+        let left_ms = self.quarantine_left_ms()?;
+        self.note_refused(left_ms);
+        Some((Reason::in_quarantine(may_have_run), left_ms))
+    }
+
+    fn note_refused(&self, left_ms: u64) {
         self.core.metrics.quarantine_refusals.inc();
         emit(
             Event::QuarantineRefused,
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -31,7 +31,6 @@
         answer::{Framing, Reason, passed_head, promises_not_run},
         ended::{After, Ended, refuse, refuse_until},
         exchange::{self, Addressed},
-        fingerprint,
         isolation::{Suspicion, Trial, Turn},
     },
 };
@@ -98,8 +97,12 @@
             Some(_) => admitted.end_ms,
             None => attempt_end_ms(admitted, attempts.made()),
         };
-        let sent =
-            Sent { engine: &engine, attempt: attempts.made(), limit_ms };
+        let sent = Sent {
+            engine: &engine,
+            attempt: attempts.made(),
+            limit_ms,
+            suspicion: &suspicion,
+        };
         let caller = inbound.stream().clone();
         let gone = async {
             caller.hung_up().await;
@@ -213,13 +216,11 @@
     may_have_run: bool,
     is_last: bool,
 ) -> (Ended, After) {
-    let Some(left_ms) = suspicion.quarantine_left_ms() else {
+    let Some((reason, left_ms)) = suspicion.refusal(may_have_run) else {
         let left_ms = admitted.left_ms(now_ms());
         let reason = Reason::at_end(may_have_run, left_ms);
         return refuse(inbound, request, reason, is_last).await;
     };
-    suspicion.note_refused(left_ms);
-    let reason = Reason::in_quarantine(may_have_run);
     refuse_until(inbound, request, reason, left_ms, is_last).await
 }
 
@@ -284,6 +285,7 @@
     attempt: u32,
     /// When the attempt is given up.
     limit_ms: u64,
+    suspicion: &'a Suspicion<'a>,
 }
 
 async fn attempt(
@@ -299,7 +301,7 @@
         match Outbound::connect(engine.address, exchange::DIAL).await {
             Ok(connection) => connection,
             Err(e) => {
-                note_broken(request, admitted, sent, &e, started_ms);
+                note_broken(admitted, sent, &e, started_ms);
                 return Attempt::NotRun;
             }
         };
@@ -329,7 +331,7 @@
         match exchange.await {
             Ok((head, body)) => answered(admitted, sent, head, body),
             Err::<_, chestnutreach_http::relay::OutboundError>(e) => {
-                note_broken(request, admitted, sent, &e, started_ms);
+                note_broken(admitted, sent, &e, started_ms);
                 Attempt::Lost
             }
         }
@@ -433,13 +435,11 @@
 }
 
 fn note_broken(
-    request: &RelayRequest,
     admitted: &Admitted,
     sent: &Sent<'_>,
     error: &dyn std::fmt::Display,
     started_ms: u64,
 ) {
-    let account = admitted.account.as_deref().unwrap_or_default();
     emit(
         Event::RelayBroken,
         &[
@@ -448,7 +448,7 @@
             ("backend", &sent.engine.id),
             ("error", &error),
             ("gap_ms", &now_ms().saturating_sub(started_ms)),
-            ("fingerprint", &fingerprint::of(request, account)),
+            ("fingerprint", &sent.suspicion.fingerprint()),
         ],
     );
 }
--- a/crates/direct/src/request/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -309,24 +309,21 @@
     async fn give_up(&mut self, inbound: &mut Inbound) -> After {
         let left_ms = self.admitted.left_ms(now_ms());
         let may_have_run = self.attempts.may_have_run();
-        let quarantine_left_ms = self.suspicion.quarantine_left_ms();
+        let refusal = self.suspicion.refusal(may_have_run);
         let reason = match Reason::at_end(may_have_run, left_ms) {
-            _ if quarantine_left_ms.is_some() => {
-                Reason::in_quarantine(may_have_run)
-            }
+            _ if let Some((reason, _)) = refusal => reason,
             Reason::NoBackend if self.is_refused_room => Reason::NoRoom,
             reason => reason,
         };
-        if let Some(left_ms) = quarantine_left_ms {
-            self.suspicion.note_refused(left_ms);
-        }
         if self.is_head_sent {
             self.ended.outcome = "failed";
             self.ended.reason = reason.name().to_owned();
             return After::Cut;
         }
-        let come_back_ms =
-            quarantine_left_ms.unwrap_or_else(|| self.come_back_ms());
+        let come_back_ms = match refusal {
+            Some((_, left_ms)) => left_ms,
+            None => self.come_back_ms(),
+        };
         let (ended, after) = refuse_until(
             inbound,
             self.request,
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -208,7 +208,6 @@
         let service = &self.admitted.service.name;
         let metrics = self.core.metrics.service(service);
         let had_begun = self.pace.has_begun;
-        let had_lasted = self.suspicion.has_lasted();
         if !had_begun {
             self.core.note_first_event(service, self.pace.moved_ms);
         }
@@ -228,7 +227,7 @@
         if !had_begun {
             self.path.first().answers.note_success(now_ms);
         }
-        if !had_lasted && self.pace.run.has_lasted(now_ms) {
+        if !self.suspicion.has_lasted() && self.pace.run.has_lasted(now_ms) {
             self.suspicion.note_lasted();
             self.trial = None;
         }
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -400,6 +400,17 @@
         (0..entries.count()).map(log).collect()
     }
 
+    /// Fingerprints of requests that entries told as quarantined.
+    pub fn quarantined(&self) -> BTreeSet<String> {
+        let logs = self.logs();
+        let fingerprint = |line| {
+            let rest = str::split_once(line, "\"fingerprint\":\"")?.1;
+            rest.split('"').next().map(str::to_owned)
+        };
+        let lines = logs.lines().filter(|l| l.contains("request_quarantined"));
+        lines.filter_map(fingerprint).collect()
+    }
+
     /// What an entry knows, as it says itself; none if it doesn't answer.
     pub async fn status(&self, entry: usize) -> Option<serde_json::Value> {
         let (_, text) = get(self.ops_address(entry), "/status").await?;
@@ -677,13 +688,7 @@
     let seen = running.world.seen();
     let crashing: BTreeSet<&str> =
         seen.crashing.iter().map(|c| c.token.as_str()).collect();
-    let logs = running.logs();
-    let fingerprint = |line| {
-        let rest = str::split_once(line, "\"fingerprint\":\"")?.1;
-        rest.split('"').next()
-    };
-    let lines = logs.lines().filter(|l| l.contains("request_quarantined"));
-    let quarantined: BTreeSet<&str> = lines.filter_map(fingerprint).collect();
+    let quarantined = running.quarantined();
     (quarantined.len() > crashing.len())
         .then(|| format!("{quarantined:?} quarantined for {crashing:?}"))
 }
--- a/crates/routing/src/fingerprint.rs
+++ b/crates/routing/src/fingerprint.rs
@@ -1,6 +1,6 @@
 //! What tells that two requests are the same under different ids.
 
-use std::{fmt, num::ParseIntError, str::FromStr};
+use std::{error, fmt, str::FromStr};
 
 /// Digest of a request's client account, target and body.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -13,10 +13,34 @@
 }
 
 impl FromStr for Fingerprint {
-    type Err = ParseIntError;
+    type Err = FingerprintError;
 
     /// Reads what its `Display` writes.
-    fn from_str(text: &str) -> Result<Fingerprint, ParseIntError> {
-        u64::from_str_radix(text, 16).map(Fingerprint)
+    fn from_str(text: &str) -> Result<Fingerprint, FingerprintError> {
+        let error = || FingerprintError { text: text.to_owned() };
+        let is_digit = |c: char| c.is_ascii_hexdigit();
+        if text.len() != DIGITS || !text.chars().all(is_digit) {
+            return Err(error());
+        }
+        let number = u64::from_str_radix(text, 16);
+        number.map(Fingerprint).map_err(|_| error())
     }
 }
+
+/// Digits of a fingerprint.
+const DIGITS: usize = 16;
+
+/// A text that is no fingerprint.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FingerprintError {
+    text: String,
+}
+
+impl fmt::Display for FingerprintError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = &self.text;
+        write!(f, "{text:?} is no fingerprint: {DIGITS} hexadecimal digits")
+    }
+}
+
+impl error::Error for FingerprintError {}
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -22,7 +22,7 @@
 
 pub use run_start::RunStart;
 pub use suspects::{
-    Crash, CrashNews, MAX_SUSPECTS, QUARANTINE_CRASHES, QUARANTINE_MS,
-    SuspectNews, Suspects, Verdict,
+    CrashNews, MAX_SUSPECTS, QUARANTINE_CRASHES, QUARANTINE_MS, SuspectNews,
+    Suspects, Verdict,
 };
 pub use trials::{TRIAL_MS, Trials};
--- a/crates/routing/src/quarantine/suspects.rs
+++ b/crates/routing/src/quarantine/suspects.rs
@@ -32,13 +32,11 @@
 
 /// A crash of a server under a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Crash {
+struct Crash {
     /// When it was first heard of.
-    pub at_ms: u64,
-    /// The request was on trial there.
-    pub is_in_trial: bool,
-    /// The request has since run without a crash, or an operator freed it.
-    pub is_void: bool,
+    at_ms: u64,
+    is_in_trial: bool,
+    is_void: bool,
 }
 
 /// A crash as entries tell it.
@@ -48,9 +46,9 @@
     pub server: u32,
     /// How long ago it was.
     pub age_ms: u64,
-    /// As in [`Crash`].
+    /// The request was on trial there.
     pub is_in_trial: bool,
-    /// As in [`Crash`].
+    /// The request has since run without a crash, or an operator freed it.
     pub is_void: bool,
 }
 
@@ -82,6 +80,27 @@
     },
 }
 
+impl Verdict {
+    /// Crashes that count.
+    pub fn crashes(self) -> usize {
+        match self {
+            Verdict::Free => 0,
+            Verdict::Suspect { crashes }
+            | Verdict::Quarantined { crashes, .. } => crashes,
+        }
+    }
+
+    /// Time left of the quarantine; none where there is none.
+    pub fn quarantine_left_ms(self, now_ms: u64) -> Option<u64> {
+        match self {
+            Verdict::Quarantined { until_ms, .. } => {
+                Some(until_ms.saturating_sub(now_ms))
+            }
+            Verdict::Free | Verdict::Suspect { .. } => None,
+        }
+    }
+}
+
 /// Crashes of one request, by the short hash of the server's start.
 #[derive(Clone, Debug, Default)]
 struct Evidence {
@@ -366,10 +385,8 @@
         told
     }
 
-    /// All requests, for operators.
-    pub fn iter(
-        &self,
-    ) -> impl Iterator<Item = (Fingerprint, &BTreeMap<u32, Crash>)> {
-        self.requests.iter().map(|(r, e)| (*r, &e.crashes))
+    /// All that are remembered, for operators.
+    pub fn requests(&self) -> impl Iterator<Item = Fingerprint> {
+        self.requests.keys().copied()
     }
 }
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -92,13 +92,9 @@
     for (server, is_in_trial) in case.crashes {
         suspects.note_crash(REQUEST, *server, *is_in_trial, NOW_MS);
     }
-    let (counted, is_quarantined) = match suspects.verdict(REQUEST, NOW_MS) {
-        Verdict::Free => (0, false),
-        Verdict::Suspect { crashes } => (crashes, false),
-        Verdict::Quarantined { crashes, .. } => (crashes, true),
-    };
+    let counted = suspects.verdict(REQUEST, NOW_MS).crashes();
     assert_eq!(counted, case.counted);
-    assert_eq!(is_quarantined, case.is_quarantined);
+    assert_eq!(is_quarantined(&suspects, NOW_MS), case.is_quarantined);
 }
 
 #[test]
@@ -261,11 +257,7 @@
             suspects.note_crash(REQUEST, server, is_in_trial, NOW_MS);
             servers.insert(server, ());
         }
-        let counted = match suspects.verdict(REQUEST, NOW_MS) {
-            Verdict::Free => 0,
-            Verdict::Suspect { crashes }
-            | Verdict::Quarantined { crashes, .. } => crashes,
-        };
+        let counted = suspects.verdict(REQUEST, NOW_MS).crashes();
         prop_assert_eq!(counted, servers.len());
     }
 }
