Log versions of the store that fall, and configurations not put in force

The logs of the incident could not tell whether a table was read at a lower version, whether a change arrived and was dropped, and up to which version an entry had read. Three additions, no change of logic: - store_version_fell: source, the store's era, version and known version; - configuration_not_newer: a configuration that was read and is not newer; - feed_source_changed has row_version.

--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -178,6 +178,7 @@
         let sent_ms = now_ms();
         let table = self.feed().table;
         let rows = self.store.read_table(table, READ_TIMEOUT).await?;
+        self.log_lower_version(&rows);
         self.apply_all(&rows);
         self.record_confirmed(sent_ms);
         Ok(rows.version)
@@ -202,6 +203,7 @@
         let feed =
             self.store.feed(table, after, wait, wait + STORE_TIMEOUT_MARGIN);
         let rows = feed.await?;
+        self.log_lower_version(&rows);
         self.apply_changes(&rows);
         // An empty response shows that the poll waited its full time.
         let waited_ms = match rows.rows.is_empty() {
@@ -238,6 +240,7 @@
         }
         let is_full_table = response.is_whole;
         let rows = into_rows(response);
+        self.log_lower_version(&rows);
         match is_full_table {
             true => self.apply_all(&rows),
             false => self.apply_changes(&rows),
@@ -330,6 +333,30 @@
                 ("source", &name),
                 ("peer_boot_id", &boot_id),
                 ("age_ms", &self.feed().age_ms()),
+                ("row_version", &self.applied_version.unwrap_or(0)),
+            ],
+        );
+    }
+
+    /// Logs a read at a version below one that was read before.
+    fn log_lower_version(&self, rows: &Rows) {
+        let known = self.feed().version();
+        if known.is_none_or(|known| known <= rows.version) {
+            return;
+        }
+        let source = match self.source {
+            FeedSource::Store => "store".to_owned(),
+            FeedSource::Entry(boot_id) => boot_id.to_string(),
+        };
+        let era = rows.era.map_or_else(String::new, |era| era.to_string());
+        emit(
+            Event::StoreVersionFell,
+            &[
+                ("table", &self.feed().table),
+                ("source", &source),
+                ("era", &era),
+                ("row_version", &rows.version),
+                ("known_row_version", &known.unwrap_or(0)),
             ],
         );
     }
--- a/crates/direct/src/cluster/feeds.rs
+++ b/crates/direct/src/cluster/feeds.rs
@@ -208,7 +208,8 @@
         version: row.version,
     };
     let version = answer.version;
-    Rows { rows: answer.rows.into_iter().map(convert).collect(), version }
+    let rows = answer.rows.into_iter().map(convert).collect();
+    Rows { rows, version, era: None }
 }
 
 fn row_change(row: &Row) -> RowChange {
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -168,8 +168,11 @@
         new: Configuration,
         row_version: u64,
     ) -> bool {
-        let current = self.configuration();
-        if current.is_some_and(|current| current.version >= new.version) {
+        let current = self.configuration().map(|current| current.version);
+        if let Some(in_force) = current
+            && in_force >= new.version
+        {
+            log_not_newer(&new, row_version, in_force);
             return false;
         }
         log_configuration(&new, row_version);
@@ -401,6 +404,17 @@
     }
 }
 
+fn log_not_newer(new: &Configuration, row_version: u64, in_force: u64) {
+    emit(
+        Event::ConfigurationNotNewer,
+        &[
+            ("version", &new.version),
+            ("row_version", &row_version),
+            ("in_force", &in_force),
+        ],
+    );
+}
+
 fn log_configuration(new: &Configuration, row_version: u64) {
     emit(
         Event::ConfigurationInForce,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -295,7 +295,7 @@
          "again_ms"],
         "The first engine of a stream refused to use other engines.";
     FeedSourceChanged = 927, "feed_source_changed", Info,
-        ["table", "source", "peer_boot_id", "age_ms"],
+        ["table", "source", "peer_boot_id", "age_ms", "row_version"],
         "This entry asks another one, or the store itself, for a table.";
     BackendsRead = 928, "backends_read", Info,
         ["row_version", "backends", "new", "draining", "without_layers"],
@@ -334,6 +334,12 @@
     LeavingTold = 938, "leaving_told", Info,
         ["backend", "request", "source", "listed_leaving_ms"],
         "A backend server said in an answer that it leaves.";
+    StoreVersionFell = 939, "store_version_fell", Warn,
+        ["table", "source", "era", "row_version", "known_row_version"],
+        "A table was read at a lower version than before.";
+    ConfigurationNotNewer = 940, "configuration_not_newer", Info,
+        ["version", "row_version", "in_force"],
+        "A configuration that was read is not newer than the one in force.";
 }
 
 impl Event {
