Failing test: a configuration after the store lost changes reaches all entries

The emulator's store can be restored from an older copy: it goes away, its changes since the copy are lost, versions are given out again, Store-Era rises, a feed after a version that it does not have gets 410, and the operator and the servers write their rows again.

--- a/crates/daemon/tests/users_platform/feed_sharing.rs
+++ b/crates/daemon/tests/users_platform/feed_sharing.rs
@@ -45,7 +45,7 @@
 
 /// Waits until at most two entries read each table from the store: the reader
 /// and the planner.
-async fn wait_until_shared(running: &RunningSite) {
+pub(crate) async fn wait_until_shared(running: &RunningSite) {
     for table in [BACKEND_TABLE, CONFIGURATION_TABLE] {
         wait_until("few entries read the store", async || {
             store_readers(running, table).await.len() <= 2
@@ -54,7 +54,7 @@
     }
 }
 
-fn request_with_key(key: &str) -> RequestSpec {
+pub(crate) fn request_with_key(key: &str) -> RequestSpec {
     RequestSpec {
         key: key.to_owned(),
         max_attempts: 1,
@@ -62,7 +62,11 @@
     }
 }
 
-async fn wait_until_served(running: &RunningSite, entry: usize, key: &str) {
+pub(crate) async fn wait_until_served(
+    running: &RunningSite,
+    entry: usize,
+    key: &str,
+) {
     wait_until("the key is served", async || {
         send_request(running, entry, &request_with_key(key)).await.is_served()
     })
--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -13,5 +13,6 @@
 mod soak;
 mod stops;
 mod store;
+mod store_copies;
 mod support;
 mod traces;
--- /dev/null
+++ b/crates/daemon/tests/users_platform/store_copies.rs
@@ -0,0 +1,73 @@
+//! A store that loses its last changes: it goes away and comes back from an
+//! older copy, and gives its versions out again.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use chestnutreach_emulator::{
+    running::RunningSite,
+    site::{KEY, Site},
+    store::{StoreCopy, StoreFault},
+};
+use rstest::rstest;
+use serde_json::json;
+
+use crate::{
+    feed_sharing::{wait_until_served, wait_until_shared},
+    support::{wait_until, with_site},
+};
+
+/// Time from the return of the store until the operator and the servers write
+/// their rows again.
+const REWRITE_DELAY: Duration = Duration::from_millis(300);
+
+/// How the store is lost, and what all entries know by then.
+struct Drill {
+    /// How long the store is away.
+    away: Duration,
+    /// Changes of another table after the copy: they raise the version.
+    undone_changes: u64,
+}
+
+/// Takes the store away and brings it back from a copy.
+async fn lose_changes(running: &RunningSite, copy: StoreCopy, away: Duration) {
+    running.store.set_fault(StoreFault::Away);
+    Timer::after(away).await;
+    running.restore_store(copy, REWRITE_DELAY);
+}
+
+async fn wait_until_in_force(running: &RunningSite, version: u64) {
+    for entry in 0..running.addresses.len() {
+        wait_until("the configuration is in force", async || {
+            let status = running.status(entry).await.unwrap_or_default();
+            status["configuration"].as_u64() == Some(version)
+        })
+        .await;
+    }
+}
+
+#[rstest]
+#[case::short(Drill { away: Duration::from_millis(250), undone_changes: 400 })]
+#[case::long(Drill { away: Duration::from_secs(2), undone_changes: 400 })]
+#[case::few_changes(Drill {
+    away: Duration::from_secs(1), undone_changes: 12,
+})]
+fn a_configuration_accepted_after_lost_changes_reaches_all_entries(
+    #[case] drill: Drill,
+) {
+    with_site(&Site::with_shared_feeds(), async |running| {
+        wait_until_shared(running).await;
+        let copy = running.store.copy();
+        for number in 0..drill.undone_changes {
+            running.store.put("other", "key", &json!(number));
+        }
+        let undone = running.configure(&[KEY]);
+        wait_until_in_force(running, undone).await;
+        lose_changes(running, copy, drill.away).await;
+        wait_until_shared(running).await;
+        running.configure(&[KEY, "another"]);
+        for entry in 0..running.addresses.len() {
+            wait_until_served(running, entry, "another").await;
+        }
+    });
+}
--- a/crates/emulator/src/backend_servers/rows.rs
+++ b/crates/emulator/src/backend_servers/rows.rs
@@ -5,7 +5,9 @@
 use async_io::Timer;
 use serde_json::json;
 
-use super::{BackendServers, FIRST_START_UNIX_MS, ServerStatus, State};
+use super::{
+    BackendServers, FIRST_START_UNIX_MS, ServerState, ServerStatus, State,
+};
 use crate::site::MODEL_SERVICE;
 
 /// Table of backend servers in the store.
@@ -112,6 +114,37 @@
         self.shared.executor.spawn(restore).detach();
     }
 
+    /// Handles a restore of the store: running servers write their rows
+    /// again, and rows without a running server expire.
+    pub(crate) fn rewrite_rows(&self) {
+        let servers = self.lock().servers.clone();
+        let is_running = |server: &ServerState| {
+            matches!(
+                server.status,
+                ServerStatus::Serving | ServerStatus::Draining
+            )
+        };
+        for (address, server) in &servers {
+            if is_running(server) {
+                self.write_row(*address);
+            }
+        }
+        let backends = self.clone();
+        let expire = async move {
+            Timer::after(ROW_EXPIRY).await;
+            let servers = backends.lock().servers.clone();
+            let is_live = |id: &String| {
+                servers.values().any(|s| s.id == *id && is_running(s))
+            };
+            let store = &backends.shared.store;
+            let expired = store.keys(TABLE).into_iter();
+            for id in expired.filter(|id| !is_live(id)) {
+                store.delete_row(TABLE, &id);
+            }
+        };
+        self.shared.executor.spawn(expire).detach();
+    }
+
     fn remove_row_later(&self, address: SocketAddr, delay: Duration) {
         let Some(server) = self.server(address) else { return };
         let store = self.shared.store.clone();
--- a/crates/emulator/src/running.rs
+++ b/crates/emulator/src/running.rs
@@ -13,6 +13,7 @@
 use async_io::Timer;
 use chestnutreach_fleet::Relay;
 use rustix::process::Signal;
+use serde_json::Value;
 
 use crate::{
     backend_servers::BackendServers,
@@ -23,7 +24,7 @@
     load::{self, Load},
     report::Report,
     site::{KEY, Site},
-    store::Store,
+    store::{Store, StoreCopy, StoreFault},
 };
 
 mod faults;
@@ -45,6 +46,8 @@
     /// Addresses at which clients connect, by entry.
     pub addresses: Vec<SocketAddr>,
     version: Mutex<u64>,
+    /// The operator's last configuration.
+    configuration: Arc<Mutex<Value>>,
     /// Relays between each entry and the store, if the site emulates links.
     store_links: Vec<Arc<Relay>>,
     /// Planned stops: address of the entry and time.
@@ -65,7 +68,8 @@
     site: &Site,
 ) -> anyhow::Result<RunningSite> {
     let (store, address) = Store::start(executor)?;
-    store.put("op", "config", &site.configuration(1, &[KEY]));
+    let configuration = site.configuration(1, &[KEY]);
+    store.put("op", "config", &configuration);
     let backends = BackendServers::new(site, &store, executor);
     engines::start_all(&backends)?;
     let store_links: Vec<Arc<Relay>> = match site.has_links {
@@ -86,6 +90,7 @@
         backends,
         entries: Arc::new(Mutex::new(entries)),
         version: Mutex::new(1),
+        configuration: Arc::new(Mutex::new(configuration)),
         store_links,
         stops: Mutex::default(),
         kills: Mutex::default(),
@@ -146,9 +151,25 @@
         *version += 3;
         let new = self.backends.site().configuration(*version, keys);
         self.store.put("op", "config", &new);
+        *self.configuration.lock().expect("no holder panics") = new;
         *version
     }
 
+    /// Restores the store from a copy while it is away, and makes it
+    /// available. The operator and the servers write their rows again after
+    /// a delay.
+    pub fn restore_store(&self, copy: StoreCopy, delay: Duration) {
+        self.store.restore(copy);
+        self.store.set_fault(StoreFault::None);
+        let (store, backends) = (self.store.clone(), self.backends.clone());
+        let configuration = self.configuration.clone();
+        self.spawn_after(delay, async move {
+            let last = configuration.lock().expect("no holder panics").clone();
+            store.put("op", "config", &last);
+            backends.rewrite_rows();
+        });
+    }
+
     fn record_stop(&self, entry: usize) {
         let mut stops = self.stops.lock().expect("no holder panics");
         stops.push((self.addresses[entry], Instant::now()));
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -27,6 +27,8 @@
     None,
     /// Calls get no response.
     Silent,
+    /// Connections close without a response.
+    Away,
     /// Calls are rejected with status 503.
     Busy,
     /// Responses are delayed by this many milliseconds.
@@ -44,7 +46,11 @@
     version: u64,
 }
 
-#[derive(Debug, Default)]
+/// Contents of the store at one time, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(State);
+
+#[derive(Clone, Debug, Default)]
 struct State {
     rows: BTreeMap<(String, String), Row>,
     /// Changes in order: version, table, key, and the value, `None` for a
@@ -54,6 +60,8 @@
     /// later.
     discarded_version: u64,
     version: u64,
+    /// How often the store was restored from a copy.
+    era: u64,
 }
 
 /// The platform's store.
@@ -158,6 +166,26 @@
         state.discarded_version = state.version;
     }
 
+    /// Copies the contents, for a restore later on.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().clone())
+    }
+
+    /// Restores the contents from a copy: changes since the copy are lost,
+    /// and their versions are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.lock();
+        let era = state.era + 1;
+        *state = State { era, ..copy.0 };
+    }
+
+    /// Keys of a table's rows.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let state = self.lock();
+        let of_table = state.rows.keys().filter(|name| name.0 == table);
+        of_table.map(|name| name.1.clone()).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.shared.state.lock().expect("no holder panics")
     }
@@ -185,13 +213,17 @@
             self.shared.calls.fetch_add(1, Relaxed);
             let response = self.respond(&request, fault).await;
             let Some((status, body)) = response else {
-                // Keep the connection open without a response.
-                Timer::after(Duration::from_secs(30)).await;
+                if self.fault() != StoreFault::Away {
+                    // Keep the connection open without a response.
+                    Timer::after(Duration::from_secs(30)).await;
+                }
                 return;
             };
             let body = body.to_string();
+            let era = self.lock().era;
             let head = format!(
-                "HTTP/1.1 {status} x\r\ncontent-length: {}\r\n\r\n",
+                "HTTP/1.1 {status} x\r\nstore-era: {era}\r\n\
+                 content-length: {}\r\n\r\n",
                 body.len()
             );
             if inbound.write(head.as_bytes()).await.is_err()
@@ -211,7 +243,7 @@
         let is_write = request.method == "POST";
         match fault {
             StoreFault::None => {}
-            StoreFault::Silent => return None,
+            StoreFault::Silent | StoreFault::Away => return None,
             StoreFault::Busy => return Some((503, json!({}))),
             StoreFault::Slow(ms) => {
                 Timer::after(Duration::from_millis(ms)).await;
@@ -290,12 +322,13 @@
         let wait = query.number("wait-ms").unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait);
         loop {
-            if self.fault() == StoreFault::Silent {
+            let fault = self.fault();
+            if matches!(fault, StoreFault::Silent | StoreFault::Away) {
                 return None;
             }
             {
                 let state = self.lock();
-                if after < state.discarded_version {
+                if after < state.discarded_version || after > state.version {
                     return Some((410, json!({})));
                 }
                 let rows = state.changes(&table, after);
