Compare versions of the store within one history only

Cause: after an outage the store came back from an older copy and gave its versions out again (232, then 227 in the incident). Copies kept the higher version and the older row; an entry with version 235 asked for changes after 235 and was told that there are none, and that this was confirmed, until the count had passed 235 again. Entries that read the store itself were right.

Fix: StoreVersion is the pair of the store's era and its count, ordered by era first. The adapter takes the era from each response, returns no data of an earlier era, and fails a feed, a paged read or a conditional write that spans two. Copies take changes of their own history only and move to a later one as a whole; entries pass the era on with feeds. Engines whose rows are missing have the grace period of an outage, however short it was. One client for all calls of an entry, so that each call knows the era that any has seen.

Why it works: within one history versions rise, so the old comparisons hold; between two histories nothing is compared but the era, which rises.

The property test of copies now restores the store as well; with the era ignored it fails at once.

--- a/crates/cli/src/site/state.rs
+++ b/crates/cli/src/site/state.rs
@@ -48,17 +48,17 @@
     timeout: Duration,
 ) -> anyhow::Result<StoreState> {
     let client = StoreClient::new(store);
-    let row = client
+    let (_, row) = client
         .read_row(configuration::TABLE, configuration::KEY, timeout)
         .await
-        .with_context(|| format!("the store at {store}"))?
-        .context("the store holds no configuration")?;
+        .with_context(|| format!("the store at {store}"))?;
+    let row = row.context("the store holds no configuration")?;
     let configuration = configuration::try_parse(&row.value)
         .map_err(|e| anyhow::anyhow!("the configuration: {e}"))?;
     let rows = client.read_table(backends::TABLE, timeout).await?.rows;
     let backends = rows.iter().map(backends::parse_backend);
     let backends = backends.collect::<Result<Vec<_>, String>>();
-    let lease = client.read_row(LEASE, LEASE_KEY, timeout).await?;
+    let (_, lease) = client.read_row(LEASE, LEASE_KEY, timeout).await?;
     let lease = lease.and_then(|r| serde_json::from_slice(&r.value).ok());
     Ok(StoreState {
         configuration,
--- a/crates/direct/src/cluster/backend_rows.rs
+++ b/crates/direct/src/cluster/backend_rows.rs
@@ -11,7 +11,7 @@
     backends,
     store::{Row, Rows},
 };
-use chestnutreach_site::BackendState;
+use chestnutreach_site::{BackendState, StoreVersion};
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{
@@ -63,7 +63,7 @@
     emit(
         Event::BackendsRead,
         &[
-            ("row_version", &rows.version),
+            ("row_version", &rows.version.number()),
             ("backends", &engines.len()),
             ("new", &engines.len().saturating_sub(count_before)),
             ("draining", &draining),
@@ -119,14 +119,14 @@
         Event::BackendRowUnusable,
         &[
             ("backend", &row.key),
-            ("row_version", &row.version),
+            ("row_version", &row.version.number()),
             ("error", &error),
         ],
     );
 }
 
 /// Removes an engine, after the grace period if the store was unavailable.
-fn remove(core: &Arc<Core>, id: &str, row_version: u64) {
+fn remove(core: &Arc<Core>, id: &str, row_version: StoreVersion) {
     let grace_left_ms =
         lapsed_grace_left_ms(core.feeds.backends.recovered_ms());
     if grace_left_ms == 0 {
@@ -148,7 +148,12 @@
     executor.spawn(later).detach();
 }
 
-fn remove_now(core: &Core, id: &str, row_version: u64, held_back_ms: u64) {
+fn remove_now(
+    core: &Core,
+    id: &str,
+    row_version: StoreVersion,
+    held_back_ms: u64,
+) {
     let Some(engine) = core.fleet.remove(id) else {
         return;
     };
@@ -158,7 +163,7 @@
         &[
             ("backend", &engine.id),
             ("address", &engine.address),
-            ("row_version", &row_version),
+            ("row_version", &row_version.number()),
             ("held_back_ms", &held_back_ms),
         ],
     );
--- a/crates/direct/src/cluster/engine.rs
+++ b/crates/direct/src/cluster/engine.rs
@@ -13,7 +13,7 @@
 
 pub(crate) use chestnutreach_routing::FailureEvidence;
 use chestnutreach_routing::{CircuitBreaker, UsageEstimate};
-use chestnutreach_site::{Backend, BackendState, LayerRange};
+use chestnutreach_site::{Backend, BackendState, LayerRange, StoreVersion};
 
 use crate::{clock::now_ms, cluster::notices::Notices, rate::Rate};
 
@@ -69,7 +69,7 @@
 #[derive(Debug)]
 pub(crate) struct EngineState {
     pub(crate) row: Backend,
-    pub(crate) row_version: u64,
+    pub(crate) row_version: StoreVersion,
     /// The engine is no longer listed, or another engine has its address.
     pub(crate) is_removed: bool,
     /// A later incarnation has the engine's id, so this process has exited.
@@ -192,7 +192,7 @@
     }
 
     /// Applies a newer row of the backend list.
-    pub(crate) fn apply_row(&mut self, row: Backend, version: u64) {
+    pub(crate) fn apply_row(&mut self, row: Backend, version: StoreVersion) {
         let is_leaving =
             row.state == BackendState::Draining || self.has_said_leaving;
         self.leaving_since_ms = match (is_leaving, self.leaving_since_ms) {
@@ -255,7 +255,7 @@
 impl Engine {
     pub(crate) fn new(
         row: Backend,
-        row_version: u64,
+        row_version: StoreVersion,
         data_centre: usize,
     ) -> Engine {
         let mut hasher = DefaultHasher::new();
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -20,6 +20,7 @@
 use chestnutreach_membership::{
     FeedPeers, FeedSource, FetchOutcome, feed_source::MIN_SHARING_ENTRIES,
 };
+use chestnutreach_site::StoreVersion;
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{
@@ -89,11 +90,11 @@
 struct Follower {
     core: Arc<Core>,
     kind: FeedKind,
-    store: StoreClient,
+    store: Arc<StoreClient>,
     client: Option<FeedClient>,
     health: StoreHealth,
     /// Version up to which all changes were applied.
-    applied_version: Option<u64>,
+    applied_version: Option<StoreVersion>,
     /// Source of the last poll.
     source: FeedSource,
     /// When a change of the source was last logged.
@@ -102,7 +103,7 @@
 
 impl Follower {
     fn new(core: Arc<Core>, kind: FeedKind) -> Follower {
-        let store = StoreClient::new(core.settings.store_address);
+        let store = core.store.clone();
         let table = feed_for(&core, kind).table;
         Follower {
             core,
@@ -162,7 +163,10 @@
                 self.applied_version = Some(version);
                 FetchOutcome::Fresh
             }
-            Err(StoreError::HistoryExpired) => {
+            Err(
+                StoreError::HistoryExpired
+                | StoreError::HistoryReplaced { .. },
+            ) => {
                 self.applied_version = None;
                 FetchOutcome::Fresh
             }
@@ -174,7 +178,7 @@
         }
     }
 
-    async fn read_full_table(&self) -> Result<u64, StoreError> {
+    async fn read_full_table(&self) -> Result<StoreVersion, StoreError> {
         let sent_ms = now_ms();
         let table = self.feed().table;
         let rows = self.store.read_table(table, READ_TIMEOUT).await?;
@@ -186,9 +190,9 @@
 
     async fn poll_store(
         &self,
-        after: u64,
+        after: StoreVersion,
         is_shared: bool,
-    ) -> Result<u64, StoreError> {
+    ) -> Result<StoreVersion, StoreError> {
         let default_wait = match (is_shared, self.kind) {
             (true, _) if self.feed().age_ms() > SHORT_WAIT_AGE_MS => {
                 STALE_READER_WAIT
@@ -241,6 +245,9 @@
         let is_full_table = response.is_whole;
         let rows = into_rows(response);
         self.log_lower_version(&rows);
+        if self.is_outdated(rows.version) {
+            return FetchOutcome::Stale;
+        }
         match is_full_table {
             true => self.apply_all(&rows),
             false => self.apply_changes(&rows),
@@ -255,9 +262,17 @@
         FetchOutcome::Fresh
     }
 
+    /// Whether a response belongs to an earlier history than the copy. It
+    /// confirms nothing then.
+    fn is_outdated(&self, version: StoreVersion) -> bool {
+        let known = self.feed().version();
+        known.is_some_and(|known| version.era() < known.era())
+    }
+
     /// Applies a full table, unless the copy is newer, as can be the case if
     /// the rows come from another entry.
     fn apply_all(&self, rows: &Rows) {
+        self.begin_history(rows);
         if !self.feed().replace(rows) {
             return;
         }
@@ -272,7 +287,9 @@
     }
 
     fn apply_changes(&self, rows: &Rows) {
-        self.feed().apply_changes(rows);
+        if !self.feed().apply_changes(rows) {
+            return;
+        }
         for row in &rows.rows {
             match self.kind {
                 FeedKind::Configuration => {
@@ -326,6 +343,7 @@
             FeedSource::Store => ("store", String::new()),
             FeedSource::Entry(boot_id) => ("entry", boot_id.to_string()),
         };
+        let row_version = self.applied_version.map_or(0, StoreVersion::number);
         emit(
             Event::FeedSourceChanged,
             &[
@@ -333,33 +351,61 @@
                 ("source", &name),
                 ("peer_boot_id", &boot_id),
                 ("age_ms", &self.feed().age_ms()),
-                ("row_version", &self.applied_version.unwrap_or(0)),
+                ("row_version", &row_version),
             ],
         );
     }
 
     /// Logs a read at a version below one that was read before.
     fn log_lower_version(&self, rows: &Rows) {
-        let known = self.feed().version();
-        if known.is_none_or(|known| known <= rows.version) {
+        let Some(known) = self.feed().version() else { return };
+        if known <= rows.version {
             return;
         }
-        let source = match self.source {
-            FeedSource::Store => "store".to_owned(),
-            FeedSource::Entry(boot_id) => boot_id.to_string(),
-        };
-        let era = rows.era.map_or_else(String::new, |era| era.to_string());
         emit(
             Event::StoreVersionFell,
             &[
                 ("table", &self.feed().table),
-                ("source", &source),
-                ("era", &era),
-                ("row_version", &rows.version),
-                ("known_row_version", &known.unwrap_or(0)),
+                ("source", &self.source_name()),
+                ("era", &rows.version.era()),
+                ("row_version", &rows.version.number()),
+                ("known_era", &known.era()),
+                ("known_row_version", &known.number()),
             ],
         );
     }
+
+    /// Prepares for the first read of a later history of the store. Engines
+    /// whose rows the store has lost get the grace period in which they write
+    /// their rows again.
+    fn begin_history(&self, rows: &Rows) {
+        let Some(known) = self.feed().version() else { return };
+        if rows.version <= known || rows.version.is_same_history(known) {
+            return;
+        }
+        self.feed().record_recovery(now_ms());
+        let (row_count, missing_count) = self.feed().missing_rows(rows);
+        emit(
+            Event::StoreHistoryReplaced,
+            &[
+                ("table", &self.feed().table),
+                ("source", &self.source_name()),
+                ("era_before", &known.era()),
+                ("row_version_before", &known.number()),
+                ("era", &rows.version.era()),
+                ("row_version", &rows.version.number()),
+                ("rows_before", &row_count),
+                ("rows_missing", &missing_count),
+            ],
+        );
+    }
+
+    fn source_name(&self) -> String {
+        match self.source {
+            FeedSource::Store => "store".to_owned(),
+            FeedSource::Entry(boot_id) => boot_id.to_string(),
+        }
+    }
 }
 
 fn feed_for(core: &Core, kind: FeedKind) -> &Feed {
--- a/crates/direct/src/cluster/feed_health.rs
+++ b/crates/direct/src/cluster/feed_health.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chestnutreach_adapter::store::StoreError;
+use chestnutreach_site::StoreVersion;
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{clock::now_ms, cluster::feeds::Feed, core::Core};
@@ -49,7 +50,11 @@
         );
     }
 
-    pub(crate) fn record_response(&mut self, feed: &Feed, row_version: u64) {
+    pub(crate) fn record_response(
+        &mut self,
+        feed: &Feed,
+        version: StoreVersion,
+    ) {
         let now_ms = now_ms();
         self.last_response_ms = now_ms;
         let Some(since_ms) = self.down_since_ms.take() else {
@@ -64,7 +69,7 @@
             &[
                 ("table", &self.table),
                 ("down_ms", &down_ms),
-                ("row_version", &row_version),
+                ("row_version", &version.number()),
             ],
         );
     }
--- a/crates/direct/src/cluster/feed_server.rs
+++ b/crates/direct/src/cluster/feed_server.rs
@@ -1,8 +1,9 @@
 //! Server and client of the feeds that entries provide in place of the store.
 //!
-//! HTTP on a separate port: `GET /feed/TABLE?after=VERSION&wait-ms=MS` waits
-//! for a change as the store's feed does. The response holds all rows if
-//! `after` is missing, or if the changes since that version are not known.
+//! HTTP on a separate port: `GET /feed/TABLE?era=ERA&after=NUMBER&wait-ms=MS`
+//! waits for a change as the store's feed does. The response holds all rows if
+//! `after` is missing, or if the changes since that version are not known. A
+//! missing era is era 0.
 
 use std::{
     net::{SocketAddr, TcpListener},
@@ -16,6 +17,7 @@
     serve_connection,
 };
 use chestnutreach_protocol::peers::FeedAnswer;
+use chestnutreach_site::StoreVersion;
 use chestnutreach_telemetry::Port;
 use futures_lite::FutureExt as _;
 use prost::Message as _;
@@ -69,7 +71,8 @@
     };
     feed.record_request();
     let received_ms = now_ms();
-    let after = number("after");
+    let era = number("era").unwrap_or(0);
+    let after = number("after").map(|after| StoreVersion::new(era, after));
     if let Some(after) = after {
         let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
         wait_for_change(feed, after, wait.min(MAX_WAIT)).await;
@@ -84,7 +87,7 @@
     response
 }
 
-async fn wait_for_change(feed: &Feed, after: u64, wait: Duration) {
+async fn wait_for_change(feed: &Feed, after: StoreVersion, wait: Duration) {
     let subscription = feed.changed.subscribe();
     if feed.version().is_some() && feed.has_changes_after(after) {
         return;
@@ -124,7 +127,7 @@
     pub(crate) async fn fetch(
         &self,
         table: &str,
-        after: Option<u64>,
+        after: Option<StoreVersion>,
         wait: Duration,
         timeout: Duration,
     ) -> Option<FetchedFeed> {
@@ -132,7 +135,10 @@
         let target = match after {
             Some(after) => {
                 let wait_ms = wait.as_millis();
-                format!("/feed/{table}?after={after}&wait-ms={wait_ms}")
+                let (era, after) = (after.era(), after.number());
+                format!(
+                    "/feed/{table}?era={era}&after={after}&wait-ms={wait_ms}"
+                )
             }
             None => format!("/feed/{table}"),
         };
--- a/crates/direct/src/cluster/feeds.rs
+++ b/crates/direct/src/cluster/feeds.rs
@@ -3,9 +3,12 @@
 //! [`FeedSources`] decides from where an entry reads, and [`TableCopy`] what
 //! to serve to others. This module holds the state that the tasks share.
 
-use std::sync::{
-    Mutex, MutexGuard,
-    atomic::{AtomicU64, Ordering::Relaxed},
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
 };
 
 use chestnutreach_adapter::{
@@ -16,6 +19,7 @@
     FeedPeers, FeedSource, FeedSources, FetchOutcome, RowChange, TableCopy,
 };
 use chestnutreach_protocol::peers::{FeedAnswer, FeedRow};
+use chestnutreach_site::StoreVersion;
 
 use crate::{clock::now_ms, subscribers::Subscribers};
 
@@ -105,7 +109,8 @@
             "table": self.table,
             "asks": source,
             "age_ms": self.age_ms(),
-            "row_version": self.version(),
+            "era": self.version().map(StoreVersion::era),
+            "row_version": self.version().map(StoreVersion::number),
         })
     }
 
@@ -122,7 +127,7 @@
     }
 
     /// Version up to which the copy is complete.
-    pub(crate) fn version(&self) -> Option<u64> {
+    pub(crate) fn version(&self) -> Option<StoreVersion> {
         self.copy().version()
     }
 
@@ -151,17 +156,28 @@
         is_taken
     }
 
-    /// Applies rows that changed.
-    pub(crate) fn apply_changes(&self, rows: &Rows) {
+    /// Applies rows that changed; returns false if they belong to another
+    /// history than the copy.
+    pub(crate) fn apply_changes(&self, rows: &Rows) -> bool {
         let changes = rows.rows.iter().map(row_change).collect();
-        self.copy().apply(changes, rows.version);
+        let is_applied = self.copy().apply(changes, rows.version);
         if !rows.rows.is_empty() {
             self.changed.notify_all();
         }
+        is_applied
+    }
+
+    /// Number of rows of the copy, and how many of them a full read lacks.
+    pub(crate) fn missing_rows(&self, read: &Rows) -> (usize, usize) {
+        let received: BTreeSet<&str> =
+            read.rows.iter().map(|row| row.key.as_str()).collect();
+        let copy = self.copy();
+        let is_missing = |row: &&RowChange| !received.contains(&*row.key);
+        (copy.rows().count(), copy.rows().filter(is_missing).count())
     }
 
     /// Whether the copy has changes after a version.
-    pub(crate) fn has_changes_after(&self, version: u64) -> bool {
+    pub(crate) fn has_changes_after(&self, version: StoreVersion) -> bool {
         self.copy().has_changes_after(version)
     }
 
@@ -169,7 +185,7 @@
     /// entry has no copy.
     pub(crate) fn response_after(
         &self,
-        after: Option<u64>,
+        after: Option<StoreVersion>,
     ) -> Option<FeedAnswer> {
         let copy = self.copy();
         let version = copy.version()?;
@@ -182,7 +198,8 @@
         let recovered_ms = Some(self.recovered_ms()).filter(|ms| *ms > 0);
         Some(FeedAnswer {
             rows,
-            version,
+            version: version.number(),
+            era: version.era(),
             is_whole,
             confirmed_age_ms: self.age_ms(),
             back_age_ms: recovered_ms.map(|ms| now_ms().saturating_sub(ms)),
@@ -201,15 +218,15 @@
 
 /// Converts a response of an entry to rows as the store returns them.
 pub(crate) fn into_rows(answer: FeedAnswer) -> Rows {
+    let era = answer.era;
     let convert = |row: FeedRow| Row {
         key: row.key,
         is_deleted: row.value.is_none(),
         value: row.value.unwrap_or_default(),
-        version: row.version,
+        version: StoreVersion::new(era, row.version),
     };
-    let version = answer.version;
-    let rows = answer.rows.into_iter().map(convert).collect();
-    Rows { rows, version, era: None }
+    let version = StoreVersion::new(era, answer.version);
+    Rows { rows: answer.rows.into_iter().map(convert).collect(), version }
 }
 
 fn row_change(row: &Row) -> RowChange {
@@ -224,6 +241,6 @@
     FeedRow {
         key: change.key.clone(),
         value: change.value.clone(),
-        version: change.version,
+        version: change.version.number(),
     }
 }
--- a/crates/direct/src/cluster/fleet.rs
+++ b/crates/direct/src/cluster/fleet.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use chestnutreach_protocol::peers::OpenMove;
-use chestnutreach_site::{Backend, BackendState, LayerRange};
+use chestnutreach_site::{Backend, BackendState, LayerRange, StoreVersion};
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::cluster::engine::{Engine, EngineState, StartOrder};
@@ -129,7 +129,7 @@
     pub(crate) fn apply(
         &self,
         row: Backend,
-        row_version: u64,
+        row_version: StoreVersion,
         data_centre: usize,
         is_full_read: bool,
     ) -> RowOutcome {
@@ -240,7 +240,11 @@
     accepts_work(state, now_ms) && !state.is_in_cooldown(now_ms)
 }
 
-fn log_listed(row: &Backend, row_version: u64, known: Option<&Engine>) {
+fn log_listed(
+    row: &Backend,
+    row_version: StoreVersion,
+    known: Option<&Engine>,
+) {
     let is_same = known.is_some_and(|engine| {
         let old = &engine.lock().row;
         old.state == row.state
@@ -265,7 +269,7 @@
             ("started_unix_ms", &started),
             ("state", &state),
             ("layers", &layers),
-            ("row_version", &row_version),
+            ("row_version", &row_version.number()),
         ],
     );
 }
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -344,7 +344,7 @@
 /// has written its row, and sends a message to that entry. So one read after
 /// the own row is written suffices; later reads only cover failures.
 async fn discover(core: Arc<Core>) {
-    let store = StoreClient::new(core.settings.store_address);
+    let store = core.store.clone();
     let own = SocketAddr::new(core.settings.ip, port(&core));
     let mut is_listed = false;
     loop {
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -9,11 +9,12 @@
 
 use arc_swap::ArcSwapOption;
 use async_executor::Executor;
+use chestnutreach_adapter::store::StoreClient;
 use chestnutreach_protocol::peers::OpenMove;
 use chestnutreach_routing::{
     CapacityWaits, FirstEventWaits, RetryLimit, RetryWindow, SentCounts,
 };
-use chestnutreach_site::{Configuration, Limits, NodeSettings};
+use chestnutreach_site::{Configuration, Limits, NodeSettings, StoreVersion};
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
 use crate::{
@@ -52,6 +53,8 @@
     pub(crate) settings: NodeSettings,
     pub(crate) boot_id: u64,
     started_ms: u64,
+    /// Client for all calls of the store.
+    pub(crate) store: Arc<StoreClient>,
     pub(crate) executor: Arc<Executor<'static>>,
     configuration: ArcSwapOption<Configuration>,
     /// When the store last confirmed the configuration in force.
@@ -111,6 +114,7 @@
         Core {
             boot_id: fastrand::u64(1..),
             started_ms: now_ms(),
+            store: Arc::new(StoreClient::new(settings.store_address)),
             executor,
             configuration: ArcSwapOption::empty(),
             confirmed_ms: AtomicU64::new(0),
@@ -166,7 +170,7 @@
     pub(crate) fn apply_configuration(
         &self,
         new: Configuration,
-        row_version: u64,
+        row_version: StoreVersion,
     ) -> bool {
         let current = self.configuration().map(|current| current.version);
         if let Some(in_force) = current
@@ -404,23 +408,27 @@
     }
 }
 
-fn log_not_newer(new: &Configuration, row_version: u64, in_force: u64) {
+fn log_not_newer(
+    new: &Configuration,
+    row_version: StoreVersion,
+    in_force: u64,
+) {
     emit(
         Event::ConfigurationNotNewer,
         &[
             ("version", &new.version),
-            ("row_version", &row_version),
+            ("row_version", &row_version.number()),
             ("in_force", &in_force),
         ],
     );
 }
 
-fn log_configuration(new: &Configuration, row_version: u64) {
+fn log_configuration(new: &Configuration, row_version: StoreVersion) {
     emit(
         Event::ConfigurationInForce,
         &[
             ("version", &new.version),
-            ("row_version", &row_version),
+            ("row_version", &row_version.number()),
             ("findings", &new.findings.len()),
         ],
     );
--- a/crates/direct/src/placement/lease.rs
+++ b/crates/direct/src/placement/lease.rs
@@ -8,7 +8,10 @@
 use async_io::Timer;
 use chestnutreach_adapter::store::{Row, StoreClient, StoreError};
 use chestnutreach_membership::rendezvous;
-use chestnutreach_site::tables::{LEASE, LEASE_KEY};
+use chestnutreach_site::{
+    StoreVersion,
+    tables::{LEASE, LEASE_KEY},
+};
 use chestnutreach_state::{
     FencingNumber, LeaseCommand, LeaseOptions, LeaseParticipant, LeaseRow,
     LeaseState, StoreResponse,
@@ -38,12 +41,19 @@
 const ALL_CANDIDATES_AFTER_MS: u64 = 6_000;
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The row as last read or written.
+#[derive(Clone, Copy, Debug, Default)]
+struct LastRow {
+    row: Option<LeaseRow>,
+    /// Version of the row at the store, with number 0 if there is no row.
+    version: StoreVersion,
+}
+
 /// One entry's part in holding or seeking the lease.
 pub(crate) struct Lease {
     participant: Mutex<LeaseParticipant>,
-    store: StoreClient,
-    /// The row as last read or written, with its version at the store.
-    last_row: Mutex<Option<(LeaseRow, u64)>>,
+    store: Arc<StoreClient>,
+    last_row: Mutex<LastRow>,
 }
 
 impl Lease {
@@ -59,7 +69,7 @@
                 core.boot_id,
                 options,
             )),
-            store: StoreClient::new(core.settings.store_address),
+            store: core.store.clone(),
             last_row: Mutex::default(),
         }
     }
@@ -131,6 +141,10 @@
         }
     }
 
+    fn set_last_row(&self, last_row: LastRow) {
+        *self.last_row.lock().expect("no holder panics") = last_row;
+    }
+
     async fn execute(&self, command: LeaseCommand) -> StoreResponse {
         match command {
             LeaseCommand::Read => self.read().await,
@@ -142,10 +156,13 @@
 
     async fn read(&self) -> StoreResponse {
         match self.store.read_row(LEASE, LEASE_KEY, STORE_TIMEOUT).await {
-            Ok(row) => {
-                let last_row = row.as_ref().and_then(decode);
-                *self.last_row.lock().expect("no holder panics") = last_row;
-                StoreResponse::Row(last_row.map(|(row, _)| row))
+            Ok((store_version, stored)) => {
+                let row = stored.as_ref().and_then(decode);
+                let absent = StoreVersion::new(store_version.era(), 0);
+                let version = row.map_or(absent, |(_, version)| version);
+                let row = row.map(|(row, _)| row);
+                self.set_last_row(LastRow { row, version });
+                StoreResponse::Row(row)
             }
             Err(_) => StoreResponse::Unavailable,
         }
@@ -157,24 +174,21 @@
         row: LeaseRow,
     ) -> StoreResponse {
         let last_row = *self.last_row.lock().expect("no holder panics");
-        if last_row.map(|(row, _)| row) != expected {
+        if last_row.row != expected {
             return StoreResponse::Conflict;
         }
-        let version = last_row.map_or(0, |(_, version)| version);
         let value =
             serde_json::to_vec(&row).expect("plain fields always serialize");
         let write = self.store.write_row(
             LEASE,
             LEASE_KEY,
-            Some(version),
+            Some(last_row.version),
             &value,
             STORE_TIMEOUT,
         );
         match write.await {
             Ok(version) => {
-                let mut last_row =
-                    self.last_row.lock().expect("no holder panics");
-                *last_row = Some((row, version));
+                self.set_last_row(LastRow { row: Some(row), version });
                 StoreResponse::Written
             }
             Err(StoreError::Conflict) => StoreResponse::Conflict,
@@ -206,7 +220,7 @@
     since_ms > 0 && now_ms().saturating_sub(since_ms) > STORE_FAILURE_LIMIT_MS
 }
 
-fn decode(row: &Row) -> Option<(LeaseRow, u64)> {
+fn decode(row: &Row) -> Option<(LeaseRow, StoreVersion)> {
     Some((serde_json::from_slice(&row.value).ok()?, row.version))
 }
 
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -6,9 +6,15 @@
 //! response of the store, and it never goes back. Deleted rows are kept for a
 //! while to report the deletion; a request for earlier changes must read the
 //! whole table.
+//!
+//! All rows of a copy belong to one history of the store. A copy moves to a
+//! later history only as a whole: rows that the store has lost must go, and
+//! changes after a version of another history do not exist.
 
 use std::collections::BTreeMap;
 
+use chestnutreach_site::StoreVersion;
+
 /// Limit on deleted rows that are kept: more than the largest fleet has
 /// engines.
 const MAX_DELETED_ROWS: usize = 2_048;
@@ -21,16 +27,16 @@
     /// Value of the row, or `None` for a deleted row.
     pub value: Option<Vec<u8>>,
     /// Version of the store at the change.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// Contents of a table of the store as of a version.
 #[derive(Clone, Debug, Default)]
 pub struct TableCopy {
     rows: BTreeMap<String, RowChange>,
-    version: Option<u64>,
+    version: Option<StoreVersion>,
     /// Changes up to this version may be missing.
-    complete_after: u64,
+    complete_after: StoreVersion,
 }
 
 impl TableCopy {
@@ -41,13 +47,17 @@
 
     /// Version of the store that this is a copy of, or `None` before the first
     /// read.
-    pub fn version(&self) -> Option<u64> {
+    pub fn version(&self) -> Option<StoreVersion> {
         self.version
     }
 
     /// Replaces the whole table; false if `version` is older than the current
     /// one.
-    pub fn replace(&mut self, rows: Vec<RowChange>, version: u64) -> bool {
+    pub fn replace(
+        &mut self,
+        rows: Vec<RowChange>,
+        version: StoreVersion,
+    ) -> bool {
         if self.version.is_some_and(|current| version < current) {
             return false;
         }
@@ -57,8 +67,16 @@
         true
     }
 
-    /// Applies changes after the current version, up to `version`.
-    pub fn apply(&mut self, changes: Vec<RowChange>, version: u64) {
+    /// Applies changes after the current version, up to `version`; false if
+    /// they are changes of another history.
+    pub fn apply(
+        &mut self,
+        changes: Vec<RowChange>,
+        version: StoreVersion,
+    ) -> bool {
+        if !self.is_of_history(version) {
+            return false;
+        }
         for change in changes {
             let current = self.rows.get(&change.key);
             if current.is_none_or(|current| current.version <= change.version)
@@ -68,6 +86,7 @@
         }
         self.version = self.version.max(Some(version));
         self.remove_old_deletions();
+        true
     }
 
     /// The rows of the table.
@@ -77,8 +96,11 @@
 
     /// The changes after a version, in order, or `None` if the copy may lack
     /// some of them and the whole table must be read.
-    pub fn changes_after(&self, version: u64) -> Option<Vec<&RowChange>> {
-        if version < self.complete_after {
+    pub fn changes_after(
+        &self,
+        version: StoreVersion,
+    ) -> Option<Vec<&RowChange>> {
+        if !self.is_of_history(version) || version < self.complete_after {
             return None;
         }
         let is_later = |change: &&RowChange| change.version > version;
@@ -88,15 +110,22 @@
         Some(changes)
     }
 
-    /// Whether anything changed after a version.
-    pub fn has_changes_after(&self, version: u64) -> bool {
-        version < self.complete_after
+    /// Whether anything changed after a version. A copy of a later history
+    /// differs as a whole.
+    pub fn has_changes_after(&self, version: StoreVersion) -> bool {
+        !self.is_of_history(version)
+            || version < self.complete_after
             || self.rows.values().any(|row| row.version > version)
     }
 
+    fn is_of_history(&self, version: StoreVersion) -> bool {
+        self.version.is_some_and(|own| own.is_same_history(version))
+    }
+
     fn remove_old_deletions(&mut self) {
         let deleted = self.rows.values().filter(|r| r.value.is_none());
-        let mut versions: Vec<u64> = deleted.map(|r| r.version).collect();
+        let mut versions: Vec<StoreVersion> =
+            deleted.map(|r| r.version).collect();
         if versions.len() <= MAX_DELETED_ROWS {
             return;
         }
--- a/crates/membership/tests/table_copies.rs
+++ b/crates/membership/tests/table_copies.rs
@@ -1,33 +1,59 @@
 //! Compares copies of a table with the table itself. A process that follows a
 //! copy, with gaps, late or by way of other copies, knows the contents of the
-//! table at the version of the copy, and never goes back.
+//! table at the version of the copy, and never goes back. That holds also
+//! while the store loses its last changes, and gives their versions out again.
 
 use std::collections::BTreeMap;
 
 use chestnutreach_membership::{RowChange, TableCopy};
+use chestnutreach_site::StoreVersion;
 use proptest::prelude::*;
 
-/// The table and its history.
+/// The table with its present history and the histories before.
 #[derive(Default)]
 struct Store {
-    version: u64,
-    history: Vec<RowChange>,
+    version: StoreVersion,
+    /// Changes by era; each history begins with the changes that the copy had
+    /// when the store was restored.
+    histories: BTreeMap<u64, Vec<RowChange>>,
 }
 
 impl Store {
     fn change(&mut self, key: u8, value: Option<u8>) {
-        self.version += 1;
-        self.history.push(RowChange {
+        let (era, number) = (self.version.era(), self.version.number());
+        self.version = StoreVersion::new(era, number + 1);
+        let change = RowChange {
             key: key.to_string(),
             value: value.map(|byte| vec![byte]),
             version: self.version,
-        });
+        };
+        self.histories.entry(era).or_default().push(change);
+    }
+
+    /// Restores the table from a copy that lacks the last changes.
+    fn restore(&mut self, lost_changes: u64) {
+        let number = self.version.number().saturating_sub(lost_changes);
+        let era = self.version.era() + 1;
+        let copied = self.history(self.version.era()).iter();
+        let copied = copied.filter(|change| change.version.number() <= number);
+        let of_era = |change: &RowChange| {
+            let version = StoreVersion::new(era, change.version.number());
+            RowChange { version, ..change.clone() }
+        };
+        let history = copied.map(of_era).collect();
+        self.histories.insert(era, history);
+        self.version = StoreVersion::new(era, number);
+    }
+
+    fn history(&self, era: u64) -> &[RowChange] {
+        self.histories.get(&era).map_or(&[], Vec::as_slice)
     }
 
     /// Rows as of a version.
-    fn rows_at(&self, version: u64) -> BTreeMap<String, Vec<u8>> {
+    fn rows_at(&self, version: StoreVersion) -> BTreeMap<String, Vec<u8>> {
         let mut rows = BTreeMap::new();
-        for change in self.history.iter().filter(|c| c.version <= version) {
+        let history = self.history(version.era()).iter();
+        for change in history.filter(|c| c.version <= version) {
             match &change.value {
                 Some(value) => rows.insert(change.key.clone(), value.clone()),
                 None => rows.remove(&change.key),
@@ -36,8 +62,10 @@
         rows
     }
 
-    fn after(&self, version: u64) -> Vec<RowChange> {
-        let later = self.history.iter().filter(|c| c.version > version);
+    /// The changes after a version of the present history.
+    fn after(&self, version: StoreVersion) -> Vec<RowChange> {
+        let history = self.history(self.version.era()).iter();
+        let later = history.filter(|c| c.version > version);
         // The feed sends the last change of each row.
         let mut last = BTreeMap::new();
         for change in later {
@@ -47,11 +75,9 @@
     }
 
     fn all(&self) -> Vec<RowChange> {
-        let mut last = BTreeMap::new();
-        for change in &self.history {
-            last.insert(change.key.clone(), change.clone());
-        }
-        last.into_values().filter(|c| c.value.is_some()).collect()
+        let start = StoreVersion::new(self.version.era(), 0);
+        let rows = self.after(start).into_iter();
+        rows.filter(|change| change.value.is_some()).collect()
     }
 }
 
@@ -60,11 +86,11 @@
 struct Entry {
     copy: TableCopy,
     rows: BTreeMap<String, Vec<u8>>,
-    after: Option<u64>,
+    after: Option<StoreVersion>,
 }
 
 impl Entry {
-    fn apply_all(&mut self, rows: Vec<RowChange>, version: u64) {
+    fn apply_all(&mut self, rows: Vec<RowChange>, version: StoreVersion) {
         let bytes = |c: &RowChange| (c.key.clone(), c.value.clone());
         let received: Vec<_> = rows.iter().map(bytes).collect();
         if self.copy.replace(rows, version) {
@@ -74,23 +100,31 @@
         self.after = self.after.max(Some(version));
     }
 
-    fn apply_changes(&mut self, changes: Vec<RowChange>, version: u64) {
-        for change in &changes {
-            match &change.value {
+    fn apply_changes(
+        &mut self,
+        changes: Vec<RowChange>,
+        version: StoreVersion,
+    ) {
+        if !self.copy.apply(changes.clone(), version) {
+            return;
+        }
+        for change in changes {
+            match change.value {
                 Some(value) => {
-                    self.rows.insert(change.key.clone(), value.clone());
+                    self.rows.insert(change.key, value);
                 }
                 None => {
                     self.rows.remove(&change.key);
                 }
             }
         }
-        self.copy.apply(changes, version);
         self.after = self.after.max(Some(version));
     }
 
     fn read_store(&mut self, store: &Store) {
-        match self.after {
+        let after =
+            self.after.filter(|after| after.is_same_history(store.version));
+        match after {
             None => self.apply_all(store.all(), store.version),
             Some(after) => {
                 self.apply_changes(store.after(after), store.version);
@@ -121,6 +155,8 @@
     ReadCopy(usize, usize),
     /// An entry restarts without data.
     Restart(usize),
+    /// The store loses this many changes.
+    Restore(u64),
     /// The store no longer has the changes that an entry would read next, so
     /// the entry must read the whole table.
     ForgetVersion(usize),
@@ -133,6 +169,7 @@
         (0_usize..4).prop_map(Step::ReadStore),
         (0_usize..4, 0_usize..4).prop_map(|(a, b)| Step::ReadCopy(a, b)),
         (0_usize..4).prop_map(Step::Restart),
+        (0_u64..6).prop_map(Step::Restore),
         (0_usize..4).prop_map(Step::ForgetVersion),
     ]
 }
@@ -159,18 +196,25 @@
                     entries[at] = Entry::default();
                     restarted = Some(at);
                 }
+                Step::Restore(lost_changes) => store.restore(lost_changes),
                 Step::ForgetVersion(at) => entries[at].after = None,
             }
             for (at, entry) in entries.iter().enumerate() {
                 if restarted != Some(at) {
                     prop_assert!(entry.copy.version() >= before[at]);
                 }
-                let known = entry.copy.version().unwrap_or(0);
+                let Some(known) = entry.copy.version() else { continue };
                 prop_assert!(known <= store.version);
-                if entry.copy.version().is_some() {
-                    prop_assert_eq!(&entry.rows, &store.rows_at(known));
-                }
+                prop_assert_eq!(&entry.rows, &store.rows_at(known));
             }
         }
+        let now = store.rows_at(store.version);
+        entries[0].read_store(&store);
+        let source = entries[0].copy.clone();
+        for entry in &mut entries {
+            entry.read_copy(&source);
+            prop_assert_eq!(entry.copy.version(), Some(store.version));
+            prop_assert_eq!(&entry.rows, &now);
+        }
     }
 }
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`settings`] | settings of one process |
 //! | [`configuration`] | routes, services and client accounts |
 //! | [`backend`] | backend servers, models and accelerators |
+//! | [`store_version`] | versions of the platform's store |
 //! | [`tables`] | names of the tables that this system owns |
 //!
 //! # Example
@@ -34,6 +35,7 @@
 pub mod backend;
 pub mod configuration;
 pub mod settings;
+pub mod store_version;
 pub mod tables;
 
 pub use backend::{
@@ -43,3 +45,4 @@
     Configuration, Finding, Limits, Route, RouteKind, Service, Share,
 };
 pub use settings::{Bounds, NodeSettings, StoreRates};
+pub use store_version::StoreVersion;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -335,11 +335,16 @@
         ["backend", "request", "source", "listed_leaving_ms"],
         "A backend server said in an answer that it leaves.";
     StoreVersionFell = 939, "store_version_fell", Warn,
-        ["table", "source", "era", "row_version", "known_row_version"],
+        ["table", "source", "era", "row_version", "known_era",
+         "known_row_version"],
         "A table was read at a lower version than before.";
     ConfigurationNotNewer = 940, "configuration_not_newer", Info,
         ["version", "row_version", "in_force"],
         "A configuration that was read is not newer than the one in force.";
+    StoreHistoryReplaced = 941, "store_history_replaced", Warn,
+        ["table", "source", "era_before", "row_version_before", "era",
+         "row_version", "rows_before", "rows_missing"],
+        "The store was restored from an older copy; the table was read anew.";
 }
 
 impl Event {
