Entries list themselves again once the store has lost changes

What callers would see: two groups of entries that do not know of each other, after a drill within a minute of a start: requests over the limits that a server names and over the shared limit on retries.

The store may lose a row that it has acknowledged; the others read the table every 60 s and the row was not written again.

Evidence: entries_list_themselves_again_after_their_rows_were_lost failed before (no row within 20 s).

Fix: at a new era the table is read again and the row written if it is missing, after a random delay of up to 1 s, so that 70 entries make 70 to 140 reads and 70 writes in that second.

--- a/crates/daemon/tests/users_platform/store_copies.rs
+++ b/crates/daemon/tests/users_platform/store_copies.rs
@@ -9,6 +9,7 @@
     site::{KEY, Site},
     store::{StoreCopy, StoreFault},
 };
+use chestnutreach_site::tables::ENTRIES;
 use rstest::rstest;
 use serde_json::json;
 
@@ -71,3 +72,24 @@
         }
     });
 }
+
+/// Copies the store without the rows that a table has now.
+fn copy_without(running: &RunningSite, table: &str) -> StoreCopy {
+    for key in running.store.keys(table) {
+        running.store.delete_row(table, &key);
+    }
+    running.store.copy()
+}
+
+/// Entries that start later find the others only through these rows.
+#[test]
+fn entries_list_themselves_again_after_their_rows_were_lost() {
+    with_site(&Site::small(), async |running| {
+        let copy = copy_without(running, ENTRIES);
+        lose_changes(running, copy, Duration::from_millis(250)).await;
+        wait_until("all entries are listed", async || {
+            running.store.keys(ENTRIES).len() == running.addresses.len()
+        })
+        .await;
+    });
+}
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -398,6 +398,7 @@
                 ("rows_missing", &missing_count),
             ],
         );
+        self.core.history_subscribers.notify_all();
     }
 
     fn source_name(&self) -> String {
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -25,6 +25,7 @@
 use chestnutreach_routing::Fingerprint;
 use chestnutreach_site::tables::ENTRIES;
 use chestnutreach_telemetry::{Event, emit};
+use futures_lite::FutureExt as _;
 use prost::Message as _;
 
 use crate::{
@@ -42,6 +43,8 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause before the table is read again after a failure.
 const READ_RETRY_PAUSE: Duration = Duration::from_millis(1_500);
+/// Limit on the random delay before an entry lists itself again.
+const MAX_RELISTING_DELAY: Duration = Duration::from_millis(1_000);
 /// Long, because entries learn of each other from their first messages.
 const TABLE_READ_INTERVAL: Duration = Duration::from_secs(60);
 /// Time over which findings are collected into one alert.
@@ -347,6 +350,7 @@
     let store = core.store.clone();
     let own = SocketAddr::new(core.settings.ip, port(&core));
     let mut is_listed = false;
+    let history_changes = core.history_subscribers.subscribe();
     loop {
         let pause =
             match discover_once(&core, &store, own, &mut is_listed).await {
@@ -354,10 +358,27 @@
                 Ok(Discovery::Written) => Duration::ZERO,
                 Err(_) => READ_RETRY_PAUSE,
             };
-        Timer::after(pause).await;
+        let history_changed = async {
+            history_changes.notified().await;
+            true
+        };
+        let pause_ends = async {
+            Timer::after(pause).await;
+            false
+        };
+        if history_changed.or(pause_ends).await {
+            // The store may have lost the row.
+            is_listed = false;
+            Timer::after(relisting_delay()).await;
+        }
     }
 }
 
+/// Spreads the calls of all entries after the store has lost changes.
+fn relisting_delay() -> Duration {
+    MAX_RELISTING_DELAY.mul_f64(fastrand::f64())
+}
+
 /// Result of reading the table of entries.
 enum Discovery {
     /// The table already had this entry's row.
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -65,6 +65,8 @@
     pub(crate) stream_subscribers: Subscribers,
     /// Requests that wait for the first configuration.
     pub(crate) configuration_subscribers: Subscribers,
+    /// Tasks that must act once the store has lost changes.
+    pub(crate) history_subscribers: Subscribers,
     pub(crate) path_queues: PathQueues,
     pub(crate) peers: PeerTable,
     /// Copies of the tables of the store.
@@ -123,6 +125,7 @@
             unusable_rows: UnusableRows::default(),
             stream_subscribers: Subscribers::default(),
             configuration_subscribers: Subscribers::default(),
+            history_subscribers: Subscribers::default(),
             path_queues: PathQueues::default(),
             peers: PeerTable::new(&settings.data_centre),
             feeds: Feeds::new(),
