Servers that left are not used again when the store loses that

What callers would see: requests to a server beyond its drain time, or refused connections, after the store came back from a copy that lists a server as ready which had said that it leaves, or whose row was gone. Some such servers serve on for many seconds, so the requests would run there.

Cause: same class: rows of the new history replace what is known, although the copy is older. Versions cannot tell, since the copy has a new history.

A row written in the new history is applied at once.

--- a/crates/daemon/tests/users_platform/store_copies.rs
+++ b/crates/daemon/tests/users_platform/store_copies.rs
@@ -11,7 +11,7 @@
 };
 use chestnutreach_site::tables::ENTRIES;
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::{
     feed_sharing::{wait_until_served, wait_until_shared},
@@ -93,3 +93,77 @@
         .await;
     });
 }
+
+/// How a server leaves after the copy was made. It serves on.
+#[derive(Clone, Copy)]
+enum Leaving {
+    /// Its row says that it drains.
+    Drains,
+    /// Its row is removed.
+    Unlisted,
+}
+
+/// Whether an entry's status lists a server as one for new requests.
+fn is_usable(status: &Value, id: &str) -> bool {
+    let backends = status["backends"].as_array().into_iter().flatten();
+    let mut found = backends.filter(|backend| backend["id"] == id);
+    found.any(|backend| backend["is_draining"] == false)
+}
+
+async fn is_usable_anywhere(running: &RunningSite, id: &str) -> bool {
+    for entry in 0..running.addresses.len() {
+        let status = running.status(entry).await.unwrap_or_default();
+        if is_usable(&status, id) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Whether an entry has read the list of servers since the store was restored.
+fn has_read_restored_list(status: &Value) -> bool {
+    let feeds = status["feeds"].as_array().into_iter().flatten();
+    let mut servers = feeds.filter(|feed| feed["table"] == "servers");
+    servers.any(|feed| feed["era"] == 1)
+}
+
+#[rstest]
+#[case::drains(Leaving::Drains)]
+#[case::unlisted(Leaving::Unlisted)]
+fn a_server_that_leaves_gets_no_new_work_when_the_store_loses_that(
+    #[case] leaving: Leaving,
+) {
+    /// The servers write their rows again after the test.
+    const LATE_REWRITE: Duration = Duration::from_secs(60);
+    with_site(&Site::with_shared_feeds(), async |running| {
+        wait_until_shared(running).await;
+        let copy = running.store.copy();
+        let address = running.backends.engines()[0];
+        let id = running.backends.server(address).unwrap().id;
+        match leaving {
+            Leaving::Drains => running.backends.report_draining(address),
+            Leaving::Unlisted => running.backends.remove_row(address),
+        }
+        wait_until("the server is not usable", async || {
+            !is_usable_anywhere(running, &id).await
+        })
+        .await;
+        running.store.set_fault(StoreFault::Away);
+        Timer::after(Duration::from_millis(250)).await;
+        running.restore_store(copy, LATE_REWRITE);
+        for entry in 0..running.addresses.len() {
+            wait_until("the entry reads the restored list", async || {
+                let status = running.status(entry).await.unwrap_or_default();
+                has_read_restored_list(&status)
+            })
+            .await;
+            let status = running.status(entry).await.unwrap_or_default();
+            assert!(!is_usable(&status, &id), "{entry}");
+        }
+        // The row stays, so the server has not left after all.
+        wait_until("the server is usable", async || {
+            is_usable_anywhere(running, &id).await
+        })
+        .await;
+    });
+}
--- a/crates/direct/src/cluster/backend_rows.rs
+++ b/crates/direct/src/cluster/backend_rows.rs
@@ -11,7 +11,8 @@
     backends,
     store::{Row, Rows},
 };
-use chestnutreach_site::{BackendState, StoreVersion};
+use chestnutreach_membership::restored_row::{self, ServerRow};
+use chestnutreach_site::{Backend, BackendState, StoreVersion};
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{
@@ -82,6 +83,9 @@
         Ok(backend) => backend,
         Err(error) => return handle_unusable(core, row, &error),
     };
+    if let Some(wait_ms) = deferral_ms(core, &backend, row.version) {
+        return defer(core, row, wait_ms);
+    }
     let data_centre = core.data_centre_index(&backend.data_centre);
     let is_leaving = backend.state == BackendState::Draining;
     match core.fleet.apply(backend, row.version, data_centre, is_full_read) {
@@ -100,6 +104,47 @@
     core.unusable_rows.remove(&row.key);
 }
 
+/// How long a row waits because the store has lost newer changes of it.
+fn deferral_ms(
+    core: &Core,
+    backend: &Backend,
+    version: StoreVersion,
+) -> Option<u64> {
+    let history = core.feeds.backends.history()?;
+    let known = core.fleet.known_server(&backend.id)?;
+    let row = ServerRow {
+        started_unix_ms: backend.started_unix_ms,
+        heartbeats: backend.heartbeats,
+        is_draining: backend.state == BackendState::Draining,
+        version,
+    };
+    let heartbeat_ms = core.settings.heartbeat_ms;
+    restored_row::deferral_ms(&known, &row, &history, heartbeat_ms, now_ms())
+}
+
+/// Applies the row after a delay, if it is still the server's row then.
+fn defer(core: &Arc<Core>, row: &Row, wait_ms: u64) {
+    emit(
+        Event::BackendRowDeferred,
+        &[
+            ("backend", &row.key),
+            ("row_version", &row.version.number()),
+            ("era", &row.version.era()),
+            ("wait_ms", &wait_ms),
+        ],
+    );
+    let (executor, core) = (core.executor.clone(), core.clone());
+    let (key, version) = (row.key.clone(), row.version);
+    let later = async move {
+        Timer::after(Duration::from_millis(wait_ms)).await;
+        let current = core.feeds.backends.row(&key);
+        if let Some(row) = current.filter(|row| row.version == version) {
+            apply_row(&core, &row, false);
+        }
+    };
+    executor.spawn(later).detach();
+}
+
 /// Handles a row that is not a valid backend row. Another writer may have
 /// stored the row, and the engine with this id may still run.
 fn handle_unusable(core: &Core, row: &Row, error: &str) {
--- a/crates/direct/src/cluster/engine.rs
+++ b/crates/direct/src/cluster/engine.rs
@@ -11,6 +11,7 @@
     },
 };
 
+use chestnutreach_membership::restored_row::ServerRow;
 pub(crate) use chestnutreach_routing::FailureEvidence;
 use chestnutreach_routing::{CircuitBreaker, UsageEstimate};
 use chestnutreach_site::{Backend, BackendState, LayerRange, StoreVersion};
@@ -191,6 +192,17 @@
         self.backoff_until_ms = now_ms + (min_ms << doublings);
     }
 
+    /// What the last row said, with drain notices from responses.
+    pub(crate) fn server_row(&self) -> ServerRow {
+        let is_draining = self.row.state == BackendState::Draining;
+        ServerRow {
+            started_unix_ms: self.row.started_unix_ms,
+            heartbeats: self.row.heartbeats,
+            is_draining: is_draining || self.has_said_leaving,
+            version: self.row_version,
+        }
+    }
+
     /// Applies a newer row of the backend list.
     pub(crate) fn apply_row(&mut self, row: Backend, version: StoreVersion) {
         let is_leaving =
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -383,7 +383,7 @@
         if rows.version <= known || rows.version.is_same_history(known) {
             return;
         }
-        self.feed().record_recovery(now_ms());
+        self.feed().begin_history(rows.version);
         let (row_count, missing_count) = self.feed().missing_rows(rows);
         emit(
             Event::StoreHistoryReplaced,
--- a/crates/direct/src/cluster/feeds.rs
+++ b/crates/direct/src/cluster/feeds.rs
@@ -17,6 +17,7 @@
 };
 use chestnutreach_membership::{
     FeedPeers, FeedSource, FeedSources, FetchOutcome, RowChange, TableCopy,
+    restored_row::HistoryStart,
 };
 use chestnutreach_protocol::peers::{FeedAnswer, FeedRow};
 use chestnutreach_site::StoreVersion;
@@ -66,6 +67,9 @@
     /// When the store was available again after the last outage; 0 if there
     /// was none.
     recovered_ms: AtomicU64,
+    /// The first read of the present history, unless it is the first that
+    /// this process knows.
+    history: Mutex<Option<HistoryStart>>,
     /// Boot id of the entry that is polled; 0 for the store.
     source_boot_id: AtomicU64,
     /// Tasks that wait for a change.
@@ -81,6 +85,7 @@
             sources: Mutex::default(),
             confirmed_ms: AtomicU64::new(0),
             recovered_ms: AtomicU64::new(0),
+            history: Mutex::default(),
             source_boot_id: AtomicU64::new(0),
             changed: Subscribers::default(),
         }
@@ -148,6 +153,32 @@
         self.recovered_ms.fetch_max(recovered_ms, Relaxed);
     }
 
+    pub(crate) fn history(&self) -> Option<HistoryStart> {
+        *self.history.lock().expect("no holder panics")
+    }
+
+    /// Records the first read of a later history. Rows that the store has
+    /// lost may return as after an outage.
+    pub(crate) fn begin_history(&self, version: StoreVersion) {
+        let read_ms = now_ms();
+        self.record_recovery(read_ms);
+        let mut history = self.history.lock().expect("no holder panics");
+        *history = Some(HistoryStart { version, read_ms });
+    }
+
+    /// The row of the copy with this key.
+    pub(crate) fn row(&self, key: &str) -> Option<Row> {
+        let copy = self.copy();
+        let mut rows = copy.rows();
+        let change = rows.find(|row| row.key == key)?;
+        Some(Row {
+            key: change.key.clone(),
+            is_deleted: change.value.is_none(),
+            value: change.value.clone().unwrap_or_default(),
+            version: change.version,
+        })
+    }
+
     /// Replaces all rows; returns false if the copy is newer.
     pub(crate) fn replace(&self, rows: &Rows) -> bool {
         let changes = rows.rows.iter().map(row_change).collect();
--- a/crates/direct/src/cluster/fleet.rs
+++ b/crates/direct/src/cluster/fleet.rs
@@ -10,16 +10,28 @@
 };
 
 use arc_swap::ArcSwapOption;
+use chestnutreach_membership::restored_row::{KnownServer, ServerRow};
 use chestnutreach_protocol::peers::OpenMove;
 use chestnutreach_site::{Backend, BackendState, LayerRange, StoreVersion};
 use chestnutreach_telemetry::{Event, emit};
 
-use crate::cluster::engine::{Engine, EngineState, StartOrder};
+use crate::{
+    clock::now_ms,
+    cluster::engine::{Engine, EngineState, StartOrder},
+};
+
+/// How long a removed engine is remembered: longer than the age of the copies
+/// from which the store is restored.
+const DEPARTED_MEMORY_MS: u64 = 120_000;
+/// More than the largest fleet has engines.
+const MAX_DEPARTED: usize = 2_048;
 
 /// All backend servers by id.
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
     engines: Mutex<BTreeMap<String, Arc<Engine>>>,
+    /// Last rows of engines that were removed, with the times of removal.
+    departed: Mutex<BTreeMap<String, (ServerRow, u64)>>,
     /// Lock-free index for the request path. A change of the set clears the
     /// index; the next read rebuilds it.
     index: ArcSwapOption<FleetIndex>,
@@ -220,8 +232,31 @@
             engines.remove(id)?
         };
         engine.lock().is_removed = true;
+        self.record_departed(&engine);
         Some(engine)
     }
+
+    fn record_departed(&self, engine: &Engine) {
+        let row = engine.lock().server_row();
+        let now_ms = now_ms();
+        let mut departed = self.departed.lock().expect("no holder panics");
+        departed.retain(|_, (_, at_ms)| *at_ms + DEPARTED_MEMORY_MS > now_ms);
+        if departed.len() < MAX_DEPARTED {
+            departed.insert(engine.id.clone(), (row, now_ms));
+        }
+    }
+
+    /// What is known of a server: the row of the present engine with this id,
+    /// or else of one that was removed.
+    pub(crate) fn known_server(&self, id: &str) -> Option<KnownServer> {
+        if let Some(engine) = self.get(id) {
+            let row = engine.lock().server_row();
+            return Some(KnownServer { row, is_gone: false });
+        }
+        let departed = self.departed.lock().expect("no holder panics");
+        let (row, _) = departed.get(id)?;
+        Some(KnownServer { row: *row, is_gone: true })
+    }
 }
 
 /// Whether a backend server may get new work, from any sender.
--- a/crates/emulator/src/backend_servers.rs
+++ b/crates/emulator/src/backend_servers.rs
@@ -67,6 +67,8 @@
     pub id: String,
     /// Unix time of its start, in milliseconds.
     pub started_unix_ms: u64,
+    /// Heartbeats that it has counted.
+    pub heartbeats: u64,
     /// Service name.
     pub service: &'static str,
     /// Data centre name.
@@ -176,6 +178,7 @@
         let server = ServerState {
             id: id.clone(),
             started_unix_ms: FIRST_START_UNIX_MS + state.next_id,
+            heartbeats: 0,
             service,
             data_centre: data_centre.to_owned(),
             status: ServerStatus::Serving,
--- a/crates/emulator/src/backend_servers/rows.rs
+++ b/crates/emulator/src/backend_servers/rows.rs
@@ -75,13 +75,19 @@
         self.remove_row_later(address, ROW_EXPIRY);
     }
 
-    /// Drains a server: its row changes to draining, and the server exits
-    /// later.
-    pub fn drain(&self, address: SocketAddr) {
+    /// Changes a server's row to draining; the server accepts no new requests
+    /// and keeps running.
+    pub fn report_draining(&self, address: SocketAddr) {
         self.update_server(address, |server| {
             server.status = ServerStatus::Draining
         });
         self.write_row(address);
+    }
+
+    /// Drains a server: its row changes to draining, and the server exits
+    /// later.
+    pub fn drain(&self, address: SocketAddr) {
+        self.report_draining(address);
         let backends = self.clone();
         let exit = async move {
             Timer::after(DRAIN_TIME).await;
@@ -155,6 +161,15 @@
         self.shared.executor.spawn(remove).detach();
     }
 
+    fn count_heartbeat(&self, address: SocketAddr) -> u64 {
+        let mut heartbeats = 0;
+        self.update_server(address, |server| {
+            server.heartbeats += 1;
+            heartbeats = server.heartbeats;
+        });
+        heartbeats
+    }
+
     /// Writes the server's row.
     pub fn write_row(&self, address: SocketAddr) {
         let Some(server) = self.server(address) else { return };
@@ -168,7 +183,7 @@
             "zone": server.data_centre,
             "slots": 64,
             "state": state,
-            "seq": 7,
+            "seq": self.count_heartbeat(address),
             "born": server.started_unix_ms,
         });
         if server.service == MODEL_SERVICE {
--- a/crates/site/src/backend.rs
+++ b/crates/site/src/backend.rs
@@ -11,6 +11,8 @@
     pub id: String,
     /// Unix time of the process start, in milliseconds, if reported.
     pub started_unix_ms: Option<u64>,
+    /// Heartbeats that the process has counted, as of the row's last change.
+    pub heartbeats: u64,
     /// Name of the service.
     pub service: String,
     /// Address for requests.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -345,6 +345,9 @@
         ["table", "source", "era_before", "row_version_before", "era",
          "row_version", "rows_before", "rows_missing"],
         "The store was restored from an older copy; the table was read anew.";
+    BackendRowDeferred = 942, "backend_row_deferred", Info,
+        ["backend", "row_version", "era", "wait_ms"],
+        "A row is older than what is known of its backend server and waits.";
 }
 
 impl Event {
