--- a/crates/daemon/tests/users_platform/store_copies.rs
+++ b/crates/daemon/tests/users_platform/store_copies.rs
@@ -37,6 +37,18 @@
     running.restore_store(copy, REWRITE_DELAY);
 }
 
+async fn wait_until_all(
+    running: &RunningSite,
+    mut condition: impl AsyncFnMut(usize) -> bool,
+) {
+    for entry in 0..running.addresses.len() {
+        wait_until("an entry meets the condition", async || {
+            condition(entry).await
+        })
+        .await;
+    }
+}
+
 async fn wait_until_in_force(running: &RunningSite, version: u64) {
     for entry in 0..running.addresses.len() {
         wait_until("the configuration is in force", async || {
@@ -167,3 +179,54 @@
         .await;
     });
 }
+
+/// Number of log lines of servers that were dropped, and how many of them had
+/// no grace period.
+fn dropped(running: &RunningSite) -> (usize, usize) {
+    let logs = running.logs();
+    let gone = || logs.lines().filter(|line| line.contains("backend_gone"));
+    let at_once = gone().filter(|l| l.contains(r#""held_back_ms":"0""#));
+    (gone().count(), at_once.count())
+}
+
+/// The copy is older than all rows of servers. Each server has the time that
+/// the platform states to write its row again, and is gone then.
+#[test]
+fn running_servers_stay_in_use_while_the_copy_lacks_their_rows() {
+    const LATE_REWRITE: Duration = Duration::from_secs(60);
+    with_site(&Site::with_shared_feeds(), async |running| {
+        wait_until_shared(running).await;
+        let copy = copy_without(running, "servers");
+        let count_backends = async |entry| {
+            let status = running.status(entry).await.unwrap_or_default();
+            status["backends"].as_array().map(Vec::len)
+        };
+        wait_until_all(running, async |entry| {
+            count_backends(entry).await == Some(0)
+        })
+        .await;
+        let engines = running.backends.engines();
+        for address in engines.iter().chain(&running.backends.plain_servers())
+        {
+            running.backends.write_row(*address);
+        }
+        let count = engines.len() + running.backends.plain_servers().len();
+        wait_until_all(running, async |entry| {
+            count_backends(entry).await == Some(count)
+        })
+        .await;
+        wait_until("the first drops are logged", async || {
+            dropped(running).0 == count * running.addresses.len()
+        })
+        .await;
+        let (dropped_before, at_once_before) = dropped(running);
+        // No call fails, so only the era shows that rows were lost.
+        running.restore_store(copy, LATE_REWRITE);
+        let all = dropped_before + count * running.addresses.len();
+        wait_until("all servers are dropped", async || {
+            dropped(running).0 == all
+        })
+        .await;
+        assert_eq!(dropped(running).1, at_once_before);
+    });
+}
