No two planners, and no fencing number twice, after the store lost the lease

What operators would see: two entries that order engines to hold layers, at odds with each other, and orders under a number that another term had.

The row of the lease goes back: a candidate that remembers the older row from before takes it for unchanged since then and takes the lease over while its holder acts on a renewal that is lost; a resignation of the undone time ends a new term with the same number; numbers repeat.

Fix: at a new era the participant forgets what it observed. Only a process that held the lease then takes a row of the copy at once; all others wait for a full duration, after which that process has stopped. Numbers of a new history begin at era x 1,000,000, above all before. A write whose condition is of another history counts as a conflict.

Open: a process that starts just after a restore, hears no planner, and finds no row or a released one, takes the lease while a holder may act for 2.5 s.

--- a/crates/daemon/tests/users_platform/store_copies.rs
+++ b/crates/daemon/tests/users_platform/store_copies.rs
@@ -9,7 +9,7 @@
     site::{KEY, Site},
     store::{StoreCopy, StoreFault},
 };
-use chestnutreach_site::tables::ENTRIES;
+use chestnutreach_site::tables::{ENTRIES, LEASE, LEASE_KEY};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -230,3 +230,28 @@
         assert_eq!(dropped(running).1, at_once_before);
     });
 }
+
+/// Fencing number in the row of the lease.
+fn lease_number(running: &RunningSite) -> Option<u64> {
+    running.store.get(LEASE, LEASE_KEY)?["fencing_number"].as_u64()
+}
+
+#[test]
+fn no_fencing_number_is_given_out_again_after_the_lease_was_lost() {
+    with_site(&Site::with_shared_feeds(), async |running| {
+        let copy = copy_without(running, LEASE);
+        let mut known = 0;
+        wait_until("an entry holds the lease", async || {
+            known = lease_number(running).unwrap_or(0);
+            known > 0 && running.planner().await.is_some()
+        })
+        .await;
+        lose_changes(running, copy, Duration::from_millis(250)).await;
+        wait_until("an entry holds the lease again", async || {
+            let number = lease_number(running);
+            number.is_some_and(|number| number > known)
+                && running.planner().await.is_some()
+        })
+        .await;
+    });
+}
--- a/crates/direct/src/placement/lease.rs
+++ b/crates/direct/src/placement/lease.rs
@@ -40,6 +40,10 @@
 /// `LEASE_DURATION_MS`, for which the first candidates must wait.
 const ALL_CANDIDATES_AFTER_MS: u64 = 6_000;
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Fencing numbers of one history of the store: more than the terms of any
+/// history, and small enough that the numbers of many histories stay exact in
+/// JSON.
+const NUMBERS_PER_ERA: u64 = 1_000_000;
 
 /// The row as last read or written.
 #[derive(Clone, Copy, Debug, Default)]
@@ -54,6 +58,8 @@
     participant: Mutex<LeaseParticipant>,
     store: Arc<StoreClient>,
     last_row: Mutex<LastRow>,
+    /// Era of the store that the participant knows.
+    era: Mutex<Option<u64>>,
 }
 
 impl Lease {
@@ -71,6 +77,7 @@
             )),
             store: core.store.clone(),
             last_row: Mutex::default(),
+            era: Mutex::default(),
         }
     }
 
@@ -88,8 +95,10 @@
         let mut last = LeaseState::Idle;
         loop {
             self.resign_if_partitioned(&core);
+            self.record_era();
             if let Some(command) = self.next_command(&core) {
                 let response = self.execute(command).await;
+                self.record_era();
                 self.participant().handle_response(response, now_ms());
             }
             let state = self.participant().state();
@@ -118,6 +127,21 @@
         participant.tick(now_ms())
     }
 
+    /// Tells the participant if the store was restored from a copy.
+    fn record_era(&self) {
+        let Some(era) = self.store.era() else { return };
+        let known = {
+            let mut known = self.era.lock().expect("no holder panics");
+            known.replace(era)
+        };
+        let floor = era.saturating_mul(NUMBERS_PER_ERA);
+        match known {
+            Some(known) if known == era => {}
+            Some(_) => self.participant().store_restored(floor, now_ms()),
+            None => self.participant().set_number_floor(floor),
+        }
+    }
+
     /// Releases the lease if the store is unreachable, and announces that, so
     /// that a successor need not wait for the end of the term.
     fn resign_if_partitioned(&self, core: &Core) {
@@ -191,7 +215,9 @@
                 self.set_last_row(LastRow { row: Some(row), version });
                 StoreResponse::Written
             }
-            Err(StoreError::Conflict) => StoreResponse::Conflict,
+            Err(StoreError::Conflict | StoreError::HistoryReplaced { .. }) => {
+                StoreResponse::Conflict
+            }
             Err(StoreError::Refused { .. }) => StoreResponse::Unavailable,
             Err(_) => StoreResponse::Ambiguous,
         }
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -12,6 +12,13 @@
 //! shows, such as an order that was decided before the pause and sent after
 //! it, or a VM whose clock stopped during the pause.
 //!
+//! A table service that is restored from an older copy has lost terms and
+//! renewals: a process may act under a term that no row shows. After a
+//! restore, only the process that holds the lease takes it again at once; all
+//! others wait for a full duration, after which that process has stopped. The
+//! numbers of a new history are higher than all before, so that no number is
+//! given out twice.
+//!
 //! A write whose response was lost is settled by reading the row. Until then,
 //! the holder keeps its earlier deadline. A repeated write counts from when
 //! the first attempt was sent, because either attempt may have taken effect.
@@ -84,6 +91,19 @@
     is_released: bool,
     /// Highest fencing number whose holder has announced that it stopped.
     highest_resigned: Option<FencingNumber>,
+    /// Number below the first term of the present history.
+    number_floor: u64,
+    /// The last restore of the table service.
+    restore: Option<Restore>,
+}
+
+/// A restore of the table service from an older copy.
+#[derive(Clone, Copy, Debug)]
+struct Restore {
+    /// When the process learned of the restore.
+    at_ms: u64,
+    /// End of the term that the process held at that time, if it held one.
+    own_until_ms: Option<u64>,
 }
 
 impl LeaseParticipant {
@@ -101,6 +121,8 @@
             is_holder_unknown: false,
             is_released: false,
             highest_resigned: None,
+            number_floor: 0,
+            restore: None,
         }
     }
 
@@ -168,6 +190,32 @@
         self.highest_resigned = self.highest_resigned.max(Some(number));
     }
 
+    /// Sets the number below the first term. Call it before the first command
+    /// if the table service may have been restored in the past.
+    pub fn set_number_floor(&mut self, floor: u64) {
+        self.number_floor = floor;
+    }
+
+    /// Handles a restore of the table service from an older copy. The process
+    /// stops to act until its lease is in the row again. `number_floor` is
+    /// higher than all numbers before.
+    pub fn store_restored(&mut self, number_floor: u64, now_ms: u64) {
+        let own_until_ms = match self.state {
+            LeaseState::Held { until_ms, .. } => Some(until_ms),
+            _ => None,
+        };
+        let earlier = self.restore.and_then(|restore| restore.own_until_ms);
+        self.restore = Some(Restore {
+            at_ms: now_ms,
+            own_until_ms: own_until_ms.or(earlier),
+        });
+        self.number_floor = number_floor;
+        self.observed = None;
+        self.pending = None;
+        self.must_read = true;
+        self.step_down();
+    }
+
     /// Stops at once without changing the row, and returns the fencing number
     /// of the term to announce to others; `None` without the lease.
     pub fn resign(&mut self, now_ms: u64) -> Option<FencingNumber> {
@@ -229,6 +277,14 @@
     }
 
     fn can_take_over(&self, observed: &ObservedRow, now_ms: u64) -> bool {
+        let is_restored_row = observed.row.is_none_or(|row| {
+            row.fencing_number.as_u64() <= self.number_floor
+        });
+        if let Some(restore) = self.restore.filter(|_| is_restored_row) {
+            let is_own = restore.own_until_ms.is_some_and(|ms| now_ms < ms);
+            let end_ms = restore.at_ms + self.options.duration_ms();
+            return is_own || now_ms >= end_ms;
+        }
         observed.row.is_none_or(|row| {
             row.holder == NO_HOLDER
                 || row.holder == self.id
@@ -241,6 +297,7 @@
 
     fn next_term(&self, row: Option<LeaseRow>) -> LeaseRow {
         let last = row.map_or(0, |row| row.fencing_number.as_u64());
+        let last = last.max(self.number_floor);
         LeaseRow {
             holder: self.id,
             fencing_number: FencingNumber::from_u64(last + 1),
