Put a configuration in force whose version number was lost and given out again

What callers would see: after a drill in which the store lost a configuration, routes and keys of the one that the operator wrote under the same number are refused for good, at entries that had the lost one in force.

Evidence: a_reused_configuration_version_is_in_force_with_its_new_content failed before (20 s), passes.

Fix: Configuration::replaces: the same number with other content, from a row of a later history, replaces the one in force. A lower number never does: what has been in force does not go back, and the operator's rewrite or a higher number settles it.

--- a/crates/daemon/tests/users_platform/store_copies.rs
+++ b/crates/daemon/tests/users_platform/store_copies.rs
@@ -255,3 +255,24 @@
         .await;
     });
 }
+
+/// The operator gives a lost version number out again.
+#[test]
+fn a_reused_configuration_version_is_in_force_with_its_new_content() {
+    const LATE_REWRITE: Duration = Duration::from_secs(60);
+    with_site(&Site::with_shared_feeds(), async |running| {
+        wait_until_shared(running).await;
+        let copy = running.store.copy();
+        let version = running.configure(&[KEY, "lost"]);
+        wait_until_in_force(running, version).await;
+        running.store.set_fault(StoreFault::Away);
+        Timer::after(Duration::from_millis(250)).await;
+        running.restore_store(copy, LATE_REWRITE);
+        let site = running.backends.site();
+        let new = site.configuration(version, &[KEY, "new"]);
+        running.store.put("op", "config", &new);
+        for entry in 0..running.addresses.len() {
+            wait_until_served(running, entry, "new").await;
+        }
+    });
+}
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -57,6 +57,8 @@
     pub(crate) store: Arc<StoreClient>,
     pub(crate) executor: Arc<Executor<'static>>,
     configuration: ArcSwapOption<Configuration>,
+    /// Version of the row with the configuration in force.
+    configuration_row: Mutex<StoreVersion>,
     /// When the store last confirmed the configuration in force.
     confirmed_ms: AtomicU64,
     were_keys_stale: AtomicBool,
@@ -119,6 +121,7 @@
             store: Arc::new(StoreClient::new(settings.store_address)),
             executor,
             configuration: ArcSwapOption::empty(),
+            configuration_row: Mutex::default(),
             confirmed_ms: AtomicU64::new(0),
             were_keys_stale: AtomicBool::new(false),
             fleet: Fleet::default(),
@@ -168,20 +171,25 @@
         configuration.as_ref().map_or_else(Limits::default, |c| c.limits)
     }
 
-    /// Puts a configuration in force unless the current one is as new; true
-    /// if the configuration in force changed.
+    /// Puts a configuration in force if it replaces the current one; true if
+    /// the configuration in force changed.
     pub(crate) fn apply_configuration(
         &self,
         new: Configuration,
         row_version: StoreVersion,
     ) -> bool {
-        let current = self.configuration().map(|current| current.version);
-        if let Some(in_force) = current
-            && in_force >= new.version
+        let mut row_in_force =
+            self.configuration_row.lock().expect("no holder panics");
+        if let Some(in_force) = self.configuration()
+            && !new.replaces(&in_force, row_version, *row_in_force)
         {
-            log_not_newer(&new, row_version, in_force);
+            if new.version == in_force.version {
+                *row_in_force = row_version.max(*row_in_force);
+            }
+            log_not_newer(&new, row_version, in_force.version);
             return false;
         }
+        *row_in_force = row_version;
         log_configuration(&new, row_version);
         self.metrics.manifest_generation.set(new.version as i64);
         self.configuration.store(Some(Arc::new(new)));
--- a/crates/site/src/configuration.rs
+++ b/crates/site/src/configuration.rs
@@ -1,8 +1,8 @@
 //! Routes, services and client accounts of a deployment.
 
-use std::collections::BTreeMap;
+use std::{cmp::Ordering, collections::BTreeMap};
 
-use crate::backend::Model;
+use crate::{backend::Model, store_version::StoreVersion};
 
 /// A configuration of a deployment.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -22,6 +22,26 @@
 }
 
 impl Configuration {
+    /// Whether this configuration replaces the one in force, given the
+    /// versions of both rows at the store.
+    ///
+    /// A lower version never does, whatever the store has lost. A version that
+    /// was lost with its content may be given out again, for other content.
+    pub fn replaces(
+        &self,
+        in_force: &Configuration,
+        row: StoreVersion,
+        row_in_force: StoreVersion,
+    ) -> bool {
+        match self.version.cmp(&in_force.version) {
+            Ordering::Less => false,
+            Ordering::Equal => {
+                row.era() > row_in_force.era() && self != in_force
+            }
+            Ordering::Greater => true,
+        }
+    }
+
     /// Whether every stream that routes send to a service can be resumed at
     /// another backend server.
     pub fn streams_are_resumable(&self, service: &str) -> bool {
