--- a/crates/cli/src/site/trace.rs
+++ b/crates/cli/src/site/trace.rs
@@ -15,8 +15,11 @@
 pub(crate) const NAME: &str = "trace";
 const REQUEST: &str = "request";
 /// Events about the store, which may explain refusals.
-const STORE_EVENTS: [&str; 6] = [
+const STORE_EVENTS: [&str; 9] = [
     "feed_lost",
+    "store_history_replaced",
+    "store_version_fell",
+    "configuration_not_newer",
     "feed_back",
     "keys_stale",
     "configuration_in_force",
--- a/crates/daemon/tests/users_platform/soak.rs
+++ b/crates/daemon/tests/users_platform/soak.rs
@@ -25,6 +25,7 @@
 #[case(Seed { seed: 8_388_609, cause: "a request crashes engines" })]
 #[case(Seed { seed: 16_777_217, cause: "a server announces a rate limit" })]
 #[case(Seed { seed: 33_554_433, cause: "cooldowns and drains of servers" })]
+#[case(Seed { seed: 67_108_865, cause: "the store loses changes" })]
 fn a_seeded_mix_of_faults_violates_no_invariant(#[case] seed: Seed) {
     let run = run_seed(executor(), Path::new(BINARY), seed.seed, None);
     let (report, violations) = async_io::block_on(run).unwrap();
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -428,6 +428,7 @@
         Event::ConfigurationNotNewer,
         &[
             ("version", &new.version),
+            ("era", &row_version.era()),
             ("row_version", &row_version.number()),
             ("in_force", &in_force),
         ],
@@ -439,6 +440,7 @@
         Event::ConfigurationInForce,
         &[
             ("version", &new.version),
+            ("era", &row_version.era()),
             ("row_version", &row_version.number()),
             ("findings", &new.findings.len()),
         ],
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -67,6 +67,8 @@
     Store(StoreFault),
     /// The store discards its history of changes.
     HistoryLost,
+    /// The store goes away and comes back from an older copy.
+    StoreRestored,
     /// An entry is killed and restarted.
     EntryKilled,
     /// An entry gets SIGTERM and is restarted after it has exited.
@@ -105,7 +107,7 @@
 const LINK_DELAY: LinkFault = LinkFault::Delayed(Duration::from_millis(180));
 
 /// All faults with their names in experiments.
-const FAULTS: [(&str, FaultKind); 40] = [
+const FAULTS: [(&str, FaultKind); 41] = [
     ("engine-ends", FaultKind::EngineEnds),
     ("engine-dark", FaultKind::EngineDark),
     ("engine-slow", FaultKind::EngineSlow),
@@ -146,6 +148,7 @@
     ("limit-named", FaultKind::LimitNamed),
     ("rest-asked", FaultKind::RestAsked),
     ("engine-says-leaving", FaultKind::EngineSaysLeaving),
+    ("store-restored", FaultKind::StoreRestored),
 ];
 
 /// Duration of a fault for which the experiment gives none.
@@ -195,6 +198,11 @@
         self == FaultKind::LimitNamed
     }
 
+    /// Whether the store loses changes.
+    pub fn loses_changes(self) -> bool {
+        self == FaultKind::StoreRestored
+    }
+
     /// Whether the fault is a notice of a server on whether it accepts
     /// requests.
     pub fn is_admission_notice(self) -> bool {
--- a/crates/emulator/src/running.rs
+++ b/crates/emulator/src/running.rs
@@ -35,6 +35,10 @@
 /// fault.
 pub(crate) const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Time within which a configuration must be in force at all entries:
+/// `config-apply-ms` of the settings.
+const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// A running site.
 pub struct RunningSite {
     /// The store.
@@ -155,19 +159,23 @@
         *version
     }
 
-    /// Restores the store from a copy while it is away, and makes it
-    /// available. The operator and the servers write their rows again after
-    /// a delay.
+    /// Restores the store from a copy, and makes it available. The operator
+    /// and the servers write their rows again after a delay.
     pub fn restore_store(&self, copy: StoreCopy, delay: Duration) {
         self.store.restore(copy);
         self.store.set_fault(StoreFault::None);
+        self.spawn_after(delay, self.rewrite_rows());
+    }
+
+    /// Makes the operator and the servers write their rows again.
+    fn rewrite_rows(&self) -> impl Future<Output = ()> + Send + 'static {
         let (store, backends) = (self.store.clone(), self.backends.clone());
         let configuration = self.configuration.clone();
-        self.spawn_after(delay, async move {
+        async move {
             let last = configuration.lock().expect("no holder panics").clone();
             store.put("op", "config", &last);
             backends.rewrite_rows();
-        });
+        }
     }
 
     fn record_stop(&self, entry: usize) {
@@ -343,6 +351,26 @@
         }
     }
 
+    /// Entries that do not have the last configuration in force within the
+    /// time that the settings state.
+    pub async fn entries_with_outdated_configuration(&self) -> Vec<usize> {
+        let until = Instant::now() + CONFIGURATION_TIMEOUT;
+        loop {
+            let last = *self.version.lock().expect("no holder panics");
+            let mut outdated = Vec::new();
+            for entry in 0..self.addresses.len() {
+                let status = self.status(entry).await.unwrap_or_default();
+                if status["configuration"].as_u64() != Some(last) {
+                    outdated.push(entry);
+                }
+            }
+            if outdated.is_empty() || Instant::now() >= until {
+                return outdated;
+            }
+            Timer::after(Duration::from_millis(50)).await;
+        }
+    }
+
     /// Whether the site serves all requests of a probe load again before the
     /// recovery timeout.
     pub async fn recovers(&self) -> bool {
--- a/crates/emulator/src/running/faults.rs
+++ b/crates/emulator/src/running/faults.rs
@@ -48,6 +48,10 @@
 /// its row.
 const ANNOUNCED_BEFORE_ROW: Duration = Duration::from_millis(1_000);
 
+/// Time from the return of the store to the writes of the operator and the
+/// servers.
+const REWRITE_DELAY: Duration = Duration::from_millis(300);
+
 impl RunningSite {
     /// Injects a fault. A separate task ends faults that last.
     pub fn inject_fault(&self, fault: &Fault, rng: &mut fastrand::Rng) {
@@ -93,6 +97,9 @@
                 self.apply_store_fault(kind, duration)
             }
             (FaultKind::HistoryLost, _) => self.store.discard_history(),
+            (FaultKind::StoreRestored, _) => {
+                self.lose_store_changes(duration);
+            }
             (FaultKind::RowsForeign, _) => {
                 self.backends.overwrite_rows(duration)
             }
@@ -217,6 +224,22 @@
         });
     }
 
+    /// Copies the store, takes it away after half of the duration, and brings
+    /// it back from the copy at the end.
+    fn lose_store_changes(&self, duration: Duration) {
+        let store = self.store.clone();
+        let copy = store.copy();
+        let rewrite = self.rewrite_rows();
+        self.spawn_after(duration / 2, async move {
+            store.set_fault(StoreFault::Away);
+            Timer::after(duration / 2).await;
+            store.restore(copy);
+            store.set_fault(StoreFault::None);
+            Timer::after(REWRITE_DELAY).await;
+            rewrite.await;
+        });
+    }
+
     fn kill_for(&self, entry: usize, duration: Duration) {
         self.entries().kill(entry);
         self.record_kill(entry);
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -38,6 +38,8 @@
 /// First seed with servers that request a cooldown or announce that they
 /// leave.
 const FIRST_ADMISSION_SEED: u64 = 1 << 25;
+/// First seed with a store that loses changes.
+const FIRST_RESTORE_SEED: u64 = 1 << 26;
 /// Duration of the load of a seeded run.
 const LOAD_DURATION: Duration = Duration::from_secs(6);
 
@@ -59,6 +61,7 @@
         .filter(|kind| {
             seed >= FIRST_ADMISSION_SEED || !kind.is_admission_notice()
         })
+        .filter(|kind| seed >= FIRST_RESTORE_SEED || !kind.loses_changes())
         .collect();
     let mut faults: Vec<Fault> = (0..FAULT_COUNT)
         .map(|_| Fault {
@@ -67,7 +70,11 @@
             duration: Duration::from_millis(rng.u64(300..2_500)),
         })
         .collect();
-    if seed >= FIRST_ADMISSION_SEED {
+    if seed >= FIRST_RESTORE_SEED {
+        faults[1].kind = FaultKind::StoreRestored;
+        faults[2].kind = FaultKind::Configuration;
+        faults[3].kind = FaultKind::StoreRestored;
+    } else if seed >= FIRST_ADMISSION_SEED {
         faults[1].kind = FaultKind::RestAsked;
         faults[2].kind = FaultKind::EngineSaysLeaving;
     } else if seed >= FIRST_LIMIT_SEED {
@@ -110,6 +117,10 @@
         violations
             .push(format!("not served again within {RECOVERY_TIMEOUT:?}"));
     }
+    let outdated = running.entries_with_outdated_configuration().await;
+    if !outdated.is_empty() {
+        violations.push(format!("{outdated:?} have an older configuration"));
+    }
     let slack = experiment.site.retry_slack;
     violations.extend(checks::violations(&report, &running, slack));
     if let Some(dir) = logs.filter(|_| !violations.is_empty()) {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -247,7 +247,7 @@
         ["backend", "slowness", "age_ms"],
         "A backend server reported another pace.";
     ConfigurationInForce = 912, "configuration_in_force", Info,
-        ["version", "row_version", "findings"],
+        ["version", "era", "row_version", "findings"],
         "A new configuration is in force here.";
     ConfigurationFinding = 913, "configuration_finding", Error,
         ["version", "place", "message"],
@@ -339,7 +339,7 @@
          "known_row_version"],
         "A table was read at a lower version than before.";
     ConfigurationNotNewer = 940, "configuration_not_newer", Info,
-        ["version", "row_version", "in_force"],
+        ["version", "era", "row_version", "in_force"],
         "A configuration that was read is not newer than the one in force.";
     StoreHistoryReplaced = 941, "store_history_replaced", Warn,
         ["table", "source", "era_before", "row_version_before", "era",
