Entries have recent data soon after an outage of the store

What callers would see: a change that the operator writes just after the store has returned reaches entries up to 2.5 s later.

Cause: during an outage each entry tries the store every 2 s, the first reader too, and avoids a reader that sent old data for 3 s. So the others asked one stale entry after another while the first one had been served.

Fix: the first reader of a data centre tries the store every 250 ms and is asked again 0.5 s after it sent old data; both only while the store fails.

--- a/crates/membership/src/feed_source.rs
+++ b/crates/membership/src/feed_source.rs
@@ -12,7 +12,9 @@
 //! avoids that reader for a while. If the store fails it as well, the entry
 //! asks one entry after the other, any of which may still reach the store. It
 //! tries the store only every two seconds, so that all entries together do not
-//! flood the store in an outage. A reader that the store fails does the same.
+//! flood the store in an outage. A reader that the store fails does the same,
+//! but the first one tries several times a second: one entry of each data
+//! centre must notice the end of an outage soon.
 
 use std::collections::BTreeMap;
 
@@ -23,10 +25,17 @@
 pub const MIN_SHARING_ENTRIES: usize = 4;
 /// How long an entry that failed is not asked.
 const AVOIDANCE_MS: u64 = 3_000;
+/// How long the first reader is not asked after it sent old data, if the store
+/// fails this entry as well. Short, because that reader notices first that
+/// the store has returned; the entries in between are asked meanwhile.
+const READER_AVOIDANCE_MS: u64 = 500;
 /// How long an entry reads the store after it was asked.
 const READ_ON_REQUEST_MS: u64 = 5_000;
 /// Interval between attempts at a store that failed.
 const STORE_RETRY_MS: u64 = 2_000;
+/// The same for the first entry, which the others ask during an outage: they
+/// have recent data soon after this entry has.
+const READER_RETRY_MS: u64 = 250;
 /// Number of readers of a data centre that other entries ask.
 const MAX_READERS: usize = 2;
 
@@ -63,11 +72,31 @@
     pub must_read_store: bool,
 }
 
+/// Why and since when an entry is not asked.
+#[derive(Clone, Copy, Debug)]
+struct Avoidance {
+    since_ms: u64,
+    /// Whether the entry responded, with old data.
+    is_stale: bool,
+}
+
+impl Avoidance {
+    fn is_over(self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.since_ms) >= AVOIDANCE_MS
+    }
+
+    /// The same for the first reader during an outage of the store.
+    fn is_over_for_reader(self, now_ms: u64) -> bool {
+        self.is_stale
+            && now_ms.saturating_sub(self.since_ms) >= READER_AVOIDANCE_MS
+    }
+}
+
 /// What an entry knows of its sources for one feed.
 #[derive(Clone, Debug, Default)]
 pub struct FeedSources {
-    /// Until when each entry that failed is not asked.
-    avoided_until_ms: BTreeMap<u64, u64>,
+    /// Entries that are not asked for a while.
+    avoidances: BTreeMap<u64, Avoidance>,
     /// When another entry last asked this one.
     requested_ms: Option<u64>,
     /// When the store last failed this entry; reset once the store responds.
@@ -92,13 +121,18 @@
         if group.peers.len() + 1 < MIN_SHARING_ENTRIES {
             return FeedSource::Store;
         }
-        self.avoided_until_ms.retain(|_, until_ms| *until_ms > now_ms);
+        self.avoidances.retain(|_, avoidance| !avoidance.is_over(now_ms));
         let all = group.peers.iter().copied().chain([group.own]);
         let ranked = rendezvous::ranked(all, feed);
         let is_reader = ranked.first() == Some(&group.own)
             || group.must_read_store
             || self.was_recently_requested(now_ms);
-        let store_failed_recently = self.has_store_failed_recently(now_ms);
+        let retry_ms = match ranked.first() == Some(&group.own) {
+            true => READER_RETRY_MS,
+            false => STORE_RETRY_MS,
+        };
+        let store_failed_recently =
+            self.has_store_failed_within(retry_ms, now_ms);
         if (is_reader || self.stale_entry.is_some()) && !store_failed_recently
         {
             return FeedSource::Store;
@@ -106,8 +140,14 @@
         // If the store failed, any entry may still have recent data.
         let max_entries =
             if store_failed_recently { ranked.len() } else { MAX_READERS };
+        let first_reader = ranked.first().copied();
         let is_usable = |entry: &u64| {
-            *entry != group.own && !self.avoided_until_ms.contains_key(entry)
+            *entry != group.own
+                && self.avoidances.get(entry).is_none_or(|avoidance| {
+                    store_failed_recently
+                        && Some(*entry) == first_reader
+                        && avoidance.is_over_for_reader(now_ms)
+                })
         };
         let others = || ranked.iter().take(max_entries).copied();
         let other = others().find(is_usable);
@@ -140,11 +180,13 @@
                 self.avoid_stale_entry(now_ms);
             }
             (FeedSource::Entry(entry), FetchOutcome::Failed) => {
-                self.avoided_until_ms.insert(entry, now_ms + AVOIDANCE_MS);
+                let avoidance =
+                    Avoidance { since_ms: now_ms, is_stale: false };
+                self.avoidances.insert(entry, avoidance);
             }
             (FeedSource::Entry(entry), FetchOutcome::Stale) => {
                 self.stale_entry = Some(entry);
-                if self.has_store_failed_recently(now_ms) {
+                if self.has_store_failed_within(STORE_RETRY_MS, now_ms) {
                     self.avoid_stale_entry(now_ms);
                 }
             }
@@ -156,7 +198,8 @@
 
     fn avoid_stale_entry(&mut self, now_ms: u64) {
         if let Some(entry) = self.stale_entry.take() {
-            self.avoided_until_ms.insert(entry, now_ms + AVOIDANCE_MS);
+            let avoidance = Avoidance { since_ms: now_ms, is_stale: true };
+            self.avoidances.insert(entry, avoidance);
         }
     }
 
@@ -166,8 +209,8 @@
         })
     }
 
-    fn has_store_failed_recently(&self, now_ms: u64) -> bool {
+    fn has_store_failed_within(&self, period_ms: u64, now_ms: u64) -> bool {
         self.store_failed_ms
-            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < STORE_RETRY_MS)
+            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < period_ms)
     }
 }
--- a/crates/membership/tests/feed_source.rs
+++ b/crates/membership/tests/feed_source.rs
@@ -44,11 +44,23 @@
     StoreUnavailable(u64),
 }
 
+impl Fault {
+    /// End of an outage of the store.
+    fn end_ms(self) -> Option<u64> {
+        match self {
+            Fault::StoreUnavailable(for_ms) => Some(FAULT_AT_MS + for_ms),
+            _ => None,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     boot_id: u64,
     sources: FeedSources,
     confirmed_ms: u64,
+    /// When it first had data that the store confirmed after the fault.
+    recovered_ms: Option<u64>,
     call: Option<Call>,
     next_ms: u64,
     store_calls: u64,
@@ -78,6 +90,7 @@
             boot_id: rng.u64(1..),
             sources: FeedSources::new(),
             confirmed_ms: 0,
+            recovered_ms: None,
             call: None,
             next_ms: rng.u64(..500),
             store_calls: 0,
@@ -237,6 +250,13 @@
                     None => {}
                 }
                 let entry = &mut self.entries[at];
+                if self
+                    .fault
+                    .end_ms()
+                    .is_some_and(|end_ms| entry.confirmed_ms >= end_ms)
+                {
+                    entry.recovered_ms.get_or_insert(now_ms);
+                }
                 if now_ms >= FAULT_AT_MS - 1_000 {
                     let age_ms = now_ms - entry.confirmed_ms;
                     entry.max_age_ms = entry.max_age_ms.max(age_ms);
@@ -263,6 +283,18 @@
         unaffected.map(|entry| entry.max_age_ms).max().unwrap_or(0)
     }
 
+    /// Times from the end of an outage until entries have recent data again,
+    /// in order.
+    fn recovery_times_ms(&self) -> Vec<u64> {
+        let end_ms = self.fault.end_ms().unwrap_or(0);
+        let recovered = |entry: &Entry| {
+            entry.recovered_ms.map_or(u64::MAX, |ms| ms - end_ms)
+        };
+        let mut times: Vec<u64> = self.entries.iter().map(recovered).collect();
+        times.sort_unstable();
+        times
+    }
+
     fn store_calls(&self) -> u64 {
         self.entries.iter().map(|entry| entry.store_calls).sum()
     }
@@ -345,3 +377,28 @@
     let max_age_ms = simulation.run().max_age_ms();
     assert!(max_age_ms > MAX_KEY_AGE_MS, "{max_age_ms} ms");
 }
+
+/// Time within which a change must be in force at all entries; half of them
+/// have it in half of the time.
+const MAX_APPLY_MS: u64 = 2_000;
+
+struct Outage {
+    entries: u64,
+    duration_ms: u64,
+}
+
+#[rstest]
+#[case::few_entries(Outage { entries: 4, duration_ms: 3_000 })]
+#[case::some_seconds(Outage { entries: 14, duration_ms: 3_000 })]
+#[case::long(Outage { entries: 14, duration_ms: 8_000 })]
+#[case::many_entries(Outage { entries: 70, duration_ms: 3_000 })]
+fn entries_have_recent_data_soon_after_an_outage(#[case] case: Outage) {
+    let fault = Fault::StoreUnavailable(case.duration_ms);
+    for seed in 0..20 {
+        let simulation = Simulation::new(fault, case.entries, seed).run();
+        let times = simulation.recovery_times_ms();
+        let (median, last) = (times[times.len() / 2], times[times.len() - 1]);
+        assert!(median <= MAX_APPLY_MS / 2, "{seed}: {median} ms");
+        assert!(last <= MAX_APPLY_MS, "{seed}: {last} ms");
+    }
+}
