Requests that end by their deadline no longer count at backend servers

What operators would see: backend servers of an entry with sides that seem busier with each request that ran out of time, and get less work for good.

Cause: a session that ended by its deadline, or that a server refused as seen before, dropped its attempt without recording its end, so in_flight and tokens of its stages stayed counted.

Fix: whatever ends a session releases its attempt.

--- a/crates/entry/src/session/events.rs
+++ b/crates/entry/src/session/events.rs
@@ -222,16 +222,19 @@
 
     /// Handles a refusal: the first stage states that nothing has run.
     pub(super) fn handle_refused(&mut self, m: &wire::Refused) {
-        let Some(attempt) = self.attempt.take() else {
+        if self.attempt.is_none() {
             return;
-        };
-        self.phase = Phase::Idle;
+        }
         if m.reason() == RefusalReason::AlreadyRun {
             let detail = "the backend server has seen the request before";
             let outcome = Outcome::Unknown;
             self.fail(RequestFailure::new(outcome, Cause::Backend, detail));
             return;
         }
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        self.phase = Phase::Idle;
         // Nothing of this attempt has run, even if it was accepted.
         self.may_have_started = attempt.may_have_started_before;
         let at_fault = self.job.service.fleet.find(&m.backend);
--- a/crates/entry/src/session/mod.rs
+++ b/crates/entry/src/session/mod.rs
@@ -243,7 +243,13 @@
             failure.without_retry_after_ms()
         };
         self.phase = Phase::Ended;
-        self.attempt = None;
+        if let Some(attempt) = self.attempt.take() {
+            self.record_attempt_outcome(
+                &attempt,
+                &RequestOutcome::Cancelled,
+                None,
+            );
+        }
         let detail = format!("{} {}", failure.detail, failure.operator_detail);
         self.choices.record_outcome(Some(failure.outcome), detail.trim_end());
         self.pending_progress.push_back(Progress::Failed(failure));
--- a/crates/entry/src/session/recover.rs
+++ b/crates/entry/src/session/recover.rs
@@ -180,11 +180,9 @@
                     detail,
                 );
                 self.keyed = None;
-                self.attempt = None;
                 self.fail(failure);
             }
             RunState::CannotTell if !self.job.is_idempotent => {
-                self.attempt = None;
                 let detail = "the side process cannot tell whether it ran";
                 let outcome = Outcome::Unknown;
                 self.fail(RequestFailure::new(
--- a/crates/entry/tests/api/outcomes.rs
+++ b/crates/entry/tests/api/outcomes.rs
@@ -178,9 +178,19 @@
         let runs = fixture.side.take_run_count();
         assert_eq!(runs, 1, "{:?} ran {runs} times", case.replies);
         assert_eq!(fixture.entry.in_flight(), 0);
+        assert_eq!(in_flight_at_servers(&fixture), 0, "{:?}", case.replies);
     }
 }
 
+/// Requests that the entry counts at backend servers.
+fn in_flight_at_servers(fixture: &Fixture) -> u64 {
+    let status = fixture.entry.status();
+    let services = status["services"].as_object().into_iter().flatten();
+    let servers = services.filter_map(|(_, servers)| servers.as_object());
+    let counts = servers.flatten().map(|(_, server)| &server["in_flight"]);
+    counts.filter_map(serde_json::Value::as_u64).sum()
+}
+
 #[test]
 fn refusals_are_reported_as_not_run() {
     check_all(refusals());
