--- a/crates/emulator/tests/experiment.rs
+++ b/crates/emulator/tests/experiment.rs
@@ -17,6 +17,15 @@
     assert_eq!(kinds.len(), 3);
 }
 
+#[test]
+fn the_experiment_with_a_restored_store_parses() {
+    let text = include_str!("../../../examples/store-restored.ini");
+    let experiment = Experiment::try_parse(text).unwrap();
+    let faults = experiment.faults.iter();
+    let restores = faults.filter(|f| f.kind == FaultKind::StoreRestored);
+    assert_eq!(restores.count(), 2);
+}
+
 #[test]
 fn all_errors_of_an_experiment_are_reported() {
     let text = "[site]\nentries = many\n[load]\nstream = 1\nodd = 2\n\
