A copy of an earlier history makes nobody poll without a pause

What operators would see: an entry that has read the restored store and is cut off from it then asks entries that have not, as fast as they answer.

Cause: a copy told everyone of another history that it differs, also those of a later one, so the poll was answered at once, with the whole table.

Evidence: found on reading; a_copy_of_an_earlier_history_has_no_changes_for_a_ later_one failed before, passes.

Fix: such a copy has no changes; the poll waits as usual, and the era in the answer tells that it is old.

--- a/crates/direct/src/cluster/feeds.rs
+++ b/crates/direct/src/cluster/feeds.rs
@@ -173,9 +173,9 @@
         let change = rows.find(|row| row.key == key)?;
         Some(Row {
             key: change.key.clone(),
-            is_deleted: change.value.is_none(),
             value: change.value.clone().unwrap_or_default(),
             version: change.version,
+            is_deleted: false,
         })
     }
 
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -100,6 +100,9 @@
         &self,
         version: StoreVersion,
     ) -> Option<Vec<&RowChange>> {
+        if self.is_before_history(version) {
+            return Some(Vec::new());
+        }
         if !self.is_of_history(version) || version < self.complete_after {
             return None;
         }
@@ -111,13 +114,20 @@
     }
 
     /// Whether anything changed after a version. A copy of a later history
-    /// differs as a whole.
+    /// differs as a whole; a copy of an earlier one has nothing to offer.
     pub fn has_changes_after(&self, version: StoreVersion) -> bool {
+        if self.is_before_history(version) {
+            return false;
+        }
         !self.is_of_history(version)
             || version < self.complete_after
             || self.rows.values().any(|row| row.version > version)
     }
 
+    fn is_before_history(&self, version: StoreVersion) -> bool {
+        self.version.is_some_and(|own| own.era() < version.era())
+    }
+
     fn is_of_history(&self, version: StoreVersion) -> bool {
         self.version.is_some_and(|own| own.is_same_history(version))
     }
--- a/crates/membership/tests/table_copies.rs
+++ b/crates/membership/tests/table_copies.rs
@@ -174,6 +174,24 @@
     ]
 }
 
+/// Otherwise an entry that knows a later history would poll without a pause.
+#[test]
+fn a_copy_of_an_earlier_history_has_no_changes_for_a_later_one() {
+    let mut copy = TableCopy::new();
+    let row = |era, number| RowChange {
+        key: "k".to_owned(),
+        value: Some(vec![1]),
+        version: StoreVersion::new(era, number),
+    };
+    copy.replace(vec![row(1, 40)], StoreVersion::new(1, 50));
+    let later = StoreVersion::new(2, 30);
+    assert!(!copy.has_changes_after(later));
+    assert_eq!(copy.changes_after(later), Some(vec![]));
+    let earlier = StoreVersion::new(0, 90);
+    assert!(copy.has_changes_after(earlier));
+    assert_eq!(copy.changes_after(earlier), None);
+}
+
 proptest! {
     #[test]
     fn a_copy_matches_the_table_at_its_version_and_never_goes_back(
