The first reader asks other entries between its attempts at a failing store

What callers would see: an entry that ranks first in its data centre and is cut off from the store, or starts while the store is away, has no recent configuration and no servers, though other entries have them: 503, and keys refused.

The decision alone with pauses of 10 s: the new test failed at once.

Fix: after a failed call of the store an entry is asked first, whatever the time.

--- a/crates/membership/src/feed_source.rs
+++ b/crates/membership/src/feed_source.rs
@@ -101,6 +101,8 @@
     requested_ms: Option<u64>,
     /// When the store last failed this entry; reset once the store responds.
     store_failed_ms: Option<u64>,
+    /// Whether an entry was asked since then.
+    has_asked_entry: bool,
     /// The entry that sent old data, until the store has been tried.
     stale_entry: Option<u64>,
 }
@@ -131,8 +133,11 @@
             true => READER_RETRY_MS,
             false => STORE_RETRY_MS,
         };
-        let store_failed_recently =
-            self.has_store_failed_within(retry_ms, now_ms);
+        // A pause of the caller may be longer than the interval, and only an
+        // entry may have recent data.
+        let store_failed_recently = self
+            .has_store_failed_within(retry_ms, now_ms)
+            || self.store_failed_ms.is_some() && !self.has_asked_entry;
         if (is_reader || self.stale_entry.is_some()) && !store_failed_recently
         {
             return FeedSource::Store;
@@ -170,9 +175,11 @@
         outcome: FetchOutcome,
         now_ms: u64,
     ) {
+        self.has_asked_entry |= matches!(source, FeedSource::Entry(_));
         match (source, outcome) {
             (FeedSource::Store, FetchOutcome::Failed) => {
                 self.store_failed_ms = Some(now_ms);
+                self.has_asked_entry = false;
                 self.avoid_stale_entry(now_ms);
             }
             (FeedSource::Store, _) => {
--- a/crates/membership/tests/feed_source.rs
+++ b/crates/membership/tests/feed_source.rs
@@ -402,3 +402,29 @@
         assert!(last <= MAX_APPLY_MS, "{seed}: {last} ms");
     }
 }
+
+/// A reader that pauses for longer than its interval between attempts at the
+/// store must not wait for the store alone.
+#[test]
+fn a_reader_asks_an_entry_between_two_attempts_at_a_failing_store() {
+    let peers = [11, 12, 13, 14];
+    for own in 1..40 {
+        let feed_peers =
+            FeedPeers { own, peers: &peers, must_read_store: false };
+        let mut sources = FeedSources::new();
+        let mut now_ms = 0;
+        for _ in 0..20 {
+            now_ms += 10_000;
+            let source = sources.choose(&feed_peers, FEED, now_ms);
+            let outcome = match source {
+                FeedSource::Store => FetchOutcome::Failed,
+                FeedSource::Entry(_) => FetchOutcome::Fresh,
+            };
+            sources.record_outcome(source, outcome, now_ms);
+            if outcome == FetchOutcome::Failed {
+                let next = sources.choose(&feed_peers, FEED, now_ms + 5_000);
+                assert_ne!(next, FeedSource::Store, "{own}");
+            }
+        }
+    }
+}
