--- a/crates/daemon/tests/users_platform/store_copies.rs
+++ b/crates/daemon/tests/users_platform/store_copies.rs
@@ -1,7 +1,7 @@
 //! A store that loses its last changes: it goes away and comes back from an
 //! older copy, and gives its versions out again.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use async_io::Timer;
 use chestnutreach_emulator::{
@@ -21,6 +21,10 @@
 /// Time from the return of the store until the operator and the servers write
 /// their rows again.
 const REWRITE_DELAY: Duration = Duration::from_millis(300);
+/// The same where they write their rows only after the test.
+const LATE_REWRITE: Duration = Duration::from_secs(60);
+/// Time for which the store is away, unless a case states another.
+const AWAY: Duration = Duration::from_millis(250);
 
 /// How the store is lost, and what all entries know by then.
 struct Drill {
@@ -31,10 +35,15 @@
 }
 
 /// Takes the store away and brings it back from a copy.
-async fn lose_changes(running: &RunningSite, copy: StoreCopy, away: Duration) {
+async fn lose_changes(
+    running: &RunningSite,
+    copy: StoreCopy,
+    away: Duration,
+    rewrite_delay: Duration,
+) {
     running.store.set_fault(StoreFault::Away);
     Timer::after(away).await;
-    running.restore_store(copy, REWRITE_DELAY);
+    running.restore_store(copy, rewrite_delay);
 }
 
 async fn wait_until_all(
@@ -50,13 +59,11 @@
 }
 
 async fn wait_until_in_force(running: &RunningSite, version: u64) {
-    for entry in 0..running.addresses.len() {
-        wait_until("the configuration is in force", async || {
-            let status = running.status(entry).await.unwrap_or_default();
-            status["configuration"].as_u64() == Some(version)
-        })
-        .await;
-    }
+    wait_until_all(running, async |entry| {
+        let status = running.status(entry).await.unwrap_or_default();
+        status["configuration"].as_u64() == Some(version)
+    })
+    .await;
 }
 
 #[rstest]
@@ -76,7 +83,7 @@
         }
         let undone = running.configure(&[KEY]);
         wait_until_in_force(running, undone).await;
-        lose_changes(running, copy, drill.away).await;
+        lose_changes(running, copy, drill.away, REWRITE_DELAY).await;
         wait_until_shared(running).await;
         running.configure(&[KEY, "another"]);
         for entry in 0..running.addresses.len() {
@@ -98,7 +105,7 @@
 fn entries_list_themselves_again_after_their_rows_were_lost() {
     with_site(&Site::small(), async |running| {
         let copy = copy_without(running, ENTRIES);
-        lose_changes(running, copy, Duration::from_millis(250)).await;
+        lose_changes(running, copy, AWAY, REWRITE_DELAY).await;
         wait_until("all entries are listed", async || {
             running.store.keys(ENTRIES).len() == running.addresses.len()
         })
@@ -145,8 +152,6 @@
 fn a_server_that_leaves_gets_no_new_work_when_the_store_loses_that(
     #[case] leaving: Leaving,
 ) {
-    /// The servers write their rows again after the test.
-    const LATE_REWRITE: Duration = Duration::from_secs(60);
     with_site(&Site::with_shared_feeds(), async |running| {
         wait_until_shared(running).await;
         let copy = running.store.copy();
@@ -160,18 +165,25 @@
             !is_usable_anywhere(running, &id).await
         })
         .await;
-        running.store.set_fault(StoreFault::Away);
-        Timer::after(Duration::from_millis(250)).await;
-        running.restore_store(copy, LATE_REWRITE);
-        for entry in 0..running.addresses.len() {
-            wait_until("the entry reads the restored list", async || {
+        lose_changes(running, copy, AWAY, LATE_REWRITE).await;
+        // All entries are looked at in turn: the row waits for a few seconds
+        // from the time at which an entry reads it.
+        let mut unread: BTreeSet<usize> =
+            (0..running.addresses.len()).collect();
+        wait_until("all entries read the restored list", async || {
+            for entry in unread.clone() {
                 let status = running.status(entry).await.unwrap_or_default();
-                has_read_restored_list(&status)
-            })
-            .await;
-            let status = running.status(entry).await.unwrap_or_default();
-            assert!(!is_usable(&status, &id), "{entry}");
-        }
+                if has_read_restored_list(&status) {
+                    // The era shows a moment before the rows are applied.
+                    let status =
+                        running.status(entry).await.unwrap_or_default();
+                    assert!(!is_usable(&status, &id), "{entry}");
+                    unread.remove(&entry);
+                }
+            }
+            unread.is_empty()
+        })
+        .await;
         // The row stays, so the server has not left after all.
         wait_until("the server is usable", async || {
             is_usable_anywhere(running, &id).await
@@ -193,7 +205,6 @@
 /// the platform states to write its row again, and is gone then.
 #[test]
 fn running_servers_stay_in_use_while_the_copy_lacks_their_rows() {
-    const LATE_REWRITE: Duration = Duration::from_secs(60);
     with_site(&Site::with_shared_feeds(), async |running| {
         wait_until_shared(running).await;
         let copy = copy_without(running, "servers");
@@ -246,7 +257,7 @@
             known > 0 && running.planner().await.is_some()
         })
         .await;
-        lose_changes(running, copy, Duration::from_millis(250)).await;
+        lose_changes(running, copy, AWAY, REWRITE_DELAY).await;
         wait_until("an entry holds the lease again", async || {
             let number = lease_number(running);
             number.is_some_and(|number| number > known)
@@ -259,15 +270,12 @@
 /// The operator gives a lost version number out again.
 #[test]
 fn a_reused_configuration_version_is_in_force_with_its_new_content() {
-    const LATE_REWRITE: Duration = Duration::from_secs(60);
     with_site(&Site::with_shared_feeds(), async |running| {
         wait_until_shared(running).await;
         let copy = running.store.copy();
         let version = running.configure(&[KEY, "lost"]);
         wait_until_in_force(running, version).await;
-        running.store.set_fault(StoreFault::Away);
-        Timer::after(Duration::from_millis(250)).await;
-        running.restore_store(copy, LATE_REWRITE);
+        lose_changes(running, copy, AWAY, LATE_REWRITE).await;
         let site = running.backends.site();
         let new = site.configuration(version, &[KEY, "new"]);
         running.store.put("op", "config", &new);
--- a/crates/direct/src/cluster/backend_rows.rs
+++ b/crates/direct/src/cluster/backend_rows.rs
@@ -11,7 +11,7 @@
     backends,
     store::{Row, Rows},
 };
-use chestnutreach_membership::restored_row::{self, ServerRow};
+use chestnutreach_membership::restored_row::{self, REWRITE_MS, ServerRow};
 use chestnutreach_site::{Backend, BackendState, StoreVersion};
 use chestnutreach_telemetry::{Event, emit};
 
@@ -23,8 +23,6 @@
 
 /// Limit on a logged error, which may quote the row.
 const MAX_ERROR_CHARS: usize = 160;
-/// How long engines with lapsed rows are kept after the store recovers.
-const LAPSED_GRACE_MS: u64 = 1_900;
 
 /// Applies a read of the full list.
 pub(crate) fn apply_all(core: &Arc<Core>, rows: &Rows) {
@@ -219,6 +217,6 @@
     let since_ms = now_ms().saturating_sub(recovered_ms);
     match recovered_ms {
         0 => 0,
-        _ => LAPSED_GRACE_MS.saturating_sub(since_ms),
+        _ => REWRITE_MS.saturating_sub(since_ms),
     }
 }
--- a/crates/emulator/src/backend_servers.rs
+++ b/crates/emulator/src/backend_servers.rs
@@ -57,6 +57,13 @@
     Exited,
 }
 
+impl ServerStatus {
+    /// Whether the process runs and responds.
+    pub(crate) fn is_running(self) -> bool {
+        matches!(self, ServerStatus::Serving | ServerStatus::Draining)
+    }
+}
+
 /// Stage of a path: engine, first layer, and end of the layers, exclusive.
 pub type PathStage = (SocketAddr, u32, u32);
 
--- a/crates/emulator/src/backend_servers/layers.rs
+++ b/crates/emulator/src/backend_servers/layers.rs
@@ -100,12 +100,7 @@
         let state = self.lock();
         path.iter().map(|stage| stage.0).find(|address| {
             let server = state.servers.get(address);
-            !server.is_some_and(|s| {
-                matches!(
-                    s.status,
-                    ServerStatus::Serving | ServerStatus::Draining
-                )
-            })
+            !server.is_some_and(|s| s.status.is_running())
         })
     }
 
--- a/crates/emulator/src/backend_servers/rows.rs
+++ b/crates/emulator/src/backend_servers/rows.rs
@@ -5,9 +5,7 @@
 use async_io::Timer;
 use serde_json::json;
 
-use super::{
-    BackendServers, FIRST_START_UNIX_MS, ServerState, ServerStatus, State,
-};
+use super::{BackendServers, FIRST_START_UNIX_MS, ServerStatus, State};
 use crate::site::MODEL_SERVICE;
 
 /// Table of backend servers in the store.
@@ -124,14 +122,8 @@
     /// again, and rows without a running server expire.
     pub(crate) fn rewrite_rows(&self) {
         let servers = self.lock().servers.clone();
-        let is_running = |server: &ServerState| {
-            matches!(
-                server.status,
-                ServerStatus::Serving | ServerStatus::Draining
-            )
-        };
         for (address, server) in &servers {
-            if is_running(server) {
+            if server.status.is_running() {
                 self.write_row(*address);
             }
         }
@@ -140,7 +132,7 @@
             Timer::after(ROW_EXPIRY).await;
             let servers = backends.lock().servers.clone();
             let is_live = |id: &String| {
-                servers.values().any(|s| s.id == *id && is_running(s))
+                servers.values().any(|s| s.id == *id && s.status.is_running())
             };
             let store = &backends.shared.store;
             let expired = store.keys(TABLE).into_iter();
--- a/crates/emulator/src/running.rs
+++ b/crates/emulator/src/running.rs
@@ -49,7 +49,6 @@
     pub entries: Arc<Mutex<Entries>>,
     /// Addresses at which clients connect, by entry.
     pub addresses: Vec<SocketAddr>,
-    version: Mutex<u64>,
     /// The operator's last configuration.
     configuration: Arc<Mutex<Value>>,
     /// Relays between each entry and the store, if the site emulates links.
@@ -93,7 +92,6 @@
         store,
         backends,
         entries: Arc::new(Mutex::new(entries)),
-        version: Mutex::new(1),
         configuration: Arc::new(Mutex::new(configuration)),
         store_links,
         stops: Mutex::default(),
@@ -115,6 +113,10 @@
     Ok(running)
 }
 
+fn version_of(configuration: &Value) -> u64 {
+    configuration["version"].as_u64().expect("a version is a number")
+}
+
 impl Drop for RunningSite {
     /// Closes the entries and terminates the servers. Tasks of lasting faults
     /// may keep the entries alive longer than the site, and a process that
@@ -151,12 +153,16 @@
     /// Writes a new version of the configuration to the store and returns the
     /// version.
     pub fn configure(&self, keys: &[&str]) -> u64 {
-        let mut version = self.version.lock().expect("no holder panics");
-        *version += 3;
-        let new = self.backends.site().configuration(*version, keys);
-        self.store.put("op", "config", &new);
-        *self.configuration.lock().expect("no holder panics") = new;
-        *version
+        let mut last = self.configuration.lock().expect("no holder panics");
+        let version = version_of(&last) + 3;
+        *last = self.backends.site().configuration(version, keys);
+        self.store.put("op", "config", &last);
+        version
+    }
+
+    /// Version of the operator's last configuration.
+    fn configured_version(&self) -> u64 {
+        version_of(&self.configuration.lock().expect("no holder panics"))
     }
 
     /// Restores the store from a copy, and makes it available. The operator
@@ -356,7 +362,7 @@
     pub async fn entries_with_outdated_configuration(&self) -> Vec<usize> {
         let until = Instant::now() + CONFIGURATION_TIMEOUT;
         loop {
-            let last = *self.version.lock().expect("no holder panics");
+            let last = self.configured_version();
             let mut outdated = Vec::new();
             for entry in 0..self.addresses.len() {
                 let status = self.status(entry).await.unwrap_or_default();
--- a/crates/membership/src/feed_source.rs
+++ b/crates/membership/src/feed_source.rs
@@ -126,15 +126,17 @@
         self.avoidances.retain(|_, avoidance| !avoidance.is_over(now_ms));
         let all = group.peers.iter().copied().chain([group.own]);
         let ranked = rendezvous::ranked(all, feed);
-        let is_reader = ranked.first() == Some(&group.own)
+        let first_reader = ranked.first().copied();
+        let is_first = first_reader == Some(group.own);
+        let is_reader = is_first
             || group.must_read_store
             || self.was_recently_requested(now_ms);
-        let retry_ms = match ranked.first() == Some(&group.own) {
+        let retry_ms = match is_first {
             true => READER_RETRY_MS,
             false => STORE_RETRY_MS,
         };
-        // A pause of the caller may be longer than the interval, and only an
-        // entry may have recent data.
+        // The caller may pause for longer than the interval, and would then
+        // try the store each time and never ask an entry.
         let store_failed_recently = self
             .has_store_failed_within(retry_ms, now_ms)
             || self.store_failed_ms.is_some() && !self.has_asked_entry;
@@ -145,7 +147,6 @@
         // If the store failed, any entry may still have recent data.
         let max_entries =
             if store_failed_recently { ranked.len() } else { MAX_READERS };
-        let first_reader = ranked.first().copied();
         let is_usable = |entry: &u64| {
             *entry != group.own
                 && self.avoidances.get(entry).is_none_or(|avoidance| {
--- a/crates/membership/src/restored_row.rs
+++ b/crates/membership/src/restored_row.rs
@@ -10,10 +10,13 @@
 //! belongs to a new history. The heartbeats that a server counts in its row
 //! can: they rise for as long as its process runs.
 
+use std::cmp::Ordering;
+
 use chestnutreach_site::StoreVersion;
 
-/// Time in which a running server writes its row again.
-const REWRITE_MS: u64 = 1_900;
+/// Time in which a running server whose row is missing or older writes it
+/// again, once the store has returned.
+pub const REWRITE_MS: u64 = 1_900;
 /// Heartbeats after which the platform removes the row of a silent server.
 const MAX_MISSED_HEARTBEATS: u64 = 3;
 
@@ -64,11 +67,9 @@
     }
     let has_left = known.is_gone || known.row.is_draining && !row.is_draining;
     let is_older = match row.started_unix_ms.cmp(&known.row.started_unix_ms) {
-        std::cmp::Ordering::Less => true,
-        std::cmp::Ordering::Equal => {
-            has_left || row.heartbeats < known.row.heartbeats
-        }
-        std::cmp::Ordering::Greater => false,
+        Ordering::Less => true,
+        Ordering::Equal => has_left || row.heartbeats < known.row.heartbeats,
+        Ordering::Greater => false,
     };
     let expiry_ms = MAX_MISSED_HEARTBEATS * heartbeat_ms;
     let wait_ms = REWRITE_MS + if has_left { expiry_ms } else { 0 };
