An entry that starts gets no older configuration from its peers

Cause: a feed may deliver an old value of the configuration late. Entries that run keep the newer one in force, but took the old row into their copy of the table, and an entry that started and asked them put it in force: requests with valid keys got 401.

The copy keeps the row of the configuration in force.

The test failed before (configuration 0 instead of 1) and passes now; it needs no change but this one.

--- a/crates/daemon/tests/users_platform/feed_sharing.rs
+++ b/crates/daemon/tests/users_platform/feed_sharing.rs
@@ -152,6 +152,32 @@
     });
 }
 
+/// The feed of the store may deliver an old value late. Entries that run keep
+/// the newer configuration, and pass that on to one that starts.
+#[test]
+fn an_entry_that_starts_gets_no_older_configuration_from_its_peers() {
+    with_site(&Site::with_shared_feeds(), async |running| {
+        wait_until_shared(running).await;
+        let old = Site::with_shared_feeds().configuration(0, &["old"]);
+        running.store.push_stale_change("op", "config", &old);
+        wait_until("the entries have seen the change", async || {
+            running.logs().contains("configuration_not_newer")
+        })
+        .await;
+        Timer::after(Duration::from_millis(500)).await;
+        let before = running.status(0).await.expect("the entry responds");
+        running.restart_entry(0);
+        wait_until("the entry has a configuration", async || {
+            let status = running.status(0).await.unwrap_or_default();
+            status["boot_id"] != before["boot_id"]
+                && status["configuration"].is_u64()
+        })
+        .await;
+        let status = running.status(0).await.expect("the entry responds");
+        assert_eq!(status["configuration"], before["configuration"]);
+    });
+}
+
 /// Time after the withdrawal of a key during which the key may be served: the
 /// limit in the settings of the site.
 const REVOCATION_LIMIT: Duration = Duration::from_millis(5_000);
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -287,16 +287,34 @@
     }
 
     fn apply_changes(&self, rows: &Rows) {
+        match self.kind {
+            FeedKind::Configuration => self.apply_configuration_changes(rows),
+            FeedKind::Backends => self.apply_backend_changes(rows),
+        }
+    }
+
+    fn apply_backend_changes(&self, rows: &Rows) {
         if !self.feed().apply_changes(rows) {
             return;
         }
         for row in &rows.rows {
-            match self.kind {
-                FeedKind::Configuration => {
-                    apply_configuration(&self.core, row)
-                }
-                FeedKind::Backends => backend_rows::apply(&self.core, row),
-            }
+            backend_rows::apply(&self.core, row);
+        }
+    }
+
+    /// The copy keeps the configuration in force if a change brings an older
+    /// one: an entry that starts takes whatever the copy has.
+    fn apply_configuration_changes(&self, rows: &Rows) {
+        let is_current = |row: &&Row| !is_older_than_in_force(&self.core, row);
+        let current = Rows {
+            rows: rows.rows.iter().filter(is_current).cloned().collect(),
+            version: rows.version,
+        };
+        if !self.feed().apply_changes(&current) {
+            return;
+        }
+        for row in &rows.rows {
+            apply_configuration(&self.core, row);
         }
     }
 
@@ -423,6 +441,17 @@
     BACKENDS_PAUSE * (entries / ENTRIES_PER_PAUSE).clamp(1, MAX_PAUSES)
 }
 
+/// Whether a row holds a configuration with a lower version than the one in
+/// force.
+fn is_older_than_in_force(core: &Core, row: &Row) -> bool {
+    if row.key != KEY || row.is_deleted {
+        return false;
+    }
+    let row = configuration::try_parse(&row.value);
+    let in_force = core.configuration();
+    row.is_ok_and(|row| in_force.is_some_and(|f| row.version < f.version))
+}
+
 fn apply_configuration(core: &Core, row: &Row) {
     if row.key != KEY || row.is_deleted {
         return;
