Retries stay within their limit however late entries hear each other

Cause: what an entry may borrow of the shared retries in one period presumes that all reports of the period before have come. That period was 0.7 s, while entries of other data centres tell each other every 0.2 s for each twelve peers: 2.8 s at 200 entries, 6 s at 437.

The period is now derived from the interval at which the fleet tells, with one lost message and 0.3 s; 0.7 s as before where one batch reaches all peers.

That at 437 the own quota is one retry and parts of the shared ones are below one, so that much of the limit is left unused, is not mended here.

--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -10,7 +10,7 @@
 };
 
 use chestnutreach_membership::{
-    gossip::{PeerScope, planner_timeout_ms},
+    gossip::{PeerScope, planner_timeout_ms, report_delay_ms},
     issuer::{self, PARTITION_TIMEOUT_MS},
 };
 use chestnutreach_protocol::peers::{OpenMove, PeerState};
@@ -121,6 +121,10 @@
         }
     }
 
+    fn report_delay_ms(self) -> u64 {
+        report_delay_ms(self.same_data_centre, self.other_data_centre)
+    }
+
     fn of_scope(self, scope: PeerScope) -> usize {
         match scope {
             PeerScope::SameDataCentre => self.same_data_centre,
@@ -170,6 +174,11 @@
         self.lock().values().filter(|p| p.boot_id == 0).count()
     }
 
+    /// Time within which all entries have received what one reports.
+    pub(crate) fn report_delay_ms(&self) -> u64 {
+        PeerCounts::of(&self.lock(), &self.data_centre).report_delay_ms()
+    }
+
     /// What callers of the other entries ask for, as far as reported.
     pub(crate) fn demand_of_peers(
         &self,
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -273,6 +273,7 @@
             ratio: bounds.retry_ratio * share,
             free_retries: bounds.free_retries * share,
             window_ms: bounds.retry_window_ms,
+            report_delay_ms: self.peers.report_delay_ms(),
         }
     }
 
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -18,6 +18,10 @@
 const ABSENCE_MESSAGES: f64 = 4.5;
 /// Missed messages of the planner after which other entries check its lease.
 const PLANNER_TIMEOUT_MESSAGES: f64 = 3.5;
+/// Messages of an entry of which one arrives; the other may be lost.
+const REPORT_MESSAGES: u64 = 2;
+/// Time for which a message may wait on slow VMs and links.
+const REPORT_MARGIN_MS: u64 = 300;
 /// Missed messages after which an entry is removed.
 const EXPIRY_MESSAGES: f64 = 12.5;
 
@@ -66,6 +70,14 @@
     (PLANNER_TIMEOUT_MESSAGES * interval_ms as f64) as u64
 }
 
+/// Time within which all entries have received what one of them reports, with
+/// as many peers in its data centre and in others.
+pub fn report_delay_ms(same: usize, other: usize) -> u64 {
+    let same_ms = PeerScope::SameDataCentre.interval_ms(same);
+    let other_ms = PeerScope::OtherDataCentre.interval_ms(other);
+    REPORT_MESSAGES * same_ms.max(other_ms) + REPORT_MARGIN_MS
+}
+
 /// Rotates through a list of peers that may change between batches.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RoundRobin {
--- a/crates/membership/tests/gossip.rs
+++ b/crates/membership/tests/gossip.rs
@@ -4,6 +4,7 @@
 
 use chestnutreach_membership::gossip::{
     BASE_INTERVAL_MS, PeerScope, RoundRobin, planner_timeout_ms,
+    report_delay_ms,
 };
 use rstest::rstest;
 
@@ -38,6 +39,30 @@
     assert!(planner_timeout_ms(count) >= 3 * BASE_INTERVAL_MS);
 }
 
+/// A report has arrived within the delay even if one message is lost, at any
+/// number of entries of five data centres.
+#[rstest]
+fn a_report_arrives_within_its_delay(
+    #[values(5, 14, 70, 437, 1_000)] entries: usize,
+) {
+    let same = (entries - 1) / 5;
+    let other = entries - 1 - same;
+    let mut rounds = RoundRobin::default();
+    let peers: Vec<usize> = (0..other).collect();
+    let fan_out = PeerScope::OtherDataCentre.fan_out();
+    let mut sent_ms: BTreeMap<usize, Vec<u64>> = BTreeMap::new();
+    for now_ms in (0..60_000).step_by(BASE_INTERVAL_MS as usize) {
+        for peer in rounds.next_batch(&peers, fan_out) {
+            sent_ms.entry(peer).or_default().push(now_ms);
+        }
+    }
+    let delay_ms = report_delay_ms(same, other);
+    // Between the first and the third message, the second one is lost.
+    let spans = sent_ms.values().flat_map(|at| at.windows(3));
+    let longest_ms = spans.map(|at| at[2] - at[0]).max().unwrap_or(0);
+    assert!(longest_ms < delay_ms, "{longest_ms} ms, {delay_ms} ms");
+}
+
 #[rstest]
 #[case::fewer_than_a_batch(5, 24)]
 #[case::several_batches(54, 12)]
--- a/crates/routing/src/retry_window.rs
+++ b/crates/routing/src/retry_window.rs
@@ -5,7 +5,8 @@
 //! entry has its quota of the free retries and the share of its own requests,
 //! whatever the other entries use. Because failures fall on few entries,
 //! another part is shared, and an entry that has used its own quota borrows
-//! from it. Entries learn late what others have borrowed. In that time each
+//! from it. Entries learn late what others have borrowed, and the later the
+//! more entries there are ([`RetryLimit::report_delay_ms`]). In that time each
 //! entry borrows at most its quota of half of the remaining part, so that all
 //! entries together stay below the limit. An entry that restarts forgets its
 //! retries; the share that is neither distributed nor shared covers them.
@@ -22,8 +23,6 @@
 /// Share of the remaining part that all entries together may borrow before
 /// they have received each other's reports.
 const BORROW_SHARE: f64 = 0.5;
-/// Time within which entries have received each other's reports.
-const REPORT_DELAY_MS: u64 = 700;
 
 /// The limit on retries that all entries share.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -34,6 +33,8 @@
     pub free_retries: f64,
     /// Length of the window.
     pub window_ms: u64,
+    /// Time within which entries have received each other's reports.
+    pub report_delay_ms: u64,
 }
 
 impl RetryLimit {
@@ -146,7 +147,8 @@
         };
         let left = shared - all().map(borrowed).sum::<f64>();
         let quota = BORROW_SHARE * left / entries.max(1) as f64;
-        if now_ms.saturating_sub(self.borrowing.0) >= REPORT_DELAY_MS {
+        let since_ms = now_ms.saturating_sub(self.borrowing.0);
+        if since_ms >= limit.report_delay_ms {
             self.borrowing = (now_ms, 0.0);
         }
         let is_allowed = self.borrowing.1 + 1.0 <= quota;
--- a/crates/routing/tests/retry_window.rs
+++ b/crates/routing/tests/retry_window.rs
@@ -2,14 +2,21 @@
 
 use chestnutreach_routing::{RetryLimit, RetryWindow, SentCounts};
 use proptest::prelude::*;
-
-const LIMIT: RetryLimit =
-    RetryLimit { ratio: 0.2, free_retries: 40.0, window_ms: 10_000 };
+use rstest::rstest;
+
+const LIMIT: RetryLimit = RetryLimit {
+    ratio: 0.2,
+    free_retries: 40.0,
+    window_ms: 10_000,
+    report_delay_ms: 700,
+};
 /// Interval between two reports of an entry.
 const REPORT_INTERVAL_MS: u64 = 200;
 
 /// Entries that report to each other what they sent, with a delay.
 struct Entries {
+    limit: RetryLimit,
+    report_interval_ms: u64,
     windows: Vec<RetryWindow>,
     reported: Vec<SentCounts>,
     reported_ms: u64,
@@ -20,7 +27,17 @@
 
 impl Entries {
     fn new(count: usize) -> Entries {
+        Entries::with_limit(count, LIMIT, REPORT_INTERVAL_MS)
+    }
+
+    fn with_limit(
+        count: usize,
+        limit: RetryLimit,
+        report_interval_ms: u64,
+    ) -> Entries {
         Entries {
+            limit,
+            report_interval_ms,
             windows: (0..count).map(|_| RetryWindow::new()).collect(),
             reported: vec![SentCounts::default(); count],
             reported_ms: 0,
@@ -30,14 +47,14 @@
     }
 
     fn report(&mut self, now_ms: u64) {
-        if now_ms < self.reported_ms + REPORT_INTERVAL_MS {
+        if now_ms < self.reported_ms + self.report_interval_ms {
             return;
         }
         self.reported_ms = now_ms;
         for (window, reported) in
             self.windows.iter_mut().zip(&mut self.reported)
         {
-            *reported = window.counts(&LIMIT, now_ms);
+            *reported = window.counts(&self.limit, now_ms);
         }
     }
 
@@ -47,7 +64,7 @@
     }
 
     fn request(&mut self, entry: usize, now_ms: u64) {
-        self.windows[entry].record_request(&LIMIT, now_ms);
+        self.windows[entry].record_request(&self.limit, now_ms);
         self.requests.push(now_ms);
     }
 
@@ -55,7 +72,7 @@
         let others = self.others(entry);
         let count = self.windows.len();
         let window = &mut self.windows[entry];
-        let is_allowed = window.try_take(&LIMIT, count, &others, now_ms);
+        let is_allowed = window.try_take(&self.limit, count, &others, now_ms);
         if is_allowed {
             self.retries.push(now_ms);
         }
@@ -66,12 +83,13 @@
     fn worst_excess(&self) -> f64 {
         let within = |times: &[u64], end: u64| {
             let is_within =
-                |t: &&u64| **t + LIMIT.window_ms > end && **t <= end;
+                |t: &&u64| **t + self.limit.window_ms > end && **t <= end;
             times.iter().filter(is_within).count() as f64
         };
         let excess = |end: &u64| {
             let requests = within(&self.requests, *end);
-            let allowed = LIMIT.free_retries + LIMIT.ratio * requests;
+            let limit = &self.limit;
+            let allowed = limit.free_retries + limit.ratio * requests;
             within(&self.retries, *end) - allowed
         };
         self.retries.iter().map(excess).fold(f64::MIN, f64::max)
@@ -91,6 +109,59 @@
     assert!(entries.worst_excess() <= 0.0);
 }
 
+/// Half a request a second at each entry.
+const REQUEST_INTERVAL_MS: u64 = 2_000;
+
+/// Entries of five data centres that all lose engines at once.
+struct LargeFleet {
+    entries: usize,
+    /// How often one entry hears from another of another data centre.
+    report_interval_ms: u64,
+    report_delay_ms: u64,
+    is_within_limit: bool,
+}
+
+#[rstest]
+#[case::of_100(LargeFleet {
+    entries: 100, report_interval_ms: 1_400, report_delay_ms: 3_100,
+    is_within_limit: true,
+})]
+#[case::of_200(LargeFleet {
+    entries: 200, report_interval_ms: 2_800, report_delay_ms: 5_900,
+    is_within_limit: true,
+})]
+#[case::of_437(LargeFleet {
+    entries: 437, report_interval_ms: 5_800, report_delay_ms: 11_900,
+    is_within_limit: true,
+})]
+#[case::a_delay_that_only_a_small_fleet_has_exceeds_the_limit(LargeFleet {
+    entries: 200, report_interval_ms: 2_800, report_delay_ms: 700,
+    is_within_limit: false,
+})]
+fn retries_stay_within_the_limit_in_a_large_fleet(#[case] case: LargeFleet) {
+    let limit = RetryLimit {
+        ratio: 0.2,
+        free_retries: 1_040.0,
+        window_ms: 10_000,
+        report_delay_ms: case.report_delay_ms,
+    };
+    let mut entries =
+        Entries::with_limit(case.entries, limit, case.report_interval_ms);
+    for now_ms in (0..20_000).step_by(100) {
+        entries.report(now_ms);
+        for entry in 0..case.entries {
+            if now_ms % REQUEST_INTERVAL_MS == 0 {
+                entries.request(entry, now_ms);
+            }
+            while entries.retry(entry, now_ms) {}
+        }
+    }
+    assert!(!entries.retries.is_empty());
+    let excess = entries.worst_excess();
+    println!("{}: {excess} above the limit", case.entries);
+    assert_eq!(excess <= 0.0, case.is_within_limit, "{excess}");
+}
+
 #[test]
 fn without_reports_of_the_others_only_the_own_quota_is_used() {
     let mut window = RetryWindow::new();
