Log lines of a changed list no longer grow with engines times entries

Cause: each entry logged each row that changed.

The first four changes of a read have a line of their own, the others are counted in backends_changed (946).

--- a/crates/direct/src/cluster/backend_rows.rs
+++ b/crates/direct/src/cluster/backend_rows.rs
@@ -23,6 +23,43 @@
 
 /// Limit on a logged error, which may quote the row.
 const MAX_ERROR_CHARS: usize = 160;
+/// Rows of one read that are logged one by one. The others are counted: if
+/// all engines load layers, every entry reads all rows at once.
+const MAX_LOGGED_ROWS: usize = 4;
+
+/// Log lines about the rows of one read.
+#[derive(Debug, Default)]
+pub(crate) struct RowLog {
+    logged: usize,
+    unlogged: usize,
+}
+
+impl RowLog {
+    /// Whether the next row is logged by itself.
+    pub(crate) fn is_next_logged(&mut self) -> bool {
+        let is_logged = self.logged < MAX_LOGGED_ROWS;
+        match is_logged {
+            true => self.logged += 1,
+            false => self.unlogged += 1,
+        }
+        is_logged
+    }
+
+    /// Logs how many rows were not logged by themselves.
+    fn finish(self, rows: &Rows) {
+        if self.unlogged == 0 {
+            return;
+        }
+        emit(
+            Event::BackendsChanged,
+            &[
+                ("row_version", &rows.version.number()),
+                ("rows", &rows.rows.len()),
+                ("unlogged", &self.unlogged),
+            ],
+        );
+    }
+}
 
 /// Applies a read of the full list.
 pub(crate) fn apply_all(core: &Arc<Core>, rows: &Rows) {
@@ -34,16 +71,22 @@
         }
     }
     let count_before = core.fleet.all().len();
+    let mut log = RowLog::default();
     for row in &rows.rows {
-        apply_row(core, row, true);
+        apply_row(core, row, true, &mut log);
     }
+    log.finish(rows);
     core.readiness.clear(NEEDS_BACKENDS);
     log_read(core, rows, count_before);
 }
 
-/// Applies a row that is new or has changed.
-pub(crate) fn apply(core: &Arc<Core>, row: &Row) {
-    apply_row(core, row, false);
+/// Applies rows that are new or have changed.
+pub(crate) fn apply_changes(core: &Arc<Core>, rows: &Rows) {
+    let mut log = RowLog::default();
+    for row in &rows.rows {
+        apply_row(core, row, false, &mut log);
+    }
+    log.finish(rows);
 }
 
 /// Logs one summary of a full read. With one line per engine at each start,
@@ -71,7 +114,12 @@
     );
 }
 
-fn apply_row(core: &Arc<Core>, row: &Row, is_full_read: bool) {
+fn apply_row(
+    core: &Arc<Core>,
+    row: &Row,
+    is_full_read: bool,
+    log: &mut RowLog,
+) {
     if row.is_deleted {
         core.unusable_rows.remove(&row.key);
         remove(core, &row.key, row.version);
@@ -86,7 +134,8 @@
     }
     let data_centre = core.data_centre_index(&backend.data_centre);
     let is_leaving = backend.state == BackendState::Draining;
-    match core.fleet.apply(backend, row.version, data_centre, is_full_read) {
+    let fleet = &core.fleet;
+    match fleet.apply(backend, row.version, data_centre, is_full_read, log) {
         RowOutcome::Known if is_leaving => {
             core.stream_subscribers.notify_all()
         }
@@ -137,7 +186,7 @@
         Timer::after(Duration::from_millis(wait_ms)).await;
         let current = core.feeds.backends.row(&key);
         if let Some(row) = current.filter(|row| row.version == version) {
-            apply_row(&core, &row, false);
+            apply_row(&core, &row, false, &mut RowLog::default());
         }
     };
     executor.spawn(later).detach();
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -289,16 +289,11 @@
     fn apply_changes(&self, rows: &Rows) {
         match self.kind {
             FeedKind::Configuration => self.apply_configuration_changes(rows),
-            FeedKind::Backends => self.apply_backend_changes(rows),
-        }
-    }
-
-    fn apply_backend_changes(&self, rows: &Rows) {
-        if !self.feed().apply_changes(rows) {
-            return;
-        }
-        for row in &rows.rows {
-            backend_rows::apply(&self.core, row);
+            FeedKind::Backends => {
+                if self.feed().apply_changes(rows) {
+                    backend_rows::apply_changes(&self.core, rows);
+                }
+            }
         }
     }
 
--- a/crates/direct/src/cluster/fleet.rs
+++ b/crates/direct/src/cluster/fleet.rs
@@ -17,7 +17,10 @@
 
 use crate::{
     clock::now_ms,
-    cluster::engine::{Engine, EngineState, StartOrder},
+    cluster::{
+        backend_rows::RowLog,
+        engine::{Engine, EngineState, StartOrder},
+    },
 };
 
 /// How long a removed engine is remembered: longer than the age of the copies
@@ -144,6 +147,7 @@
         row_version: StoreVersion,
         data_centre: usize,
         is_full_read: bool,
+        log: &mut RowLog,
     ) -> RowOutcome {
         let known = self.get(&row.id);
         let start_order = known.as_ref().map_or(StartOrder::Later, |known| {
@@ -153,7 +157,7 @@
             return RowOutcome::EarlierStart;
         }
         if known.is_some() || !is_full_read {
-            log_listed(&row, row_version, known.as_deref());
+            log_listed(&row, row_version, known.as_deref(), log);
         }
         if let Some(engine) = &known
             && start_order == StartOrder::Same
@@ -279,6 +283,7 @@
     row: &Backend,
     row_version: StoreVersion,
     known: Option<&Engine>,
+    log: &mut RowLog,
 ) {
     let is_same = known.is_some_and(|engine| {
         let old = &engine.lock().row;
@@ -286,7 +291,7 @@
             && old.held == row.held
             && old.started_unix_ms == row.started_unix_ms
     });
-    if is_same {
+    if is_same || !log.is_next_logged() {
         return;
     }
     let layers = row.held.map_or_else(String::new, |held| held.to_string());
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -50,6 +50,8 @@
 const TABLE_READ_INTERVAL: Duration = Duration::from_secs(60);
 /// Time over which findings are collected into one alert.
 const ALERT_BATCH_WINDOW: Duration = Duration::from_millis(2);
+/// Rounds of sending the state between two log lines about found peers.
+const ROUNDS_PER_LOG: u64 = 5;
 /// Maximum number of peers named in one log line.
 const MAX_LOGGED_PEERS: usize = 24;
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -88,7 +90,7 @@
 async fn send_states(core: Arc<Core>, socket: Arc<Async<UdpSocket>>) {
     let mut sequence = 0;
     let mut rounds = [RoundRobin::default(), RoundRobin::default()];
-    loop {
+    for count in 0_u64.. {
         sequence += 1;
         let bytes = own_state(&core, sequence).encode_to_vec();
         for address in recipients(&core, &mut rounds) {
@@ -96,6 +98,9 @@
             let _ = socket.send_to(&bytes, address).await;
         }
         remove_silent(&core);
+        if count % ROUNDS_PER_LOG == 0 {
+            log_peers(&core, Event::PeerFound, core.peers.take_found());
+        }
         Timer::after(STATE_INTERVAL).await;
     }
 }
@@ -312,8 +317,7 @@
     engine.lock().is_connect_due(now_ms, engine.quiet_ms(now_ms))
 }
 
-/// Removes silent peers, and logs the peers lost and found since the last
-/// call.
+/// Removes silent peers and logs them.
 fn remove_silent(core: &Core) {
     let silent = core.peers.remove_silent();
     for silent in &silent {
@@ -321,7 +325,6 @@
     }
     let lost = silent.iter().map(SilentPeer::name).collect();
     log_peers(core, Event::PeerLost, lost);
-    log_peers(core, Event::PeerFound, core.peers.take_found());
 }
 
 fn log_peers(core: &Core, event: Event, names: Vec<String>) {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -360,6 +360,9 @@
         ["request", "account", "class", "urgency", "tokens", "share", "fill",
          "account_limit", "shares_age_ms"],
         "A stream was refused at once by the shares in force.";
+    BackendsChanged = 946, "backends_changed", Info,
+        ["row_version", "rows", "unlogged"],
+        "Many rows of the list of backend servers changed in one read.";
 }
 
 impl Event {
