--- a/crates/daemon/tests/users_platform/feed_sharing.rs
+++ b/crates/daemon/tests/users_platform/feed_sharing.rs
@@ -86,6 +86,43 @@
     });
 }
 
+/// Two data centres with four entries each.
+fn site_of_two_data_centres() -> Site {
+    Site { entries: 8, ..Site::small() }
+}
+
+/// The roots of the data centres share the feeds as well.
+#[test]
+fn few_entries_of_all_data_centres_read_the_store() {
+    with_site(&site_of_two_data_centres(), async |running| {
+        // The reader and the planner, whatever the number of data centres.
+        wait_until_shared(running).await;
+        running.configure(&[KEY, "another"]);
+        for entry in 0..running.addresses.len() {
+            wait_until_served(running, entry, "another").await;
+        }
+    });
+}
+
+#[test]
+fn changes_reach_all_data_centres_when_the_readers_fail() {
+    with_site(&site_of_two_data_centres(), async |running| {
+        wait_until_shared(running).await;
+        let readers = store_readers(running, CONFIGURATION_TABLE).await;
+        for reader in &readers {
+            running.signal(*reader, Signal::STOP);
+        }
+        running.configure(&[KEY, "another"]);
+        let all = 0..running.addresses.len();
+        for entry in all.filter(|entry| !readers.contains(entry)) {
+            wait_until_served(running, entry, "another").await;
+        }
+        for reader in &readers {
+            running.signal(*reader, Signal::CONT);
+        }
+    });
+}
+
 #[test]
 fn each_engine_is_watched_by_two_entries() {
     with_site(&Site::with_shared_feeds(), async |running| {
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -42,17 +42,20 @@
 /// age of their copies.
 const SHARED_READER_WAIT: Duration = Duration::from_millis(1_200);
 /// Age of the copy above which a poll of the store waits only
-/// `STALE_READER_WAIT`. An entry that replaces a failed reader must learn
+/// `STALE_READER_WAIT`. An entry that replaces a failed root must learn
 /// immediately whether its copy is current.
 const SHORT_WAIT_AGE_MS: u64 = 1_000;
 const STALE_READER_WAIT: Duration = Duration::from_millis(50);
+/// Wait at another entry. It responds sooner once the store has confirmed its
+/// copy, so this only limits how late a silent entry is noticed.
 const PEER_WAIT: Duration = Duration::from_millis(600);
 /// Wait at another entry while the copy is stale: the next peer may have a
 /// newer one.
-const STALE_PEER_WAIT: Duration = Duration::from_millis(150);
+const STALE_PEER_WAIT: Duration = Duration::from_millis(60);
 /// Age above which no other peer is likely to have a newer copy, because the
 /// store is unavailable.
-const OUTAGE_AGE_MS: u64 = 4_000;
+const OUTAGE_AGE_MS: u64 = 6_000;
+const OUTAGE_PEER_WAIT: Duration = Duration::from_millis(200);
 /// Minimum time between two log lines about a change to another peer.
 const SOURCE_LOG_INTERVAL_MS: u64 = 5_000;
 /// Time beyond its wait after which a poll counts as failed.
@@ -61,6 +64,8 @@
 const PEER_TIMEOUT_MARGIN: Duration = Duration::from_millis(250);
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The same after another entry failed: the next one is asked instead.
+const PEER_RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between polls of the backend list, so that one poll returns several
 /// changes.
 const BACKENDS_PAUSE: Duration = Duration::from_millis(250);
@@ -123,15 +128,18 @@
 
     async fn run(mut self) {
         loop {
-            let peer_ids = self.core.live_peers_in_data_centre();
+            let live = self.core.live_peers_in_data_centre();
+            let roots = self.feed().roots(&self.core, &live);
             let peers = FeedPeers {
-                own: self.core.boot_id,
-                peers: &peer_ids,
+                own: self.core.own_candidate(),
+                peers: &live,
                 must_read_store: self.core.is_planner.load(Relaxed),
+                roots: &roots,
+                age_ms: self.feed().age_ms().min(self.core.age_ms()),
             };
             let source = self.feed().choose_source(&peers);
             self.change_source(source);
-            let is_shared = peer_ids.len() + 1 >= MIN_SHARING_ENTRIES;
+            let is_shared = live.len() + 1 >= MIN_SHARING_ENTRIES;
             let outcome = match source {
                 FeedSource::Store => self.fetch_from_store(is_shared).await,
                 FeedSource::Entry(entry) => self.fetch_from_peer(entry).await,
@@ -142,8 +150,14 @@
     }
 
     async fn pause(&self, source: FeedSource, outcome: FetchOutcome) {
-        if outcome == FetchOutcome::Failed {
-            Timer::after(RETRY_PAUSE).await;
+        match (source, outcome) {
+            (FeedSource::Store, FetchOutcome::Failed) => {
+                Timer::after(RETRY_PAUSE).await;
+            }
+            (FeedSource::Entry(_), FetchOutcome::Failed) => {
+                Timer::after(PEER_RETRY_PAUSE).await;
+            }
+            _ => {}
         }
         if self.kind == FeedKind::Backends && source == FeedSource::Store {
             Timer::after(backends_pause(&self.core)).await;
@@ -226,8 +240,9 @@
         let client = reused.unwrap_or_else(|| FeedClient::new(address));
         let table = self.feed().table;
         let wait = match self.feed().age_ms() {
+            ..STALE_MS => PEER_WAIT,
             STALE_MS..OUTAGE_AGE_MS => STALE_PEER_WAIT,
-            _ => PEER_WAIT,
+            OUTAGE_AGE_MS.. => OUTAGE_PEER_WAIT,
         };
         let timeout = wait + PEER_TIMEOUT_MARGIN;
         let fetched =
--- a/crates/direct/src/cluster/feed_server.rs
+++ b/crates/direct/src/cluster/feed_server.rs
@@ -25,11 +25,14 @@
 use crate::{clock::now_ms, cluster::feeds::Feed, core::Core};
 
 /// Maximum time for which a poll of another entry is held.
-const MAX_WAIT: Duration = Duration::from_millis(2_000);
+const MAX_WAIT_MS: u64 = 2_000;
 /// Enough for both feeds of every entry in a data centre, beside old
 /// connections that are not closed yet.
 const MAX_CONNECTIONS: usize = 256;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Once a response has begun, the other entry is alive, and a slow link may
+/// take this long for a whole table.
+const BODY_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// A configuration with 1,600 client accounts is far smaller.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -69,14 +72,11 @@
     let Some(feed) = core.feeds.by_table(table) else {
         return Response::new(404);
     };
-    feed.record_request();
     let received_ms = now_ms();
     let era = number("era").unwrap_or(0);
     let after = number("after").map(|after| StoreVersion::new(era, after));
-    if let Some(after) = after {
-        let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
-        wait_for_change(feed, after, wait.min(MAX_WAIT)).await;
-    }
+    let wait_ms = number("wait-ms").unwrap_or(0).min(MAX_WAIT_MS);
+    wait_for_news(feed, after, received_ms + wait_ms).await;
     let waited_ms = now_ms() - received_ms;
     let Some(answer) = feed.response_after(after) else {
         return Response::new(503);
@@ -87,15 +87,28 @@
     response
 }
 
-async fn wait_for_change(feed: &Feed, after: StoreVersion, wait: Duration) {
+/// Waits until the copy has changes after a version, or any rows if there is
+/// no version, or until the store has confirmed it again. So a copy at the end of a row of entries is hardly
+/// older than that of the first one.
+async fn wait_for_news(
+    feed: &Feed,
+    after: Option<StoreVersion>,
+    until_ms: u64,
+) {
+    let confirmed_ms = feed.confirmed_ms();
     let subscription = feed.changed.subscribe();
-    if feed.version().is_some() && feed.has_changes_after(after) {
-        return;
+    loop {
+        let has_changes = feed.version().is_some()
+            && after.is_none_or(|after| feed.has_changes_after(after));
+        let left_ms = until_ms.saturating_sub(now_ms());
+        if has_changes || feed.confirmed_ms() > confirmed_ms || left_ms == 0 {
+            return;
+        }
+        let timeout = async {
+            Timer::after(Duration::from_millis(left_ms)).await;
+        };
+        subscription.notified().or(timeout).await;
     }
-    let timeout = async {
-        Timer::after(wait).await;
-    };
-    subscription.notified().or(timeout).await;
 }
 
 /// Response of another entry.
@@ -114,6 +127,7 @@
     pub(crate) fn new(address: SocketAddr) -> FeedClient {
         let options = ClientOptions::new()
             .connect_timeout(CONNECT_TIMEOUT)
+            .body_timeout(BODY_TIMEOUT)
             .max_response_bytes(MAX_RESPONSE_BYTES);
         FeedClient { client: Client::new(address, options) }
     }
@@ -140,7 +154,7 @@
                     "/feed/{table}?era={era}&after={after}&wait-ms={wait_ms}"
                 )
             }
-            None => format!("/feed/{table}"),
+            None => format!("/feed/{table}?wait-ms={}", wait.as_millis()),
         };
         let request = self.client.get(&target).ok()?;
         let sent = self.client.send(request, timeout).await;
--- a/crates/direct/src/cluster/feeds.rs
+++ b/crates/direct/src/cluster/feeds.rs
@@ -17,12 +17,14 @@
 };
 use chestnutreach_membership::{
     FeedPeers, FeedSource, FeedSources, FetchOutcome, RowChange, TableCopy,
+    feed_source::MIN_SHARING_ENTRIES,
+    rendezvous::{self, Candidate},
     restored_row::HistoryStart,
 };
 use chestnutreach_protocol::peers::{FeedAnswer, FeedRow};
 use chestnutreach_site::StoreVersion;
 
-use crate::{clock::now_ms, subscribers::Subscribers};
+use crate::{clock::now_ms, core::Core, subscribers::Subscribers};
 
 /// A copy is stale if the store has not confirmed it within this time, which
 /// is longer than the poll of a reader takes.
@@ -72,7 +74,7 @@
     history: Mutex<Option<HistoryStart>>,
     /// Boot id of the entry that is polled; 0 for the store.
     source_boot_id: AtomicU64,
-    /// Tasks that wait for a change.
+    /// Tasks that wait for a change, or for a later confirmation.
     pub(crate) changed: Subscribers,
 }
 
@@ -95,6 +97,27 @@
         self.sources().choose(around, self.assignment, now_ms())
     }
 
+    /// The entries that serve the roots of the data centres, if this entry is
+    /// the root of its own.
+    pub(crate) fn roots(&self, core: &Core, local: &[Candidate]) -> Vec<u64> {
+        let own = core.own_candidate();
+        let all_local = local.iter().copied().chain([own]);
+        let root = rendezvous::first_by_capacity(all_local, self.assignment);
+        if root != Some(own.entry) || local.len() + 1 < MIN_SHARING_ENTRIES {
+            return Vec::new();
+        }
+        let now_ms = now_ms();
+        let planner = match core.is_planner.load(Relaxed) {
+            true => Some(own.entry),
+            false => core.peers.planner(now_ms),
+        };
+        let others = core.peers.roots(self.assignment, now_ms);
+        let others = others.into_iter().filter(|c| !local.contains(c));
+        let all = others.chain([own]);
+        let ranked = rendezvous::ranked_by_capacity(all, self.assignment);
+        planner.into_iter().chain(ranked).collect()
+    }
+
     /// Records the current source for the status document.
     pub(crate) fn set_source(&self, source: FeedSource) {
         let boot_id = match source {
@@ -119,10 +142,6 @@
         })
     }
 
-    pub(crate) fn record_request(&self) {
-        self.sources().record_request(now_ms());
-    }
-
     pub(crate) fn record_outcome(
         &self,
         source: FeedSource,
@@ -140,9 +159,16 @@
         now_ms().saturating_sub(self.confirmed_ms.load(Relaxed))
     }
 
+    /// When the store last confirmed the copy.
+    pub(crate) fn confirmed_ms(&self) -> u64 {
+        self.confirmed_ms.load(Relaxed)
+    }
+
     /// Records that the store confirmed the copy at this time.
     pub(crate) fn record_confirmed(&self, then_ms: u64) {
-        self.confirmed_ms.fetch_max(then_ms, Relaxed);
+        if self.confirmed_ms.fetch_max(then_ms, Relaxed) < then_ms {
+            self.changed.notify_all();
+        }
     }
 
     pub(crate) fn recovered_ms(&self) -> u64 {
--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -1,7 +1,7 @@
 //! State that an entry keeps for the other entries.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard,
@@ -10,8 +10,10 @@
 };
 
 use chestnutreach_membership::{
+    feed_source::MIN_SHARING_ENTRIES,
     gossip::{self, PeerScope, planner_timeout_ms},
     issuer::{self, PARTITION_TIMEOUT_MS},
+    rendezvous::{Candidate, CapacityClass, first_by_capacity},
 };
 use chestnutreach_protocol::peers::{OpenMove, PeerState};
 use chestnutreach_routing::{DemandRates, SentCounts};
@@ -40,6 +42,8 @@
     found: Mutex<Vec<String>>,
     /// When another entry last reported that it holds the planner's lease.
     planner_received_ms: AtomicU64,
+    /// Boot id of that entry; 0 if there was none.
+    planner_boot_id: AtomicU64,
     /// Highest fencing number that a lease holder reported as released.
     released_lease_number: AtomicU64,
     /// Moves that a planner announced last, and when they were received.
@@ -55,6 +59,7 @@
     is_stopping: bool,
     data_centre: String,
     feed_port: u16,
+    capacity: CapacityClass,
     interconnect_bytes_per_s: f64,
     /// When the entry last reported use of the interconnect; 0 if never.
     interconnect_used_ms: u64,
@@ -234,6 +239,31 @@
         received_ms > 0 && now_ms.saturating_sub(received_ms) < timeout_ms
     }
 
+    /// Another entry that reported recently that it is the planner.
+    pub(crate) fn planner(&self, now_ms: u64) -> Option<u64> {
+        let boot_id = self.planner_boot_id.load(Relaxed);
+        self.has_planner(now_ms).then_some(boot_id)
+    }
+
+    /// The first entry by capacity of each data centre for an assignment.
+    pub(crate) fn roots(
+        &self,
+        assignment: u64,
+        now_ms: u64,
+    ) -> Vec<Candidate> {
+        let names: BTreeSet<String> =
+            self.lock().values().map(|p| p.data_centre.clone()).collect();
+        let root = |name: &String| {
+            let candidates = self.candidates_in(name, now_ms);
+            if candidates.len() < MIN_SHARING_ENTRIES {
+                return None;
+            }
+            let entry = first_by_capacity(candidates.clone(), assignment)?;
+            candidates.into_iter().find(|c| c.entry == entry)
+        };
+        names.iter().filter_map(root).collect()
+    }
+
     /// Time since another entry last reported that it is the planner.
     pub(crate) fn planner_silent_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.planner_received_ms.load(Relaxed))
@@ -241,7 +271,8 @@
 
     /// Boot ids of all entries that are present and not stopping.
     pub(crate) fn live(&self, now_ms: u64) -> Vec<u64> {
-        self.live_where(now_ms, |_| true)
+        let live = self.live_where(now_ms, |_| true);
+        live.into_iter().map(|candidate| candidate.entry).collect()
     }
 
     /// Whether this boot id is the lowest among the entries that are present
@@ -261,9 +292,24 @@
             && present().all(|p| p.is_stopping || p.boot_id > boot_id)
     }
 
+    /// All entries that are present and not stopping.
+    pub(crate) fn live_candidates(&self) -> Vec<Candidate> {
+        self.live_where(now_ms(), |_| true)
+    }
+
     /// Boot ids of the entries of a data centre that are present and not
     /// stopping.
     pub(crate) fn live_in(&self, data_centre: &str, now_ms: u64) -> Vec<u64> {
+        let live = self.candidates_in(data_centre, now_ms);
+        live.into_iter().map(|candidate| candidate.entry).collect()
+    }
+
+    /// The same entries with the capacity that they reported.
+    pub(crate) fn candidates_in(
+        &self,
+        data_centre: &str,
+        now_ms: u64,
+    ) -> Vec<Candidate> {
         self.live_where(now_ms, |peer| peer.data_centre == data_centre)
     }
 
@@ -271,7 +317,7 @@
         &self,
         now_ms: u64,
         is_wanted: impl Fn(&Peer) -> bool,
-    ) -> Vec<u64> {
+    ) -> Vec<Candidate> {
         let peers = self.lock();
         let counts = PeerCounts::of(&peers, &self.data_centre);
         let is_live = |peer: &&Peer| {
@@ -279,7 +325,11 @@
                 && is_wanted(peer)
                 && counts.is_present(peer, &self.data_centre, now_ms)
         };
-        peers.values().filter(is_live).map(|peer| peer.boot_id).collect()
+        let candidate = |peer: &Peer| Candidate {
+            entry: peer.boot_id,
+            capacity: peer.capacity,
+        };
+        peers.values().filter(is_live).map(candidate).collect()
     }
 
     /// Address to which messages for an entry are sent.
@@ -365,10 +415,6 @@
             return StateOutcome::Stale;
         }
         let previous = (peer.boot_id != 0).then_some(peer.boot_id);
-        if is_new_process {
-            let name = format!("{}={from}/{}", state.vm, state.boot_id);
-            self.found.lock().expect("no holder panics").push(name);
-        }
         peer.boot_id = state.boot_id;
         peer.vm.clone_from(&state.vm);
         peer.sequence = state.sequence;
@@ -376,6 +422,7 @@
         peer.is_stopping = state.is_stopping;
         peer.data_centre.clone_from(&state.data_centre);
         peer.feed_port = u16::try_from(state.feed_port).unwrap_or(0);
+        peer.capacity = CapacityClass::from_milli_cores(state.milli_cores);
         peer.interconnect_bytes_per_s =
             f64::from(state.crossing_kilobytes_per_s) * 1e3;
         if state.crossing_kilobytes_per_s > 0 {
@@ -383,11 +430,14 @@
         }
         drop(peers);
         if is_new_process {
+            let name = format!("{}={from}/{}", state.vm, state.boot_id);
+            self.found.lock().expect("no holder panics").push(name);
             self.lost_ms.lock().expect("no holder panics").remove(&from);
         }
         self.released_lease_number.fetch_max(state.resigned, Relaxed);
         if state.is_planner {
             self.planner_received_ms.fetch_max(now_ms(), Relaxed);
+            self.planner_boot_id.store(state.boot_id, Relaxed);
             let mut moves = self.moves.lock().expect("no holder panics");
             *moves = (now_ms(), state.open_moves.clone());
         }
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -207,6 +207,7 @@
         is_alert: false,
         suspects: suspect_reports(core),
         notices: core.permits.notices(core),
+        milli_cores: core.milli_cores(),
         ..PeerState::default()
     }
 }
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwapOption;
 use async_executor::Executor;
 use chestnutreach_adapter::store::StoreClient;
+use chestnutreach_membership::rendezvous::{Candidate, CapacityClass};
 use chestnutreach_protocol::peers::OpenMove;
 use chestnutreach_routing::{
     CapacityWaits, FirstEventWaits, RetryLimit, RetryWindow, SentCounts,
@@ -399,9 +400,22 @@
             && self.peers.has_lowest_boot_id(self.boot_id, now_ms)
     }
 
-    /// Boot ids of the live peers in this data centre that are not stopping.
-    pub(crate) fn live_peers_in_data_centre(&self) -> Vec<u64> {
-        self.peers.live_in(&self.settings.data_centre, now_ms())
+    /// The live peers in this data centre that are not stopping.
+    pub(crate) fn live_peers_in_data_centre(&self) -> Vec<Candidate> {
+        self.peers.candidates_in(&self.settings.data_centre, now_ms())
+    }
+
+    /// This entry's share of a core, in thousandths.
+    pub(crate) fn milli_cores(&self) -> u32 {
+        (self.settings.cpu_share * 1e3).round() as u32
+    }
+
+    /// This entry, as a candidate for assignments by capacity.
+    pub(crate) fn own_candidate(&self) -> Candidate {
+        Candidate {
+            entry: self.boot_id,
+            capacity: CapacityClass::from_milli_cores(self.milli_cores()),
+        }
     }
 
     /// Time since this process started.
--- a/crates/direct/src/placement/lease.rs
+++ b/crates/direct/src/placement/lease.rs
@@ -230,13 +230,16 @@
     let now_ms = now_ms();
     let without_holder_ms =
         core.age_ms().min(core.peers.planner_silent_ms(now_ms));
-    without_holder_ms >= ALL_CANDIDATES_AFTER_MS
-        || rendezvous::is_assigned(
-            core.boot_id,
-            core.peers.live(now_ms),
-            LEASE_ASSIGNMENT,
-            MAX_CANDIDATES,
-        )
+    without_holder_ms >= ALL_CANDIDATES_AFTER_MS || is_assigned(core)
+}
+
+/// Whether this entry is among the first for the lease. Entries with more
+/// capacity go first: the planner sends and reads for all others.
+fn is_assigned(core: &Core) -> bool {
+    let live = core.peers.live_candidates().into_iter();
+    let all = live.chain([core.own_candidate()]);
+    let ranked = rendezvous::ranked_by_capacity(all, LEASE_ASSIGNMENT);
+    ranked.iter().take(MAX_CANDIDATES).any(|entry| *entry == core.boot_id)
 }
 
 /// Whether the store has been unreachable for so long that another entry
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -107,6 +107,7 @@
     connect_timeout: Duration,
     max_response_bytes: usize,
     idle_timeout: Duration,
+    body_timeout: Option<Duration>,
 }
 
 impl Default for ClientOptions {
@@ -115,6 +116,7 @@
             connect_timeout: Duration::from_millis(500),
             max_response_bytes: 64 << 20,
             idle_timeout: Duration::from_secs(30),
+            body_timeout: None,
         }
     }
 }
@@ -142,6 +144,13 @@
         self.idle_timeout = timeout;
         self
     }
+
+    /// How long the body may take once the head has arrived. Without this
+    /// limit, the timeout of the call holds for head and body together.
+    pub fn body_timeout(mut self, timeout: Duration) -> ClientOptions {
+        self.body_timeout = Some(timeout);
+        self
+    }
 }
 
 /// HTTP client for one server.
@@ -206,13 +215,34 @@
             Some(stream) => stream,
             None => self.connect(timeout).await?,
         };
-        let call = self.exchange(stream, request);
-        let limit = async {
-            Timer::at(deadline).await;
-            let limit_ms = timeout.as_millis() as u64;
-            Err(ClientError::Timeout { address: self.address, limit_ms })
+        let method = request.method();
+        let began = self.begin(stream.clone(), request);
+        let began = began.or(self.time_limit(deadline, timeout));
+        let (mut reader, head, info) = began.await?;
+        let (body_deadline, body_timeout) = match self.options.body_timeout {
+            Some(limit) => (Instant::now() + limit, limit),
+            None => (deadline, timeout),
         };
-        call.or(limit).await
+        let body = self.read_body(&mut reader, method, &info);
+        let body = body.or(self.time_limit(body_deadline, body_timeout));
+        let body = body.await?;
+        let response = self.decode_head(head).await?;
+        // Surplus bytes would be read as the response to the next request.
+        if !info.wants_close && !reader.has_unread() {
+            self.keep_idle(stream);
+        }
+        Ok((response, body))
+    }
+
+    /// Fails at the deadline.
+    async fn time_limit<T>(
+        &self,
+        deadline: Instant,
+        timeout: Duration,
+    ) -> Result<T, ClientError> {
+        Timer::at(deadline).await;
+        let limit_ms = timeout.as_millis() as u64;
+        Err(ClientError::Timeout { address: self.address, limit_ms })
     }
 
     /// The URL of a target ("/path?query") on the server.
@@ -224,28 +254,30 @@
         url::parse(self.address, target)
     }
 
-    async fn exchange(
+    /// Sends a request and reads the head of its response.
+    async fn begin(
         &self,
         mut stream: SharedStream,
         request: Request,
-    ) -> Result<(Response, Vec<u8>), ClientError> {
-        let method = request.method();
+    ) -> Result<(MessageReader, Vec<u8>, ResponseHeadInfo), ClientError> {
         futures_lite::io::copy(Encoder::new(request), &mut stream)
             .await
             .map_err(|e| self.lost(&e.to_string()))?;
-        let mut reader = MessageReader::new(stream.clone());
+        let mut reader = MessageReader::new(stream);
         let (head, info) = self.read_head(&mut reader).await?;
-        let body = self.read_body(&mut reader, method, &info).await?;
+        Ok((reader, head, info))
+    }
+
+    async fn decode_head(
+        &self,
+        head: Vec<u8>,
+    ) -> Result<Response, ClientError> {
         let head = futures_lite::io::Cursor::new(head);
         let mut response = async_h1::client::decode(head)
             .await
             .map_err(|e| self.lost(&e.to_string()))?;
         response.take_body();
-        // Surplus bytes would be read as the response to the next request.
-        if !info.wants_close && !reader.has_unread() {
-            self.keep_idle(stream);
-        }
-        Ok((response, body))
+        Ok(response)
     }
 
     /// Reads the head of the final response and skips interim responses.
--- a/crates/membership/src/feed_source.rs
+++ b/crates/membership/src/feed_source.rs
@@ -1,43 +1,60 @@
 //! Where an entry reads a feed of the store from.
 //!
-//! The live entries of a data centre are ranked for each feed. The first one
-//! reads the store; the others ask the first, or the second if the first
-//! fails them. An entry that is asked although it is not the first reads the
-//! store for as long as it is asked, because the first has failed the entry
-//! that asks.
+//! The live entries of a data centre form a tree for each feed, by their rank:
+//! the first reads the store, and each other entry asks its parent. An entry
+//! has at most [`FAN_OUT`] children, so a change costs no entry more than so
+//! many responses, however many entries there are. The entries with the most
+//! capacity rank first and are the parents.
 //!
-//! A response of such a reader carries the time since the store confirmed its
-//! data, so a reader that the store refuses or that is partitioned can be
-//! recognised by that age. An entry that receives old data tries the store and
-//! avoids that reader for a while. If the store fails it as well, the entry
-//! asks one entry after the other, any of which may still reach the store. It
-//! tries the store only every two seconds, so that all entries together do not
-//! flood the store in an outage. A reader that the store fails does the same,
-//! but the first one tries several times a second: one entry of each data
-//! centre must notice the end of an outage soon.
+//! The roots of the data centres share a feed in the same way: the planner, or
+//! else the first root by rank, reads the store, and the other roots ask it.
+//! They read the store themselves as soon as it fails them.
+//!
+//! An entry whose parent fails asks the ancestors, then the other entries near
+//! the root that rank before itself; the next rank takes over a failed root,
+//! and all others find the data there.
+//!
+//! A response carries the time since the store confirmed its data, so an entry
+//! that the store refuses or that is partitioned can be recognised by that
+//! age. Entries whose data is old may try the store one after the other
+//! ([`TURN_INTERVAL_MS`]), in an order that does not depend on capacity: what
+//! refuses the entries with the most capacity may still serve others. The rest
+//! ask entries near the root and the first of that order, so that an outage of
+//! the store or the loss of a root is never met by all entries in the same
+//! second. While the store fails, the root tries it several times a second,
+//! because one entry of each data centre must notice the end of an outage
+//! soon.
 
 use std::collections::BTreeMap;
 
-use crate::rendezvous;
+use crate::rendezvous::{self, Candidate};
 
 /// Minimum number of entries of a data centre that share a feed; with fewer
 /// entries, the savings do not justify a dependency on another entry.
 pub const MIN_SHARING_ENTRIES: usize = 4;
-/// How long an entry that failed is not asked.
+/// Most children of an entry in the tree: a whole list of 600 backend servers
+/// for each of them takes a link of 20 Mbit/s about half a second.
+pub const FAN_OUT: usize = 8;
+/// How long an entry that failed or sent old data is asked after the others.
 const AVOIDANCE_MS: u64 = 3_000;
-/// How long the first reader is not asked after it sent old data, if the store
-/// fails this entry as well. Short, because that reader notices first that
-/// the store has returned; the entries in between are asked meanwhile.
-const READER_AVOIDANCE_MS: u64 = 500;
-/// How long an entry reads the store after it was asked.
-const READ_ON_REQUEST_MS: u64 = 5_000;
-/// Interval between attempts at a store that failed.
-const STORE_RETRY_MS: u64 = 2_000;
-/// The same for the first entry, which the others ask during an outage: they
-/// have recent data soon after this entry has.
-const READER_RETRY_MS: u64 = 250;
-/// Number of readers of a data centre that other entries ask.
-const MAX_READERS: usize = 2;
+/// How long an entry reads the store after it has taken its turn, so that the
+/// others find recent data there.
+const TURN_MS: u64 = 5_000;
+/// Age of the copy at which the first entry that is not the root tries the
+/// store. Longer than two polls of the root take.
+const FIRST_TURN_AGE_MS: u64 = 2_000;
+/// Time between the turns of two entries of a data centre.
+const TURN_INTERVAL_MS: u64 = 250;
+/// Number of entries in the order of turns that others ask for recent data.
+/// Enough for one of them to reach a store that refuses a third of all.
+const ASKED_BY_TURN: usize = 6;
+/// Makes the order of turns independent of that of the tree.
+const TURN_ASSIGNMENT: u64 = 1 << 32;
+/// Interval between attempts of the root at a store that failed.
+const ROOT_RETRY_MS: u64 = 250;
+/// Interval between attempts of another entry, if it is one of `FAN_OUT` or
+/// fewer; it grows with the number of entries.
+const RETRY_MS: u64 = 2_000;
 
 /// Where to read a feed from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -62,14 +79,20 @@
 /// An entry and its live peers in the data centre.
 #[derive(Clone, Copy, Debug)]
 pub struct FeedPeers<'a> {
-    /// Boot id of this entry.
-    pub own: u64,
-    /// Boot ids of the other entries of the data centre that are live and not
-    /// shutting down.
-    pub peers: &'a [u64],
+    /// This entry.
+    pub own: Candidate,
+    /// The other entries of the data centre that are live and not shutting
+    /// down.
+    pub peers: &'a [Candidate],
     /// Whether this entry must read the store itself, as the planner must: it
     /// releases its lease when it cannot reach the store.
     pub must_read_store: bool,
+    /// The entries that serve the roots of the data centres, by rank: the
+    /// planner, and the roots. Empty if this entry is not a root.
+    pub roots: &'a [u64],
+    /// Time since the store confirmed this entry's copy, or since the process
+    /// started if it has no copy yet.
+    pub age_ms: u64,
 }
 
 /// Why and since when an entry is not asked.
@@ -84,12 +107,6 @@
     fn is_over(self, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.since_ms) >= AVOIDANCE_MS
     }
-
-    /// The same for the first reader during an outage of the store.
-    fn is_over_for_reader(self, now_ms: u64) -> bool {
-        self.is_stale
-            && now_ms.saturating_sub(self.since_ms) >= READER_AVOIDANCE_MS
-    }
 }
 
 /// What an entry knows of its sources for one feed.
@@ -97,14 +114,14 @@
 pub struct FeedSources {
     /// Entries that are not asked for a while.
     avoidances: BTreeMap<u64, Avoidance>,
-    /// When another entry last asked this one.
-    requested_ms: Option<u64>,
+    /// Whether the parent was asked last while all sources are avoided.
+    asks_parent: bool,
+    /// Until when this entry reads the store because its turn came.
+    turn_until_ms: u64,
     /// When the store last failed this entry; reset once the store responds.
     store_failed_ms: Option<u64>,
     /// Whether an entry was asked since then.
     has_asked_entry: bool,
-    /// The entry that sent old data, until the store has been tried.
-    stale_entry: Option<u64>,
 }
 
 impl FeedSources {
@@ -120,53 +137,78 @@
         feed: u64,
         now_ms: u64,
     ) -> FeedSource {
-        if group.peers.len() + 1 < MIN_SHARING_ENTRIES {
+        let all = group.peers.iter().copied().chain([group.own]);
+        let ranked = rendezvous::ranked_by_capacity(all, feed);
+        let count = ranked.len();
+        if count < MIN_SHARING_ENTRIES {
             return FeedSource::Store;
         }
         self.avoidances.retain(|_, avoidance| !avoidance.is_over(now_ms));
-        let all = group.peers.iter().copied().chain([group.own]);
-        let ranked = rendezvous::ranked(all, feed);
-        let first_reader = ranked.first().copied();
-        let is_first = first_reader == Some(group.own);
-        let is_reader = is_first
-            || group.must_read_store
-            || self.was_recently_requested(now_ms);
-        let retry_ms = match is_first {
-            true => READER_RETRY_MS,
-            false => STORE_RETRY_MS,
+        let own_rank = ranked.iter().position(|e| *e == group.own.entry);
+        let rank = own_rank.unwrap_or(0);
+        let turn_assignment = feed ^ TURN_ASSIGNMENT;
+        let by_turn =
+            rendezvous::ranked(ranked.iter().copied(), turn_assignment);
+        let is_store_avoided = self.is_store_avoided(rank, count, now_ms);
+        let has_turn = now_ms < self.turn_until_ms
+            || group.age_ms >= turn_age_ms(&by_turn, group.own.entry);
+        let is_first_of_turn = has_turn && now_ms >= self.turn_until_ms;
+        if is_first_of_turn && !is_store_avoided {
+            self.turn_until_ms = now_ms + TURN_MS;
+        }
+        let is_root = rank == 0 && !self.has_usable_root(group);
+        let reads_store = is_root || group.must_read_store || has_turn;
+        if reads_store && !is_store_avoided {
+            return FeedSource::Store;
+        }
+        let near_root = ranked[..count.min(FAN_OUT + 1)].iter().copied();
+        let roots = group.roots.iter().copied();
+        let sources: Vec<u64> = ancestors(rank)
+            .map(|rank| ranked[rank])
+            .chain(roots)
+            .chain(by_turn.into_iter().take(ASKED_BY_TURN))
+            .chain(near_root)
+            .filter(|entry| *entry != group.own.entry)
+            .collect();
+        // The ranks near the root replace a failed one without waiting, and an
+        // entry that reaches no other one depends on the store.
+        let must_respond = match rank <= FAN_OUT {
+            true => &ranked[..rank],
+            false => &sources[..],
         };
-        // The caller may pause for longer than the interval, and would then
-        // try the store each time and never ask an entry.
-        let store_failed_recently = self
-            .has_store_failed_within(retry_ms, now_ms)
-            || self.store_failed_ms.is_some() && !self.has_asked_entry;
-        if (is_reader || self.stale_entry.is_some()) && !store_failed_recently
+        let is_replaced = rank > 0;
+        if is_replaced
+            && !is_store_avoided
+            && must_respond.iter().all(|e| self.failed(*e))
         {
             return FeedSource::Store;
         }
-        // If the store failed, any entry may still have recent data.
-        let max_entries =
-            if store_failed_recently { ranked.len() } else { MAX_READERS };
-        let is_usable = |entry: &u64| {
-            *entry != group.own
-                && self.avoidances.get(entry).is_none_or(|avoidance| {
-                    store_failed_recently
-                        && Some(*entry) == first_reader
-                        && avoidance.is_over_for_reader(now_ms)
-                })
-        };
-        let others = || ranked.iter().take(max_entries).copied();
-        let other = others().find(is_usable);
-        // While the store is unavailable to all, use the first entry even if
-        // it is avoided.
-        let first = others().find(|entry| *entry != group.own);
-        let other = other.or(first.filter(|_| store_failed_recently));
-        other.map_or(FeedSource::Store, FeedSource::Entry)
+        let is_usable = |e: &&u64| !self.avoidances.contains_key(e);
+        let entry = sources.iter().find(is_usable).copied();
+        let entry = entry.or_else(|| self.choose_avoided(&sources));
+        entry.map_or(FeedSource::Store, FeedSource::Entry)
     }
 
-    /// Records that another entry asked this one.
-    pub fn record_request(&mut self, now_ms: u64) {
-        self.requested_ms = Some(now_ms);
+    /// Whether a root may depend on the first of all roots: that is another
+    /// entry, and it has not failed or sent old data.
+    fn has_usable_root(&self, group: &FeedPeers<'_>) -> bool {
+        let first = group.roots.first();
+        first.is_some_and(|first| {
+            *first != group.own.entry && !self.avoidances.contains_key(first)
+        })
+    }
+
+    /// Chooses among sources that have all failed or sent old data. Any of
+    /// them may have recent data again first, but most likely the parent.
+    fn choose_avoided(&mut self, sources: &[u64]) -> Option<u64> {
+        self.asks_parent = !self.asks_parent;
+        if self.asks_parent {
+            return sources.first().copied();
+        }
+        let since_ms = |entry: &&u64| {
+            self.avoidances.get(entry).map(|avoidance| avoidance.since_ms)
+        };
+        sources.iter().min_by_key(since_ms).copied()
     }
 
     /// Records the result of a read.
@@ -181,44 +223,55 @@
             (FeedSource::Store, FetchOutcome::Failed) => {
                 self.store_failed_ms = Some(now_ms);
                 self.has_asked_entry = false;
-                self.avoid_stale_entry(now_ms);
             }
-            (FeedSource::Store, _) => {
-                self.store_failed_ms = None;
-                self.avoid_stale_entry(now_ms);
+            (FeedSource::Store, _) => self.store_failed_ms = None,
+            (FeedSource::Entry(entry), FetchOutcome::Fresh) => {
+                self.avoidances.remove(&entry);
             }
-            (FeedSource::Entry(entry), FetchOutcome::Failed) => {
-                let avoidance =
-                    Avoidance { since_ms: now_ms, is_stale: false };
+            (FeedSource::Entry(entry), outcome) => {
+                let is_stale = outcome == FetchOutcome::Stale;
+                let avoidance = Avoidance { since_ms: now_ms, is_stale };
                 self.avoidances.insert(entry, avoidance);
             }
-            (FeedSource::Entry(entry), FetchOutcome::Stale) => {
-                self.stale_entry = Some(entry);
-                if self.has_store_failed_within(STORE_RETRY_MS, now_ms) {
-                    self.avoid_stale_entry(now_ms);
-                }
-            }
-            (FeedSource::Entry(_), FetchOutcome::Fresh) => {
-                self.stale_entry = None
-            }
         }
     }
 
-    fn avoid_stale_entry(&mut self, now_ms: u64) {
-        if let Some(entry) = self.stale_entry.take() {
-            let avoidance = Avoidance { since_ms: now_ms, is_stale: true };
-            self.avoidances.insert(entry, avoidance);
-        }
+    /// Whether an entry did not respond to the last call.
+    fn failed(&self, entry: u64) -> bool {
+        self.avoidances.get(&entry).is_some_and(|a| !a.is_stale)
     }
 
-    fn was_recently_requested(&self, now_ms: u64) -> bool {
-        self.requested_ms.is_some_and(|at_ms| {
-            now_ms.saturating_sub(at_ms) < READ_ON_REQUEST_MS
-        })
+    /// Whether the store failed this entry so recently that it is not tried.
+    fn is_store_avoided(
+        &self,
+        rank: usize,
+        count: usize,
+        now_ms: u64,
+    ) -> bool {
+        let Some(failed_ms) = self.store_failed_ms else { return false };
+        // The caller may pause for longer than the interval, and would then
+        // try the store each time and never ask an entry.
+        !self.has_asked_entry
+            || now_ms.saturating_sub(failed_ms) < retry_ms(rank, count)
     }
+}
 
-    fn has_store_failed_within(&self, period_ms: u64, now_ms: u64) -> bool {
-        self.store_failed_ms
-            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < period_ms)
+/// Interval between attempts at a store that failed.
+fn retry_ms(rank: usize, count: usize) -> u64 {
+    match rank {
+        0 => ROOT_RETRY_MS,
+        _ => RETRY_MS * count.div_ceil(FAN_OUT) as u64,
     }
 }
+
+/// Age of the copy from which an entry may try the store.
+fn turn_age_ms(by_turn: &[u64], own: u64) -> u64 {
+    let place = by_turn.iter().position(|entry| *entry == own).unwrap_or(0);
+    FIRST_TURN_AGE_MS + TURN_INTERVAL_MS * place as u64
+}
+
+/// Ranks of an entry's parent, of the parent's parent, and so on.
+fn ancestors(rank: usize) -> impl Iterator<Item = usize> {
+    let parent = |rank: &usize| rank.checked_sub(1).map(|r| r / FAN_OUT);
+    std::iter::successors(parent(&rank), parent)
+}
--- a/crates/membership/src/rendezvous.rs
+++ b/crates/membership/src/rendezvous.rs
@@ -6,6 +6,12 @@
 //! same assignment, which costs a duplicate, or a process asks an entry that
 //! does not hold the assignment, and that entry takes it over. The loss of an
 //! entry moves only the assignments of that entry.
+//!
+//! Assignments that send to many entries go to entries of the highest
+//! [`CapacityClass`] first, because the VMs of a fleet can differ a
+//! hundredfold. All others rank behind and take over if those are lost.
+
+use std::cmp::Reverse;
 
 /// Entries by rank for an assignment; the first entry is the assignee.
 pub fn ranked(
@@ -32,6 +38,54 @@
     others.into_iter().filter(ranks_higher).take(assignees).count() < assignees
 }
 
+/// Capacity of an entry's VM: the power of two below its share of a core. VMs
+/// that differ by less than twice are usually in one class and share the
+/// assignments.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct CapacityClass(u32);
+
+impl CapacityClass {
+    /// The class of a VM with a share of a core, in thousandths; 0 if the
+    /// share is not known.
+    pub fn from_milli_cores(milli_cores: u32) -> CapacityClass {
+        CapacityClass(milli_cores.checked_ilog2().map_or(0, |log| log + 1))
+    }
+}
+
+/// An entry that assignments by capacity may go to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Boot id of the entry.
+    pub entry: u64,
+    /// Capacity that the entry reported.
+    pub capacity: CapacityClass,
+}
+
+/// Entries by rank for an assignment: those of the highest class first, in the
+/// order of [`ranked`] within a class.
+pub fn ranked_by_capacity(
+    candidates: impl IntoIterator<Item = Candidate>,
+    assignment: u64,
+) -> Vec<u64> {
+    let mut ranked: Vec<Candidate> = candidates.into_iter().collect();
+    ranked.sort_unstable_by_key(|c| {
+        (Reverse(c.capacity), score(c.entry, assignment), c.entry)
+    });
+    ranked.dedup_by_key(|c| c.entry);
+    ranked.into_iter().map(|c| c.entry).collect()
+}
+
+/// The entry that ranks first in [`ranked_by_capacity`].
+pub fn first_by_capacity(
+    candidates: impl IntoIterator<Item = Candidate>,
+    assignment: u64,
+) -> Option<u64> {
+    let first = candidates.into_iter().min_by_key(|c| {
+        (Reverse(c.capacity), score(c.entry, assignment), c.entry)
+    });
+    first.map(|candidate| candidate.entry)
+}
+
 fn score(entry: u64, assignment: u64) -> u64 {
     mix(entry ^ mix(assignment))
 }
--- a/crates/membership/tests/feed_source.rs
+++ b/crates/membership/tests/feed_source.rs
@@ -1,11 +1,12 @@
 //! Simulates the entries of a data centre that follow a feed on a virtual
-//! clock, while readers exit, pause or are partitioned and the store is
-//! unavailable.
+//! clock, while entries exit, pause or are partitioned, the store is
+//! unavailable, and the whole table changes at once.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use chestnutreach_membership::{
     FeedPeers, FeedSource, FeedSources, FetchOutcome,
+    rendezvous::{Candidate, CapacityClass, ranked_by_capacity},
 };
 use rstest::rstest;
 
@@ -13,11 +14,17 @@
 /// How long a call waits for a change at the store, and at an entry.
 const STORE_WAIT_MS: u64 = 1_200;
 const ENTRY_WAIT_MS: u64 = 600;
+const STALE_ENTRY_WAIT_MS: u64 = 60;
+const OUTAGE_ENTRY_WAIT_MS: u64 = 200;
+const OUTAGE_AGE_MS: u64 = 6_000;
 /// Time after which a call is given up: beyond its wait at an entry, and at a
 /// store that does not respond.
 const ENTRY_TIMEOUT_SLACK_MS: u64 = 250;
 const STORE_TIMEOUT_SLACK_MS: u64 = 500;
-const RETRY_DELAY_MS: u64 = 200;
+/// Time for which the body of a response may take.
+const BODY_TIMEOUT_MS: u64 = 2_000;
+const STORE_RETRY_DELAY_MS: u64 = 200;
+const ENTRY_RETRY_DELAY_MS: u64 = 50;
 /// Age of the known data above which a call hardly waits for a change.
 const LONG_POLL_MAX_AGE_MS: u64 = 1_000;
 const STALE_MS: u64 = 2_000;
@@ -27,21 +34,26 @@
 const MAX_KEY_AGE_MS: u64 = 4_600;
 const FAULT_AT_MS: u64 = 6_000;
 const LENGTH_MS: u64 = 24_000;
+/// Links of a large and of a small VM, in bytes per millisecond.
+const LARGE_LINK: u64 = 125_000;
+const SMALL_LINK: u64 = 2_500;
 
 /// The fault that begins at [`FAULT_AT_MS`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Fault {
     None,
-    /// This many of the first readers exit.
+    /// This many of the first ranks exit.
     Exited(usize),
-    /// This many of the first readers pause for a time.
+    /// This many of the first ranks pause for a time.
     Paused(usize, u64),
-    /// The store refuses this many of the first readers for a time.
+    /// The store refuses this many of the first ranks for a time.
     StoreRefuses(usize, u64),
-    /// The store does not respond to this many first readers for a time.
+    /// The store does not respond to this many first ranks for a time.
     StoreSilent(usize, u64),
     /// The store refuses all entries for a time.
     StoreUnavailable(u64),
+    /// All rows change, which makes a response of so many bytes.
+    WholeTableChanges(u64),
 }
 
 impl Fault {
@@ -52,54 +64,114 @@
             _ => None,
         }
     }
+
+    /// Version of the table at the store.
+    fn version(self, now_ms: u64) -> u64 {
+        match self {
+            Fault::WholeTableChanges(_) => u64::from(now_ms >= FAULT_AT_MS),
+            _ => 0,
+        }
+    }
+
+    /// Length of a response with the change.
+    fn change_bytes(self) -> u64 {
+        match self {
+            Fault::WholeTableChanges(bytes) => bytes,
+            _ => 0,
+        }
+    }
 }
 
 #[derive(Debug)]
 struct Entry {
-    boot_id: u64,
+    candidate: Candidate,
     sources: FeedSources,
     confirmed_ms: u64,
+    version: u64,
+    /// When it had the change.
+    changed_ms: Option<u64>,
     /// When it first had data that the store confirmed after the fault.
     recovered_ms: Option<u64>,
+    /// Bytes per millisecond, and the time until which they are taken.
+    link: u64,
+    link_busy_until_ms: u64,
     call: Option<Call>,
     next_ms: u64,
     store_calls: u64,
+    /// When its source changed from an entry to the store.
+    turned_ms: Vec<u64>,
+    has_asked_entry: bool,
     max_age_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Call {
     source: FeedSource,
+    /// End of the wait, or of the response once that is sent.
     until_ms: u64,
-    result: Option<u64>,
+    is_answered: bool,
+    /// What the source had when the call began.
+    source_confirmed_ms: u64,
+    /// The response: time of its confirmation, and version.
+    response: Option<(u64, u64)>,
+}
+
+/// Numbers of large and small VMs.
+#[derive(Clone, Copy, Debug)]
+struct Vms {
+    large: usize,
+    small: usize,
+}
+
+impl Vms {
+    const fn alike(count: usize) -> Vms {
+        Vms { large: count, small: 0 }
+    }
 }
 
 struct Simulation {
     fault: Fault,
-    /// Age above which an entry treats received data as old.
-    stale_ms: u64,
+    /// Whether entries ignore the age of data.
+    ignores_ages: bool,
     entries: Vec<Entry>,
-    /// Entries by their rank as readers.
+    by_id: BTreeMap<u64, usize>,
+    /// Entries by their rank in the tree.
     ranked: Vec<u64>,
 }
 
 impl Simulation {
-    fn new(fault: Fault, count: u64, seed: u64) -> Simulation {
+    fn new(fault: Fault, vms: Vms, seed: u64) -> Simulation {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let entry = |_| Entry {
-            boot_id: rng.u64(1..),
-            sources: FeedSources::new(),
-            confirmed_ms: 0,
-            recovered_ms: None,
-            call: None,
-            next_ms: rng.u64(..500),
-            store_calls: 0,
-            max_age_ms: 0,
+        let entry = |at| {
+            let is_large = at < vms.large;
+            let milli_cores = if is_large { 1_000 } else { 90 };
+            Entry {
+                candidate: Candidate {
+                    entry: rng.u64(1..),
+                    capacity: CapacityClass::from_milli_cores(milli_cores),
+                },
+                sources: FeedSources::new(),
+                confirmed_ms: 0,
+                version: 0,
+                changed_ms: None,
+                recovered_ms: None,
+                link: if is_large { LARGE_LINK } else { SMALL_LINK },
+                link_busy_until_ms: 0,
+                call: None,
+                next_ms: rng.u64(..500),
+                store_calls: 0,
+                turned_ms: Vec::new(),
+                has_asked_entry: false,
+                max_age_ms: 0,
+            }
         };
-        let entries: Vec<Entry> = (0..count).map(entry).collect();
-        let ids = entries.iter().map(|e| e.boot_id);
-        let ranked = chestnutreach_membership::rendezvous::ranked(ids, FEED);
-        Simulation { fault, stale_ms: STALE_MS, entries, ranked }
+        let entries: Vec<Entry> =
+            (0..vms.large + vms.small).map(entry).collect();
+        let ids = entries.iter().enumerate();
+        let by_id = ids.map(|(at, e)| (e.candidate.entry, at)).collect();
+        let candidates = entries.iter().map(|e| e.candidate);
+        let ranked = ranked_by_capacity(candidates, FEED);
+        Simulation { fault, ignores_ages: false, entries, by_id, ranked }
     }
 
     fn is_among_first(&self, boot_id: u64, count: usize) -> bool {
@@ -125,130 +197,190 @@
         }
     }
 
-    /// End of a call of the store that begins now, and whether the store
-    /// responds.
-    fn call_store(&self, boot_id: u64, now_ms: u64) -> (u64, bool) {
-        let asks = self.entries.iter().find(|e| e.boot_id == boot_id);
-        let known_ms = asks.map_or(0, |entry| entry.confirmed_ms);
-        let is_old = now_ms - known_ms > LONG_POLL_MAX_AGE_MS;
+    /// Time for which a call of the store waits that begins now, and whether
+    /// the store responds.
+    fn call_store(&self, at: usize, now_ms: u64) -> (u64, bool) {
+        let boot_id = self.entries[at].candidate.entry;
+        let is_old =
+            now_ms - self.entries[at].confirmed_ms > LONG_POLL_MAX_AGE_MS;
         let wait_ms = if is_old { 50 } else { STORE_WAIT_MS };
         let is_on = |for_ms: u64| {
             now_ms >= FAULT_AT_MS && now_ms < FAULT_AT_MS + for_ms
         };
         match self.fault {
-            Fault::StoreUnavailable(for_ms) if is_on(for_ms) => {
-                (now_ms + 10, false)
-            }
+            Fault::StoreUnavailable(for_ms) if is_on(for_ms) => (10, false),
             Fault::StoreRefuses(count, for_ms)
                 if is_on(for_ms) && self.is_among_first(boot_id, count) =>
             {
-                (now_ms + 10, false)
+                (10, false)
             }
             Fault::StoreSilent(count, for_ms)
                 if is_on(for_ms) && self.is_among_first(boot_id, count) =>
             {
-                (now_ms + wait_ms + STORE_TIMEOUT_SLACK_MS, false)
+                (wait_ms + STORE_TIMEOUT_SLACK_MS, false)
             }
-            _ => (now_ms + wait_ms, true),
+            _ => (wait_ms, true),
         }
     }
 
-    fn call_entry(
-        &mut self,
-        at: u64,
-        age_ms: u64,
-        now_ms: u64,
-    ) -> (u64, Option<u64>) {
-        let is_old = age_ms > STALE_MS;
-        let wait_ms = if is_old { 150 } else { ENTRY_WAIT_MS };
-        if self.has_exited(at, now_ms) {
-            return (now_ms + 1, None);
-        }
-        if self.is_paused(at, now_ms) {
-            return (now_ms + wait_ms + ENTRY_TIMEOUT_SLACK_MS, None);
-        }
-        let asked = self.entries.iter_mut().find(|e| e.boot_id == at);
-        let asked = asked.expect("only entries are asked");
-        asked.sources.record_request(now_ms);
-        (now_ms + wait_ms, Some(asked.confirmed_ms))
-    }
-
     fn begin_call(&mut self, at: usize, now_ms: u64) {
-        let boot_id = self.entries[at].boot_id;
-        let is_live = |entry: &&Entry| {
-            let timeout_ago_ms = now_ms.saturating_sub(ABSENCE_TIMEOUT_MS);
-            entry.boot_id != boot_id
-                && !self.has_exited(entry.boot_id, timeout_ago_ms)
+        let own = self.entries[at].candidate;
+        let timeout_ago_ms = now_ms.saturating_sub(ABSENCE_TIMEOUT_MS);
+        let is_live = |candidate: &Candidate| {
+            *candidate != own
+                && !self.has_exited(candidate.entry, timeout_ago_ms)
+        };
+        let others = self.entries.iter().map(|e| e.candidate);
+        let others: Vec<Candidate> = others.filter(is_live).collect();
+        let age_ms = now_ms - self.entries[at].confirmed_ms;
+        let feed_peers = FeedPeers {
+            own,
+            peers: &others,
+            must_read_store: false,
+            roots: &[],
+            age_ms: if self.ignores_ages { 0 } else { age_ms },
         };
-        let others: Vec<u64> =
-            self.entries.iter().filter(is_live).map(|e| e.boot_id).collect();
-        let feed_peers =
-            FeedPeers { own: boot_id, peers: &others, must_read_store: false };
         let source =
             self.entries[at].sources.choose(&feed_peers, FEED, now_ms);
-        let (until_ms, result) = match source {
-            FeedSource::Store => {
-                self.entries[at].store_calls += 1;
-                let (until_ms, is_ok) = self.call_store(boot_id, now_ms);
-                (until_ms, is_ok.then_some(until_ms))
-            }
-            FeedSource::Entry(entry) => {
-                let age_ms = now_ms - self.entries[at].confirmed_ms;
-                self.call_entry(entry, age_ms, now_ms)
+        let mut source_confirmed_ms = 0;
+        let (wait_ms, is_ok) = match source {
+            FeedSource::Store => self.call_store(at, now_ms),
+            FeedSource::Entry(asked) => {
+                let wait_ms = match age_ms {
+                    ..STALE_MS => ENTRY_WAIT_MS,
+                    STALE_MS..OUTAGE_AGE_MS => STALE_ENTRY_WAIT_MS,
+                    OUTAGE_AGE_MS.. => OUTAGE_ENTRY_WAIT_MS,
+                };
+                let asked_at = self.by_id[&asked];
+                source_confirmed_ms = self.entries[asked_at].confirmed_ms;
+                match self.has_exited(asked, now_ms) {
+                    true => (1, false),
+                    false => (wait_ms, true),
+                }
             }
         };
-        self.entries[at].call = Some(Call { source, until_ms, result });
+        let entry = &mut self.entries[at];
+        if source == FeedSource::Store {
+            entry.store_calls += 1;
+            if std::mem::take(&mut entry.has_asked_entry) {
+                entry.turned_ms.push(now_ms);
+            }
+        } else {
+            entry.has_asked_entry = true;
+        }
+        entry.call = Some(Call {
+            source,
+            until_ms: now_ms + wait_ms,
+            is_answered: !is_ok,
+            source_confirmed_ms,
+            response: None,
+        });
     }
 
-    fn end_call(&mut self, at: usize, mut call: Call, now_ms: u64) {
-        // An entry responds at the end of the wait.
-        if let FeedSource::Entry(asked) = call.source
-            && call.result.is_some()
-        {
-            let is_responding = !self.has_exited(asked, now_ms)
-                && !self.is_paused(asked, now_ms);
-            let asked = self.entries.iter().find(|e| e.boot_id == asked);
-            let confirmed_ms = asked.map(|entry| entry.confirmed_ms);
-            call.result = confirmed_ms.filter(|_| is_responding);
+    /// Lets the source of a call respond if it has something, or if the wait
+    /// is over.
+    fn answer(&mut self, at: usize, call: &mut Call, now_ms: u64) {
+        let is_over = now_ms >= call.until_ms;
+        let known_version = self.entries[at].version;
+        match call.source {
+            FeedSource::Store => {
+                let version = self.fault.version(now_ms);
+                if is_over || version > known_version {
+                    call.response = Some((now_ms, version));
+                    call.until_ms = now_ms;
+                    call.is_answered = true;
+                }
+            }
+            FeedSource::Entry(asked) => {
+                if self.has_exited(asked, now_ms) {
+                    call.until_ms = now_ms;
+                    call.is_answered = true;
+                    return;
+                }
+                if self.is_paused(asked, now_ms) {
+                    let limit_ms = call.until_ms + ENTRY_TIMEOUT_SLACK_MS;
+                    call.is_answered = now_ms >= limit_ms;
+                    return;
+                }
+                let asked_at = self.by_id[&asked];
+                let source = &mut self.entries[asked_at];
+                let has_change = source.version > known_version;
+                let has_news = source.confirmed_ms > call.source_confirmed_ms;
+                if !(is_over || has_change || has_news) {
+                    return;
+                }
+                call.is_answered = true;
+                call.response = Some((source.confirmed_ms, source.version));
+                call.until_ms = now_ms;
+                if has_change {
+                    let begin_ms = now_ms.max(source.link_busy_until_ms);
+                    let bytes = self.fault.change_bytes();
+                    source.link_busy_until_ms = begin_ms + bytes / source.link;
+                    call.until_ms = source.link_busy_until_ms;
+                    if call.until_ms > now_ms + BODY_TIMEOUT_MS {
+                        call.until_ms = now_ms + BODY_TIMEOUT_MS;
+                        call.response = None;
+                    }
+                }
+            }
         }
+    }
+
+    fn end_call(&mut self, at: usize, call: Call, now_ms: u64) {
         let entry = &mut self.entries[at];
         entry.call = None;
         entry.next_ms = now_ms;
-        let outcome = match call.result {
+        let outcome = match call.response {
             None => FetchOutcome::Failed,
-            Some(confirmed_ms) => {
+            Some((confirmed_ms, version)) => {
                 entry.confirmed_ms = entry.confirmed_ms.max(confirmed_ms);
-                match now_ms - confirmed_ms > self.stale_ms {
+                if version > entry.version {
+                    entry.version = version;
+                    entry.changed_ms = Some(now_ms);
+                }
+                let is_stale = now_ms - confirmed_ms > STALE_MS;
+                match is_stale && !self.ignores_ages {
                     true => FetchOutcome::Stale,
                     false => FetchOutcome::Fresh,
                 }
             }
         };
         if outcome == FetchOutcome::Failed {
-            entry.next_ms = now_ms + RETRY_DELAY_MS;
+            entry.next_ms = now_ms
+                + match call.source {
+                    FeedSource::Store => STORE_RETRY_DELAY_MS,
+                    FeedSource::Entry(_) => ENTRY_RETRY_DELAY_MS,
+                };
         }
         entry.sources.record_outcome(call.source, outcome, now_ms);
     }
 
+    fn step(&mut self, at: usize, now_ms: u64) {
+        let Some(mut call) = self.entries[at].call else {
+            if self.entries[at].next_ms <= now_ms {
+                self.begin_call(at, now_ms);
+            }
+            return;
+        };
+        if !call.is_answered {
+            self.answer(at, &mut call, now_ms);
+        }
+        self.entries[at].call = Some(call);
+        if call.is_answered && call.until_ms <= now_ms {
+            self.end_call(at, call, now_ms);
+        }
+    }
+
     fn run(mut self) -> Simulation {
         for now_ms in 0..LENGTH_MS {
             for at in 0..self.entries.len() {
-                let boot_id = self.entries[at].boot_id;
+                let boot_id = self.entries[at].candidate.entry;
                 if self.has_exited(boot_id, now_ms)
                     || self.is_paused(boot_id, now_ms)
                 {
                     continue;
                 }
-                match self.entries[at].call {
-                    Some(call) if call.until_ms <= now_ms => {
-                        self.end_call(at, call, now_ms);
-                    }
-                    Some(_) => {}
-                    None if self.entries[at].next_ms <= now_ms => {
-                        self.begin_call(at, now_ms);
-                    }
-                    None => {}
-                }
+                self.step(at, now_ms);
                 let entry = &mut self.entries[at];
                 if self
                     .fault
@@ -269,7 +401,9 @@
     /// Maximum age of the data of entries that the fault does not affect.
     fn max_age_ms(&self) -> u64 {
         let affected: BTreeSet<u64> = match self.fault {
-            Fault::None | Fault::StoreUnavailable(_) => BTreeSet::new(),
+            Fault::None
+            | Fault::StoreUnavailable(_)
+            | Fault::WholeTableChanges(_) => BTreeSet::new(),
             Fault::Exited(count) | Fault::Paused(count, _) => {
                 self.ranked[..count].iter().copied().collect()
             }
@@ -279,7 +413,8 @@
             }
         };
         let unaffected = self.entries.iter();
-        let unaffected = unaffected.filter(|e| !affected.contains(&e.boot_id));
+        let unaffected =
+            unaffected.filter(|e| !affected.contains(&e.candidate.entry));
         unaffected.map(|entry| entry.max_age_ms).max().unwrap_or(0)
     }
 
@@ -295,13 +430,41 @@
         times
     }
 
+    /// Times from the change until entries have it, in order.
+    fn change_times_ms(&self) -> Vec<u64> {
+        let time = |entry: &Entry| {
+            entry.changed_ms.map_or(u64::MAX, |ms| ms - FAULT_AT_MS)
+        };
+        let mut times: Vec<u64> = self.entries.iter().map(time).collect();
+        times.sort_unstable();
+        times
+    }
+
     fn store_calls(&self) -> u64 {
         self.entries.iter().map(|entry| entry.store_calls).sum()
     }
+
+    /// Most entries that turned to the store within a second after the fault,
+    /// besides the root.
+    fn most_turned_in_1s(&self) -> usize {
+        let others = self.entries.iter();
+        let others = others.filter(|e| e.candidate.entry != self.ranked[0]);
+        let turned = others.flat_map(|e| {
+            e.turned_ms.iter().map(|ms| (*ms, e.candidate.entry))
+        });
+        let turned: Vec<(u64, u64)> =
+            turned.filter(|(ms, _)| *ms >= FAULT_AT_MS).collect();
+        let within = |from: u64| {
+            let span = from..from + 1_000;
+            let entries = turned.iter().filter(|(ms, _)| span.contains(ms));
+            entries.map(|t| t.1).collect::<BTreeSet<u64>>().len()
+        };
+        turned.iter().map(|(ms, _)| within(*ms)).max().unwrap_or(0)
+    }
 }
 
 struct Case {
-    entries: u64,
+    entries: usize,
     fault: Fault,
     /// Limit on the age of the data.
     max_age_ms: u64,
@@ -357,7 +520,8 @@
 })]
 fn data_stays_recent_with_few_store_calls(#[case] case: Case) {
     for seed in 0..20 {
-        let simulation = Simulation::new(case.fault, case.entries, seed).run();
+        let simulation =
+            Simulation::new(case.fault, Vms::alike(case.entries), seed).run();
         let calls =
             simulation.store_calls() as f64 * 1_000.0 / LENGTH_MS as f64;
         let max_age_ms = simulation.max_age_ms();
@@ -372,8 +536,10 @@
 #[test]
 fn without_ages_readers_refused_by_the_store_leave_others_with_old_data() {
     let fault = Fault::StoreRefuses(2, 8_000);
-    let simulation =
-        Simulation { stale_ms: u64::MAX, ..Simulation::new(fault, 14, 1) };
+    let simulation = Simulation {
+        ignores_ages: true,
+        ..Simulation::new(fault, Vms::alike(14), 1)
+    };
     let max_age_ms = simulation.run().max_age_ms();
     assert!(max_age_ms > MAX_KEY_AGE_MS, "{max_age_ms} ms");
 }
@@ -383,7 +549,7 @@
 const MAX_APPLY_MS: u64 = 2_000;
 
 struct Outage {
-    entries: u64,
+    entries: usize,
     duration_ms: u64,
 }
 
@@ -395,7 +561,8 @@
 fn entries_have_recent_data_soon_after_an_outage(#[case] case: Outage) {
     let fault = Fault::StoreUnavailable(case.duration_ms);
     for seed in 0..20 {
-        let simulation = Simulation::new(fault, case.entries, seed).run();
+        let simulation =
+            Simulation::new(fault, Vms::alike(case.entries), seed).run();
         let times = simulation.recovery_times_ms();
         let (median, last) = (times[times.len() / 2], times[times.len() - 1]);
         assert!(median <= MAX_APPLY_MS / 2, "{seed}: {median} ms");
@@ -407,10 +574,20 @@
 /// store must not wait for the store alone.
 #[test]
 fn a_reader_asks_an_entry_between_two_attempts_at_a_failing_store() {
-    let peers = [11, 12, 13, 14];
+    let candidate = |entry| Candidate {
+        entry,
+        capacity: CapacityClass::from_milli_cores(190),
+    };
+    let peers = [11, 12, 13, 14].map(candidate);
     for own in 1..40 {
-        let feed_peers =
-            FeedPeers { own, peers: &peers, must_read_store: false };
+        let own = candidate(own);
+        let feed_peers = FeedPeers {
+            own,
+            peers: &peers,
+            must_read_store: false,
+            roots: &[],
+            age_ms: 60_000,
+        };
         let mut sources = FeedSources::new();
         let mut now_ms = 0;
         for _ in 0..20 {
@@ -423,8 +600,121 @@
             sources.record_outcome(source, outcome, now_ms);
             if outcome == FetchOutcome::Failed {
                 let next = sources.choose(&feed_peers, FEED, now_ms + 5_000);
-                assert_ne!(next, FeedSource::Store, "{own}");
+                assert_ne!(next, FeedSource::Store, "{own:?}");
             }
         }
     }
 }
+
+/// Entries of one data centre of five: 437 and 1,000 entries in all.
+const OF_437: Vms = Vms { large: 13, small: 76 };
+const OF_1000: Vms = Vms { large: 30, small: 170 };
+/// Of 30 entries of five data centres that may turn to the store in a second.
+const MAX_TURNED_IN_1S: usize = 6;
+
+struct LargeCase {
+    vms: Vms,
+    fault: Fault,
+    max_age_ms: u64,
+}
+
+#[rstest]
+fn in_a_large_fleet_few_entries_turn_to_the_store_at_once(
+    #[values(OF_437, OF_1000, Vms { large: 0, small: 89 })] vms: Vms,
+    #[values(
+        (Fault::WholeTableChanges(200_000), 4_000),
+        (Fault::Exited(1), MAX_KEY_AGE_MS),
+        (Fault::Exited(13), MAX_KEY_AGE_MS),
+        (Fault::Paused(1, 5_000), MAX_KEY_AGE_MS),
+        (Fault::Paused(13, 5_000), MAX_KEY_AGE_MS),
+        (Fault::StoreRefuses(1, 9_000), MAX_KEY_AGE_MS),
+        (Fault::StoreRefuses(13, 9_000), MAX_KEY_AGE_MS),
+        (Fault::StoreRefuses(29, 9_000), MAX_KEY_AGE_MS),
+        (Fault::StoreSilent(13, 9_000), MAX_KEY_AGE_MS),
+        (Fault::StoreUnavailable(8_000), 8_000 + MAX_KEY_AGE_MS),
+    )]
+    fault: (Fault, u64),
+) {
+    let (fault, max_age_ms) = fault;
+    let case = LargeCase { vms, fault, max_age_ms };
+    for seed in 0..3 {
+        let simulation = Simulation::new(case.fault, case.vms, seed).run();
+        let turned = simulation.most_turned_in_1s();
+        let age_ms = simulation.max_age_ms();
+        let calls = simulation.store_calls();
+        println!("{seed}: {turned} in 1 s, {calls} calls, {age_ms} ms");
+        assert!(turned <= MAX_TURNED_IN_1S, "{seed}: {turned} in 1 s");
+        assert!(age_ms <= case.max_age_ms, "{seed}: {age_ms} ms");
+    }
+}
+
+/// Time in which a change must be known to the middle entry, and to the last.
+const MEDIAN_CHANGE_MS: u64 = 1_000;
+const LAST_CHANGE_MS: u64 = 1_500;
+
+#[rstest]
+#[case::of_437(OF_437)]
+#[case::of_1000(OF_1000)]
+fn a_change_of_all_rows_reaches_a_large_fleet(#[case] vms: Vms) {
+    for seed in 0..3 {
+        let fault = Fault::WholeTableChanges(200_000);
+        let simulation = Simulation::new(fault, vms, seed).run();
+        let times = simulation.change_times_ms();
+        let (median, last) = (times[times.len() / 2], times[times.len() - 1]);
+        println!("{seed}: {median} ms, {last} ms");
+        assert!(median <= MEDIAN_CHANGE_MS, "{seed}: {median} ms");
+        assert!(last <= LAST_CHANGE_MS, "{seed}: {last} ms");
+    }
+}
+
+/// What the root of a data centre does about the first of all roots.
+struct RootCase {
+    /// The first of all roots; the own entry is 1.
+    first_root: u64,
+    /// How the first root responded to the last call, if it was asked.
+    outcome: Option<FetchOutcome>,
+    age_ms: u64,
+    expected: FeedSource,
+}
+
+#[rstest]
+#[case::it_is_the_first(RootCase {
+    first_root: 1, outcome: None, age_ms: 900, expected: FeedSource::Store,
+})]
+#[case::another_is_the_first(RootCase {
+    first_root: 99, outcome: None, age_ms: 900,
+    expected: FeedSource::Entry(99),
+})]
+#[case::the_first_responds(RootCase {
+    first_root: 99, outcome: Some(FetchOutcome::Fresh), age_ms: 900,
+    expected: FeedSource::Entry(99),
+})]
+#[case::the_first_fails(RootCase {
+    first_root: 99, outcome: Some(FetchOutcome::Failed), age_ms: 900,
+    expected: FeedSource::Store,
+})]
+#[case::the_first_has_old_data(RootCase {
+    first_root: 99, outcome: Some(FetchOutcome::Stale), age_ms: 2_100,
+    expected: FeedSource::Store,
+})]
+fn a_root_asks_the_first_root_while_that_responds(#[case] case: RootCase) {
+    let candidate = |entry, milli_cores| Candidate {
+        entry,
+        capacity: CapacityClass::from_milli_cores(milli_cores),
+    };
+    let peers = [2, 3, 4, 5].map(|entry| candidate(entry, 90));
+    let roots = [case.first_root, 50, 1];
+    let feed_peers = FeedPeers {
+        own: candidate(1, 1_000),
+        peers: &peers,
+        must_read_store: false,
+        roots: &roots,
+        age_ms: case.age_ms,
+    };
+    let mut sources = FeedSources::new();
+    if let Some(outcome) = case.outcome {
+        let source = FeedSource::Entry(case.first_root);
+        sources.record_outcome(source, outcome, 9_000);
+    }
+    assert_eq!(sources.choose(&feed_peers, FEED, 9_100), case.expected);
+}
