An entry that starts is told of the others, and hardly calls the store

Cause: each entry read both feeds from the store until it knew three others of its data centre, read the table of entries, listed itself and read again, and sought the lease while it knew nobody. Addresses without a data centre are told in turns of 12 in 0.2 s, so that took 2 to 6 s at 437 entries.

An entry that starts waits for a message of one that runs and asks it for its list (/entries). Only if none comes it lists itself, and reads the table only if none comes then either; entries read in proportion to their share of a core, and send their state to all that they find (membership::startup). Two of a data centre read the table again. Feeds wait for a peer of the data centre for at most 1 s, the lease for 1 s of uptime. A peer that another one named counts as not having reported: nothing is borrowed on its silence.

--- a/crates/direct/src/cluster.rs
+++ b/crates/direct/src/cluster.rs
@@ -9,6 +9,7 @@
 //! | `fleet`, `engine` | state of the backend servers |
 //! | `exit_check` | whether a process has exited, for a request's limit |
 //! | `probe` | detection of failed, slow and recovered servers |
+//! | `discovery` | how entries find each other |
 //! | `engine_watcher` | idle connections that detect the exit of a process |
 //! | `alerts` | findings that are sent to all entries without delay |
 //! | `notices` | notices in the response headers of backend servers |
@@ -18,6 +19,7 @@
 
 pub(crate) mod alerts;
 pub(crate) mod backend_rows;
+pub(crate) mod discovery;
 pub(crate) mod engine;
 pub(crate) mod engine_watcher;
 pub(crate) mod exit_check;
--- /dev/null
+++ b/crates/direct/src/cluster/discovery.rs
@@ -0,0 +1,221 @@
+//! How entries find each other.
+//!
+//! An entry that starts asks another one for the list of all; [`StartPlan`]
+//! says when it turns to the table of entries in the store instead. Two
+//! entries of each data centre read that table again at times, and the others
+//! ask an entry of their data centre for its list.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_io::Timer;
+use chestnutreach_adapter::store::StoreError;
+use chestnutreach_membership::{
+    rendezvous,
+    startup::{StartPlan, pause_after_ms},
+};
+use chestnutreach_site::tables::ENTRIES;
+use futures_lite::FutureExt as _;
+
+use crate::{
+    cluster::{
+        feed_server::FeedClient,
+        peers::{self, StateSender},
+    },
+    core::Core,
+};
+
+const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause before another attempt after a failure of the store.
+const STORE_RETRY_PAUSE: Duration = Duration::from_millis(1_500);
+/// The same after another entry did not respond: the next one is asked.
+const PEER_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Limit on the random delay before an entry lists itself again.
+const MAX_RELISTING_DELAY: Duration = Duration::from_millis(1_000);
+/// Entries of a data centre that read the table from the store.
+const TABLE_READERS: usize = 2;
+/// Key of the assignment that selects them.
+const TABLE_ASSIGNMENT: u64 = 4;
+
+/// Finds the other entries until the process exits.
+pub(crate) async fn run(core: Arc<Core>, sender: Arc<StateSender>) {
+    Discovery { core, sender, is_listed: false, reads: 0, failures: 0 }
+        .run()
+        .await;
+}
+
+struct Discovery {
+    core: Arc<Core>,
+    sender: Arc<StateSender>,
+    /// Whether the table of the store has this entry's row, as far as known.
+    is_listed: bool,
+    /// Lists read so far.
+    reads: usize,
+    /// Entries that failed in a row.
+    failures: usize,
+}
+
+impl Discovery {
+    async fn run(mut self) {
+        let history_changes = self.core.history_subscribers.subscribe();
+        self.start().await;
+        loop {
+            let pause = self.read_list().await;
+            self.core.peers.record_introduced();
+            let history_changed = async {
+                history_changes.notified().await;
+                true
+            };
+            let pause_ends = async {
+                Timer::after(pause).await;
+                false
+            };
+            if history_changed.or(pause_ends).await {
+                // The store may have lost the row.
+                self.is_listed = false;
+                Timer::after(relisting_delay()).await;
+                // A failed write is repeated after the next read.
+                let _ = self.list_self().await;
+            }
+        }
+    }
+
+    /// Waits until another entry has sent a message, or turns to the store as
+    /// planned.
+    async fn start(&mut self) {
+        let draws = [fastrand::f64(), fastrand::f64()];
+        let plan = StartPlan::new(self.core.milli_cores(), draws);
+        if self.is_met_before(plan.list_ms).await {
+            return;
+        }
+        let _ = self.list_self().await;
+        self.is_met_before(plan.read_ms).await;
+    }
+
+    /// Whether another entry has sent a message by this age of the process.
+    async fn is_met_before(&self, age_ms: u64) -> bool {
+        let left_ms = age_ms.saturating_sub(self.core.age_ms());
+        let met = async {
+            self.core.peers.introduced().await;
+            true
+        };
+        let timeout = async {
+            Timer::after(Duration::from_millis(left_ms)).await;
+            false
+        };
+        met.or(timeout).await
+    }
+
+    /// Reads a list of the entries; returns the pause until the next read.
+    async fn read_list(&mut self) -> Duration {
+        let source = self.list_source();
+        let is_read = match source {
+            Some(address) => self.read_from_peer(address).await,
+            None => self.read_from_store().await.is_ok(),
+        };
+        if !is_read {
+            self.failures += 1;
+            return match source {
+                Some(_) => PEER_RETRY_PAUSE,
+                None => STORE_RETRY_PAUSE,
+            };
+        }
+        self.core.peers.record_list();
+        self.failures = 0;
+        self.reads += 1;
+        let pause_ms = pause_after_ms(self.reads, source.is_none());
+        Duration::from_millis(pause_ms)
+    }
+
+    /// Entry to ask for its list; `None` to read the store.
+    fn list_source(&self) -> Option<SocketAddr> {
+        let peers = &self.core.peers;
+        let local = self.core.live_peers_in_data_centre();
+        let own = self.core.own_candidate();
+        let with_own = local.iter().copied().chain([own]);
+        let readers =
+            rendezvous::ranked_by_capacity(with_own, TABLE_ASSIGNMENT);
+        let readers = &readers[..readers.len().min(TABLE_READERS)];
+        let is_reader = readers.contains(&own.entry);
+        // A first list comes from any entry that has one already.
+        if is_reader && (self.reads > 0 || local.is_empty()) {
+            return None;
+        }
+        let candidates = match local.is_empty() {
+            true => peers.live_candidates(),
+            false => local,
+        };
+        let ranked = rendezvous::ranked_by_capacity(candidates, own.entry);
+        let entry = ranked.get(self.failures % ranked.len().max(1))?;
+        peers.feed_address(*entry)
+    }
+
+    async fn read_from_peer(&self, address: SocketAddr) -> bool {
+        let client = FeedClient::new(address);
+        let Some(list) = client.fetch_entries(PEER_TIMEOUT).await else {
+            return false;
+        };
+        let own = self.own_address();
+        let mut found = Vec::new();
+        for known in &list.entries {
+            let Ok(address) = known.address.parse::<SocketAddr>() else {
+                continue;
+            };
+            let is_local = known.data_centre == self.core.settings.data_centre;
+            let is_new =
+                address != own && self.core.peers.add_known(address, known);
+            if is_new && is_local {
+                found.push(address);
+            }
+        }
+        self.sender.send(&found).await;
+        true
+    }
+
+    /// Reads the table of the store, and sends the state to all entries found
+    /// there for the first time: they may wait for it.
+    async fn read_from_store(&mut self) -> Result<(), StoreError> {
+        if !self.is_listed {
+            self.list_self().await?;
+        }
+        let rows = self.core.store.read_table(ENTRIES, STORE_TIMEOUT).await?;
+        let own = self.own_address();
+        let mut found = Vec::new();
+        for row in &rows.rows {
+            let address = std::str::from_utf8(&row.value)
+                .ok()
+                .and_then(|text| text.parse::<SocketAddr>().ok());
+            if let Some(address) = address.filter(|a| *a != own)
+                && self.core.peers.add_address(address)
+            {
+                found.push(address);
+            }
+        }
+        self.sender.send(&found).await;
+        Ok(())
+    }
+
+    /// Writes this entry's row.
+    async fn list_self(&mut self) -> Result<(), StoreError> {
+        let address = self.own_address().to_string();
+        let write = self.core.store.write_row(
+            ENTRIES,
+            &self.core.settings.vm,
+            None,
+            address.as_bytes(),
+            STORE_TIMEOUT,
+        );
+        write.await?;
+        self.is_listed = true;
+        Ok(())
+    }
+
+    fn own_address(&self) -> SocketAddr {
+        SocketAddr::new(self.core.settings.ip, peers::port(&self.core))
+    }
+}
+
+/// Spreads the calls of all entries after the store has lost changes.
+fn relisting_delay() -> Duration {
+    MAX_RELISTING_DELAY.mul_f64(fastrand::f64())
+}
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -46,6 +46,13 @@
 /// immediately whether its copy is current.
 const SHORT_WAIT_AGE_MS: u64 = 1_000;
 const STALE_READER_WAIT: Duration = Duration::from_millis(50);
+/// Limit on the wait for the first peer of the data centre. Listed entries that
+/// have ended never report.
+const MAX_WAIT_FOR_PEERS_MS: u64 = 1_000;
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Uptime up to which an entry may not know all others. It shares feeds then
+/// with those that it knows.
+const MIN_SHARING_UPTIME_MS: u64 = 3_000;
 /// Wait at another entry. It responds sooner once the store has confirmed its
 /// copy, so this only limits how late a silent entry is noticed.
 const PEER_WAIT: Duration = Duration::from_millis(600);
@@ -127,6 +134,7 @@
     }
 
     async fn run(mut self) {
+        self.local_peers_known().await;
         loop {
             let live = self.core.live_peers_in_data_centre();
             let roots = self.feed().roots(&self.core, &live);
@@ -134,6 +142,7 @@
                 own: self.core.own_candidate(),
                 peers: &live,
                 must_read_store: self.core.is_planner.load(Relaxed),
+                may_lack_peers: self.core.age_ms() < MIN_SHARING_UPTIME_MS,
                 roots: &roots,
                 age_ms: self.feed().age_ms().min(self.core.age_ms()),
             };
@@ -149,6 +158,25 @@
         }
     }
 
+    /// Waits until this entry knows another one of its data centre, or knows
+    /// that there is none. Else all entries of a fleet that starts would read
+    /// the store.
+    async fn local_peers_known(&self) {
+        self.core.peers.introduced().await;
+        let introduced_ms = now_ms();
+        while !self.are_local_peers_known()
+            && now_ms() - introduced_ms < MAX_WAIT_FOR_PEERS_MS
+        {
+            Timer::after(PEER_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn are_local_peers_known(&self) -> bool {
+        let peers = &self.core.peers;
+        !self.core.live_peers_in_data_centre().is_empty()
+            || peers.has_list() && !peers.has_unknown_data_centre()
+    }
+
     async fn pause(&self, source: FeedSource, outcome: FetchOutcome) {
         match (source, outcome) {
             (FeedSource::Store, FetchOutcome::Failed) => {
--- a/crates/direct/src/cluster/feed_server.rs
+++ b/crates/direct/src/cluster/feed_server.rs
@@ -16,7 +16,7 @@
     Client, ClientOptions, ReceivedRequest, Response, ServerOptions,
     serve_connection,
 };
-use chestnutreach_protocol::peers::FeedAnswer;
+use chestnutreach_protocol::peers::{EntryList, FeedAnswer};
 use chestnutreach_site::StoreVersion;
 use chestnutreach_telemetry::Port;
 use futures_lite::FutureExt as _;
@@ -24,6 +24,8 @@
 
 use crate::{clock::now_ms, cluster::feeds::Feed, core::Core};
 
+/// Path of the list of entries.
+const ENTRIES_PATH: &str = "/entries";
 /// Maximum time for which a poll of another entry is held.
 const MAX_WAIT_MS: u64 = 2_000;
 /// Enough for both feeds of every entry in a data centre, beside old
@@ -68,6 +70,9 @@
         let pair = pairs.find(|(key, _)| key == name)?;
         pair.1.parse::<u64>().ok()
     };
+    if url.path() == ENTRIES_PATH {
+        return respond_with_entries(core);
+    }
     let table = url.path().strip_prefix("/feed/").unwrap_or("");
     let Some(feed) = core.feeds.by_table(table) else {
         return Response::new(404);
@@ -87,6 +92,17 @@
     response
 }
 
+/// The other entries, unless this one has not read any list yet.
+fn respond_with_entries(core: &Core) -> Response {
+    if !core.peers.has_list() {
+        return Response::new(503);
+    }
+    let list = EntryList { entries: core.peers.known_entries() };
+    let mut response = Response::new(200);
+    response.set_body(list.encode_to_vec());
+    response
+}
+
 /// Waits until the copy has changes after a version, or any rows if there is
 /// no version, or until the store has confirmed it again. So a copy at the end of a row of entries is hardly
 /// older than that of the first one.
@@ -136,6 +152,20 @@
         self.client.address()
     }
 
+    /// Fetches the list of the entries that the other one knows.
+    pub(crate) async fn fetch_entries(
+        &self,
+        timeout: Duration,
+    ) -> Option<EntryList> {
+        let request = self.client.get(ENTRIES_PATH).ok()?;
+        let sent = self.client.send(request, timeout).await;
+        let (response, body) = sent.ok()?;
+        match u16::from(response.status()) {
+            200 => EntryList::decode(body.as_slice()).ok(),
+            _ => None,
+        }
+    }
+
     /// Fetches the changes after a version, or all rows; the server waits this
     /// long for a change.
     pub(crate) async fn fetch(
--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering::Relaxed},
+        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
 };
 
@@ -15,10 +15,10 @@
     issuer::{self, PARTITION_TIMEOUT_MS},
     rendezvous::{Candidate, CapacityClass, first_by_capacity},
 };
-use chestnutreach_protocol::peers::{OpenMove, PeerState};
+use chestnutreach_protocol::peers::{KnownEntry, OpenMove, PeerState};
 use chestnutreach_routing::{DemandRates, SentCounts};
 
-use crate::{clock::now_ms, cluster::peer_demand};
+use crate::{clock::now_ms, cluster::peer_demand, subscribers::Subscribers};
 
 /// How long an entry counts as a user of the interconnect after its last use.
 /// With a small quota, an entry can use the interconnect only once in several
@@ -38,6 +38,13 @@
     sent_reports: Mutex<BTreeMap<u64, SentReport>>,
     /// When entries were lost that had not announced a stop, by address.
     lost_ms: Mutex<BTreeMap<SocketAddr, u64>>,
+    /// Whether another entry has sent a message, or this one has read a list
+    /// of the others.
+    is_introduced: AtomicBool,
+    /// Tasks that wait for that.
+    introduction: Subscribers,
+    /// Whether this entry has read a list of the others.
+    has_list: AtomicBool,
     /// Names of the entries found since the last call of `take_found`.
     found: Mutex<Vec<String>>,
     /// When another entry last reported that it holds the planner's lease.
@@ -53,12 +60,16 @@
 #[derive(Debug, Default)]
 struct Peer {
     boot_id: u64,
+    /// Whether the process has sent its state. A process that another entry
+    /// named is known before.
+    has_reported: bool,
     vm: String,
     sequence: u64,
     received_ms: u64,
     is_stopping: bool,
     data_centre: String,
     feed_port: u16,
+    milli_cores: u32,
     capacity: CapacityClass,
     interconnect_bytes_per_s: f64,
     /// When the entry last reported use of the interconnect; 0 if never.
@@ -179,7 +190,7 @@
 
     /// Number of listed entries that have not reported yet.
     pub(crate) fn without_report_count(&self) -> usize {
-        self.lock().values().filter(|p| p.boot_id == 0).count()
+        self.lock().values().filter(|p| !p.has_reported).count()
     }
 
     /// Time within which all entries have received what one reports.
@@ -221,7 +232,7 @@
     /// What other entries reported to have sent to a service in the window.
     /// Empty if a listed entry has not reported yet.
     pub(crate) fn sent_by_peers(&self, service: &str) -> Vec<SentCounts> {
-        if self.lock().values().any(|peer| peer.boot_id == 0) {
+        if self.lock().values().any(|peer| !peer.has_reported) {
             return Vec::new();
         }
         let reports = self.sent_reports.lock().expect("no holder panics");
@@ -397,9 +408,100 @@
             .collect()
     }
 
-    pub(crate) fn add_address(&self, address: SocketAddr) {
+    /// Adds an entry of which only the address is known; false if the address
+    /// was known.
+    pub(crate) fn add_address(&self, address: SocketAddr) -> bool {
+        let mut peers = self.lock();
+        if peers.contains_key(&address) {
+            return false;
+        }
         let peer = Peer { received_ms: now_ms(), ..Peer::default() };
-        self.lock().entry(address).or_insert(peer);
+        peers.insert(address, peer);
+        true
+    }
+
+    /// Adds an entry that another one named; false if it was known.
+    pub(crate) fn add_known(
+        &self,
+        address: SocketAddr,
+        known: &KnownEntry,
+    ) -> bool {
+        let mut peers = self.lock();
+        let is_known = peers.get(&address).is_some_and(|p| p.boot_id != 0);
+        if is_known {
+            return false;
+        }
+        let peer = Peer {
+            boot_id: known.boot_id,
+            received_ms: now_ms(),
+            data_centre: known.data_centre.clone(),
+            feed_port: u16::try_from(known.feed_port).unwrap_or(0),
+            capacity: CapacityClass::from_milli_cores(known.milli_cores),
+            milli_cores: known.milli_cores,
+            ..Peer::default()
+        };
+        peers.insert(address, peer);
+        true
+    }
+
+    /// The entries that are present and not stopping, with their addresses,
+    /// for an entry that starts.
+    pub(crate) fn known_entries(&self) -> Vec<KnownEntry> {
+        let now_ms = now_ms();
+        let peers = self.lock();
+        let counts = PeerCounts::of(&peers, &self.data_centre);
+        let is_live = |peer: &Peer| {
+            !peer.is_stopping
+                && counts.is_present(peer, &self.data_centre, now_ms)
+        };
+        let known = |(address, peer): (&SocketAddr, &Peer)| {
+            let address = address.to_string();
+            match is_live(peer) {
+                true => KnownEntry {
+                    address,
+                    boot_id: peer.boot_id,
+                    data_centre: peer.data_centre.clone(),
+                    feed_port: peer.feed_port.into(),
+                    milli_cores: peer.milli_cores,
+                },
+                false => KnownEntry { address, ..KnownEntry::default() },
+            }
+        };
+        peers.iter().map(known).collect()
+    }
+
+    /// Whether another entry has sent a message, or this one has read a list
+    /// of the others.
+    pub(crate) fn is_introduced(&self) -> bool {
+        self.is_introduced.load(Relaxed)
+    }
+
+    /// Whether of some entry only the address is known.
+    pub(crate) fn has_unknown_data_centre(&self) -> bool {
+        self.lock().values().any(|peer| peer.boot_id == 0)
+    }
+
+    /// Whether this entry has read a list of the others, which it may pass on.
+    pub(crate) fn has_list(&self) -> bool {
+        self.has_list.load(Relaxed)
+    }
+
+    pub(crate) fn record_list(&self) {
+        self.has_list.store(true, Relaxed);
+    }
+
+    pub(crate) fn record_introduced(&self) {
+        if !self.is_introduced.swap(true, Relaxed) {
+            self.introduction.notify_all();
+        }
+    }
+
+    /// Waits for [`PeerTable::is_introduced`].
+    pub(crate) async fn introduced(&self) {
+        let introduction = self.introduction.subscribe();
+        while !self.is_introduced() {
+            introduction.notified().await;
+        }
     }
 
     /// Applies a state message.
@@ -422,16 +524,21 @@
         peer.is_stopping = state.is_stopping;
         peer.data_centre.clone_from(&state.data_centre);
         peer.feed_port = u16::try_from(state.feed_port).unwrap_or(0);
+        peer.milli_cores = state.milli_cores;
         peer.capacity = CapacityClass::from_milli_cores(state.milli_cores);
+        let is_first_report = !std::mem::replace(&mut peer.has_reported, true);
         peer.interconnect_bytes_per_s =
             f64::from(state.crossing_kilobytes_per_s) * 1e3;
         if state.crossing_kilobytes_per_s > 0 {
             peer.interconnect_used_ms = now_ms();
         }
         drop(peers);
-        if is_new_process {
+        self.record_introduced();
+        if is_new_process || is_first_report {
             let name = format!("{}={from}/{}", state.vm, state.boot_id);
             self.found.lock().expect("no holder panics").push(name);
+        }
+        if is_new_process {
             self.lost_ms.lock().expect("no holder panics").remove(&from);
         }
         self.released_lease_number.fetch_max(state.resigned, Relaxed);
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -3,19 +3,20 @@
 //! Each entry sends its state to the others several times a second, in one
 //! datagram each. Lost datagrams do not matter, because the next one has the
 //! full state again. From these messages an entry learns the load on engines
-//! beyond its own requests, and how many entries share the retry limit.
-//! Entries find each other through a table of the store, and afterwards also
-//! through the messages that they receive.
+//! beyond its own requests, and how many entries share the retry limit. How
+//! entries find each other is in `discovery`.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::{SocketAddr, UdpSocket},
-    sync::{Arc, atomic::Ordering::Relaxed},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
     time::Duration,
 };
 
 use async_io::{Async, Timer};
-use chestnutreach_adapter::store::{StoreClient, StoreError};
 use chestnutreach_membership::gossip::{
     BASE_INTERVAL_MS, PeerScope, RoundRobin,
 };
@@ -23,15 +24,14 @@
     EngineUse, PeerState, ServiceUse, SuspectRequest,
 };
 use chestnutreach_routing::{DemandRates, Fingerprint};
-use chestnutreach_site::tables::ENTRIES;
 use chestnutreach_telemetry::{Event, emit};
-use futures_lite::FutureExt as _;
 use prost::Message as _;
 
 use crate::{
     clock::now_ms,
     cluster::{
         alerts::percent,
+        discovery,
         engine::{Engine, EngineUsage},
         peer_demand,
         peer_table::{SilentPeer, StateOutcome},
@@ -41,13 +41,6 @@
 };
 
 const STATE_INTERVAL: Duration = Duration::from_millis(BASE_INTERVAL_MS);
-const STORE_TIMEOUT: Duration = Duration::from_millis(900);
-/// Pause before the table is read again after a failure.
-const READ_RETRY_PAUSE: Duration = Duration::from_millis(1_500);
-/// Limit on the random delay before an entry lists itself again.
-const MAX_RELISTING_DELAY: Duration = Duration::from_millis(1_000);
-/// Long, because entries learn of each other from their first messages.
-const TABLE_READ_INTERVAL: Duration = Duration::from_secs(60);
 /// Time over which findings are collected into one alert.
 const ALERT_BATCH_WINDOW: Duration = Duration::from_millis(2);
 /// Rounds of sending the state between two log lines about found peers.
@@ -61,20 +54,24 @@
     Async::<UdpSocket>::bind((core.settings.ip, port(core)))
 }
 
-fn port(core: &Core) -> u16 {
+pub(crate) fn port(core: &Core) -> u16 {
     core.settings.internal_ports.0
 }
 
 /// Sends and receives messages until the process exits.
 pub(crate) async fn run(core: Arc<Core>, socket: Async<UdpSocket>) {
     let socket = Arc::new(socket);
-    let states = send_states(core.clone(), socket.clone());
-    core.executor.spawn(states).detach();
+    let sender = Arc::new(StateSender {
+        core: core.clone(),
+        socket: socket.clone(),
+        sequence: AtomicU64::new(0),
+    });
+    core.executor.spawn(send_states(sender.clone())).detach();
     let alerts = send_alerts(core.clone(), socket.clone());
     core.executor.spawn(alerts).detach();
     let permits = permits::run(core.clone(), socket.clone());
     core.executor.spawn(permits).detach();
-    core.executor.spawn(discover(core.clone())).detach();
+    core.executor.spawn(discovery::run(core.clone(), sender)).detach();
     let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let Ok((count, from)) = socket.recv_from(&mut bytes).await else {
@@ -87,19 +84,32 @@
     }
 }
 
-async fn send_states(core: Arc<Core>, socket: Arc<Async<UdpSocket>>) {
-    let mut sequence = 0;
-    let mut rounds = [RoundRobin::default(), RoundRobin::default()];
-    for count in 0_u64.. {
-        sequence += 1;
-        let bytes = own_state(&core, sequence).encode_to_vec();
-        for address in recipients(&core, &mut rounds) {
+/// Sends this entry's state.
+pub(crate) struct StateSender {
+    core: Arc<Core>,
+    socket: Arc<Async<UdpSocket>>,
+    sequence: AtomicU64,
+}
+
+impl StateSender {
+    pub(crate) async fn send(&self, addresses: &[SocketAddr]) {
+        let sequence = 1 + self.sequence.fetch_add(1, Relaxed);
+        let bytes = own_state(&self.core, sequence).encode_to_vec();
+        for address in addresses {
             // An error needs no handling: the next state replaces this one.
-            let _ = socket.send_to(&bytes, address).await;
+            let _ = self.socket.send_to(&bytes, *address).await;
         }
-        remove_silent(&core);
+    }
+}
+
+async fn send_states(sender: Arc<StateSender>) {
+    let core = &sender.core;
+    let mut rounds = [RoundRobin::default(), RoundRobin::default()];
+    for count in 0_u64.. {
+        sender.send(&recipients(core, &mut rounds)).await;
+        remove_silent(core);
         if count % ROUNDS_PER_LOG == 0 {
-            log_peers(&core, Event::PeerFound, core.peers.take_found());
+            log_peers(core, Event::PeerFound, core.peers.take_found());
         }
         Timer::after(STATE_INTERVAL).await;
     }
@@ -353,78 +363,3 @@
         }
     }
 }
-
-/// Adds this entry to the table of entries, and finds the others there.
-///
-/// Of two entries that start together, one reads the table after the other
-/// has written its row, and sends a message to that entry. So one read after
-/// the own row is written suffices; later reads only cover failures.
-async fn discover(core: Arc<Core>) {
-    let store = core.store.clone();
-    let own = SocketAddr::new(core.settings.ip, port(&core));
-    let mut is_listed = false;
-    let history_changes = core.history_subscribers.subscribe();
-    loop {
-        let pause =
-            match discover_once(&core, &store, own, &mut is_listed).await {
-                Ok(Discovery::Read) => TABLE_READ_INTERVAL,
-                Ok(Discovery::Written) => Duration::ZERO,
-                Err(_) => READ_RETRY_PAUSE,
-            };
-        let history_changed = async {
-            history_changes.notified().await;
-            true
-        };
-        let pause_ends = async {
-            Timer::after(pause).await;
-            false
-        };
-        if history_changed.or(pause_ends).await {
-            // The store may have lost the row.
-            is_listed = false;
-            Timer::after(relisting_delay()).await;
-        }
-    }
-}
-
-/// Spreads the calls of all entries after the store has lost changes.
-fn relisting_delay() -> Duration {
-    MAX_RELISTING_DELAY.mul_f64(fastrand::f64())
-}
-
-/// Result of reading the table of entries.
-enum Discovery {
-    /// The table already had this entry's row.
-    Read,
-    /// This entry's row was missing, and has been written.
-    Written,
-}
-
-/// Reads the table, and writes this entry's row if that is missing.
-async fn discover_once(
-    core: &Core,
-    store: &StoreClient,
-    own: SocketAddr,
-    is_listed: &mut bool,
-) -> Result<Discovery, StoreError> {
-    let rows = store.read_table(ENTRIES, STORE_TIMEOUT).await?;
-    for row in &rows.rows {
-        let address = std::str::from_utf8(&row.value)
-            .ok()
-            .and_then(|text| text.parse::<SocketAddr>().ok());
-        *is_listed |= row.key == core.settings.vm && address == Some(own);
-        if let Some(address) = address.filter(|a| *a != own) {
-            core.peers.add_address(address);
-        }
-    }
-    if *is_listed {
-        return Ok(Discovery::Read);
-    }
-    let value = own.to_string();
-    let vm = &core.settings.vm;
-    store
-        .write_row(ENTRIES, vm, None, value.as_bytes(), STORE_TIMEOUT)
-        .await?;
-    *is_listed = true;
-    Ok(Discovery::Written)
-}
--- a/crates/direct/src/placement/lease.rs
+++ b/crates/direct/src/placement/lease.rs
@@ -34,6 +34,9 @@
 /// entries of a fleet were candidates, each takeover would cost about 400
 /// calls of the store.
 const MAX_CANDIDATES: usize = 4;
+/// Uptime from which an entry seeks the lease. Before, it may not know the
+/// other candidates. Shorter than a lease that a process before it may hold.
+const MIN_UPTIME_MS: u64 = 1_000;
 /// Key of the assignment that selects the candidates.
 const LEASE_ASSIGNMENT: u64 = 3;
 /// Time without a holder after which all entries are candidates. Longer than
@@ -119,8 +122,10 @@
         participant.holder_resigned(released);
         let is_held = matches!(participant.state(), LeaseState::Held { .. });
         let has_planner = core.peers.has_planner(now_ms());
-        let seeks =
-            !has_planner && !is_store_unreachable(core) && is_candidate(core);
+        let seeks = core.age_ms() >= MIN_UPTIME_MS
+            && !has_planner
+            && !is_store_unreachable(core)
+            && is_candidate(core);
         if !is_held && !seeks {
             return None;
         }
--- a/crates/membership/src/feed_source.rs
+++ b/crates/membership/src/feed_source.rs
@@ -87,6 +87,8 @@
     /// Whether this entry must read the store itself, as the planner must: it
     /// releases its lease when it cannot reach the store.
     pub must_read_store: bool,
+    /// Whether this entry started so recently that it may not know all peers.
+    pub may_lack_peers: bool,
     /// The entries that serve the roots of the data centres, by rank: the
     /// planner, and the roots. Empty if this entry is not a root.
     pub roots: &'a [u64],
@@ -140,7 +142,11 @@
         let all = group.peers.iter().copied().chain([group.own]);
         let ranked = rendezvous::ranked_by_capacity(all, feed);
         let count = ranked.len();
-        if count < MIN_SHARING_ENTRIES {
+        let min_count = match group.may_lack_peers {
+            true => 2,
+            false => MIN_SHARING_ENTRIES,
+        };
+        if count < min_count {
             return FeedSource::Store;
         }
         self.avoidances.retain(|_, avoidance| !avoidance.is_over(now_ms));
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`issuer`] | which entry grants a shared limit, and which share of it |
 //! | [`feed_source`] | where an entry reads a feed of the store from |
 //! | [`gossip`] | interval of messages between entries, timeouts on silence |
+//! | [`startup`] | how an entry that starts finds the others |
 //! | [`restored_row`] | rows that are older than what is known |
 //! | [`table`] | a copy of a table that responds in place of the store |
 //!
@@ -38,6 +39,7 @@
 pub mod issuer;
 pub mod rendezvous;
 pub mod restored_row;
+pub mod startup;
 pub mod table;
 
 pub use feed_source::{FeedPeers, FeedSource, FeedSources, FetchOutcome};
--- a/crates/membership/tests/feed_source.rs
+++ b/crates/membership/tests/feed_source.rs
@@ -237,6 +237,7 @@
             own,
             peers: &others,
             must_read_store: false,
+            may_lack_peers: false,
             roots: &[],
             age_ms: if self.ignores_ages { 0 } else { age_ms },
         };
@@ -585,6 +586,7 @@
             own,
             peers: &peers,
             must_read_store: false,
+            may_lack_peers: false,
             roots: &[],
             age_ms: 60_000,
         };
@@ -708,6 +710,7 @@
         own: candidate(1, 1_000),
         peers: &peers,
         must_read_store: false,
+        may_lack_peers: false,
         roots: &roots,
         age_ms: case.age_ms,
     };
