The first section of a layout only has engines that can hold all of it

Cause: the engines of the first section all hold the same layers, as many as their memory pays for in the mean; the smallest, which are the first to be taken, may not have memory for so many. Such a range was dropped after the search, and the engine was placed like one that comes late: with one 72 GB, four 43 GB, five 36 GB and two 14 GB engines, layers 0 to 8 were held once and 9 to 22 three times, where memory allows two of all.

Such a shape is not complete now.

--- a/crates/planner/src/even_layout.rs
+++ b/crates/planner/src/even_layout.rs
@@ -277,7 +277,9 @@
             }
         }
         layout.kv_tokens = low;
-        layout.is_complete = is_complete && layout.tracks_fit();
+        layout.is_complete = is_complete
+            && layout.tracks_fit()
+            && layout.first_section_fits();
         layout
     }
 
@@ -292,6 +294,15 @@
         self.split(body).iter().all(fits)
     }
 
+    /// Whether each engine of the first section has memory for all of its
+    /// layers: they all hold the same ones.
+    fn first_section_fits(&self) -> bool {
+        let (first, _, _) = self.sections();
+        let layers = self.width(first, first.len()).round();
+        let min_mb = self.model.layer_mb + self.model.kv_mb(MIN_KV_TOKENS);
+        first.iter().all(|member| member.memory_mb >= layers * min_mb)
+    }
+
     /// The engines of the tracks of the body.
     ///
     /// Where memory is so short that many layers are held once, engines of
