The place of an entry in the tree has a type of its own; short functions

FeedSources::choose was one function of sixty lines. The planner tries a store that failed as often as a root, as it must read it.

--- a/crates/membership/src/feed_source.rs
+++ b/crates/membership/src/feed_source.rs
@@ -10,9 +10,9 @@
 //! else the first root by rank, reads the store, and the other roots ask it.
 //! They read the store themselves as soon as it fails them.
 //!
-//! An entry whose parent fails asks the ancestors, then the other entries near
-//! the root that rank before itself; the next rank takes over a failed root,
-//! and all others find the data there.
+//! An entry whose parent fails asks the other ancestors, then the first entries
+//! in the order of turns (below) and those near the root. The next rank takes
+//! over a failed root, and all others find the data there.
 //!
 //! A response carries the time since the store confirmed its data, so an entry
 //! that the store refuses or that is partitioned can be recognised by that
@@ -97,7 +97,17 @@
     pub age_ms: u64,
 }
 
-/// Why and since when an entry is not asked.
+impl FeedPeers<'_> {
+    /// Number of entries from which they share feeds.
+    fn min_count(&self) -> usize {
+        match self.may_lack_peers {
+            true => 2,
+            false => MIN_SHARING_ENTRIES,
+        }
+    }
+}
+
+/// Why and since when an entry is asked after the others.
 #[derive(Clone, Copy, Debug)]
 struct Avoidance {
     since_ms: u64,
@@ -114,7 +124,7 @@
 /// What an entry knows of its sources for one feed.
 #[derive(Clone, Debug, Default)]
 pub struct FeedSources {
-    /// Entries that are not asked for a while.
+    /// Entries that are asked after the others for a while.
     avoidances: BTreeMap<u64, Avoidance>,
     /// Whether the parent was asked last while all sources are avoided.
     asks_parent: bool,
@@ -139,62 +149,39 @@
         feed: u64,
         now_ms: u64,
     ) -> FeedSource {
-        let all = group.peers.iter().copied().chain([group.own]);
-        let ranked = rendezvous::ranked_by_capacity(all, feed);
-        let count = ranked.len();
-        let min_count = match group.may_lack_peers {
-            true => 2,
-            false => MIN_SHARING_ENTRIES,
-        };
-        if count < min_count {
+        let place = Place::new(group, feed);
+        if place.count() < group.min_count() {
             return FeedSource::Store;
         }
         self.avoidances.retain(|_, avoidance| !avoidance.is_over(now_ms));
-        let own_rank = ranked.iter().position(|e| *e == group.own.entry);
-        let rank = own_rank.unwrap_or(0);
-        let turn_assignment = feed ^ TURN_ASSIGNMENT;
-        let by_turn =
-            rendezvous::ranked(ranked.iter().copied(), turn_assignment);
-        let is_store_avoided = self.is_store_avoided(rank, count, now_ms);
-        let has_turn = now_ms < self.turn_until_ms
-            || group.age_ms >= turn_age_ms(&by_turn, group.own.entry);
-        let is_first_of_turn = has_turn && now_ms >= self.turn_until_ms;
-        if is_first_of_turn && !is_store_avoided {
-            self.turn_until_ms = now_ms + TURN_MS;
-        }
-        let is_root = rank == 0 && !self.has_usable_root(group);
+        let has_turn = self.has_turn(&place, now_ms);
+        let is_root = place.rank == 0 && !self.has_usable_root(group);
         let reads_store = is_root || group.must_read_store || has_turn;
-        if reads_store && !is_store_avoided {
-            return FeedSource::Store;
-        }
-        let near_root = ranked[..count.min(FAN_OUT + 1)].iter().copied();
-        let roots = group.roots.iter().copied();
-        let sources: Vec<u64> = ancestors(rank)
-            .map(|rank| ranked[rank])
-            .chain(roots)
-            .chain(by_turn.into_iter().take(ASKED_BY_TURN))
-            .chain(near_root)
-            .filter(|entry| *entry != group.own.entry)
-            .collect();
-        // The ranks near the root replace a failed one without waiting, and an
-        // entry that reaches no other one depends on the store.
-        let must_respond = match rank <= FAN_OUT {
-            true => &ranked[..rank],
-            false => &sources[..],
-        };
-        let is_replaced = rank > 0;
-        if is_replaced
-            && !is_store_avoided
-            && must_respond.iter().all(|e| self.failed(*e))
-        {
+        let is_cut_off =
+            place.must_respond().iter().all(|entry| self.failed(*entry));
+        let may_read_store = reads_store || place.rank > 0 && is_cut_off;
+        if may_read_store && !self.is_store_avoided(&place, now_ms) {
             return FeedSource::Store;
         }
         let is_usable = |e: &&u64| !self.avoidances.contains_key(e);
-        let entry = sources.iter().find(is_usable).copied();
-        let entry = entry.or_else(|| self.choose_avoided(&sources));
+        let entry = place.sources.iter().find(is_usable).copied();
+        let entry = entry.or_else(|| self.choose_avoided(&place.sources));
         entry.map_or(FeedSource::Store, FeedSource::Entry)
     }
 
+    /// Whether this entry may try the store because its data is old. A turn
+    /// that can be used lasts for a while.
+    fn has_turn(&mut self, place: &Place<'_>, now_ms: u64) -> bool {
+        if now_ms < self.turn_until_ms {
+            return true;
+        }
+        let has_turn = place.group.age_ms >= place.turn_age_ms;
+        if has_turn && !self.is_store_avoided(place, now_ms) {
+            self.turn_until_ms = now_ms + TURN_MS;
+        }
+        has_turn
+    }
+
     /// Whether a root may depend on the first of all roots: that is another
     /// entry, and it has not failed or sent old data.
     fn has_usable_root(&self, group: &FeedPeers<'_>) -> bool {
@@ -248,32 +235,74 @@
     }
 
     /// Whether the store failed this entry so recently that it is not tried.
-    fn is_store_avoided(
-        &self,
-        rank: usize,
-        count: usize,
-        now_ms: u64,
-    ) -> bool {
+    fn is_store_avoided(&self, place: &Place<'_>, now_ms: u64) -> bool {
         let Some(failed_ms) = self.store_failed_ms else { return false };
         // The caller may pause for longer than the interval, and would then
         // try the store each time and never ask an entry.
         !self.has_asked_entry
-            || now_ms.saturating_sub(failed_ms) < retry_ms(rank, count)
+            || now_ms.saturating_sub(failed_ms) < place.retry_ms()
     }
 }
 
-/// Interval between attempts at a store that failed.
-fn retry_ms(rank: usize, count: usize) -> u64 {
-    match rank {
-        0 => ROOT_RETRY_MS,
-        _ => RETRY_MS * count.div_ceil(FAN_OUT) as u64,
-    }
+/// An entry's place in the tree and in the order of turns.
+#[derive(Debug)]
+struct Place<'a> {
+    group: &'a FeedPeers<'a>,
+    /// Entries of the data centre by rank.
+    ranked: Vec<u64>,
+    /// Rank of this entry.
+    rank: usize,
+    /// Age of the copy from which this entry may try the store.
+    turn_age_ms: u64,
+    /// Entries to ask, in this order.
+    sources: Vec<u64>,
 }
 
-/// Age of the copy from which an entry may try the store.
-fn turn_age_ms(by_turn: &[u64], own: u64) -> u64 {
-    let place = by_turn.iter().position(|entry| *entry == own).unwrap_or(0);
-    FIRST_TURN_AGE_MS + TURN_INTERVAL_MS * place as u64
+impl<'a> Place<'a> {
+    fn new(group: &'a FeedPeers<'a>, feed: u64) -> Place<'a> {
+        let own = group.own.entry;
+        let all = group.peers.iter().copied().chain([group.own]);
+        let ranked = rendezvous::ranked_by_capacity(all, feed);
+        let rank = ranked.iter().position(|e| *e == own).unwrap_or(0);
+        let turns = feed ^ TURN_ASSIGNMENT;
+        let by_turn = rendezvous::ranked(ranked.iter().copied(), turns);
+        let turn = by_turn.iter().position(|e| *e == own).unwrap_or(0);
+        let sources = ancestors(rank)
+            .map(|rank| ranked[rank])
+            .chain(group.roots.iter().copied())
+            .chain(by_turn.into_iter().take(ASKED_BY_TURN))
+            .chain(ranked.iter().copied().take(FAN_OUT + 1))
+            .filter(|entry| *entry != own)
+            .collect();
+        Place {
+            group,
+            ranked,
+            rank,
+            turn_age_ms: FIRST_TURN_AGE_MS + TURN_INTERVAL_MS * turn as u64,
+            sources,
+        }
+    }
+
+    fn count(&self) -> usize {
+        self.ranked.len()
+    }
+
+    /// Entries of which one must respond, or else this entry depends on the
+    /// store. The ranks near the root replace a failed one without waiting.
+    fn must_respond(&self) -> &[u64] {
+        match self.rank <= FAN_OUT {
+            true => &self.ranked[..self.rank],
+            false => &self.sources,
+        }
+    }
+
+    /// Interval between attempts at a store that failed.
+    fn retry_ms(&self) -> u64 {
+        match self.rank == 0 || self.group.must_read_store {
+            true => ROOT_RETRY_MS,
+            false => RETRY_MS * self.count().div_ceil(FAN_OUT) as u64,
+        }
+    }
 }
 
 /// Ranks of an entry's parent, of the parent's parent, and so on.
--- a/crates/planner/src/even_layout.rs
+++ b/crates/planner/src/even_layout.rs
@@ -277,9 +277,8 @@
             }
         }
         layout.kv_tokens = low;
-        layout.is_complete = is_complete
-            && layout.tracks_fit()
-            && layout.first_section_fits();
+        layout.is_complete =
+            is_complete && layout.tracks_fit() && layout.first_section_fits();
         layout
     }
 
