The silence of an entry counts on when another one is told of it

Cause: an entry that another one named counted as heard at that moment, and a listed address anew with each list. A ghost counts in quotas, and while it has not reported nothing may be borrowed. Found by reading, before it was landed.

The list carries the time since each entry was heard. The model is a test, with the fault as its guard. An entry that is back after it was only unreachable is also no longer counted as lost besides.

--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -2,8 +2,8 @@
 //!
 //! A poll of a feed waits at the store until the table changes. The wait is
 //! short, because a dropped connection shows only when a poll does not return
-//! in time. In a data centre with several entries, one of them polls the store
-//! and the others poll that entry in the same way ([`FeedSources`]).
+//! in time. In a data centre with several entries, few of them poll the store,
+//! and the others poll an entry in the same way ([`FeedSources`]).
 //!
 //! [`FeedSources`]: chestnutreach_membership::FeedSources
 
--- a/crates/direct/src/cluster/feed_server.rs
+++ b/crates/direct/src/cluster/feed_server.rs
@@ -1,9 +1,10 @@
 //! Server and client of the feeds that entries provide in place of the store.
 //!
 //! HTTP on a separate port: `GET /feed/TABLE?era=ERA&after=NUMBER&wait-ms=MS`
-//! waits for a change as the store's feed does. The response holds all rows if
-//! `after` is missing, or if the changes since that version are not known. A
-//! missing era is era 0.
+//! waits for a change as the store's feed does, and also for the next time at
+//! which the store confirms the copy. The response holds all rows if `after`
+//! is missing, or if the changes since that version are not known. A missing
+//! era is era 0. `GET /entries` returns the entries that this one knows.
 
 use std::{
     net::{SocketAddr, TcpListener},
@@ -28,8 +29,8 @@
 const ENTRIES_PATH: &str = "/entries";
 /// Maximum time for which a poll of another entry is held.
 const MAX_WAIT_MS: u64 = 2_000;
-/// Enough for both feeds of every entry in a data centre, beside old
-/// connections that are not closed yet.
+/// Enough for the children in the trees of both feeds, for entries that start
+/// or ask around, and for old connections that are not closed yet.
 const MAX_CONNECTIONS: usize = 256;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Once a response has begun, the other entry is alive, and a slow link may
--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -14,6 +14,7 @@
     gossip::{self, PeerScope, planner_timeout_ms},
     issuer::{self, PARTITION_TIMEOUT_MS},
     rendezvous::{Candidate, CapacityClass, first_by_capacity},
+    startup,
 };
 use chestnutreach_protocol::peers::{KnownEntry, OpenMove, PeerState};
 use chestnutreach_routing::{DemandRates, SentCounts};
@@ -420,20 +421,23 @@
         true
     }
 
-    /// Adds an entry that another one named; false if it was known.
+    /// Adds an entry that another one named; false if nothing is new of it.
     pub(crate) fn add_known(
         &self,
         address: SocketAddr,
         known: &KnownEntry,
     ) -> bool {
         let mut peers = self.lock();
-        let is_known = peers.get(&address).is_some_and(|p| p.boot_id != 0);
-        if is_known {
+        let is_news = match peers.get(&address) {
+            Some(peer) => peer.boot_id == 0 && known.boot_id != 0,
+            None => true,
+        };
+        if !is_news {
             return false;
         }
         let peer = Peer {
             boot_id: known.boot_id,
-            received_ms: now_ms(),
+            received_ms: startup::heard_ms(known.silent_ms, now_ms()),
             data_centre: known.data_centre.clone(),
             feed_port: u16::try_from(known.feed_port).unwrap_or(0),
             capacity: CapacityClass::from_milli_cores(known.milli_cores),
@@ -456,6 +460,7 @@
         };
         let known = |(address, peer): (&SocketAddr, &Peer)| {
             let address = address.to_string();
+            let silent_ms = now_ms.saturating_sub(peer.received_ms);
             match is_live(peer) {
                 true => KnownEntry {
                     address,
@@ -463,8 +468,11 @@
                     data_centre: peer.data_centre.clone(),
                     feed_port: peer.feed_port.into(),
                     milli_cores: peer.milli_cores,
+                    silent_ms,
                 },
-                false => KnownEntry { address, ..KnownEntry::default() },
+                false => {
+                    KnownEntry { address, silent_ms, ..KnownEntry::default() }
+                }
             }
         };
         peers.iter().map(known).collect()
@@ -538,7 +546,7 @@
             let name = format!("{}={from}/{}", state.vm, state.boot_id);
             self.found.lock().expect("no holder panics").push(name);
         }
-        if is_new_process {
+        if is_new_process || is_first_report {
             self.lost_ms.lock().expect("no holder panics").remove(&from);
         }
         self.released_lease_number.fetch_max(state.resigned, Relaxed);
--- a/crates/membership/src/startup.rs
+++ b/crates/membership/src/startup.rs
@@ -52,6 +52,13 @@
     }
 }
 
+/// When an entry that another one named was last heard. Its silence counts
+/// on: else entries that ask each other for their lists would name one that has
+/// ended to each other for good.
+pub fn heard_ms(silent_ms: u64, now_ms: u64) -> u64 {
+    now_ms.saturating_sub(silent_ms)
+}
+
 /// Pause after this many reads of a list of the entries. A reader reads the
 /// table of the store for the others of its data centre.
 pub fn pause_after_ms(reads: usize, is_reader: bool) -> u64 {
--- a/crates/membership/tests/startup.rs
+++ b/crates/membership/tests/startup.rs
@@ -1,7 +1,10 @@
 //! Simulates entries that start at once, on a virtual clock: how many calls of
 //! the table of entries it takes until all are introduced.
 
-use chestnutreach_membership::startup::{StartPlan, pause_after_ms};
+use chestnutreach_membership::{
+    gossip::PeerScope,
+    startup::{StartPlan, heard_ms, pause_after_ms},
+};
 use rstest::rstest;
 
 /// Time a message takes, and a call of the store.
@@ -156,3 +159,47 @@
         );
     }
 }
+
+/// Entries that ask each other for their lists forget one that has ended when
+/// the last of them alone would.
+#[rstest]
+#[case::with_its_silence(heard_ms, true)]
+#[case::as_if_heard_now(|_, now_ms| now_ms, false)]
+fn entries_do_not_name_an_ended_entry_to_each_other_for_good(
+    #[case] heard: fn(u64, u64) -> u64,
+    #[case] is_forgotten: bool,
+) {
+    const COUNT: usize = 100;
+    let mut rng = fastrand::Rng::with_seed(5);
+    let expiry_ms = PeerScope::OtherDataCentre.expiry_ms(350);
+    // When each of them last heard the one that ends.
+    let last_ms = PeerScope::OtherDataCentre.interval_ms(350);
+    let mut heard_at_ms: Vec<Option<u64>> =
+        (0..COUNT).map(|_| Some(rng.u64(..last_ms))).collect();
+    let pause_ms = pause_after_ms(9, false);
+    let mut known_until_ms = 0;
+    let mut next_read_ms: Vec<u64> =
+        (0..COUNT).map(|_| rng.u64(..pause_ms)).collect();
+    for now_ms in (last_ms..20 * pause_ms).step_by(100) {
+        for at in 0..COUNT {
+            let is_over = |ms: &u64| now_ms - ms > expiry_ms;
+            if heard_at_ms[at].as_ref().is_some_and(is_over) {
+                heard_at_ms[at] = None;
+            }
+            if now_ms < next_read_ms[at] {
+                continue;
+            }
+            next_read_ms[at] = now_ms + pause_ms;
+            let named = heard_at_ms[rng.usize(..COUNT)];
+            if heard_at_ms[at].is_none() {
+                heard_at_ms[at] = named.map(|ms| heard(now_ms - ms, now_ms));
+            }
+        }
+        if heard_at_ms.iter().any(Option::is_some) {
+            known_until_ms = now_ms;
+        }
+    }
+    let limit_ms = last_ms + expiry_ms + 200;
+    println!("known until {known_until_ms} ms, alone {limit_ms} ms");
+    assert_eq!(known_until_ms <= limit_ms, is_forgotten);
+}
