--- a/crates/daemon/tests/users_platform/feed_sharing.rs
+++ b/crates/daemon/tests/users_platform/feed_sharing.rs
@@ -86,6 +86,29 @@
     });
 }
 
+/// The entry on the largest VM is the root of both feeds: the others ask it.
+#[test]
+fn entries_ask_the_one_with_the_most_capacity() {
+    let site =
+        Site { first_cpu_share: Some(1.0), ..Site::with_shared_feeds() };
+    with_site(&site, async |running| {
+        wait_until_shared(running).await;
+        let planner = running.planner().await;
+        let status = running.status(0).await.expect("the entry responds");
+        let largest = status["boot_id"].as_str().expect("a boot id");
+        let others = 1..running.addresses.len();
+        for entry in others.filter(|entry| planner != Some(*entry)) {
+            for table in [BACKEND_TABLE, CONFIGURATION_TABLE] {
+                wait_until("it asks the largest", async || {
+                    let source = feed_source(running, entry, table).await;
+                    source.as_deref() == Some(largest)
+                })
+                .await;
+            }
+        }
+    });
+}
+
 /// Two data centres with four entries each.
 fn site_of_two_data_centres() -> Site {
     Site { entries: 8, ..Site::small() }
--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod feed_sharing;
 mod links;
+mod many_entries;
 mod rate_limits;
 mod soak;
 mod stops;
--- /dev/null
+++ b/crates/daemon/tests/users_platform/many_entries.rs
@@ -0,0 +1,41 @@
+//! An entry that hears many entries of other data centres.
+
+use std::net::UdpSocket;
+
+use chestnutreach_protocol::peers::PeerState;
+use prost::Message as _;
+
+use crate::support::{wait_until, with_small_site};
+
+const MANY: usize = 200;
+/// Interval at which so many entries of other data centres hear from each of
+/// them: 12 in 0.2 s.
+const INTERVAL_MS: u64 = 200 * MANY.div_ceil(12) as u64;
+
+/// Retries are borrowed by the time in which so many entries hear each other.
+#[test]
+fn the_retry_limit_waits_for_the_reports_of_many_entries() {
+    with_small_site(async |running| {
+        let address = running.ops_address(0);
+        let bind = |_| UdpSocket::bind("127.0.0.1:0").unwrap();
+        let sockets: Vec<UdpSocket> = (0..MANY).map(bind).collect();
+        let mut sequence = 0;
+        wait_until("the delay follows the number of entries", async || {
+            sequence += 1;
+            for (boot_id, socket) in (1..).zip(&sockets) {
+                let state = PeerState {
+                    boot_id,
+                    sequence,
+                    data_centre: "elsewhere".to_owned(),
+                    ..PeerState::default()
+                };
+                socket.send_to(&state.encode_to_vec(), address).unwrap();
+            }
+            let status = running.status(0).await.unwrap_or_default();
+            let delay_ms = status["report_delay_ms"].as_u64().unwrap_or(0);
+            // One report of two may be lost.
+            delay_ms >= 2 * INTERVAL_MS
+        })
+        .await;
+    });
+}
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -261,7 +261,7 @@
         }
     }
 
-    fn retry_limit(&self) -> RetryLimit {
+    pub(crate) fn retry_limit(&self) -> RetryLimit {
         let bounds = &self.settings.bounds;
         // Retries of the previous process still count, and their number is
         // unknown here.
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -321,6 +321,7 @@
         "engines_watched": watched,
         "is_planner": core.is_planner.load(Relaxed),
         "entries": core.peers.entry_count(),
+        "report_delay_ms": core.retry_limit().report_delay_ms,
         "suspects": core.suspects.status(),
         "permits": core.permits.status(),
         "shares": core.capacity.status(core),
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -63,8 +63,14 @@
     pub has_links: bool,
     /// Whether there are urgent streams, and slots for only a few streams.
     pub has_competition: bool,
+    /// Share of a core that the first entry has, if it differs from that of
+    /// the others.
+    pub first_cpu_share: Option<f64>,
 }
 
+/// Share of a core of an entry.
+const CPU_SHARE: f64 = 0.2;
+
 impl Site {
     /// Two data centres with five engines each, and three entries.
     pub fn small() -> Site {
@@ -81,6 +87,7 @@
             stream_timeout_ms: 15_000,
             has_links: false,
             has_competition: false,
+            first_cpu_share: None,
         }
     }
 
@@ -208,6 +215,8 @@
             .map(|name| format!("{name} = \"region\""))
             .collect();
         let zone = &self.data_centres[entry.index % self.data_centres.len()];
+        let first_share = self.first_cpu_share.filter(|_| entry.index == 0);
+        let cpu_share = first_share.unwrap_or(CPU_SHARE);
         format!(
             r#"node-name = "entry-{index}"
 ip = "127.0.0.1"
@@ -220,7 +229,7 @@
 front = "127.0.0.1:{clients}"
 ready = "127.0.0.1:{ready}"
 [limits]
-cpu-share = 0.2
+cpu-share = {cpu_share}
 memory-mb = 260
 max-fds = 4100
 [bounds]
