Whether an entry lacks peers follows from its list, not from its uptime

An entry younger than 3 s shared feeds with any peer that it knew. In a data centre of two that made it follow an entry whose polls wait 2.2 s, also once it knew that there are no others: its keys were up to 3.6 s old at an outage. Now it does so only until it has read a list and knows more than the address of each entry, which is what its first wait looks at as well. One question in one place, one constant less; small sites read the store as before once all have reported.

--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -50,9 +50,6 @@
 /// have ended never report.
 const MAX_WAIT_FOR_PEERS_MS: u64 = 1_000;
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Uptime up to which an entry may not know all others. It shares feeds then
-/// with those that it knows.
-const MIN_SHARING_UPTIME_MS: u64 = 3_000;
 /// Wait at another entry. It responds sooner once the store has confirmed its
 /// copy, so this only limits how late a silent entry is noticed.
 const PEER_WAIT: Duration = Duration::from_millis(600);
@@ -142,7 +139,7 @@
                 own: self.core.own_candidate(),
                 peers: &live,
                 must_read_store: self.core.is_planner.load(Relaxed),
-                may_lack_peers: self.core.age_ms() < MIN_SHARING_UPTIME_MS,
+                may_lack_peers: !self.core.peers.knows_all_entries(),
                 roots: &roots,
                 age_ms: self.feed().age_ms().min(self.core.age_ms()),
             };
@@ -172,9 +169,8 @@
     }
 
     fn are_local_peers_known(&self) -> bool {
-        let peers = &self.core.peers;
         !self.core.live_peers_in_data_centre().is_empty()
-            || peers.has_list() && !peers.has_unknown_data_centre()
+            || self.core.peers.knows_all_entries()
     }
 
     async fn pause(&self, source: FeedSource, outcome: FetchOutcome) {
--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -484,9 +484,10 @@
         self.is_introduced.load(Relaxed)
     }
 
-    /// Whether of some entry only the address is known.
-    pub(crate) fn has_unknown_data_centre(&self) -> bool {
-        self.lock().values().any(|peer| peer.boot_id == 0)
+    /// Whether this entry has read a list of the others, and knows more than
+    /// the address of each of them.
+    pub(crate) fn knows_all_entries(&self) -> bool {
+        self.has_list() && self.lock().values().all(|p| p.boot_id != 0)
     }
 
     /// Whether this entry has read a list of the others, which it may pass on.
--- a/crates/membership/src/feed_source.rs
+++ b/crates/membership/src/feed_source.rs
@@ -87,7 +87,8 @@
     /// Whether this entry must read the store itself, as the planner must: it
     /// releases its lease when it cannot reach the store.
     pub must_read_store: bool,
-    /// Whether this entry started so recently that it may not know all peers.
+    /// Whether this entry does not know all entries yet. It shares feeds then
+    /// with those that it knows.
     pub may_lack_peers: bool,
     /// The entries that serve the roots of the data centres, by rank: the
     /// planner, and the roots. Empty if this entry is not a root.
