One rank key, one question of who is live, one interval for three timeouts

No change of behaviour: - first_by_capacity and ranked_by_capacity share their key; the lease and the readers of the table asked 'among the first' each for itself, now is_assigned_by_capacity. - The roots of all data centres come from one pass over the peers, instead of one pass and a copy for each data centre at each poll of a root. - The capacity class of a peer is derived from its share of a core and no longer kept beside it; live and stopping are tested in one place. - report, demand and repeat timeouts share the longest interval; their three wrappers are one. - Feed no longer takes Core; the follower computes the roots.

--- a/crates/direct/src/cluster/discovery.rs
+++ b/crates/direct/src/cluster/discovery.rs
@@ -17,6 +17,7 @@
 use futures_lite::FutureExt as _;
 
 use crate::{
+    clock::now_ms,
     cluster::{
         feed_server::FeedClient,
         peers::{self, StateSender},
@@ -132,17 +133,18 @@
         let peers = &self.core.peers;
         let local = self.core.live_peers_in_data_centre();
         let own = self.core.own_candidate();
-        let with_own = local.iter().copied().chain([own]);
-        let readers =
-            rendezvous::ranked_by_capacity(with_own, TABLE_ASSIGNMENT);
-        let readers = &readers[..readers.len().min(TABLE_READERS)];
-        let is_reader = readers.contains(&own.entry);
+        let is_reader = rendezvous::is_assigned_by_capacity(
+            own,
+            local.iter().copied(),
+            TABLE_ASSIGNMENT,
+            TABLE_READERS,
+        );
         // A first list comes from any entry that has one already.
         if is_reader && (self.reads > 0 || local.is_empty()) {
             return None;
         }
         let candidates = match local.is_empty() {
-            true => peers.live_candidates(),
+            true => peers.live_candidates(now_ms()),
             false => local,
         };
         let ranked = rendezvous::ranked_by_capacity(candidates, own.entry);
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -18,7 +18,9 @@
     store::{Row, Rows, StoreClient, StoreError},
 };
 use chestnutreach_membership::{
-    FeedPeers, FeedSource, FetchOutcome, feed_source::MIN_SHARING_ENTRIES,
+    FeedPeers, FeedSource, FetchOutcome,
+    feed_source::MIN_SHARING_ENTRIES,
+    rendezvous::{self, Candidate},
 };
 use chestnutreach_site::StoreVersion;
 use chestnutreach_telemetry::{Event, emit};
@@ -134,7 +136,7 @@
         self.local_peers_known().await;
         loop {
             let live = self.core.live_peers_in_data_centre();
-            let roots = self.feed().roots(&self.core, &live);
+            let roots = self.roots(&live);
             let peers = FeedPeers {
                 own: self.core.own_candidate(),
                 peers: &live,
@@ -155,6 +157,28 @@
         }
     }
 
+    /// The entries that serve the roots of the data centres, if this entry is
+    /// the root of its own.
+    fn roots(&self, local: &[Candidate]) -> Vec<u64> {
+        let (core, assignment) = (&self.core, self.feed().assignment);
+        let own = core.own_candidate();
+        let all_local = local.iter().copied().chain([own]);
+        let root = rendezvous::first_by_capacity(all_local, assignment);
+        if root != Some(own) || local.len() + 1 < MIN_SHARING_ENTRIES {
+            return Vec::new();
+        }
+        let now_ms = now_ms();
+        let planner = match core.is_planner.load(Relaxed) {
+            true => Some(own.entry),
+            false => core.peers.planner(now_ms),
+        };
+        let others = core.peers.roots(assignment, now_ms);
+        let others = others.into_iter().filter(|c| !local.contains(c));
+        let all = others.chain([own]);
+        let ranked = rendezvous::ranked_by_capacity(all, assignment);
+        planner.into_iter().chain(ranked).collect()
+    }
+
     /// Waits until this entry knows another one of its data centre, or knows
     /// that there is none. Else all entries of a fleet that starts would read
     /// the store.
--- a/crates/direct/src/cluster/feed_server.rs
+++ b/crates/direct/src/cluster/feed_server.rs
@@ -105,8 +105,8 @@
 }
 
 /// Waits until the copy has changes after a version, or any rows if there is
-/// no version, or until the store has confirmed it again. So a copy at the end of a row of entries is hardly
-/// older than that of the first one.
+/// no version, or until the store has confirmed it again. So a copy at the end
+/// of a row of entries is hardly older than that of the first one.
 async fn wait_for_news(
     feed: &Feed,
     after: Option<StoreVersion>,
--- a/crates/direct/src/cluster/feeds.rs
+++ b/crates/direct/src/cluster/feeds.rs
@@ -17,14 +17,12 @@
 };
 use chestnutreach_membership::{
     FeedPeers, FeedSource, FeedSources, FetchOutcome, RowChange, TableCopy,
-    feed_source::MIN_SHARING_ENTRIES,
-    rendezvous::{self, Candidate},
     restored_row::HistoryStart,
 };
 use chestnutreach_protocol::peers::{FeedAnswer, FeedRow};
 use chestnutreach_site::StoreVersion;
 
-use crate::{clock::now_ms, core::Core, subscribers::Subscribers};
+use crate::{clock::now_ms, subscribers::Subscribers};
 
 /// A copy is stale if the store has not confirmed it within this time, which
 /// is longer than the poll of a reader takes.
@@ -61,7 +59,7 @@
 pub(crate) struct Feed {
     pub(crate) table: &'static str,
     /// Key of the assignment to read the table from the store.
-    assignment: u64,
+    pub(crate) assignment: u64,
     copy: Mutex<TableCopy>,
     sources: Mutex<FeedSources>,
     /// When the store last confirmed the copy.
@@ -97,27 +95,6 @@
         self.sources().choose(around, self.assignment, now_ms())
     }
 
-    /// The entries that serve the roots of the data centres, if this entry is
-    /// the root of its own.
-    pub(crate) fn roots(&self, core: &Core, local: &[Candidate]) -> Vec<u64> {
-        let own = core.own_candidate();
-        let all_local = local.iter().copied().chain([own]);
-        let root = rendezvous::first_by_capacity(all_local, self.assignment);
-        if root != Some(own.entry) || local.len() + 1 < MIN_SHARING_ENTRIES {
-            return Vec::new();
-        }
-        let now_ms = now_ms();
-        let planner = match core.is_planner.load(Relaxed) {
-            true => Some(own.entry),
-            false => core.peers.planner(now_ms),
-        };
-        let others = core.peers.roots(self.assignment, now_ms);
-        let others = others.into_iter().filter(|c| !local.contains(c));
-        let all = others.chain([own]);
-        let ranked = rendezvous::ranked_by_capacity(all, self.assignment);
-        planner.into_iter().chain(ranked).collect()
-    }
-
     /// Records the current source for the status document.
     pub(crate) fn set_source(&self, source: FeedSource) {
         let boot_id = match source {
--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -1,7 +1,7 @@
 //! State that an entry keeps for the other entries.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard,
@@ -71,7 +71,6 @@
     data_centre: String,
     feed_port: u16,
     milli_cores: u32,
-    capacity: CapacityClass,
     interconnect_bytes_per_s: f64,
     /// When the entry last reported use of the interconnect; 0 if never.
     interconnect_used_ms: u64,
@@ -135,16 +134,6 @@
         }
     }
 
-    fn report_delay_ms(self) -> u64 {
-        let other = self.other_data_centre;
-        gossip::report_delay_ms(self.same_data_centre, other)
-    }
-
-    fn demand_timeout_ms(self) -> u64 {
-        let other = self.other_data_centre;
-        gossip::demand_timeout_ms(self.same_data_centre, other)
-    }
-
     fn of_scope(self, scope: PeerScope) -> usize {
         match scope {
             PeerScope::SameDataCentre => self.same_data_centre,
@@ -162,9 +151,21 @@
         let silent_ms = now_ms.saturating_sub(peer.received_ms);
         peer.boot_id != 0 && silent_ms < timeout_ms
     }
+
+    /// Whether the peer is present and not stopping.
+    fn is_live(self, peer: &Peer, data_centre: &str, now_ms: u64) -> bool {
+        !peer.is_stopping && self.is_present(peer, data_centre, now_ms)
+    }
 }
 
 impl Peer {
+    fn candidate(&self) -> Candidate {
+        Candidate {
+            entry: self.boot_id,
+            capacity: CapacityClass::from_milli_cores(self.milli_cores),
+        }
+    }
+
     fn scope(&self, data_centre: &str) -> PeerScope {
         match self.data_centre == data_centre {
             true => PeerScope::SameDataCentre,
@@ -196,18 +197,19 @@
 
     /// Time within which all entries have received what one reports.
     pub(crate) fn report_delay_ms(&self) -> u64 {
-        self.counts().report_delay_ms()
+        self.by_counts(gossip::report_delay_ms)
     }
 
     /// Age up to which a state counts that an entry repeats while it lasts.
     pub(crate) fn repeat_timeout_ms(&self) -> u64 {
-        let counts = self.counts();
-        let other = counts.other_data_centre;
-        gossip::repeat_timeout_ms(counts.same_data_centre, other)
+        self.by_counts(gossip::repeat_timeout_ms)
     }
 
-    fn counts(&self) -> PeerCounts {
-        PeerCounts::of(&self.lock(), &self.data_centre)
+    /// A time that depends on the numbers of peers in the same data centre and
+    /// in others.
+    fn by_counts(&self, time_ms: fn(usize, usize) -> u64) -> u64 {
+        let counts = PeerCounts::of(&self.lock(), &self.data_centre);
+        time_ms(counts.same_data_centre, counts.other_data_centre)
     }
 
     /// What callers of the other entries ask for, as far as reported.
@@ -216,7 +218,7 @@
         service: &str,
         now_ms: u64,
     ) -> DemandRates {
-        let timeout_ms = self.counts().demand_timeout_ms();
+        let timeout_ms = self.by_counts(gossip::demand_timeout_ms);
         let reports = self.sent_reports.lock().expect("no holder panics");
         let mut sum = DemandRates::default();
         let is_recent = |report: &&SentReport| {
@@ -263,17 +265,14 @@
         assignment: u64,
         now_ms: u64,
     ) -> Vec<Candidate> {
-        let names: BTreeSet<String> =
-            self.lock().values().map(|p| p.data_centre.clone()).collect();
-        let root = |name: &String| {
-            let candidates = self.candidates_in(name, now_ms);
-            if candidates.len() < MIN_SHARING_ENTRIES {
-                return None;
-            }
-            let entry = first_by_capacity(candidates.clone(), assignment)?;
-            candidates.into_iter().find(|c| c.entry == entry)
-        };
-        names.iter().filter_map(root).collect()
+        let mut by_name: BTreeMap<String, Vec<Candidate>> = BTreeMap::new();
+        self.for_each_live(now_ms, |peer| {
+            let name = peer.data_centre.clone();
+            by_name.entry(name).or_default().push(peer.candidate());
+        });
+        let sharing =
+            by_name.into_values().filter(|c| c.len() >= MIN_SHARING_ENTRIES);
+        sharing.filter_map(|c| first_by_capacity(c, assignment)).collect()
     }
 
     /// Time since another entry last reported that it is the planner.
@@ -283,8 +282,8 @@
 
     /// Boot ids of all entries that are present and not stopping.
     pub(crate) fn live(&self, now_ms: u64) -> Vec<u64> {
-        let live = self.live_where(now_ms, |_| true);
-        live.into_iter().map(|candidate| candidate.entry).collect()
+        let live = self.live_candidates(now_ms).into_iter();
+        live.map(|candidate| candidate.entry).collect()
     }
 
     /// Whether this boot id is the lowest among the entries that are present
@@ -305,8 +304,10 @@
     }
 
     /// All entries that are present and not stopping.
-    pub(crate) fn live_candidates(&self) -> Vec<Candidate> {
-        self.live_where(now_ms(), |_| true)
+    pub(crate) fn live_candidates(&self, now_ms: u64) -> Vec<Candidate> {
+        let mut live = Vec::new();
+        self.for_each_live(now_ms, |peer| live.push(peer.candidate()));
+        live
     }
 
     /// Boot ids of the entries of a data centre that are present and not
@@ -322,26 +323,21 @@
         data_centre: &str,
         now_ms: u64,
     ) -> Vec<Candidate> {
-        self.live_where(now_ms, |peer| peer.data_centre == data_centre)
+        let mut live = Vec::new();
+        self.for_each_live(now_ms, |peer| {
+            if peer.data_centre == data_centre {
+                live.push(peer.candidate());
+            }
+        });
+        live
     }
 
-    fn live_where(
-        &self,
-        now_ms: u64,
-        is_wanted: impl Fn(&Peer) -> bool,
-    ) -> Vec<Candidate> {
+    /// Calls `visit` with each entry that is present and not stopping.
+    fn for_each_live(&self, now_ms: u64, visit: impl FnMut(&Peer)) {
         let peers = self.lock();
         let counts = PeerCounts::of(&peers, &self.data_centre);
-        let is_live = |peer: &&Peer| {
-            !peer.is_stopping
-                && is_wanted(peer)
-                && counts.is_present(peer, &self.data_centre, now_ms)
-        };
-        let candidate = |peer: &Peer| Candidate {
-            entry: peer.boot_id,
-            capacity: peer.capacity,
-        };
-        peers.values().filter(is_live).map(candidate).collect()
+        let is_live = |p: &&Peer| counts.is_live(p, &self.data_centre, now_ms);
+        peers.values().filter(is_live).for_each(visit);
     }
 
     /// Address to which messages for an entry are sent.
@@ -440,7 +436,6 @@
             received_ms: startup::heard_ms(known.silent_ms, now_ms()),
             data_centre: known.data_centre.clone(),
             feed_port: u16::try_from(known.feed_port).unwrap_or(0),
-            capacity: CapacityClass::from_milli_cores(known.milli_cores),
             milli_cores: known.milli_cores,
             ..Peer::default()
         };
@@ -454,14 +449,10 @@
         let now_ms = now_ms();
         let peers = self.lock();
         let counts = PeerCounts::of(&peers, &self.data_centre);
-        let is_live = |peer: &Peer| {
-            !peer.is_stopping
-                && counts.is_present(peer, &self.data_centre, now_ms)
-        };
         let known = |(address, peer): (&SocketAddr, &Peer)| {
             let address = address.to_string();
             let silent_ms = now_ms.saturating_sub(peer.received_ms);
-            match is_live(peer) {
+            match counts.is_live(peer, &self.data_centre, now_ms) {
                 true => KnownEntry {
                     address,
                     boot_id: peer.boot_id,
@@ -480,7 +471,7 @@
 
     /// Whether another entry has sent a message, or this one has read a list
     /// of the others.
-    pub(crate) fn is_introduced(&self) -> bool {
+    fn is_introduced(&self) -> bool {
         self.is_introduced.load(Relaxed)
     }
 
@@ -505,7 +496,8 @@
         }
     }
 
-    /// Waits for [`PeerTable::is_introduced`].
+    /// Waits until another entry has sent a message, or this one has read a
+    /// list of the others.
     pub(crate) async fn introduced(&self) {
         let introduction = self.introduction.subscribe();
         while !self.is_introduced() {
@@ -534,7 +526,6 @@
         peer.data_centre.clone_from(&state.data_centre);
         peer.feed_port = u16::try_from(state.feed_port).unwrap_or(0);
         peer.milli_cores = state.milli_cores;
-        peer.capacity = CapacityClass::from_milli_cores(state.milli_cores);
         let is_first_report = !std::mem::replace(&mut peer.has_reported, true);
         peer.interconnect_bytes_per_s =
             f64::from(state.crossing_kilobytes_per_s) * 1e3;
@@ -546,8 +537,6 @@
         if is_new_process || is_first_report {
             let name = format!("{}={from}/{}", state.vm, state.boot_id);
             self.found.lock().expect("no holder panics").push(name);
-        }
-        if is_new_process || is_first_report {
             self.lost_ms.lock().expect("no holder panics").remove(&from);
         }
         self.released_lease_number.fetch_max(state.resigned, Relaxed);
--- a/crates/direct/src/placement/lease.rs
+++ b/crates/direct/src/placement/lease.rs
@@ -241,10 +241,12 @@
 /// Whether this entry is among the first for the lease. Entries with more
 /// capacity go first: the planner sends and reads for all others.
 fn is_assigned(core: &Core) -> bool {
-    let live = core.peers.live_candidates().into_iter();
-    let all = live.chain([core.own_candidate()]);
-    let ranked = rendezvous::ranked_by_capacity(all, LEASE_ASSIGNMENT);
-    ranked.iter().take(MAX_CANDIDATES).any(|entry| *entry == core.boot_id)
+    rendezvous::is_assigned_by_capacity(
+        core.own_candidate(),
+        core.peers.live_candidates(now_ms()),
+        LEASE_ASSIGNMENT,
+        MAX_CANDIDATES,
+    )
 }
 
 /// Whether the store has been unreachable for so long that another entry
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -22,8 +22,10 @@
 const REPORT_MESSAGES: u64 = 2;
 /// Time for which a message may wait on slow VMs and links.
 const REPORT_MARGIN_MS: u64 = 300;
-/// Allows for several lost messages where these come often.
+/// Shortest timeout of reported demand. Allows for several lost messages where
+/// these come often.
 const MIN_DEMAND_TIMEOUT_MS: u64 = 3_000;
+/// Shortest timeout of a state that is repeated while it lasts.
 const MIN_REPEAT_TIMEOUT_MS: u64 = 4_000;
 /// Missed messages after which an entry is removed.
 const EXPIRY_MESSAGES: f64 = 12.5;
@@ -73,21 +75,24 @@
     (PLANNER_TIMEOUT_MESSAGES * interval_ms as f64) as u64
 }
 
+/// Longest interval between two messages of an entry to one of its peers.
+fn longest_interval_ms(same: usize, other: usize) -> u64 {
+    let same_ms = PeerScope::SameDataCentre.interval_ms(same);
+    same_ms.max(PeerScope::OtherDataCentre.interval_ms(other))
+}
+
 /// Time within which all entries have received what one of them reports, with
 /// as many peers in its data centre and in others.
 pub fn report_delay_ms(same: usize, other: usize) -> u64 {
-    let same_ms = PeerScope::SameDataCentre.interval_ms(same);
-    let other_ms = PeerScope::OtherDataCentre.interval_ms(other);
-    REPORT_MESSAGES * same_ms.max(other_ms) + REPORT_MARGIN_MS
+    REPORT_MESSAGES * longest_interval_ms(same, other) + REPORT_MARGIN_MS
 }
 
 /// Age up to which what an entry reported of its requests counts, with as many
 /// peers in its data centre and in others. An entry that is cut off or has
 /// ended gets no requests, so this is little more than one interval.
 pub fn demand_timeout_ms(same: usize, other: usize) -> u64 {
-    let same_ms = PeerScope::SameDataCentre.interval_ms(same);
-    let other_ms = PeerScope::OtherDataCentre.interval_ms(other);
-    (same_ms.max(other_ms) + REPORT_MARGIN_MS).max(MIN_DEMAND_TIMEOUT_MS)
+    let renewed_ms = longest_interval_ms(same, other) + REPORT_MARGIN_MS;
+    renewed_ms.max(MIN_DEMAND_TIMEOUT_MS)
 }
 
 /// Age up to which a state counts that an entry repeats while it lasts.
--- a/crates/membership/src/rendezvous.rs
+++ b/crates/membership/src/rendezvous.rs
@@ -61,6 +61,13 @@
     pub capacity: CapacityClass,
 }
 
+impl Candidate {
+    /// Sorts candidates by rank for an assignment.
+    fn rank_key(self, assignment: u64) -> impl Ord {
+        (Reverse(self.capacity), score(self.entry, assignment), self.entry)
+    }
+}
+
 /// Entries by rank for an assignment: those of the highest class first, in the
 /// order of [`ranked`] within a class.
 pub fn ranked_by_capacity(
@@ -68,22 +75,30 @@
     assignment: u64,
 ) -> Vec<u64> {
     let mut ranked: Vec<Candidate> = candidates.into_iter().collect();
-    ranked.sort_unstable_by_key(|c| {
-        (Reverse(c.capacity), score(c.entry, assignment), c.entry)
-    });
+    ranked.sort_unstable_by_key(|c| c.rank_key(assignment));
     ranked.dedup_by_key(|c| c.entry);
     ranked.into_iter().map(|c| c.entry).collect()
 }
 
-/// The entry that ranks first in [`ranked_by_capacity`].
+/// The candidate that ranks first in [`ranked_by_capacity`].
 pub fn first_by_capacity(
     candidates: impl IntoIterator<Item = Candidate>,
     assignment: u64,
-) -> Option<u64> {
-    let first = candidates.into_iter().min_by_key(|c| {
-        (Reverse(c.capacity), score(c.entry, assignment), c.entry)
-    });
-    first.map(|candidate| candidate.entry)
+) -> Option<Candidate> {
+    candidates.into_iter().min_by_key(|c| c.rank_key(assignment))
+}
+
+/// Whether a candidate is among the first `assignees` in
+/// [`ranked_by_capacity`].
+pub fn is_assigned_by_capacity(
+    own: Candidate,
+    others: impl IntoIterator<Item = Candidate>,
+    assignment: u64,
+    assignees: usize,
+) -> bool {
+    let all = others.into_iter().chain([own]);
+    let ranked = ranked_by_capacity(all, assignment);
+    ranked.iter().take(assignees).any(|entry| *entry == own.entry)
 }
 
 fn score(entry: u64, assignment: u64) -> u64 {
