--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -22,7 +22,7 @@
     feed_source::MIN_SHARING_ENTRIES,
     rendezvous::{self, Candidate},
 };
-use chestnutreach_site::StoreVersion;
+use chestnutreach_site::{Configuration, StoreVersion};
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{
@@ -349,7 +349,8 @@
         match self.kind {
             FeedKind::Configuration => {
                 for row in &rows.rows {
-                    apply_configuration(&self.core, row);
+                    let parsed = parse_configuration(row);
+                    apply_configuration(&self.core, row, parsed);
                 }
             }
             FeedKind::Backends => backend_rows::apply_all(&self.core, rows),
@@ -370,16 +371,25 @@
     /// The copy keeps the configuration in force if a change brings an older
     /// one: an entry that starts takes whatever the copy has.
     fn apply_configuration_changes(&self, rows: &Rows) {
-        let is_current = |row: &&Row| !is_older_than_in_force(&self.core, row);
+        let parsed: Vec<Option<ParsedConfiguration>> =
+            rows.rows.iter().map(parse_configuration).collect();
+        let in_force = self.core.configuration();
+        let is_older = |parsed: &Option<ParsedConfiguration>| {
+            let new = parsed.as_ref().and_then(|parsed| parsed.as_ref().ok());
+            let both = new.zip(in_force.as_ref());
+            both.is_some_and(|(new, in_force)| new.version < in_force.version)
+        };
+        let with_parsed = rows.rows.iter().zip(&parsed);
+        let current = with_parsed.filter(|(_, parsed)| !is_older(parsed));
         let current = Rows {
-            rows: rows.rows.iter().filter(is_current).cloned().collect(),
+            rows: current.map(|(row, _)| row.clone()).collect(),
             version: rows.version,
         };
         if !self.feed().apply_changes(&current) {
             return;
         }
-        for row in &rows.rows {
-            apply_configuration(&self.core, row);
+        for (row, parsed) in rows.rows.iter().zip(parsed) {
+            apply_configuration(&self.core, row, parsed);
         }
     }
 
@@ -506,30 +516,30 @@
     BACKENDS_PAUSE * (entries / ENTRIES_PER_PAUSE).clamp(1, MAX_PAUSES)
 }
 
-/// Whether a row holds a configuration with a lower version than the one in
-/// force.
-fn is_older_than_in_force(core: &Core, row: &Row) -> bool {
-    if row.key != KEY || row.is_deleted {
-        return false;
-    }
-    let row = configuration::try_parse(&row.value);
-    let in_force = core.configuration();
-    row.is_ok_and(|row| in_force.is_some_and(|f| row.version < f.version))
+/// A configuration, or what is wrong with it.
+type ParsedConfiguration = Result<Configuration, String>;
+
+/// Parses a row; `None` if the row holds no configuration.
+fn parse_configuration(row: &Row) -> Option<ParsedConfiguration> {
+    let is_configuration = row.key == KEY && !row.is_deleted;
+    is_configuration.then(|| configuration::try_parse(&row.value))
 }
 
-fn apply_configuration(core: &Core, row: &Row) {
-    if row.key != KEY || row.is_deleted {
-        return;
-    }
-    match configuration::try_parse(&row.value) {
-        Ok(new) => {
+fn apply_configuration(
+    core: &Core,
+    row: &Row,
+    parsed: Option<ParsedConfiguration>,
+) {
+    match parsed {
+        Some(Ok(new)) => {
             core.apply_configuration(new, row.version);
         }
-        Err(error) => {
+        Some(Err(error)) => {
             emit(
                 Event::ManifestUnusable,
                 &[("generation", &row.version), ("findings", &error)],
             );
         }
+        None => {}
     }
 }
