An entry whose row the store refused writes it again

Cause: after the store had lost changes, or at a start, an entry wrote its row in the table of entries once. The comment said that a failed write is repeated after the next read, but only the two entries of a data centre that read the table did so; any other stayed unlisted, and entries that all start at once would not have found it there.

Whether the row may be missing is one state now: set by a loss of the store, by a start that nobody greets, and by a read of the table that lacks it; cleared by a write.

--- a/crates/daemon/tests/users_platform/store_copies.rs
+++ b/crates/daemon/tests/users_platform/store_copies.rs
@@ -284,3 +284,33 @@
         }
     });
 }
+
+/// An entry whose row the store has lost writes it again, also if the store
+/// refuses the first attempt.
+#[test]
+fn entries_list_themselves_again_once_the_store_accepts_it() {
+    with_site(&Site::with_shared_feeds(), async |running| {
+        wait_until_shared(running).await;
+        let copy = copy_without(running, ENTRIES);
+        lose_changes(running, copy, AWAY, LATE_REWRITE).await;
+        let entries = running.addresses.len();
+        wait_until("all entries know of the loss", async || {
+            let logs = running.logs();
+            let lines = logs.lines();
+            let known = lines.filter(|line| {
+                line.contains("\"store_history_replaced\"")
+                    && line.contains("\"op\"")
+            });
+            known.count() == entries
+        })
+        .await;
+        running.store.set_fault(StoreFault::Busy);
+        // Longer than the entries wait before they write.
+        Timer::after(Duration::from_millis(1_500)).await;
+        running.store.set_fault(StoreFault::None);
+        wait_until("all entries are listed", async || {
+            running.store.keys(ENTRIES).len() == entries
+        })
+        .await;
+    });
+}
--- a/crates/direct/src/cluster/discovery.rs
+++ b/crates/direct/src/cluster/discovery.rs
@@ -40,7 +40,7 @@
 
 /// Finds the other entries until the process exits.
 pub(crate) async fn run(core: Arc<Core>, sender: Arc<StateSender>) {
-    Discovery { core, sender, is_listed: false, reads: 0, failures: 0 }
+    Discovery { core, sender, must_list: false, reads: 0, failures: 0 }
         .run()
         .await;
 }
@@ -48,8 +48,8 @@
 struct Discovery {
     core: Arc<Core>,
     sender: Arc<StateSender>,
-    /// Whether the table of the store has this entry's row, as far as known.
-    is_listed: bool,
+    /// Whether this entry's row may be missing in the table of the store.
+    must_list: bool,
     /// Lists read so far.
     reads: usize,
     /// Entries that failed in a row.
@@ -63,6 +63,10 @@
         loop {
             let pause = self.read_list().await;
             self.core.peers.record_introduced();
+            let pause = match self.try_list_self().await {
+                true => pause,
+                false => pause.min(STORE_RETRY_PAUSE),
+            };
             let history_changed = async {
                 history_changes.notified().await;
                 true
@@ -73,10 +77,8 @@
             };
             if history_changed.or(pause_ends).await {
                 // The store may have lost the row.
-                self.is_listed = false;
+                self.must_list = true;
                 Timer::after(relisting_delay()).await;
-                // A failed write is repeated after the next read.
-                let _ = self.list_self().await;
             }
         }
     }
@@ -89,7 +91,8 @@
         if self.is_met_before(plan.list_ms).await {
             return;
         }
-        let _ = self.list_self().await;
+        self.must_list = true;
+        self.try_list_self().await;
         self.is_met_before(plan.read_ms).await;
     }
 
@@ -177,16 +180,17 @@
     /// Reads the table of the store, and sends the state to all entries found
     /// there for the first time: they may wait for it.
     async fn read_from_store(&mut self) -> Result<(), StoreError> {
-        if !self.is_listed {
-            self.list_self().await?;
-        }
         let rows = self.core.store.read_table(ENTRIES, STORE_TIMEOUT).await?;
         let own = self.own_address();
         let mut found = Vec::new();
+        self.must_list = true;
         for row in &rows.rows {
             let address = std::str::from_utf8(&row.value)
                 .ok()
                 .and_then(|text| text.parse::<SocketAddr>().ok());
+            if row.key == self.core.settings.vm && address == Some(own) {
+                self.must_list = false;
+            }
             if let Some(address) = address.filter(|a| *a != own)
                 && self.core.peers.add_address(address)
             {
@@ -197,8 +201,11 @@
         Ok(())
     }
 
-    /// Writes this entry's row.
-    async fn list_self(&mut self) -> Result<(), StoreError> {
+    /// Writes this entry's row if it may be missing; false if that failed.
+    async fn try_list_self(&mut self) -> bool {
+        if !self.must_list {
+            return true;
+        }
         let address = self.own_address().to_string();
         let write = self.core.store.write_row(
             ENTRIES,
@@ -207,9 +214,8 @@
             address.as_bytes(),
             STORE_TIMEOUT,
         );
-        write.await?;
-        self.is_listed = true;
-        Ok(())
+        self.must_list = write.await.is_err();
+        !self.must_list
     }
 
     fn own_address(&self) -> SocketAddr {
