One closed port for all tests that need one; a test of readers as a third case

The mend of a port that a test let go of stood twice, in cli and platform, and three more tests in protocol, http and control still let theirs go, with the same race. All call standins::closed_address now. The test that readers fail in two data centres repeated the one of one data centre and is a case of it.

--- a/crates/cli/tests/cli/burn.rs
+++ b/crates/cli/tests/cli/burn.rs
@@ -2,12 +2,13 @@
 
 use std::{fs, sync::Arc, time::Duration};
 
+use chestnutreach_standins::closed_address;
 use chestnutreach_telemetry::{Metrics, OpsState, Readiness, ops, serve_ops};
 use rstest::rstest;
 use serde_json::{Value, json};
 
 use crate::support::{
-    CommandOutput, closed_address, executor, file, listen, manifest, path, run,
+    CommandOutput, executor, file, listen, manifest, path, run,
 };
 
 const SERVICE: &str = "desk-llm";
--- a/crates/cli/tests/cli/control.rs
+++ b/crates/cli/tests/cli/control.rs
@@ -16,11 +16,10 @@
 use chestnutreach_routing::{
     BackendIndex, Candidate, CostBreakdown, ExclusionReason, Explanation,
 };
+use chestnutreach_standins::closed_address;
 use rstest::rstest;
 
-use crate::support::{
-    Platform, closed_address, executor, file, listen, manifest, run,
-};
+use crate::support::{Platform, executor, file, listen, manifest, run};
 
 const REQUEST: &str = "da223fc640200db829a106daa334ee18";
 /// Response of an entry, captured from a run of the demo fleet.
--- a/crates/cli/tests/cli/support.rs
+++ b/crates/cli/tests/cli/support.rs
@@ -17,7 +17,6 @@
 use chestnutreach_emulator::start_executor;
 use chestnutreach_standins::platform::{Faults, serve_objects, serve_table};
 use chestnutreach_telemetry::{Metrics, OpsState, Readiness, serve_ops};
-use rustix::net::{self, AddressFamily, SocketType};
 use serde_json::Value;
 
 /// Exit code and output of a finished run.
@@ -109,18 +108,6 @@
     (listener, address)
 }
 
-/// An address at which nobody listens. Its port stays bound, so that no test
-/// that runs beside gets it.
-pub fn closed_address() -> SocketAddr {
-    let socket =
-        net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
-    net::bind(&socket, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
-    let address = net::getsockname(&socket).unwrap();
-    // Bound until the test process ends.
-    std::mem::forget(socket);
-    SocketAddr::try_from(address).unwrap()
-}
-
 /// Stand-ins of the platform's services.
 pub struct Platform {
     pub table: SocketAddr,
--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -16,6 +16,7 @@
     MAX_FRAME_BYTES, NodeInfo, NodeRole, NodeStatus, PROTOCOL_VERSION,
     PeerStatus, RequestPriority, ServeOptions, serve_control_with,
 };
+use chestnutreach_standins::closed_address;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 const SHORT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -321,9 +322,7 @@
 
 #[test]
 fn a_refused_connection_is_reported_as_unreachable() {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    let address = closed_address();
     let error = block_on(ControlClient::connect(address, TIMEOUT));
     let error = error.err().unwrap();
     assert!(matches!(error, ControlError::Unreachable { .. }), "{error:?}");
--- a/crates/daemon/tests/users_platform/feed_sharing.rs
+++ b/crates/daemon/tests/users_platform/feed_sharing.rs
@@ -127,25 +127,6 @@
     });
 }
 
-#[test]
-fn changes_reach_all_data_centres_when_the_readers_fail() {
-    with_site(&site_of_two_data_centres(), async |running| {
-        wait_until_shared(running).await;
-        let readers = store_readers(running, CONFIGURATION_TABLE).await;
-        for reader in &readers {
-            running.signal(*reader, Signal::STOP);
-        }
-        running.configure(&[KEY, "another"]);
-        let all = 0..running.addresses.len();
-        for entry in all.filter(|entry| !readers.contains(entry)) {
-            wait_until_served(running, entry, "another").await;
-        }
-        for reader in &readers {
-            running.signal(*reader, Signal::CONT);
-        }
-    });
-}
-
 #[test]
 fn each_engine_is_watched_by_two_entries() {
     with_site(&Site::with_shared_feeds(), async |running| {
@@ -164,14 +145,22 @@
 }
 
 struct Case {
+    site: fn() -> Site,
     signal: Signal,
 }
 
 #[rstest::rstest]
-#[case::killed(Case { signal: Signal::KILL })]
-#[case::frozen(Case { signal: Signal::STOP })]
+#[case::killed(Case {
+    site: Site::with_shared_feeds, signal: Signal::KILL,
+})]
+#[case::frozen(Case {
+    site: Site::with_shared_feeds, signal: Signal::STOP,
+})]
+#[case::frozen_in_two_data_centres(Case {
+    site: site_of_two_data_centres, signal: Signal::STOP,
+})]
 fn changes_reach_the_other_entries_when_the_readers_fail(#[case] case: Case) {
-    with_site(&Site::with_shared_feeds(), async |running| {
+    with_site(&(case.site)(), async |running| {
         wait_until_shared(running).await;
         let readers = store_readers(running, CONFIGURATION_TABLE).await;
         for reader in &readers {
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -15,6 +15,7 @@
 
 use async_io::block_on;
 use chestnutreach_http::{Client, ClientError, ClientOptions, ServerOptions};
+use chestnutreach_standins::closed_address;
 use http_types::{Method, Request};
 use rstest::rstest;
 
@@ -210,9 +211,7 @@
 
 #[test]
 fn refused_connection_is_not_sent() {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    let address = closed_address();
     let result = call(&client(address), Method::Post, TEST_TIMEOUT);
     assert!(matches(&Outcome::NotSent, &result), "{result:?}");
     assert!(!result.unwrap_err().may_have_run());
--- a/crates/platform/tests/platform/claims.rs
+++ b/crates/platform/tests/platform/claims.rs
@@ -9,13 +9,14 @@
     ClaimOptions, ClaimStore, TableClient,
     claims::{Claim, ClaimError, ClaimKey, ClaimOutcome, ClaimState},
 };
-use chestnutreach_standins::platform::{Down, FaultSettings};
+use chestnutreach_standins::{
+    closed_address,
+    platform::{Down, FaultSettings},
+};
 use futures_lite::future;
 use rstest::rstest;
 
-use crate::support::{
-    CALL_TIMEOUT, Platform, claim, closed_address, completed, run, until,
-};
+use crate::support::{CALL_TIMEOUT, Platform, claim, completed, run, until};
 
 /// Claim timeout of the tests in which claims are expected to time out.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/platform/tests/platform/services.rs
+++ b/crates/platform/tests/platform/services.rs
@@ -7,13 +7,14 @@
     table::{CallResult, Condition, Row, TableCall, TableError, Write},
     vm_list::{VmEntry, VmState},
 };
-use chestnutreach_standins::platform::{
-    Down, FaultSettings, Faults, serve_vm_list,
+use chestnutreach_standins::{
+    closed_address,
+    platform::{Down, FaultSettings, Faults, serve_vm_list},
 };
 use http_types::Method;
 use rstest::rstest;
 
-use crate::support::{CALL_TIMEOUT, call, closed_address, listen, run};
+use crate::support::{CALL_TIMEOUT, call, listen, run};
 
 fn write(key: &str, value: Option<&str>, condition: Condition) -> Write {
     let value = value.map(|v| v.as_bytes().to_vec());
--- a/crates/platform/tests/platform/support.rs
+++ b/crates/platform/tests/platform/support.rs
@@ -20,7 +20,6 @@
 };
 use futures_lite::future;
 use http_types::{Method, Request};
-use rustix::net::{self, AddressFamily, SocketType};
 use serde::de::DeserializeOwned;
 
 /// Timeout of calls that are expected to succeed.
@@ -110,18 +109,6 @@
     (listener, address)
 }
 
-/// An address at which nobody listens. Its port stays bound, so that no test
-/// that runs beside gets it.
-pub fn closed_address() -> SocketAddr {
-    let socket =
-        net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
-    net::bind(&socket, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
-    let address = net::getsockname(&socket).unwrap();
-    // Bound until the test process ends.
-    std::mem::forget(socket);
-    SocketAddr::try_from(address).unwrap()
-}
-
 pub async fn call(
     address: SocketAddr,
     method: Method,
--- a/crates/protocol/tests/links.rs
+++ b/crates/protocol/tests/links.rs
@@ -15,6 +15,7 @@
     CloseReason, LinkError, LinkEvent, PROTOCOL_VERSION,
     wire::{Heartbeat, HelloRefused, Step, frame::Body},
 };
+use chestnutreach_standins::closed_address;
 use rstest::rstest;
 
 use support::{Node, Peer, TEST_TIMEOUT, hello, listening_peers, options};
@@ -190,9 +191,7 @@
 
 #[test]
 fn refused_connection_is_unreachable() {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    let address = closed_address();
     let node = Node::new(options());
     let outcome = block_on(node.links.connect(address));
     assert!(matches!(outcome, Err(LinkError::Unreachable(..))));
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`plain`] | a plain service that counts how often each call ran |
 //! | [`faults`] | faults that tests inject into a running stand-in |
 //! | [`record`] | the log of calls that a stand-in ran, for tests to check |
+//! | `closed_address` | an address that refuses connections |
 //! | [`standin_thread`] | a stand-in on a thread of the calling process |
 //!
 //! # Example
@@ -20,6 +21,7 @@
 //! assert_eq!(two, four[..2]);
 //! ```
 
+mod closed_address;
 pub mod engine;
 pub mod faults;
 pub mod plain;
@@ -27,3 +29,5 @@
 pub mod record;
 mod serving;
 pub mod standin_thread;
+
+pub use closed_address::closed_address;
