Failed polls of a table, and how a configuration arrived, are logged

A poll that failed at another entry left no line, and of failures at the store only the first of a row had one, without bytes or duration.

feed_poll_failed (at most one a second and table) has source, error, elapsed time and age; a timeout names the bytes that had arrived. configuration_in_force has source, length, time of the poll and time to parse.

--- a/crates/direct/src/cluster/discovery.rs
+++ b/crates/direct/src/cluster/discovery.rs
@@ -157,7 +157,7 @@
 
     async fn read_from_peer(&self, address: SocketAddr) -> bool {
         let client = FeedClient::new(address);
-        let Some(list) = client.fetch_entries(PEER_TIMEOUT).await else {
+        let Ok(list) = client.fetch_entries(PEER_TIMEOUT).await else {
             return false;
         };
         let own = self.own_address();
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -8,6 +8,7 @@
 //! [`FeedSources`]: chestnutreach_membership::FeedSources
 
 use std::{
+    fmt,
     sync::{Arc, atomic::Ordering::Relaxed},
     time::Duration,
 };
@@ -33,7 +34,7 @@
         feed_server::FeedClient,
         feeds::{Feed, STALE_MS, into_rows},
     },
-    core::Core,
+    core::{ConfigurationReceipt, Core},
 };
 
 /// Two failed polls must fit into the time limit for withdrawn keys, which is
@@ -64,6 +65,8 @@
 const OUTAGE_PEER_WAIT: Duration = Duration::from_millis(200);
 /// Minimum time between two log lines about a change to another peer.
 const SOURCE_LOG_INTERVAL_MS: u64 = 5_000;
+/// Minimum time between two log lines about failed polls of a table.
+const FAILURE_LOG_INTERVAL_MS: u64 = 1_000;
 /// Time beyond its wait after which a poll counts as failed.
 const STORE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 /// Shorter than for the store, because peers are in the same data centre.
@@ -110,6 +113,11 @@
     source: FeedSource,
     /// When a change of the source was last logged.
     source_logged_ms: u64,
+    /// When a failed poll was last logged, and how many failed since then.
+    failure_logged_ms: u64,
+    unlogged_failures: u64,
+    /// Time that the last poll took, less the wait that an entry reports.
+    fetch_ms: u64,
 }
 
 impl Follower {
@@ -125,6 +133,9 @@
             applied_version: None,
             source: FeedSource::Store,
             source_logged_ms: 0,
+            failure_logged_ms: 0,
+            unlogged_failures: 0,
+            fetch_ms: 0,
         }
     }
 
@@ -213,6 +224,7 @@
     }
 
     async fn fetch_from_store(&mut self, is_shared: bool) -> FetchOutcome {
+        let sent_ms = now_ms();
         let result = match self.applied_version {
             None => self.read_full_table().await,
             Some(version) => self.poll_store(version, is_shared).await,
@@ -232,6 +244,7 @@
             }
             Err(e) => {
                 self.health.record_failure(&self.core, &e);
+                self.log_failure(&e, sent_ms);
                 self.record_store_failure();
                 FetchOutcome::Failed
             }
@@ -242,6 +255,7 @@
         let sent_ms = now_ms();
         let table = self.feed().table;
         let rows = self.store.read_table(table, READ_TIMEOUT).await?;
+        self.fetch_ms = now_ms() - sent_ms;
         self.record_response(rows.version);
         self.log_lower_version(&rows);
         self.apply_all(&rows);
@@ -268,6 +282,7 @@
         let feed =
             self.store.feed(table, after, wait, wait + STORE_TIMEOUT_MARGIN);
         let rows = feed.await?;
+        self.fetch_ms = now_ms() - sent_ms;
         self.record_response(rows.version);
         self.log_lower_version(&rows);
         self.apply_changes(&rows);
@@ -300,11 +315,20 @@
             OUTAGE_AGE_MS.. => OUTAGE_PEER_WAIT,
         };
         let timeout = wait + PEER_TIMEOUT_MARGIN;
+        let sent_ms = now_ms();
         let fetched =
             client.fetch(table, self.applied_version, wait, timeout).await;
-        let Some(fetched) = fetched else { return FetchOutcome::Failed };
+        let fetched = match fetched {
+            Ok(fetched) => fetched,
+            Err(e) => {
+                self.log_failure(&e, sent_ms);
+                return FetchOutcome::Failed;
+            }
+        };
         self.client = Some(client);
         let response = fetched.answer;
+        self.fetch_ms =
+            (now_ms() - sent_ms).saturating_sub(response.waited_ms);
         let age_ms = response.confirmed_age_ms;
         let confirmed_ms = fetched.created_ms.saturating_sub(age_ms);
         if let Some(recovery_age_ms) = response.back_age_ms {
@@ -350,7 +374,7 @@
             FeedKind::Configuration => {
                 for row in &rows.rows {
                     let parsed = parse_configuration(row);
-                    apply_configuration(&self.core, row, parsed);
+                    self.apply_configuration(row, parsed);
                 }
             }
             FeedKind::Backends => backend_rows::apply_all(&self.core, rows),
@@ -375,7 +399,7 @@
             rows.rows.iter().map(parse_configuration).collect();
         let in_force = self.core.configuration();
         let is_older = |parsed: &Option<ParsedConfiguration>| {
-            let new = parsed.as_ref().and_then(|parsed| parsed.as_ref().ok());
+            let new = parsed.as_ref().and_then(|p| p.result.as_ref().ok());
             let both = new.zip(in_force.as_ref());
             both.is_some_and(|(new, in_force)| new.version < in_force.version)
         };
@@ -389,7 +413,32 @@
             return;
         }
         for (row, parsed) in rows.rows.iter().zip(parsed) {
-            apply_configuration(&self.core, row, parsed);
+            self.apply_configuration(row, parsed);
+        }
+    }
+
+    fn apply_configuration(
+        &self,
+        row: &Row,
+        parsed: Option<ParsedConfiguration>,
+    ) {
+        let Some(ParsedConfiguration { result, parse_ms }) = parsed else {
+            return;
+        };
+        match result {
+            Ok(new) => {
+                let receipt = ConfigurationReceipt {
+                    source: &self.source_name(),
+                    bytes: row.value.len(),
+                    fetch_ms: self.fetch_ms,
+                    parse_ms,
+                };
+                self.core.apply_configuration(new, row.version, &receipt);
+            }
+            Err(error) => emit(
+                Event::ManifestUnusable,
+                &[("generation", &row.version), ("findings", &error)],
+            ),
         }
     }
 
@@ -449,6 +498,28 @@
         );
     }
 
+    /// Logs a failed poll, unless one was logged just before.
+    fn log_failure(&mut self, error: &dyn fmt::Display, sent_ms: u64) {
+        let now_ms = now_ms();
+        if now_ms < self.failure_logged_ms + FAILURE_LOG_INTERVAL_MS {
+            self.unlogged_failures += 1;
+            return;
+        }
+        self.failure_logged_ms = now_ms;
+        let unlogged = std::mem::take(&mut self.unlogged_failures);
+        emit(
+            Event::FeedPollFailed,
+            &[
+                ("table", &self.feed().table),
+                ("source", &self.source_name()),
+                ("error", &error),
+                ("elapsed_ms", &(now_ms - sent_ms)),
+                ("age_ms", &self.feed().age_ms()),
+                ("unlogged", &unlogged),
+            ],
+        );
+    }
+
     /// Logs a read at a version below one that was read before.
     fn log_lower_version(&self, rows: &Rows) {
         let Some(known) = self.feed().version() else { return };
@@ -516,30 +587,19 @@
     BACKENDS_PAUSE * (entries / ENTRIES_PER_PAUSE).clamp(1, MAX_PAUSES)
 }
 
-/// A configuration, or what is wrong with it.
-type ParsedConfiguration = Result<Configuration, String>;
+/// A row with a configuration, parsed.
+struct ParsedConfiguration {
+    /// The configuration, or what is wrong with it.
+    result: Result<Configuration, String>,
+    parse_ms: u64,
+}
 
 /// Parses a row; `None` if the row holds no configuration.
 fn parse_configuration(row: &Row) -> Option<ParsedConfiguration> {
     let is_configuration = row.key == KEY && !row.is_deleted;
-    is_configuration.then(|| configuration::try_parse(&row.value))
-}
-
-fn apply_configuration(
-    core: &Core,
-    row: &Row,
-    parsed: Option<ParsedConfiguration>,
-) {
-    match parsed {
-        Some(Ok(new)) => {
-            core.apply_configuration(new, row.version);
-        }
-        Some(Err(error)) => {
-            emit(
-                Event::ManifestUnusable,
-                &[("generation", &row.version), ("findings", &error)],
-            );
-        }
-        None => {}
-    }
+    is_configuration.then(|| {
+        let begun_ms = now_ms();
+        let result = configuration::try_parse(&row.value);
+        ParsedConfiguration { result, parse_ms: now_ms() - begun_ms }
+    })
 }
--- a/crates/direct/src/cluster/feed_server.rs
+++ b/crates/direct/src/cluster/feed_server.rs
@@ -7,6 +7,7 @@
 //! era is era 0. `GET /entries` returns the entries that this one knows.
 
 use std::{
+    fmt,
     net::{SocketAddr, TcpListener},
     sync::Arc,
     time::Duration,
@@ -14,14 +15,14 @@
 
 use async_io::{Async, Timer};
 use chestnutreach_http::{
-    Client, ClientOptions, ReceivedRequest, Response, ServerOptions,
-    serve_connection,
+    Client, ClientError, ClientOptions, ReceivedRequest, Response,
+    ServerOptions, serve_connection,
 };
 use chestnutreach_protocol::peers::{EntryList, FeedAnswer};
 use chestnutreach_site::StoreVersion;
 use chestnutreach_telemetry::Port;
 use futures_lite::FutureExt as _;
-use prost::Message as _;
+use prost::{DecodeError, Message as _};
 
 use crate::{clock::now_ms, cluster::feeds::Feed, core::Core};
 
@@ -128,6 +129,27 @@
     }
 }
 
+/// Why another entry has no response.
+#[derive(Debug)]
+pub(crate) enum FetchError {
+    Client(ClientError),
+    /// Status other than 200: the entry has no copy yet.
+    Status(u16),
+    Malformed(DecodeError),
+}
+
+impl fmt::Display for FetchError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FetchError::Client(e) => e.fmt(f),
+            FetchError::Status(status) => {
+                write!(f, "the entry responded with status {status}")
+            }
+            FetchError::Malformed(e) => write!(f, "malformed response: {e}"),
+        }
+    }
+}
+
 /// Response of another entry.
 pub(crate) struct FetchedFeed {
     pub(crate) answer: FeedAnswer,
@@ -157,13 +179,23 @@
     pub(crate) async fn fetch_entries(
         &self,
         timeout: Duration,
-    ) -> Option<EntryList> {
-        let request = self.client.get(ENTRIES_PATH).ok()?;
+    ) -> Result<EntryList, FetchError> {
+        let body = self.get(ENTRIES_PATH, timeout).await?;
+        EntryList::decode(body.as_slice()).map_err(FetchError::Malformed)
+    }
+
+    /// Body of a response with status 200.
+    async fn get(
+        &self,
+        target: &str,
+        timeout: Duration,
+    ) -> Result<Vec<u8>, FetchError> {
+        let request = self.client.get(target).expect("an absolute path");
         let sent = self.client.send(request, timeout).await;
-        let (response, body) = sent.ok()?;
+        let (response, body) = sent.map_err(FetchError::Client)?;
         match u16::from(response.status()) {
-            200 => EntryList::decode(body.as_slice()).ok(),
-            _ => None,
+            200 => Ok(body),
+            status => Err(FetchError::Status(status)),
         }
     }
 
@@ -175,7 +207,7 @@
         after: Option<StoreVersion>,
         wait: Duration,
         timeout: Duration,
-    ) -> Option<FetchedFeed> {
+    ) -> Result<FetchedFeed, FetchError> {
         let sent_ms = now_ms();
         let target = match after {
             Some(after) => {
@@ -187,16 +219,12 @@
             }
             None => format!("/feed/{table}?wait-ms={}", wait.as_millis()),
         };
-        let request = self.client.get(&target).ok()?;
-        let sent = self.client.send(request, timeout).await;
-        let (response, body) = sent.ok()?;
-        if u16::from(response.status()) != 200 {
-            return None;
-        }
-        let answer = FeedAnswer::decode(body.as_slice()).ok()?;
+        let body = self.get(&target, timeout).await?;
+        let answer = FeedAnswer::decode(body.as_slice());
+        let answer = answer.map_err(FetchError::Malformed)?;
         // The server held the request for `waited_ms`; the network delay of
         // request and response is not known.
         let created_ms = (sent_ms + answer.waited_ms).min(now_ms());
-        Some(FetchedFeed { answer, created_ms })
+        Ok(FetchedFeed { answer, created_ms })
     }
 }
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -113,6 +113,16 @@
     pub(crate) store_failing_since_ms: AtomicU64,
 }
 
+/// How a configuration arrived.
+pub(crate) struct ConfigurationReceipt<'a> {
+    /// `store`, or the boot id of an entry.
+    pub(crate) source: &'a str,
+    pub(crate) bytes: usize,
+    /// Time of the poll, less the wait that an entry reports.
+    pub(crate) fetch_ms: u64,
+    pub(crate) parse_ms: u64,
+}
+
 impl Core {
     pub(crate) fn new(
         settings: NodeSettings,
@@ -184,6 +194,7 @@
         &self,
         new: Configuration,
         row_version: StoreVersion,
+        receipt: &ConfigurationReceipt<'_>,
     ) -> bool {
         let mut row_in_force =
             self.configuration_row.lock().expect("no holder panics");
@@ -197,7 +208,7 @@
             return false;
         }
         *row_in_force = row_version;
-        log_configuration(&new, row_version);
+        log_configuration(&new, row_version, receipt);
         self.metrics.manifest_generation.set(new.version as i64);
         self.configuration.store(Some(Arc::new(new)));
         self.readiness.clear(NEEDS_CONFIGURATION);
@@ -456,7 +467,11 @@
     );
 }
 
-fn log_configuration(new: &Configuration, row_version: StoreVersion) {
+fn log_configuration(
+    new: &Configuration,
+    row_version: StoreVersion,
+    receipt: &ConfigurationReceipt<'_>,
+) {
     emit(
         Event::ConfigurationInForce,
         &[
@@ -464,6 +479,10 @@
             ("era", &row_version.era()),
             ("row_version", &row_version.number()),
             ("findings", &new.findings.len()),
+            ("source", &receipt.source),
+            ("bytes", &receipt.bytes),
+            ("fetch_ms", &receipt.fetch_ms),
+            ("parse_ms", &receipt.parse_ms),
         ],
     );
     for finding in &new.findings {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -55,6 +55,8 @@
         address: SocketAddr,
         /// Timeout of the call, in milliseconds.
         limit_ms: u64,
+        /// Bytes of the response that had arrived.
+        received_bytes: u64,
     },
     /// The response body is longer than the limit.
     TooLong {
@@ -70,6 +72,14 @@
     pub fn may_have_run(&self) -> bool {
         !matches!(self, ClientError::NotSent { .. })
     }
+
+    /// Adds to a timeout how much of the response had arrived.
+    fn with_received(mut self, bytes: u64) -> ClientError {
+        if let ClientError::Timeout { received_bytes, .. } = &mut self {
+            *received_bytes = bytes;
+        }
+        self
+    }
 }
 
 impl fmt::Display for ClientError {
@@ -81,9 +91,16 @@
             ClientError::Lost { address, detail } => {
                 write!(f, "{address} gave no whole answer: {detail}")
             }
-            ClientError::Timeout { address, limit_ms } => {
+            ClientError::Timeout { address, limit_ms, received_bytes: 0 } => {
                 write!(f, "{address} gave no answer within {limit_ms} ms")
             }
+            ClientError::Timeout { address, limit_ms, received_bytes } => {
+                write!(
+                    f,
+                    "{address} sent only {received_bytes} bytes of its answer \
+                     within {limit_ms} ms"
+                )
+            }
             ClientError::TooLong { address, limit_bytes } => write!(
                 f,
                 "the answer of {address} is longer than {limit_bytes} bytes"
@@ -225,7 +242,8 @@
         };
         let body = self.read_body(&mut reader, method, &info);
         let body = body.or(self.time_limit(body_deadline, body_timeout));
-        let body = body.await?;
+        let body = body.await;
+        let body = body.map_err(|e| e.with_received(reader.received()))?;
         let response = self.decode_head(head).await?;
         // Surplus bytes would be read as the response to the next request.
         if !info.wants_close && !reader.has_unread() {
@@ -242,7 +260,8 @@
     ) -> Result<T, ClientError> {
         Timer::at(deadline).await;
         let limit_ms = timeout.as_millis() as u64;
-        Err(ClientError::Timeout { address: self.address, limit_ms })
+        let (address, received_bytes) = (self.address, 0);
+        Err(ClientError::Timeout { address, limit_ms, received_bytes })
     }
 
     /// The URL of a target ("/path?query") on the server.
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -65,6 +65,8 @@
     /// Bytes of `buffer` that were consumed.
     consumed: usize,
     chunk: Vec<u8>,
+    /// Bytes that were read from the socket.
+    received: u64,
     /// Whether the last read emptied the socket's receive buffer.
     is_drained: bool,
     max_head_bytes: usize,
@@ -77,6 +79,7 @@
             buffer: Vec::new(),
             consumed: 0,
             chunk: vec![0; READ_BYTES],
+            received: 0,
             is_drained: false,
             max_head_bytes: MAX_HEAD_BYTES,
         }
@@ -87,6 +90,11 @@
         self.max_head_bytes = limit;
     }
 
+    /// Bytes that were read from the socket.
+    pub(crate) fn received(&self) -> u64 {
+        self.received
+    }
+
     /// Whether the buffer holds bytes beyond the messages read so far.
     pub(crate) fn has_unread(&self) -> bool {
         !self.unread().is_empty()
@@ -101,6 +109,7 @@
             self.stream.readable().await?;
         }
         let count = self.stream.read(&mut self.chunk).await?;
+        self.received += count as u64;
         self.is_drained = count < self.chunk.len();
         self.buffer.extend_from_slice(&self.chunk[..count]);
         Ok(count)
--- a/crates/side/src/backend.rs
+++ b/crates/side/src/backend.rs
@@ -414,7 +414,11 @@
     }
     let limit_ms = PROBE_INTERVAL.as_millis() as u64 * u64::from(failures) * 2;
     let address = engine.address();
-    Err(EngineError::Timeout(ClientError::Timeout { address, limit_ms }))
+    Err(EngineError::Timeout(ClientError::Timeout {
+        address,
+        limit_ms,
+        received_bytes: 0,
+    }))
 }
 
 /// Result of a health check on an engine.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -247,7 +247,8 @@
         ["backend", "slowness", "age_ms"],
         "A backend server reported another pace.";
     ConfigurationInForce = 912, "configuration_in_force", Info,
-        ["version", "era", "row_version", "findings"],
+        ["version", "era", "row_version", "findings", "source", "bytes",
+         "fetch_ms", "parse_ms"],
         "A new configuration is in force here.";
     ConfigurationFinding = 913, "configuration_finding", Error,
         ["version", "place", "message"],
@@ -363,6 +364,9 @@
     BackendsChanged = 946, "backends_changed", Info,
         ["row_version", "rows", "unlogged"],
         "Many rows of the list of backend servers changed in one read.";
+    FeedPollFailed = 947, "feed_poll_failed", Warn,
+        ["table", "source", "error", "elapsed_ms", "age_ms", "unlogged"],
+        "A poll of a table brought nothing.";
 }
 
 impl Event {
