Tests: a configuration larger than the time limits never arrives (red)

- a_change_of_a_large_configuration_reaches_entries_with_small_links, on the virtual clock: 5,600 routes on links of 20 Mbit/s without a large VM, and twice as many.

The emulator learns slow links and configurations with many routes.

--- a/crates/emulator/src/link.rs
+++ b/crates/emulator/src/link.rs
@@ -13,6 +13,8 @@
 pub enum LinkFault {
     /// All bytes are delayed by this time.
     Delayed(Duration),
+    /// Each connection has so many bytes a second.
+    Narrow(u64),
     /// Open connections are reset.
     Reset,
     /// Open connections drop all bytes from then on; new connections work.
@@ -29,6 +31,8 @@
         match (self, is_on) {
             (LinkFault::Delayed(delay), true) => relay.set_delay(delay),
             (LinkFault::Delayed(_), false) => relay.set_delay(Duration::ZERO),
+            (LinkFault::Narrow(rate), true) => relay.set_rate(Some(rate)),
+            (LinkFault::Narrow(_), false) => relay.set_rate(None),
             (LinkFault::Reset, true) => relay.reset(),
             (LinkFault::Silent, true) => relay.blackhole(),
             (LinkFault::Reset | LinkFault::Silent, false) => {}
--- a/crates/emulator/src/running.rs
+++ b/crates/emulator/src/running.rs
@@ -21,6 +21,7 @@
     engines,
     entries::{Entries, get},
     experiment::Fault,
+    link::LinkFault,
     load::{self, Load},
     report::Report,
     site::{KEY, Site},
@@ -184,6 +185,13 @@
         }
     }
 
+    /// Starts or ends a fault of the links between all entries and the store.
+    pub fn set_store_links(&self, fault: LinkFault, is_on: bool) {
+        for link in &self.store_links {
+            fault.set(link, is_on);
+        }
+    }
+
     fn record_stop(&self, entry: usize) {
         let mut stops = self.stops.lock().expect("no holder panics");
         stops.push((self.addresses[entry], Instant::now()));
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -61,6 +61,8 @@
     pub stream_timeout_ms: u64,
     /// Whether connections to the store and to servers go through relays.
     pub has_links: bool,
+    /// Number of routes that no request takes.
+    pub extra_routes: usize,
     /// Whether there are urgent streams, and slots for only a few streams.
     pub has_competition: bool,
     /// Time after its revocation for which a key may be accepted, in
@@ -89,6 +91,7 @@
             retry_slack: 200.0,
             stream_timeout_ms: 15_000,
             has_links: false,
+            extra_routes: 0,
             has_competition: false,
             revoke_ms: 5_000,
             first_cpu_share: None,
@@ -167,6 +170,10 @@
         if self.has_competition {
             routes.push(urgent);
         }
+        routes.extend((0..self.extra_routes).map(|at| {
+            let (name, prefix) = (format!("r-{at}"), format!("/extra-{at}/"));
+            route(&name, &prefix, "idempotent", PLAIN_SERVICE)
+        }));
         json!({
             "version": version,
             "routes": routes,
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -10,6 +10,7 @@
 //! - Partition: the bytes of one direction are buffered for all connections,
 //!   including new ones, and forwarded when the partition ends.
 //! - Delay: all bytes are forwarded after a delay.
+//! - Rate: the bytes of each connection are forwarded at a limited rate.
 
 use std::{
     io::{self, Read as _, Write as _},
@@ -54,6 +55,8 @@
 struct Shared {
     target: SocketAddr,
     delay_ms: AtomicU64,
+    /// Bytes per second of a connection and direction; 0 for no limit.
+    rate: AtomicU64,
     is_partitioned_to_target: AtomicBool,
     is_partitioned_to_caller: AtomicBool,
     is_stopped: AtomicBool,
@@ -100,6 +103,7 @@
         let shared = Arc::new(Shared {
             target,
             delay_ms: AtomicU64::new(0),
+            rate: AtomicU64::new(0),
             is_partitioned_to_target: AtomicBool::new(false),
             is_partitioned_to_caller: AtomicBool::new(false),
             is_stopped: AtomicBool::new(false),
@@ -150,6 +154,11 @@
             .store(is_partitioned, Ordering::Release);
     }
 
+    /// Limits the rate of each connection and direction, in bytes per second.
+    pub fn set_rate(&self, bytes_per_s: Option<u64>) {
+        self.shared.rate.store(bytes_per_s.unwrap_or(0), Ordering::Release);
+    }
+
     /// Sets the delay of all bytes, in both directions.
     pub fn set_delay(&self, delay: Duration) {
         let delay_ms = delay.as_millis() as u64;
@@ -216,6 +225,14 @@
         Ok(())
     }
 
+    /// Time that so many bytes take at the limited rate.
+    fn transfer_time(&self, bytes: usize) -> Duration {
+        match self.rate.load(Ordering::Acquire) {
+            0 => Duration::ZERO,
+            rate => Duration::from_secs(1).mul_f64(bytes as f64 / rate as f64),
+        }
+    }
+
     /// Forwards bytes in one direction until either end closes the connection.
     fn forward(&self, connection: &Connection, direction: Direction) {
         let (from, mut to) = match direction {
@@ -238,6 +255,7 @@
             }
             let delay_ms = self.delay_ms.load(Ordering::Acquire);
             thread::sleep(Duration::from_millis(delay_ms));
+            thread::sleep(self.transfer_time(buffered.len()));
             if !connection.is_blackholed.load(Ordering::Acquire)
                 && to.write_all(&buffered).is_err()
             {
--- a/crates/membership/tests/feed_source.rs
+++ b/crates/membership/tests/feed_source.rs
@@ -54,6 +54,15 @@
     StoreUnavailable(u64),
     /// All rows change, which makes a response of so many bytes.
     WholeTableChanges(u64),
+    /// One row changes, which makes responses of these lengths.
+    LongRowChanges(ResponseBytes),
+}
+
+/// Lengths of the responses of the store, and of an entry.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct ResponseBytes {
+    of_store: u64,
+    of_entry: u64,
 }
 
 impl Fault {
@@ -68,16 +77,21 @@
     /// Version of the table at the store.
     fn version(self, now_ms: u64) -> u64 {
         match self {
-            Fault::WholeTableChanges(_) => u64::from(now_ms >= FAULT_AT_MS),
+            Fault::WholeTableChanges(_) | Fault::LongRowChanges(_) => {
+                u64::from(now_ms >= FAULT_AT_MS)
+            }
             _ => 0,
         }
     }
 
-    /// Length of a response with the change.
-    fn change_bytes(self) -> u64 {
+    /// Lengths of the responses with the change.
+    fn change_bytes(self) -> ResponseBytes {
         match self {
-            Fault::WholeTableChanges(bytes) => bytes,
-            _ => 0,
+            Fault::WholeTableChanges(of_entry) => {
+                ResponseBytes { of_store: 0, of_entry }
+            }
+            Fault::LongRowChanges(bytes) => bytes,
+            _ => ResponseBytes::default(),
         }
     }
 }
@@ -92,9 +106,8 @@
     changed_ms: Option<u64>,
     /// When it first had data that the store confirmed after the fault.
     recovered_ms: Option<u64>,
-    /// Bytes per millisecond, and the time until which they are taken.
+    /// Bytes per millisecond.
     link: u64,
-    link_busy_until_ms: u64,
     call: Option<Call>,
     next_ms: u64,
     store_calls: u64,
@@ -114,6 +127,8 @@
     source_confirmed_ms: u64,
     /// The response: time of its confirmation, and version.
     response: Option<(u64, u64)>,
+    /// Bytes of the response that have not arrived.
+    missing_bytes: f64,
 }
 
 /// Numbers of large and small VMs.
@@ -156,7 +171,6 @@
                 changed_ms: None,
                 recovered_ms: None,
                 link: if is_large { LARGE_LINK } else { SMALL_LINK },
-                link_busy_until_ms: 0,
                 call: None,
                 next_ms: rng.u64(..500),
                 store_calls: 0,
@@ -275,6 +289,7 @@
             is_answered: !is_ok,
             source_confirmed_ms,
             response: None,
+            missing_bytes: 0.0,
         });
     }
 
@@ -288,7 +303,11 @@
                 let version = self.fault.version(now_ms);
                 if is_over || version > known_version {
                     call.response = Some((now_ms, version));
-                    call.until_ms = now_ms;
+                    if version > known_version {
+                        let bytes = self.fault.change_bytes().of_store;
+                        call.missing_bytes = bytes as f64;
+                    }
+                    call.until_ms += STORE_TIMEOUT_SLACK_MS;
                     call.is_answered = true;
                 }
             }
@@ -304,7 +323,7 @@
                     return;
                 }
                 let asked_at = self.by_id[&asked];
-                let source = &mut self.entries[asked_at];
+                let source = &self.entries[asked_at];
                 let has_change = source.version > known_version;
                 let has_news = source.confirmed_ms > call.source_confirmed_ms;
                 if !(is_over || has_change || has_news) {
@@ -312,16 +331,10 @@
                 }
                 call.is_answered = true;
                 call.response = Some((source.confirmed_ms, source.version));
-                call.until_ms = now_ms;
+                call.until_ms = now_ms + BODY_TIMEOUT_MS;
                 if has_change {
-                    let begin_ms = now_ms.max(source.link_busy_until_ms);
-                    let bytes = self.fault.change_bytes();
-                    source.link_busy_until_ms = begin_ms + bytes / source.link;
-                    call.until_ms = source.link_busy_until_ms;
-                    if call.until_ms > now_ms + BODY_TIMEOUT_MS {
-                        call.until_ms = now_ms + BODY_TIMEOUT_MS;
-                        call.response = None;
-                    }
+                    let bytes = self.fault.change_bytes().of_entry;
+                    call.missing_bytes = bytes as f64;
                 }
             }
         }
@@ -331,7 +344,8 @@
         let entry = &mut self.entries[at];
         entry.call = None;
         entry.next_ms = now_ms;
-        let outcome = match call.response {
+        let is_complete = call.missing_bytes <= 0.0;
+        let outcome = match call.response.filter(|_| is_complete) {
             None => FetchOutcome::Failed,
             Some((confirmed_ms, version)) => {
                 entry.confirmed_ms = entry.confirmed_ms.max(confirmed_ms);
@@ -367,13 +381,41 @@
             self.answer(at, &mut call, now_ms);
         }
         self.entries[at].call = Some(call);
-        if call.is_answered && call.until_ms <= now_ms {
+        let is_complete = call.response.is_some() && call.missing_bytes <= 0.0;
+        if call.is_answered && (is_complete || call.until_ms <= now_ms) {
             self.end_call(at, call, now_ms);
         }
     }
 
+    /// Moves what the links carry in a millisecond. Transfers of an entry
+    /// share its link.
+    fn transfer(&mut self) {
+        let source = |call: &Call| match call.source {
+            FeedSource::Entry(entry) if call.missing_bytes > 0.0 => {
+                Some(entry)
+            }
+            _ => None,
+        };
+        let calls = self.entries.iter().filter_map(|e| e.call.as_ref());
+        let mut transfers: BTreeMap<u64, u64> = BTreeMap::new();
+        for entry in calls.filter_map(source) {
+            *transfers.entry(entry).or_default() += 1;
+        }
+        for at in 0..self.entries.len() {
+            let own_link = self.entries[at].link;
+            let Some(call) = &self.entries[at].call else { continue };
+            let rate = source(call).map_or(own_link, |entry| {
+                let link = self.entries[self.by_id[&entry]].link;
+                own_link.min(link / transfers[&entry])
+            });
+            let call = self.entries[at].call.as_mut().expect("as above");
+            call.missing_bytes = (call.missing_bytes - rate as f64).max(0.0);
+        }
+    }
+
     fn run(mut self) -> Simulation {
         for now_ms in 0..LENGTH_MS {
+            self.transfer();
             for at in 0..self.entries.len() {
                 let boot_id = self.entries[at].candidate.entry;
                 if self.has_exited(boot_id, now_ms)
@@ -404,7 +446,8 @@
         let affected: BTreeSet<u64> = match self.fault {
             Fault::None
             | Fault::StoreUnavailable(_)
-            | Fault::WholeTableChanges(_) => BTreeSet::new(),
+            | Fault::WholeTableChanges(_)
+            | Fault::LongRowChanges(_) => BTreeSet::new(),
             Fault::Exited(count) | Fault::Paused(count, _) => {
                 self.ranked[..count].iter().copied().collect()
             }
@@ -721,3 +764,74 @@
     }
     assert_eq!(sources.choose(&feed_peers, FEED, 9_100), case.expected);
 }
+
+/// Configurations like those of an operator, one route a line.
+struct Routes {
+    count: usize,
+    added: usize,
+    changed: usize,
+}
+
+impl Routes {
+    /// The configuration before and after the change.
+    fn configurations(&self) -> (Vec<u8>, Vec<u8>) {
+        let mut rng = fastrand::Rng::with_seed(7);
+        let mut name = |length| -> String {
+            (0..length).map(|_| rng.lowercase()).collect()
+        };
+        let mut route = || {
+            format!(
+                "{{\"name\":\"r-{}\",\"hostname\":\"{}.example\",\
+                 \"prefix\":\"/{}/\",\"kind\":\"idempotent\",\
+                 \"timeout-ms\":800,\"target-latency-ms\":150,\
+                 \"priority\":2,\"service\":\"catalogue-app\",\
+                 \"max-attempts\":2,\"public\":false}}",
+                name(7),
+                name(6),
+                name(8)
+            )
+        };
+        let mut routes: Vec<String> =
+            (0..self.count).map(|_| route()).collect();
+        let before = routes.join(",").into_bytes();
+        for at in 0..self.changed {
+            routes[at * self.count / self.changed] = route();
+        }
+        routes.extend((0..self.added).map(|_| route()));
+        (before, routes.join(",").into_bytes())
+    }
+
+    /// Lengths of the responses with the change.
+    fn response_bytes(&self) -> ResponseBytes {
+        let (_, after) = self.configurations();
+        let length = after.len() as u64;
+        // The store sends base64.
+        ResponseBytes { of_store: length * 4 / 3, of_entry: length }
+    }
+}
+
+/// Entries of a data centre without a large VM.
+const FEW_SMALL: Vms = Vms { large: 0, small: 14 };
+const MANY_SMALL: Vms = Vms { large: 0, small: 200 };
+
+/// A change is in force everywhere in time, however small the links and
+/// however large the configuration is beside what changed.
+#[rstest]
+#[case::one_route(Routes { count: 5_600, added: 0, changed: 1 })]
+#[case::many_routes_more(Routes { count: 4_200, added: 1_400, changed: 0 })]
+#[case::one_route_of_twice_as_many(Routes {
+    count: 11_200, added: 0, changed: 1,
+})]
+fn a_change_of_a_large_configuration_reaches_entries_with_small_links(
+    #[case] routes: Routes,
+    #[values(FEW_SMALL, MANY_SMALL, OF_437)] vms: Vms,
+) {
+    let fault = Fault::LongRowChanges(routes.response_bytes());
+    for seed in 0..3 {
+        let simulation = Simulation::new(fault, vms, seed).run();
+        let times = simulation.change_times_ms();
+        let (median, last) = (times[times.len() / 2], times[times.len() - 1]);
+        println!("{seed}: {median} ms, {last} ms");
+        assert!(last <= MAX_APPLY_MS, "{seed}: {last} ms");
+    }
+}
