A response that keeps arriving is not cut off

Callers saw: a configuration acknowledged by the store was not in force at some entries for nine seconds and more; they served by the one before, and refused keys in between because their copy was not confirmed.

The limit does not depend on the length. The age of a copy counts from before the request, as it did, so a slow transfer still ends in refused keys and not in old ones.

Client test only_a_pause_ends_a_response_with_a_stall_timeout.

--- a/crates/daemon/tests/users_platform/large_configuration.rs
+++ b/crates/daemon/tests/users_platform/large_configuration.rs
@@ -1,8 +1,6 @@
 //! Configurations that take longer to receive than a poll of the store may
 //! take.
 
-use std::time::Duration;
-
 use chestnutreach_emulator::{
     link::LinkFault,
     running::RunningSite,
--- a/crates/direct/src/cluster/feed_server.rs
+++ b/crates/direct/src/cluster/feed_server.rs
@@ -34,9 +34,9 @@
 /// or ask around, and for old connections that are not closed yet.
 const MAX_CONNECTIONS: usize = 256;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Once a response has begun, the other entry is alive, and a slow link may
-/// take this long for a whole table.
-const BODY_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Longest pause in a response. A packet that is lost twice in a row is sent
+/// again after 0.6 s.
+const STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A configuration with 1,600 client accounts is far smaller.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -166,7 +166,7 @@
     pub(crate) fn new(address: SocketAddr) -> FeedClient {
         let options = ClientOptions::new()
             .connect_timeout(CONNECT_TIMEOUT)
-            .body_timeout(BODY_TIMEOUT)
+            .stall_timeout(STALL_TIMEOUT)
             .max_response_bytes(MAX_RESPONSE_BYTES);
         FeedClient { client: Client::new(address, options) }
     }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -53,7 +53,7 @@
     Timeout {
         /// Address of the server.
         address: SocketAddr,
-        /// Timeout of the call, in milliseconds.
+        /// Timeout of the call, or of a pause in the body, in milliseconds.
         limit_ms: u64,
         /// Bytes of the response that had arrived.
         received_bytes: u64,
@@ -97,8 +97,8 @@
             ClientError::Timeout { address, limit_ms, received_bytes } => {
                 write!(
                     f,
-                    "{address} sent only {received_bytes} bytes of its answer \
-                     within {limit_ms} ms"
+                    "{address} sent only {received_bytes} bytes of its answer, \
+                     and then none within {limit_ms} ms"
                 )
             }
             ClientError::TooLong { address, limit_bytes } => write!(
@@ -124,7 +124,7 @@
     connect_timeout: Duration,
     max_response_bytes: usize,
     idle_timeout: Duration,
-    body_timeout: Option<Duration>,
+    stall_timeout: Option<Duration>,
 }
 
 impl Default for ClientOptions {
@@ -133,7 +133,7 @@
             connect_timeout: Duration::from_millis(500),
             max_response_bytes: 64 << 20,
             idle_timeout: Duration::from_secs(30),
-            body_timeout: None,
+            stall_timeout: None,
         }
     }
 }
@@ -162,10 +162,11 @@
         self
     }
 
-    /// How long the body may take once the head has arrived. Without this
-    /// limit, the timeout of the call holds for head and body together.
-    pub fn body_timeout(mut self, timeout: Duration) -> ClientOptions {
-        self.body_timeout = Some(timeout);
+    /// How long a body may pause. With this limit, the timeout of a call holds
+    /// for the head only, so that a body of any length can cross a slow link;
+    /// else for head and body together.
+    pub fn stall_timeout(mut self, timeout: Duration) -> ClientOptions {
+        self.stall_timeout = Some(timeout);
         self
     }
 }
@@ -236,13 +237,12 @@
         let began = self.begin(stream.clone(), request);
         let began = began.or(self.time_limit(deadline, timeout));
         let (mut reader, head, info) = began.await?;
-        let (body_deadline, body_timeout) = match self.options.body_timeout {
-            Some(limit) => (Instant::now() + limit, limit),
-            None => (deadline, timeout),
-        };
+        reader.set_stall_timeout(self.options.stall_timeout);
         let body = self.read_body(&mut reader, method, &info);
-        let body = body.or(self.time_limit(body_deadline, body_timeout));
-        let body = body.await;
+        let body = match self.options.stall_timeout {
+            Some(_) => body.await,
+            None => body.or(self.time_limit(deadline, timeout)).await,
+        };
         let body = body.map_err(|e| e.with_received(reader.received()))?;
         let response = self.decode_head(head).await?;
         // Surplus bytes would be read as the response to the next request.
@@ -380,6 +380,11 @@
             MessageError::BodyTooLong(limit_bytes) => {
                 ClientError::TooLong { address: self.address, limit_bytes }
             }
+            MessageError::Stalled(limit) => ClientError::Timeout {
+                address: self.address,
+                limit_ms: limit.as_millis() as u64,
+                received_bytes: 0,
+            },
             _ => self.lost(&e.message()),
         }
     }
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -5,9 +5,10 @@
 //! a connection that closes before the final empty line as the end of the
 //! body, and loses the bytes after the body.
 
-use std::io;
+use std::{io, time::Duration};
 
-use futures_lite::AsyncReadExt as _;
+use async_io::Timer;
+use futures_lite::{AsyncReadExt as _, FutureExt as _};
 
 use crate::{head::MAX_HEAD_BYTES, stream::SharedStream};
 
@@ -33,6 +34,8 @@
     BodyTooLong(usize),
     /// The chunks are malformed.
     BadChunk,
+    /// No byte arrived within this time.
+    Stalled(Duration),
 }
 
 impl From<io::Error> for MessageError {
@@ -54,6 +57,9 @@
                 format!("the body is longer than {limit} bytes")
             }
             MessageError::BadChunk => "the chunks are malformed".to_owned(),
+            MessageError::Stalled(limit) => {
+                format!("no byte arrived within {} ms", limit.as_millis())
+            }
         }
     }
 }
@@ -70,6 +76,7 @@
     /// Whether the last read emptied the socket's receive buffer.
     is_drained: bool,
     max_head_bytes: usize,
+    stall_timeout: Option<Duration>,
 }
 
 impl MessageReader {
@@ -82,6 +89,7 @@
             received: 0,
             is_drained: false,
             max_head_bytes: MAX_HEAD_BYTES,
+            stall_timeout: None,
         }
     }
 
@@ -90,6 +98,11 @@
         self.max_head_bytes = limit;
     }
 
+    /// Sets how long a read from the socket may take within a message.
+    pub(crate) fn set_stall_timeout(&mut self, limit: Option<Duration>) {
+        self.stall_timeout = limit;
+    }
+
     /// Bytes that were read from the socket.
     pub(crate) fn received(&self) -> u64 {
         self.received
@@ -100,6 +113,20 @@
         !self.unread().is_empty()
     }
 
+    /// Reads once from the socket, within the stall timeout; 0 at the end of
+    /// the stream.
+    async fn fill_in_time(&mut self) -> Result<usize, MessageError> {
+        let Some(limit) = self.stall_timeout else {
+            return Ok(self.fill().await?);
+        };
+        let stalled = async {
+            Timer::after(limit).await;
+            Err(MessageError::Stalled(limit))
+        };
+        let read = async { Ok(self.fill().await?) };
+        read.or(stalled).await
+    }
+
     /// Reads once from the socket; 0 at the end of the stream.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.drain(..self.consumed);
@@ -151,7 +178,7 @@
             if received == length {
                 return Ok(body);
             }
-            if self.fill().await? == 0 {
+            if self.fill_in_time().await? == 0 {
                 let what = format!(
                     "the body ended after {received} of {length} bytes"
                 );
@@ -263,7 +290,7 @@
         &mut self,
         what: &str,
     ) -> Result<(), MessageError> {
-        match self.fill().await? {
+        match self.fill_in_time().await? {
             0 => Err(MessageError::Truncated(what.to_owned())),
             _ => Ok(()),
         }
--- a/crates/http/src/relay/inbound.rs
+++ b/crates/http/src/relay/inbound.rs
@@ -74,6 +74,7 @@
             MessageError::HeadTooLong(_) => 431,
             MessageError::BodyTooLong(_) => 413,
             MessageError::Truncated(_) | MessageError::BadChunk => 400,
+            MessageError::Stalled(_) => 408,
         };
         InboundError::Refused(RequestError::new(status, &e.message()))
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -166,6 +166,7 @@
             MessageError::HeadTooLong(_) => 431,
             MessageError::BodyTooLong(_) => 413,
             MessageError::Truncated(_) | MessageError::BadChunk => 400,
+            MessageError::Stalled(_) => 408,
         };
         refused(status, &e.message())
     }
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -317,3 +317,54 @@
         assert_eq!(url.port(), Some(8080));
     }
 }
+
+/// Pieces of a body with pauses in between.
+struct PausesCase {
+    pieces: usize,
+    pause_ms: u64,
+    is_complete: bool,
+}
+
+/// Limit on a pause in the body, and on the time until the head arrives.
+const STALL_TIMEOUT: Duration = Duration::from_millis(400);
+const PIECE_BYTES: usize = 100;
+
+#[rstest]
+#[case::slow_but_steady(PausesCase {
+    pieces: 12, pause_ms: 60, is_complete: true,
+})]
+#[case::stalled(PausesCase {
+    pieces: 2, pause_ms: 60_000, is_complete: false,
+})]
+fn only_a_pause_ends_a_response_with_a_stall_timeout(
+    #[case] case: PausesCase,
+) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let pause = Duration::from_millis(case.pause_ms);
+    let length = case.pieces * PIECE_BYTES;
+    thread::spawn(move || {
+        let (mut socket, _) = listener.accept().unwrap();
+        read_head(&mut socket);
+        let head =
+            format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+        let _ = socket.write_all(head.as_bytes());
+        for _ in 0..case.pieces {
+            let _ = socket.write_all(&[b'a'; PIECE_BYTES]);
+            thread::sleep(pause);
+        }
+    });
+    let options = ClientOptions::new().stall_timeout(STALL_TIMEOUT);
+    let client = Client::new(address, options);
+    match call(&client, Method::Get, STALL_TIMEOUT) {
+        Ok((200, body)) => {
+            assert!(case.is_complete);
+            assert_eq!(body.len(), length);
+        }
+        Err(ClientError::Timeout { received_bytes, .. }) => {
+            assert!(!case.is_complete);
+            assert!(received_bytes >= PIECE_BYTES as u64, "{received_bytes}");
+        }
+        other => panic!("{other:?}"),
+    }
+}
