What entries send of a changed row follows the change, not the row

Cause: a change of one route sent the whole configuration, 0.9 MB with 4,640 routes, to each follower; eight of them take a link of 14 Mbit/s for 4 s. The tree of entries was sized for a list of 160 KB. The whole table was sent again also to a follower that asks a parent which began its copy later, although that follower had nearly all rows.

Change: long rows go compressed, against the value before if the receiver has that; rows that it has in a full response go without their value. A receiver that lacks what a response refers to asks for the full form at once; one that does not ask for short forms gets none (`rows=short`).

Tests: short_rows, table_copies (what a short response leaves out is known to its receiver; 5,000 cases), and with real processes that a change of one key among 1,500 routes is a hundredth of the configuration.

--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -31,8 +31,8 @@
     cluster::{
         backend_rows,
         feed_health::StoreHealth,
-        feed_server::FeedClient,
-        feeds::{Feed, STALE_MS, into_rows},
+        feed_server::{FeedClient, FetchError, FetchedFeed},
+        feeds::{Feed, RowForm, STALE_MS, UnknownRow},
     },
     core::{ConfigurationReceipt, Core},
 };
@@ -100,6 +100,22 @@
     Follower::new(core, FeedKind::Backends).run().await;
 }
 
+/// Rows that another entry sent.
+struct ReceivedRows {
+    rows: Rows,
+    /// Length of the response.
+    bytes: usize,
+    is_full_table: bool,
+    /// Whether the store has not confirmed the rows recently.
+    is_stale: bool,
+    /// When the store confirmed the rows.
+    confirmed_ms: u64,
+    /// When the store was available again after its last outage.
+    recovered_ms: Option<u64>,
+    /// Time for which the other entry waited for a change.
+    waited_ms: u64,
+}
+
 /// Task that keeps the copy of one table current.
 struct Follower {
     core: Arc<Core>,
@@ -118,6 +134,8 @@
     unlogged_failures: u64,
     /// Time that the last poll took, less the wait that an entry reports.
     fetch_ms: u64,
+    /// Length of the last response, if it was that of an entry.
+    received_bytes: Option<usize>,
 }
 
 impl Follower {
@@ -136,6 +154,7 @@
             failure_logged_ms: 0,
             unlogged_failures: 0,
             fetch_ms: 0,
+            received_bytes: None,
         }
     }
 
@@ -225,6 +244,7 @@
 
     async fn fetch_from_store(&mut self, is_shared: bool) -> FetchOutcome {
         let sent_ms = now_ms();
+        self.received_bytes = None;
         let result = match self.applied_version {
             None => self.read_full_table().await,
             Some(version) => self.poll_store(version, is_shared).await,
@@ -308,47 +328,87 @@
         };
         let reused = self.client.take().filter(|a| a.address() == address);
         let client = reused.unwrap_or_else(|| FeedClient::new(address));
-        let table = self.feed().table;
-        let wait = match self.feed().age_ms() {
-            ..STALE_MS => PEER_WAIT,
-            STALE_MS..OUTAGE_AGE_MS => STALE_PEER_WAIT,
-            OUTAGE_AGE_MS.. => OUTAGE_PEER_WAIT,
-        };
-        let timeout = wait + PEER_TIMEOUT_MARGIN;
         let sent_ms = now_ms();
-        let fetched =
-            client.fetch(table, self.applied_version, wait, timeout).await;
-        let fetched = match fetched {
-            Ok(fetched) => fetched,
+        let received = match self.receive(&client).await {
+            Ok(received) => received,
             Err(e) => {
                 self.log_failure(&e, sent_ms);
                 return FetchOutcome::Failed;
             }
         };
         self.client = Some(client);
-        let response = fetched.answer;
         self.fetch_ms =
-            (now_ms() - sent_ms).saturating_sub(response.waited_ms);
-        let age_ms = response.confirmed_age_ms;
-        let confirmed_ms = fetched.created_ms.saturating_sub(age_ms);
-        if let Some(recovery_age_ms) = response.back_age_ms {
-            let recovered_ms =
-                fetched.created_ms.saturating_sub(recovery_age_ms);
+            (now_ms() - sent_ms).saturating_sub(received.waited_ms);
+        self.received_bytes = Some(received.bytes);
+        self.apply_received(&received)
+    }
+
+    /// Receives rows from another entry, in full if those of a short response
+    /// refer to a version that this entry does not have.
+    async fn receive(
+        &self,
+        client: &FeedClient,
+    ) -> Result<ReceivedRows, FetchError> {
+        let fetched = self.poll_peer(client, RowForm::Short).await?;
+        match self.try_into_received(fetched) {
+            Ok(received) => Ok(received),
+            Err(_) => {
+                let fetched = self.poll_peer(client, RowForm::Plain).await?;
+                let received = self.try_into_received(fetched);
+                received.map_err(FetchError::UnknownRow)
+            }
+        }
+    }
+
+    async fn poll_peer(
+        &self,
+        client: &FeedClient,
+        form: RowForm,
+    ) -> Result<FetchedFeed, FetchError> {
+        let table = self.feed().table;
+        let wait = match self.feed().age_ms() {
+            ..STALE_MS => PEER_WAIT,
+            STALE_MS..OUTAGE_AGE_MS => STALE_PEER_WAIT,
+            OUTAGE_AGE_MS.. => OUTAGE_PEER_WAIT,
+        };
+        let timeout = wait + PEER_TIMEOUT_MARGIN;
+        let after = self.applied_version;
+        client.fetch(table, after, form, wait, timeout).await
+    }
+
+    fn try_into_received(
+        &self,
+        fetched: FetchedFeed,
+    ) -> Result<ReceivedRows, UnknownRow> {
+        let (created_ms, answer) = (fetched.created_ms, fetched.answer);
+        let time_of = |age_ms: u64| created_ms.saturating_sub(age_ms);
+        Ok(ReceivedRows {
+            bytes: fetched.bytes,
+            is_full_table: answer.is_whole,
+            is_stale: answer.confirmed_age_ms > STALE_MS,
+            confirmed_ms: time_of(answer.confirmed_age_ms),
+            recovered_ms: answer.back_age_ms.map(time_of),
+            waited_ms: answer.waited_ms,
+            rows: self.feed().try_into_rows(answer)?,
+        })
+    }
+
+    fn apply_received(&mut self, received: &ReceivedRows) -> FetchOutcome {
+        if let Some(recovered_ms) = received.recovered_ms {
             self.feed().record_recovery(recovered_ms);
         }
-        let is_full_table = response.is_whole;
-        let rows = into_rows(response);
-        self.log_lower_version(&rows);
+        let rows = &received.rows;
+        self.log_lower_version(rows);
         if self.is_outdated(rows.version) {
             return FetchOutcome::Stale;
         }
-        match is_full_table {
-            true => self.apply_all(&rows),
-            false => self.apply_changes(&rows),
+        match received.is_full_table {
+            true => self.apply_all(rows),
+            false => self.apply_changes(rows),
         }
         self.applied_version = self.applied_version.max(Some(rows.version));
-        self.record_confirmed(confirmed_ms);
-        if age_ms > STALE_MS {
+        self.record_confirmed(received.confirmed_ms);
+        if received.is_stale {
             return FetchOutcome::Stale;
         }
         self.health.record_peer_response();
@@ -430,6 +490,7 @@
                 let receipt = ConfigurationReceipt {
                     source: &self.source_name(),
                     bytes: row.value.len(),
+                    received_bytes: self.received_bytes,
                     fetch_ms: self.fetch_ms,
                     parse_ms,
                 };
--- a/crates/direct/src/cluster/feed_server.rs
+++ b/crates/direct/src/cluster/feed_server.rs
@@ -1,10 +1,11 @@
 //! Server and client of the feeds that entries provide in place of the store.
 //!
-//! HTTP on a separate port: `GET /feed/TABLE?era=ERA&after=NUMBER&wait-ms=MS`
-//! waits for a change as the store's feed does, and also for the next time at
+//! HTTP on a separate port:
+//! `GET /feed/TABLE?era=ERA&after=NUMBER&wait-ms=MS&rows=short` waits for a change as the store's feed does, and also for the next time at
 //! which the store confirms the copy. The response holds all rows if `after`
 //! is missing, or if the changes since that version are not known. A missing
-//! era is era 0. `GET /entries` returns the entries that this one knows.
+//! era is era 0. Without `rows=short`, all rows have their values.
+//! `GET /entries` returns the entries that this one knows.
 
 use std::{
     fmt,
@@ -24,8 +25,14 @@
 use futures_lite::FutureExt as _;
 use prost::{DecodeError, Message as _};
 
-use crate::{clock::now_ms, cluster::feeds::Feed, core::Core};
+use crate::{
+    clock::now_ms,
+    cluster::feeds::{Feed, RowForm, UnknownRow},
+    core::Core,
+};
 
+/// Value of `rows` of a caller that takes short forms.
+const SHORT_ROWS: &str = "short";
 /// Path of the list of entries.
 const ENTRIES_PATH: &str = "/entries";
 /// Maximum time for which a poll of another entry is held.
@@ -67,10 +74,14 @@
 
 async fn handle(core: &Core, received: ReceivedRequest) -> Response {
     let url = received.request.url();
-    let number = |name: &str| {
+    let text = |name: &str| {
         let mut pairs = url.query_pairs();
-        let pair = pairs.find(|(key, _)| key == name)?;
-        pair.1.parse::<u64>().ok()
+        pairs.find(|(key, _)| key == name).map(|(_, value)| value)
+    };
+    let number = |name: &str| text(name)?.parse::<u64>().ok();
+    let form = match text("rows").as_deref() {
+        Some(SHORT_ROWS) => RowForm::Short,
+        _ => RowForm::Plain,
     };
     if url.path() == ENTRIES_PATH {
         return respond_with_entries(core);
@@ -85,7 +96,7 @@
     let wait_ms = number("wait-ms").unwrap_or(0).min(MAX_WAIT_MS);
     wait_for_news(feed, after, received_ms + wait_ms).await;
     let waited_ms = now_ms() - received_ms;
-    let Some(answer) = feed.response_after(after) else {
+    let Some(answer) = feed.response_after(after, form) else {
         return Response::new(503);
     };
     let answer = FeedAnswer { waited_ms, ..answer };
@@ -136,6 +147,8 @@
     /// Status other than 200: the entry has no copy yet.
     Status(u16),
     Malformed(DecodeError),
+    /// Neither the short nor the full response can be used.
+    UnknownRow(UnknownRow),
 }
 
 impl fmt::Display for FetchError {
@@ -146,6 +159,7 @@
                 write!(f, "the entry responded with status {status}")
             }
             FetchError::Malformed(e) => write!(f, "malformed response: {e}"),
+            FetchError::UnknownRow(e) => e.fmt(f),
         }
     }
 }
@@ -153,6 +167,7 @@
 /// Response of another entry.
 pub(crate) struct FetchedFeed {
     pub(crate) answer: FeedAnswer,
+    pub(crate) bytes: usize,
     /// Earliest time at which the response can have been made.
     pub(crate) created_ms: u64,
 }
@@ -205,26 +220,25 @@
         &self,
         table: &str,
         after: Option<StoreVersion>,
+        form: RowForm,
         wait: Duration,
         timeout: Duration,
     ) -> Result<FetchedFeed, FetchError> {
         let sent_ms = now_ms();
-        let target = match after {
-            Some(after) => {
-                let wait_ms = wait.as_millis();
-                let (era, after) = (after.era(), after.number());
-                format!(
-                    "/feed/{table}?era={era}&after={after}&wait-ms={wait_ms}"
-                )
-            }
-            None => format!("/feed/{table}?wait-ms={}", wait.as_millis()),
-        };
+        let mut target = format!("/feed/{table}?wait-ms={}", wait.as_millis());
+        if let Some(after) = after {
+            let (era, after) = (after.era(), after.number());
+            target.push_str(&format!("&era={era}&after={after}"));
+        }
+        if form == RowForm::Short {
+            target.push_str(&format!("&rows={SHORT_ROWS}"));
+        }
         let body = self.get(&target, timeout).await?;
         let answer = FeedAnswer::decode(body.as_slice());
         let answer = answer.map_err(FetchError::Malformed)?;
         // The server held the request for `waited_ms`; the network delay of
         // request and response is not known.
         let created_ms = (sent_ms + answer.waited_ms).min(now_ms());
-        Ok(FetchedFeed { answer, created_ms })
+        Ok(FetchedFeed { answer, bytes: body.len(), created_ms })
     }
 }
--- a/crates/direct/src/cluster/feeds.rs
+++ b/crates/direct/src/cluster/feeds.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::BTreeSet,
+    fmt,
     sync::{
         Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering::Relaxed},
@@ -18,6 +19,7 @@
 use chestnutreach_membership::{
     FeedPeers, FeedSource, FeedSources, FetchOutcome, RowChange, TableCopy,
     restored_row::HistoryStart,
+    short_rows::{self, ShortRows},
 };
 use chestnutreach_protocol::peers::{FeedAnswer, FeedRow};
 use chestnutreach_site::StoreVersion;
@@ -28,6 +30,26 @@
 /// is longer than the poll of a reader takes.
 pub(crate) const STALE_MS: u64 = 2_000;
 
+/// How a caller takes rows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RowForm {
+    /// All rows with their values.
+    Plain,
+    /// Long rows compressed, and rows that the caller has without a value.
+    Short,
+}
+
+/// A row of a response refers to a version of this row that the own copy does
+/// not have.
+#[derive(Debug)]
+pub(crate) struct UnknownRow(String);
+
+impl fmt::Display for UnknownRow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the response refers to another version of row {}", self.0)
+    }
+}
+
 /// The feeds that an entry follows.
 #[derive(Debug)]
 pub(crate) struct Feeds {
@@ -61,6 +83,7 @@
     /// Key of the assignment to read the table from the store.
     pub(crate) assignment: u64,
     copy: Mutex<TableCopy>,
+    short_rows: Mutex<ShortRows>,
     sources: Mutex<FeedSources>,
     /// When the store last confirmed the copy.
     confirmed_ms: AtomicU64,
@@ -82,6 +105,7 @@
             table,
             assignment,
             copy: Mutex::default(),
+            short_rows: Mutex::default(),
             sources: Mutex::default(),
             confirmed_ms: AtomicU64::new(0),
             recovered_ms: AtomicU64::new(0),
@@ -220,14 +244,19 @@
     pub(crate) fn response_after(
         &self,
         after: Option<StoreVersion>,
+        form: RowForm,
     ) -> Option<FeedAnswer> {
         let copy = self.copy();
         let version = copy.version()?;
         let changes = after.and_then(|after| copy.changes_after(after));
         let is_whole = changes.is_none();
-        let rows = match changes {
-            Some(changes) => changes.into_iter().map(feed_row).collect(),
-            None => copy.rows().map(feed_row).collect(),
+        let rows = changes.unwrap_or_else(|| copy.rows().collect());
+        let rows = rows.into_iter();
+        let rows = match form {
+            RowForm::Plain => rows.map(feed_row).collect(),
+            RowForm::Short => {
+                rows.map(|row| self.short_row(&copy, row, after)).collect()
+            }
         };
         let recovered_ms = Some(self.recovered_ms()).filter(|ms| *ms > 0);
         Some(FeedAnswer {
@@ -241,6 +270,83 @@
         })
     }
 
+    /// A row for a caller that takes short forms.
+    fn short_row(
+        &self,
+        copy: &TableCopy,
+        row: &RowChange,
+        after: Option<StoreVersion>,
+    ) -> FeedRow {
+        let without_value = FeedRow {
+            key: row.key.clone(),
+            version: row.version.number(),
+            ..FeedRow::default()
+        };
+        if after.is_some_and(|after| copy.is_known_at(row, after)) {
+            return FeedRow { is_unchanged: true, ..without_value };
+        }
+        let base = after.and_then(|after| copy.previous_at(&row.key, after));
+        let mut short_rows = self.short_rows.lock().expect("no holder panics");
+        match short_rows.short_form(row, base) {
+            None => feed_row(row),
+            Some(bytes) => FeedRow {
+                compressed: Some(bytes.to_vec()),
+                base_version: base.map(|base| base.version.number()),
+                ..without_value
+            },
+        }
+    }
+
+    /// Converts a response of an entry to rows as the store returns them.
+    ///
+    /// # Errors
+    ///
+    /// A row refers to one that this copy does not have.
+    pub(crate) fn try_into_rows(
+        &self,
+        answer: FeedAnswer,
+    ) -> Result<Rows, UnknownRow> {
+        let era = answer.era;
+        let version = StoreVersion::new(era, answer.version);
+        let rows = answer.rows.into_iter();
+        let rows = rows.map(|row| self.try_into_row(row, era));
+        Ok(Rows { rows: rows.collect::<Result<_, _>>()?, version })
+    }
+
+    fn try_into_row(&self, row: FeedRow, era: u64) -> Result<Row, UnknownRow> {
+        let version = StoreVersion::new(era, row.version);
+        let value = match (row.compressed, row.is_unchanged) {
+            (Some(bytes), _) => {
+                let base = row.base_version.map(|number| {
+                    self.value_at(&row.key, StoreVersion::new(era, number))
+                });
+                let base = base.transpose()?.unwrap_or_default();
+                let value = short_rows::try_decompress(&bytes, &base);
+                Some(value.map_err(|_| UnknownRow(row.key.clone()))?)
+            }
+            (None, true) => Some(self.value_at(&row.key, version)?),
+            (None, false) => row.value,
+        };
+        Ok(Row {
+            key: row.key,
+            is_deleted: value.is_none(),
+            value: value.unwrap_or_default(),
+            version,
+        })
+    }
+
+    /// Value of a version of a row.
+    fn value_at(
+        &self,
+        key: &str,
+        version: StoreVersion,
+    ) -> Result<Vec<u8>, UnknownRow> {
+        let copy = self.copy();
+        let row = copy.row(key).filter(|row| row.version == version);
+        let value = row.and_then(|row| row.value.clone());
+        value.ok_or_else(|| UnknownRow(key.to_owned()))
+    }
+
     fn copy(&self) -> MutexGuard<'_, TableCopy> {
         self.copy.lock().expect("no holder panics")
     }
@@ -250,19 +356,6 @@
     }
 }
 
-/// Converts a response of an entry to rows as the store returns them.
-pub(crate) fn into_rows(answer: FeedAnswer) -> Rows {
-    let era = answer.era;
-    let convert = |row: FeedRow| Row {
-        key: row.key,
-        is_deleted: row.value.is_none(),
-        value: row.value.unwrap_or_default(),
-        version: StoreVersion::new(era, row.version),
-    };
-    let version = StoreVersion::new(era, answer.version);
-    Rows { rows: answer.rows.into_iter().map(convert).collect(), version }
-}
-
 fn row_change(row: &Row) -> RowChange {
     RowChange {
         key: row.key.clone(),
@@ -276,5 +369,6 @@
         key: change.key.clone(),
         value: change.value.clone(),
         version: change.version.number(),
+        ..FeedRow::default()
     }
 }
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -118,6 +118,8 @@
     /// `store`, or the boot id of an entry.
     pub(crate) source: &'a str,
     pub(crate) bytes: usize,
+    /// Length of the response; `None` for one of the store.
+    pub(crate) received_bytes: Option<usize>,
     /// Time of the poll, less the wait that an entry reports.
     pub(crate) fetch_ms: u64,
     pub(crate) parse_ms: u64,
@@ -472,6 +474,7 @@
     row_version: StoreVersion,
     receipt: &ConfigurationReceipt<'_>,
 ) {
+    let received_bytes = receipt.received_bytes.map(|n| n.to_string());
     emit(
         Event::ConfigurationInForce,
         &[
@@ -481,6 +484,7 @@
             ("findings", &new.findings.len()),
             ("source", &receipt.source),
             ("bytes", &receipt.bytes),
+            ("received_bytes", &received_bytes.unwrap_or_default()),
             ("fetch_ms", &receipt.fetch_ms),
             ("parse_ms", &receipt.parse_ms),
         ],
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`gossip`] | interval of messages between entries, timeouts on silence |
 //! | [`startup`] | how an entry that starts finds the others |
 //! | [`restored_row`] | rows that are older than what is known |
+//! | [`short_rows`] | short forms of long rows |
 //! | [`table`] | a copy of a table that responds in place of the store |
 //!
 //! # Example
@@ -39,6 +40,7 @@
 pub mod issuer;
 pub mod rendezvous;
 pub mod restored_row;
+pub mod short_rows;
 pub mod startup;
 pub mod table;
 
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -15,6 +15,8 @@
 
 use chestnutreach_site::StoreVersion;
 
+use crate::short_rows::MIN_LONG_ROW_BYTES;
+
 /// Limit on deleted rows that are kept: more than the largest fleet has
 /// engines.
 const MAX_DELETED_ROWS: usize = 2_048;
@@ -37,6 +39,9 @@
     version: Option<StoreVersion>,
     /// Changes up to this version may be missing.
     complete_after: StoreVersion,
+    /// Long rows as they were before their last change, as bases of short
+    /// forms.
+    previous: BTreeMap<String, RowChange>,
 }
 
 impl TableCopy {
@@ -61,7 +66,13 @@
         if self.version.is_some_and(|current| version < current) {
             return false;
         }
-        self.rows = rows.into_iter().map(|r| (r.key.clone(), r)).collect();
+        let is_same_history = self.is_of_history(version);
+        let rows = rows.into_iter().map(|row| (row.key.clone(), row));
+        let before = std::mem::replace(&mut self.rows, rows.collect());
+        self.previous.clear();
+        if is_same_history {
+            before.into_values().for_each(|row| self.keep_previous(row));
+        }
         self.complete_after = version;
         self.version = Some(version);
         true
@@ -81,7 +92,8 @@
             let current = self.rows.get(&change.key);
             if current.is_none_or(|current| current.version <= change.version)
             {
-                self.rows.insert(change.key.clone(), change);
+                let before = self.rows.insert(change.key.clone(), change);
+                before.into_iter().for_each(|row| self.keep_previous(row));
             }
         }
         self.version = self.version.max(Some(version));
@@ -94,6 +106,28 @@
         self.rows.values().filter(|row| row.value.is_some())
     }
 
+    /// The last version of a row, also if it was deleted.
+    pub fn row(&self, key: &str) -> Option<&RowChange> {
+        self.rows.get(key)
+    }
+
+    /// A long row as it was before its last change, if a copy that is complete
+    /// up to a version has it so.
+    pub fn previous_at(
+        &self,
+        key: &str,
+        version: StoreVersion,
+    ) -> Option<&RowChange> {
+        let row = self.previous.get(key)?;
+        let is_known = self.is_of_history(version) && row.version <= version;
+        is_known.then_some(row)
+    }
+
+    /// Whether a copy that is complete up to a version has this row.
+    pub fn is_known_at(&self, row: &RowChange, version: StoreVersion) -> bool {
+        self.is_of_history(version) && row.version <= version
+    }
+
     /// The changes after a version, in order, or `None` if the copy may lack
     /// some of them and the whole table must be read.
     pub fn changes_after(
@@ -132,6 +166,21 @@
         self.version.is_some_and(|own| own.is_same_history(version))
     }
 
+    /// Keeps a row that is long and has changed.
+    fn keep_previous(&mut self, row: RowChange) {
+        let is_long = row
+            .value
+            .as_ref()
+            .is_some_and(|value| value.len() >= MIN_LONG_ROW_BYTES);
+        let current = self.rows.get(&row.key);
+        let has_changed = current.is_some_and(|c| c.version != row.version);
+        if is_long && has_changed {
+            self.previous.insert(row.key.clone(), row);
+        } else if has_changed {
+            self.previous.remove(&row.key);
+        }
+    }
+
     fn remove_old_deletions(&mut self) {
         let deleted = self.rows.values().filter(|r| r.value.is_none());
         let mut versions: Vec<StoreVersion> =
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -248,7 +248,7 @@
         "A backend server reported another pace.";
     ConfigurationInForce = 912, "configuration_in_force", Info,
         ["version", "era", "row_version", "findings", "source", "bytes",
-         "fetch_ms", "parse_ms"],
+         "received_bytes", "fetch_ms", "parse_ms"],
         "A new configuration is in force here.";
     ConfigurationFinding = 913, "configuration_finding", Error,
         ["version", "place", "message"],
