The timeout of a platform call no longer bounds the length of its response

The limit now holds for the head, and for each pause after it. Test an_object_that_takes_longer_than_the_timeout_is_read, which timed out before.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -97,8 +97,8 @@
             ClientError::Timeout { address, limit_ms, received_bytes } => {
                 write!(
                     f,
-                    "{address} sent only {received_bytes} bytes of its answer, \
-                     and then none within {limit_ms} ms"
+                    "{address} sent only {received_bytes} bytes of its answer \
+                     before the limit of {limit_ms} ms"
                 )
             }
             ClientError::TooLong { address, limit_bytes } => write!(
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -34,6 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct Transport {
     address: SocketAddr,
+    /// Limit on the wait for the head of a response, and on pauses after it.
     timeout: Duration,
     client: Mutex<Arc<Client>>,
 }
@@ -88,7 +89,8 @@
 }
 
 fn new_client(address: SocketAddr, timeout: Duration) -> Arc<Client> {
-    let options =
-        ClientOptions::new().connect_timeout(MAX_CONNECT_TIME.min(timeout));
+    let options = ClientOptions::new()
+        .connect_timeout(MAX_CONNECT_TIME.min(timeout))
+        .stall_timeout(timeout);
     Arc::new(Client::new(address, options))
 }
--- a/crates/platform/tests/platform/services.rs
+++ b/crates/platform/tests/platform/services.rs
@@ -1,6 +1,13 @@
 //! The table, object and VM list clients against their stand-ins.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    io::{Read as _, Write as _},
+    net::{Ipv4Addr, TcpListener},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
 
 use chestnutreach_platform::{
     ObjectClient, TableClient, VmListClient,
@@ -256,6 +263,31 @@
     });
 }
 
+/// The timeout of a call limits the wait for a response and pauses in it, not
+/// the length of an object.
+#[test]
+fn an_object_that_takes_longer_than_the_timeout_is_read() {
+    const TIMEOUT: Duration = Duration::from_millis(400);
+    const PAUSE: Duration = Duration::from_millis(60);
+    const PIECES: usize = 12;
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut socket, _) = listener.accept().unwrap();
+        let _ = socket.read(&mut [0; 4_096]);
+        let head =
+            format!("HTTP/1.1 200 OK\r\ncontent-length: {PIECES}\r\n\r\n");
+        let _ = socket.write_all(head.as_bytes());
+        for _ in 0..PIECES {
+            thread::sleep(PAUSE);
+            let _ = socket.write_all(b"a");
+        }
+    });
+    let objects = ObjectClient::new(address, TIMEOUT);
+    let read = async_io::block_on(objects.read("a"));
+    assert_eq!(read, Ok(Some(vec![b'a'; PIECES])));
+}
+
 #[test]
 fn the_vm_list_client_reports_states_delays_and_outages() {
     run(|platform| async move {
