Tests: a transfer is part of the age, and a change during one is seen

Both pass on the present code. The first fails if a copy counts as confirmed from the arrival of the response instead of from before the request: the withdrawn key is then served until the next transfer has ended.

--- a/crates/daemon/tests/users_platform/large_configuration.rs
+++ b/crates/daemon/tests/users_platform/large_configuration.rs
@@ -1,6 +1,9 @@
 //! Configurations that take longer to receive than a poll of the store may
 //! take.
 
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
 use chestnutreach_emulator::{
     link::LinkFault,
     running::RunningSite,
@@ -48,6 +51,45 @@
     });
 }
 
+/// The second change comes while the first is being received.
+#[test]
+fn a_change_during_a_transfer_is_put_in_force() {
+    with_site(&site(), async |running| {
+        running.set_store_links(SLOW_LINK, true);
+        running.configure(&[KEY, "another"]);
+        Timer::after(Duration::from_millis(1_000)).await;
+        running.configure(&[KEY, "last"]);
+        for entry in 0..running.addresses.len() {
+            wait_until_served(running, entry, "last").await;
+        }
+    });
+}
+
+/// The time that a transfer takes is part of the age of what it brings.
+#[test]
+fn a_key_withdrawn_by_a_slow_transfer_is_refused_in_time() {
+    const LIMIT: Duration = Duration::from_millis(2_500);
+    const CHECK_PERIOD: Duration = Duration::from_millis(4_000);
+    let site = Site { revoke_ms: LIMIT.as_millis() as u64, ..site() };
+    with_site(&site, async |running| {
+        wait_until_served(running, 0, KEY).await;
+        running.set_store_links(SLOW_LINK, true);
+        // The first change is being received when the key is withdrawn.
+        running.configure(&[KEY, "another"]);
+        Timer::after(Duration::from_millis(500)).await;
+        running.configure(&["another"]);
+        Timer::after(LIMIT).await;
+        let until = Instant::now() + CHECK_PERIOD;
+        while Instant::now() < until {
+            for entry in 0..running.addresses.len() {
+                let request = request_with_key(KEY);
+                let outcome = send_request(running, entry, &request).await;
+                assert!(!outcome.is_served(), "{entry}: {outcome:?}");
+            }
+        }
+    });
+}
+
 /// The integer that a log line has under this name.
 fn number(line: &str, name: &str) -> Option<u64> {
     let (_, after) = line.split_once(&format!("\"{name}\":\""))?;
