Configurations that a feed brings, and rows of other entries, in own modules

Parsing and applying configurations is beside backend_rows now, a poll of another entry with its fall-back to full rows in received_rows; Core no longer logs what it puts in force.

--- a/crates/direct/src/cluster.rs
+++ b/crates/direct/src/cluster.rs
@@ -5,6 +5,8 @@
 //! | `feed_follower` | tasks that follow the configuration and backend list |
 //! | `feeds`, `feed_health` | copies of store tables, and the store's health |
 //! | `feed_server` | server and client of feeds between entries |
+//! | `received_rows` | rows that another entry sends |
+//! | `configuration_rows` | configurations that the feed brings |
 //! | `backend_rows`, `unusable_rows` | rows of the backend list |
 //! | `fleet`, `engine` | state of the backend servers |
 //! | `exit_check` | whether a process has exited, for a request's limit |
@@ -19,6 +21,7 @@
 
 pub(crate) mod alerts;
 pub(crate) mod backend_rows;
+pub(crate) mod configuration_rows;
 pub(crate) mod discovery;
 pub(crate) mod engine;
 pub(crate) mod engine_watcher;
@@ -35,5 +38,6 @@
 pub(crate) mod peers;
 pub(crate) mod permits;
 pub(crate) mod probe;
+pub(crate) mod received_rows;
 pub(crate) mod suspects;
 pub(crate) mod unusable_rows;
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -14,27 +14,26 @@
 };
 
 use async_io::Timer;
-use chestnutreach_adapter::{
-    configuration::{self, KEY},
-    store::{Row, Rows, StoreClient, StoreError},
-};
+use chestnutreach_adapter::store::{Rows, StoreClient, StoreError};
 use chestnutreach_membership::{
     FeedPeers, FeedSource, FetchOutcome,
     feed_source::MIN_SHARING_ENTRIES,
     rendezvous::{self, Candidate},
 };
-use chestnutreach_site::{Configuration, StoreVersion};
+use chestnutreach_site::StoreVersion;
 use chestnutreach_telemetry::{Event, emit};
 
 use crate::{
     clock::now_ms,
     cluster::{
         backend_rows,
+        configuration_rows::{Arrival, ParsedRows},
         feed_health::StoreHealth,
-        feed_server::{FeedClient, FetchError, FetchedFeed},
-        feeds::{Feed, RowForm, STALE_MS, UnknownRow},
+        feed_server::FeedClient,
+        feeds::{Feed, STALE_MS},
+        received_rows::{PeerPoll, ReceivedRows},
     },
-    core::{ConfigurationReceipt, Core},
+    core::Core,
 };
 
 /// Two failed polls must fit into the time limit for withdrawn keys, which is
@@ -100,22 +99,6 @@
     Follower::new(core, FeedKind::Backends).run().await;
 }
 
-/// Rows that another entry sent.
-struct ReceivedRows {
-    rows: Rows,
-    /// Length of the response.
-    bytes: usize,
-    is_full_table: bool,
-    /// Whether the store has not confirmed the rows recently.
-    is_stale: bool,
-    /// When the store confirmed the rows.
-    confirmed_ms: u64,
-    /// When the store was available again after its last outage.
-    recovered_ms: Option<u64>,
-    /// Time for which the other entry waited for a change.
-    waited_ms: u64,
-}
-
 /// Task that keeps the copy of one table current.
 struct Follower {
     core: Arc<Core>,
@@ -328,8 +311,20 @@
         };
         let reused = self.client.take().filter(|a| a.address() == address);
         let client = reused.unwrap_or_else(|| FeedClient::new(address));
+        let wait = match self.feed().age_ms() {
+            ..STALE_MS => PEER_WAIT,
+            STALE_MS..OUTAGE_AGE_MS => STALE_PEER_WAIT,
+            OUTAGE_AGE_MS.. => OUTAGE_PEER_WAIT,
+        };
+        let poll = PeerPoll {
+            client: &client,
+            feed: self.feed(),
+            after: self.applied_version,
+            wait,
+            timeout: wait + PEER_TIMEOUT_MARGIN,
+        };
         let sent_ms = now_ms();
-        let received = match self.receive(&client).await {
+        let received = match poll.receive().await {
             Ok(received) => received,
             Err(e) => {
                 self.log_failure(&e, sent_ms);
@@ -343,56 +338,6 @@
         self.apply_received(&received)
     }
 
-    /// Receives rows from another entry, in full if those of a short response
-    /// refer to a version that this entry does not have.
-    async fn receive(
-        &self,
-        client: &FeedClient,
-    ) -> Result<ReceivedRows, FetchError> {
-        let fetched = self.poll_peer(client, RowForm::Short).await?;
-        match self.try_into_received(fetched) {
-            Ok(received) => Ok(received),
-            Err(_) => {
-                let fetched = self.poll_peer(client, RowForm::Plain).await?;
-                let received = self.try_into_received(fetched);
-                received.map_err(FetchError::UnknownRow)
-            }
-        }
-    }
-
-    async fn poll_peer(
-        &self,
-        client: &FeedClient,
-        form: RowForm,
-    ) -> Result<FetchedFeed, FetchError> {
-        let table = self.feed().table;
-        let wait = match self.feed().age_ms() {
-            ..STALE_MS => PEER_WAIT,
-            STALE_MS..OUTAGE_AGE_MS => STALE_PEER_WAIT,
-            OUTAGE_AGE_MS.. => OUTAGE_PEER_WAIT,
-        };
-        let timeout = wait + PEER_TIMEOUT_MARGIN;
-        let after = self.applied_version;
-        client.fetch(table, after, form, wait, timeout).await
-    }
-
-    fn try_into_received(
-        &self,
-        fetched: FetchedFeed,
-    ) -> Result<ReceivedRows, UnknownRow> {
-        let (created_ms, answer) = (fetched.created_ms, fetched.answer);
-        let time_of = |age_ms: u64| created_ms.saturating_sub(age_ms);
-        Ok(ReceivedRows {
-            bytes: fetched.bytes,
-            is_full_table: answer.is_whole,
-            is_stale: answer.confirmed_age_ms > STALE_MS,
-            confirmed_ms: time_of(answer.confirmed_age_ms),
-            recovered_ms: answer.back_age_ms.map(time_of),
-            waited_ms: answer.waited_ms,
-            rows: self.feed().try_into_rows(answer)?,
-        })
-    }
-
     fn apply_received(&mut self, received: &ReceivedRows) -> FetchOutcome {
         if let Some(recovered_ms) = received.recovered_ms {
             self.feed().record_recovery(recovered_ms);
@@ -432,10 +377,7 @@
         }
         match self.kind {
             FeedKind::Configuration => {
-                for row in &rows.rows {
-                    let parsed = parse_configuration(row);
-                    self.apply_configuration(row, parsed);
-                }
+                self.apply_configurations(ParsedRows::new(rows));
             }
             FeedKind::Backends => backend_rows::apply_all(&self.core, rows),
         }
@@ -455,52 +397,19 @@
     /// The copy keeps the configuration in force if a change brings an older
     /// one: an entry that starts takes whatever the copy has.
     fn apply_configuration_changes(&self, rows: &Rows) {
-        let parsed: Vec<Option<ParsedConfiguration>> =
-            rows.rows.iter().map(parse_configuration).collect();
-        let in_force = self.core.configuration();
-        let is_older = |parsed: &Option<ParsedConfiguration>| {
-            let new = parsed.as_ref().and_then(|p| p.result.as_ref().ok());
-            let both = new.zip(in_force.as_ref());
-            both.is_some_and(|(new, in_force)| new.version < in_force.version)
-        };
-        let with_parsed = rows.rows.iter().zip(&parsed);
-        let current = with_parsed.filter(|(_, parsed)| !is_older(parsed));
-        let current = Rows {
-            rows: current.map(|(row, _)| row.clone()).collect(),
-            version: rows.version,
-        };
-        if !self.feed().apply_changes(&current) {
-            return;
-        }
-        for (row, parsed) in rows.rows.iter().zip(parsed) {
-            self.apply_configuration(row, parsed);
+        let parsed = ParsedRows::new(rows);
+        if self.feed().apply_changes(&parsed.without_older(&self.core)) {
+            self.apply_configurations(parsed);
         }
     }
 
-    fn apply_configuration(
-        &self,
-        row: &Row,
-        parsed: Option<ParsedConfiguration>,
-    ) {
-        let Some(ParsedConfiguration { result, parse_ms }) = parsed else {
-            return;
+    fn apply_configurations(&self, parsed: ParsedRows<'_>) {
+        let arrival = Arrival {
+            source: &self.source_name(),
+            received_bytes: self.received_bytes,
+            fetch_ms: self.fetch_ms,
         };
-        match result {
-            Ok(new) => {
-                let receipt = ConfigurationReceipt {
-                    source: &self.source_name(),
-                    bytes: row.value.len(),
-                    received_bytes: self.received_bytes,
-                    fetch_ms: self.fetch_ms,
-                    parse_ms,
-                };
-                self.core.apply_configuration(new, row.version, &receipt);
-            }
-            Err(error) => emit(
-                Event::ManifestUnusable,
-                &[("generation", &row.version), ("findings", &error)],
-            ),
-        }
+        parsed.apply(&self.core, &arrival);
     }
 
     fn record_confirmed(&self, then_ms: u64) {
@@ -647,20 +556,3 @@
     let entries = core.peers.entry_count() as u32;
     BACKENDS_PAUSE * (entries / ENTRIES_PER_PAUSE).clamp(1, MAX_PAUSES)
 }
-
-/// A row with a configuration, parsed.
-struct ParsedConfiguration {
-    /// The configuration, or what is wrong with it.
-    result: Result<Configuration, String>,
-    parse_ms: u64,
-}
-
-/// Parses a row; `None` if the row holds no configuration.
-fn parse_configuration(row: &Row) -> Option<ParsedConfiguration> {
-    let is_configuration = row.key == KEY && !row.is_deleted;
-    is_configuration.then(|| {
-        let begun_ms = now_ms();
-        let result = configuration::try_parse(&row.value);
-        ParsedConfiguration { result, parse_ms: now_ms() - begun_ms }
-    })
-}
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -113,18 +113,6 @@
     pub(crate) store_failing_since_ms: AtomicU64,
 }
 
-/// How a configuration arrived.
-pub(crate) struct ConfigurationReceipt<'a> {
-    /// `store`, or the boot id of an entry.
-    pub(crate) source: &'a str,
-    pub(crate) bytes: usize,
-    /// Length of the response; `None` for one of the store.
-    pub(crate) received_bytes: Option<usize>,
-    /// Time of the poll, less the wait that an entry reports.
-    pub(crate) fetch_ms: u64,
-    pub(crate) parse_ms: u64,
-}
-
 impl Core {
     pub(crate) fn new(
         settings: NodeSettings,
@@ -194,9 +182,8 @@
     /// the configuration in force changed.
     pub(crate) fn apply_configuration(
         &self,
-        new: Configuration,
+        new: Arc<Configuration>,
         row_version: StoreVersion,
-        receipt: &ConfigurationReceipt<'_>,
     ) -> bool {
         let mut row_in_force =
             self.configuration_row.lock().expect("no holder panics");
@@ -210,9 +197,8 @@
             return false;
         }
         *row_in_force = row_version;
-        log_configuration(&new, row_version, receipt);
         self.metrics.manifest_generation.set(new.version as i64);
-        self.configuration.store(Some(Arc::new(new)));
+        self.configuration.store(Some(new));
         self.readiness.clear(NEEDS_CONFIGURATION);
         self.configuration_subscribers.notify_all();
         true
@@ -468,35 +454,3 @@
         ],
     );
 }
-
-fn log_configuration(
-    new: &Configuration,
-    row_version: StoreVersion,
-    receipt: &ConfigurationReceipt<'_>,
-) {
-    let received_bytes = receipt.received_bytes.map(|n| n.to_string());
-    emit(
-        Event::ConfigurationInForce,
-        &[
-            ("version", &new.version),
-            ("era", &row_version.era()),
-            ("row_version", &row_version.number()),
-            ("findings", &new.findings.len()),
-            ("source", &receipt.source),
-            ("bytes", &receipt.bytes),
-            ("received_bytes", &received_bytes.unwrap_or_default()),
-            ("fetch_ms", &receipt.fetch_ms),
-            ("parse_ms", &receipt.parse_ms),
-        ],
-    );
-    for finding in &new.findings {
-        emit(
-            Event::ConfigurationFinding,
-            &[
-                ("version", &new.version),
-                ("place", &finding.place),
-                ("message", &finding.message),
-            ],
-        );
-    }
-}
