Soak: seeds with a configuration of many routes and links on which it is slow

Seeds from 2^28 on have 1,500 routes, entries that share feeds, a store link of 200 KB a second among their faults and two changes of the configuration; lower seeds stay as they are.

--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -106,8 +106,11 @@
 /// Delay on a link; longer than the connect timeout of an entry.
 const LINK_DELAY: LinkFault = LinkFault::Delayed(Duration::from_millis(180));
 
+/// A link on which a configuration of 1,500 routes takes 2 s.
+const NARROW_LINK: LinkFault = LinkFault::Narrow(200_000);
+
 /// All faults with their names in experiments.
-const FAULTS: [(&str, FaultKind); 41] = [
+const FAULTS: [(&str, FaultKind); 42] = [
     ("engine-ends", FaultKind::EngineEnds),
     ("engine-dark", FaultKind::EngineDark),
     ("engine-slow", FaultKind::EngineSlow),
@@ -149,6 +152,7 @@
     ("rest-asked", FaultKind::RestAsked),
     ("engine-says-leaving", FaultKind::EngineSaysLeaving),
     ("store-restored", FaultKind::StoreRestored),
+    ("store-link-narrow", FaultKind::StoreLink(NARROW_LINK)),
 ];
 
 /// Duration of a fault for which the experiment gives none.
@@ -182,6 +186,11 @@
         matches!(self, FaultKind::StoreLink(_) | FaultKind::ServerLink(_))
     }
 
+    /// Whether the fault makes transfers slow.
+    pub fn slows_transfers(self) -> bool {
+        matches!(self, FaultKind::StoreLink(LinkFault::Narrow(_)))
+    }
+
     /// Whether the fault affects the identity of servers: a restart under the
     /// same id, or foreign rows.
     pub fn affects_identity(self) -> bool {
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -42,6 +42,10 @@
 const FIRST_RESTORE_SEED: u64 = 1 << 26;
 /// First seed whose streams compete for too little capacity.
 const FIRST_COMPETITION_SEED: u64 = 1 << 27;
+/// First seed with a configuration of many routes, and with links on which it
+/// takes seconds.
+const FIRST_LARGE_CONFIGURATION_SEED: u64 = 1 << 28;
+const EXTRA_ROUTES: usize = 1_500;
 /// Streams per second where streams compete, urgent and others: about one and
 /// a half times as many as fit.
 const COMPETING_PER_S: [f64; 2] = [20.0, 40.0];
@@ -53,6 +57,9 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let has_links = seed >= FIRST_LINK_SEED;
     let base = match seed {
+        FIRST_LARGE_CONFIGURATION_SEED.. => {
+            Site { extra_routes: EXTRA_ROUTES, ..Site::with_shared_feeds() }
+        }
         FIRST_COMPETITION_SEED.. => Site::with_competition(),
         FIRST_SHARED_FEEDS_SEED.. => Site::with_shared_feeds(),
         _ => Site::small(),
@@ -68,6 +75,9 @@
             seed >= FIRST_ADMISSION_SEED || !kind.is_admission_notice()
         })
         .filter(|kind| seed >= FIRST_RESTORE_SEED || !kind.loses_changes())
+        .filter(|kind| {
+            seed >= FIRST_LARGE_CONFIGURATION_SEED || !kind.slows_transfers()
+        })
         .collect();
     let mut faults: Vec<Fault> = (0..FAULT_COUNT)
         .map(|_| Fault {
@@ -76,7 +86,12 @@
             duration: Duration::from_millis(rng.u64(300..2_500)),
         })
         .collect();
-    if seed >= FIRST_COMPETITION_SEED {
+    if seed >= FIRST_LARGE_CONFIGURATION_SEED {
+        let narrow = kinds.iter().find(|kind| kind.slows_transfers());
+        faults[1].kind = *narrow.expect("a fault of all seeds from here on");
+        faults[2].kind = FaultKind::Configuration;
+        faults[3].kind = FaultKind::Configuration;
+    } else if seed >= FIRST_COMPETITION_SEED {
         faults[1].kind = FaultKind::EntryKilled;
         faults[2].kind = FaultKind::EntryPauses;
     } else if seed >= FIRST_RESTORE_SEED {
@@ -97,7 +112,7 @@
         (RequestKind::Idempotent, 8.0),
         (RequestKind::Once, 8.0),
     ]);
-    if seed >= FIRST_COMPETITION_SEED {
+    if site.has_competition {
         per_s.insert(RequestKind::UrgentStream, COMPETING_PER_S[0]);
         per_s.insert(RequestKind::Stream, COMPETING_PER_S[1]);
     }
