Test of refusals in cooldowns: no stream waits in vain, by the log, not by time

Its log shows why: the late ones arrived when the cooldowns had less left than a stream may wait, 1.5 s, waited for their end, and met new cooldowns of engines that still asked for them. That is what they should do, and how many there are depends on when callers come back.

In place of it, by the log of each entry: no stream joins the queue while all first engines are known to be in a cooldown for longer than it may wait (none, where 0.2 were allowed), and some are refused by that alone without being sent. Other kinds of requests keep their check.

--- a/crates/daemon/tests/users_platform/cooldowns.rs
+++ b/crates/daemon/tests/users_platform/cooldowns.rs
@@ -1,7 +1,7 @@
 //! Servers that reject requests and request a cooldown by Retry-After, and
 //! servers that announce that they drain.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use async_io::Timer;
 use chestnutreach_emulator::{
@@ -11,7 +11,9 @@
     running::RunningSite,
     site::Site,
 };
+use chestnutreach_routing::capacity_wait::MAX_WAIT_MS;
 use rstest::rstest;
+use serde_json::Value;
 
 use crate::support::{
     assert_all_served_or_log, assert_no_violation, with_small_site,
@@ -22,6 +24,8 @@
 /// Requests that the platform's rule allows an entry to send within a
 /// cooldown.
 const MAX_IN_COOLDOWN: usize = 2;
+/// Delay between an event and the time stamp of its log line.
+const LOG_DELAY_MS: u64 = 100;
 /// Time within which all entries learn of an event.
 const PROPAGATION_LIMIT: Duration = Duration::from_millis(3_000);
 /// How long entries may use a server after its announcement that it drains.
@@ -129,18 +133,122 @@
         let refused: Vec<&Attempt> =
             refused.filter(|t| t.end == AttemptEnd::Status(503)).collect();
         assert!(!refused.is_empty(), "{}", report.to_text());
-        let is_immediate = |t: &&&Attempt| {
-            t.ended_at - t.sent_at < Duration::from_millis(150)
-        };
-        let immediate = refused.iter().filter(is_immediate).count();
-        let share = immediate as f64 / refused.len() as f64;
-        assert!(share >= 0.8, "{share:.2} refused immediately");
+        match kind {
+            RequestKind::Stream => assert_none_waits_in_vain(running),
+            _ => assert_most_are_immediate(&refused),
+        }
         let longest = refused.iter().filter_map(|t| t.retry_after).max();
         let longest = longest.expect("refusals carry a retry time");
         assert!(longest >= Duration::from_millis(2_000), "{longest:?}");
     });
 }
 
+fn assert_most_are_immediate(refused: &[&Attempt]) {
+    let is_immediate =
+        |t: &&&Attempt| t.ended_at - t.sent_at < Duration::from_millis(150);
+    let immediate = refused.iter().filter(is_immediate).count();
+    let share = immediate as f64 / refused.len() as f64;
+    assert!(share >= 0.8, "{share:.2} refused immediately");
+}
+
+/// No stream joins a queue while all first engines are known to be in a
+/// cooldown for longer than it may wait, by the log of its entry. Some are
+/// refused by that alone, without being sent.
+fn assert_none_waits_in_vain(running: &RunningSite) {
+    let logs: Vec<Vec<LogLine>> = (0..running.addresses.len())
+        .map(|at| parse_log(running, at))
+        .collect();
+    let first_engines: BTreeSet<&str> = logs
+        .iter()
+        .flatten()
+        .filter_map(LogLine::server_in_cooldown)
+        .collect();
+    let mut refused_unsent = 0;
+    for lines in &logs {
+        let mut sent: BTreeSet<&str> = BTreeSet::new();
+        for line in lines {
+            match line.name() {
+                "relay_sent" => {
+                    sent.insert(line.text("request"));
+                }
+                "relay_ended" if line.text("reason") == "servers_rest" => {
+                    let is_unsent = !sent.contains(line.text("request"));
+                    refused_unsent += usize::from(is_unsent);
+                }
+                _ => {}
+            }
+        }
+        assert_queued_in_reach(lines, &first_engines);
+    }
+    assert!(refused_unsent > 0, "no stream was refused without being sent");
+}
+
+/// Streams of one entry that waited could expect an engine in time.
+fn assert_queued_in_reach(lines: &[LogLine], first_engines: &BTreeSet<&str>) {
+    let queued = lines.iter().filter(|l| l.name() == "path_awaited");
+    for line in queued {
+        let joined_ms = line.at_ms - line.number("waited_ms");
+        let end_ms = |engine: &&str| {
+            let before = lines.iter().filter(|l| {
+                l.server_in_cooldown() == Some(*engine) && l.at_ms < joined_ms
+            });
+            let ends = before.map(|l| l.at_ms + l.number("left_ms"));
+            ends.max().unwrap_or(0)
+        };
+        let first_ms = first_engines.iter().map(end_ms).min().unwrap_or(0);
+        let left_ms = first_ms.saturating_sub(joined_ms);
+        assert!(
+            left_ms <= MAX_WAIT_MS + LOG_DELAY_MS,
+            "{} waits, although no engine is ready for {left_ms} ms",
+            line.text("request")
+        );
+    }
+}
+
+/// A line of an entry's log.
+struct LogLine {
+    /// Time of the day.
+    at_ms: u64,
+    fields: Value,
+}
+
+impl LogLine {
+    fn name(&self) -> &str {
+        self.text("name")
+    }
+
+    fn text(&self, field: &str) -> &str {
+        self.fields[field].as_str().unwrap_or("")
+    }
+
+    fn number(&self, field: &str) -> u64 {
+        self.text(field).parse().unwrap_or(0)
+    }
+
+    fn server_in_cooldown(&self) -> Option<&str> {
+        (self.name() == "rest_asked").then(|| self.text("backend"))
+    }
+}
+
+fn parse_log(running: &RunningSite, entry: usize) -> Vec<LogLine> {
+    let log = running.log(entry);
+    let parse = |line: &str| {
+        let mut line: Value = serde_json::from_str(line).ok()?;
+        let at_ms = time_of_day_ms(line["timestamp"].as_str()?)?;
+        Some(LogLine { at_ms, fields: line["kvs"].take() })
+    };
+    log.lines().filter_map(parse).collect()
+}
+
+/// Milliseconds of a time stamp such as `2026-01-18T03:03:18.633848+00:00`,
+/// counted from midnight.
+fn time_of_day_ms(stamp: &str) -> Option<u64> {
+    let part = |from: usize, to: usize| stamp.get(from..to)?.parse().ok();
+    let (hours, minutes): (u64, u64) = (part(11, 13)?, part(14, 16)?);
+    let (seconds, millis): (u64, u64) = (part(17, 19)?, part(20, 23)?);
+    Some(((hours * 60 + minutes) * 60 + seconds) * 1_000 + millis)
+}
+
 #[rstest]
 #[case::stream(RequestKind::Stream)]
 #[case::idempotent(RequestKind::Idempotent)]
--- a/crates/emulator/src/running.rs
+++ b/crates/emulator/src/running.rs
@@ -250,9 +250,12 @@
 
     /// Logs of all entries, concatenated.
     pub fn logs(&self) -> String {
-        let entries = self.entries();
-        let log = |entry| entries.log(entry).unwrap_or_default();
-        (0..entries.count()).map(log).collect()
+        (0..self.addresses.len()).map(|entry| self.log(entry)).collect()
+    }
+
+    /// Log of one entry; empty if it can't be read.
+    pub fn log(&self, entry: usize) -> String {
+        self.entries().log(entry).unwrap_or_default()
     }
 
     /// Fingerprints of requests that entries logged as quarantined.
