An entry without contact denies no key or route that may be new

Cause: only the age of known keys was asked for; what an entry does not know it denied at any age.

Change: once the store has not confirmed the copy for config-apply-ms, or for 2.7 s where that is longer, which a poll of an entry that reads alone takes, an unknown key or route is refused with 503 and a return time (configuration_stale): it has not run and may have been added.

Test an_entry_without_contact_denies_no_key_or_route_that_may_be_new, both cases failed before (20 s of 401 and 404 with the store silent) and pass.

--- a/crates/daemon/tests/users_platform/store.rs
+++ b/crates/daemon/tests/users_platform/store.rs
@@ -1,6 +1,6 @@
 //! Store faults.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use chestnutreach_emulator::{
@@ -65,6 +65,48 @@
     });
 }
 
+/// A key or route that an entry does not know may have been added since the
+/// store last confirmed its configuration.
+#[rstest]
+#[case::key(RequestKind::Idempotent, "another", 401)]
+#[case::route(RequestKind::UrgentStream, KEY, 404)]
+fn an_entry_without_contact_denies_no_key_or_route_that_may_be_new(
+    #[case] kind: RequestKind,
+    #[case] key: &str,
+    #[case] denial: u16,
+) {
+    /// Keys are trusted for longer than the test takes.
+    const REVOKE_MS: u64 = 60_000;
+    const CHECK_PERIOD: Duration = Duration::from_millis(2_000);
+    let site = Site { revoke_ms: REVOKE_MS, ..Site::small() };
+    with_site(&site, async |running| {
+        let wish = RequestSpec {
+            key: key.to_owned(),
+            max_attempts: 1,
+            ..RequestSpec::new(kind, "a", 1)
+        };
+        let send = async || {
+            let outcome = send_request(running, 0, &wish).await;
+            outcome.attempts[0].end.clone()
+        };
+        assert_eq!(send().await, AttemptEnd::Status(denial));
+        running.store.set_fault(StoreFault::Silent);
+        wait_until("it is not denied", async || {
+            send().await == AttemptEnd::Status(503)
+        })
+        .await;
+        let since = Instant::now();
+        while Instant::now() < since + CHECK_PERIOD {
+            assert_eq!(send().await, AttemptEnd::Status(503));
+        }
+        running.store.set_fault(StoreFault::None);
+        wait_until("it is denied", async || {
+            send().await == AttemptEnd::Status(denial)
+        })
+        .await;
+    });
+}
+
 #[test]
 fn a_change_reaches_all_entries_after_the_store_lost_its_history() {
     with_small_site(async |running| {
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -68,6 +68,10 @@
 const FAILURE_LOG_INTERVAL_MS: u64 = 1_000;
 /// Time beyond its wait after which a poll counts as failed.
 const STORE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
+/// Age that a configuration reaches while the store responds.
+pub(crate) const MAX_AGE_IN_CONTACT_MS: u64 =
+    (CONFIGURATION_POLL_WAIT.as_millis() + STORE_TIMEOUT_MARGIN.as_millis())
+        as u64;
 /// Shorter than for the store, because peers are in the same data centre.
 const PEER_TIMEOUT_MARGIN: Duration = Duration::from_millis(250);
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
--- a/crates/direct/src/request/admit.rs
+++ b/crates/direct/src/request/admit.rs
@@ -7,7 +7,10 @@
 use chestnutreach_routing::{Attempts, CountedBackends, DemandClass};
 use chestnutreach_site::{Configuration, Route, Service};
 
-use crate::{core::Core, request::response::ErrorReason};
+use crate::{
+    cluster::feed_follower::MAX_AGE_IN_CONTACT_MS, core::Core,
+    request::response::ErrorReason,
+};
 
 /// Timeout of a request that states none; all callers of the platform do.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
@@ -89,7 +92,7 @@
     let host = request.header("host").unwrap_or_default();
     let route = configuration
         .route(host, request.path())
-        .ok_or(ErrorReason::NoRoute)?
+        .ok_or_else(|| denial(core, ErrorReason::NoRoute))?
         .clone();
     let account = account(core, configuration, &route, request)?;
     let service = choose_service(configuration, &route)?;
@@ -147,7 +150,18 @@
     match found {
         Some(account) => Ok(Some((account.name.clone(), account.priority))),
         None if route.is_public => Ok(None),
-        None => Err(ErrorReason::NoKey),
+        None => Err(denial(core, ErrorReason::NoKey)),
+    }
+}
+
+/// Reason for a request that the configuration in force does not allow. What
+/// is missing may have been added since the store last confirmed it.
+fn denial(core: &Core, reason: ErrorReason) -> ErrorReason {
+    let apply_ms = core.settings.bounds.config_apply_ms;
+    let limit_ms = apply_ms.max(MAX_AGE_IN_CONTACT_MS);
+    match core.confirmed_age_ms() < limit_ms {
+        true => reason,
+        false => ErrorReason::ConfigurationStale,
     }
 }
 
--- a/crates/direct/src/request/response.rs
+++ b/crates/direct/src/request/response.rs
@@ -40,6 +40,8 @@
     NoKey,
     /// No configuration was received yet.
     NoConfiguration,
+    /// The entry can't tell whether the key or route was added.
+    ConfigurationStale,
     /// The entry can't tell whether access keys have been revoked.
     KeysStale,
     /// The entry is stopping.
@@ -90,6 +92,7 @@
             ErrorReason::NoRoute => 404,
             ErrorReason::NoKey => 401,
             ErrorReason::NoConfiguration
+            | ErrorReason::ConfigurationStale
             | ErrorReason::KeysStale
             | ErrorReason::Stopping
             | ErrorReason::NoBackend
@@ -107,6 +110,7 @@
             ErrorReason::NoRoute => "no_route",
             ErrorReason::NoKey => "no_key",
             ErrorReason::NoConfiguration => "no_configuration",
+            ErrorReason::ConfigurationStale => "configuration_stale",
             ErrorReason::KeysStale => "keys_stale",
             ErrorReason::Stopping => "stopping",
             ErrorReason::NoBackend => "no_backend",
