--- a/crates/daemon/tests/users_platform/large_configuration.rs
+++ b/crates/daemon/tests/users_platform/large_configuration.rs
@@ -96,6 +96,15 @@
     after.split('"').next()?.parse().ok()
 }
 
+/// Log lines of entries that put a version in force.
+fn in_force_lines(logs: &str, version: u64) -> Vec<&str> {
+    let lines = logs.lines().filter(|line| {
+        line.contains("\"configuration_in_force\"")
+            && number(line, "version") == Some(version)
+    });
+    lines.collect()
+}
+
 /// What entries send each other follows the change, not the configuration.
 #[test]
 fn a_small_change_of_a_large_configuration_is_a_short_response() {
@@ -107,16 +116,19 @@
         for entry in 0..running.addresses.len() {
             wait_until_served(running, entry, "another").await;
         }
+        let entries = running.addresses.len();
+        wait_until("all entries have logged it", async || {
+            in_force_lines(&running.logs(), version).len() == entries
+        })
+        .await;
         let logs = running.logs();
-        let in_force = logs.lines().filter(|line| {
-            line.contains("\"configuration_in_force\"")
-                && number(line, "version") == Some(version)
-        });
-        let lengths = |line| {
+        let lengths = |line: &&str| {
             let received = number(line, "received_bytes")?;
             Some((received, number(line, "bytes")?))
         };
-        let lengths: Vec<(u64, u64)> = in_force.filter_map(lengths).collect();
+        let lines = in_force_lines(&logs, version);
+        let lengths: Vec<(u64, u64)> =
+            lines.iter().filter_map(lengths).collect();
         assert!(!lengths.is_empty(), "no entry asked another one\n{logs}");
         let is_short =
             |(received, bytes): &(u64, u64)| received * 100 < *bytes;
