How rows arrived is passed along; one reader of log lines for the tests

The names of row forms stand at the type; the limit on a pause stands once, beside the client. Tests read log lines by one parser. The soak's check of requests cut by a stop says how long after the stop and after the request each was cut.

No behaviour changed.

--- a/crates/daemon/tests/users_platform/cooldowns.rs
+++ b/crates/daemon/tests/users_platform/cooldowns.rs
@@ -13,10 +13,10 @@
 };
 use chestnutreach_routing::capacity_wait::MAX_WAIT_MS;
 use rstest::rstest;
-use serde_json::Value;
 
 use crate::support::{
-    assert_all_served_or_log, assert_no_violation, with_small_site,
+    LogLine, assert_all_served_or_log, assert_no_violation, parse_log,
+    with_small_site,
 };
 
 /// Cooldown in seconds that a server requests.
@@ -156,13 +156,10 @@
 /// refused by that alone, without being sent.
 fn assert_none_waits_in_vain(running: &RunningSite) {
     let logs: Vec<Vec<LogLine>> = (0..running.addresses.len())
-        .map(|at| parse_log(running, at))
-        .collect();
-    let first_engines: BTreeSet<&str> = logs
-        .iter()
-        .flatten()
-        .filter_map(LogLine::server_in_cooldown)
+        .map(|at| parse_log(&running.log(at)))
         .collect();
+    let first_engines: BTreeSet<&str> =
+        logs.iter().flatten().filter_map(server_in_cooldown).collect();
     let mut refused_unsent = 0;
     for lines in &logs {
         let mut sent: BTreeSet<&str> = BTreeSet::new();
@@ -187,12 +184,12 @@
 fn assert_queued_in_reach(lines: &[LogLine], first_engines: &BTreeSet<&str>) {
     let queued = lines.iter().filter(|l| l.name() == "path_awaited");
     for line in queued {
-        let joined_ms = line.at_ms - line.number("waited_ms");
+        let joined_ms = line.at_ms - number(line, "waited_ms");
         let end_ms = |engine: &&str| {
             let before = lines.iter().filter(|l| {
-                l.server_in_cooldown() == Some(*engine) && l.at_ms < joined_ms
+                server_in_cooldown(l) == Some(*engine) && l.at_ms < joined_ms
             });
-            let ends = before.map(|l| l.at_ms + l.number("left_ms"));
+            let ends = before.map(|l| l.at_ms + number(l, "left_ms"));
             ends.max().unwrap_or(0)
         };
         let first_ms = first_engines.iter().map(end_ms).min().unwrap_or(0);
@@ -205,48 +202,13 @@
     }
 }
 
-/// A line of an entry's log.
-struct LogLine {
-    /// Time of the day.
-    at_ms: u64,
-    fields: Value,
-}
-
-impl LogLine {
-    fn name(&self) -> &str {
-        self.text("name")
-    }
-
-    fn text(&self, field: &str) -> &str {
-        self.fields[field].as_str().unwrap_or("")
-    }
-
-    fn number(&self, field: &str) -> u64 {
-        self.text(field).parse().unwrap_or(0)
-    }
-
-    fn server_in_cooldown(&self) -> Option<&str> {
-        (self.name() == "rest_asked").then(|| self.text("backend"))
-    }
-}
-
-fn parse_log(running: &RunningSite, entry: usize) -> Vec<LogLine> {
-    let log = running.log(entry);
-    let parse = |line: &str| {
-        let mut line: Value = serde_json::from_str(line).ok()?;
-        let at_ms = time_of_day_ms(line["timestamp"].as_str()?)?;
-        Some(LogLine { at_ms, fields: line["kvs"].take() })
-    };
-    log.lines().filter_map(parse).collect()
+fn number(line: &LogLine, field: &str) -> u64 {
+    line.number(field).expect("the event has the field")
 }
 
-/// Milliseconds of a time stamp such as `2026-01-18T03:03:18.633848+00:00`,
-/// counted from midnight.
-fn time_of_day_ms(stamp: &str) -> Option<u64> {
-    let part = |from: usize, to: usize| stamp.get(from..to)?.parse().ok();
-    let (hours, minutes): (u64, u64) = (part(11, 13)?, part(14, 16)?);
-    let (seconds, millis): (u64, u64) = (part(17, 19)?, part(20, 23)?);
-    Some(((hours * 60 + minutes) * 60 + seconds) * 1_000 + millis)
+/// The server that requested a cooldown, if the line says so.
+fn server_in_cooldown(line: &LogLine) -> Option<&str> {
+    (line.name() == "rest_asked").then(|| line.text("backend"))
 }
 
 #[rstest]
--- a/crates/daemon/tests/users_platform/large_configuration.rs
+++ b/crates/daemon/tests/users_platform/large_configuration.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     feed_sharing::{request_with_key, wait_until_served, wait_until_shared},
-    support::{send_request, wait_until, with_site},
+    support::{LogLine, parse_log, send_request, wait_until, with_site},
 };
 
 /// With the routes below, a configuration takes some 4 s of this link.
@@ -90,19 +90,14 @@
     });
 }
 
-/// The integer that a log line has under this name.
-fn number(line: &str, name: &str) -> Option<u64> {
-    let (_, after) = line.split_once(&format!("\"{name}\":\""))?;
-    after.split('"').next()?.parse().ok()
-}
-
 /// Log lines of entries that put a version in force.
-fn in_force_lines(logs: &str, version: u64) -> Vec<&str> {
-    let lines = logs.lines().filter(|line| {
-        line.contains("\"configuration_in_force\"")
-            && number(line, "version") == Some(version)
+fn in_force_lines(running: &RunningSite, version: u64) -> Vec<LogLine> {
+    let mut lines = parse_log(&running.logs());
+    lines.retain(|line| {
+        line.name() == "configuration_in_force"
+            && line.number("version") == Some(version)
     });
-    lines.collect()
+    lines
 }
 
 /// What entries send each other follows the change, not the configuration.
@@ -118,18 +113,17 @@
         }
         let entries = running.addresses.len();
         wait_until("all entries have logged it", async || {
-            in_force_lines(&running.logs(), version).len() == entries
+            in_force_lines(running, version).len() == entries
         })
         .await;
-        let logs = running.logs();
-        let lengths = |line: &&str| {
-            let received = number(line, "received_bytes")?;
-            Some((received, number(line, "bytes")?))
+        let lengths = |line: &LogLine| {
+            let received = line.number("received_bytes")?;
+            Some((received, line.number("bytes")?))
         };
-        let lines = in_force_lines(&logs, version);
+        let lines = in_force_lines(running, version);
         let lengths: Vec<(u64, u64)> =
             lines.iter().filter_map(lengths).collect();
-        assert!(!lengths.is_empty(), "no entry asked another one\n{logs}");
+        assert!(!lengths.is_empty(), "no entry asked another one");
         let is_short =
             |(received, bytes): &(u64, u64)| received * 100 < *bytes;
         assert!(lengths.iter().all(is_short), "{lengths:?}");
@@ -154,11 +148,10 @@
         for entry in 0..running.addresses.len() {
             wait_until_served(running, entry, "last").await;
         }
-        let logs = running.logs();
-        let unusable = logs.lines().filter(|line| {
-            line.contains("\"feed_poll_failed\"")
-                && line.contains("refers to another version")
-        });
+        let lines = parse_log(&running.logs());
+        let errors = lines.iter().filter(|l| l.name() == "feed_poll_failed");
+        let errors = errors.map(|line| line.text("error"));
+        let unusable = errors.filter(|e| e.contains("another version"));
         assert_eq!(unusable.collect::<Vec<_>>(), Vec::<&str>::new());
     });
 }
--- a/crates/daemon/tests/users_platform/support.rs
+++ b/crates/daemon/tests/users_platform/support.rs
@@ -16,6 +16,7 @@
     site::Site,
     start_executor,
 };
+use serde_json::Value;
 
 pub(crate) const BINARY: &str = env!("CARGO_BIN_EXE_chestnutreachd");
 
@@ -116,6 +117,51 @@
     panic!("{}\n{}", report.to_text(), lines.join("\n"));
 }
 
+/// A line of an entry's log.
+pub(crate) struct LogLine {
+    /// Time since the begin of the month.
+    pub(crate) at_ms: u64,
+    fields: Value,
+}
+
+impl LogLine {
+    /// Name of the event.
+    pub(crate) fn name(&self) -> &str {
+        self.text("name")
+    }
+
+    /// Value of a field; empty if it is missing.
+    pub(crate) fn text(&self, field: &str) -> &str {
+        self.fields[field].as_str().unwrap_or("")
+    }
+
+    /// Value of a field; `None` if it is missing or no integer.
+    pub(crate) fn number(&self, field: &str) -> Option<u64> {
+        self.text(field).parse().ok()
+    }
+}
+
+/// Parses a log; lines that are not events are left out.
+pub(crate) fn parse_log(log: &str) -> Vec<LogLine> {
+    let parse = |line: &str| {
+        let mut line: Value = serde_json::from_str(line).ok()?;
+        let at_ms = time_of_month_ms(line["timestamp"].as_str()?)?;
+        Some(LogLine { at_ms, fields: line["kvs"].take() })
+    };
+    log.lines().filter_map(parse).collect()
+}
+
+/// Milliseconds since the begin of the month, of a time stamp such as
+/// `2026-01-18T03:03:18.633848+00:00`.
+fn time_of_month_ms(stamp: &str) -> Option<u64> {
+    let part = |from: usize, to: usize| stamp.get(from..to)?.parse().ok();
+    let (days, hours): (u64, u64) = (part(8, 10)?, part(11, 13)?);
+    let (minutes, seconds): (u64, u64) = (part(14, 16)?, part(17, 19)?);
+    let millis: u64 = part(20, 23)?;
+    let minutes = (days * 24 + hours) * 60 + minutes;
+    Some((minutes * 60 + seconds) * 1_000 + millis)
+}
+
 /// Waits until a condition holds.
 pub(crate) async fn wait_until(
     what: &str,
--- a/crates/direct/src/cluster/configuration_rows.rs
+++ b/crates/direct/src/cluster/configuration_rows.rs
@@ -46,7 +46,7 @@
     }
 
     /// Puts the configurations in force that are newer than the current one.
-    pub(crate) fn apply(self, core: &Core, arrival: &Arrival<'_>) {
+    pub(crate) fn apply(self, core: &Core, arrival: &Arrival) {
         for (row, parsed) in self.rows.rows.iter().zip(self.parsed) {
             if let Some(parsed) = parsed {
                 apply(core, row, parsed, arrival);
@@ -56,9 +56,10 @@
 }
 
 /// How rows arrived.
-pub(crate) struct Arrival<'a> {
+#[derive(Clone, Debug)]
+pub(crate) struct Arrival {
     /// `store`, or the boot id of an entry.
-    pub(crate) source: &'a str,
+    pub(crate) source: String,
     /// Length of the response; `None` for one of the store.
     pub(crate) received_bytes: Option<usize>,
     /// Time of the poll, less the wait that an entry reports.
@@ -79,7 +80,7 @@
     core: &Core,
     row: &Row,
     parsed: ParsedConfiguration,
-    arrival: &Arrival<'_>,
+    arrival: &Arrival,
 ) {
     let new = match parsed.result {
         Ok(new) => Arc::new(new),
@@ -100,7 +101,7 @@
     new: &Configuration,
     row: &Row,
     parse_ms: u64,
-    arrival: &Arrival<'_>,
+    arrival: &Arrival,
 ) {
     let received_bytes = arrival.received_bytes.map(|n| n.to_string());
     emit(
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -119,10 +119,6 @@
     /// When a failed poll was last logged, and how many failed since then.
     failure_logged_ms: u64,
     unlogged_failures: u64,
-    /// Time that the last poll took, less the wait that an entry reports.
-    fetch_ms: u64,
-    /// Length of the last response, if it was that of an entry.
-    received_bytes: Option<usize>,
 }
 
 impl Follower {
@@ -140,8 +136,6 @@
             source_logged_ms: 0,
             failure_logged_ms: 0,
             unlogged_failures: 0,
-            fetch_ms: 0,
-            received_bytes: None,
         }
     }
 
@@ -231,7 +225,6 @@
 
     async fn fetch_from_store(&mut self, is_shared: bool) -> FetchOutcome {
         let sent_ms = now_ms();
-        self.received_bytes = None;
         let result = match self.applied_version {
             None => self.read_full_table().await,
             Some(version) => self.poll_store(version, is_shared).await,
@@ -262,10 +255,10 @@
         let sent_ms = now_ms();
         let table = self.feed().table;
         let rows = self.store.read_table(table, READ_TIMEOUT).await?;
-        self.fetch_ms = now_ms() - sent_ms;
+        let arrival = self.arrival(sent_ms, None);
         self.record_response(rows.version);
         self.log_lower_version(&rows);
-        self.apply_all(&rows);
+        self.apply_all(&rows, &arrival);
         self.record_confirmed(sent_ms);
         Ok(rows.version)
     }
@@ -289,10 +282,10 @@
         let feed =
             self.store.feed(table, after, wait, wait + STORE_TIMEOUT_MARGIN);
         let rows = feed.await?;
-        self.fetch_ms = now_ms() - sent_ms;
+        let arrival = self.arrival(sent_ms, None);
         self.record_response(rows.version);
         self.log_lower_version(&rows);
-        self.apply_changes(&rows);
+        self.apply_changes(&rows, &arrival);
         // An empty response shows that the poll waited its full time.
         let waited_ms = match rows.rows.is_empty() {
             true => wait.as_millis() as u64,
@@ -336,13 +329,29 @@
             }
         };
         self.client = Some(client);
-        self.fetch_ms =
-            (now_ms() - sent_ms).saturating_sub(received.waited_ms);
-        self.received_bytes = Some(received.bytes);
-        self.apply_received(&received)
+        let arrival =
+            self.arrival(sent_ms + received.waited_ms, Some(received.bytes));
+        self.apply_received(&received, &arrival)
     }
 
-    fn apply_received(&mut self, received: &ReceivedRows) -> FetchOutcome {
+    /// How rows arrived of which the source began to respond at `begun_ms`.
+    fn arrival(
+        &self,
+        begun_ms: u64,
+        received_bytes: Option<usize>,
+    ) -> Arrival {
+        Arrival {
+            source: self.source_name(),
+            received_bytes,
+            fetch_ms: now_ms().saturating_sub(begun_ms),
+        }
+    }
+
+    fn apply_received(
+        &mut self,
+        received: &ReceivedRows,
+        arrival: &Arrival,
+    ) -> FetchOutcome {
         if let Some(recovered_ms) = received.recovered_ms {
             self.feed().record_recovery(recovered_ms);
         }
@@ -352,8 +361,8 @@
             return FetchOutcome::Stale;
         }
         match received.is_full_table {
-            true => self.apply_all(rows),
-            false => self.apply_changes(rows),
+            true => self.apply_all(rows, arrival),
+            false => self.apply_changes(rows, arrival),
         }
         self.applied_version = self.applied_version.max(Some(rows.version));
         self.record_confirmed(received.confirmed_ms);
@@ -374,22 +383,24 @@
 
     /// Applies a full table, unless the copy is newer, as can be the case if
     /// the rows come from another entry.
-    fn apply_all(&self, rows: &Rows) {
+    fn apply_all(&self, rows: &Rows, arrival: &Arrival) {
         self.begin_history(rows);
         if !self.feed().replace(rows) {
             return;
         }
         match self.kind {
             FeedKind::Configuration => {
-                self.apply_configurations(ParsedRows::new(rows));
+                ParsedRows::new(rows).apply(&self.core, arrival);
             }
             FeedKind::Backends => backend_rows::apply_all(&self.core, rows),
         }
     }
 
-    fn apply_changes(&self, rows: &Rows) {
+    fn apply_changes(&self, rows: &Rows, arrival: &Arrival) {
         match self.kind {
-            FeedKind::Configuration => self.apply_configuration_changes(rows),
+            FeedKind::Configuration => {
+                self.apply_configuration_changes(rows, arrival);
+            }
             FeedKind::Backends => {
                 if self.feed().apply_changes(rows) {
                     backend_rows::apply_changes(&self.core, rows);
@@ -400,22 +411,13 @@
 
     /// The copy keeps the configuration in force if a change brings an older
     /// one: an entry that starts takes whatever the copy has.
-    fn apply_configuration_changes(&self, rows: &Rows) {
+    fn apply_configuration_changes(&self, rows: &Rows, arrival: &Arrival) {
         let parsed = ParsedRows::new(rows);
         if self.feed().apply_changes(&parsed.without_older(&self.core)) {
-            self.apply_configurations(parsed);
+            parsed.apply(&self.core, arrival);
         }
     }
 
-    fn apply_configurations(&self, parsed: ParsedRows<'_>) {
-        let arrival = Arrival {
-            source: &self.source_name(),
-            received_bytes: self.received_bytes,
-            fetch_ms: self.fetch_ms,
-        };
-        parsed.apply(&self.core, &arrival);
-    }
-
     fn record_confirmed(&self, then_ms: u64) {
         self.feed().record_confirmed(then_ms);
         if self.kind == FeedKind::Configuration {
--- a/crates/direct/src/cluster/feed_server.rs
+++ b/crates/direct/src/cluster/feed_server.rs
@@ -1,11 +1,11 @@
 //! Server and client of the feeds that entries provide in place of the store.
 //!
 //! HTTP on a separate port:
-//! `GET /feed/TABLE?era=ERA&after=NUMBER&wait-ms=MS&rows=short` waits for a change as the store's feed does, and also for the next time at
-//! which the store confirms the copy. The response holds all rows if `after`
-//! is missing, or if the changes since that version are not known. A missing
-//! era is era 0. With `rows=compressed` long rows are compressed, with
-//! `rows=short` against what the caller has.
+//! `GET /feed/TABLE?era=ERA&after=NUMBER&wait-ms=MS&rows=FORM` waits for a
+//! change as the store's feed does, and also for the next time at which the
+//! store confirms the copy. The response holds all rows if `after` is missing,
+//! or if the changes since that version are not known. A missing era is era 0.
+//! The form of the rows is a [`RowForm`]; a missing one is `plain`.
 //! `GET /entries` returns the entries that this one knows.
 
 use std::{
@@ -18,7 +18,7 @@
 use async_io::{Async, Timer};
 use chestnutreach_http::{
     Client, ClientError, ClientOptions, ReceivedRequest, Response,
-    ServerOptions, serve_connection,
+    STALL_TIMEOUT, ServerOptions, serve_connection,
 };
 use chestnutreach_protocol::peers::{EntryList, FeedAnswer};
 use chestnutreach_site::StoreVersion;
@@ -32,9 +32,6 @@
     core::Core,
 };
 
-/// Values of `rows`.
-const SHORT_ROWS: &str = "short";
-const COMPRESSED_ROWS: &str = "compressed";
 /// Path of the list of entries.
 const ENTRIES_PATH: &str = "/entries";
 /// Maximum time for which a poll of another entry is held.
@@ -43,9 +40,6 @@
 /// or ask around, and for old connections that are not closed yet.
 const MAX_CONNECTIONS: usize = 256;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Longest pause in a response. A packet that is lost twice in a row is sent
-/// again after 0.6 s.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A configuration with 1,600 client accounts is far smaller.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -81,11 +75,8 @@
         pairs.find(|(key, _)| key == name).map(|(_, value)| value)
     };
     let number = |name: &str| text(name)?.parse::<u64>().ok();
-    let form = match text("rows").as_deref() {
-        Some(SHORT_ROWS) => RowForm::Short,
-        Some(COMPRESSED_ROWS) => RowForm::Compressed,
-        _ => RowForm::Plain,
-    };
+    let form = text("rows").as_deref().and_then(RowForm::from_name);
+    let form = form.unwrap_or(RowForm::Plain);
     if url.path() == ENTRIES_PATH {
         return respond_with_entries(core);
     }
@@ -228,20 +219,15 @@
         timeout: Duration,
     ) -> Result<FetchedFeed, FetchError> {
         let sent_ms = now_ms();
-        let mut target = format!("/feed/{table}?wait-ms={}", wait.as_millis());
+        let mut target = format!(
+            "/feed/{table}?wait-ms={}&rows={}",
+            wait.as_millis(),
+            form.name()
+        );
         if let Some(after) = after {
             let (era, after) = (after.era(), after.number());
             target.push_str(&format!("&era={era}&after={after}"));
         }
-        match form {
-            RowForm::Plain => {}
-            RowForm::Compressed => {
-                target.push_str(&format!("&rows={COMPRESSED_ROWS}"));
-            }
-            RowForm::Short => {
-                target.push_str(&format!("&rows={SHORT_ROWS}"));
-            }
-        }
         let body = self.get(&target, timeout).await?;
         let answer = FeedAnswer::decode(body.as_slice());
         let answer = answer.map_err(FetchError::Malformed)?;
--- a/crates/direct/src/cluster/feeds.rs
+++ b/crates/direct/src/cluster/feeds.rs
@@ -42,6 +42,24 @@
     Short,
 }
 
+impl RowForm {
+    const ALL: [RowForm; 3] =
+        [RowForm::Plain, RowForm::Compressed, RowForm::Short];
+
+    /// Name in requests.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            RowForm::Plain => "plain",
+            RowForm::Compressed => "compressed",
+            RowForm::Short => "short",
+        }
+    }
+
+    pub(crate) fn from_name(name: &str) -> Option<RowForm> {
+        RowForm::ALL.into_iter().find(|form| form.name() == name)
+    }
+}
+
 /// A row of a response refers to a version of this row that the own copy does
 /// not have.
 #[derive(Debug)]
@@ -254,16 +272,12 @@
         let changes = after.and_then(|after| copy.changes_after(after));
         let is_whole = changes.is_none();
         let rows = changes.unwrap_or_else(|| copy.rows().collect());
-        let rows = rows.into_iter();
-        let rows = match form {
-            RowForm::Plain => rows.map(feed_row).collect(),
-            RowForm::Compressed => {
-                rows.map(|row| self.short_row(&copy, row, None)).collect()
-            }
-            RowForm::Short => {
-                rows.map(|row| self.short_row(&copy, row, after)).collect()
-            }
+        let in_form = |row: &RowChange| match form {
+            RowForm::Plain => feed_row(row),
+            RowForm::Compressed => self.short_row(&copy, row, None),
+            RowForm::Short => self.short_row(&copy, row, after),
         };
+        let rows = rows.into_iter().map(in_form).collect();
         let recovered_ms = Some(self.recovered_ms()).filter(|ms| *ms > 0);
         Some(FeedAnswer {
             rows,
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -109,33 +109,33 @@
     /// process that starts meanwhile was not told of the cooldown.
     pub fn most_arrivals_in_cooldown(&self) -> Option<CooldownArrivals<'_>> {
         let entries = self.entries_of_requests();
-        let arrivals = |cooldown: &'_ CooldownRequest| {
-            let Arrival { server, request, at } = &cooldown.rejected;
-            let from = *at + COOLDOWN_GRACE;
-            let entry = entries.get(request).copied();
-            let until = self.process_end(entry, *at);
-            let until = until.map_or(*at + cooldown.duration, |end| {
-                end.min(*at + cooldown.duration)
-            });
-            let log = self.observations.arrival_log.iter();
-            let arrived = log.filter(|arrival| {
-                arrival.server == *server
-                    && from <= arrival.at
-                    && arrival.at < until
-                    && entries.get(&arrival.request).copied() == entry
-            });
-            arrived.collect()
-        };
         let cooldowns = self.observations.cooldown_requests.iter();
-        let all = cooldowns.map(|cooldown| CooldownArrivals {
-            rejected: &cooldown.rejected,
-            entry: entries.get(&cooldown.rejected.request).copied(),
-            arrivals: arrivals(cooldown),
-        });
+        let all = cooldowns.map(|c| self.arrivals_in(c, &entries));
         all.max_by_key(|cooldown| cooldown.arrivals.len())
     }
 
-    /// When the process of an entry that ran at a time had been replaced.
+    fn arrivals_in<'a>(
+        &'a self,
+        cooldown: &'a CooldownRequest,
+        entries: &BTreeMap<String, SocketAddr>,
+    ) -> CooldownArrivals<'a> {
+        let rejected = &cooldown.rejected;
+        let entry = entries.get(&rejected.request).copied();
+        let from = rejected.at + COOLDOWN_GRACE;
+        let end = rejected.at + cooldown.duration;
+        let process_end = self.process_end(entry, rejected.at);
+        let until =
+            process_end.map_or(end, |process_end| end.min(process_end));
+        let log = self.observations.arrival_log.iter();
+        let arrived = log.filter(|arrival| {
+            arrival.server == rejected.server
+                && (from..until).contains(&arrival.at)
+                && entries.get(&arrival.request).copied() == entry
+        });
+        CooldownArrivals { rejected, entry, arrivals: arrived.collect() }
+    }
+
+    /// When the process that an entry had at a time was replaced.
     fn process_end(
         &self,
         entry: Option<SocketAddr>,
--- a/crates/emulator/src/soak/checks.rs
+++ b/crates/emulator/src/soak/checks.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     backend_servers::{ExpiredLimit, Observations},
-    caller::{AttemptEnd, RequestKind},
+    caller::{Attempt, AttemptEnd, RequestKind},
     report::Report,
     running::RunningSite,
     site::RETRY_RATIO,
@@ -106,17 +106,25 @@
     let attempts =
         report.outcomes.iter().flat_map(|outcome| &outcome.attempts);
     let aborted = attempts.filter(|t| t.end == AttemptEnd::Cut);
-    let by_stop = aborted.filter(|t| {
-        let is_after_stop = stops.iter().any(|(entry, at)| {
-            *entry == t.entry && (*at..*at + STOP_GRACE).contains(&t.ended_at)
-        });
-        is_after_stop
-            && !kills.contains(&t.entry)
-            && !is_after_fault(t.ended_at, ENGINE_ABORT_WINDOW)
+    let stop_of = |t: &Attempt| {
+        let mut of_entry = stops.iter().filter(|(entry, _)| *entry == t.entry);
+        of_entry.find(|(_, at)| (*at..*at + STOP_GRACE).contains(&t.ended_at))
+    };
+    let by_stop = aborted.filter_map(|t| {
+        let (_, at) = stop_of(t)?;
+        let is_by_stop = !kills.contains(&t.entry)
+            && !is_after_fault(t.ended_at, ENGINE_ABORT_WINDOW);
+        is_by_stop.then(|| {
+            let lasted_ms = (t.ended_at - t.sent_at).as_millis();
+            let after_ms = (t.ended_at - *at).as_millis();
+            format!(
+                "{}: cut by the stop of {}, {after_ms} ms after it and \
+                 {lasted_ms} ms after the request",
+                t.id, t.entry
+            )
+        })
     });
-    by_stop
-        .map(|t| format!("{}: cut by the stop of {}", t.id, t.entry))
-        .collect()
+    by_stop.collect()
 }
 
 /// Retries of streams at engines beyond the retry limit of all entries.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -24,6 +24,9 @@
     stream::SharedStream,
 };
 
+/// Usual limit on a pause in a response: a packet that is lost twice in a row
+/// is sent again after 0.6 s.
+pub const STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Idle connections that the pool keeps.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Lower statuses belong to interim responses.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -37,6 +37,6 @@
 
 pub use http_types::Response;
 
-pub use client::{Client, ClientError, ClientOptions};
+pub use client::{Client, ClientError, ClientOptions, STALL_TIMEOUT};
 pub use server::{ReceivedRequest, ServerOptions, serve_connection};
 pub use stream::SharedStream;
