Keys stay stale, and the entry not ready, until a recent confirmation

Callers saw: of 100 requests 13 to 25 refused for seconds, while the balancer kept sending new clients to the entries that refused them; the record has their readiness failing and passing again by turns, 0.9 to 1.5 s apart.

Cause: any response of a peer cleared the condition, also one whose own copy was as old. The next request with a key set it again.

The test the_response_of_a_stale_peer_makes_no_stale_entry_ready, six entries that share the feeds while the store is silent, failed before (an entry was ready) and passes now.

Why it works: a confirmation now evaluates the age that it leaves, the same check as that of a request.

--- a/crates/daemon/tests/users_platform/feed_sharing.rs
+++ b/crates/daemon/tests/users_platform/feed_sharing.rs
@@ -279,3 +279,38 @@
         }
     });
 }
+
+/// Time for which entries are watched that must not become ready.
+const WATCH_PERIOD: Duration = Duration::from_millis(1_500);
+
+/// A load balancer that sees stale entries as ready by turns sends them
+/// callers, all of whom they refuse.
+#[test]
+fn the_response_of_a_stale_peer_makes_no_stale_entry_ready() {
+    with_site(&Site::with_shared_feeds(), async |running| {
+        wait_until_shared(running).await;
+        let entries = running.addresses.len();
+        running.store.set_fault(StoreFault::Silent);
+        for entry in 0..entries {
+            wait_until("keys are refused", async || {
+                let request = request_with_key(KEY);
+                !send_request(running, entry, &request).await.is_served()
+            })
+            .await;
+        }
+        let until = Instant::now() + WATCH_PERIOD;
+        while Instant::now() < until {
+            for entry in 0..entries {
+                assert!(!running.is_ready(entry).await, "entry {entry}");
+            }
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        running.store.set_fault(StoreFault::None);
+        for entry in 0..entries {
+            wait_until("the entry is ready", async || {
+                running.is_ready(entry).await
+            })
+            .await;
+        }
+    });
+}
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -208,9 +208,8 @@
     /// `then_ms`.
     pub(crate) fn record_configuration_confirmed(&self, then_ms: u64) {
         self.confirmed_ms.fetch_max(then_ms, Relaxed);
-        if self.were_keys_stale.swap(false, Relaxed) {
-            self.readiness.clear(KEYS_STALE);
-        }
+        // What a stale peer sends confirms only what was known before.
+        self.are_keys_fresh();
     }
 
     /// Records that the store did not respond; the outage counts from the
@@ -228,7 +227,8 @@
 
     /// Whether access keys may be trusted. They may not once the
     /// configuration is unconfirmed for so long that a key could have been
-    /// revoked beyond the limit without this entry learning of it.
+    /// revoked beyond the limit without this entry learning of it. Updates the
+    /// readiness.
     pub(crate) fn are_keys_fresh(&self) -> bool {
         let bounds = &self.settings.bounds;
         if !bounds.is_revoke_strict {
@@ -237,7 +237,11 @@
         let limit_ms = bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS);
         let age_ms = self.confirmed_age_ms();
         let is_fresh = age_ms < limit_ms;
-        if !is_fresh && !self.were_keys_stale.swap(true, Relaxed) {
+        let were_stale = self.were_keys_stale.swap(!is_fresh, Relaxed);
+        if is_fresh && were_stale {
+            self.readiness.clear(KEYS_STALE);
+        }
+        if !is_fresh && !were_stale {
             let reason = format!("not confirmed for {age_ms} ms");
             self.readiness.block(KEYS_STALE, reason);
             emit(
