Test: an entry goes by a configuration that others have replaced (red)

Two entries; the link of one to the store takes 40 s for the configuration. The other one has it at once and tells so. Past the 2 s in which a change must be in force, the first still serves what the old one allows.

--- a/crates/daemon/tests/users_platform/large_configuration.rs
+++ b/crates/daemon/tests/users_platform/large_configuration.rs
@@ -5,6 +5,7 @@
 
 use async_io::Timer;
 use chestnutreach_emulator::{
+    caller::AttemptEnd,
     link::LinkFault,
     running::RunningSite,
     site::{KEY, Site},
@@ -90,6 +91,38 @@
     });
 }
 
+/// Another entry tells of a configuration that this one is still receiving.
+#[test]
+fn no_entry_goes_by_a_configuration_that_others_have_replaced() {
+    /// A configuration takes some 40 s of this link.
+    const SLOWEST_LINK: LinkFault = LinkFault::Narrow(10_000);
+    /// Time within which a change must be in force, from the settings.
+    const APPLY_TIME: Duration = Duration::from_millis(2_000);
+    const CHECK_PERIOD: Duration = Duration::from_millis(1_500);
+    let site = Site { entries: 2, ..site() };
+    with_site(&site, async |running| {
+        wait_until_served(running, 0, KEY).await;
+        running.set_store_link(0, SLOWEST_LINK, true);
+        running.configure(&["another"]);
+        wait_until_served(running, 1, "another").await;
+        Timer::after(APPLY_TIME).await;
+        let until = Instant::now() + CHECK_PERIOD;
+        while Instant::now() < until {
+            for key in [KEY, "another"] {
+                let request = request_with_key(key);
+                let outcome = send_request(running, 0, &request).await;
+                let end = &outcome.attempts[0].end;
+                assert_eq!(*end, AttemptEnd::Status(503), "{key}");
+            }
+            assert!(!running.is_ready(0).await);
+        }
+        running.set_store_link(0, SLOWEST_LINK, false);
+        wait_until_served(running, 0, "another").await;
+        wait_until("the entry is ready", async || running.is_ready(0).await)
+            .await;
+    });
+}
+
 /// Log lines of entries that put a version in force.
 fn in_force_lines(running: &RunningSite, version: u64) -> Vec<LogLine> {
     let mut lines = parse_log(&running.logs());
--- a/crates/emulator/src/running.rs
+++ b/crates/emulator/src/running.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    /// Starts or ends a fault of the link between an entry and the store.
+    pub fn set_store_link(&self, entry: usize, fault: LinkFault, is_on: bool) {
+        fault.set(&self.store_links[entry], is_on);
+    }
+
     fn record_stop(&self, entry: usize) {
         let mut stops = self.stops.lock().expect("no holder panics");
         stops.push((self.addresses[entry], Instant::now()));
