An entry that knows of a newer configuration does not go by its own

Callers saw: requests on public routes served by a configuration that had been replaced 5.4 s before, where 3 s are allowed; with keys, up to 4.6 s.

Cause: an entry that could not get the newest configuration went by the one that it had, without a limit on public routes. Age alone can't be the limit: while the store is away for all, the configuration in force is the newest, and requests without a key are to be served. But entries report the version that they have in force several times a second, and nobody read that.

Change: a report of a newer version counts from when it was first heard, unless the store has confirmed the own version since. Past the time for a change to be in force, less the time that reports take, requests are refused as not run with a return time (configuration_stale), and the entry is not ready. The decision is membership::newer_versions, without clock or I/O. Core has one field less. Readiness answers without a lock, as each request may change it.

--- a/crates/cli/src/site/trace.rs
+++ b/crates/cli/src/site/trace.rs
@@ -15,7 +15,7 @@
 pub(crate) const NAME: &str = "trace";
 const REQUEST: &str = "request";
 /// Events about the store, which may explain refusals.
-const STORE_EVENTS: [&str; 9] = [
+const STORE_EVENTS: [&str; 10] = [
     "feed_lost",
     "store_history_replaced",
     "store_version_fell",
@@ -23,6 +23,7 @@
     "feed_back",
     "keys_stale",
     "configuration_in_force",
+    "configuration_outdated",
     "lease_taken",
     "lease_lost",
 ];
--- a/crates/direct/src/cluster.rs
+++ b/crates/direct/src/cluster.rs
@@ -7,6 +7,7 @@
 //! | `feed_server` | server and client of feeds between entries |
 //! | `received_rows` | rows that another entry sends |
 //! | `configuration_rows` | configurations that the feed brings |
+//! | `configuration_age` | how current the configuration in force is |
 //! | `backend_rows`, `unusable_rows` | rows of the backend list |
 //! | `fleet`, `engine` | state of the backend servers |
 //! | `exit_check` | whether a process has exited, for a request's limit |
@@ -21,6 +22,7 @@
 
 pub(crate) mod alerts;
 pub(crate) mod backend_rows;
+pub(crate) mod configuration_age;
 pub(crate) mod configuration_rows;
 pub(crate) mod discovery;
 pub(crate) mod engine;
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -203,7 +203,7 @@
         boot_id: core.boot_id,
         sequence,
         vm: core.settings.vm.clone(),
-        configuration: core.configuration().map_or(0, |c| c.version),
+        configuration: core.configuration_version(),
         engines: engines.collect(),
         services: services.collect(),
         is_planner: core.is_planner.load(Relaxed),
@@ -259,6 +259,7 @@
             }
         }
     }
+    core.record_peer_configuration(state.configuration);
     core.peers.record_sent(state, core.settings.bounds.retry_window_ms);
     if state.is_planner {
         core.apply_moves(&state.open_moves);
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -10,7 +10,10 @@
 use arc_swap::ArcSwapOption;
 use async_executor::Executor;
 use chestnutreach_adapter::store::StoreClient;
-use chestnutreach_membership::rendezvous::{Candidate, CapacityClass};
+use chestnutreach_membership::{
+    newer_versions::grace_ms,
+    rendezvous::{Candidate, CapacityClass},
+};
 use chestnutreach_protocol::peers::OpenMove;
 use chestnutreach_routing::{
     CapacityWaits, FirstEventWaits, RetryLimit, RetryWindow, SentCounts,
@@ -22,8 +25,9 @@
     by_service::ByService,
     clock::now_ms,
     cluster::{
-        alerts::Alerts, feeds::Feeds, fleet::Fleet, peer_table::PeerTable,
-        peer_usage::PeerUsage, permits::PermitTable, suspects::SuspectTable,
+        alerts::Alerts, configuration_age::ConfigurationAge, feeds::Feeds,
+        fleet::Fleet, peer_table::PeerTable, peer_usage::PeerUsage,
+        permits::PermitTable, suspects::SuspectTable,
         unusable_rows::UnusableRows,
     },
     request::{
@@ -51,6 +55,7 @@
 pub(crate) const NEEDS_BACKENDS: &str = "backends";
 pub(crate) const IS_STOPPING: &str = "stopping";
 pub(crate) const KEYS_STALE: &str = "keys";
+pub(crate) const IS_OUTDATED: &str = "outdated";
 
 /// State shared by the tasks of an entry.
 pub(crate) struct Core {
@@ -63,9 +68,7 @@
     configuration: ArcSwapOption<Configuration>,
     /// Version of the row with the configuration in force.
     configuration_row: Mutex<StoreVersion>,
-    /// When the store last confirmed the configuration in force.
-    confirmed_ms: AtomicU64,
-    were_keys_stale: AtomicBool,
+    configuration_age: ConfigurationAge,
     pub(crate) fleet: Fleet,
     pub(crate) unusable_rows: UnusableRows,
     pub(crate) stream_subscribers: Subscribers,
@@ -128,8 +131,7 @@
             executor,
             configuration: ArcSwapOption::empty(),
             configuration_row: Mutex::default(),
-            confirmed_ms: AtomicU64::new(0),
-            were_keys_stale: AtomicBool::new(false),
+            configuration_age: ConfigurationAge::default(),
             fleet: Fleet::default(),
             unusable_rows: UnusableRows::default(),
             stream_subscribers: Subscribers::default(),
@@ -166,6 +168,12 @@
         self.configuration.load_full()
     }
 
+    /// Version of the configuration in force; 0 before there is one.
+    pub(crate) fn configuration_version(&self) -> u64 {
+        let configuration = self.configuration.load();
+        configuration.as_ref().map_or(0, |c| c.version)
+    }
+
     /// Whether the configuration in force has a service of this name.
     pub(crate) fn has_service(&self, name: &str) -> bool {
         let configuration = self.configuration.load();
@@ -197,6 +205,7 @@
             return false;
         }
         *row_in_force = row_version;
+        self.configuration_age.record_in_force(new.version);
         self.metrics.manifest_generation.set(new.version as i64);
         self.configuration.store(Some(new));
         self.readiness.clear(NEEDS_CONFIGURATION);
@@ -207,9 +216,20 @@
     /// Records that the store confirmed the configuration as the newest at
     /// `then_ms`.
     pub(crate) fn record_configuration_confirmed(&self, then_ms: u64) {
-        self.confirmed_ms.fetch_max(then_ms, Relaxed);
+        let own_version = self.configuration_version();
+        self.configuration_age.record_confirmed(then_ms, own_version);
         // What a stale peer sends confirms only what was known before.
         self.are_keys_fresh();
+        self.is_outdated();
+    }
+
+    /// Records that another entry has a version of the configuration in force.
+    pub(crate) fn record_peer_configuration(&self, version: u64) {
+        let own_version = self.configuration_version();
+        if version > own_version {
+            self.configuration_age.record_report(version, own_version);
+            self.is_outdated();
+        }
     }
 
     /// Records that the store did not respond; the outage counts from the
@@ -222,7 +242,7 @@
     }
 
     pub(crate) fn confirmed_age_ms(&self) -> u64 {
-        now_ms().saturating_sub(self.confirmed_ms.load(Relaxed))
+        self.configuration_age.confirmed_age_ms()
     }
 
     /// Whether access keys may be trusted. They may not once the
@@ -236,20 +256,47 @@
         }
         let limit_ms = bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS);
         let age_ms = self.confirmed_age_ms();
-        let is_fresh = age_ms < limit_ms;
-        let were_stale = self.were_keys_stale.swap(!is_fresh, Relaxed);
-        if is_fresh && were_stale {
+        if age_ms < limit_ms {
             self.readiness.clear(KEYS_STALE);
+            return true;
         }
-        if !is_fresh && !were_stale {
-            let reason = format!("not confirmed for {age_ms} ms");
-            self.readiness.block(KEYS_STALE, reason);
+        let reason = format!("not confirmed for {age_ms} ms");
+        if self.readiness.block(KEYS_STALE, reason) {
             emit(
                 Event::KeysStale,
                 &[("confirmed_age_ms", &age_ms), ("limit_ms", &limit_ms)],
             );
         }
-        is_fresh
+        false
+    }
+
+    /// Whether this entry must not go by its configuration any more, because
+    /// others have had a newer one in force for so long. Updates the
+    /// readiness.
+    pub(crate) fn is_outdated(&self) -> bool {
+        let Some(lacking_ms) = self.configuration_age.lacking_ms() else {
+            self.readiness.clear(IS_OUTDATED);
+            return false;
+        };
+        let apply_ms = self.settings.bounds.config_apply_ms;
+        let limit_ms = grace_ms(apply_ms, self.peers.report_delay_ms());
+        if lacking_ms < limit_ms {
+            self.readiness.clear(IS_OUTDATED);
+            return false;
+        }
+        let reason = format!("others have a newer one for {lacking_ms} ms");
+        if self.readiness.block(IS_OUTDATED, reason) {
+            emit(
+                Event::ConfigurationOutdated,
+                &[
+                    ("version", &self.configuration_version()),
+                    ("lacking_ms", &lacking_ms),
+                    ("limit_ms", &limit_ms),
+                    ("confirmed_age_ms", &self.confirmed_age_ms()),
+                ],
+            );
+        }
+        true
     }
 
     pub(crate) fn begin_stop(&self) {
--- a/crates/direct/src/request/admit.rs
+++ b/crates/direct/src/request/admit.rs
@@ -76,7 +76,10 @@
         let reason = ErrorReason::NoConfiguration;
         return Err(AdmissionError { reason, configuration: 0 });
     };
-    let admitted = admit_with(core, &configuration, request, received_ms);
+    let admitted = match core.is_outdated() {
+        true => Err(ErrorReason::ConfigurationStale),
+        false => admit_with(core, &configuration, request, received_ms),
+    };
     admitted.map_err(|reason| AdmissionError {
         reason,
         configuration: configuration.version,
--- a/crates/direct/src/request/response.rs
+++ b/crates/direct/src/request/response.rs
@@ -40,7 +40,8 @@
     NoKey,
     /// No configuration was received yet.
     NoConfiguration,
-    /// The entry can't tell whether the key or route was added.
+    /// The entry can't tell whether the key or route was added, or knows that
+    /// others have a newer configuration.
     ConfigurationStale,
     /// The entry can't tell whether access keys have been revoked.
     KeysStale,
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`issuer`] | which entry grants a shared limit, and which share of it |
 //! | [`feed_source`] | where an entry reads a feed of the store from |
 //! | [`gossip`] | interval of messages between entries, timeouts on silence |
+//! | [`newer_versions`] | configurations that others have and this entry lacks |
 //! | [`startup`] | how an entry that starts finds the others |
 //! | [`restored_row`] | rows that are older than what is known |
 //! | [`short_rows`] | short forms of long rows |
@@ -38,6 +39,7 @@
 pub mod feed_source;
 pub mod gossip;
 pub mod issuer;
+pub mod newer_versions;
 pub mod rendezvous;
 pub mod restored_row;
 pub mod short_rows;
@@ -45,4 +47,5 @@
 pub mod table;
 
 pub use feed_source::{FeedPeers, FeedSource, FeedSources, FetchOutcome};
+pub use newer_versions::NewerVersions;
 pub use table::{RowChange, TableCopy};
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -367,6 +367,9 @@
     FeedPollFailed = 947, "feed_poll_failed", Warn,
         ["table", "source", "error", "elapsed_ms", "age_ms", "unlogged"],
         "A poll of a table brought nothing.";
+    ConfigurationOutdated = 948, "configuration_outdated", Warn,
+        ["version", "lacking_ms", "limit_ms", "confirmed_age_ms"],
+        "Other entries have a newer configuration; requests are refused until it arrives.";
 }
 
 impl Event {
--- a/crates/telemetry/src/readiness.rs
+++ b/crates/telemetry/src/readiness.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Mutex, MutexGuard},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering::Relaxed},
+    },
 };
 
 /// Reason of a condition that has not been met since startup.
@@ -26,28 +29,47 @@
 #[derive(Debug, Default)]
 pub struct Readiness {
     blocked: Mutex<BTreeMap<&'static str, String>>,
+    /// Whether there is any, so that each request may clear a condition
+    /// without a lock.
+    is_blocked: AtomicBool,
 }
 
 impl Readiness {
     /// Blocked until each of these conditions is cleared.
     pub fn new(conditions: &[&'static str]) -> Readiness {
         let blocked = conditions.iter().map(|c| (*c, NOT_YET.to_owned()));
-        Readiness { blocked: Mutex::new(blocked.collect()) }
+        let blocked: BTreeMap<_, _> = blocked.collect();
+        Readiness {
+            is_blocked: AtomicBool::new(!blocked.is_empty()),
+            blocked: Mutex::new(blocked),
+        }
     }
 
-    /// Blocks the process on `condition`, or updates the reason.
-    pub fn block(&self, condition: &'static str, reason: impl Into<String>) {
-        self.lock().insert(condition, reason.into());
+    /// Blocks the process on `condition`, or updates the reason; true if the
+    /// condition did not block it before.
+    pub fn block(
+        &self,
+        condition: &'static str,
+        reason: impl Into<String>,
+    ) -> bool {
+        let mut blocked = self.lock();
+        self.is_blocked.store(true, Relaxed);
+        blocked.insert(condition, reason.into()).is_none()
     }
 
     /// Removes a condition.
     pub fn clear(&self, condition: &str) {
-        self.lock().remove(condition);
+        if self.is_ready() {
+            return;
+        }
+        let mut blocked = self.lock();
+        blocked.remove(condition);
+        self.is_blocked.store(!blocked.is_empty(), Relaxed);
     }
 
     /// Whether no condition blocks the process.
     pub fn is_ready(&self) -> bool {
-        self.lock().is_empty()
+        !self.is_blocked.load(Relaxed)
     }
 
     /// Blocking conditions with their reasons.
