--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,7 +14,8 @@
 //! | `cluster` | state of the store, the backend servers and the peers |
 //! | `placement` | planner lease and placement orders |
 //! | `core` | state shared by the tasks of an entry |
-//! | `by_service`, `subscribers`, `rate`, `clock` | utilities |
+//! | [`clock`] | the clock of an entry |
+//! | `by_service`, `subscribers`, `rate` | utilities |
 //!
 //! # Example
 //!
@@ -29,7 +30,7 @@
 //! ```
 
 mod by_service;
-mod clock;
+pub mod clock;
 mod cluster;
 mod core;
 pub mod entry;
