Tests: the age of a first read, and the return of the store told by a peer

Each rule of a copy's age was taken out in turn. Two had no test that failed: a full read counts from before it was sent, and followers learn from whom they ask when the store was back. A test each, both shown to fail with the rule out: a key withdrawn during a first read of 4 s was served; six entries that share the feeds dropped servers whose rows had lapsed.

--- a/crates/daemon/tests/users_platform/large_configuration.rs
+++ b/crates/daemon/tests/users_platform/large_configuration.rs
@@ -66,28 +66,53 @@
     });
 }
 
+/// Time for which a withdrawn key may be served where keys do not hold for
+/// longer than a transfer takes.
+const SHORT_LIMIT: Duration = Duration::from_millis(2_500);
+const CHECK_PERIOD: Duration = Duration::from_millis(4_000);
+
+fn site_with_short_limit() -> Site {
+    Site { revoke_ms: SHORT_LIMIT.as_millis() as u64, ..site() }
+}
+
+/// Waits for the limit and checks that no entry serves the key any more.
+async fn check_withdrawn(running: &RunningSite) {
+    Timer::after(SHORT_LIMIT).await;
+    let until = Instant::now() + CHECK_PERIOD;
+    while Instant::now() < until {
+        for entry in 0..running.addresses.len() {
+            let request = request_with_key(KEY);
+            let outcome = send_request(running, entry, &request).await;
+            assert!(!outcome.is_served(), "{entry}: {outcome:?}");
+        }
+    }
+}
+
 /// The time that a transfer takes is part of the age of what it brings.
 #[test]
 fn a_key_withdrawn_by_a_slow_transfer_is_refused_in_time() {
-    const LIMIT: Duration = Duration::from_millis(2_500);
-    const CHECK_PERIOD: Duration = Duration::from_millis(4_000);
-    let site = Site { revoke_ms: LIMIT.as_millis() as u64, ..site() };
-    with_site(&site, async |running| {
+    with_site(&site_with_short_limit(), async |running| {
         wait_until_served(running, 0, KEY).await;
         running.set_store_links(SLOW_LINK, true);
         // The first change is being received when the key is withdrawn.
         running.configure(&[KEY, "another"]);
         Timer::after(Duration::from_millis(500)).await;
         running.configure(&["another"]);
-        Timer::after(LIMIT).await;
-        let until = Instant::now() + CHECK_PERIOD;
-        while Instant::now() < until {
-            for entry in 0..running.addresses.len() {
-                let request = request_with_key(KEY);
-                let outcome = send_request(running, entry, &request).await;
-                assert!(!outcome.is_served(), "{entry}: {outcome:?}");
-            }
-        }
+        check_withdrawn(running).await;
+    });
+}
+
+#[test]
+fn a_key_withdrawn_during_the_first_read_is_refused_in_time() {
+    let site = Site { entries: 1, ..site_with_short_limit() };
+    with_site(&site, async |running| {
+        wait_until_served(running, 0, KEY).await;
+        running.set_store_links(SLOW_LINK, true);
+        running.kill(0);
+        running.restart_entry(0);
+        Timer::after(Duration::from_millis(1_000)).await;
+        running.configure(&["another"]);
+        check_withdrawn(running).await;
     });
 }
 
--- a/crates/daemon/tests/users_platform/store.rs
+++ b/crates/daemon/tests/users_platform/store.rs
@@ -151,11 +151,16 @@
     });
 }
 
-#[test]
-fn servers_whose_rows_expire_during_a_store_outage_stay_in_use() {
+/// Entries that share feeds learn from each other that the store was away.
+#[rstest]
+#[case::each_entry_reads_the_store(Site::small())]
+#[case::entries_share_feeds(Site::with_shared_feeds())]
+fn servers_whose_rows_expire_during_a_store_outage_stay_in_use(
+    #[case] site: Site,
+) {
     // A poll may have begun 2.2 s before the outage of 3.2 s. Keys are not to
     // become stale in that time: this test is about servers.
-    let site = Site { revoke_ms: 10_000, ..Site::small() };
+    let site = Site { revoke_ms: 10_000, ..site };
     with_site(&site, async |running| {
         running.store.set_fault(StoreFault::Silent);
         Timer::after(Duration::from_millis(3_200)).await;
