An entry that the store fails asks others, also where few share a feed

In a data centre with fewer than four entries each reads the store, and went on to ask only the store when that refused it or was cut off: keys refused after 4.6 s, an old configuration for as long as it lasted, while others had the new one.

Change: between two attempts, once its data is older than 2 s, it asks any other entry. The planner's own reach of the store is no longer taken from others.

--- a/crates/daemon/tests/users_platform/feed_sharing.rs
+++ b/crates/daemon/tests/users_platform/feed_sharing.rs
@@ -5,6 +5,7 @@
 use async_io::Timer;
 use chestnutreach_emulator::{
     caller::{RequestKind, RequestSpec},
+    link::LinkFault,
     running::RunningSite,
     site::{KEY, Site},
     store::StoreFault,
@@ -314,3 +315,24 @@
         }
     });
 }
+
+/// Each entry is alone in its data centre and reads the store itself.
+#[test]
+fn an_entry_cut_off_from_the_store_asks_others() {
+    let site = Site { entries: 2, has_links: true, ..Site::small() };
+    with_site(&site, async |running| {
+        for entry in 0..2 {
+            wait_until("the entries know each other", async || {
+                let status = running.status(entry).await.unwrap_or_default();
+                status["entries"] == 2
+            })
+            .await;
+        }
+        for (entry, key) in [(0, "second"), (1, "third")] {
+            running.set_store_link(entry, LinkFault::CutBack, true);
+            running.configure(&[key]);
+            wait_until_served(running, entry, key).await;
+            running.set_store_link(entry, LinkFault::CutBack, false);
+        }
+    });
+}
--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -169,16 +169,24 @@
     }
 
     /// The entries that serve the roots of the data centres, if this entry is
-    /// the root of its own.
+    /// the root of its own; all entries, if its data centre has too few to
+    /// share the feed.
     fn roots(&self, local: &[Candidate]) -> Vec<u64> {
         let (core, assignment) = (&self.core, self.feed().assignment);
         let own = core.own_candidate();
         let all_local = local.iter().copied().chain([own]);
         let root = rendezvous::first_by_capacity(all_local, assignment);
-        if root != Some(own) || local.len() + 1 < MIN_SHARING_ENTRIES {
+        let now_ms = now_ms();
+        if local.len() + 1 < MIN_SHARING_ENTRIES {
+            if !core.peers.knows_all_entries() {
+                return Vec::new();
+            }
+            let all = core.peers.live_candidates(now_ms);
+            return rendezvous::ranked_by_capacity(all, assignment);
+        }
+        if root != Some(own) {
             return Vec::new();
         }
-        let now_ms = now_ms();
         let planner = match core.is_planner.load(Relaxed) {
             true => Some(own.entry),
             false => core.peers.planner(now_ms),
@@ -370,7 +378,10 @@
             return FetchOutcome::Stale;
         }
         self.health.record_peer_response();
-        self.record_store_available();
+        // The planner must reach the store itself.
+        if !self.core.is_planner.load(Relaxed) {
+            self.record_store_available();
+        }
         FetchOutcome::Fresh
     }
 
--- a/crates/membership/src/feed_source.rs
+++ b/crates/membership/src/feed_source.rs
@@ -10,6 +10,10 @@
 //! else the first root by rank, reads the store, and the other roots ask it.
 //! They read the store themselves as soon as it fails them.
 //!
+//! In a data centre with too few entries for that, each entry reads the store.
+//! While the store fails it, and its data is old, it asks any other entry
+//! between two attempts.
+//!
 //! An entry whose parent fails asks the other ancestors, then the first entries
 //! in the order of turns (below) and those near the root. The next rank takes
 //! over a failed root, and all others find the data there.
@@ -91,7 +95,8 @@
     /// with those that it knows.
     pub may_lack_peers: bool,
     /// The entries that serve the roots of the data centres, by rank: the
-    /// planner, and the roots. Empty if this entry is not a root.
+    /// planner, and the roots. Empty if this entry is not a root. In a data
+    /// centre with too few entries to share a feed: all entries.
     pub roots: &'a [u64],
     /// Time since the store confirmed this entry's copy, or since the process
     /// started if it has no copy yet.
@@ -151,7 +156,8 @@
         now_ms: u64,
     ) -> FeedSource {
         let place = Place::new(group, feed);
-        if place.count() < group.min_count() {
+        let is_alone = place.count() < group.min_count();
+        if is_alone && !self.needs_others(&place, now_ms) {
             return FeedSource::Store;
         }
         self.avoidances.retain(|_, avoidance| !avoidance.is_over(now_ms));
@@ -160,7 +166,8 @@
         let reads_store = is_root || group.must_read_store || has_turn;
         let is_cut_off =
             place.must_respond().iter().all(|entry| self.failed(*entry));
-        let may_read_store = reads_store || place.rank > 0 && is_cut_off;
+        let may_read_store =
+            is_alone || reads_store || place.rank > 0 && is_cut_off;
         if may_read_store && !self.is_store_avoided(&place, now_ms) {
             return FeedSource::Store;
         }
@@ -170,6 +177,13 @@
         entry.map_or(FeedSource::Store, FeedSource::Entry)
     }
 
+    /// Whether an entry that does not share the feed asks others: its data is
+    /// old, and the store failed it.
+    fn needs_others(&self, place: &Place<'_>, now_ms: u64) -> bool {
+        place.group.age_ms >= FIRST_TURN_AGE_MS
+            && self.is_store_avoided(place, now_ms)
+    }
+
     /// Whether this entry may try the store because its data is old. A turn
     /// that can be used lasts for a while.
     fn has_turn(&mut self, place: &Place<'_>, now_ms: u64) -> bool {
@@ -299,7 +313,8 @@
 
     /// Interval between attempts at a store that failed.
     fn retry_ms(&self) -> u64 {
-        match self.rank == 0 || self.group.must_read_store {
+        let is_alone = self.count() < self.group.min_count();
+        match self.rank == 0 || self.group.must_read_store || is_alone {
             true => ROOT_RETRY_MS,
             false => RETRY_MS * self.count().div_ceil(FAN_OUT) as u64,
         }
--- a/crates/membership/tests/feed_source.rs
+++ b/crates/membership/tests/feed_source.rs
@@ -526,6 +526,14 @@
 #[case::three_read_the_store_themselves(Case {
     entries: 3, fault: Fault::None, max_age_ms: 3_000, max_calls_per_s: 3.0,
 })]
+#[case::three_and_the_store_refuses_one(Case {
+    entries: 3, fault: Fault::StoreRefuses(1, 8_000),
+    max_age_ms: MAX_KEY_AGE_MS, max_calls_per_s: 6.0,
+})]
+#[case::three_and_one_is_partitioned_from_the_store(Case {
+    entries: 3, fault: Fault::StoreSilent(1, 8_000),
+    max_age_ms: MAX_KEY_AGE_MS, max_calls_per_s: 6.0,
+})]
 #[case::the_reader_exits(Case {
     entries: 14, fault: Fault::Exited(1), max_age_ms: MAX_KEY_AGE_MS,
     max_calls_per_s: 3.0,
@@ -598,6 +606,7 @@
 }
 
 #[rstest]
+#[case::too_few_to_share(Outage { entries: 3, duration_ms: 8_000 })]
 #[case::few_entries(Outage { entries: 4, duration_ms: 3_000 })]
 #[case::some_seconds(Outage { entries: 14, duration_ms: 3_000 })]
 #[case::long(Outage { entries: 14, duration_ms: 8_000 })]
