--- a/crates/direct/src/cluster/suspects.rs
+++ b/crates/direct/src/cluster/suspects.rs
@@ -62,6 +62,8 @@
 pub(crate) struct FailedRun {
     /// Id of the request.
     pub(crate) request: String,
+    /// Parts of its prompt that others may share, for logs.
+    pub(crate) parts: String,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) engine: Arc<Engine>,
     pub(crate) progress: RunProgress,
@@ -269,6 +271,7 @@
         &[
             ("request", &run.request),
             ("fingerprint", &fingerprint),
+            ("parts", &run.parts),
             ("backend", &run.engine.id),
             ("begun_ms", &begun_ms),
             ("attempt_events", &run.progress.events()),
--- a/crates/direct/src/request/isolation.rs
+++ b/crates/direct/src/request/isolation.rs
@@ -11,6 +11,7 @@
 };
 
 use async_io::Timer;
+use chestnutreach_adapter::caller;
 use chestnutreach_http::relay::RelayRequest;
 use chestnutreach_routing::{Fingerprint, RunProgress, Verdict};
 use chestnutreach_telemetry::{Event, emit};
@@ -30,6 +31,8 @@
 const PROPAGATION_DELAY: Duration = Duration::from_millis(20);
 /// Interval between searches for an engine without a trial.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(15);
+/// Limit on parts of a prompt in one log line.
+const MAX_LOGGED_PARTS: usize = 16;
 
 /// A trial that may run now. No other trial of the request or at the engine
 /// begins until this value is dropped.
@@ -85,6 +88,14 @@
         *self.fingerprint.get_or_init(of)
     }
 
+    /// Ids of the parts of the prompt that other prompts may share, for logs.
+    pub(crate) fn parts_text(&self) -> String {
+        let value = self.request.header(caller::PROMPT_PARTS);
+        let parts = caller::shared_prompt_parts(value.unwrap_or_default());
+        let parts: Vec<&str> = parts.take(MAX_LOGGED_PARTS).collect();
+        parts.join(",")
+    }
+
     /// Whether the request has run for so long that it crashes no engine.
     pub(crate) fn has_survived(&self) -> bool {
         self.has_survived
@@ -197,6 +208,7 @@
     ) -> FailedRun {
         FailedRun {
             request: self.admitted.id_text().to_owned(),
+            parts: self.parts_text(),
             fingerprint: self.fingerprint(),
             engine: engine.clone(),
             progress,
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -514,6 +514,7 @@
             ("error", &error),
             ("gap_ms", &now_ms().saturating_sub(started_ms)),
             ("fingerprint", &context.suspicion.fingerprint()),
+            ("parts", &context.suspicion.parts_text()),
         ],
     );
 }
--- a/crates/direct/src/request/stream/logging.rs
+++ b/crates/direct/src/request/stream/logging.rs
@@ -51,6 +51,7 @@
                 ("last_event", &last),
                 ("gap_ms", &self.pace.idle_ms(now_ms())),
                 ("fingerprint", &self.suspicion.fingerprint()),
+                ("parts", &self.suspicion.parts_text()),
                 ("begun_ms", &begun_ms),
                 ("attempt_events", &self.pace.run_progress.events()),
             ],
