Test: different requests that share a crashing part (red, listed)

The emulator learns parts of prompts: each request of a load has a common part and one of its own, and an engine crashes under a part with the prefix 'dead'.

--- /dev/null
+++ b/crates/daemon/tests/users_platform/crashing_parts.rs
@@ -0,0 +1,158 @@
+//! Parts of prompts that crash each engine that starts to answer a request
+//! with the part. No two of the requests are alike, and other requests share
+//! their client account and their other parts.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use async_io::Timer;
+use chestnutreach_emulator::{
+    backend_servers::CRASH_PART_PREFIX,
+    caller::{self, AttemptEnd, Outcome, RequestKind, RequestSpec},
+    report::Report,
+    running::RunningSite,
+    site::{COMMON_PART, Site},
+};
+use rstest::rstest;
+
+use crate::support::{assert_no_violation, executor, stream_load, with_site};
+
+/// Time within which the platform's rule expects all entries to learn of an
+/// event.
+const PROPAGATION_LIMIT: Duration = Duration::from_millis(3_000);
+/// Arrivals that the rule allows after that time since the fifth crash.
+const MAX_LATE_ARRIVALS: usize = 3;
+/// Time after the fifth crash from which no such request reaches an engine.
+const QUARANTINE_LIMIT: Duration = Duration::from_millis(500);
+/// How long requests with the part are sent.
+const PERIOD: Duration = Duration::from_secs(9);
+/// Harmless streams per second.
+const HARMLESS_PER_S: f64 = 25.0;
+/// Time after the third crash from which harmless requests are served as
+/// before.
+const RECOVERY: Duration = Duration::from_secs(1);
+/// Share of harmless requests that begin at their first attempt from then on.
+const MIN_FIRST_ATTEMPT_SHARE: f64 = 0.95;
+
+pub(crate) fn site() -> Site {
+    Site { engines_each: 8, ..Site::small() }
+}
+
+/// How requests with a crashing part are sent.
+struct CrashingLoad {
+    /// Parts before the crashing one.
+    other_parts: &'static [&'static str],
+    per_s: f64,
+    max_crashes: usize,
+}
+
+pub(crate) fn crashing_part(number: u32) -> String {
+    format!("{CRASH_PART_PREFIX}{number:04x}")
+}
+
+/// A stream with a crashing part; `number` tells it from all others.
+pub(crate) fn crashing_spec(
+    other_parts: &[&str],
+    part: &str,
+    number: usize,
+) -> RequestSpec {
+    let mut shared_parts: Vec<String> =
+        other_parts.iter().map(|part| (*part).to_owned()).collect();
+    shared_parts.push(part.to_owned());
+    let token = format!("p{number}");
+    let spec = RequestSpec::new(RequestKind::Stream, &token, site().events);
+    RequestSpec { shared_parts, ..spec }
+}
+
+/// Sends different requests with a part to one entry after another, without
+/// waiting for their responses; returns the outcomes.
+async fn send_with_part(
+    running: &RunningSite,
+    load: &CrashingLoad,
+    part: &str,
+) -> Vec<Outcome> {
+    let start = Instant::now();
+    let count = (PERIOD.as_secs_f64() * load.per_s) as usize;
+    let send = |number: usize| {
+        let spec = crashing_spec(load.other_parts, part, number);
+        let entries = running.addresses.clone();
+        let at = Duration::from_secs_f64(number as f64 / load.per_s);
+        executor().spawn(async move {
+            Timer::at(start + at).await;
+            let first_entry = number % entries.len();
+            caller::send_request(&spec, &entries, first_entry, at).await
+        })
+    };
+    let sent: Vec<_> = (0..count).map(send).collect();
+    let mut outcomes = Vec::new();
+    for outcome in sent {
+        outcomes.push(outcome.await);
+    }
+    outcomes
+}
+
+/// Share of the harmless requests sent after a time that began at their first
+/// attempt.
+fn first_attempt_share(report: &Report, after: Instant) -> f64 {
+    let is_later = |outcome: &&Outcome| outcome.attempts[0].sent_at >= after;
+    let later: Vec<&Outcome> =
+        report.outcomes.iter().filter(is_later).collect();
+    let began = |outcome: &&&Outcome| {
+        outcome.attempts.len() == 1 && outcome.is_served()
+    };
+    let first = later.iter().filter(began).count();
+    first as f64 / later.len().max(1) as f64
+}
+
+#[rstest]
+#[case::one_at_a_time(CrashingLoad {
+    other_parts: &[COMMON_PART], per_s: 2.0, max_crashes: 3,
+})]
+#[case::eight_a_second(CrashingLoad {
+    other_parts: &[COMMON_PART], per_s: 8.0, max_crashes: 5,
+})]
+#[case::twenty_five_a_second(CrashingLoad {
+    other_parts: &[COMMON_PART], per_s: 25.0, max_crashes: 9,
+})]
+#[case::the_first_part(CrashingLoad {
+    other_parts: &[], per_s: 8.0, max_crashes: 5,
+})]
+fn different_requests_with_a_crashing_part_reach_no_engine_after_its_crashes(
+    #[case] load: CrashingLoad,
+) {
+    with_site(&site(), async |running| {
+        let part = crashing_part(1);
+        let harmless = stream_load(HARMLESS_PER_S, PERIOD);
+        let played = running.run(&harmless, &[]);
+        let crashing = send_with_part(running, &load, &part);
+        let (report, outcomes) =
+            futures_lite::future::zip(played, crashing).await;
+        assert_no_violation(&report);
+        let seen = running.backends.observations();
+        let crashes = seen.crashes_of(&part);
+        let late = seen.arrivals_after_crash(&part, 5, PROPAGATION_LIMIT);
+        assert!(
+            late <= MAX_LATE_ARRIVALS,
+            "{late} late arrivals, {} engines crashed",
+            crashes.len()
+        );
+        let late = seen.arrivals_after_crash(&part, 5, QUARANTINE_LIMIT);
+        assert_eq!(late, 0, "{} engines crashed", crashes.len());
+        assert!(
+            crashes.len() <= load.max_crashes,
+            "{} engines crashed",
+            crashes.len()
+        );
+        let refused = |outcome: &&Outcome| {
+            outcome.attempts.iter().all(|a| a.end == AttemptEnd::Status(503))
+        };
+        assert!(outcomes.iter().filter(refused).count() > 0);
+        let share = first_attempt_share(&report, crashes[2] + RECOVERY);
+        assert!(share >= MIN_FIRST_ATTEMPT_SHARE, "{share}");
+        let quarantined = running.quarantined_fingerprints();
+        let distinct: BTreeSet<_> = quarantined.iter().collect();
+        assert_eq!(distinct.len(), 1, "{quarantined:?}");
+    });
+}
--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod competition;
 mod cooldowns;
+mod crashing_parts;
 mod crashing_requests;
 mod engine_restarts;
 mod fault_free;
--- a/crates/emulator/src/backend_servers.rs
+++ b/crates/emulator/src/backend_servers.rs
@@ -38,6 +38,9 @@
 
 /// Token prefix of requests that crash every server that starts to run them.
 pub const CRASH_PREFIX: &str = "crash";
+/// Prefix of the ids of parts of a prompt that crash every engine that starts
+/// to answer a request with the part.
+pub const CRASH_PART_PREFIX: &str = "dead";
 /// Time from the start of such a request to the crash of its server.
 const CRASH_DELAY: Duration = Duration::from_millis(40);
 /// Time from a crash to the restart of the server.
@@ -387,12 +390,13 @@
         *count.or_default() += 1;
     }
 
-    /// Records the arrival of a request that crashes servers and returns its
-    /// index; `None` for other requests.
-    pub(crate) fn record_crashing(&self, token: &str) -> Option<usize> {
-        if !token.starts_with(CRASH_PREFIX) {
-            return None;
-        }
+    /// Records the arrival of a request that crashes servers, with what they
+    /// crash of, and returns its index; `None` for other requests.
+    pub(crate) fn record_crashing(
+        &self,
+        cause: Option<&str>,
+    ) -> Option<usize> {
+        let token = cause?;
         let mut state = self.lock();
         let arrivals = &mut state.observations.crashing_arrivals;
         arrivals.push(CrashingArrival {
--- a/crates/emulator/src/backend_servers/observations.rs
+++ b/crates/emulator/src/backend_servers/observations.rs
@@ -68,7 +68,8 @@
 /// An arrival of a request that crashes servers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CrashingArrival {
-    /// Token of the request, the same for all its repetitions.
+    /// What the server crashes of: the token of the request, the same for all
+    /// its repetitions, or a part of its prompt.
     pub token: String,
     /// Arrival time.
     pub at: Instant,
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -102,13 +102,16 @@
     pub events: u64,
     /// Maximum number of attempts.
     pub max_attempts: usize,
+    /// Ids of the parts of the prompt that other requests may share.
+    pub shared_parts: Vec<String>,
 }
 
 impl RequestSpec {
     /// Creates a request with the site's key and one retry.
     pub fn new(kind: RequestKind, token: &str, events: u64) -> RequestSpec {
         let (token, key) = (token.to_owned(), KEY.to_owned());
-        RequestSpec { kind, token, key, events, max_attempts: 2 }
+        let shared_parts = Vec::new();
+        RequestSpec { kind, token, key, events, max_attempts: 2, shared_parts }
     }
 }
 
@@ -284,7 +287,7 @@
     if spec.kind.is_stream() {
         push_header(&mut out, "X-Model", "m");
         push_header(&mut out, "X-Token-Count", "100,30");
-        push_header(&mut out, "X-Prompt-Prefix", "5c1e07a2:100");
+        push_header(&mut out, "X-Prompt-Prefix", &prompt_parts(spec));
     }
     if events > 0 {
         push_header(&mut out, "Last-Event-Id", &events.to_string());
@@ -298,6 +301,16 @@
     out
 }
 
+/// The shared parts of a prompt, and the part of the request itself.
+fn prompt_parts(spec: &RequestSpec) -> String {
+    let mut own = 0;
+    for byte in spec.token.bytes() {
+        own = 31_u32.wrapping_mul(own).wrapping_add(byte.into());
+    }
+    let shared = spec.shared_parts.iter().map(|id| format!("{id}:20,"));
+    format!("{}{own:08x}:60", shared.collect::<String>())
+}
+
 async fn read_response(
     spec: &RequestSpec,
     id: &str,
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -16,8 +16,8 @@
 
 use crate::{
     backend_servers::{
-        BackendServers, PathStage, STALL_TIMEOUT, ServerState, ServerStatus,
-        StreamState, layers_json,
+        BackendServers, CRASH_PART_PREFIX, CRASH_PREFIX, PathStage,
+        STALL_TIMEOUT, ServerState, ServerStatus, StreamState, layers_json,
     },
     site::{
         MODEL_SERVICE, ONCE_PATH, PLAIN_SERVICE, STREAM_PATH,
@@ -374,7 +374,7 @@
     request: &RelayRequest,
     id: &str,
 ) -> bool {
-    if let Some(arrival) = backends.record_crashing(&token_of(request)) {
+    if let Some(arrival) = backends.record_crashing(crash_cause(request)) {
         backends.crash(address, arrival).await;
         return false;
     }
@@ -430,9 +430,20 @@
     format!("signed-{id}")
 }
 
-fn token_of(request: &RelayRequest) -> String {
+fn token_of(request: &RelayRequest) -> &str {
     let path = request.path();
-    path.rsplit('/').next().unwrap_or(path).to_owned()
+    path.rsplit('/').next().unwrap_or(path)
+}
+
+/// What a server that runs this request crashes of, if it does.
+fn crash_cause(request: &RelayRequest) -> Option<&str> {
+    let token = token_of(request);
+    if token.starts_with(CRASH_PREFIX) {
+        return Some(token);
+    }
+    let parts = request.header("x-prompt-prefix")?.split(',');
+    let mut ids = parts.map(|part| part.split(':').next().unwrap_or(part));
+    ids.find(|id| id.starts_with(CRASH_PART_PREFIX))
 }
 
 async fn run_stream(
@@ -449,7 +460,7 @@
     if let Some((at, status)) = backends.unavailable_stage(&path) {
         return reject(backends, address, inbound, id, (status, at)).await;
     }
-    let arrival = backends.record_crashing(&token_of(request));
+    let arrival = backends.record_crashing(crash_cause(request));
     let state = StreamState { path, stalled_at: None };
     backends.update_server(address, |server| {
         server.streams.insert(id.to_owned(), state);
@@ -533,7 +544,7 @@
             return false;
         }
         let mut out = Vec::new();
-        push_chunk(&mut out, event_text(&token, number).as_bytes());
+        push_chunk(&mut out, event_text(token, number).as_bytes());
         if inbound.write(&out).await.is_err() {
             return false;
         }
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -13,7 +13,10 @@
 use async_executor::Executor;
 use async_io::Timer;
 
-use crate::caller::{Outcome, RequestKind, RequestSpec, send_request};
+use crate::{
+    caller::{Outcome, RequestKind, RequestSpec, send_request},
+    site::COMMON_PART,
+};
 
 /// Rates of requests by kind, for some time.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -42,7 +45,9 @@
         schedule(load, &mut rng).into_iter().enumerate()
     {
         let token = format!("t{:x}-{number}", load.seed);
+        let shared_parts = vec![COMMON_PART.to_owned()];
         let spec = RequestSpec::new(kind, &token, load.events);
+        let spec = RequestSpec { shared_parts, ..spec };
         let (entries, sender) = (entries.clone(), sender.clone());
         let first_entry = rng.usize(..entries.len());
         let task = async move {
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -22,6 +22,8 @@
 pub const KEY: &str = "key-one";
 /// Client account of [`KEY`].
 pub const ACCOUNT: &str = "kaolack";
+/// Part of the prompt of every request of a load.
+pub const COMMON_PART: &str = "5c1e07a2";
 /// Retries allowed per request in every window of 10 s.
 pub const RETRY_RATIO: f64 = 0.2;
 /// Memory of a layer, in megabytes.
