An unframed response whose server exits is not taken for whole

What callers see: a response with neither a length nor chunks ends with its connection. The kernel closes the connections of a process that exits in order, so a stream cut off between two events, and any plain body cut off, looked whole. Cause: the end of the connection was the only sign asked for.

--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -20,3 +20,4 @@
 mod store_copies;
 mod support;
 mod traces;
+mod unframed_responses;
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -15,7 +15,7 @@
 
 use async_io::Timer;
 use chestnutreach_http::relay::{
-    Inbound, Outbound, RelayRequest, ResponseHead,
+    Inbound, Outbound, OutboundError, RelayRequest, ResponseHead,
 };
 use chestnutreach_routing::{Attempts, CountedBackends, RunProgress};
 use chestnutreach_site::RouteKind;
@@ -27,6 +27,7 @@
     cluster::{
         engine::{Engine, Reservation},
         notices::{self, ResponseContext},
+        suspects,
     },
     core::Core,
     request::{
@@ -322,7 +323,7 @@
 }
 
 async fn attempt(
-    core: &Core,
+    core: &Arc<Core>,
     request: &RelayRequest,
     admitted: &AdmittedRequest,
     context: &AttemptContext<'_>,
@@ -369,14 +370,19 @@
         notices::apply_response(core, engine, &response);
         let body = head.body(&request.method);
         let body = connection.read_body(body, MAX_RESPONSE_BYTES).await?;
-        Ok((head, body))
+        let is_cut_off = head.ends_with_connection(&request.method)
+            && suspects::has_just_crashed(core, engine).await;
+        match is_cut_off {
+            true => Err(OutboundError::new("the server crashed at the end")),
+            false => Ok((head, body)),
+        }
     };
     let exchange = async {
         match exchange.await {
             Ok((head, body)) => {
                 classify_response(admitted, context, head, body)
             }
-            Err::<_, chestnutreach_http::relay::OutboundError>(e) => {
+            Err(e) => {
                 log_interrupted(admitted, context, &e, started_ms);
                 AttemptResult::ResponseLost
             }
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -17,7 +17,7 @@
     clock::now_ms,
     cluster::{
         notices::{self, ResponseContext},
-        probe,
+        probe, suspects,
     },
     request::{
         events::EventSplitter,
@@ -114,6 +114,14 @@
         }
     }
 
+    /// Whether the engine crashed when it ended a stream that has no other mark
+    /// of its end than that of the connection.
+    async fn is_cut_off(&self, head: &ResponseHead) -> bool {
+        let first = self.path.first_engine();
+        head.ends_with_connection(&self.request.method)
+            && suspects::has_just_crashed(self.core, first).await
+    }
+
     /// The result of a response whose connection did not fail.
     fn classify_end(&self, splitter: &EventSplitter) -> AttemptResult {
         if splitter.has_partial() {
@@ -179,6 +187,12 @@
             let waited = self.supervise(supervision, part).await;
             let part = match self.classify_wait(waited) {
                 Ok(Some(part)) => part,
+                Ok(None) if self.is_cut_off(head).await => {
+                    self.is_connection_lost = true;
+                    let error = "the engine crashed at the end of the stream";
+                    self.log_interrupted(&error);
+                    return AttemptResult::Interrupted;
+                }
                 Ok(None) => return self.classify_end(&splitter),
                 Err(result) => return result,
             };
--- a/crates/emulator/src/backend_servers.rs
+++ b/crates/emulator/src/backend_servers.rs
@@ -98,6 +98,13 @@
     pub hang_rate: f64,
     /// Share of requests that fail with status 500.
     pub failure_rate: f64,
+    /// Whether responses have neither a length nor chunks, and end with their
+    /// connection.
+    pub omits_framing: bool,
+    /// Share of streams that end within an event, in order.
+    pub partial_event_rate: f64,
+    /// Whether the server exits after half of the body of a plain response.
+    pub exits_within_response: bool,
     /// Whether the response to another request precedes each response.
     pub sends_foreign_response: bool,
     /// Rate limit that responses announce in a header, if any.
@@ -198,6 +205,9 @@
             response_loss_rate: 0.0,
             hang_rate: 0.0,
             failure_rate: 0.0,
+            omits_framing: false,
+            partial_event_rate: 0.0,
+            exits_within_response: false,
             sends_foreign_response: false,
             announced_limit: None,
             cooldown: None,
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -406,11 +406,20 @@
     out.extend_from_slice(format!("HTTP/1.1 {status} x\r\n").as_bytes());
     push_header(&mut out, "x-request-id", id);
     push_header(&mut out, "x-response-signature", &signature(id));
-    push_header(&mut out, "content-length", &body.len().to_string());
+    if !server.omits_framing {
+        push_header(&mut out, "content-length", &body.len().to_string());
+    }
     push_notices(&mut out, backends, address, id);
     out.extend_from_slice(b"\r\n");
+    if server.exits_within_response {
+        out.extend_from_slice(&body.as_bytes()[..body.len() / 2]);
+        // The server exits, whether or not the caller is still there.
+        let _ = inbound.write(&out).await;
+        backends.terminate(address);
+        return false;
+    }
     out.extend_from_slice(body.as_bytes());
-    inbound.write(&out).await.is_ok()
+    inbound.write(&out).await.is_ok() && !server.omits_framing
 }
 
 /// Adds the headers with which a server announces its limit and its leaving.
@@ -485,12 +494,12 @@
         return false;
     }
     let resets = draw(|server| server.response_loss_rate);
-    let is_whole =
+    let keeps_connection =
         !resets && send_events(backends, address, inbound, request, id).await;
     backends.update_server(address, |server| {
         server.streams.remove(id);
     });
-    is_whole
+    keeps_connection
 }
 
 async fn respond_with_error(
@@ -520,7 +529,9 @@
     push_header(&mut head, "x-request-id", id);
     push_header(&mut head, "x-response-signature", &signature(id));
     push_header(&mut head, "content-type", "text/event-stream");
-    push_header(&mut head, "transfer-encoding", "chunked");
+    if !omits_framing(backends, address) {
+        push_header(&mut head, "transfer-encoding", "chunked");
+    }
     push_notices(&mut head, backends, address, id);
     head.extend_from_slice(b"\r\n");
     head
@@ -539,17 +550,35 @@
     let last = request.header("last-event-id");
     let last: u64 = last.and_then(|v| v.parse().ok()).unwrap_or(0);
     let token = token_of(request);
+    let is_framed = !omits_framing(backends, address);
+    let partial_rate =
+        backends.server(address).map_or(0.0, |s| s.partial_event_rate);
+    let partial_at = (fastrand::f64() < partial_rate)
+        .then(|| fastrand::u64(1..=backends.site().events));
     for number in last + 1..=backends.site().events {
         if !produce_token(backends, address, id).await {
             return false;
         }
+        let event = event_text(token, number);
+        let is_partial = partial_at == Some(number);
+        let length = if is_partial { event.len() / 2 } else { event.len() };
         let mut out = Vec::new();
-        push_chunk(&mut out, event_text(token, number).as_bytes());
+        match is_framed {
+            true => push_chunk(&mut out, &event.as_bytes()[..length]),
+            false => out.extend_from_slice(&event.as_bytes()[..length]),
+        }
         if inbound.write(&out).await.is_err() {
             return false;
         }
+        if is_partial {
+            break;
+        }
     }
-    inbound.write(LAST_CHUNK).await.is_ok()
+    is_framed && inbound.write(LAST_CHUNK).await.is_ok()
+}
+
+fn omits_framing(backends: &BackendServers, address: SocketAddr) -> bool {
+    backends.server(address).is_some_and(|server| server.omits_framing)
 }
 
 /// Waits until the path of a stream has produced a token; returns false if the
--- a/crates/http/src/relay/outbound.rs
+++ b/crates/http/src/relay/outbound.rs
@@ -25,6 +25,13 @@
     detail: String,
 }
 
+impl OutboundError {
+    /// An error with this description.
+    pub fn new(detail: &str) -> OutboundError {
+        OutboundError { detail: detail.to_owned() }
+    }
+}
+
 impl fmt::Display for OutboundError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.detail)
@@ -73,6 +80,12 @@
         named.map(|h| h.value.as_str())
     }
 
+    /// Whether the body ends with the connection. A process that exits also
+    /// ends its connections in order.
+    pub fn ends_with_connection(&self, method: &str) -> bool {
+        self.body(method) == ResponseBody::UntilClosed
+    }
+
     /// The body that follows; none for a `HEAD` request.
     pub fn body(&self, method: &str) -> ResponseBody {
         if method == "HEAD" || matches!(self.status, 204 | 304) {
