An overloaded entry with most new connections leaves some unread

What callers would see: the platform may hand most new connections to one entry. That entry read all of them, also those that its processor or link could not serve, and a request that was read is lost where a closed connection meets another entry at the caller's next attempt. Cause: nothing related what an entry accepts to what it can serve; the only limit was that on file descriptors. Change: each 100 ms the entry samples how late its timer fires and how much of its link it uses. While it is overloaded and gets more than twice the requests of the others on average, it limits its concurrent requests, adapts the limit, and closes further connections unread. Kept connections are served on, and it stays ready, so that the next entry does not get the same herd. Entries that are all overloaded alike keep accepting. link-mbps of the settings is read for it. Processes: an_overloaded_entry_with_most_connections_leaves_some_unread, all 360 streams served, none closed where all get alike.

--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -20,4 +20,5 @@
 mod store_copies;
 mod support;
 mod traces;
+mod uneven_connections;
 mod unframed_responses;
--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -246,6 +246,17 @@
             .collect()
     }
 
+    /// Mean number of requests that each other entry received in the window;
+    /// `None` without reports.
+    pub(crate) fn mean_requests(&self) -> Option<f64> {
+        let reports = self.sent_reports.lock().expect("no holder panics");
+        let requests = |report: &SentReport| -> f64 {
+            report.sent.values().map(|sent| f64::from(sent.requests)).sum()
+        };
+        let total: f64 = reports.values().map(requests).sum();
+        (!reports.is_empty()).then(|| total / reports.len() as f64)
+    }
+
     /// Whether another entry reported recently that it is the planner.
     pub(crate) fn has_planner(&self, now_ms: u64) -> bool {
         let received_ms = self.planner_received_ms.load(Relaxed);
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -31,8 +31,9 @@
         unusable_rows::UnusableRows,
     },
     request::{
-        capacity_control::CapacityControl, interconnect::InterconnectTraffic,
-        queue::PathQueues,
+        capacity_control::CapacityControl,
+        connection_control::ConnectionControl,
+        interconnect::InterconnectTraffic, queue::PathQueues,
     },
     subscribers::Subscribers,
 };
@@ -98,6 +99,7 @@
     pub(crate) capacity_waits: Arc<ByService<CapacityWaits>>,
     /// Admission of streams by the demand at all entries.
     pub(crate) capacity: Arc<CapacityControl>,
+    pub(crate) connections: ConnectionControl,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) readiness: Arc<Readiness>,
     /// When the stop began; 0 while the entry runs.
@@ -150,6 +152,7 @@
             first_event_waits: ByService::default(),
             capacity_waits: Arc::default(),
             capacity: Arc::default(),
+            connections: ConnectionControl::default(),
             metrics: Arc::new(metrics),
             readiness: Arc::new(Readiness::new(&conditions)),
             stopping_ms: AtomicU64::new(0),
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -25,7 +25,7 @@
     },
     core::{Core, IS_STOPPING},
     placement::{lease::Lease, orders},
-    request::callers,
+    request::{callers, connection_control},
 };
 
 /// File descriptors reserved for engines, peers and files.
@@ -123,6 +123,7 @@
         executor.spawn(feed_follower::follow_backends(core.clone())).detach();
         executor.spawn(feed_server::serve(core.clone(), feeds)).detach();
         executor.spawn(peers::run(core.clone(), socket)).detach();
+        executor.spawn(connection_control::run(core.clone())).detach();
         executor.spawn(engine_watcher::run(core.clone())).detach();
         executor.spawn(probe::recheck(core.clone())).detach();
         executor.spawn(orders::run(core.clone(), lease.clone())).detach();
@@ -204,6 +205,11 @@
         let Some(accepted) = next.or(closed).await else {
             return;
         };
+        if !connection_control::try_accept(&core) {
+            // Closed unread, so that the caller's next attempt meets another
+            // entry.
+            continue;
+        }
         let core_here = core.clone();
         let serve = async move {
             let _slot = accepted.slot;
@@ -326,6 +332,7 @@
         "permits": core.permits.status(),
         "shares": core.capacity.status(core),
         "in_flight": core.in_flight.load(Relaxed),
+        "connection_limit": core.connections.limit(),
         "backends": engines,
     })
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `callers` | connections of callers |
 //! | `admit` | route, access key and deadline of a request |
+//! | `connection_control` | new connections that are left to other entries |
 //! | `plain` | requests with a single response |
 //! | `stream`, [`events`] | streams of events |
 //! | `queue` | streams that wait for a path |
@@ -20,6 +21,7 @@
 pub(crate) mod admit;
 pub(crate) mod callers;
 pub(crate) mod capacity_control;
+pub(crate) mod connection_control;
 pub mod events;
 pub(crate) mod exchange;
 pub(crate) mod fingerprint;
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -204,6 +204,7 @@
             // head of the next engine is forwarded instead.
             self.is_head_sent = true;
             self.summary.status = head.status;
+            self.core.connections.record_sent(out.len());
             if inbound.write(&out).await.is_err() {
                 return AttemptResult::CallerDisconnected;
             }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -26,6 +26,7 @@
 //! | [`caller_age`] | whether a caller has asked before |
 //! | [`mod@capacity_wait`] | whether a request waits for free capacity |
 //! | [`mod@cooldown_wait`] | whether a request waits for servers in cooldown |
+//! | [`connection_limit`] | which new connections are left to other entries |
 //! | [`startup_wait`] | how long a request waits for a configuration |
 //! | [`first_event_wait`] | whether the first event of a stream is overdue |
 //! | [`stall_check`] | when a stream without events is checked |
@@ -81,6 +82,7 @@
 pub mod capacity_wait;
 pub mod chain;
 pub mod circuit_breaker;
+pub mod connection_limit;
 pub mod cooldown_wait;
 mod cost;
 pub mod demand;
@@ -134,6 +136,7 @@
 pub use capacity_wait::{CapacityRequest, CapacityWait, CapacityWaits};
 pub use chain::{ChainRequest, Choice, Chooser, choose};
 pub use circuit_breaker::{CircuitBreaker, CircuitState};
+pub use connection_limit::{ConnectionLimit, LoadSample};
 pub use cooldown_wait::{CooldownWait, cooldown_wait};
 pub use cost::CostBreakdown;
 pub use demand::{
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -25,6 +25,8 @@
     pub memory_mb: u64,
     /// Maximum number of open file descriptors.
     pub max_descriptors: usize,
+    /// Bandwidth of the VM's link, in megabits per second, if known.
+    pub link_mbps: Option<f64>,
     /// Interval at which backend servers write their row, in milliseconds.
     pub heartbeat_ms: u64,
     /// Address of the store.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -370,6 +370,9 @@
     ConfigurationOutdated = 948, "configuration_outdated", Warn,
         ["version", "lacking_ms", "limit_ms", "confirmed_age_ms"],
         "Other entries have a newer configuration; requests are refused until it arrives.";
+    ConnectionsLeft = 949, "connections_left", Warn,
+        ["count", "limit", "in_flight", "lag_ms", "link_percent"],
+        "New connections were closed unread while the entry was overloaded.";
 }
 
 impl Event {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -67,6 +67,8 @@
     pub requests_quarantined: IntCounter,
     /// Requests refused because they are quarantined.
     pub quarantine_refusals: IntCounter,
+    /// Connections closed unread while the entry was overloaded.
+    pub connections_left: IntCounter,
     /// Responses of backend servers with a non-numeric rate limit.
     pub malformed_limits: IntCounter,
     /// Requests that backend servers refused while requesting a cooldown.
@@ -127,6 +129,10 @@
             "quarantine_refusals_total",
             "Requests refused by a quarantine.",
         );
+        let connections_left = r.counter(
+            "connections_left_total",
+            "Connections closed unread while the entry was overloaded.",
+        );
         let malformed_limits = r.counter(
             "malformed_limits_total",
             "Answers of backend servers with a limit that is no number.",
@@ -179,6 +185,7 @@
             control_bytes_received,
             requests_quarantined,
             quarantine_refusals,
+            connections_left,
             malformed_limits,
             cooldowns_requested,
             malformed_cooldowns,
