Tests: streams resumed on a part that has become harmful, a soak class, one column

Seeds from 2^29 of the soak have different requests with a crashing part; lower seeds are unchanged. site quarantine shows whether a row is a request or a part.

--- a/crates/cli/src/site/quarantine.rs
+++ b/crates/cli/src/site/quarantine.rs
@@ -1,5 +1,5 @@
-//! `site quarantine`: shows requests that crash engines, as the entries know
-//! them, and frees them.
+//! `site quarantine`: shows requests and parts of prompts that crash engines,
+//! as the entries know them, and frees them.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -21,14 +21,14 @@
 /// Defines the subcommand.
 pub(crate) fn command() -> Command {
     Command::new(NAME)
-        .about("Shows quarantined and suspect requests, or frees one")
+        .about("Shows quarantined and suspect requests and parts of prompts, or frees one")
         .arg(args::address(STORE, "Store of the platform").required(true))
         .arg(
             Arg::new(FREE)
                 .long(FREE)
                 .value_name("FINGERPRINT")
                 .value_parser(value_parser!(Fingerprint))
-                .help("Free this request on all entries"),
+                .help("Free this request or part on all entries"),
         )
         .arg(args::timeout(daemons::TIMEOUT_MS))
         .arg(args::json())
@@ -56,6 +56,7 @@
     statuses.print_unresponsive()?;
     let mut table = Table::new([
         "fingerprint",
+        "kind",
         "state",
         "left s",
         "crashes",
@@ -82,7 +83,7 @@
     suspect: &Value,
     reporting: usize,
     entry_count: usize,
-) -> [String; 8] {
+) -> [String; 9] {
     let crashes = suspect["crashes"].as_array().cloned().unwrap_or_default();
     let count = |name: &str| {
         let with = crashes.iter().filter(|crash| crash[name] == true);
@@ -93,6 +94,7 @@
     let left_ms = suspect["left_ms"].as_u64().unwrap_or(0);
     [
         fingerprint.to_owned(),
+        suspect["kind"].as_str().unwrap_or("").to_owned(),
         suspect["verdict"].as_str().unwrap_or("").to_owned(),
         (left_ms / 1_000).to_string(),
         crashes.len().to_string(),
--- a/crates/daemon/tests/users_platform/crashing_parts.rs
+++ b/crates/daemon/tests/users_platform/crashing_parts.rs
@@ -9,7 +9,7 @@
 
 use async_io::Timer;
 use chestnutreach_emulator::{
-    backend_servers::CRASH_PART_PREFIX,
+    backend_servers::{CRASH_PART_PREFIX, ServerState},
     caller::{self, AttemptEnd, Outcome, RequestKind, RequestSpec},
     report::Report,
     running::RunningSite,
@@ -38,6 +38,11 @@
 /// Share of harmless requests that begin at their first attempt from then on.
 const MIN_FIRST_ATTEMPT_SHARE: f64 = 0.95;
 
+/// Time in which streams begin and survive their first events.
+const BEGIN_TIME: Duration = Duration::from_millis(1_500);
+/// Engines that a part may crash with which runs survived before.
+const MAX_CRASHES_AFTER_RUNS: usize = 12;
+
 pub(crate) fn site() -> Site {
     Site { engines_each: 8, ..Site::small() }
 }
@@ -176,3 +181,54 @@
         assert_only_refused(running, &outcomes);
     });
 }
+
+/// Streams that began while the part was harmless lose their engines to new
+/// requests with the part. Resumed, they would crash the next ones.
+#[test]
+fn streams_are_not_resumed_on_a_part_that_has_become_harmful() {
+    with_site(&site(), async |running| {
+        let part = crashing_part(2);
+        running.backends.set_parts_harmless(true);
+        let begin = |number: usize| {
+            let spec = RequestSpec {
+                max_attempts: 1,
+                events: running.backends.site().events,
+                ..crashing_spec(&[COMMON_PART], &part, 1_000 + number)
+            };
+            let entries = running.addresses.clone();
+            executor().spawn(async move {
+                let first_entry = number % entries.len();
+                let at = Duration::ZERO;
+                caller::send_request(&spec, &entries, first_entry, at).await
+            })
+        };
+        for engine in running.backends.engines() {
+            let slow_down = |server: &mut ServerState| server.slowness = 10.0;
+            running.backends.update_server(engine, slow_down);
+        }
+        let begun: Vec<_> = (0..24).map(begin).collect();
+        Timer::after(BEGIN_TIME).await;
+        running.backends.set_parts_harmless(false);
+        let harmless = stream_load(HARMLESS_PER_S, PERIOD);
+        let load = CrashingLoad {
+            other_parts: &[COMMON_PART],
+            per_s: 4.0,
+            max_attempts: 1,
+            max_crashes: 0,
+        };
+        let played = running.run(&harmless, &[]);
+        let crashing = send_with_part(running, &load, &part);
+        futures_lite::future::zip(played, crashing).await;
+        for stream in begun {
+            stream.await;
+        }
+        let seen = running.backends.observations();
+        let late = seen.arrivals_after_crash(&part, 5, PROPAGATION_LIMIT);
+        let crashes = seen.crashes_of(&part).len();
+        assert!(crashes >= 3, "{crashes} engines crashed");
+        assert!(late <= MAX_LATE_ARRIVALS, "{late} late arrivals");
+        // Each arrival would crash its engine, if no other did so before.
+        let arrivals = seen.crashing_arrivals.len();
+        assert!(arrivals <= MAX_CRASHES_AFTER_RUNS, "{arrivals} arrivals");
+    });
+}
--- a/crates/emulator/src/backend_servers.rs
+++ b/crates/emulator/src/backend_servers.rs
@@ -134,6 +134,8 @@
     relays: BTreeMap<SocketAddr, Arc<Relay>>,
     observations: Observations,
     next_id: u64,
+    /// Whether parts of prompts crash no engine for now.
+    are_parts_harmless: bool,
 }
 
 /// All backend servers.
@@ -400,6 +402,11 @@
         *count.or_default() += 1;
     }
 
+    /// Makes parts of prompts that crash engines harmless, or harmful again.
+    pub fn set_parts_harmless(&self, are_harmless: bool) {
+        self.lock().are_parts_harmless = are_harmless;
+    }
+
     /// Records the arrival of a request that crashes servers, with what they
     /// crash of, and returns its index; `None` for other requests.
     pub(crate) fn record_crashing(
@@ -408,6 +415,9 @@
     ) -> Option<usize> {
         let token = cause?;
         let mut state = self.lock();
+        if state.are_parts_harmless && token.starts_with(CRASH_PART_PREFIX) {
+            return None;
+        }
         let arrivals = &mut state.observations.crashing_arrivals;
         arrivals.push(CrashingArrival {
             token: token.to_owned(),
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -94,6 +94,9 @@
     /// A stream that crashes every engine that starts it is repeated at random
     /// entries.
     RequestCrashes,
+    /// Different streams with a part that crashes every engine that starts
+    /// them are sent to random entries.
+    PartCrashes,
     /// A server announces a rate limit.
     LimitNamed,
     /// A server rejects requests and requests a cooldown.
@@ -110,7 +113,7 @@
 const NARROW_LINK: LinkFault = LinkFault::Narrow(200_000);
 
 /// All faults with their names in experiments.
-const FAULTS: [(&str, FaultKind); 42] = [
+const FAULTS: [(&str, FaultKind); 43] = [
     ("engine-ends", FaultKind::EngineEnds),
     ("engine-dark", FaultKind::EngineDark),
     ("engine-slow", FaultKind::EngineSlow),
@@ -153,6 +156,7 @@
     ("engine-says-leaving", FaultKind::EngineSaysLeaving),
     ("store-restored", FaultKind::StoreRestored),
     ("store-link-narrow", FaultKind::StoreLink(NARROW_LINK)),
+    ("part-crashes", FaultKind::PartCrashes),
 ];
 
 /// Duration of a fault for which the experiment gives none.
@@ -202,6 +206,11 @@
         self == FaultKind::RequestCrashes
     }
 
+    /// Whether the fault is a part of prompts that crashes servers.
+    pub fn is_crashing_part(self) -> bool {
+        self == FaultKind::PartCrashes
+    }
+
     /// Whether the fault is a limit that a server announces.
     pub fn is_announced_limit(self) -> bool {
         self == FaultKind::LimitNamed
--- a/crates/emulator/src/running/faults.rs
+++ b/crates/emulator/src/running/faults.rs
@@ -12,12 +12,14 @@
 
 use super::RunningSite;
 use crate::{
-    backend_servers::{BackendServers, CRASH_PREFIX, ServerState},
+    backend_servers::{
+        BackendServers, CRASH_PART_PREFIX, CRASH_PREFIX, ServerState,
+    },
     caller::{RequestKind, RequestSpec, send_request},
     engines,
     experiment::{Fault, FaultKind},
     link::LinkFault,
-    site::{KEY, MODEL_SERVICE, PLAIN_SERVICE},
+    site::{COMMON_PART, KEY, MODEL_SERVICE, PLAIN_SERVICE},
     store::StoreFault,
 };
 
@@ -127,6 +129,9 @@
             (FaultKind::RequestCrashes, _) => {
                 self.repeat_crashing_request(rng.u32(..), duration);
             }
+            (FaultKind::PartCrashes, _) => {
+                self.send_with_crashing_part(rng.u16(..), duration);
+            }
             (FaultKind::LimitNamed, _) => self.announce_limit(duration, rng),
             (FaultKind::RestAsked, _) => self.request_cooldown(duration, rng),
             (_, None) => {}
@@ -293,11 +298,38 @@
         let token = format!("{CRASH_PREFIX}-{number}");
         let spec = RequestSpec::new(RequestKind::Stream, &token, 1);
         let spec = RequestSpec { max_attempts: 1, ..spec };
+        self.send_repeatedly(duration, move |_| spec.clone());
+    }
+
+    /// Sends different streams with a part that crashes their engines.
+    fn send_with_crashing_part(&self, number: u16, duration: Duration) {
+        let part = format!("{CRASH_PART_PREFIX}{number:04x}");
+        let shared_parts = vec![COMMON_PART.to_owned(), part];
+        self.send_repeatedly(duration, move |index| {
+            let token = format!("p{number}-{index}");
+            RequestSpec {
+                shared_parts: shared_parts.clone(),
+                ..RequestSpec::new(RequestKind::Stream, &token, 1)
+            }
+        });
+    }
+
+    /// Sends requests to random entries, one after another, until some time
+    /// after a fault.
+    fn send_repeatedly(
+        &self,
+        duration: Duration,
+        spec: impl Fn(usize) -> RequestSpec + Send + 'static,
+    ) {
         let entries = self.addresses.clone();
         let until = Instant::now() + duration + CRASHING_EXTRA_TIME;
         let repeat = async move {
-            while Instant::now() < until {
+            for index in 0.. {
+                if Instant::now() >= until {
+                    break;
+                }
                 let first_entry = fastrand::usize(..entries.len());
+                let spec = spec(index);
                 send_request(&spec, &entries, first_entry, Duration::ZERO)
                     .await;
                 Timer::after(CRASHING_INTERVAL).await;
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -45,6 +45,8 @@
 /// First seed with a configuration of many routes, and with links on which it
 /// takes seconds.
 const FIRST_LARGE_CONFIGURATION_SEED: u64 = 1 << 28;
+/// First seed with different requests that share a part that crashes engines.
+const FIRST_CRASHING_PART_SEED: u64 = 1 << 29;
 const EXTRA_ROUTES: usize = 1_500;
 /// Streams per second where streams compete, urgent and others: about one and
 /// a half times as many as fit.
@@ -57,6 +59,9 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let has_links = seed >= FIRST_LINK_SEED;
     let base = match seed {
+        FIRST_CRASHING_PART_SEED.. => {
+            Site { engines_each: 8, ..Site::small() }
+        }
         FIRST_LARGE_CONFIGURATION_SEED.. => {
             Site { extra_routes: EXTRA_ROUTES, ..Site::with_shared_feeds() }
         }
@@ -78,6 +83,9 @@
         .filter(|kind| {
             seed >= FIRST_LARGE_CONFIGURATION_SEED || !kind.slows_transfers()
         })
+        .filter(|kind| {
+            seed >= FIRST_CRASHING_PART_SEED || !kind.is_crashing_part()
+        })
         .collect();
     let mut faults: Vec<Fault> = (0..FAULT_COUNT)
         .map(|_| Fault {
@@ -86,7 +94,10 @@
             duration: Duration::from_millis(rng.u64(300..2_500)),
         })
         .collect();
-    if seed >= FIRST_LARGE_CONFIGURATION_SEED {
+    if seed >= FIRST_CRASHING_PART_SEED {
+        faults[0].kind = FaultKind::PartCrashes;
+        faults[1].kind = FaultKind::EntryKilled;
+    } else if seed >= FIRST_LARGE_CONFIGURATION_SEED {
         let narrow = kinds.iter().find(|kind| kind.slows_transfers());
         faults[1].kind = *narrow.expect("a fault of all seeds from here on");
         faults[2].kind = FaultKind::Configuration;
--- a/crates/emulator/src/soak/checks.rs
+++ b/crates/emulator/src/soak/checks.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    backend_servers::{ExpiredLimit, Observations},
+    backend_servers::{CRASH_PART_PREFIX, ExpiredLimit, Observations},
     caller::{Attempt, AttemptEnd, RequestKind},
     report::Report,
     running::RunningSite,
@@ -144,7 +144,7 @@
 }
 
 /// Requests that still reached engines long after three engines had crashed
-/// under them.
+/// under them, or five under a part of their prompts.
 fn late_crashing_arrivals(observations: &Observations) -> Vec<String> {
     let tokens: BTreeSet<&str> = observations
         .crashing_arrivals
@@ -152,7 +152,9 @@
         .map(|c| c.token.as_str())
         .collect();
     let has_late_arrivals = |token: &&str| {
-        observations.arrivals_after_crash(token, 3, PROPAGATION_TIME)
+        let is_part = token.starts_with(CRASH_PART_PREFIX);
+        let crash = if is_part { 5 } else { 3 };
+        observations.arrivals_after_crash(token, crash, PROPAGATION_TIME)
             > MAX_LATE_ARRIVALS
     };
     let violating = tokens.into_iter().filter(has_late_arrivals);
