--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -222,7 +222,7 @@
         "A backend server refused or failed a request.";
     RelayBroken = 904, "relay_broken", Warn,
         ["request", "attempt", "backend", "error", "suspects", "last_event",
-         "gap_ms", "fingerprint", "begun_ms", "attempt_events"],
+         "gap_ms", "fingerprint", "parts", "begun_ms", "attempt_events"],
         "The answer of a backend server broke off.";
     PathChanged = 905, "path_changed", Info,
         ["request", "without", "backends", "result", "gap_ms"],
@@ -302,7 +302,7 @@
         ["row_version", "backends", "new", "draining", "without_layers"],
         "The whole list of backend servers was read.";
     RequestSuspected = 929, "request_suspected", Warn,
-        ["request", "fingerprint", "backend", "begun_ms", "attempt_events",
+        ["request", "fingerprint", "parts", "backend", "begun_ms", "attempt_events",
          "is_in_trial", "crashes"],
         "A backend server crashed under a request that had just begun there.";
     RequestQuarantined = 930, "request_quarantined", Error,
@@ -312,10 +312,10 @@
         ["request", "fingerprint", "crashes", "cause"],
         "Crashes under a request no longer count.";
     QuarantineRefused = 932, "quarantine_refused", Info,
-        ["request", "fingerprint", "left_ms"],
+        ["request", "fingerprint", "part", "left_ms"],
         "A request was refused since it crashes backend servers.";
     TrialBegun = 933, "trial_begun", Info,
-        ["request", "fingerprint", "backend", "crashes", "waited_ms"],
+        ["request", "fingerprint", "part", "backend", "crashes", "waited_ms"],
         "A suspect runs, apart from other suspects.";
     LimitNamed = 934, "limit_named", Info,
         ["backend", "limit_per_s", "request", "source", "answer_age_ms",
