--- a/crates/routing/src/connection_limit.rs
+++ b/crates/routing/src/connection_limit.rs
@@ -156,8 +156,8 @@
         }
     }
 
-    /// Whether a new connection is accepted beside a number of requests; counts
-    /// it if so.
+    /// Whether a new connection is accepted beside a number of requests;
+    /// counts it if so.
     pub fn try_accept(&mut self, in_flight: usize) -> bool {
         let is_accepted = self.limit.is_none_or(|limit| {
             !self.is_paused
--- a/crates/routing/src/quarantine/suspects.rs
+++ b/crates/routing/src/quarantine/suspects.rs
@@ -72,10 +72,10 @@
     }
 
     /// The verdict on one fingerprint of a request, given what the request
-    /// does not have: it is free if something else that meets the conditions of
-    /// a quarantine explains all the crashes and more, and not quarantined if
-    /// such things explain those in trials, or if only requests of another
-    /// account crashed servers.
+    /// does not have. It is free if something else that meets the conditions
+    /// of a quarantine explains all the crashes and more. It is not
+    /// quarantined if such things explain those in trials, or if only requests
+    /// of another account crashed servers.
     fn verdict_for(
         &self,
         keys: &RequestKeys,
@@ -118,8 +118,8 @@
         record.map_or(Verdict::Free, |r| self.verdict_of(key, r, now_ms))
     }
 
-    /// Whether the crashes under a fingerprint have no other explanation: under
-    /// no part of a prompt but this did the same servers crash.
+    /// Whether the crashes under a fingerprint have no other explanation: the
+    /// same servers crashed under no other part of a prompt.
     pub fn is_sole_explanation(&self, key: Fingerprint) -> bool {
         let Some(record) = self.records.get(&key) else { return false };
         let mut others =
--- a/crates/routing/src/quarantine/trials.rs
+++ b/crates/routing/src/quarantine/trials.rs
@@ -16,7 +16,7 @@
 struct Trial {
     /// Short hash of the server's incarnation.
     server: u32,
-    /// The process that holds the request.
+    /// The process that runs the trial.
     holder: u64,
     until_ms: u64,
 }
@@ -24,7 +24,7 @@
 /// The trials of all entries, as far as this entry knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Trials {
-    by_request: BTreeMap<Fingerprint, Trial>,
+    by_suspect: BTreeMap<Fingerprint, Trial>,
 }
 
 impl Trials {
@@ -33,88 +33,88 @@
         Trials::default()
     }
 
-    /// Begins a trial, unless the request is on trial or another request is on
-    /// trial at this server.
+    /// Begins a trial, unless the suspect is on trial or another one is on trial
+    /// at this server.
     pub fn try_begin(
         &mut self,
-        request: Fingerprint,
+        suspect: Fingerprint,
         server: u32,
         holder: u64,
         now_ms: u64,
     ) -> bool {
         self.remove_expired(now_ms);
-        let is_occupied = self.by_request.contains_key(&request)
+        let is_occupied = self.by_suspect.contains_key(&suspect)
             || self.servers_on_trial(now_ms).contains(&server);
         if is_occupied {
             return false;
         }
-        self.insert(request, server, holder, now_ms);
+        self.insert(suspect, server, holder, now_ms);
         true
     }
 
     /// Applies the announcement that another entry begins a trial.
     pub fn apply_remote(
         &mut self,
-        request: Fingerprint,
+        suspect: Fingerprint,
         server: u32,
         holder: u64,
         now_ms: u64,
     ) {
         self.remove_expired(now_ms);
         let conflicts = |(other, trial): &(&Fingerprint, &Trial)| {
-            (**other == request || trial.server == server)
+            (**other == suspect || trial.server == server)
                 && trial.holder != holder
         };
-        let conflicting = self.by_request.iter().filter(conflicts);
+        let conflicting = self.by_suspect.iter().filter(conflicts);
         let conflicting: Vec<(Fingerprint, u64)> =
             conflicting.map(|(other, trial)| (*other, trial.holder)).collect();
         if conflicting.iter().any(|(_, other)| *other < holder) {
             return;
         }
         for (other, _) in conflicting {
-            self.by_request.remove(&other);
+            self.by_suspect.remove(&other);
         }
-        self.insert(request, server, holder, now_ms);
+        self.insert(suspect, server, holder, now_ms);
     }
 
     fn insert(
         &mut self,
-        request: Fingerprint,
+        suspect: Fingerprint,
         server: u32,
         holder: u64,
         now_ms: u64,
     ) {
         let until_ms = now_ms + TRIAL_MS;
         let trial = Trial { server, holder, until_ms };
-        self.by_request.insert(request, trial);
+        self.by_suspect.insert(suspect, trial);
     }
 
-    /// Whether `holder` holds the trial of a request.
+    /// Whether `holder` holds the trial of a suspect.
     pub fn is_held_by(
         &self,
-        request: Fingerprint,
+        suspect: Fingerprint,
         holder: u64,
         now_ms: u64,
     ) -> bool {
-        let trial = self.by_request.get(&request);
+        let trial = self.by_suspect.get(&suspect);
         trial.is_some_and(|t| t.holder == holder && now_ms < t.until_ms)
     }
 
-    /// Ends the trial of a request, if `holder` holds it.
-    pub fn end(&mut self, request: Fingerprint, holder: u64) {
-        let trial = self.by_request.get(&request);
+    /// Ends the trial of a suspect, if `holder` holds it.
+    pub fn end(&mut self, suspect: Fingerprint, holder: u64) {
+        let trial = self.by_suspect.get(&suspect);
         if trial.is_some_and(|t| t.holder == holder) {
-            self.by_request.remove(&request);
+            self.by_suspect.remove(&suspect);
         }
     }
 
     /// Servers at which a suspect is on trial.
     pub fn servers_on_trial(&self, now_ms: u64) -> BTreeSet<u32> {
-        let active = self.by_request.values().filter(|t| now_ms < t.until_ms);
+        let active = self.by_suspect.values().filter(|t| now_ms < t.until_ms);
         active.map(|trial| trial.server).collect()
     }
 
     fn remove_expired(&mut self, now_ms: u64) {
-        self.by_request.retain(|_, trial| now_ms < trial.until_ms);
+        self.by_suspect.retain(|_, trial| now_ms < trial.until_ms);
     }
 }
