--- a/crates/cli/src/site/quarantine.rs
+++ b/crates/cli/src/site/quarantine.rs
@@ -21,7 +21,9 @@
 /// Defines the subcommand.
 pub(crate) fn command() -> Command {
     Command::new(NAME)
-        .about("Shows quarantined and suspect requests and parts of prompts, or frees one")
+        .about(
+            "Shows or frees requests and parts of prompts that crash engines",
+        )
         .arg(args::address(STORE, "Store of the platform").required(true))
         .arg(
             Arg::new(FREE)
--- a/crates/daemon/tests/users_platform/crashing_parts.rs
+++ b/crates/daemon/tests/users_platform/crashing_parts.rs
@@ -47,12 +47,13 @@
 /// Streams that begin while the part is harmless.
 const BEGUN_STREAMS: usize = 48;
 
-pub(crate) fn site() -> Site {
+fn site() -> Site {
     Site { engines_each: 8, ..Site::small() }
 }
 
 /// How requests with a crashing part are sent.
 struct CrashingLoad {
+    kind: RequestKind,
     /// Parts before the crashing one.
     other_parts: &'static [&'static str],
     per_s: f64,
@@ -61,12 +62,13 @@
     max_crashes: usize,
 }
 
-pub(crate) fn crashing_part(number: u32) -> String {
+fn crashing_part(number: u32) -> String {
     format!("{CRASH_PART_PREFIX}{number:04x}")
 }
 
-/// A stream with a crashing part; `number` tells it from all others.
-pub(crate) fn crashing_spec(
+/// A request with a crashing part; `number` tells it from all others.
+fn crashing_spec(
+    kind: RequestKind,
     other_parts: &[&str],
     part: &str,
     number: usize,
@@ -75,7 +77,7 @@
         other_parts.iter().map(|part| (*part).to_owned()).collect();
     shared_parts.push(part.to_owned());
     let token = format!("p{number}");
-    let spec = RequestSpec::new(RequestKind::Stream, &token, site().events);
+    let spec = RequestSpec::new(kind, &token, site().events);
     RequestSpec { shared_parts, ..spec }
 }
 
@@ -91,7 +93,7 @@
     let send = |number: usize| {
         let spec = RequestSpec {
             max_attempts: load.max_attempts,
-            ..crashing_spec(load.other_parts, part, number)
+            ..crashing_spec(load.kind, load.other_parts, part, number)
         };
         let entries = running.addresses.clone();
         let at = Duration::from_secs_f64(number as f64 / load.per_s);
@@ -136,18 +138,23 @@
 
 #[rstest]
 #[case::one_at_a_time(CrashingLoad {
+    kind: RequestKind::Stream,
     other_parts: &[COMMON_PART], per_s: 2.0, max_attempts: 1, max_crashes: 3,
 })]
 #[case::two_attempts_each(CrashingLoad {
+    kind: RequestKind::Stream,
     other_parts: &[COMMON_PART], per_s: 2.0, max_attempts: 2, max_crashes: 5,
 })]
 #[case::eight_a_second(CrashingLoad {
+    kind: RequestKind::Stream,
     other_parts: &[COMMON_PART], per_s: 8.0, max_attempts: 2, max_crashes: 5,
 })]
 #[case::twenty_five_a_second(CrashingLoad {
+    kind: RequestKind::Stream,
     other_parts: &[COMMON_PART], per_s: 25.0, max_attempts: 2, max_crashes: 9,
 })]
 #[case::the_first_part(CrashingLoad {
+    kind: RequestKind::Stream,
     other_parts: &[], per_s: 8.0, max_attempts: 2, max_crashes: 5,
 })]
 fn different_requests_with_a_crashing_part_reach_no_engine_after_its_crashes(
@@ -193,11 +200,12 @@
     with_site(&site(), async |running| {
         let part = crashing_part(2);
         running.backends.set_parts_harmless(true);
+        let kind = RequestKind::Stream;
         let begin = |number: usize| {
             let spec = RequestSpec {
                 max_attempts: 1,
                 events: running.backends.site().events,
-                ..crashing_spec(&[COMMON_PART], &part, 1_000 + number)
+                ..crashing_spec(kind, &[COMMON_PART], &part, 1_000 + number)
             };
             let entries = running.addresses.clone();
             executor().spawn(async move {
@@ -215,6 +223,7 @@
         running.backends.set_parts_harmless(false);
         let harmless = stream_load(HARMLESS_PER_S, PERIOD);
         let load = CrashingLoad {
+            kind,
             other_parts: &[COMMON_PART],
             per_s: 4.0,
             max_attempts: 1,
@@ -244,3 +253,29 @@
         assert_eq!(late, 0, "{crashes} engines crashed");
     });
 }
+
+#[rstest]
+#[case::idempotent(RequestKind::Idempotent)]
+#[case::once(RequestKind::Once)]
+fn plain_requests_with_a_crashing_part_reach_no_server_after_its_crashes(
+    #[case] kind: RequestKind,
+) {
+    let site = Site { plain_servers: 8, ..site() };
+    with_site(&site, async |running| {
+        let part = crashing_part(3);
+        let load = CrashingLoad {
+            kind,
+            other_parts: &[],
+            per_s: 2.0,
+            max_attempts: 1,
+            max_crashes: 3,
+        };
+        let outcomes = send_with_part(running, &load, &part).await;
+        let seen = running.backends.observations();
+        let crashes = seen.crashes_of(&part).len();
+        assert!(crashes <= load.max_crashes, "{crashes} servers crashed");
+        let late = seen.arrivals_after_crash(&part, 3, QUARANTINE_LIMIT);
+        assert_eq!(late, 0, "{crashes} servers crashed");
+        assert_only_refused(running, &outcomes);
+    });
+}
--- a/crates/direct/src/request/isolation.rs
+++ b/crates/direct/src/request/isolation.rs
@@ -46,8 +46,8 @@
     Unrestricted,
     /// In a trial.
     Trial(Trial),
-    /// Not at all: the request is quarantined, or crashed an engine in a trial,
-    /// or no trial could begin in time.
+    /// Not at all: the request is quarantined, or crashed an engine in a
+    /// trial, or no trial could begin in time.
     Denied,
 }
 
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -114,8 +114,8 @@
         }
     }
 
-    /// Whether the engine crashed when it ended a stream that has no other mark
-    /// of its end than that of the connection.
+    /// Whether the engine crashed when it ended a stream whose end nothing but
+    /// that of the connection marks.
     async fn is_cut_off(&self, head: &ResponseHead) -> bool {
         let first = self.path.first_engine();
         head.ends_with_connection(&self.request.method)
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -284,7 +284,7 @@
     push_header(&mut out, "Authorization", &format!("Bearer {}", spec.key));
     // The entry must replace an account that the caller claims.
     push_header(&mut out, "X-Tenant", "somebody-else");
-    if spec.kind.is_stream() {
+    if spec.kind.is_stream() || !spec.shared_parts.is_empty() {
         push_header(&mut out, "X-Model", "m");
         push_header(&mut out, "X-Token-Count", "100,30");
         push_header(&mut out, "X-Prompt-Prefix", &prompt_parts(spec));
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -45,9 +45,10 @@
         schedule(load, &mut rng).into_iter().enumerate()
     {
         let token = format!("t{:x}-{number}", load.seed);
-        let shared_parts = vec![COMMON_PART.to_owned()];
-        let spec = RequestSpec::new(kind, &token, load.events);
-        let spec = RequestSpec { shared_parts, ..spec };
+        let mut spec = RequestSpec::new(kind, &token, load.events);
+        if kind.is_stream() {
+            spec.shared_parts = vec![COMMON_PART.to_owned()];
+        }
         let (entries, sender) = (entries.clone(), sender.clone());
         let first_entry = rng.usize(..entries.len());
         let task = async move {
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -5,19 +5,20 @@
 //! hundreds of entries, where that id is unknown. Or callers send different
 //! requests that share the part of the prompt that crashes servers.
 //!
-//! A request is therefore known by several [`Fingerprint`](crate::Fingerprint)s:
-//! its own, and those of the parts of its prompt ([`RequestKeys`]). All of them
-//! become suspects if the request had only just begun on a server that crashed
-//! ([`RunProgress`]). A request with a suspect runs in a trial ([`Trials`]):
-//! one for each suspect at a time in the whole fleet, on a server where no
-//! other request is on trial. A run that survives voids the crashes before it
-//! under all that the request has, so what harmless requests share is a suspect
-//! for some milliseconds only. Crashes in trials lead to quarantine
-//! ([`Suspects`]), in which requests with the fingerprint are refused.
+//! A request therefore has several fingerprints
+//! ([`Fingerprint`](crate::Fingerprint)): its own, and those of the parts of
+//! its prompt ([`RequestKeys`]). All of them become suspects if the request had
+//! only just begun on a server that crashed ([`RunProgress`]). A request with
+//! a suspect runs in a trial ([`Trials`]): one for each suspect at a time in
+//! the whole fleet, on a server where no other request is on trial. A run that
+//! survives voids the crashes before it under all that the request has, so
+//! what harmless requests share is a suspect for some milliseconds only.
+//! Crashes in trials lead to quarantine ([`Suspects`]), in which requests with
+//! the fingerprint are refused.
 //!
-//! A crash under a harmful part also counts against what other requests on the
-//! server have. A suspect is ignored for requests without the part, because the
-//! part explains the same crashes and more.
+//! A crash under a harmful part also counts against what other requests on
+//! the server have. Their suspects are ignored once the part is quarantined,
+//! because it explains the same crashes and more.
 //!
 //! For each fingerprint, entries keep a set of crashes that only grows until
 //! it expires, and flags on them that are only ever set. Reports may therefore
--- a/crates/routing/src/quarantine/trials.rs
+++ b/crates/routing/src/quarantine/trials.rs
@@ -33,8 +33,8 @@
         Trials::default()
     }
 
-    /// Begins a trial, unless the suspect is on trial or another one is on trial
-    /// at this server.
+    /// Begins a trial, unless the suspect is on trial or another one is on
+    /// trial at this server.
     pub fn try_begin(
         &mut self,
         suspect: Fingerprint,
