Soak: a quarantined request with a crashing part is no excess

The check counted quarantined fingerprints against causes of crashes. The check now leaves out fingerprints that log lines name together with a crashing part, and counts all others against whole requests that crash engines, as before.

--- a/crates/emulator/src/soak/checks.rs
+++ b/crates/emulator/src/soak/checks.rs
@@ -203,17 +203,35 @@
     violations
 }
 
-/// Quarantined requests, if there are more than requests that crash engines.
+/// Quarantined requests and parts, if there are more than those that crash
+/// engines. A request with a crashing part may be quarantined itself, where
+/// its caller repeated it.
 fn excess_quarantines(
     observations: &Observations,
     running: &RunningSite,
 ) -> Option<String> {
-    let crashing: BTreeSet<&str> = observations
-        .crashing_arrivals
-        .iter()
+    let causes = observations.crashing_arrivals.iter();
+    let crashing: BTreeSet<&str> = causes
         .map(|c| c.token.as_str())
+        .filter(|cause| !cause.starts_with(CRASH_PART_PREFIX))
         .collect();
-    let quarantined = running.quarantined_fingerprints();
+    let mut quarantined = running.quarantined_fingerprints();
+    let logs = running.logs();
+    for line in logs.lines().filter(|line| names_crashing_part(line)) {
+        quarantined.retain(|fingerprint| !line.contains(fingerprint.as_str()));
+    }
     (quarantined.len() > crashing.len())
         .then(|| format!("{quarantined:?} quarantined for {crashing:?}"))
 }
+
+/// Whether a log line is about a request with a part that crashes engines.
+fn names_crashing_part(line: &str) -> bool {
+    let values = ["\"part\":\"", "\"parts\":\""].into_iter();
+    let mut values = values.filter_map(|key| {
+        let value = line.split_once(key)?.1;
+        value.split('"').next()
+    });
+    values.any(|value| {
+        value.split(',').any(|part| part.starts_with(CRASH_PART_PREFIX))
+    })
+}
