Digests of requests are computed only while there is a suspect, again

Found on reading the change again: record_survived computed the fingerprints of each stream that lasted, a digest of its body and parts, also while nothing was suspected, only to leave the whole request out of them. The request is now left out when the fingerprints are first needed. No verdict changes.

--- a/crates/direct/src/request/isolation.rs
+++ b/crates/direct/src/request/isolation.rs
@@ -89,9 +89,14 @@
     }
 
     fn keys(&self) -> &RequestKeys {
-        let account = self.admitted.account.as_deref().unwrap_or_default();
-        let mut keys = || fingerprint::keys(self.request, account);
-        self.keys.get_or_init(&mut keys)
+        self.keys.get_or_init(|| {
+            let account = self.admitted.account.as_deref().unwrap_or_default();
+            let mut keys = fingerprint::keys(self.request, account);
+            if self.has_survived {
+                keys.exclude_request();
+            }
+            keys
+        })
     }
 
     /// Fingerprint of the whole request.
@@ -191,12 +196,9 @@
             let id = self.admitted.id_text();
             suspects::record_survived(self.core, self.keys(), id);
         }
-        if !self.has_survived {
-            self.has_survived = true;
-            self.keys();
-            if let Some(keys) = self.keys.get_mut() {
-                keys.exclude_request();
-            }
+        self.has_survived = true;
+        if let Some(keys) = self.keys.get_mut() {
+            keys.exclude_request();
         }
     }
 
