--- a/crates/direct/src/request/fingerprint.rs
+++ b/crates/direct/src/request/fingerprint.rs
@@ -10,10 +10,11 @@
 use chestnutreach_http::relay::RelayRequest;
 use chestnutreach_routing::{Fingerprint, RequestKeys};
 
+use crate::request::capacity_control::account_hash;
+
 /// Separates the uses of the hash function from others.
 const REQUEST_CONTEXT: &str = "chestnutreach 2026 request fingerprint";
 const PART_CONTEXT: &str = "chestnutreach 2026 prompt part fingerprint";
-const ACCOUNT_CONTEXT: &str = "chestnutreach 2026 client account";
 
 /// The fingerprint of a request of a client account.
 pub(crate) fn of_request(
@@ -34,9 +35,8 @@
 
 /// All fingerprints of a request of a client account.
 pub(crate) fn keys(request: &RelayRequest, account: &str) -> RequestKeys {
-    let account_hash = digest(ACCOUNT_CONTEXT, [account.as_bytes()]) as u32;
     RequestKeys::new(
-        account_hash,
+        account_hash(account),
         of_request(request, account),
         shared_parts(request).map(of_part),
     )
