--- a/crates/direct/src/cluster/suspects.rs
+++ b/crates/direct/src/cluster/suspects.rs
@@ -139,6 +139,19 @@
         changes
     }
 
+    /// Updates one record. `change` returns whether the record changed.
+    fn update_one(
+        &self,
+        fingerprint: Fingerprint,
+        change: impl FnOnce(&mut Suspects, u64) -> bool,
+    ) -> Option<VerdictChange> {
+        let change = |suspects: &mut Suspects, now_ms| {
+            let is_changed = change(suspects, now_ms);
+            is_changed.then_some(fingerprint).into_iter().collect()
+        };
+        self.update([fingerprint], change).pop()
+    }
+
     /// Whether no request is recorded.
     pub(crate) fn is_empty(&self) -> bool {
         self.count.load(Relaxed) == 0
@@ -342,15 +355,13 @@
     fingerprint: Fingerprint,
     cause: &str,
 ) -> bool {
-    let clear = |suspects: &mut Suspects, now_ms| {
-        let is_changed = suspects.clear(fingerprint, now_ms);
-        is_changed.then_some(fingerprint).into_iter().collect()
-    };
-    let changes = core.suspects.update([fingerprint], clear);
-    for change in &changes {
+    let clear =
+        |suspects: &mut Suspects, now_ms| suspects.clear(fingerprint, now_ms);
+    let change = core.suspects.update_one(fingerprint, clear);
+    if let Some(change) = &change {
         announce_cleared(core, change, "", cause);
     }
-    !changes.is_empty()
+    change.is_some()
 }
 
 fn announce_cleared(
@@ -421,16 +432,14 @@
 pub(crate) fn handle_message(core: &Core, message: &PeerState) {
     let apply_report = |suspect: &SuspectRequest| {
         let report = from_message(suspect);
-        let fingerprint = report.fingerprint;
         let apply = |suspects: &mut Suspects, now_ms| {
-            let is_changed = suspects.apply_report(&report, now_ms);
-            is_changed.then_some(fingerprint).into_iter().collect()
+            suspects.apply_report(&report, now_ms)
         };
-        core.suspects.update([fingerprint], apply)
+        core.suspects.update_one(report.fingerprint, apply)
     };
     // All reports are applied first, since one may explain another.
     let changes: Vec<VerdictChange> =
-        message.suspects.iter().flat_map(apply_report).collect();
+        message.suspects.iter().filter_map(apply_report).collect();
     for change in changes {
         let is_cause = core.suspects.is_sole_explanation(change.fingerprint);
         apply_quarantine(core, &change, is_cause.then_some("told"));
