--- a/crates/direct/src/request/connection_control.rs
+++ b/crates/direct/src/request/connection_control.rs
@@ -26,7 +26,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionControl {
     limit: Mutex<ConnectionLimit>,
-    /// Bytes sent to callers since the last sample.
+    /// Bytes of streams sent to callers since the last sample.
     sent_bytes: AtomicU64,
     /// Connections left to other entries since the last log line.
     unlogged: AtomicU64,
@@ -37,7 +37,7 @@
         self.limit.lock().expect("no holder panics")
     }
 
-    /// Records bytes that were sent to a caller.
+    /// Records bytes of a stream that were sent to a caller.
     pub(crate) fn record_sent(&self, bytes: usize) {
         self.sent_bytes.fetch_add(bytes as u64, Relaxed);
     }
--- a/crates/routing/src/connection_limit.rs
+++ b/crates/routing/src/connection_limit.rs
@@ -27,7 +27,7 @@
 const MIN_OVERLOADED_SAMPLES: u32 = 2;
 /// Multiple of the other entries' mean that counts as more than a share.
 const EXCESS_FACTOR: f64 = 2.0;
-/// Change of the limit by a decrease, and by an increase.
+/// Factors of a decrease and of an increase of the limit.
 const DECREASE: f64 = 0.8;
 const INCREASE: f64 = 1.01;
 /// Share of the limit from which on it is reached. A limit that is not reached
@@ -50,7 +50,7 @@
 pub struct LoadSample {
     /// Lateness of a timer.
     pub lag_ms: u64,
-    /// Share of the link that is used; 0 if not known.
+    /// Share of the link that streams use; 0 if not known.
     pub link_share: f64,
     /// Requests in progress.
     pub in_flight: usize,
@@ -79,7 +79,7 @@
     limit: Option<f64>,
     overloaded_samples: u32,
     decreased_ms: u64,
-    /// When the limit was last lowered or applied.
+    /// When the entry was last overloaded or left a connection to others.
     needed_ms: u64,
     /// Whether a connection was left to others since the last sample.
     has_refused: bool,
@@ -125,8 +125,8 @@
     }
 
     fn is_reached(&self, in_flight: usize) -> bool {
-        let share = in_flight as f64 + 1.0;
-        self.limit.is_none_or(|limit| share >= REACHED_SHARE * limit)
+        let with_next = in_flight as f64 + 1.0;
+        self.limit.is_none_or(|limit| with_next >= REACHED_SHARE * limit)
     }
 
     fn lower(&mut self, sample: &LoadSample, now_ms: u64) {
