Tests: one sender at a steady rate, one copy of the rule's bounds

crashing_parts and uneven_connections had the same open-loop sender, and crashing_parts repeated bounds and the site of crashing_requests. Assertions and bounds are as before.

--- a/crates/daemon/tests/users_platform/crashing_parts.rs
+++ b/crates/daemon/tests/users_platform/crashing_parts.rs
@@ -17,15 +17,14 @@
 };
 use rstest::rstest;
 
-use crate::support::{
-    LogLine, assert_no_violation, executor, parse_log, stream_load, with_site,
+use crate::{
+    crashing_requests::{MAX_LATE_ARRIVALS, PROPAGATION_LIMIT, site},
+    support::{
+        LogLine, assert_no_violation, executor, parse_log, send_at_rate,
+        stream_load, with_site,
+    },
 };
 
-/// Time within which the platform's rule expects all entries to learn of an
-/// event.
-const PROPAGATION_LIMIT: Duration = Duration::from_millis(3_000);
-/// Arrivals that the rule allows after that time since the fifth crash.
-const MAX_LATE_ARRIVALS: usize = 3;
 /// Time after the fifth crash from which no such request reaches an engine.
 const QUARANTINE_LIMIT: Duration = Duration::from_millis(500);
 /// How long requests with the part are sent.
@@ -47,10 +46,6 @@
 /// Streams that begin while the part is harmless.
 const BEGUN_STREAMS: usize = 48;
 
-fn site() -> Site {
-    Site { engines_each: 8, ..Site::small() }
-}
-
 /// How requests with a crashing part are sent.
 struct CrashingLoad {
     kind: RequestKind,
@@ -88,27 +83,14 @@
     load: &CrashingLoad,
     part: &str,
 ) -> Vec<Outcome> {
-    let start = Instant::now();
-    let count = (PERIOD.as_secs_f64() * load.per_s) as usize;
-    let send = |number: usize| {
+    let request = |number: usize| {
         let spec = RequestSpec {
             max_attempts: load.max_attempts,
             ..crashing_spec(load.kind, load.other_parts, part, number)
         };
-        let entries = running.addresses.clone();
-        let at = Duration::from_secs_f64(number as f64 / load.per_s);
-        executor().spawn(async move {
-            Timer::at(start + at).await;
-            let first_entry = number % entries.len();
-            caller::send_request(&spec, &entries, first_entry, at).await
-        })
+        (spec, number % running.addresses.len())
     };
-    let sent: Vec<_> = (0..count).map(send).collect();
-    let mut outcomes = Vec::new();
-    for outcome in sent {
-        outcomes.push(outcome.await);
-    }
-    outcomes
+    send_at_rate(running, load.per_s, PERIOD, request).await
 }
 
 /// Share of the harmless requests sent after a time that began at their first
--- a/crates/daemon/tests/users_platform/crashing_requests.rs
+++ b/crates/daemon/tests/users_platform/crashing_requests.rs
@@ -26,9 +26,10 @@
 
 /// Time within which the platform's rule expects all entries to learn of an
 /// event.
-const PROPAGATION_LIMIT: Duration = Duration::from_millis(3_000);
-/// Arrivals allowed more than the propagation limit after the third crash.
-const MAX_LATE_ARRIVALS: usize = 3;
+pub(crate) const PROPAGATION_LIMIT: Duration = Duration::from_millis(3_000);
+/// Arrivals allowed more than the propagation limit after the crash from which
+/// the platform's rule counts.
+pub(crate) const MAX_LATE_ARRIVALS: usize = 3;
 /// Time after the third crash within which all entries refuse a request that
 /// is sent one copy at a time.
 const QUARANTINE_LIMIT: Duration = Duration::from_millis(500);
@@ -37,7 +38,7 @@
 /// Pause between two copies of the request.
 const REPEAT_PAUSE: Duration = Duration::from_millis(150);
 
-fn site() -> Site {
+pub(crate) fn site() -> Site {
     Site { engines_each: 8, ..Site::small() }
 }
 
--- a/crates/daemon/tests/users_platform/support.rs
+++ b/crates/daemon/tests/users_platform/support.rs
@@ -56,6 +56,35 @@
     caller::send_request(wish, &addresses, 0, Duration::ZERO).await
 }
 
+/// Sends requests at a steady rate without waiting for their responses, and
+/// returns the outcomes in that order. `request` returns the request with a
+/// number, and the entry of its first attempt; further attempts go to the next
+/// entries.
+pub(crate) async fn send_at_rate(
+    running: &RunningSite,
+    per_s: f64,
+    period: Duration,
+    request: impl Fn(usize) -> (RequestSpec, usize),
+) -> Vec<Outcome> {
+    let start = Instant::now();
+    let count = (period.as_secs_f64() * per_s) as usize;
+    let send = |number: usize| {
+        let (spec, first_entry) = request(number);
+        let entries = running.addresses.clone();
+        let at = Duration::from_secs_f64(number as f64 / per_s);
+        executor().spawn(async move {
+            Timer::at(start + at).await;
+            caller::send_request(&spec, &entries, first_entry, at).await
+        })
+    };
+    let sent: Vec<_> = (0..count).map(send).collect();
+    let mut outcomes = Vec::new();
+    for outcome in sent {
+        outcomes.push(outcome.await);
+    }
+    outcomes
+}
+
 /// Returns a load of streams at a steady rate.
 pub(crate) fn stream_load(per_s: f64, duration: Duration) -> Load {
     Load {
--- a/crates/daemon/tests/users_platform/uneven_connections.rs
+++ b/crates/daemon/tests/users_platform/uneven_connections.rs
@@ -1,18 +1,18 @@
 //! A load balancer that hands most new connections to one entry, while that
 //! entry is short of processor time.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_io::Timer;
 use chestnutreach_emulator::{
-    caller::{self, AttemptEnd, Outcome, RequestKind, RequestSpec},
+    caller::{AttemptEnd, Outcome, RequestKind, RequestSpec},
     running::RunningSite,
 };
 use futures_lite::FutureExt as _;
 use rstest::rstest;
 use rustix::process::Signal;
 
-use crate::support::{executor, parse_log, wait_until, with_small_site};
+use crate::support::{parse_log, send_at_rate, wait_until, with_small_site};
 
 /// The entry runs for a part of each period only, like a process whose
 /// processor quota is used up.
@@ -32,26 +32,17 @@
     per_s: usize,
     is_uneven: bool,
 ) -> Vec<Outcome> {
-    let start = Instant::now();
-    let count = period.as_secs() as usize * per_s;
-    let send = |number: usize| {
+    let request = |number: usize| {
         let token = format!("u{per_s}-{number}");
         let events = running.backends.site().events;
         let spec = RequestSpec::new(RequestKind::Stream, &token, events);
-        let entries = running.addresses.clone();
-        let at = Duration::from_secs_f64(number as f64 / per_s as f64);
-        executor().spawn(async move {
-            Timer::at(start + at).await;
-            let first = if is_uneven { 0 } else { number % entries.len() };
-            caller::send_request(&spec, &entries, first, at).await
-        })
+        let first_entry = match is_uneven {
+            true => 0,
+            false => number % running.addresses.len(),
+        };
+        (spec, first_entry)
     };
-    let sent: Vec<_> = (0..count).map(send).collect();
-    let mut outcomes = Vec::new();
-    for outcome in sent {
-        outcomes.push(outcome.await);
-    }
-    outcomes
+    send_at_rate(running, per_s as f64, period, request).await
 }
 
 /// Takes processor time from the first entry until dropped.
