--- a/review/standin/src/case_silent.rs
+++ b/review/standin/src/case_silent.rs
@@ -16,6 +16,9 @@
 const CONTACT_MS: u64 = 3_000;
 /// `drain-ms`.
 const DRAIN_MS: u64 = 2_000;
+/// Time for which the engine serves after the store's acknowledgement:
+/// `drain-ms` and a little longer.
+const SERVES: Duration = Duration::from_millis(2_000 + 1_600);
 /// Added to both bounds, for the clocks of this program.
 const MARGIN_MS: u64 = 50;
 
@@ -44,7 +47,7 @@
                 let id = format!("on-{at}-{number}");
                 let request = Request {
                     method: "POST",
-                    target: "/on/20",
+                    target: "/on/150",
                     id: &id,
                     key: KEY_ONE,
                     deadline_ms: "1500",
@@ -56,7 +59,7 @@
                 let answer = client.send(&request, limit);
                 record.line(&format!("client of {id}: {}", answer.text()));
                 answers.lock().unwrap().insert(id, (sent_ms, answer));
-                thread::sleep(Duration::from_millis(60));
+                thread::sleep(Duration::from_millis(20));
             }
         }));
     }
@@ -72,39 +75,45 @@
         }
     }
     thread::sleep(Duration::from_millis(300));
-    let leaving = site.plain[0].clone();
-    leaving.report_draining();
-    let accepted_ms = site.record.now_ms();
-    site.record.say(&format!(
-        "{accepted_ms} ms: the store has accepted that {} is draining",
-        leaving.id()
-    ));
+    let leaving = site.plain[0].id.clone();
+    site.plain[0].leave(SERVES);
     thread::sleep(Duration::from_secs(8));
     is_over.store(true, SeqCst);
     for client in clients {
         let _ = client.join();
     }
     let answers = answers.lock().unwrap();
+    let accepted = "draining, accepted by the store";
+    let accepted_ms = site.runs.said_ms(&leaving, accepted);
+    let accepted_ms = accepted_ms.ok_or("the engine did not leave")?;
+    let exit_ms = site.runs.said_ms(&leaving, "exits").unwrap_or(u64::MAX);
+    site.record.say(&format!(
+        "{accepted_ms} ms: the store has accepted that {leaving} is draining; \
+         {exit_ms} ms: it exits"
+    ));
     let in_touch_ms = silent_ms + CONTACT_MS + MARGIN_MS;
     let bound_ms = accepted_ms + DRAIN_MS + MARGIN_MS;
     let mut late = Vec::new();
     for run in site.runs.all() {
         let sent_ms = answers.get(&run.request).map_or(0, |a| a.0);
-        if run.engine == leaving.id()
+        if run.engine == leaving
             && run.at_ms > bound_ms
             && sent_ms > in_touch_ms
         {
             late.push(run);
         }
     }
+    let is_lost =
+        |id: &String| answers.get(id).is_none_or(|a| a.1.status != 200);
     let served = answers.values().filter(|a| a.1.status == 200).count();
     site.record.say(&format!(
         "{served} of {} requests were answered 200; {} were sent by clients \
          later than {CONTACT_MS} ms after the silence and reached {} later \
-         than {DRAIN_MS} ms after the acknowledgement",
+         than {DRAIN_MS} ms after the acknowledgement; {} of these were lost",
         answers.len(),
         late.len(),
-        leaving.id()
+        leaving,
+        late.iter().filter(|run| is_lost(&run.request)).count()
     ));
     if let (Some(first), Some(last)) = (late.first(), late.last()) {
         site.record.say(&format!(
--- a/review/standin/src/entry.rs
+++ b/review/standin/src/entry.rs
@@ -3,7 +3,7 @@
 
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 use std::thread;
@@ -16,6 +16,8 @@
     pub clients: SocketAddr,
     pub ready: SocketAddr,
     pub child: Child,
+    settings: PathBuf,
+    log: PathBuf,
 }
 
 /// Entries that run, by the ids of their processes.
@@ -113,21 +115,28 @@
         );
         let path = dir.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("the settings can be written");
-        let log = File::create(dir.join(format!("{name}.log")))
-            .expect("the log can be written");
-        let child = Command::new("target/release/chestnutreachd")
-            .args(["--users-platform", "--metrics-port"])
-            .arg(free_port().to_string())
-            .env("CHESTNUTREACH_NODE_FILE", &path)
-            .stdin(Stdio::null())
-            .stderr(log.try_clone().expect("the log is open"))
-            .stdout(log)
-            .spawn()
-            .expect("the daemon is built");
-        RUNNING.lock().unwrap().push(child.id());
+        let log = dir.join(format!("{name}.log"));
         let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        let name = name.to_owned();
-        Entry { name, clients: at(front), ready: at(ready), child }
+        Entry {
+            name: name.to_owned(),
+            clients: at(front),
+            ready: at(ready),
+            child: spawn(&path, &log),
+            settings: path,
+            log,
+        }
+    }
+
+    /// Kills the process, as the loss of its machine or the platform does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        RUNNING.lock().unwrap().retain(|pid| *pid != self.child.id());
+    }
+
+    /// Starts the process again after a kill, with the same settings.
+    pub fn start_again(&mut self) {
+        self.child = spawn(&self.settings, &self.log);
     }
 
     /// Whether the entry says that it takes clients.
@@ -157,8 +166,24 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        RUNNING.lock().unwrap().retain(|pid| *pid != self.child.id());
+        self.kill();
     }
 }
+
+/// Starts the program with the arguments of the deploy file.
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let mut options = File::options();
+    let log = options.create(true).append(true).open(log);
+    let log = log.expect("the log can be written");
+    let child = Command::new("target/release/chestnutreachd")
+        .args(["--users-platform", "--metrics-port"])
+        .arg(free_port().to_string())
+        .env("CHESTNUTREACH_NODE_FILE", settings)
+        .stdin(Stdio::null())
+        .stderr(log.try_clone().expect("the log is open"))
+        .stdout(log)
+        .spawn()
+        .expect("the daemon is built");
+    RUNNING.lock().unwrap().push(child.id());
+    child
+}
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 //! not run. With `TROUBLE=0` the disruption is left out.
 
 mod case_deadline;
+mod case_replaced;
 mod case_silent;
 mod case_unframed;
 mod client;
@@ -38,6 +39,7 @@
     let verdict = match case.as_str() {
         "unframed" => case_unframed::play(&dir, has_trouble),
         "deadline" => case_deadline::play(&dir, has_trouble),
+        "replaced" => case_replaced::play(&dir, has_trouble),
         "silent" => case_silent::play(&dir, has_trouble),
         _ => Err(format!("no case {case:?}")),
     };
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -24,9 +24,12 @@
     pub at_ms: u64,
 }
 
-/// All runs at the engines, as the engines saw them.
+/// All runs at the engines, as the engines saw them, and what else they say.
 #[derive(Clone, Default)]
-pub struct Runs(Arc<Mutex<Vec<Run>>>);
+pub struct Runs(Arc<Mutex<Vec<Run>>>, Arc<Mutex<Vec<Line>>>);
+
+/// Engine, line and time of a line of an engine's log.
+type Line = (String, String, u64);
 
 impl Runs {
     /// Takes a line of an engine's log.
@@ -35,9 +38,19 @@
         if let ["request", id, "runs"] = words[..] {
             let (request, engine) = (id.to_owned(), engine.to_owned());
             self.0.lock().unwrap().push(Run { request, engine, at_ms });
+        } else if words[0] != "request" {
+            let line = (engine.to_owned(), line.to_owned(), at_ms);
+            self.1.lock().unwrap().push(line);
         }
     }
 
+    /// When an engine first said this.
+    pub fn said_ms(&self, engine: &str, what: &str) -> Option<u64> {
+        let lines = self.1.lock().unwrap();
+        let mut said = lines.iter().filter(|l| l.0 == engine && l.1 == what);
+        said.next().map(|line| line.2)
+    }
+
     pub fn all(&self) -> Vec<Run> {
         self.0.lock().unwrap().clone()
     }
@@ -48,7 +61,7 @@
     }
 }
 
-/// A model engine in a process of its own.
+/// A backend server in a process of its own.
 pub struct EngineProcess {
     pub id: String,
     child: Child,
@@ -56,10 +69,15 @@
 }
 
 impl EngineProcess {
-    fn start(id: &str, zone: &str, store: SocketAddr) -> EngineProcess {
+    fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        store: SocketAddr,
+    ) -> EngineProcess {
         let program = std::env::current_exe().expect("this program");
         let mut child = Command::new(program)
-            .args(["engine", id, zone, &store.to_string()])
+            .args(["engine", id, service, zone, &store.to_string()])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
@@ -84,12 +102,12 @@
 
 /// The program of an engine process.
 pub fn run_engine_process(arguments: &[String]) {
-    let [id, zone, store] = arguments else { return };
+    let [id, service, zone, store] = arguments else { return };
     let spec = Spec {
         id: id.clone(),
-        service: "desk".to_owned(),
+        service: service.clone(),
         zone: zone.clone(),
-        is_model: true,
+        is_model: service == "desk",
         store: store.parse().expect("an address"),
     };
     let engine = Engine::start(spec, Box::new(|line| println!("{line}")));
@@ -106,9 +124,9 @@
     pub runs: Runs,
     pub store: Store,
     pub engines: Vec<EngineProcess>,
-    pub plain: Vec<Arc<Engine>>,
+    pub plain: Vec<EngineProcess>,
     pub entries: Vec<Entry>,
-    logs: PathBuf,
+    pub logs: PathBuf,
 }
 
 impl Site {
@@ -122,10 +140,10 @@
         store.put("op", "config", &configuration(3));
         let runs = Runs::default();
         let zone = |at: usize| ["hall-medina", "hall-leona"][at % 2];
-        let start_model = |at: usize| {
-            let id = format!("i-model-{at}");
+        let start = |service: &str, at: usize| {
+            let id = format!("i-{service}-{at}");
             let mut engine =
-                EngineProcess::start(&id, zone(at), store.address);
+                EngineProcess::start(&id, service, zone(at), store.address);
             let out = engine.child.stdout.take().expect("it is piped");
             let (record, runs) = (record.clone(), runs.clone());
             thread::spawn(move || {
@@ -136,24 +154,8 @@
             });
             engine
         };
-        let engines = (0..engines).map(start_model).collect();
-        let start_plain = |at: usize| {
-            let id = format!("i-plain-{at}");
-            let spec = Spec {
-                id: id.clone(),
-                service: "ledger".to_owned(),
-                zone: zone(at).to_owned(),
-                is_model: false,
-                store: store.address,
-            };
-            let (record, runs) = (record.clone(), runs.clone());
-            let log = move |line: &str| {
-                runs.note(&id, line, record.now_ms());
-                record.line(&format!("{id} {line}"));
-            };
-            Engine::start(spec, Box::new(log))
-        };
-        let plain = (0..plain).map(start_plain).collect();
+        let engines = (0..engines).map(|at| start("desk", at)).collect();
+        let plain = (0..plain).map(|at| start("ledger", at)).collect();
         let entries = Vec::new();
         Site { record, runs, store, engines, plain, entries, logs }
     }
@@ -214,6 +216,7 @@
     fn drop(&mut self) {
         self.entries.clear();
         self.engines.clear();
+        self.plain.clear();
         if std::env::var("KEEP_LOGS").is_err() {
             let _ = std::fs::remove_dir_all(&self.logs);
         }
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -52,6 +52,11 @@
         version
     }
 
+    pub fn has(&self, table: &str, key: &str) -> bool {
+        let state = self.shared.0.lock().unwrap();
+        state.rows.contains_key(&(table.to_owned(), key.to_owned()))
+    }
+
     pub fn delete(&self, table: &str, key: &str) -> u64 {
         let mut state = self.shared.0.lock().unwrap();
         let version = state.set(table, key, None);
