--- a/review/standin/src/case_unframed.rs
+++ b/review/standin/src/case_unframed.rs
@@ -1,8 +1,10 @@
-//! An engine that leaves ends streams whose answers have no length.
+//! An engine that leaves or crashes ends streams whose answers have no length.
 
 use std::path::Path;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use crate::client::{Client, Request};
@@ -20,8 +22,25 @@
 const OTHERS: usize = 120;
 const OTHER_EVENTS: u64 = 20;
 
+/// Long streams where an engine crashes.
+const AT_CRASH: usize = 24;
+
+/// What happens to an engine.
+#[derive(Clone, Copy, Eq, PartialEq)]
+pub enum Trouble {
+    /// It leaves; 2 of its answers have no length.
+    Leaves,
+    /// It crashes; no answer of any engine has a length, and the core of an
+    /// entry is a quota of about a quarter.
+    Crashes,
+}
+
 /// Plays the case; returns whether the rule was broken.
-pub fn play(dir: &Path, has_trouble: bool) -> Result<bool, String> {
+pub fn play(
+    dir: &Path,
+    trouble: Trouble,
+    has_trouble: bool,
+) -> Result<bool, String> {
     let mut site = Site::start(dir, 4, 1);
     site.start_entry(site.store.address);
     site.start_entry(site.store.address);
@@ -50,22 +69,37 @@
             answers.lock().unwrap().insert(id, (sent_ms, answer));
         }));
     };
-    for at in 0..2 {
+    let is_crash = trouble == Trouble::Crashes;
+    for at in 0..if is_crash { AT_CRASH } else { 2 } {
         start(at, format!("no-length-{at}"), format!("/st/{LONG}-u"));
-        start(at, format!("chunked-{at}"), format!("/st/{LONG}"));
+        if !is_crash {
+            start(at, format!("chunked-{at}"), format!("/st/{LONG}"));
+        }
     }
+    let is_over = Arc::new(AtomicBool::new(false));
+    let pids: Vec<u32> = site.entries.iter().map(|e| e.child.id()).collect();
+    let quota = is_crash.then(|| hold_to_quota(pids, is_over.clone()));
     for at in 0..OTHERS {
         if at == 10 && has_trouble {
             // The long streams have run for a second.
             let run = site.runs.last_of("no-length-0");
             let run = run.ok_or("no engine runs the long stream")?;
             let engine = site.engines.iter_mut().find(|e| e.id == run.engine);
-            engine.ok_or("the engine is gone")?.leave(SERVES);
+            let engine = engine.ok_or("the engine is gone")?;
+            match trouble {
+                Trouble::Leaves => engine.leave(SERVES),
+                Trouble::Crashes => engine.crash(),
+            }
         }
-        let target = format!("/st/{OTHER_EVENTS}-40");
+        let framing = if is_crash { "-u" } else { "" };
+        let target = format!("/st/{OTHER_EVENTS}-40{framing}");
         start(at, format!("other-{at}"), target);
         thread::sleep(Duration::from_millis(100));
     }
+    is_over.store(true, SeqCst);
+    if let Some(quota) = quota {
+        let _ = quota.join();
+    }
     for client in clients {
         let _ = client.join();
     }
@@ -97,3 +131,22 @@
     }
     Ok(broken > 0)
 }
+
+/// Lets processes run for 25 ms of each 100 ms, as on a core whose share is a
+/// quota.
+fn hold_to_quota(pids: Vec<u32>, is_over: Arc<AtomicBool>) -> JoinHandle<()> {
+    let signal = move |name: &str| {
+        for pid in &pids {
+            let pid = pid.to_string();
+            let _ = Command::new("kill").args([name, &pid]).status();
+        }
+    };
+    thread::spawn(move || {
+        while !is_over.load(SeqCst) {
+            thread::sleep(Duration::from_millis(25));
+            signal("-STOP");
+            thread::sleep(Duration::from_millis(75));
+            signal("-CONT");
+        }
+    })
+}
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -23,6 +23,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use case_unframed::Trouble::{Crashes, Leaves};
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     if arguments.get(1).is_some_and(|a| a == "engine") {
@@ -37,7 +39,8 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     entry::end_after(Duration::from_secs(105));
     let verdict = match case.as_str() {
-        "unframed" => case_unframed::play(&dir, has_trouble),
+        "unframed" => case_unframed::play(&dir, Leaves, has_trouble),
+        "crash" => case_unframed::play(&dir, Crashes, has_trouble),
         "deadline" => case_deadline::play(&dir, has_trouble),
         "replaced" => case_replaced::play(&dir, has_trouble),
         "silent" => case_silent::play(&dir, has_trouble),
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -86,6 +86,11 @@
         EngineProcess { id: id.to_owned(), child, commands }
     }
 
+    /// The engine crashes: its process is killed.
+    pub fn crash(&mut self) {
+        let _ = self.child.kill();
+    }
+
     /// The engine leaves: it reports `draining`, serves for this long after
     /// the store has accepted the report, and exits.
     pub fn leave(&mut self, serves: Duration) {
