--- a/review/standin/src/case_deadline.rs
+++ b/review/standin/src/case_deadline.rs
@@ -151,13 +151,13 @@
     let was_run = |id: &str| site.runs.last_of(id).is_some();
     let is_kept = |id: &str| !id.ends_with("-1");
     let lost = answers.iter().filter(|(id, (_, answer))| {
-        answer.status == 0 && was_run(id) && is_kept(id)
+        answer.status == 0 && answer.is_closed && was_run(id) && is_kept(id)
     });
     let lost = lost.count();
     let served = answers.values().filter(|a| a.1.status == 200).count();
     site.record.say(&format!(
-        "requests on kept connections that an engine ran: {lost} ended without \
-         an answer; {served} of all were answered 200; entries that still \
+        "requests on kept connections that an engine ran: {lost} connections \
+         closed without an answer; {served} of all were answered 200; entries that still \
          answer: {}",
         ready.iter().filter(|ready| **ready).count()
     ));
--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -27,6 +27,8 @@
     /// Events received, and the id of the last one.
     pub events: u64,
     pub last_event: u64,
+    /// The entry closed the connection before the answer was complete.
+    pub is_closed: bool,
     /// Why the answer is not complete.
     pub error: String,
 }
@@ -66,7 +68,15 @@
         let mut answer = Answer::default();
         match self.try_send(request, limit, &mut answer) {
             Ok(()) => answer.is_complete = true,
-            Err(e) => answer.error = format!("({e})"),
+            Err(e) => {
+                answer.is_closed = matches!(
+                    e.kind(),
+                    ErrorKind::UnexpectedEof
+                        | ErrorKind::ConnectionReset
+                        | ErrorKind::BrokenPipe
+                );
+                answer.error = format!("({e})");
+            }
         }
         answer
     }
--- a/review/standin/src/entry.rs
+++ b/review/standin/src/entry.rs
@@ -2,9 +2,10 @@
 //! deploy file says.
 
 use std::fs::{self, File};
+use std::io::Write as _;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -23,6 +24,53 @@
 /// Entries that run, by the ids of their processes.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Input of the guard, which outlives this program by moments.
+static GUARD: Mutex<Option<ChildStdin>> = Mutex::new(None);
+
+/// Starts a process that kills the entries which are left when this program
+/// ends in any way, also by a kill.
+pub fn start_guard() {
+    let program = std::env::current_exe().expect("this program");
+    let guard = Command::new(program)
+        .arg("guard")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn();
+    let guard = guard.expect("the guard starts");
+    *GUARD.lock().unwrap() = guard.stdin;
+}
+
+/// The program of the guard: reads which entries run until its input ends.
+pub fn run_guard() {
+    let mut running = Vec::new();
+    for line in std::io::stdin().lines().map_while(Result::ok) {
+        let (sign, pid) = line.split_at(1);
+        let Ok(pid) = pid.parse::<u32>() else { continue };
+        running.retain(|other| *other != pid);
+        if sign == "+" {
+            running.push(pid);
+        }
+    }
+    running.into_iter().for_each(kill);
+}
+
+fn note_started(pid: u32) {
+    RUNNING.lock().unwrap().push(pid);
+    tell_guard(&format!("+{pid}"));
+}
+
+fn note_ended(pid: u32) {
+    RUNNING.lock().unwrap().retain(|other| *other != pid);
+    tell_guard(&format!("-{pid}"));
+}
+
+fn tell_guard(line: &str) {
+    if let Some(guard) = GUARD.lock().unwrap().as_mut() {
+        let _ = writeln!(guard, "{line}");
+    }
+}
+
 /// Ends this program and all entries if a case takes too long.
 pub fn end_after(limit: Duration) {
     thread::spawn(move || {
@@ -131,7 +179,7 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        RUNNING.lock().unwrap().retain(|pid| *pid != self.child.id());
+        note_ended(self.child.id());
     }
 
     /// Starts the process again after a kill, with the same settings.
@@ -184,6 +232,6 @@
         .stdout(log)
         .spawn()
         .expect("the daemon is built");
-    RUNNING.lock().unwrap().push(child.id());
+    note_started(child.id());
     child
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -31,12 +31,17 @@
         site::run_engine_process(&arguments[2..]);
         return ExitCode::SUCCESS;
     }
+    if arguments.get(1).is_some_and(|a| a == "guard") {
+        entry::run_guard();
+        return ExitCode::SUCCESS;
+    }
     let (Some(case), Some(dir)) = (arguments.get(1), arguments.get(2)) else {
         eprintln!("usage: review-standin CASE DIR");
         return ExitCode::from(2);
     };
     let dir = PathBuf::from(dir);
     let has_trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
+    entry::start_guard();
     entry::end_after(Duration::from_secs(105));
     let verdict = match case.as_str() {
         "unframed" => case_unframed::play(&dir, Leaves, has_trouble),
