--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -20,5 +20,6 @@
 mod store_copies;
 mod support;
 mod traces;
+mod unending_responses;
 mod uneven_connections;
 mod unframed_responses;
--- a/crates/emulator/src/backend_servers.rs
+++ b/crates/emulator/src/backend_servers.rs
@@ -20,6 +20,7 @@
     engines,
     site::{ACCOUNT, MODEL_SERVICE, PLAIN_SERVICE, Site},
     store::Store,
+    unending::UnendingBytes,
 };
 
 mod layers;
@@ -107,6 +108,8 @@
     pub exits_within_response: bool,
     /// Whether the response to another request precedes each response.
     pub sends_foreign_response: bool,
+    /// What the server sends without an end instead of every response.
+    pub unending: Option<UnendingBytes>,
     /// Rate limit that responses announce in a header, if any.
     pub announced_limit: Option<String>,
     /// Cooldown that the server requests with `Retry-After` when it rejects
@@ -211,6 +214,7 @@
             partial_event_rate: 0.0,
             exits_within_response: false,
             sends_foreign_response: false,
+            unending: None,
             announced_limit: None,
             cooldown: None,
             announces_leaving: false,
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -77,7 +77,8 @@
         }
     }
 
-    fn deadline(self) -> Duration {
+    /// Time from the first attempt to the deadline.
+    pub fn deadline(self) -> Duration {
         match self {
             RequestKind::Stream | RequestKind::UrgentStream => {
                 Duration::from_secs(15)
@@ -104,14 +105,23 @@
     pub max_attempts: usize,
     /// Ids of the parts of the prompt that other requests may share.
     pub shared_parts: Vec<String>,
+    /// How long the caller waits beyond the deadline that it states.
+    pub patience: Duration,
 }
 
 impl RequestSpec {
     /// Creates a request with the site's key and one retry.
     pub fn new(kind: RequestKind, token: &str, events: u64) -> RequestSpec {
         let (token, key) = (token.to_owned(), KEY.to_owned());
-        let shared_parts = Vec::new();
-        RequestSpec { kind, token, key, events, max_attempts: 2, shared_parts }
+        RequestSpec {
+            kind,
+            token,
+            key,
+            events,
+            max_attempts: 2,
+            shared_parts: Vec::new(),
+            patience: Duration::ZERO,
+        }
     }
 }
 
@@ -260,7 +270,7 @@
         read_response(spec, id, &mut connection, progress).await
     };
     let limit = async {
-        Timer::after(remaining).await;
+        Timer::after(remaining + spec.patience).await;
         (AttemptEnd::Left, None)
     };
     exchange.or(limit).await
@@ -455,7 +465,9 @@
 ) -> Option<T> {
     let limit = match spec.kind {
         RequestKind::Stream | RequestKind::UrgentStream => GAP_TIMEOUT,
-        RequestKind::Idempotent | RequestKind::Once => spec.kind.deadline(),
+        RequestKind::Idempotent | RequestKind::Once => {
+            spec.kind.deadline() + spec.patience
+        }
     };
     let work = async { Some(work.await) };
     let limit = async {
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -23,6 +23,7 @@
         MODEL_SERVICE, ONCE_PATH, PLAIN_SERVICE, STREAM_PATH,
         URGENT_STREAM_PATH,
     },
+    unending,
 };
 
 /// Interval between checks of a server's state.
@@ -192,6 +193,11 @@
             Timer::after(Duration::from_secs(60)).await;
             return;
         }
+        if let Some(form) = backends.server(address).and_then(|s| s.unending) {
+            let id = request.header("x-request-id").unwrap_or("");
+            record_unending(backends, address, &request, id);
+            return unending::respond(inbound, form, id).await;
+        }
         let keeps_connection = match request.path() {
             "/v1/report" => {
                 let report = report(backends, address);
@@ -206,6 +212,23 @@
     }
 }
 
+/// Records a request that is answered without an end, and may therefore have
+/// run.
+fn record_unending(
+    backends: &BackendServers,
+    address: SocketAddr,
+    request: &RelayRequest,
+    id: &str,
+) {
+    if request.path().starts_with("/v1/") {
+        return;
+    }
+    if let Some(server) = backends.server(address) {
+        backends.record_arrival(id, &server.id);
+    }
+    backends.record_run(id);
+}
+
 fn report(backends: &BackendServers, address: SocketAddr) -> Value {
     let Some(server) = backends.server(address) else { return json!({}) };
     let stalled: Vec<Value> = server
--- a/crates/emulator/src/entries.rs
+++ b/crates/emulator/src/entries.rs
@@ -176,6 +176,16 @@
         child.try_wait().ok().flatten().and_then(|status| status.code())
     }
 
+    /// Most memory that an entry's process has held so far, in bytes; `None`
+    /// if it is not running.
+    pub fn peak_memory_bytes(&self, index: usize) -> Option<u64> {
+        let pid = self.entries[index].child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        let kib: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+        Some(kib << 10)
+    }
+
     /// Whether an entry was started and not killed by [`Entries::kill`].
     pub fn is_running(&self, index: usize) -> bool {
         self.entries[index].child.is_some()
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`store`] | the platform's store |
 //! | [`link`] | faults of connections: delay, reset, silence, partition |
 //! | [`engines`] | HTTP servers of the engines and of the plain service |
+//! | [`unending`] | responses that never end |
 //! | [`site`] | what is emulated: counts, layers, configuration |
 //! | [`entries`] | entry processes that run the real binary |
 //! | [`caller`] | sends one request and checks the responses |
@@ -42,6 +43,7 @@
 pub mod site;
 pub mod soak;
 pub mod store;
+pub mod unending;
 
 use std::{sync::Arc, thread};
 
--- a/crates/emulator/src/running.rs
+++ b/crates/emulator/src/running.rs
@@ -24,7 +24,7 @@
     link::LinkFault,
     load::{self, Load},
     report::Report,
-    site::{KEY, Site},
+    site::{KEY, MEMORY_MB, Site},
     store::{Store, StoreCopy, StoreFault},
 };
 
@@ -222,6 +222,30 @@
         self.entries().exit_code(entry)
     }
 
+    /// Kills and restarts each entry that holds more memory than its machine
+    /// has, as the platform does; returns how many.
+    pub fn kill_oversized_entries(&self) -> usize {
+        let mut entries = self.entries();
+        let mut killed = 0;
+        for entry in 0..entries.count() {
+            let peak_bytes = entries.peak_memory_bytes(entry).unwrap_or(0);
+            if peak_bytes > MEMORY_MB << 20 {
+                entries.kill(entry);
+                // An entry that fails to start shows up in the report.
+                let _ = entries.start_entry(entry);
+                killed += 1;
+            }
+        }
+        killed
+    }
+
+    /// Most memory that any entry's process has held so far, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let entries = self.entries();
+        let peaks = (0..entries.count()).map(|e| entries.peak_memory_bytes(e));
+        peaks.flatten().max().unwrap_or(0)
+    }
+
     /// Address of an entry's metrics and status.
     pub fn ops_address(&self, entry: usize) -> SocketAddr {
         self.entries().ops_address(entry)
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -75,6 +75,8 @@
     pub first_cpu_share: Option<f64>,
 }
 
+/// Memory of an entry's machine, in megabytes.
+pub const MEMORY_MB: u64 = 260;
 /// Share of a core of an entry.
 const CPU_SHARE: f64 = 0.2;
 
@@ -243,7 +245,7 @@
 ready = "127.0.0.1:{ready}"
 [limits]
 cpu-share = {cpu_share}
-memory-mb = 260
+memory-mb = {MEMORY_MB}
 max-fds = 4100
 [bounds]
 drain-ms = 1000
