--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -182,7 +182,9 @@
         if !self.is_head_sent {
             out = forwarded_head(head, Framing::Chunked, self.is_last_request);
         }
-        loop {
+        // An engine that never pauses does not let the supervision look at the
+        // time.
+        while self.admitted.remaining_ms(now_ms()) > 0 {
             let part = connection.next_bytes(&mut body);
             let waited = self.supervise(supervision, part).await;
             let part = match self.classify_wait(waited) {
@@ -210,6 +212,7 @@
             }
             out.clear();
         }
+        AttemptResult::DeadlineExceeded
     }
 
     /// Appends complete events to the response, skipping those that the caller
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -8,7 +8,7 @@
 use std::{io, time::Duration};
 
 use async_io::Timer;
-use futures_lite::{AsyncReadExt as _, FutureExt as _};
+use futures_lite::{AsyncReadExt as _, FutureExt as _, future::yield_now};
 
 use crate::{head::MAX_HEAD_BYTES, stream::SharedStream};
 
@@ -21,6 +21,11 @@
 /// Limit on the memory allocated for a body before the body arrives.
 const MAX_RESERVED_BYTES: usize = 1 << 20;
 
+/// Reads that fill the chunk, after which the reader lets other tasks and the
+/// timers beside it run. A peer that sends faster than this process reads
+/// would otherwise keep its thread, and no deadline would pass.
+const MAX_FULL_READS: u32 = 4;
+
 /// Why a message could not be read.
 #[derive(Debug)]
 pub(crate) enum MessageError {
@@ -75,6 +80,8 @@
     received: u64,
     /// Whether the last read emptied the socket's receive buffer.
     is_drained: bool,
+    /// Full reads since the reader last yielded.
+    full_reads: u32,
     max_head_bytes: usize,
     stall_timeout: Option<Duration>,
 }
@@ -88,6 +95,7 @@
             chunk: vec![0; READ_BYTES],
             received: 0,
             is_drained: false,
+            full_reads: 0,
             max_head_bytes: MAX_HEAD_BYTES,
             stall_timeout: None,
         }
@@ -134,10 +142,17 @@
         if self.is_drained {
             // Saves a read that would block, once for each event of a stream.
             self.stream.readable().await?;
+        } else if self.full_reads >= MAX_FULL_READS {
+            self.full_reads = 0;
+            yield_now().await;
         }
         let count = self.stream.read(&mut self.chunk).await?;
         self.received += count as u64;
         self.is_drained = count < self.chunk.len();
+        self.full_reads = match self.is_drained {
+            true => 0,
+            false => self.full_reads + 1,
+        };
         self.buffer.extend_from_slice(&self.chunk[..count]);
         Ok(count)
     }
