--- a/crates/daemon/tests/users_platform/unending_responses.rs
+++ b/crates/daemon/tests/users_platform/unending_responses.rs
@@ -12,11 +12,13 @@
     caller::{AttemptEnd, Outcome, RequestKind, RequestSpec},
     running::RunningSite,
     site::Site,
-    unending::UnendingBytes,
+    unending::{UnendingBytes, UnendingIn},
 };
 use rstest::rstest;
 
-use crate::support::{send_at_rate, with_site};
+use crate::support::{
+    assert_all_served, parse_log, send_at_rate, stream_load, with_site,
+};
 
 /// Requests per second, of three kinds in turn.
 const PER_S: f64 = 45.0;
@@ -129,9 +131,11 @@
     forms: &[UnendingBytes],
 ) -> Seen {
     let servers = servers_in_trouble(running, per_four);
-    let set = |form| {
+    let set = |form: Option<UnendingBytes>| {
         for server in &servers {
-            let change = |server: &mut ServerState| server.unending = form;
+            let change = |server: &mut ServerState| {
+                server.unending = form.map(|f| (f, UnendingIn::AllResponses))
+            };
             running.backends.update_server(*server, change);
         }
     };
@@ -215,3 +219,71 @@
     });
     seen.assert_bounds(min_served_share);
 }
+
+/// The engine is left and the stream goes on at another one.
+#[rstest]
+#[case::lines(UnendingBytes::Lines)]
+#[case::long_chunk(UnendingBytes::LongChunk)]
+#[case::chunks(UnendingBytes::Chunks)]
+#[case::events(UnendingBytes::Events)]
+fn streams_are_resumed_that_go_on_without_an_end(#[case] form: UnendingBytes) {
+    with_site(&site(), async |running| {
+        for engine in servers_in_trouble(running, 1) {
+            running.backends.update_server(engine, |server| {
+                server.unending = Some((form, UnendingIn::AfterEvents(10)));
+            });
+        }
+        let load = stream_load(20.0, Duration::from_secs(3));
+        assert_all_served(&running.run(&load, &[]).await);
+        assert!(running.peak_memory_bytes() < MAX_MEMORY_BYTES);
+    });
+}
+
+/// Reports are requested of engines whose streams stall, and orders are sent
+/// once an engine lost its layers.
+#[rstest]
+#[case::interim_responses(UnendingBytes::InterimResponses)]
+#[case::long_body(UnendingBytes::LongBody)]
+#[case::long_chunk(UnendingBytes::LongChunk)]
+fn reports_and_orders_that_go_on_without_an_end_are_cut(
+    #[case] form: UnendingBytes,
+) {
+    with_site(&site(), async |running| {
+        let backends = &running.backends;
+        let set = |unending| {
+            for engine in backends.engines() {
+                backends.update_server(engine, |server| {
+                    server.unending = unending;
+                    server.slowness =
+                        if unending.is_some() { 60.0 } else { 1.0 };
+                });
+            }
+        };
+        set(Some((form, UnendingIn::Calls)));
+        let trouble = async {
+            Timer::after(Duration::from_millis(500)).await;
+            running
+                .terminate_first_stage_engine(Duration::from_millis(300))
+                .await;
+            // Also for the engine that starts in its place.
+            for _ in 0..60 {
+                set(Some((form, UnendingIn::Calls)));
+                Timer::after(Duration::from_millis(50)).await;
+            }
+            set(None);
+        };
+        let load = stream_load(10.0, Duration::from_secs(3));
+        let load = running.run(&load, &[]);
+        futures_lite::future::zip(load, trouble).await;
+        let lines = parse_log(&running.logs());
+        let cut: Vec<&str> = lines
+            .iter()
+            .filter(|line| line.name() == "response_cut")
+            .map(|line| line.text("request"))
+            .collect();
+        assert!(cut.contains(&"report"), "{cut:?}");
+        assert!(cut.iter().any(|r| r.starts_with("place")), "{cut:?}");
+        assert!(running.peak_memory_bytes() < MAX_MEMORY_BYTES);
+        assert!(running.recovers().await, "not served again");
+    });
+}
--- a/crates/direct/src/cluster/engine_watcher.rs
+++ b/crates/direct/src/cluster/engine_watcher.rs
@@ -110,9 +110,10 @@
         match probe::connect_once(&engine, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 probe::record_connected(&core, &engine);
-                connection.closed().await;
-                // The idle timeout or the exit of the process ended the
-                // connection; the next connect tells which.
+                connection.idle_ended().await;
+                // The idle timeout, the exit of the process, or bytes that
+                // belong to no response ended the connection; the next
+                // connect tells whether the process runs.
             }
             Err(e) => probe::record_unreachable(&core, &engine, &e),
         }
--- a/crates/direct/src/cluster/fleet.rs
+++ b/crates/direct/src/cluster/fleet.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwapOption;
 use chestnutreach_membership::restored_row::{KnownServer, ServerRow};
 use chestnutreach_protocol::peers::OpenMove;
+use chestnutreach_routing::ResponseMemory;
 use chestnutreach_site::{Backend, BackendState, LayerRange, StoreVersion};
 use chestnutreach_telemetry::{Event, emit};
 
@@ -30,7 +31,7 @@
 const MAX_DEPARTED: usize = 2_048;
 
 /// All backend servers by id.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Fleet {
     engines: Mutex<BTreeMap<String, Arc<Engine>>>,
     /// Last rows of engines that were removed, with the times of removal.
@@ -40,6 +41,8 @@
     index: ArcSwapOption<FleetIndex>,
     /// Latest end of a cooldown that any engine requested.
     latest_cooldown_until_ms: AtomicU64,
+    /// Memory that responses of the engines hold.
+    pub(crate) response_memory: Arc<ResponseMemory>,
 }
 
 /// Backend servers by the keys used in look-ups.
@@ -79,6 +82,17 @@
 }
 
 impl Fleet {
+    /// An empty fleet on a machine with so much memory.
+    pub(crate) fn new(memory_mb: u64) -> Fleet {
+        Fleet {
+            engines: Mutex::default(),
+            departed: Mutex::default(),
+            index: ArcSwapOption::empty(),
+            latest_cooldown_until_ms: AtomicU64::new(0),
+            response_memory: Arc::new(ResponseMemory::of_machine(memory_mb)),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Arc<Engine>>> {
         self.engines.lock().expect("no holder panics")
     }
--- a/crates/direct/src/cluster/probe.rs
+++ b/crates/direct/src/cluster/probe.rs
@@ -292,13 +292,16 @@
 }
 
 pub(crate) async fn request_report(core: Arc<Core>, engine: Arc<Engine>) {
-    let body = exchange::fetch_report(&engine);
-    let Ok(Ok((200, body))) =
-        exchange::with_timeout(REPORT_TIMEOUT, body).await
-    else {
-        return;
+    let memory = &core.fleet.response_memory;
+    let body = exchange::fetch_report(memory, &engine);
+    let body = match exchange::with_timeout(REPORT_TIMEOUT, body).await {
+        Ok(Ok((200, body))) => body,
+        Ok(Err(e)) => {
+            return exchange::record_cut(&core, &engine, "report", &e);
+        }
+        _ => return,
     };
-    match parse_report(&body) {
+    match parse_report(body.as_slice()) {
         Ok(report) => apply_report(&core, &engine, &report),
         Err(error) => emit(
             Event::RelayAnswered,
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -134,7 +134,7 @@
             configuration: ArcSwapOption::empty(),
             configuration_row: Mutex::default(),
             configuration_age: ConfigurationAge::default(),
-            fleet: Fleet::default(),
+            fleet: Fleet::new(settings.memory_mb),
             unusable_rows: UnusableRows::default(),
             stream_subscribers: Subscribers::default(),
             configuration_subscribers: Subscribers::default(),
--- a/crates/direct/src/placement/orders.rs
+++ b/crates/direct/src/placement/orders.rs
@@ -359,7 +359,8 @@
     let policy = stream_policy(&core, &service, &engine, due.range);
     let body =
         place_body(due.range, authority.fence(), due.orders_begun, policy);
-    let call = exchange::send_order(&engine, &body);
+    let memory = &core.fleet.response_memory;
+    let call = exchange::send_order(memory, &engine, &body);
     let reason = match with_timeout(ORDER_TIMEOUT, call).await {
         Ok(Ok((200..=299, _))) => {
             let order = (engine.incarnation.clone(), due.orders_begun);
@@ -368,13 +369,17 @@
         }
         Ok(Ok((409, body))) => {
             // The engine has begun orders that are not listed yet.
-            probe::request_report(core, engine.clone()).await;
-            String::from_utf8_lossy(&body).into_owned()
+            probe::request_report(core.clone(), engine.clone()).await;
+            String::from_utf8_lossy(body.as_slice()).into_owned()
         }
         Ok(Ok((status, body))) => {
-            format!("{status} {}", String::from_utf8_lossy(&body))
+            let body = String::from_utf8_lossy(body.as_slice());
+            format!("{status} {body}")
+        }
+        Ok(Err(e)) => {
+            exchange::record_cut(&core, &engine, &name, &e);
+            e.to_string()
         }
-        Ok(Err(e)) => e.to_string(),
         Err(e) => e.to_string(),
     };
     log_refused(&engine, &due, &name, &fencing_number, &reason);
--- a/crates/direct/src/request/connection_control.rs
+++ b/crates/direct/src/request/connection_control.rs
@@ -72,6 +72,8 @@
         let sample = sample(&core, lag, elapsed);
         let now_ms = now_ms();
         core.connections.lock().record(&sample, now_ms);
+        let held_bytes = core.fleet.response_memory.held_bytes();
+        core.metrics.response_memory_bytes.set(held_bytes as i64);
         if now_ms >= logged_ms + LOG_INTERVAL_MS {
             log_left(&core, &sample, &mut logged_ms, now_ms);
         }
--- a/crates/direct/src/request/events.rs
+++ b/crates/direct/src/request/events.rs
@@ -22,6 +22,8 @@
 pub struct EventSplitter {
     buffer: Vec<u8>,
     consumed: usize,
+    /// Bytes after `consumed` that hold no end of an event.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -40,15 +42,27 @@
     /// The next complete event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let rest = &self.buffer[self.consumed..];
-        let end = rest.windows(EVENT_END.len()).position(|w| w == EVENT_END);
-        let bytes = rest[..end? + EVENT_END.len()].to_vec();
+        // The end may have begun with the last byte searched.
+        let from = self.searched.saturating_sub(EVENT_END.len() - 1);
+        let mut ends = rest[from..].windows(EVENT_END.len());
+        let Some(at) = ends.position(|w| w == EVENT_END) else {
+            self.searched = rest.len();
+            return None;
+        };
+        let bytes = rest[..from + at + EVENT_END.len()].to_vec();
         self.consumed += bytes.len();
+        self.searched = 0;
         Some(StreamEvent { id: id_of(&bytes), bytes })
     }
 
     /// Whether the bytes end with an incomplete event.
     pub fn has_partial(&self) -> bool {
-        self.consumed < self.buffer.len()
+        self.partial_bytes() > 0
+    }
+
+    /// Size of the incomplete event at the end of the bytes.
+    pub fn partial_bytes(&self) -> usize {
+        self.buffer.len() - self.consumed
     }
 }
 
--- a/crates/direct/src/request/exchange.rs
+++ b/crates/direct/src/request/exchange.rs
@@ -6,22 +6,26 @@
 //! For a request that may run only once, each of these would leave the outcome
 //! unknown.
 
-use std::{io, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use async_io::Timer;
 use chestnutreach_adapter::{caller, engine};
 use chestnutreach_http::relay::{
-    Outbound, OutboundError, RelayRequest, ResponseHead, is_end_to_end,
-    push_header,
+    Outbound, OutboundError, RelayRequest, ResponseBody, ResponseHead,
+    is_end_to_end, push_header,
 };
+use chestnutreach_routing::{HeldResponse, ResponseMemory};
+use chestnutreach_telemetry::{Event, emit};
 use futures_lite::FutureExt as _;
 
-use crate::cluster::engine::Engine;
+use crate::{cluster::engine::Engine, core::Core};
 
 /// Timeout for connecting; a machine without power does not respond at all.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Maximum size of the response to a report or order request.
-const MAX_CALL_RESPONSE_BYTES: usize = 1 << 20;
+/// Responses to other requests that may precede the response to a request.
+const MAX_OTHER_RESPONSES: u32 = 4;
+/// Maximum size of their bodies together.
+const MAX_OTHER_BYTES: usize = 1 << 20;
 
 /// Values of the headers that the entry sets on a request to a backend
 /// server.
@@ -100,7 +104,8 @@
     request_id: Option<&str>,
     method: &str,
 ) -> Result<ResponseHead, OutboundError> {
-    loop {
+    let mut other_bytes = 0;
+    for _ in 0..=MAX_OTHER_RESPONSES {
         let head = connection.read_head().await?;
         let response_id = head.header(caller::REQUEST_ID);
         let is_other_request = match (response_id, request_id) {
@@ -110,28 +115,113 @@
         if !is_other_request {
             return Ok(head);
         }
-        let body = head.body(method);
-        connection.read_body(body, MAX_CALL_RESPONSE_BYTES).await?;
+        let mut body = head.body(method);
+        while let Some(bytes) = connection.next_bytes(&mut body).await? {
+            other_bytes += bytes.len();
+            if other_bytes > MAX_OTHER_BYTES {
+                let detail = "responses to other requests without an end";
+                return Err(OutboundError::excessive(detail));
+            }
+        }
+    }
+    let detail =
+        format!("more than {MAX_OTHER_RESPONSES} responses to other requests");
+    Err(OutboundError::excessive(&detail))
+}
+
+/// A body, which counts against the memory of responses until dropped.
+#[derive(Debug)]
+pub(crate) struct HeldBody {
+    bytes: Vec<u8>,
+    held: HeldResponse,
+}
+
+impl HeldBody {
+    pub(crate) fn as_slice(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// Makes room for more bytes, if the memory allows it.
+    fn try_reserve(&mut self, more: usize) -> Result<(), OutboundError> {
+        let needed = self.bytes.len().saturating_add(more);
+        if needed <= self.bytes.capacity() {
+            return Ok(());
+        }
+        let doubled = 2 * self.bytes.capacity();
+        let capacity = match self.held.try_resize(needed.max(doubled)) {
+            Ok(()) => needed.max(doubled),
+            Err(_) => {
+                let exact = self.held.try_resize(needed);
+                exact.map_err(|e| OutboundError::excessive(&e.to_string()))?;
+                needed
+            }
+        };
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        Ok(())
     }
 }
 
+/// Reads the rest of a body, as long as the memory of responses allows it.
+pub(crate) async fn read_body(
+    connection: &mut Outbound,
+    mut body: ResponseBody,
+    memory: &Arc<ResponseMemory>,
+) -> Result<HeldBody, OutboundError> {
+    let held = HeldResponse::new(memory);
+    let mut content = HeldBody { bytes: Vec::new(), held };
+    if let ResponseBody::Length(length) = body {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        content.try_reserve(length)?;
+    }
+    while let Some(bytes) = connection.next_bytes(&mut body).await? {
+        content.try_reserve(bytes.len())?;
+        content.bytes.extend_from_slice(&bytes);
+    }
+    Ok(content)
+}
+
+/// Counts and logs a response that was cut off at a limit. `request` is the id
+/// of a caller's request, or what the entry itself asked for.
+pub(crate) fn record_cut(
+    core: &Core,
+    engine: &Engine,
+    request: &str,
+    error: &OutboundError,
+) {
+    if !error.is_excessive() {
+        return;
+    }
+    core.metrics.responses_cut.inc();
+    emit(
+        Event::ResponseCut,
+        &[
+            ("request", &request),
+            ("backend", &engine.id),
+            ("error", error),
+            ("held_bytes", &core.fleet.response_memory.held_bytes()),
+        ],
+    );
+}
+
 /// Requests the report of an engine.
 pub(crate) async fn fetch_report(
+    memory: &Arc<ResponseMemory>,
     to: &Engine,
-) -> Result<(u16, Vec<u8>), OutboundError> {
+) -> Result<(u16, HeldBody), OutboundError> {
     let target = engine::REPORT_TARGET;
     let head =
         format!("GET {target} HTTP/1.1\r\nhost: {}\r\n\r\n", to.address);
-    call(to, "GET", head.as_bytes()).await
+    call(memory, to, "GET", head.as_bytes()).await
 }
 
 /// Sends an order to an engine. The order names the engine's incarnation,
 /// since an order for the previous process at this address must not take
 /// effect.
 pub(crate) async fn send_order(
+    memory: &Arc<ResponseMemory>,
     to: &Engine,
     body: &[u8],
-) -> Result<(u16, Vec<u8>), OutboundError> {
+) -> Result<(u16, HeldBody), OutboundError> {
     let line = format!("POST {} HTTP/1.1\r\n", engine::ORDER_TARGET);
     let mut out = line.into_bytes();
     push_header(&mut out, "host", &to.address.to_string());
@@ -140,22 +230,23 @@
     push_header(&mut out, "content-length", &body.len().to_string());
     out.extend_from_slice(b"\r\n");
     out.extend_from_slice(body);
-    call(to, "POST", &out).await
+    call(memory, to, "POST", &out).await
 }
 
 /// Sends a request of the entry itself; returns the status and body of the
 /// response.
 async fn call(
+    memory: &Arc<ResponseMemory>,
     to: &Engine,
     method: &str,
     bytes: &[u8],
-) -> Result<(u16, Vec<u8>), OutboundError> {
+) -> Result<(u16, HeldBody), OutboundError> {
     let mut connection =
         Outbound::connect(to.address, CONNECT_TIMEOUT).await?;
     connection.send(bytes).await?;
     let head = connection.read_head().await?;
     let body = head.body(method);
-    let body = connection.read_body(body, MAX_CALL_RESPONSE_BYTES).await?;
+    let body = read_body(&mut connection, body, memory).await?;
     Ok((head.status, body))
 }
 
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -32,7 +32,7 @@
     core::Core,
     request::{
         admit::AdmittedRequest,
-        exchange::{self, BackendHeaders},
+        exchange::{self, BackendHeaders, HeldBody},
         isolation::{RequestSuspicion, Trial},
         outcome::{
             ConnectionAction, RequestSummary, refuse, refuse_with_retry_after,
@@ -47,8 +47,8 @@
 
 mod search;
 
-/// Maximum size of a forwarded response.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Maximum size of a body that is copied behind the head.
+const MAX_JOINED_BYTES: usize = 16 << 10;
 /// An idempotent request is retried elsewhere if it has no response within
 /// this multiple of the route's target.
 const HEDGE_FACTOR: f64 = 0.9;
@@ -65,7 +65,7 @@
 /// Result of one attempt.
 enum AttemptResult {
     /// The whole response was received.
-    Responded(ResponseHead, Vec<u8>),
+    Responded(ResponseHead, HeldBody),
     /// The request certainly did not run.
     NotRun,
     /// The response is lost; the request may have run.
@@ -84,7 +84,7 @@
     attempts: Attempts,
     /// Incarnations of the backend servers that were tried.
     tried: BTreeSet<String>,
-    last_response: Option<(ResponseHead, Vec<u8>)>,
+    last_response: Option<(ResponseHead, HeldBody)>,
     /// Identifies this request among those that wait for a permit.
     permit_key: u64,
     /// Why the request may not wait, and when its caller may retry.
@@ -235,7 +235,7 @@
                     inbound,
                     request,
                     &head,
-                    &body,
+                    body.as_slice(),
                     may_have_run,
                     is_last_request,
                 )
@@ -369,7 +369,8 @@
         };
         notices::apply_response(core, engine, &response);
         let body = head.body(&request.method);
-        let body = connection.read_body(body, MAX_RESPONSE_BYTES).await?;
+        let memory = &core.fleet.response_memory;
+        let body = exchange::read_body(&mut connection, body, memory).await?;
         let is_cut_off = head.ends_with_connection(&request.method)
             && suspects::has_just_crashed(core, engine).await;
         match is_cut_off {
@@ -384,6 +385,7 @@
             }
             Err(e) => {
                 log_interrupted(admitted, context, &e, started_ms);
+                exchange::record_cut(core, engine, admitted.id_text(), &e);
                 AttemptResult::ResponseLost
             }
         }
@@ -404,7 +406,7 @@
     admitted: &AdmittedRequest,
     context: &AttemptContext<'_>,
     head: ResponseHead,
-    body: Vec<u8>,
+    body: HeldBody,
 ) -> AttemptResult {
     let is_not_run = exchange::is_not_run(&head);
     if head.status >= 400 {
@@ -469,8 +471,15 @@
         false => Framing::Length(body.len()),
     };
     let mut bytes = forwarded_head(head, framing, is_last_request);
-    bytes.extend_from_slice(body);
-    let is_sent = inbound.write(&bytes).await.is_ok();
+    // A short body goes into one packet with the head; a long one is not
+    // copied.
+    let (joined, rest) = match body.len() <= MAX_JOINED_BYTES {
+        true => (body, &[][..]),
+        false => (&[][..], body),
+    };
+    bytes.extend_from_slice(joined);
+    let is_sent = inbound.write(&bytes).await.is_ok()
+        && inbound.write(rest).await.is_ok();
     let outcome = match head.status {
         ..400 => "completed",
         _ => "failed",
--- a/crates/direct/src/request/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -29,6 +29,7 @@
     request::{
         admit::AdmittedRequest,
         capacity_control::{StreamDemand, StreamUse, account_hash},
+        exchange::HeldBody,
         isolation::{RequestSuspicion, Trial},
         outcome::{
             ConnectionAction, RequestSummary, refuse, refuse_with_retry_after,
@@ -75,7 +76,7 @@
     /// The stream was interrupted, or left its first engine.
     Interrupted,
     /// The engine responded with an error.
-    Failed(ResponseHead, Vec<u8>),
+    Failed(ResponseHead, HeldBody),
     DeadlineExceeded,
 }
 
@@ -115,6 +116,8 @@
     is_refused_capacity: bool,
     is_head_sent: bool,
     last_event_id: Option<u64>,
+    /// Id of the last event of the current attempt.
+    last_id_of_run: Option<u64>,
     pace: Pace,
     /// Whether the connection to the first engine failed, as opposed to the
     /// stream leaving that engine.
@@ -176,6 +179,7 @@
         is_refused_capacity: false,
         is_head_sent: false,
         last_event_id: last_event_id(request),
+        last_id_of_run: None,
         pace: Pace::new(admitted.route.gap_target_ms),
         is_connection_lost: false,
         leave_after_ms: leave_after_ms(core),
@@ -253,7 +257,7 @@
                         head.status < 500 || !self.can_change_first_engine();
                     if is_final && !self.is_head_sent {
                         return self
-                            .forward_failure(inbound, &head, &body)
+                            .forward_failure(inbound, &head, body.as_slice())
                             .await;
                     }
                 }
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -6,6 +6,7 @@
 use chestnutreach_http::relay::{
     Inbound, Outbound, OutboundError, ResponseHead, push_chunk,
 };
+use chestnutreach_routing::HeldResponse;
 use chestnutreach_site::RouteKind;
 use chestnutreach_telemetry::{Event, emit};
 
@@ -26,10 +27,27 @@
     },
 };
 
+/// Limit on an event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 /// Number of responses with status 400 that are attributed to the path, which
 /// the entry sets, before the request itself counts as malformed.
 const MAX_MALFORMED_PATHS: u32 = 2;
 
+/// Checks the size of the incomplete event at the end of what an engine sent.
+fn check_partial(
+    splitter: &EventSplitter,
+    held: &mut HeldResponse,
+) -> Result<(), OutboundError> {
+    let bytes = splitter.partial_bytes();
+    if bytes > MAX_EVENT_BYTES {
+        let detail =
+            format!("an event is longer than {MAX_EVENT_BYTES} bytes");
+        return Err(OutboundError::excessive(&detail));
+    }
+    let resized = held.try_resize(bytes);
+    resized.map_err(|e| OutboundError::excessive(&e.to_string()))
+}
+
 impl Stream<'_> {
     pub(super) async fn attempt(
         &mut self,
@@ -98,7 +116,7 @@
             WaitResult::Done(Ok(done)) => Ok(done),
             WaitResult::Done(Err(e)) => {
                 self.is_connection_lost = true;
-                self.log_interrupted(&e);
+                self.log_cut(&e);
                 Err(AttemptResult::Interrupted)
             }
             WaitResult::Abandoned => {
@@ -162,10 +180,18 @@
             return AttemptResult::NotRun(at.and_then(|at| at.parse().ok()));
         }
         let body = head.body(&self.request.method);
-        let body = connection.read_body(body, 1 << 20);
+        let memory = &self.core.fleet.response_memory;
+        let body = exchange::read_body(connection, body, memory);
         match with_timeout(ORDER_TIMEOUT, body).await {
             Ok(Ok(body)) => AttemptResult::Failed(head, body),
-            _ => AttemptResult::Interrupted,
+            Ok(Err(e)) => {
+                self.log_cut(&e);
+                AttemptResult::Interrupted
+            }
+            Err(e) => {
+                self.log_interrupted(&e);
+                AttemptResult::Interrupted
+            }
         }
     }
 
@@ -177,8 +203,10 @@
         head: &ResponseHead,
     ) -> AttemptResult {
         let mut splitter = EventSplitter::new();
+        let mut held = HeldResponse::new(&self.core.fleet.response_memory);
         let mut body = head.body(&self.request.method);
         let mut out = Vec::new();
+        self.last_id_of_run = None;
         if !self.is_head_sent {
             out = forwarded_head(head, Framing::Chunked, self.is_last_request);
         }
@@ -199,47 +227,61 @@
                 Err(result) => return result,
             };
             splitter.push(&part);
-            if !self.append_events(&mut splitter, &mut out) {
-                continue;
+            let (has_new, checked) =
+                self.append_events(&mut splitter, &mut out);
+            if has_new {
+                // Not earlier: if an engine fails before its first event, the
+                // head of the next engine is forwarded instead.
+                self.is_head_sent = true;
+                self.summary.status = head.status;
+                self.core.connections.record_sent(out.len());
+                if inbound.write(&out).await.is_err() {
+                    return AttemptResult::CallerDisconnected;
+                }
+                out.clear();
             }
-            // Not earlier: if an engine fails before its first event, the
-            // head of the next engine is forwarded instead.
-            self.is_head_sent = true;
-            self.summary.status = head.status;
-            self.core.connections.record_sent(out.len());
-            if inbound.write(&out).await.is_err() {
-                return AttemptResult::CallerDisconnected;
+            let checked =
+                checked.and_then(|()| check_partial(&splitter, &mut held));
+            if let Err(e) = checked {
+                self.log_cut(&e);
+                return AttemptResult::Interrupted;
             }
-            out.clear();
         }
         AttemptResult::DeadlineExceeded
     }
 
     /// Appends complete events to the response, skipping those that the caller
-    /// has; false if there is no new event.
+    /// has. Returns whether there is a new event, and an error if an event has
+    /// no id above that of the event before: such events are no progress, and
+    /// an engine may send them without an end.
     fn append_events(
         &mut self,
         splitter: &mut EventSplitter,
         out: &mut Vec<u8>,
-    ) -> bool {
+    ) -> (bool, Result<(), OutboundError>) {
         let mut bytes = Vec::new();
+        let mut checked = Ok(());
         while let Some(event) = splitter.next_event() {
-            if let (Some(id), Some(last)) = (event.id, self.last_event_id)
-                && id <= last
-            {
+            if event.id.is_none() || event.id <= self.last_id_of_run {
+                let detail = "an event has no id above the one before";
+                checked = Err(OutboundError::excessive(detail));
+                break;
+            }
+            self.last_id_of_run = event.id;
+            if event.id <= self.last_event_id {
                 continue;
             }
-            self.last_event_id = event.id.or(self.last_event_id);
+            self.last_event_id = event.id;
             self.summary.events += 1;
             self.pace.run_progress.record_event();
             bytes.extend_from_slice(&event.bytes);
         }
-        if bytes.is_empty() {
-            return false;
+        let has_new = !bytes.is_empty();
+        if has_new {
+            push_chunk(out, &bytes);
+            self.record_progress();
         }
-        push_chunk(out, &bytes);
-        self.record_progress();
-        true
+        (has_new, checked)
     }
 
     fn record_progress(&mut self) {
--- a/crates/direct/src/request/stream/logging.rs
+++ b/crates/direct/src/request/stream/logging.rs
@@ -2,10 +2,15 @@
 
 use std::fmt::Display;
 
+use chestnutreach_http::relay::OutboundError;
 use chestnutreach_telemetry::{Event, emit};
 
 use super::Stream;
-use crate::{clock::now_ms, cluster::engine::Engine, request::path::Path};
+use crate::{
+    clock::now_ms,
+    cluster::engine::Engine,
+    request::{exchange, path::Path},
+};
 
 impl Stream<'_> {
     pub(super) fn record_sent(&self) {
@@ -35,6 +40,14 @@
         );
     }
 
+    /// Logs a connection that failed, or a response that was cut off at a
+    /// limit.
+    pub(super) fn log_cut(&self, error: &OutboundError) {
+        self.log_interrupted(error);
+        let (first, id) = (self.path.first_engine(), self.admitted.id_text());
+        exchange::record_cut(self.core, first, id, error);
+    }
+
     pub(super) fn log_interrupted(&self, error: &dyn Display) {
         let last =
             self.last_event_id.map_or_else(String::new, |e| e.to_string());
--- a/crates/direct/src/request/stream/supervise.rs
+++ b/crates/direct/src/request/stream/supervise.rs
@@ -297,13 +297,19 @@
                 self.admitted.id_text(),
                 &path.header_value(),
             );
-            let call = exchange::send_order(&first, &body);
+            let memory = &self.core.fleet.response_memory;
+            let call = exchange::send_order(memory, &first, &body);
             let answer = with_timeout(ORDER_TIMEOUT, call).await;
             let result = match &answer {
                 Ok(Ok((status, body))) => {
-                    format!("{status} {}", String::from_utf8_lossy(body))
+                    let body = String::from_utf8_lossy(body.as_slice());
+                    format!("{status} {body}")
+                }
+                Ok(Err(e)) => {
+                    let id = self.admitted.id_text();
+                    exchange::record_cut(self.core, &first, id, e);
+                    e.to_string()
                 }
-                Ok(Err(e)) => e.to_string(),
                 Err(e) => e.to_string(),
             };
             match answer {
@@ -318,7 +324,7 @@
                     return !self.can_change_first_engine();
                 }
                 Ok(Ok((_, body))) => {
-                    let refusing = engine::refusing_engine(&body)
+                    let refusing = engine::refusing_engine(body.as_slice())
                         .and_then(|at| self.core.fleet.by_address(at));
                     self.record_path_refused(
                         &path,
--- a/crates/direct/tests/events.rs
+++ b/crates/direct/tests/events.rs
@@ -9,6 +9,22 @@
     has_partial: bool,
 }
 
+/// The bytes after the last event are counted, so that an event without an
+/// end can be cut off.
+#[test]
+fn bytes_of_an_incomplete_event_are_counted() {
+    let mut splitter = EventSplitter::new();
+    splitter.push(b"id: 1\n");
+    for size in 1..=100 {
+        splitter.push(b"a");
+        assert!(splitter.next_event().is_none());
+        assert_eq!(splitter.partial_bytes(), 6 + size);
+    }
+    splitter.push(b"\n\nid: 2");
+    assert_eq!(splitter.next_event().unwrap().id, Some(1));
+    assert_eq!(splitter.partial_bytes(), 5);
+}
+
 #[rstest]
 #[case::one_event(Case {
     chunks: &["id: 1\ndata: a\n\n"], ids: &[Some(1)], has_partial: false,
--- a/crates/emulator/src/backend_servers.rs
+++ b/crates/emulator/src/backend_servers.rs
@@ -20,7 +20,7 @@
     engines,
     site::{ACCOUNT, MODEL_SERVICE, PLAIN_SERVICE, Site},
     store::Store,
-    unending::UnendingBytes,
+    unending::{UnendingBytes, UnendingIn},
 };
 
 mod layers;
@@ -108,8 +108,8 @@
     pub exits_within_response: bool,
     /// Whether the response to another request precedes each response.
     pub sends_foreign_response: bool,
-    /// What the server sends without an end instead of every response.
-    pub unending: Option<UnendingBytes>,
+    /// What the server sends without an end, and in which responses.
+    pub unending: Option<(UnendingBytes, UnendingIn)>,
     /// Rate limit that responses announce in a header, if any.
     pub announced_limit: Option<String>,
     /// Cooldown that the server requests with `Retry-After` when it rejects
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -23,7 +23,7 @@
         MODEL_SERVICE, ONCE_PATH, PLAIN_SERVICE, STREAM_PATH,
         URGENT_STREAM_PATH,
     },
-    unending,
+    unending::{self, UnendingBytes, UnendingIn},
 };
 
 /// Interval between checks of a server's state.
@@ -193,7 +193,7 @@
             Timer::after(Duration::from_secs(60)).await;
             return;
         }
-        if let Some(form) = backends.server(address).and_then(|s| s.unending) {
+        if let Some(form) = unending_form(backends, address, &request) {
             let id = request.header("x-request-id").unwrap_or("");
             record_unending(backends, address, &request, id);
             return unending::respond(inbound, form, id).await;
@@ -212,6 +212,22 @@
     }
 }
 
+/// What the server sends without an end instead of a whole response.
+fn unending_form(
+    backends: &BackendServers,
+    address: SocketAddr,
+    request: &RelayRequest,
+) -> Option<UnendingBytes> {
+    let (form, scope) = backends.server(address)?.unending?;
+    let is_call = request.path().starts_with("/v1/");
+    let is_affected = match scope {
+        UnendingIn::AllResponses => true,
+        UnendingIn::Calls => is_call,
+        UnendingIn::AfterEvents(_) => false,
+    };
+    is_affected.then_some(form)
+}
+
 /// Records a request that is answered without an end, and may therefore have
 /// run.
 fn record_unending(
@@ -596,6 +612,13 @@
         if is_partial {
             break;
         }
+        let unending = backends.server(address).and_then(|s| s.unending);
+        if let Some((form, UnendingIn::AfterEvents(events))) = unending
+            && number >= events
+        {
+            unending::go_on(inbound, form).await;
+            return false;
+        }
     }
     is_framed && inbound.write(LAST_CHUNK).await.is_ok()
 }
--- a/crates/emulator/src/unending.rs
+++ b/crates/emulator/src/unending.rs
@@ -48,6 +48,17 @@
     FailureBody,
 }
 
+/// In which responses a server sends bytes without an end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UnendingIn {
+    /// In all responses.
+    AllResponses,
+    /// In responses to requests of the entries themselves.
+    Calls,
+    /// In streams, after so many events.
+    AfterEvents(u64),
+}
+
 impl UnendingBytes {
     /// All forms.
     pub const ALL: [UnendingBytes; 13] = [
@@ -148,6 +159,22 @@
     out
 }
 
+/// Goes on with a stream in chunks, until the caller closes the connection.
+pub(crate) async fn go_on(inbound: &mut Inbound, form: UnendingBytes) {
+    let (begin, repeated) = match form {
+        UnendingBytes::LongChunk => {
+            (format!("{HUGE_LENGTH:x}\r\n").into_bytes(), form.repeated())
+        }
+        UnendingBytes::Events => {
+            let mut chunk = Vec::new();
+            push_chunk(&mut chunk, &form.repeated());
+            (Vec::new(), chunk)
+        }
+        _ => (Vec::new(), form.repeated()),
+    };
+    send(inbound, &begin, &repeated).await;
+}
+
 /// Responds to the request with this id until the caller closes the
 /// connection.
 pub(crate) async fn respond(
@@ -155,10 +182,13 @@
     form: UnendingBytes,
     id: &str,
 ) {
-    let mut is_open = inbound.write(&form.begin(id)).await.is_ok();
-    let bytes = form.repeated();
+    send(inbound, &form.begin(id), &form.repeated()).await;
+}
+
+async fn send(inbound: &mut Inbound, begin: &[u8], repeated: &[u8]) {
+    let mut is_open = inbound.write(begin).await.is_ok();
     while is_open {
-        is_open = inbound.write(&bytes).await.is_ok();
+        is_open = inbound.write(repeated).await.is_ok();
         yield_now().await;
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -19,7 +19,7 @@
 use http_types::{Method, Request, Response};
 
 use crate::{
-    head::{self, BodyFraming, ResponseHeadInfo},
+    head::{BodyFraming, ResponseHeadInfo},
     message::{MessageError, MessageReader},
     stream::SharedStream,
 };
@@ -29,8 +29,6 @@
 pub const STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Idle connections that the pool keeps.
 const MAX_IDLE_CONNECTIONS: usize = 64;
-/// Lower statuses belong to interim responses.
-const FIRST_FINAL_STATUS: u16 = 200;
 
 /// Why a call has no complete response.
 #[derive(Debug)]
@@ -286,7 +284,8 @@
             .await
             .map_err(|e| self.lost(&e.to_string()))?;
         let mut reader = MessageReader::new(stream);
-        let (head, info) = self.read_head(&mut reader).await?;
+        let read = reader.read_final_head().await;
+        let (head, info) = read.map_err(|e| self.read_error(e))?;
         Ok((reader, head, info))
     }
 
@@ -302,22 +301,6 @@
         Ok(response)
     }
 
-    /// Reads the head of the final response and skips interim responses.
-    async fn read_head(
-        &self,
-        reader: &mut MessageReader,
-    ) -> Result<(Vec<u8>, ResponseHeadInfo), ClientError> {
-        loop {
-            let head = reader.read_head().await;
-            let head = head.map_err(|e| self.read_error(e))?;
-            let info = head::check_response(&head);
-            let info = info.map_err(|e| self.lost(&e.message))?;
-            if info.status >= FIRST_FINAL_STATUS {
-                return Ok((head, info));
-            }
-        }
-    }
-
     async fn read_body(
         &self,
         reader: &mut MessageReader,
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -10,7 +10,10 @@
 use async_io::Timer;
 use futures_lite::{AsyncReadExt as _, FutureExt as _, future::yield_now};
 
-use crate::{head::MAX_HEAD_BYTES, stream::SharedStream};
+use crate::{
+    head::{self, MAX_HEAD_BYTES, ResponseHeadInfo},
+    stream::SharedStream,
+};
 
 /// Size of a read from a socket.
 pub(crate) const READ_BYTES: usize = 16 * 1024;
@@ -25,6 +28,10 @@
 /// timers beside it run. A peer that sends faster than this process reads
 /// would otherwise keep its thread, and no deadline would pass.
 const MAX_FULL_READS: u32 = 4;
+/// Lower statuses belong to interim responses.
+const FIRST_FINAL_STATUS: u16 = 200;
+/// Limit on interim responses before a final one.
+const MAX_INTERIM_RESPONSES: u32 = 8;
 
 /// Why a message could not be read.
 #[derive(Debug)]
@@ -37,6 +44,10 @@
     HeadTooLong(usize),
     /// The body is longer than its limit, in bytes.
     BodyTooLong(usize),
+    /// The head is malformed.
+    BadHead(String),
+    /// More interim responses than this limit precede the final one.
+    TooManyInterim(u32),
     /// The chunks are malformed.
     BadChunk,
     /// No byte arrived within this time.
@@ -61,6 +72,10 @@
             MessageError::BodyTooLong(limit) => {
                 format!("the body is longer than {limit} bytes")
             }
+            MessageError::BadHead(what) => what.clone(),
+            MessageError::TooManyInterim(limit) => {
+                format!("more than {limit} interim responses")
+            }
             MessageError::BadChunk => "the chunks are malformed".to_owned(),
             MessageError::Stalled(limit) => {
                 format!("no byte arrived within {} ms", limit.as_millis())
@@ -180,6 +195,21 @@
         }
     }
 
+    /// Reads the head of the final response and skips interim responses.
+    pub(crate) async fn read_final_head(
+        &mut self,
+    ) -> Result<(Vec<u8>, ResponseHeadInfo), MessageError> {
+        for _ in 0..=MAX_INTERIM_RESPONSES {
+            let head = self.read_head().await?;
+            let info = head::check_response(&head)
+                .map_err(|e| MessageError::BadHead(e.message))?;
+            if info.status >= FIRST_FINAL_STATUS {
+                return Ok((head, info));
+            }
+        }
+        Err(MessageError::TooManyInterim(MAX_INTERIM_RESPONSES))
+    }
+
     /// Reads a body of `length` bytes.
     pub(crate) async fn read_length(
         &mut self,
@@ -227,11 +257,9 @@
         &mut self,
         limit: usize,
     ) -> Result<Option<Vec<u8>>, MessageError> {
-        let size = self.read_chunk_size().await?;
-        if size == 0 {
-            self.skip_trailers().await?;
+        let Some(size) = self.read_chunk_start().await? else {
             return Ok(None);
-        }
+        };
         if size > limit as u64 {
             return Err(MessageError::BodyTooLong(limit));
         }
@@ -253,6 +281,19 @@
         Ok(Some(self.take(count)))
     }
 
+    /// Reads the size of the next chunk, in bytes. Returns None after the last
+    /// chunk and the trailers.
+    pub(crate) async fn read_chunk_start(
+        &mut self,
+    ) -> Result<Option<u64>, MessageError> {
+        let size = self.read_chunk_size().await?;
+        if size == 0 {
+            self.skip_trailers().await?;
+            return Ok(None);
+        }
+        Ok(Some(size))
+    }
+
     async fn read_chunk_size(&mut self) -> Result<u64, MessageError> {
         let line = self.read_line(MAX_SIZE_LINE_BYTES).await?;
         // The parser reads a line without digits as size 0.
@@ -267,7 +308,8 @@
         }
     }
 
-    async fn read_chunk_end(&mut self) -> Result<(), MessageError> {
+    /// Reads the line end after the bytes of a chunk.
+    pub(crate) async fn read_chunk_end(&mut self) -> Result<(), MessageError> {
         let line = self.read_line(2).await?;
         (line == b"\r\n").then_some(()).ok_or(MessageError::BadChunk)
     }
--- a/crates/http/src/relay/inbound.rs
+++ b/crates/http/src/relay/inbound.rs
@@ -73,7 +73,10 @@
             MessageError::Io(_) => return InboundError::Closed,
             MessageError::HeadTooLong(_) => 431,
             MessageError::BodyTooLong(_) => 413,
-            MessageError::Truncated(_) | MessageError::BadChunk => 400,
+            MessageError::Truncated(_)
+            | MessageError::BadHead(_)
+            | MessageError::TooManyInterim(_)
+            | MessageError::BadChunk => 400,
             MessageError::Stalled(_) => 408,
         };
         InboundError::Refused(RequestError::new(status, &e.message()))
--- a/crates/http/src/relay/outbound.rs
+++ b/crates/http/src/relay/outbound.rs
@@ -11,24 +11,32 @@
 
 use super::{Header, find_header, header_lines};
 use crate::{
-    head::{self, BodyFraming, MAX_HEADERS},
+    head::{BodyFraming, MAX_HEADERS},
     message::{MessageError, MessageReader, READ_BYTES},
     stream::SharedStream,
 };
 
-/// Lower statuses belong to interim responses.
-const FIRST_FINAL_STATUS: u16 = 200;
-
 /// Why a response is incomplete.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OutboundError {
     detail: String,
+    is_excessive: bool,
 }
 
 impl OutboundError {
     /// An error with this description.
     pub fn new(detail: &str) -> OutboundError {
-        OutboundError { detail: detail.to_owned() }
+        OutboundError { detail: detail.to_owned(), is_excessive: false }
+    }
+
+    /// An error of a server that sent more than a limit allows.
+    pub fn excessive(detail: &str) -> OutboundError {
+        OutboundError { detail: detail.to_owned(), is_excessive: true }
+    }
+
+    /// Whether the server sent more than a limit allows.
+    pub fn is_excessive(&self) -> bool {
+        self.is_excessive
     }
 }
 
@@ -42,13 +50,19 @@
 
 impl From<io::Error> for OutboundError {
     fn from(e: io::Error) -> OutboundError {
-        OutboundError { detail: e.to_string() }
+        OutboundError::new(&e.to_string())
     }
 }
 
 impl From<MessageError> for OutboundError {
     fn from(e: MessageError) -> OutboundError {
-        OutboundError { detail: e.message() }
+        let is_excessive = matches!(
+            e,
+            MessageError::HeadTooLong(_)
+                | MessageError::BodyTooLong(_)
+                | MessageError::TooManyInterim(_)
+        );
+        OutboundError { detail: e.message(), is_excessive }
     }
 }
 
@@ -109,6 +123,8 @@
     Length(u64),
     /// Chunks up to the last chunk.
     Chunked,
+    /// This number of bytes of a chunk, and further chunks.
+    InChunk(u64),
     /// All bytes until the connection closes.
     UntilClosed,
 }
@@ -140,9 +156,14 @@
         Ok(Outbound { stream, reader, is_usable: true })
     }
 
-    /// Waits until the server closes the connection.
-    pub async fn closed(&self) {
-        self.stream.peer_closed().await;
+    /// Waits until the server closes an idle connection or sends bytes on it,
+    /// which belong to no response.
+    pub async fn idle_ended(&self) {
+        while self.stream.is_idle() {
+            if self.stream.readable().await.is_err() {
+                return;
+            }
+        }
     }
 
     /// Whether another request may be sent: the last response was complete,
@@ -168,25 +189,18 @@
     ///
     /// The connection failed or the head is malformed.
     pub async fn read_head(&mut self) -> Result<ResponseHead, OutboundError> {
-        loop {
-            let head = self.reader.read_head().await?;
-            let info = head::check_response(&head)
-                .map_err(|e| OutboundError { detail: e.message })?;
-            if info.status < FIRST_FINAL_STATUS {
-                continue;
-            }
-            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-            let mut response = httparse::Response::new(&mut headers);
-            response
-                .parse(&head)
-                .map_err(|e| OutboundError { detail: e.to_string() })?;
-            return Ok(ResponseHead {
-                status: info.status,
-                headers: header_lines(response.headers),
-                wants_close: info.wants_close,
-                framing: info.framing,
-            });
-        }
+        let (head, info) = self.reader.read_final_head().await?;
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut response = httparse::Response::new(&mut headers);
+        response
+            .parse(&head)
+            .map_err(|e| OutboundError::new(&e.to_string()))?;
+        Ok(ResponseHead {
+            status: info.status,
+            headers: header_lines(response.headers),
+            wants_close: info.wants_close,
+            framing: info.framing,
+        })
     }
 
     /// Reads the next bytes of a body. Returns None when the response is
@@ -202,18 +216,19 @@
         match *body {
             ResponseBody::Complete => Ok(None),
             ResponseBody::Chunked => {
-                let chunk = self.reader.next_chunk(usize::MAX).await?;
-                if chunk.is_none() {
-                    *body = ResponseBody::Complete;
+                match self.reader.read_chunk_start().await? {
+                    None => {
+                        *body = ResponseBody::Complete;
+                        Ok(None)
+                    }
+                    Some(size) => self.next_of_chunk(body, size).await,
                 }
-                Ok(chunk)
+            }
+            ResponseBody::InChunk(remaining) => {
+                self.next_of_chunk(body, remaining).await
             }
             ResponseBody::Length(remaining) => {
-                let max = usize::try_from(remaining).unwrap_or(usize::MAX);
-                let bytes = self.reader.next_bytes(max).await?;
-                let bytes = bytes.ok_or_else(|| OutboundError {
-                    detail: format!("the body ended {remaining} bytes early"),
-                })?;
+                let bytes = self.next_of(remaining).await?;
                 *body = match remaining - bytes.len() as u64 {
                     0 => ResponseBody::Complete,
                     remaining => ResponseBody::Length(remaining),
@@ -230,6 +245,36 @@
         }
     }
 
+    /// Reads bytes of a chunk of which `remaining` bytes are left.
+    async fn next_of_chunk(
+        &mut self,
+        body: &mut ResponseBody,
+        remaining: u64,
+    ) -> Result<Option<Vec<u8>>, OutboundError> {
+        let bytes = self.next_of(remaining).await?;
+        *body = match remaining - bytes.len() as u64 {
+            0 => {
+                self.reader.read_chunk_end().await?;
+                ResponseBody::Chunked
+            }
+            remaining => ResponseBody::InChunk(remaining),
+        };
+        Ok(Some(bytes))
+    }
+
+    /// Reads some of `remaining` bytes that must arrive.
+    async fn next_of(
+        &mut self,
+        remaining: u64,
+    ) -> Result<Vec<u8>, OutboundError> {
+        let max = usize::try_from(remaining).unwrap_or(usize::MAX);
+        let bytes = self.reader.next_bytes(max).await?;
+        bytes.ok_or_else(|| {
+            let detail = format!("the body ended {remaining} bytes early");
+            OutboundError::new(&detail)
+        })
+    }
+
     /// Reads the rest of a body, up to a limit in bytes.
     ///
     /// # Errors
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -165,7 +165,10 @@
             MessageError::Io(e) => return ReceiveError::Io(e),
             MessageError::HeadTooLong(_) => 431,
             MessageError::BodyTooLong(_) => 413,
-            MessageError::Truncated(_) | MessageError::BadChunk => 400,
+            MessageError::Truncated(_)
+            | MessageError::BadHead(_)
+            | MessageError::TooManyInterim(_)
+            | MessageError::BadChunk => 400,
             MessageError::Stalled(_) => 408,
         };
         refused(status, &e.message())
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -31,6 +31,7 @@
 //! | [`first_event_wait`] | whether the first event of a stream is overdue |
 //! | [`stall_check`] | when a stream without events is checked |
 //! | [`attempts`] | whether a request may be sent to another server |
+//! | [`response_memory`] | memory that responses of servers may hold |
 //! | [`retry_budget`] | limit on the retries of one entry |
 //! | [`retry_window`] | limit on the retries of all entries in a window |
 //! | [`rate_limit`] | rate limit that a server announced |
@@ -113,6 +114,7 @@
 pub mod rate_limit;
 mod recent_choices;
 pub mod request_shape;
+pub mod response_memory;
 pub mod retry_budget;
 pub mod retry_window;
 pub mod return_times;
@@ -168,6 +170,7 @@
 };
 pub use rate_limit::{AnnouncedLimit, ServerRateLimit};
 pub use request_shape::RequestShape;
+pub use response_memory::{HeldResponse, ResponseMemory, ResponseMemoryError};
 pub use retry_budget::RetryBudget;
 pub use retry_window::{RetryLimit, RetryWindow, SentCounts};
 pub use return_times::ReturnTimes;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -373,6 +373,9 @@
     ConnectionsLeft = 949, "connections_left", Warn,
         ["count", "limit", "in_flight", "lag_ms", "link_percent"],
         "New connections were closed unread while the entry was overloaded.";
+    ResponseCut = 950, "response_cut", Warn,
+        ["request", "backend", "error", "held_bytes"],
+        "A backend server sent more than a limit on responses allows.";
 }
 
 impl Event {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -69,6 +69,10 @@
     pub quarantine_refusals: IntCounter,
     /// Connections closed unread while the entry was overloaded.
     pub connections_left: IntCounter,
+    /// Responses of backend servers that were cut off at a limit.
+    pub responses_cut: IntCounter,
+    /// Memory that responses of backend servers hold, in bytes.
+    pub response_memory_bytes: IntGauge,
     /// Responses of backend servers with a non-numeric rate limit.
     pub malformed_limits: IntCounter,
     /// Requests that backend servers refused while requesting a cooldown.
@@ -133,6 +137,14 @@
             "connections_left_total",
             "Connections closed unread while the entry was overloaded.",
         );
+        let responses_cut = r.counter(
+            "responses_cut_total",
+            "Answers of backend servers that were cut off at a limit.",
+        );
+        let response_memory_bytes = r.gauge(
+            "response_memory_bytes",
+            "Memory that answers of backend servers hold.",
+        );
         let malformed_limits = r.counter(
             "malformed_limits_total",
             "Answers of backend servers with a limit that is no number.",
@@ -186,6 +198,8 @@
             requests_quarantined,
             quarantine_refusals,
             connections_left,
+            responses_cut,
+            response_memory_bytes,
             malformed_limits,
             cooldowns_requested,
             malformed_cooldowns,
