Tests: streams run on more engines than their route allows (BUDGET)

Engines of the emulator can close their port and go on with the streams that they have, as a server does that is about to leave.

--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -2,6 +2,7 @@
 //! of the store, the engines and a plain service.
 
 mod bad_input;
+mod closed_ports;
 mod competition;
 mod cooldowns;
 mod crashing_parts;
@@ -14,6 +15,7 @@
 mod links;
 mod many_entries;
 mod rate_limits;
+mod retry_limit;
 mod soak;
 mod stops;
 mod store;
--- a/crates/emulator/src/backend_servers.rs
+++ b/crates/emulator/src/backend_servers.rs
@@ -108,6 +108,9 @@
     pub exits_within_response: bool,
     /// Whether the response to another request precedes each response.
     pub sends_foreign_response: bool,
+    /// Whether the server has closed its port and goes on with the requests
+    /// that it has.
+    pub has_closed_port: bool,
     /// What the server sends without an end, and in which responses.
     pub unending: Option<(UnendingBytes, UnendingIn)>,
     /// Rate limit that responses announce in a header, if any.
@@ -214,6 +217,7 @@
             partial_event_rate: 0.0,
             exits_within_response: false,
             sends_foreign_response: false,
+            has_closed_port: false,
             unending: None,
             announced_limit: None,
             cooldown: None,
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -107,11 +107,11 @@
     let accept = async move {
         loop {
             let accepted = async { Some(listener.accept().await) };
-            let exited = async {
-                wait_for_exit(&accepting, address, &id).await;
+            let closed = async {
+                wait_for_closed_port(&accepting, address, &id).await;
                 None
             };
-            let Some(Ok((socket, _))) = accepted.or(exited).await else {
+            let Some(Ok((socket, _))) = accepted.or(closed).await else {
                 return accepting.close_relay(address);
             };
             let serve = serve(accepting.clone(), address, id.clone(), socket);
@@ -141,6 +141,21 @@
     Ok((listener, address))
 }
 
+async fn wait_for_closed_port(
+    backends: &BackendServers,
+    address: SocketAddr,
+    id: &str,
+) {
+    let is_open = |server: ServerState| {
+        server.id == id
+            && server.status != ServerStatus::Exited
+            && !server.has_closed_port
+    };
+    while backends.server(address).is_some_and(is_open) {
+        Timer::after(POLL_INTERVAL).await;
+    }
+}
+
 async fn wait_for_exit(
     backends: &BackendServers,
     address: SocketAddr,
