A closed port does not prove an exit while the connection is open (BUDGET)

Cause: a refused connect counted as the exit of the process, so that the engine no longer counted against the limit. A server that is about to leave closes its port first. The kernel closes the connections of a process with it: while the connection of the request is open, the process runs.

A refused connect now proves an exit only if the server had ended the connection of the run when the stream left it, at the first look and at the later one of routes at their limit. exit_counted says which.

--- a/crates/direct/src/cluster/exit_check.rs
+++ b/crates/direct/src/cluster/exit_check.rs
@@ -19,16 +19,24 @@
     core::Core,
 };
 
+/// A run that a request left, and whose engine may still work on it.
+pub(crate) struct LeftRun {
+    pub(crate) engine: Arc<Engine>,
+    /// Whether the engine had ended the connection of the run.
+    pub(crate) has_connection_ended: bool,
+}
+
 /// Whether the process of an engine has exited. Only if `is_patient`, waits
 /// for a check that decides an unclear case. A process at the address of a
 /// removed engine may be another process, but counts as the same.
 pub(crate) async fn has_exited(
     core: &Arc<Core>,
-    engine: &Arc<Engine>,
+    run: &LeftRun,
     request: &str,
     is_patient: bool,
 ) -> bool {
     let began_ms = now_ms();
+    let LeftRun { engine, has_connection_ended } = run;
     if !engine.lock().is_removed {
         probe::probe(core.clone(), engine.clone()).await;
     }
@@ -37,14 +45,14 @@
         (state.is_removed, state.is_replaced, state.suspicion)
     };
     let evidence = suspicion.map(|s| s.evidence);
-    let needs_check = match detect_exit(evidence) {
+    let needs_check = match detect_exit(evidence, *has_connection_ended) {
         ExitStatus::Exited => false,
         _ if is_replaced => false,
         ExitStatus::Unknown => true,
         ExitStatus::Alive if is_removed => true,
         ExitStatus::Alive => return false,
     };
-    if needs_check && !(is_patient && is_unreachable(core, engine).await) {
+    if needs_check && !(is_patient && is_unreachable(core, run).await) {
         return false;
     }
     let lasted_ms = suspicion.map_or(0, |s| now_ms() - s.since_ms);
@@ -58,6 +66,7 @@
             ("lasted_ms", &lasted_ms),
             ("is_removed", &is_removed),
             ("is_replaced", &is_replaced),
+            ("has_connection_ended", has_connection_ended),
             ("is_checked", &needs_check),
             ("checked_ms", &(now_ms() - began_ms)),
         ],
@@ -65,9 +74,10 @@
     true
 }
 
-/// Whether an engine refuses connections or is silent; false if this entry
-/// can't tell.
-async fn is_unreachable(core: &Arc<Core>, engine: &Arc<Engine>) -> bool {
+/// Whether an engine is silent, or refuses connections after it ended that of
+/// the run; false if this entry can't tell.
+async fn is_unreachable(core: &Arc<Core>, run: &LeftRun) -> bool {
+    let LeftRun { engine, has_connection_ended } = run;
     let began_ms = now_ms();
     let mut check = SilenceCheck::new();
     let (sender, results) = async_channel::unbounded();
@@ -77,8 +87,9 @@
         core.executor.spawn(attempt).detach();
         // Any other answer comes from a process, or from this VM itself.
         if let Some(result) = first_result(&results).await {
-            return result
+            let is_refused = result
                 .is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused);
+            return is_refused && *has_connection_ended;
         }
         // Streams that make progress prove more than attempts do.
         if engine.quiet_ms(now_ms()) < now_ms() - began_ms {
--- a/crates/direct/src/request/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -22,8 +22,8 @@
 use crate::{
     clock::now_ms,
     cluster::{
-        engine::{Engine, Reservation},
-        exit_check,
+        engine::Reservation,
+        exit_check::{self, LeftRun},
     },
     core::Core,
     request::{
@@ -98,7 +98,7 @@
     /// Number of responses that call the request malformed.
     malformed_responses: u32,
     /// First engines that the stream left and whose processes may still run.
-    abandoned: Vec<Arc<Engine>>,
+    abandoned: Vec<LeftRun>,
     path: Path,
     reservations: Vec<Reservation>,
     running: Option<(RunningTokens, StreamUse)>,
@@ -119,8 +119,8 @@
     /// Id of the last event of the current attempt.
     last_id_of_run: Option<u64>,
     pace: Pace,
-    /// Whether the connection to the first engine failed, as opposed to the
-    /// stream leaving that engine.
+    /// Whether the first engine ended the connection, as opposed to the stream
+    /// leaving that engine.
     is_connection_lost: bool,
     /// How long the stream stays on a draining engine.
     leave_after_ms: u64,
@@ -322,9 +322,13 @@
             self.pace.run_progress.may_have_crashed_server(now_ms())
                 && (self.is_connection_lost || first.is_suspect());
         let id = self.admitted.id_text();
-        match exit_check::has_exited(self.core, &first, id, false).await {
+        let run = LeftRun {
+            engine: first.clone(),
+            has_connection_ended: self.is_connection_lost,
+        };
+        match exit_check::has_exited(self.core, &run, id, false).await {
             true => self.attempts.record_backend_exit(&first.incarnation),
-            false => self.abandoned.push(first.clone()),
+            false => self.abandoned.push(run),
         }
         if may_have_crashed {
             let is_in_trial = self.trial.is_some();
@@ -334,12 +338,12 @@
         if self.attempts.may_retry() {
             return;
         }
-        for abandoned in std::mem::take(&mut self.abandoned) {
+        for run in std::mem::take(&mut self.abandoned) {
             if self.attempts.may_retry() {
                 return;
             }
-            if exit_check::has_exited(self.core, &abandoned, id, true).await {
-                self.attempts.record_backend_exit(&abandoned.incarnation);
+            if exit_check::has_exited(self.core, &run, id, true).await {
+                self.attempts.record_backend_exit(&run.engine.incarnation);
             }
         }
     }
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -88,7 +88,7 @@
         };
         let mut supervision = Supervision::new(&caller);
         let waited = self.supervise(&mut supervision, work).await;
-        let head = match self.classify_wait(waited) {
+        let head = match self.classify_wait(waited, &connection) {
             Ok(head) => head,
             Err(result) => return result,
         };
@@ -111,15 +111,18 @@
     fn classify_wait<T>(
         &mut self,
         waited: WaitResult<Result<T, OutboundError>>,
+        connection: &Outbound,
     ) -> Result<T, AttemptResult> {
         match waited {
             WaitResult::Done(Ok(done)) => Ok(done),
             WaitResult::Done(Err(e)) => {
-                self.is_connection_lost = true;
+                self.is_connection_lost =
+                    e.is_connection_failure() || connection.has_ended();
                 self.log_cut(&e);
                 Err(AttemptResult::Interrupted)
             }
             WaitResult::Abandoned => {
+                self.is_connection_lost = connection.has_ended();
                 self.log_interrupted(&self.leave_reason);
                 Err(AttemptResult::Interrupted)
             }
@@ -215,7 +218,7 @@
         while self.admitted.remaining_ms(now_ms()) > 0 {
             let part = connection.next_bytes(&mut body);
             let waited = self.supervise(supervision, part).await;
-            let part = match self.classify_wait(waited) {
+            let part = match self.classify_wait(waited, connection) {
                 Ok(Some(part)) => part,
                 Ok(None) if self.is_cut_off(head).await => {
                     self.is_connection_lost = true;
@@ -223,7 +226,10 @@
                     self.log_interrupted(&error);
                     return AttemptResult::Interrupted;
                 }
-                Ok(None) => return self.classify_end(&splitter),
+                Ok(None) => {
+                    self.is_connection_lost = connection.has_ended();
+                    return self.classify_end(&splitter);
+                }
                 Err(result) => return result,
             };
             splitter.push(&part);
--- a/crates/http/src/relay/outbound.rs
+++ b/crates/http/src/relay/outbound.rs
@@ -20,23 +20,40 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OutboundError {
     detail: String,
-    is_excessive: bool,
+    cause: OutboundErrorCause,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum OutboundErrorCause {
+    /// The connection failed or ended.
+    Connection,
+    /// The server sent more than a limit allows.
+    Excess,
+    /// The response is malformed, or is not accepted for another reason.
+    Content,
 }
 
 impl OutboundError {
     /// An error with this description.
     pub fn new(detail: &str) -> OutboundError {
-        OutboundError { detail: detail.to_owned(), is_excessive: false }
+        let cause = OutboundErrorCause::Content;
+        OutboundError { detail: detail.to_owned(), cause }
     }
 
     /// An error of a server that sent more than a limit allows.
     pub fn excessive(detail: &str) -> OutboundError {
-        OutboundError { detail: detail.to_owned(), is_excessive: true }
+        let cause = OutboundErrorCause::Excess;
+        OutboundError { detail: detail.to_owned(), cause }
     }
 
     /// Whether the server sent more than a limit allows.
     pub fn is_excessive(&self) -> bool {
-        self.is_excessive
+        self.cause == OutboundErrorCause::Excess
+    }
+
+    /// Whether the connection failed or ended.
+    pub fn is_connection_failure(&self) -> bool {
+        self.cause == OutboundErrorCause::Connection
     }
 }
 
@@ -50,19 +67,25 @@
 
 impl From<io::Error> for OutboundError {
     fn from(e: io::Error) -> OutboundError {
-        OutboundError::new(&e.to_string())
+        let cause = OutboundErrorCause::Connection;
+        OutboundError { detail: e.to_string(), cause }
     }
 }
 
 impl From<MessageError> for OutboundError {
     fn from(e: MessageError) -> OutboundError {
-        let is_excessive = matches!(
-            e,
+        let cause = match e {
+            MessageError::Io(_) | MessageError::Truncated(_) => {
+                OutboundErrorCause::Connection
+            }
             MessageError::HeadTooLong(_)
-                | MessageError::BodyTooLong(_)
-                | MessageError::TooManyInterim(_)
-        );
-        OutboundError { detail: e.message(), is_excessive }
+            | MessageError::BodyTooLong(_)
+            | MessageError::TooManyInterim(_) => OutboundErrorCause::Excess,
+            MessageError::BadHead(_)
+            | MessageError::BadChunk
+            | MessageError::Stalled(_) => OutboundErrorCause::Content,
+        };
+        OutboundError { detail: e.message(), cause }
     }
 }
 
@@ -166,6 +189,11 @@
         }
     }
 
+    /// Whether the server has closed the connection.
+    pub fn has_ended(&self) -> bool {
+        self.stream.is_closed_by_peer()
+    }
+
     /// Whether another request may be sent: the last response was complete,
     /// and the server has neither closed the connection nor sent surplus
     /// bytes.
@@ -270,8 +298,8 @@
         let max = usize::try_from(remaining).unwrap_or(usize::MAX);
         let bytes = self.reader.next_bytes(max).await?;
         bytes.ok_or_else(|| {
-            let detail = format!("the body ended {remaining} bytes early");
-            OutboundError::new(&detail)
+            let what = format!("the body ended {remaining} bytes early");
+            MessageError::Truncated(what).into()
         })
     }
 
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -87,7 +87,7 @@
 
     /// Whether the peer has closed the connection, even if unread bytes are
     /// left.
-    fn is_closed_by_peer(&self) -> bool {
+    pub(crate) fn is_closed_by_peer(&self) -> bool {
         let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
         let mut polled = [PollFd::new(&*self.socket, PollFlags::RDHUP)];
         let no_wait = Timespec::default();
--- a/crates/routing/src/exit_detection.rs
+++ b/crates/routing/src/exit_detection.rs
@@ -2,7 +2,10 @@
 //!
 //! A server that has exited no longer counts among those that may have run a
 //! request, so a wrong verdict lets a request run on more servers than its
-//! route allows. An entry whose processor is busy or throttled misses the
+//! route allows. A server that is about to leave may close its port and go on
+//! with the requests that it has: a refused connect proves an exit only
+//! together with the end of the request's own connection, which the kernel
+//! closes with the process. An entry whose processor is busy or throttled misses the
 //! responses to any number of connection attempts, however long ago the first
 //! one was. A lost packet makes one attempt fail at a server that runs.
 //! Silence therefore proves an exit only by a check of its own
@@ -82,10 +85,17 @@
     Alive,
 }
 
-/// Decides what evidence proves.
-pub fn detect_exit(evidence: Option<FailureEvidence>) -> ExitStatus {
+/// Decides what evidence proves. `has_connection_ended` states whether the
+/// server ended the connection on which it ran the request.
+pub fn detect_exit(
+    evidence: Option<FailureEvidence>,
+    has_connection_ended: bool,
+) -> ExitStatus {
     match evidence {
-        Some(FailureEvidence::Refused) => ExitStatus::Exited,
+        Some(FailureEvidence::Refused) if has_connection_ended => {
+            ExitStatus::Exited
+        }
+        Some(FailureEvidence::Refused) => ExitStatus::Alive,
         Some(FailureEvidence::Silent) => ExitStatus::Unknown,
         Some(FailureEvidence::Stalled) | None => ExitStatus::Alive,
     }
--- a/crates/routing/tests/exit_detection.rs
+++ b/crates/routing/tests/exit_detection.rs
@@ -11,27 +11,42 @@
 
 struct Case {
     evidence: Option<FailureEvidence>,
+    has_connection_ended: bool,
     status: ExitStatus,
 }
 
 #[rstest]
-#[case::nothing(Case { evidence: None, status: ExitStatus::Alive })]
+#[case::nothing(Case {
+    evidence: None,
+    has_connection_ended: true,
+    status: ExitStatus::Alive,
+})]
 #[case::refused(Case {
     evidence: Some(FailureEvidence::Refused),
+    has_connection_ended: true,
     status: ExitStatus::Exited,
 })]
+// The server has closed its port and goes on with the request.
+#[case::refused_beside_an_open_connection(Case {
+    evidence: Some(FailureEvidence::Refused),
+    has_connection_ended: false,
+    status: ExitStatus::Alive,
+})]
 // A request limited to two engines ran on three, because a suspicion of 0.36 s
 // by an entry that hardly ran counted as an exit.
 #[case::silent(Case {
     evidence: Some(FailureEvidence::Silent),
+    has_connection_ended: false,
     status: ExitStatus::Unknown,
 })]
 #[case::stalled(Case {
     evidence: Some(FailureEvidence::Stalled),
+    has_connection_ended: true,
     status: ExitStatus::Alive,
 })]
 fn only_a_refusal_proves_an_exit_without_a_check(#[case] case: Case) {
-    assert_eq!(detect_exit(case.evidence), case.status);
+    let status = detect_exit(case.evidence, case.has_connection_ended);
+    assert_eq!(status, case.status);
 }
 
 struct Check {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -351,7 +351,7 @@
         "A row is older than what is known of its backend server and waits.";
     ExitCounted = 943, "exit_counted", Info,
         ["request", "backend", "evidence", "lasted_ms", "is_removed",
-         "is_replaced", "is_checked", "checked_ms"],
+         "is_replaced", "has_connection_ended", "is_checked", "checked_ms"],
         "A backend server counts as exited for the limit of a request.";
     SharesShort = 944, "shares_short", Info,
         ["service", "fill", "shares", "asked_tokens_per_s",
