--- a/crates/routing/src/return_times.rs
+++ b/crates/routing/src/return_times.rs
@@ -13,6 +13,9 @@
 const SLOT_MS: u64 = 250;
 /// Earliest return: some requests have ended by then.
 const MIN_RETURN_MS: u64 = 500;
+/// Latest return. A caller states how long it waits, and the work of a promise
+/// must not follow from a number that a caller sends.
+const MAX_RETURN_MS: u64 = 60_000;
 /// Fraction of the remaining time that callers wait at most before they
 /// return.
 const MAX_WAIT_SHARE: f64 = 1.0 / 3.0;
@@ -40,6 +43,7 @@
         rng: &mut fastrand::Rng,
     ) -> u64 {
         let max_ms = (remaining_ms as f64 * MAX_WAIT_SHARE) as u64;
+        let max_ms = max_ms.min(MAX_RETURN_MS);
         if max_ms <= MIN_RETURN_MS {
             return MIN_RETURN_MS;
         }
--- a/crates/routing/tests/refused_callers.rs
+++ b/crates/routing/tests/refused_callers.rs
@@ -46,6 +46,24 @@
     assert!(later < 1_000, "{later}");
 }
 
+/// A caller may state any time for which it waits, and any size.
+#[rstest]
+#[case::one_year(31_536_000_000)]
+#[case::without_a_limit(u64::MAX)]
+fn a_caller_that_waits_without_a_limit_is_told_a_time_within_a_minute(
+    #[case] remaining_ms: u64,
+) {
+    let mut rng = fastrand::Rng::with_seed(1);
+    for tokens in [1_000, u64::MAX] {
+        let mut returns = ReturnTimes::default();
+        for _ in 0..1_000 {
+            let after =
+                returns.promise(tokens, remaining_ms, 100.0, 0, &mut rng);
+            assert!((500..=60_000).contains(&after), "{after}");
+        }
+    }
+}
+
 /// Where nothing is left, callers come back as late as they may.
 #[test]
 fn without_capacity_callers_return_late() {
