--- a/crates/daemon/tests/users_platform/unframed_responses.rs
+++ b/crates/daemon/tests/users_platform/unframed_responses.rs
@@ -16,7 +16,8 @@
 
 use crate::support::{
     assert_all_served, assert_no_violation,
-    run_streams_while_first_engines_exit, send_request, with_small_site,
+    run_streams_while_first_engines_exit, send_request, stream_load,
+    with_site, with_small_site,
 };
 
 fn load() -> Load {
@@ -85,6 +86,29 @@
     });
 }
 
+/// The same of an engine that is known to leave.
+#[test]
+fn an_unframed_stream_whose_leaving_engine_exits_is_not_taken_for_whole() {
+    let site = Site { events: 200, engines_each: 8, ..Site::small() };
+    with_site(&site, async |running| {
+        update_all(running, |server| server.omits_framing = true);
+        let load = Load {
+            events: site.events,
+            ..stream_load(20.0, Duration::from_secs(3))
+        };
+        let drains = async {
+            for _ in 0..3 {
+                Timer::after(Duration::from_millis(600)).await;
+                let first = running.backends.first_stage_engines();
+                first.first().iter().for_each(|e| running.backends.drain(**e));
+            }
+        };
+        let played = running.run(&load, &[]);
+        let report = futures_lite::future::zip(played, drains).await.0;
+        assert_no_violation(&report);
+    });
+}
+
 #[test]
 fn an_unframed_plain_response_whose_server_exits_is_not_taken_for_whole() {
     with_small_site(async |running| {
--- a/crates/direct/src/cluster.rs
+++ b/crates/direct/src/cluster.rs
@@ -10,6 +10,7 @@
 //! | `configuration_age` | how current the configuration in force is |
 //! | `backend_rows`, `unusable_rows` | rows of the backend list |
 //! | `fleet`, `engine` | state of the backend servers |
+//! | `end_check` | whether a response without a length is whole |
 //! | `exit_check` | whether a process has exited, for a request's limit |
 //! | `probe` | detection of failed, slow and recovered servers |
 //! | `discovery` | how entries find each other |
@@ -25,6 +26,7 @@
 pub(crate) mod configuration_age;
 pub(crate) mod configuration_rows;
 pub(crate) mod discovery;
+pub(crate) mod end_check;
 pub(crate) mod engine;
 pub(crate) mod engine_watcher;
 pub(crate) mod exit_check;
--- a/crates/direct/src/cluster/engine.rs
+++ b/crates/direct/src/cluster/engine.rs
@@ -4,6 +4,7 @@
     cmp::Ordering,
     collections::BTreeMap,
     hash::{DefaultHasher, Hash as _, Hasher as _},
+    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -87,6 +88,8 @@
     /// a cooldown the engine still serves as a later stage of paths, because
     /// other engines send those requests.
     pub(crate) cooldown_until_ms: u64,
+    /// The last probe of this entry.
+    pub(crate) last_probe: Option<Probe>,
     /// When this entry last connected to the engine.
     pub(crate) connected_ms: u64,
     /// Successful connects since the last progress of a stream.
@@ -255,6 +258,13 @@
     pub(crate) prefill_ms_per_s: u32,
 }
 
+/// A connect that showed whether a backend server responds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Probe {
+    pub(crate) began_ms: u64,
+    pub(crate) result: Result<(), io::ErrorKind>,
+}
+
 /// Why a backend server gets no work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Suspicion {
@@ -302,6 +312,7 @@
                 slowness: 1.0,
                 backoff_until_ms: 0,
                 cooldown_until_ms: 0,
+                last_probe: None,
                 connected_ms: 0,
                 connects_without_progress: 0,
                 alerted_ms: 0,
--- a/crates/direct/src/cluster/exit_check.rs
+++ b/crates/direct/src/cluster/exit_check.rs
@@ -38,7 +38,8 @@
     let began_ms = now_ms();
     let LeftRun { engine, has_connection_ended } = run;
     if !engine.lock().is_removed {
-        probe::probe(core.clone(), engine.clone()).await;
+        // What the probe shows is recorded in the state of the engine.
+        let _ = probe::look(core, engine, now_ms()).await;
     }
     let (is_removed, is_replaced, suspicion) = {
         let state = engine.lock();
--- a/crates/direct/src/cluster/probe.rs
+++ b/crates/direct/src/cluster/probe.rs
@@ -28,7 +28,8 @@
     cluster::{
         alerts::percent,
         engine::{
-            Engine, FailureEvidence, RECENT_PROGRESS_MS, StartOrder, Suspicion,
+            Engine, FailureEvidence, Probe, RECENT_PROGRESS_MS, StartOrder,
+            Suspicion,
         },
     },
     core::Core,
@@ -39,6 +40,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(25);
 /// Two, because TCP retransmits a lost packet only after 1 s.
 const CONNECT_ATTEMPTS: usize = 2;
+/// Interval between checks of a probe that is under way.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Minimum time between two requests for an engine's report.
 const MIN_REPORT_INTERVAL_MS: u64 = 1_500;
@@ -196,7 +199,10 @@
     if engine.is_probing.swap(true, Relaxed) {
         return;
     }
+    let began_ms = now_ms();
     let connected = connect(&engine, max_attempts).await;
+    let result = connected.as_ref().map(|_| ()).map_err(|e| e.kind);
+    engine.lock().last_probe = Some(Probe { began_ms, result });
     engine.is_probing.store(false, Relaxed);
     match connected {
         Ok(()) => record_connected(&core, &engine),
@@ -204,13 +210,36 @@
     }
 }
 
+/// The result of a probe that begins now or later. All who ask meanwhile get
+/// the result of one probe.
+pub(crate) async fn look(
+    core: &Arc<Core>,
+    engine: &Arc<Engine>,
+    not_before_ms: u64,
+) -> Result<(), io::ErrorKind> {
+    loop {
+        let last = engine.lock().last_probe;
+        if let Some(last) = last
+            && last.began_ms >= not_before_ms
+        {
+            return last.result;
+        }
+        if engine.is_probing.load(Relaxed) {
+            Timer::after(LOOK_INTERVAL).await;
+        } else {
+            probe(core.clone(), engine.clone()).await;
+        }
+    }
+}
+
 /// Whether an engine has crashed; connects to it if that is not known yet.
 pub(crate) async fn confirm_crash(
     core: &Arc<Core>,
     engine: &Arc<Engine>,
 ) -> bool {
     if !has_crashed(engine) && !engine.lock().is_removed {
-        probe(core.clone(), engine.clone()).await;
+        // What the probe shows is recorded in the state of the engine.
+        let _ = look(core, engine, now_ms()).await;
     }
     has_crashed(engine)
 }
--- a/crates/direct/src/cluster/suspects.rs
+++ b/crates/direct/src/cluster/suspects.rs
@@ -34,8 +34,6 @@
 /// Pauses before the checks for a crash that the request waits for.
 const CRASH_CHECK_PAUSES: [Duration; 3] =
     [Duration::ZERO, Duration::from_millis(8), Duration::from_millis(20)];
-/// Time within which the port of a process closes after its connections.
-const PORT_CLOSE_TIME: Duration = Duration::from_millis(20);
 /// Pause before the last check, which the request does not wait for.
 const LATE_CRASH_CHECK_PAUSE: Duration = Duration::from_millis(200);
 
@@ -284,16 +282,6 @@
     false
 }
 
-/// Whether the engine of a connection that has just ended has crashed, by a
-/// single check after the port would have closed.
-pub(crate) async fn has_just_crashed(
-    core: &Arc<Core>,
-    engine: &Arc<Engine>,
-) -> bool {
-    Timer::after(PORT_CLOSE_TIME).await;
-    probe::confirm_crash(core, engine).await
-}
-
 /// Checks after a pause whether the engine of a run has crashed. The run
 /// failed, or the request moved away from the engine.
 pub(crate) fn check_crash_later(core: &Arc<Core>, run: FailedRun) {
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -25,9 +25,9 @@
 use crate::{
     clock::now_ms,
     cluster::{
+        end_check,
         engine::{Engine, Reservation},
         notices::{self, ResponseContext},
-        suspects,
     },
     core::Core,
     request::{
@@ -372,7 +372,7 @@
         let memory = &core.fleet.response_memory;
         let body = exchange::read_body(&mut connection, body, memory).await?;
         let is_cut_off = head.ends_with_connection(&request.method)
-            && suspects::has_just_crashed(core, engine).await;
+            && end_check::is_cut_off(core, engine).await;
         match is_cut_off {
             true => Err(OutboundError::new("the server crashed at the end")),
             false => Ok((head, body)),
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -17,8 +17,9 @@
 use crate::{
     clock::now_ms,
     cluster::{
+        end_check,
         notices::{self, ResponseContext},
-        probe, suspects,
+        probe,
     },
     request::{
         events::EventSplitter,
@@ -135,12 +136,12 @@
         }
     }
 
-    /// Whether the engine crashed when it ended a stream whose end nothing but
-    /// that of the connection marks.
+    /// Whether the engine's process ended a stream whose end nothing but that
+    /// of the connection marks.
     async fn is_cut_off(&self, head: &ResponseHead) -> bool {
         let first = self.path.first_engine();
         head.ends_with_connection(&self.request.method)
-            && suspects::has_just_crashed(self.core, first).await
+            && end_check::is_cut_off(self.core, first).await
     }
 
     /// The result of a response whose connection did not fail.
@@ -222,7 +223,7 @@
                 Ok(Some(part)) => part,
                 Ok(None) if self.is_cut_off(head).await => {
                     self.is_connection_lost = true;
-                    let error = "the engine crashed at the end of the stream";
+                    let error = "the engine exited at the end of the stream";
                     self.log_interrupted(&error);
                     return AttemptResult::Interrupted;
                 }
