The list of servers is renewed within 3 s of connections going silent (DRAIN)

Entries in touch with the store again sent 12 to 14 requests to a draining server, up to 3.5 s after the acknowledgement, and two were lost as it exited.

Cause: a poll of the list failed only after 4.0 s, and the next one could take another connection from the pool that had gone silent with it.

A poll waits 1.8 s, so that it fails and is repeated within the 3 s. A timeout drops the idle connections of its client.

--- a/crates/direct/src/cluster/feed_follower.rs
+++ b/crates/direct/src/cluster/feed_follower.rs
@@ -39,7 +39,10 @@
 /// Two failed polls must fit into the time limit for withdrawn keys, which is
 /// 5 s in the shipped deployments.
 const CONFIGURATION_POLL_WAIT: Duration = Duration::from_millis(2_200);
-const BACKENDS_POLL_WAIT: Duration = Duration::from_millis(3_500);
+/// A poll on a connection that went silent must fail, and the next one bring
+/// what changed meanwhile, within the 3 s after which the platform counts a VM
+/// as in contact with the store again.
+const BACKENDS_POLL_WAIT: Duration = Duration::from_millis(1_800);
 /// Wait at the store if other entries poll this entry: the wait adds to the
 /// age of their copies.
 const SHARED_READER_WAIT: Duration = Duration::from_millis(1_200);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -237,13 +237,15 @@
         let method = request.method();
         let began = self.begin(stream.clone(), request);
         let began = began.or(self.time_limit(deadline, timeout));
-        let (mut reader, head, info) = began.await?;
+        let began = began.await.inspect_err(|e| self.drop_idle_after(e));
+        let (mut reader, head, info) = began?;
         reader.set_stall_timeout(self.options.stall_timeout);
         let body = self.read_body(&mut reader, method, &info);
         let body = match self.options.stall_timeout {
             Some(_) => body.await,
             None => body.or(self.time_limit(deadline, timeout)).await,
         };
+        let body = body.inspect_err(|e| self.drop_idle_after(e));
         let body = body.map_err(|e| e.with_received(reader.received()))?;
         let response = self.decode_head(head).await?;
         // Surplus bytes would be read as the response to the next request.
@@ -354,6 +356,14 @@
         None
     }
 
+    /// Drops the idle connections after a timeout: what made one connection
+    /// go silent may have done so to all that were open.
+    fn drop_idle_after(&self, error: &ClientError) {
+        if let ClientError::Timeout { .. } = error {
+            self.idle.lock().expect("no holder panics").clear();
+        }
+    }
+
     fn keep_idle(&self, stream: SharedStream) {
         let mut idle = self.idle.lock().expect("no holder panics");
         if idle.len() < MAX_IDLE_CONNECTIONS {
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -368,3 +368,36 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// Connections that were open together may all go silent.
+#[test]
+fn a_timeout_ends_the_use_of_all_idle_connections() {
+    let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for socket in listener.incoming() {
+            // Each connection has one response and is silent afterwards.
+            thread::spawn(move || {
+                let mut socket = socket.unwrap();
+                read_head(&mut socket);
+                thread::sleep(Duration::from_millis(100));
+                let _ = socket.write_all(response);
+                thread::sleep(TEST_TIMEOUT);
+            });
+        }
+    });
+    let client = Arc::new(client(address));
+    let call_in_thread = || {
+        let client = client.clone();
+        thread::spawn(move || call(&client, Method::Get, TEST_TIMEOUT))
+    };
+    let calls: Vec<_> = (0..3).map(|_| call_in_thread()).collect();
+    for call in calls {
+        call.join().unwrap().unwrap();
+    }
+    let timeout = Duration::from_millis(300);
+    let silent = call(&client, Method::Get, timeout);
+    assert!(matches!(silent, Err(ClientError::Timeout { .. })), "{silent:?}");
+    call(&client, Method::Get, TEST_TIMEOUT / 2).unwrap();
+}
