--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -104,6 +104,8 @@
     /// An engine announces in its responses that it leaves, before its row
     /// does.
     EngineSaysLeaving,
+    /// An engine and a plain server send bytes without an end.
+    AnswersUnending,
 }
 
 /// Delay on a link; longer than the connect timeout of an entry.
@@ -113,7 +115,7 @@
 const NARROW_LINK: LinkFault = LinkFault::Narrow(200_000);
 
 /// All faults with their names in experiments.
-const FAULTS: [(&str, FaultKind); 43] = [
+const FAULTS: [(&str, FaultKind); 44] = [
     ("engine-ends", FaultKind::EngineEnds),
     ("engine-dark", FaultKind::EngineDark),
     ("engine-slow", FaultKind::EngineSlow),
@@ -157,6 +159,7 @@
     ("store-restored", FaultKind::StoreRestored),
     ("store-link-narrow", FaultKind::StoreLink(NARROW_LINK)),
     ("part-crashes", FaultKind::PartCrashes),
+    ("answers-unending", FaultKind::AnswersUnending),
 ];
 
 /// Duration of a fault for which the experiment gives none.
@@ -182,9 +185,15 @@
                 | FaultKind::ServerLink(_)
                 | FaultKind::RequestCrashes
                 | FaultKind::EngineSaysLeaving
+                | FaultKind::AnswersUnending
         )
     }
 
+    /// Whether servers send bytes without an end.
+    pub fn sends_without_end(self) -> bool {
+        self == FaultKind::AnswersUnending
+    }
+
     /// Whether the fault affects a link.
     pub fn affects_link(self) -> bool {
         matches!(self, FaultKind::StoreLink(_) | FaultKind::ServerLink(_))
--- a/crates/emulator/src/running/faults.rs
+++ b/crates/emulator/src/running/faults.rs
@@ -21,6 +21,7 @@
     link::LinkFault,
     site::{COMMON_PART, KEY, MODEL_SERVICE, PLAIN_SERVICE},
     store::StoreFault,
+    unending::{UnendingBytes, UnendingIn},
 };
 
 /// Time within which the listener of an exited server is closed.
@@ -95,6 +96,9 @@
             (FaultKind::AnswersLost, _) => self.lose_responses(duration),
             (FaultKind::PlainFails, _) => self.fail_plain_requests(duration),
             (FaultKind::AnswersMixed, _) => self.mix_responses(duration),
+            (FaultKind::AnswersUnending, Some(engine)) => {
+                self.send_without_end(engine, duration, rng);
+            }
             (FaultKind::Store(kind), _) => {
                 self.apply_store_fault(kind, duration)
             }
@@ -211,6 +215,25 @@
         );
     }
 
+    /// Makes an engine and a plain server send one form of bytes without an
+    /// end in all responses.
+    fn send_without_end(
+        &self,
+        engine: SocketAddr,
+        duration: Duration,
+        rng: &mut fastrand::Rng,
+    ) {
+        let form = UnendingBytes::ALL[rng.usize(..UnendingBytes::ALL.len())];
+        let servers = move |backends: &BackendServers| {
+            let plain = backends.plain_servers();
+            plain.into_iter().take(1).chain([engine]).collect()
+        };
+        self.apply_for(duration, servers, move |server, is_on| {
+            server.unending =
+                is_on.then_some((form, UnendingIn::AllResponses));
+        });
+    }
+
     fn mix_responses(&self, duration: Duration) {
         self.apply_for(
             duration,
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -14,7 +14,7 @@
     load::Load,
     report::Report,
     running::{RECOVERY_TIMEOUT, start},
-    site::Site,
+    site::{MEMORY_MB, Site},
 };
 
 mod checks;
@@ -47,6 +47,11 @@
 const FIRST_LARGE_CONFIGURATION_SEED: u64 = 1 << 28;
 /// First seed with different requests that share a part that crashes engines.
 const FIRST_CRASHING_PART_SEED: u64 = 1 << 29;
+/// First seed with servers that send bytes without an end.
+const FIRST_UNENDING_SEED: u64 = 1 << 30;
+/// Most memory that an entry may hold in such a run: the platform kills
+/// processes that exceed the memory of their machine.
+const MAX_MEMORY_BYTES: u64 = MEMORY_MB << 20;
 const EXTRA_ROUTES: usize = 1_500;
 /// Streams per second where streams compete, urgent and others: about one and
 /// a half times as many as fit.
@@ -86,6 +91,9 @@
         .filter(|kind| {
             seed >= FIRST_CRASHING_PART_SEED || !kind.is_crashing_part()
         })
+        .filter(|kind| {
+            seed >= FIRST_UNENDING_SEED || !kind.sends_without_end()
+        })
         .collect();
     let mut faults: Vec<Fault> = (0..FAULT_COUNT)
         .map(|_| Fault {
@@ -94,7 +102,11 @@
             duration: Duration::from_millis(rng.u64(300..2_500)),
         })
         .collect();
-    if seed >= FIRST_CRASHING_PART_SEED {
+    if seed >= FIRST_UNENDING_SEED {
+        faults[0].kind = FaultKind::AnswersUnending;
+        faults[1].kind = FaultKind::AnswersUnending;
+        faults[2].kind = FaultKind::EntryStops;
+    } else if seed >= FIRST_CRASHING_PART_SEED {
         faults[0].kind = FaultKind::PartCrashes;
         faults[1].kind = FaultKind::EntryKilled;
     } else if seed >= FIRST_LARGE_CONFIGURATION_SEED {
@@ -156,6 +168,10 @@
     if !outdated.is_empty() {
         violations.push(format!("{outdated:?} have an older configuration"));
     }
+    let peak_bytes = running.peak_memory_bytes();
+    if peak_bytes > MAX_MEMORY_BYTES {
+        violations.push(format!("an entry held {peak_bytes} bytes"));
+    }
     let slack = experiment.site.retry_slack;
     violations.extend(checks::violations(&report, &running, slack));
     if let Some(dir) = logs.filter(|_| !violations.is_empty()) {
