A trial that delivered events does not end the repeats of its request

A harmless stream was cut whose engine exited and whose next engine, in a trial, exited too: its entry repeated it no more, and a third exit quarantined it.

Cause: a crash in a trial ends the repeats whatever the run had delivered. A part or request that crashes engines does so when its answer begins, so a run with an event did not crash its engine.

--- a/crates/direct/src/request/isolation.rs
+++ b/crates/direct/src/request/isolation.rs
@@ -215,7 +215,10 @@
         }
         let run = self.failed_run(engine, start, is_in_trial);
         self.has_just_crashed = suspects::check_crash(self.core, run).await;
-        self.has_crashed_in_trial |= is_in_trial && self.has_just_crashed;
+        // A run with events did not crash its engine when it began to answer.
+        let has_begun = start.events() > 0;
+        self.has_crashed_in_trial |=
+            is_in_trial && self.has_just_crashed && !has_begun;
     }
 
     /// Records that the entry abandoned a run soon after its start. The run
