Entries that are only listed and do not answer count for nothing (RECOVER)

An address of the table now counts for the time in which all entries receive a report; one that did not answer in it gets messages at later reads and counts for nothing until it does: neither as a user, nor for intervals, the retry limit, or the planner's timeout. A machine that comes back is heard and counts again.

--- a/crates/daemon/tests/users_platform/many_entries.rs
+++ b/crates/daemon/tests/users_platform/many_entries.rs
@@ -1,7 +1,8 @@
 //! An entry that hears many entries of other data centres.
 
-use std::net::UdpSocket;
+use std::{net::UdpSocket, time::Duration};
 
+use async_io::Timer;
 use chestnutreach_protocol::peers::PeerState;
 use prost::Message as _;
 
@@ -39,3 +40,26 @@
         .await;
     });
 }
+
+/// Time after a restart of all processes within which requests are served.
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+
+/// Rows of machines that were removed for good stay in the table of entries.
+/// Each of them counted as a user of every engine after a restart.
+#[test]
+fn rows_of_removed_entries_count_for_nothing_after_a_restart() {
+    with_small_site(async |running| {
+        for number in 0..MANY {
+            let address = format!("127.0.0.1:{}", 20_000 + number);
+            let name = format!("removed-{number}");
+            running.store.put_text("chestnutreach-entries", &name, &address);
+        }
+        let entries = running.addresses.len();
+        (0..entries).for_each(|entry| running.restart_entry(entry));
+        Timer::after(RECOVERY_TIME).await;
+        for entry in 0..entries {
+            let status = running.status(entry).await.unwrap();
+            assert_eq!(status["entries"], entries, "{entry}");
+        }
+    });
+}
--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -1,7 +1,7 @@
 //! State that an entry keeps for the other entries.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard,
@@ -37,6 +37,9 @@
     /// Requests sent by other processes, by boot id. A report outlives its
     /// process by the retry window, since the requests count for that long.
     sent_reports: Mutex<BTreeMap<u64, SentReport>>,
+    /// Addresses found in the table of the store from which no message has
+    /// arrived since. Rows of machines that were removed for good stay there.
+    listed: Mutex<BTreeSet<SocketAddr>>,
     /// When entries were lost that had not announced a stop, by address.
     lost_ms: Mutex<BTreeMap<SocketAddr, u64>>,
     /// Whether another entry has sent a message, or this one has read a list
@@ -64,6 +67,10 @@
     /// Whether the process has sent its state. A process that another entry
     /// named is known before.
     has_reported: bool,
+    /// Whether the address is only listed and did not answer before. Such an
+    /// address gets messages and counts for nothing: its machine may have been
+    /// removed for good.
+    is_unanswered: bool,
     vm: String,
     sequence: u64,
     received_ms: u64,
@@ -127,13 +134,19 @@
     ) -> PeerCounts {
         let is_local =
             |p: &&Peer| p.scope(data_centre) == PeerScope::SameDataCentre;
-        let local = peers.values().filter(is_local).count();
+        let counted = || peers.values().filter(|p| !p.is_unanswered);
+        let local = counted().filter(is_local).count();
         PeerCounts {
             same_data_centre: local,
-            other_data_centre: peers.len() - local,
+            other_data_centre: counted().count() - local,
         }
     }
 
+    /// Time within which all entries have received what one reports.
+    fn report_delay_ms(self) -> u64 {
+        gossip::report_delay_ms(self.same_data_centre, self.other_data_centre)
+    }
+
     fn of_scope(self, scope: PeerScope) -> usize {
         match scope {
             PeerScope::SameDataCentre => self.same_data_centre,
@@ -159,6 +172,11 @@
 }
 
 impl Peer {
+    /// Whether the entry is likely to run and has not reported yet.
+    fn is_report_due(&self) -> bool {
+        !self.has_reported && !self.is_unanswered
+    }
+
     fn candidate(&self) -> Candidate {
         Candidate {
             entry: self.boot_id,
@@ -187,12 +205,13 @@
         if peers.is_empty() {
             return ASSUMED_ENTRIES;
         }
-        live.max(peers.len()) + 1
+        let listed = peers.values().filter(|p| !p.is_unanswered).count();
+        live.max(listed) + 1
     }
 
     /// Number of listed entries that have not reported yet.
     pub(crate) fn without_report_count(&self) -> usize {
-        self.lock().values().filter(|p| !p.has_reported).count()
+        self.lock().values().filter(|p| p.is_report_due()).count()
     }
 
     /// Time within which all entries have received what one reports.
@@ -235,7 +254,7 @@
     /// What other entries reported to have sent to a service in the window.
     /// Empty if a listed entry has not reported yet.
     pub(crate) fn sent_by_peers(&self, service: &str) -> Vec<SentCounts> {
-        if self.lock().values().any(|peer| !peer.has_reported) {
+        if self.lock().values().any(Peer::is_report_due) {
             return Vec::new();
         }
         let reports = self.sent_reports.lock().expect("no holder panics");
@@ -260,7 +279,9 @@
     /// Whether another entry reported recently that it is the planner.
     pub(crate) fn has_planner(&self, now_ms: u64) -> bool {
         let received_ms = self.planner_received_ms.load(Relaxed);
-        let timeout_ms = planner_timeout_ms(self.lock().len());
+        let counts = PeerCounts::of(&self.lock(), &self.data_centre);
+        let count = counts.of_scope(PeerScope::FromPlanner);
+        let timeout_ms = planner_timeout_ms(count);
         received_ms > 0 && now_ms.saturating_sub(received_ms) < timeout_ms
     }
 
@@ -310,7 +331,7 @@
         let is_present =
             |p: &&Peer| counts.is_present(p, &self.data_centre, now_ms);
         let present = || peers.values().filter(is_present);
-        2 * present().count() >= peers.len()
+        2 * present().count() >= counts.of_scope(PeerScope::FromPlanner)
             && present().all(|p| p.is_stopping || p.boot_id > boot_id)
     }
 
@@ -420,10 +441,13 @@
     /// was known.
     pub(crate) fn add_address(&self, address: SocketAddr) -> bool {
         let mut peers = self.lock();
+        let mut listed = self.listed.lock().expect("no holder panics");
         if peers.contains_key(&address) {
             return false;
         }
-        let peer = Peer { received_ms: now_ms(), ..Peer::default() };
+        let is_unanswered = !listed.insert(address);
+        let peer =
+            Peer { received_ms: now_ms(), is_unanswered, ..Peer::default() };
         peers.insert(address, peer);
         true
     }
@@ -538,6 +562,7 @@
         peer.feed_port = u16::try_from(state.feed_port).unwrap_or(0);
         peer.milli_cores = state.milli_cores;
         let is_first_report = !std::mem::replace(&mut peer.has_reported, true);
+        peer.is_unanswered = false;
         peer.interconnect_bytes_per_s =
             f64::from(state.crossing_kilobytes_per_s) * 1e3;
         if state.crossing_kilobytes_per_s > 0 {
@@ -549,6 +574,7 @@
             let name = format!("{}={from}/{}", state.vm, state.boot_id);
             self.found.lock().expect("no holder panics").push(name);
             self.lost_ms.lock().expect("no holder panics").remove(&from);
+            self.listed.lock().expect("no holder panics").remove(&from);
         }
         self.released_lease_number.fetch_max(state.resigned, Relaxed);
         if state.is_planner {
@@ -603,8 +629,11 @@
         peers.retain(|address, peer| {
             let silent_ms = now_ms.saturating_sub(peer.received_ms);
             let scope = peer.scope(&self.data_centre);
-            let is_silent =
-                silent_ms > scope.expiry_ms(counts.of_scope(scope));
+            let expiry_ms = match peer.boot_id {
+                0 => counts.report_delay_ms(),
+                _ => scope.expiry_ms(counts.of_scope(scope)),
+            };
+            let is_silent = silent_ms > expiry_ms;
             if is_silent && peer.boot_id != 0 && !peer.is_stopping {
                 lost.insert(*address, now_ms);
             }
