--- a/crates/direct/src/cluster/end_check.rs
+++ b/crates/direct/src/cluster/end_check.rs
@@ -30,23 +30,18 @@
     for pause in PAUSES {
         Timer::after(pause).await;
         let connected = probe::look(core, engine, now_ms()).await;
-        if has_ended(engine) || is_failure(connected) {
+        // A later start may have accepted the connection.
+        if engine.lock().is_replaced || !shows_process(connected) {
             return true;
         }
     }
     false
 }
 
-/// Whether the process of the engine has ended, by what is known of its id
-/// and address: another one may have accepted the connection.
-fn has_ended(engine: &Engine) -> bool {
-    engine.lock().is_replaced
-}
-
-/// Whether the connect failed otherwise than by a process that runs, such as
-/// one that has too many connections.
-fn is_failure(connected: Result<(), io::ErrorKind>) -> bool {
-    matches!(
+/// Whether the result of a connect comes from a process that runs. One with
+/// too many connections resets others.
+fn shows_process(connected: Result<(), io::ErrorKind>) -> bool {
+    !matches!(
         connected,
         Err(io::ErrorKind::ConnectionRefused
             | io::ErrorKind::TimedOut
