Tests: each limit on a response without an end is seen in the log

With the limit on responses to other requests taken out, all tests passed: the deadline hid it. 13 cases send one request where all servers are in trouble and look for the limit in response_cut, for plain requests, repeats and streams. Cases fail with the limits on other responses, on the size of an event, on ids of events and on memory taken out one by one.

--- a/crates/daemon/tests/users_platform/unending_responses.rs
+++ b/crates/daemon/tests/users_platform/unending_responses.rs
@@ -17,7 +17,8 @@
 use rstest::rstest;
 
 use crate::support::{
-    assert_all_served, parse_log, send_at_rate, stream_load, with_site,
+    assert_all_served, parse_log, send_at_rate, send_request, stream_load,
+    wait_until, with_site,
 };
 
 /// Requests per second, of three kinds in turn.
@@ -287,3 +288,119 @@
         assert!(running.recovers().await, "not served again");
     });
 }
+
+/// Errors in the lines of an event about a request, in the first entry's log.
+fn errors_of(running: &RunningSite, event: &str, id: &str) -> Vec<String> {
+    let lines = parse_log(&running.log(0));
+    let of_request =
+        lines.iter().filter(|l| l.name() == event && l.text("request") == id);
+    of_request.map(|line| line.text("error").to_owned()).collect()
+}
+
+/// The limit at which a response without an end is cut.
+struct CutCase {
+    kind: RequestKind,
+    form: UnendingBytes,
+    /// Words of the error in the log.
+    error: &'static str,
+}
+
+/// All servers are in trouble, so that each attempt is cut.
+#[rstest]
+#[case::head(CutCase {
+    kind: RequestKind::Once,
+    form: UnendingBytes::HeaderLines,
+    error: "the head is longer",
+})]
+#[case::interim_responses(CutCase {
+    kind: RequestKind::Once,
+    form: UnendingBytes::InterimResponses,
+    error: "interim responses",
+})]
+#[case::other_responses(CutCase {
+    kind: RequestKind::Once,
+    form: UnendingBytes::OtherResponses,
+    error: "responses to other requests",
+})]
+#[case::stated_length(CutCase {
+    kind: RequestKind::Once,
+    form: UnendingBytes::LongBody,
+    error: "needs 1000000000000 bytes of memory",
+})]
+#[case::body(CutCase {
+    kind: RequestKind::Once,
+    form: UnendingBytes::Body,
+    error: "bytes of memory",
+})]
+#[case::chunk(CutCase {
+    kind: RequestKind::Once,
+    form: UnendingBytes::LongChunk,
+    error: "bytes of memory",
+})]
+#[case::repeated_attempt(CutCase {
+    kind: RequestKind::Idempotent,
+    form: UnendingBytes::Body,
+    error: "bytes of memory",
+})]
+#[case::head_of_a_stream(CutCase {
+    kind: RequestKind::Stream,
+    form: UnendingBytes::HeaderLines,
+    error: "the head is longer",
+})]
+#[case::other_responses_on_a_stream(CutCase {
+    kind: RequestKind::Stream,
+    form: UnendingBytes::OtherResponses,
+    error: "responses to other requests",
+})]
+#[case::event(CutCase {
+    kind: RequestKind::Stream,
+    form: UnendingBytes::Lines,
+    error: "an event is longer",
+})]
+#[case::chunk_of_a_stream(CutCase {
+    kind: RequestKind::Stream,
+    form: UnendingBytes::LongChunk,
+    error: "an event is longer",
+})]
+#[case::events_without_an_id(CutCase {
+    kind: RequestKind::Stream,
+    form: UnendingBytes::Events,
+    error: "an event has no id",
+})]
+#[case::failure_of_a_stream(CutCase {
+    kind: RequestKind::Stream,
+    form: UnendingBytes::FailureBody,
+    error: "bytes of memory",
+})]
+fn a_response_without_an_end_is_cut_at_its_limit(#[case] case: CutCase) {
+    with_site(&site(), async |running| {
+        let backends = &running.backends;
+        let engines = backends.engines().into_iter();
+        for server in engines.chain(backends.plain_servers()) {
+            backends.update_server(server, |server| {
+                let scope = UnendingIn::AllResponses;
+                server.unending = Some((case.form, scope));
+            });
+        }
+        let spec = RequestSpec {
+            max_attempts: 1,
+            ..RequestSpec::new(case.kind, "cut", Site::small().events)
+        };
+        let outcome = send_request(running, 0, &spec).await;
+        assert!(!outcome.is_served());
+        let id = &outcome.attempts[0].id;
+        // Lines are written with a delay; the last one of a request tells that
+        // all are there.
+        wait_until("the end of the request is logged", async || {
+            !errors_of(running, "relay_ended", id).is_empty()
+        })
+        .await;
+        let cuts = errors_of(running, "response_cut", id);
+        let attempts = match case.kind {
+            RequestKind::Once => 1,
+            _ => 2,
+        };
+        assert_eq!(cuts.len(), attempts, "{cuts:?}");
+        assert!(cuts.iter().all(|e| e.contains(case.error)), "{cuts:?}");
+    });
+}
