--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -9,6 +9,7 @@
 mod json;
 mod memory;
 mod record;
+mod restart;
 mod store;
 
 use std::{env, process::ExitCode};
@@ -23,6 +24,8 @@
     let result = match case.as_str() {
         "feed" => feed::run(path, has_trouble),
         "memory" => memory::run(path, has_trouble),
+        "restart" => restart::run(path, has_trouble),
+        "server" => restart::serve(path),
         _ => Err(std::io::Error::other("no such case")),
     };
     match result {
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -106,12 +106,20 @@
 
     /// Writes a row; returns its version.
     pub fn set(&self, table: &str, key: &str, value: &[u8]) -> u64 {
+        self.change(table, key, Some(base64(value)))
+    }
+
+    /// Drops a row.
+    pub fn drop_row(&self, table: &str, key: &str) -> u64 {
+        self.change(table, key, None)
+    }
+
+    fn change(&self, table: &str, key: &str, value: Option<String>) -> u64 {
         let (lock, changed) = &*self.shared;
         let mut state = lock.lock().unwrap();
         state.version += 1;
         let version = state.version;
         let key = (table.to_owned(), key.to_owned());
-        let value = Some(base64(value));
         state.rows.insert(key, Row { value, version });
         changed.notify_all();
         version
