--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -25,7 +25,7 @@
         "feed" => feed::run(path, has_trouble),
         "memory" => memory::run(path, has_trouble),
         "restart" => restart::run(path, has_trouble),
-        "server" => restart::serve(path),
+        "server" => restart::serve(),
         _ => Err(std::io::Error::other("no such case")),
     };
     match result {
--- a/review/standin-2/src/restart.rs
+++ b/review/standin-2/src/restart.rs
@@ -1,13 +1,14 @@
 //! A server of the plain service crashes within an answer without a length,
-//! and its supervisor starts it again.
+//! and its supervisor, which holds the listening socket, starts it again.
 
 use std::{
     env, io,
     io::Write,
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::TcpListener,
+    os::fd::{AsFd, OwnedFd},
     process::{Child, Command, Stdio},
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crate::{
@@ -27,10 +28,15 @@
 const PAUSE: Duration = Duration::from_millis(120);
 const CRASH_AFTER: Duration = Duration::from_millis(60);
 const BODY: usize = 800;
+/// Time until the supervisor starts the next process, beside what the answer
+/// takes.
+const DOWN: Duration = Duration::from_millis(1_000);
 
-/// The process of a server: answers on an address until it is killed.
-pub fn serve(address: &str) -> io::Result<bool> {
-    let listener = TcpListener::bind(address)?;
+/// The process of a server: answers on the socket that it gets as its standard
+/// input, until it is killed.
+pub fn serve() -> io::Result<bool> {
+    let listener = io::stdin().as_fd().try_clone_to_owned()?;
+    let listener = TcpListener::from(listener);
     for stream in listener.incoming().flatten() {
         thread::spawn(move || {
             let mut conn = Conn::new(stream);
@@ -70,54 +76,55 @@
 
 /// A server under its supervisor.
 struct Supervised {
-    address: SocketAddr,
+    listener: TcpListener,
     child: Child,
     starts: usize,
 }
 
 impl Supervised {
-    fn spawn(address: SocketAddr) -> io::Result<Child> {
+    fn spawn(listener: &TcpListener) -> io::Result<Child> {
+        let listener = OwnedFd::from(listener.try_clone()?);
         Command::new(env::current_exe()?)
-            .args(["server", &address.to_string()])
-            .stdin(Stdio::null())
+            .args(["server", "-"])
+            .stdin(Stdio::from(listener))
             .spawn()
     }
 
     fn start(record: &Record) -> io::Result<Supervised> {
-        let free = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        let child = Supervised::spawn(free)?;
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let child = Supervised::spawn(&listener)?;
         record.say(&format!("starts process {}", child.id()));
-        Ok(Supervised { address: free, child, starts: 1 })
+        Ok(Supervised { listener, child, starts: 1 })
     }
 
     fn id(&self) -> String {
         format!("i-s{}", self.starts)
     }
 
-    fn list(&self, store: &Store) {
+    fn list(&self, store: &Store) -> io::Result<()> {
+        let address = self.listener.local_addr()?;
         let row = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\
              \"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\
              \"cold-remaining-ms\":0,\"seq\":1}}",
-            SERVICES[1], self.address, ZONES[0]
+            SERVICES[1], address, ZONES[0]
         );
         store.set("servers", &self.id(), row.as_bytes());
+        Ok(())
     }
 
-    /// The process crashes, and the supervisor starts the next one, with an id
-    /// of its own.
-    fn crash(&mut self, record: &Record) -> io::Result<Duration> {
-        let began = Instant::now();
+    /// The process crashes.
+    fn crash(&mut self) -> io::Result<()> {
         self.child.kill()?;
-        self.child.wait()?;
-        self.child = Supervised::spawn(self.address)?;
+        self.child.wait().map(drop)
+    }
+
+    /// The supervisor starts the next process, with an id of its own.
+    fn start_again(&mut self, record: &Record) -> io::Result<()> {
+        self.child = Supervised::spawn(&self.listener)?;
         self.starts += 1;
-        while TcpStream::connect(self.address).is_err() {
-            thread::sleep(Duration::from_micros(200));
-        }
-        let down = began.elapsed();
         record.say(&format!("starts process {}", self.child.id()));
-        Ok(down)
+        Ok(())
     }
 }
 
@@ -139,7 +146,7 @@
     let text = crate::fleet::configuration(8, SERVICES[1]);
     fleet.store.set("op", "config", text.as_bytes());
     let mut server = Supervised::start(&record)?;
-    server.list(&fleet.store);
+    server.list(&fleet.store)?;
     thread::sleep(Duration::from_secs(2));
     let to = fleet.places[0].clients;
     let ask = |id: &str| -> io::Result<(u16, usize)> {
@@ -169,8 +176,8 @@
             let asked = scope.spawn(|| ask(&id));
             thread::sleep(CRASH_AFTER);
             if has_trouble {
-                let down = server.crash(&record)?;
-                record.say(&format!("the server was down for {down:?}"));
+                server.crash()?;
+                record.say("the server has crashed");
             }
             asked.join().unwrap()
         });
@@ -179,7 +186,9 @@
         let is_whole = matches!(end, Ok((200, BODY)));
         broken += usize::from(is_success && !is_whole);
         if has_trouble {
-            server.list(&fleet.store);
+            thread::sleep(DOWN);
+            server.start_again(&record)?;
+            server.list(&fleet.store)?;
             thread::sleep(Duration::from_secs(2));
             // The row of the process before has expired.
             let before = format!("i-s{}", server.starts - 1);
