--- a/review/standin-2/src/entry.rs
+++ b/review/standin-2/src/entry.rs
@@ -93,7 +93,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        // The script ends these if it is ended itself.
+        record.guard.started(child.id());
         record.say(&format!("starts process {}", child.id()));
         Ok(child)
     }
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -93,6 +93,7 @@
     pub places: Vec<EntryPlace>,
     pub children: Vec<Child>,
     folder: PathBuf,
+    record: Record,
 }
 
 impl Fleet {
@@ -107,6 +108,7 @@
         let folder = env::temp_dir()
             .join(format!("review-standin-2-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
+        record.guard.folder(&folder);
         let store = Store::new();
         store.set("op", "config", configuration(7, SERVICES[0]).as_bytes());
         let mut engines = Vec::new();
@@ -151,8 +153,16 @@
             places.push(place);
             gates.push(gate);
         }
-        let fleet =
-            Fleet { store, engines, servers, gates, places, children, folder };
+        let fleet = Fleet {
+            store,
+            engines,
+            servers,
+            gates,
+            places,
+            children,
+            folder,
+            record: record.clone(),
+        };
         let until = Instant::now() + Duration::from_secs(20);
         let is_up = || {
             fleet.engines.iter().all(|engine| engine.holds(LAYERS))
@@ -175,6 +185,7 @@
         for child in &mut self.children {
             let _ = child.kill();
             let _ = child.wait();
+            self.record.guard.ended(child.id());
         }
         if env::var_os("KEEP_LOGS").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod feed;
 mod fleet;
+mod guard;
 mod http;
 mod json;
 mod memory;
@@ -23,6 +24,7 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
         "feed" => feed::run(path, has_trouble),
+        "guard" => guard::run(),
         "memory" => memory::run(path, has_trouble),
         "restart" => restart::run(path, has_trouble),
         "server" => restart::serve(),
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -1,5 +1,6 @@
 //! What was sent, answered and run, for `record.txt`.
 
+use crate::guard::Guard;
 use std::{
     fs::File,
     io::{self, BufWriter, Write},
@@ -11,6 +12,8 @@
 #[derive(Clone)]
 pub struct Record {
     began: Instant,
+    /// Ends what the script starts.
+    pub guard: Guard,
     file: Arc<Mutex<BufWriter<File>>>,
 }
 
@@ -18,7 +21,8 @@
     /// Creates the file.
     pub fn create(path: &str) -> io::Result<Record> {
         let file = Arc::new(Mutex::new(BufWriter::new(File::create(path)?)));
-        Ok(Record { began: Instant::now(), file })
+        let guard = Guard::start()?;
+        Ok(Record { began: Instant::now(), guard, file })
     }
 
     /// Milliseconds since the start.
--- a/review/standin-2/src/restart.rs
+++ b/review/standin-2/src/restart.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     client,
-    engine::Work,
+    engine::{Engine, Work},
     fleet::{Fleet, ONCE, SERVICES, ZONES},
     http::Conn,
     record::Record,
@@ -24,6 +24,8 @@
 /// answer without a length.
 const CRASHES: usize = 8;
 const REQUESTS: usize = 39;
+/// Servers of the service beside one a zone and the one that crashes.
+const MORE_SERVERS: usize = 4;
 /// Time between the two halves of an answer, and from the first to a crash.
 const PAUSE: Duration = Duration::from_millis(120);
 const CRASH_AFTER: Duration = Duration::from_millis(60);
@@ -93,6 +95,7 @@
     fn start(record: &Record) -> io::Result<Supervised> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let child = Supervised::spawn(&listener)?;
+        record.guard.started(child.id());
         record.say(&format!("starts process {}", child.id()));
         Ok(Supervised { listener, child, starts: 1 })
     }
@@ -114,15 +117,18 @@
     }
 
     /// The process crashes.
-    fn crash(&mut self) -> io::Result<()> {
+    fn crash(&mut self, record: &Record) -> io::Result<()> {
         self.child.kill()?;
-        self.child.wait().map(drop)
+        self.child.wait()?;
+        record.guard.ended(self.child.id());
+        Ok(())
     }
 
     /// The supervisor starts the next process, with an id of its own.
     fn start_again(&mut self, record: &Record) -> io::Result<()> {
         self.child = Supervised::spawn(&self.listener)?;
         self.starts += 1;
+        record.guard.started(self.child.id());
         record.say(&format!("starts process {}", self.child.id()));
         Ok(())
     }
@@ -142,9 +148,18 @@
         events: 0,
         gap: Duration::ZERO,
     };
-    let fleet = Fleet::start(&ZONES, plain.clone(), plain, &record)?;
+    let fleet = Fleet::start(&ZONES, plain.clone(), plain.clone(), &record)?;
     let text = crate::fleet::configuration(8, SERVICES[1]);
     fleet.store.set("op", "config", text.as_bytes());
+    // One of eight servers crashes; the site's share is 0.14.
+    let mut others = Vec::new();
+    for at in 0..MORE_SERVERS {
+        let (id, zone) = (format!("i-x{at}"), ZONES[at % ZONES.len()]);
+        let place = (&*id, SERVICES[1], zone, "");
+        let work = plain.clone();
+        let ip = ("127.0.0.1", 6);
+        others.push(Engine::start(place, ip, work, &fleet.store, &record)?);
+    }
     let mut server = Supervised::start(&record)?;
     server.list(&fleet.store)?;
     thread::sleep(Duration::from_secs(2));
@@ -176,7 +191,7 @@
             let asked = scope.spawn(|| ask(&id));
             thread::sleep(CRASH_AFTER);
             if has_trouble {
-                server.crash()?;
+                server.crash(&record)?;
                 record.say("the server has crashed");
             }
             asked.join().unwrap()
