Emulator: a run tells how close it came to each rule on retries; faults of all entries at once

A run that broke no rule had no figure, so that nobody saw how close it came, and one random entry at a time was all that could be killed or paused. Seeds of the soak from 2^32 draw the new faults; lower seeds are unchanged.

--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -108,6 +108,10 @@
     AnswersUnending,
     /// Two groups of entries do not hear each other.
     EntriesParted,
+    /// All entries are killed at the same moment and restarted.
+    EntriesKilled,
+    /// All entries are paused at the same moment.
+    EntriesPause,
 }
 
 /// Delay on a link; longer than the connect timeout of an entry.
@@ -117,7 +121,7 @@
 const NARROW_LINK: LinkFault = LinkFault::Narrow(200_000);
 
 /// All faults with their names in experiments.
-const FAULTS: [(&str, FaultKind); 45] = [
+const FAULTS: [(&str, FaultKind); 47] = [
     ("engine-ends", FaultKind::EngineEnds),
     ("engine-dark", FaultKind::EngineDark),
     ("engine-slow", FaultKind::EngineSlow),
@@ -163,6 +167,8 @@
     ("part-crashes", FaultKind::PartCrashes),
     ("answers-unending", FaultKind::AnswersUnending),
     ("entries-parted", FaultKind::EntriesParted),
+    ("entries-killed", FaultKind::EntriesKilled),
+    ("entries-pause", FaultKind::EntriesPause),
 ];
 
 /// Duration of a fault for which the experiment gives none.
@@ -244,6 +250,11 @@
         matches!(self, FaultKind::RestAsked | FaultKind::EngineSaysLeaving)
     }
 
+    /// Whether all entries fail at the same moment.
+    pub fn affects_all_entries(self) -> bool {
+        matches!(self, FaultKind::EntriesKilled | FaultKind::EntriesPause)
+    }
+
     /// All kinds of faults that have a name.
     pub fn all() -> impl Iterator<Item = FaultKind> {
         FAULTS.iter().map(|fault| fault.1)
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -106,8 +106,13 @@
         let run = running.run(&experiment.load, &experiment.faults);
         anyhow::Ok(run.await)
     })?;
-    print_report(&report, arguments.get_flag("json"));
-    let violations = report.retry_violations(experiment.site.retry_slack);
+    let is_json = arguments.get_flag("json");
+    print_report(&report, is_json);
+    let slack = experiment.site.retry_slack;
+    if !is_json {
+        print!("{}", report.retry_summary(slack));
+    }
+    let violations = report.retry_violations(slack);
     for text in &violations {
         println!("BROKEN {text}");
     }
--- a/crates/emulator/src/retry_rules.rs
+++ b/crates/emulator/src/retry_rules.rs
@@ -89,6 +89,33 @@
         violations
     }
 
+    /// How close the requests came to each of the three rules.
+    pub fn retry_summary(&self, slack: f64) -> String {
+        let window = |is_model| {
+            let worst = self.worst_retry_window(is_model, slack);
+            worst.map_or("none".to_owned(), |worst| {
+                let end = worst.ends_at.saturating_duration_since(self.start);
+                format!(
+                    "{} of {:.0} at {:.1} s",
+                    worst.retries,
+                    worst.limit,
+                    end.as_secs_f64()
+                )
+            })
+        };
+        let deadlines = self.deadline_counts();
+        format!(
+            "repeats in the worst window: engines {}, plain servers {}\n\
+             requests on more than {MAX_ATTEMPTS} servers: {}\n\
+             deadlines too long: {} of {} counted\n",
+            window(true),
+            window(false),
+            self.requests_on_excess_servers().len(),
+            deadlines.too_long,
+            deadlines.counted
+        )
+    }
+
     /// The worst window at the engines, or at the plain service; `None`
     /// without repeats.
     pub fn worst_retry_window(
--- a/crates/emulator/src/running/faults.rs
+++ b/crates/emulator/src/running/faults.rs
@@ -137,6 +137,12 @@
                 self.send_with_crashing_part(rng.u16(..), duration);
             }
             (FaultKind::EntriesParted, _) => self.part_entries(duration, rng),
+            (FaultKind::EntriesKilled, _) => {
+                self.for_each_entry(|entry| self.kill_for(entry, duration));
+            }
+            (FaultKind::EntriesPause, _) => {
+                self.for_each_entry(|entry| self.pause(entry, duration));
+            }
             (FaultKind::LimitNamed, _) => self.announce_limit(duration, rng),
             (FaultKind::RestAsked, _) => self.request_cooldown(duration, rng),
             (_, None) => {}
@@ -152,6 +158,10 @@
         self.spawn_after(duration, async move { links.heal() });
     }
 
+    fn for_each_entry(&self, fail: impl Fn(usize)) {
+        (0..self.addresses.len()).for_each(fail);
+    }
+
     fn slow_down(&self, engine: SocketAddr, duration: Duration) {
         let engines = move |_: &BackendServers| vec![engine];
         self.apply_for(duration, engines, |server, is_on| {
--- a/crates/emulator/src/soak.rs
+++ b/crates/emulator/src/soak.rs
@@ -51,6 +51,8 @@
 const FIRST_UNENDING_SEED: u64 = 1 << 30;
 /// First seed with entries that do not hear each other.
 const FIRST_PARTED_SEED: u64 = 1 << 31;
+/// First seed with faults of all entries at the same moment.
+const FIRST_ALL_ENTRIES_SEED: u64 = 1 << 32;
 /// Most memory that an entry may hold in such a run: the platform kills
 /// processes that exceed the memory of their machine.
 const MAX_MEMORY_BYTES: u64 = MEMORY_MB << 20;
@@ -103,6 +105,9 @@
             seed >= FIRST_UNENDING_SEED || !kind.sends_without_end()
         })
         .filter(|kind| seed >= FIRST_PARTED_SEED || !kind.parts_entries())
+        .filter(|kind| {
+            seed >= FIRST_ALL_ENTRIES_SEED || !kind.affects_all_entries()
+        })
         .collect();
     let mut faults: Vec<Fault> = (0..FAULT_COUNT)
         .map(|_| Fault {
@@ -111,7 +116,13 @@
             duration: Duration::from_millis(rng.u64(300..2_500)),
         })
         .collect();
-    if seed >= FIRST_PARTED_SEED {
+    if seed >= FIRST_ALL_ENTRIES_SEED {
+        faults[0].kind = FaultKind::EntriesKilled;
+        faults[1].kind = FaultKind::EntriesKilled;
+        faults[2].kind = FaultKind::StreamsReset;
+        faults[3].kind = FaultKind::AnswersLost;
+        faults[4].kind = FaultKind::EntriesPause;
+    } else if seed >= FIRST_PARTED_SEED {
         faults[0] = Fault {
             at: Duration::ZERO,
             kind: FaultKind::EntriesParted,
