Tell how old the reports are on which retries are decided

What another entry reports counted from when it was read; nothing told when it was sent. State messages carry the time of sending on the sender's clock, and the quickest message of a process shows the offset of the two clocks (membership::send_times). retry_budget_spent has oldest_report_ms and the age of the process, the status document has oldest_report_ms, and a run of the emulator keeps logs. No logic uses the new time yet.

--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -15,6 +15,7 @@
     issuer::{self, PARTITION_TIMEOUT_MS},
     rendezvous::{Candidate, CapacityClass, first_by_capacity},
     roster::{ListedEntry, Roster},
+    send_times::SendTimes,
     startup,
 };
 use chestnutreach_protocol::peers::{KnownEntry, OpenMove, PeerState};
@@ -43,6 +44,7 @@
     listed: Mutex<BTreeSet<SocketAddr>>,
     /// The entries among which limits are divided.
     roster: Mutex<Roster>,
+    send_times: Mutex<SendTimes>,
     /// Addresses at which this entry reached itself.
     own: Mutex<BTreeSet<SocketAddr>>,
     /// When entries were lost that had not announced a stop, by address.
@@ -79,6 +81,8 @@
     vm: String,
     sequence: u64,
     received_ms: u64,
+    /// When the last message was sent.
+    sent_ms: u64,
     is_stopping: bool,
     data_centre: String,
     feed_port: u16,
@@ -250,6 +254,15 @@
         self.lock().values().filter(is_heard).count()
     }
 
+    /// Time since the oldest of the last reports of the others was sent.
+    pub(crate) fn oldest_report_ms(&self) -> u64 {
+        let now_ms = now_ms();
+        let peers = self.lock();
+        let reported = peers.values().filter(|peer| peer.has_reported);
+        let age_ms = |peer: &Peer| now_ms.saturating_sub(peer.sent_ms);
+        reported.map(age_ms).max().unwrap_or(0)
+    }
+
     /// Number of listed entries that have not reported yet.
     pub(crate) fn without_report_count(&self) -> usize {
         self.lock().values().filter(|p| p.is_report_due()).count()
@@ -613,6 +626,7 @@
         from: SocketAddr,
         state: &PeerState,
     ) -> StateOutcome {
+        let sent_ms = self.sent_ms(state);
         let mut peers = self.lock();
         let peer = peers.entry(from).or_default();
         let is_new_process = peer.boot_id != state.boot_id;
@@ -624,6 +638,7 @@
         peer.vm.clone_from(&state.vm);
         peer.sequence = state.sequence;
         peer.received_ms = now_ms();
+        peer.sent_ms = sent_ms;
         peer.is_stopping = state.is_stopping;
         peer.data_centre.clone_from(&state.data_centre);
         peer.feed_port = u16::try_from(state.feed_port).unwrap_or(0);
@@ -658,6 +673,12 @@
         }
     }
 
+    /// When a state message was sent, on the clock of this process.
+    fn sent_ms(&self, state: &PeerState) -> u64 {
+        let mut times = self.send_times.lock().expect("no holder panics");
+        times.sent_ms(state.boot_id, state.sent_ms, now_ms())
+    }
+
     /// Records the sent requests in a state message, and drops reports older
     /// than the window.
     pub(crate) fn record_sent(&self, state: &PeerState, window_ms: u64) {
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -218,6 +218,7 @@
         suspects: suspect_reports(core),
         notices: core.permits.notices(core),
         milli_cores: core.milli_cores(),
+        sent_ms: now_ms(),
         ..PeerState::default()
     }
 }
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -418,6 +418,8 @@
                 ("own_retries", &own.retries),
                 ("entries", &self.peers.sharing_entries().unwrap_or(0)),
                 ("heard", &self.peers.heard_count(limit.report_delay_ms)),
+                ("oldest_report_ms", &self.peers.oldest_report_ms()),
+                ("age_ms", &self.age_ms()),
             ],
         );
     }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -328,6 +328,7 @@
         "is_planner": core.is_planner.load(Relaxed),
         "entries": core.peers.entry_count(),
         "entries_sharing": core.peers.sharing_entries(),
+        "oldest_report_ms": core.peers.oldest_report_ms(),
         "report_delay_ms": core.retry_limit().report_delay_ms,
         "suspects": core.suspects.status(),
         "permits": core.permits.status(),
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -44,6 +44,13 @@
         .subcommand_required(true)
         .subcommand(
             Command::new("run")
+                .arg(
+                    Arg::new("logs")
+                        .long("logs")
+                        .value_name("DIR")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Keep the logs of the entries"),
+                )
                 .about("Run an experiment")
                 .arg(
                     Arg::new("file")
@@ -104,7 +111,11 @@
         let running =
             running::start(&executor, binary, &experiment.site).await?;
         let run = running.run(&experiment.load, &experiment.faults);
-        anyhow::Ok(run.await)
+        let report = run.await;
+        if let Some(dir) = arguments.get_one::<PathBuf>("logs") {
+            running.copy_logs(dir)?;
+        }
+        anyhow::Ok(report)
     })?;
     let is_json = arguments.get_flag("json");
     print_report(&report, is_json);
--- a/crates/emulator/src/running.rs
+++ b/crates/emulator/src/running.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    io,
     net::SocketAddr,
     path::Path,
     sync::{Arc, Mutex},
@@ -325,6 +326,15 @@
         (0..self.addresses.len()).map(|entry| self.log(entry)).collect()
     }
 
+    /// Copies the logs of all entries to a directory.
+    ///
+    /// # Errors
+    ///
+    /// A log can't be copied.
+    pub fn copy_logs(&self, dir: &Path) -> io::Result<()> {
+        self.entries().copy_logs(dir)
+    }
+
     /// Log of one entry; empty if it can't be read.
     pub fn log(&self, entry: usize) -> String {
         self.entries().log(entry).unwrap_or_default()
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -9,7 +9,8 @@
 //!
 //! Nothing in this crate reads a clock or does I/O. Time is passed in as
 //! milliseconds of a monotonic clock of one process (`now_ms`). Messages
-//! between processes carry only ages, because clocks differ.
+//! between processes carry ages, because clocks differ; the one time that they
+//! carry is that of [`send_times`].
 //!
 //! | module | contents |
 //! |---|---|
@@ -22,6 +23,7 @@
 //! | [`startup`] | how an entry that starts finds the others |
 //! | [`restored_row`] | rows that are older than what is known |
 //! | [`row_ages`] | rows of machines that are gone for good |
+//! | [`send_times`] | when messages of other entries were sent |
 //! | [`short_rows`] | short forms of long rows |
 //! | [`table`] | a copy of a table that responds in place of the store |
 //!
@@ -46,6 +48,7 @@
 pub mod restored_row;
 pub mod roster;
 pub mod row_ages;
+pub mod send_times;
 pub mod short_rows;
 pub mod startup;
 pub mod table;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -150,7 +150,7 @@
         "A caller hung up; its request is cancelled.";
     RetryBudgetSpent = 408, "retry_budget_spent", Warn,
         ["service", "request", "own_requests", "own_retries", "entries",
-         "heard"],
+         "heard", "oldest_report_ms", "age_ms"],
         "A service has no retries left; failures go to callers.";
 
     StepRefused = 501, "step_refused", Warn,
