Processes of an entry that follow each other share its part of the retries (BUDGET)

Callers' users saw more repeats at a service than its limit.

Cause: a process that starts knows nothing of the retries of the one before, and took 0.25 of its part of the limit again, own and shared, at each start. With several starts in a window the sum had no bound. What a process borrowed after its last report was known to nobody.

Change: in its first window the quota of a process grows with its age, so that all of an entry's processes in their first window use 0.3 of its part however many they are. A process borrows once it has heard the others for a window. Of one that ended, what it could borrow after its last report is kept free. The shared part is 0.45 (0.5): 0.4 x 1.3 + 0.45 = 0.97 of the limit.

Ruled out: a fixed share at each start (any share above nothing exceeds the limit with enough starts).

--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -19,7 +19,9 @@
     startup,
 };
 use chestnutreach_protocol::peers::{KnownEntry, OpenMove, PeerState};
-use chestnutreach_routing::{DemandRates, SentCounts};
+use chestnutreach_routing::{
+    DemandRates, PeerReport, RetryReports, SentCounts,
+};
 
 use crate::{clock::now_ms, cluster::peer_demand, subscribers::Subscribers};
 
@@ -36,9 +38,9 @@
     /// Data centre of this entry.
     data_centre: String,
     peers: Mutex<BTreeMap<SocketAddr, Peer>>,
-    /// Requests sent by other processes, by boot id. A report outlives its
-    /// process by the retry window, since the requests count for that long.
-    sent_reports: Mutex<BTreeMap<u64, SentReport>>,
+    retry_reports: Mutex<RetryReports>,
+    /// What callers of other processes ask for, by boot id.
+    demand_reports: Mutex<BTreeMap<u64, DemandReport>>,
     /// Addresses found in the table of the store from which no message has
     /// arrived since. Rows of machines that were removed for good stay there.
     listed: Mutex<BTreeSet<SocketAddr>>,
@@ -119,13 +121,11 @@
     New(Option<u64>),
 }
 
-/// Requests that a process reported to have sent.
+/// What callers of a process ask for.
 #[derive(Debug, Default)]
-struct SentReport {
+struct DemandReport {
     received_ms: u64,
-    /// Requests and retries by service.
-    sent: BTreeMap<String, SentCounts>,
-    /// What callers of the peer ask for, by service.
+    /// What they ask for, by service.
     demand: BTreeMap<String, DemandRates>,
 }
 
@@ -292,9 +292,9 @@
         now_ms: u64,
     ) -> DemandRates {
         let timeout_ms = self.by_counts(gossip::demand_timeout_ms);
-        let reports = self.sent_reports.lock().expect("no holder panics");
+        let reports = self.demand_reports.lock().expect("no holder panics");
         let mut sum = DemandRates::default();
-        let is_recent = |report: &&SentReport| {
+        let is_recent = |report: &&DemandReport| {
             now_ms.saturating_sub(report.received_ms) < timeout_ms
         };
         for report in reports.values().filter(is_recent) {
@@ -311,26 +311,20 @@
         &self,
         service: &str,
         within_ms: u64,
-    ) -> Option<Vec<SentCounts>> {
-        if !self.roster().are_all_heard(within_ms, now_ms()) {
-            return None;
-        }
-        let reports = self.sent_reports.lock().expect("no holder panics");
-        let sent = |report: &SentReport| report.sent.get(service).copied();
-        let sent =
-            reports.values().map(|report| sent(report).unwrap_or_default());
-        Some(sent.collect())
+    ) -> Option<Vec<PeerReport>> {
+        let roster = self.roster();
+        let reports = self.retry_reports();
+        reports.of_service(service, &roster, within_ms, now_ms())
     }
 
     /// Mean number of requests that each other entry received in the window;
     /// `None` without reports.
     pub(crate) fn mean_requests(&self) -> Option<f64> {
-        let reports = self.sent_reports.lock().expect("no holder panics");
-        let requests = |report: &SentReport| -> f64 {
-            report.sent.values().map(|sent| f64::from(sent.requests)).sum()
-        };
-        let total: f64 = reports.values().map(requests).sum();
-        (!reports.is_empty()).then(|| total / reports.len() as f64)
+        self.retry_reports().mean_requests()
+    }
+
+    fn retry_reports(&self) -> MutexGuard<'_, RetryReports> {
+        self.retry_reports.lock().expect("no holder panics")
     }
 
     /// Whether another entry reported recently that it is the planner.
@@ -679,24 +673,27 @@
         times.sent_ms(state.boot_id, state.sent_ms, now_ms())
     }
 
-    /// Records the sent requests in a state message, and drops reports older
-    /// than the window.
+    /// Records the sent requests and the demand in a state message, and drops
+    /// reports older than the window.
     pub(crate) fn record_sent(&self, state: &PeerState, window_ms: u64) {
         let now_ms = now_ms();
-        let sent = state.services.iter();
-        let sent = sent.map(|s| {
+        let services = state.services.iter();
+        let counts = services.clone().map(|s| {
             let sent = SentCounts { requests: s.requests, retries: s.further };
             (s.service.clone(), sent)
         });
-        let demand = state.services.iter();
-        let demand =
-            demand.map(|s| (s.service.clone(), peer_demand::from_message(s)));
-        let new = SentReport {
-            received_ms: now_ms,
-            sent: sent.collect(),
-            demand: demand.collect(),
-        };
-        let mut reports = self.sent_reports.lock().expect("no holder panics");
+        self.retry_reports().record(
+            state.boot_id,
+            now_ms,
+            counts,
+            (window_ms, now_ms),
+        );
+        let demand = services
+            .map(|s| (s.service.clone(), peer_demand::from_message(s)));
+        let new =
+            DemandReport { received_ms: now_ms, demand: demand.collect() };
+        let mut reports =
+            self.demand_reports.lock().expect("no holder panics");
         reports.insert(state.boot_id, new);
         reports
             .retain(|_, t| now_ms.saturating_sub(t.received_ms) < window_ms);
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -16,8 +16,8 @@
 };
 use chestnutreach_protocol::peers::OpenMove;
 use chestnutreach_routing::{
-    CapacityWaits, FirstEventWaits, RetryLimit, RetrySharing, RetryWindow,
-    SentCounts,
+    CapacityWaits, FirstEventWaits, PeerReport, RetryLimit, RetrySharing,
+    RetryWindow, SentCounts,
 };
 use chestnutreach_site::{Configuration, Limits, NodeSettings, StoreVersion};
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
@@ -43,11 +43,6 @@
 /// a request is checked some time after it was sent.
 const REVOKE_MARGIN_MS: u64 = 400;
 
-/// Share of the retry limit that a process uses within its first window. The
-/// retries of the previous process count in the same window, and both together
-/// stay within the limit.
-const STARTUP_RETRY_SHARE: f64 = 0.25;
-
 /// Minimum uptime of a deputy planner. A younger process has not received
 /// messages from all peers yet, and a first planner is elected within 1 s.
 const MIN_DEPUTY_UPTIME_MS: u64 = 3_000;
@@ -317,16 +312,9 @@
 
     pub(crate) fn retry_limit(&self) -> RetryLimit {
         let bounds = &self.settings.bounds;
-        // Retries of the previous process still count, and their number is
-        // unknown here.
-        let age_ms = now_ms().saturating_sub(self.started_ms);
-        let share = match age_ms < bounds.retry_window_ms {
-            true => STARTUP_RETRY_SHARE,
-            false => 1.0,
-        };
         RetryLimit {
-            ratio: bounds.retry_ratio * share,
-            free_retries: bounds.free_retries * share,
+            ratio: bounds.retry_ratio,
+            free_retries: bounds.free_retries,
             window_ms: bounds.retry_window_ms,
             report_delay_ms: self.peers.report_delay_ms(),
         }
@@ -350,9 +338,9 @@
     /// Retries left of this entry's own budget, by service.
     pub(crate) fn remaining_retries(&self) -> Vec<(String, f64)> {
         let limit = self.retry_limit();
-        let entries = self.peers.sharing_entries();
+        let sharing = self.retry_sharing(None);
         self.retries
-            .map_each(|window| window.remaining(&limit, entries, now_ms()))
+            .map_each(|window| window.remaining(&limit, &sharing, now_ms()))
     }
 
     /// How long the store has been unavailable; 0 while it responds.
@@ -367,16 +355,24 @@
     pub(crate) fn try_take_retry(&self, service: &str) -> bool {
         let limit = self.retry_limit();
         let others = self.peers.sent_by_peers(service, limit.report_delay_ms);
-        let sharing = RetrySharing {
-            entries: self.peers.sharing_entries(),
-            peers: others.as_deref(),
-        };
+        let sharing = self.retry_sharing(others.as_deref());
         let take = |window: &mut RetryWindow| {
             window.try_take(&limit, &sharing, now_ms())
         };
         self.retries.update(service, take)
     }
 
+    fn retry_sharing<'a>(
+        &self,
+        peers: Option<&'a [PeerReport]>,
+    ) -> RetrySharing<'a> {
+        RetrySharing {
+            entries: self.peers.sharing_entries(),
+            peers,
+            process_age_ms: self.age_ms(),
+        }
+    }
+
     /// Records the first event of a stream that was sent at `sent_ms`.
     pub(crate) fn record_first_event(&self, service: &str, sent_ms: u64) {
         let record =
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -33,6 +33,7 @@
 //! | [`attempts`] | whether a request may be sent to another server |
 //! | [`memory_pool`] | memory that requests or responses may hold |
 //! | [`retry_budget`] | limit on the retries of one entry |
+//! | [`retry_reports`] | what other processes reported to have sent |
 //! | [`retry_window`] | limit on the retries of all entries in a window |
 //! | [`rate_limit`] | rate limit that a server announced |
 //! | [`permits`] | permits to send to a server with a rate limit |
@@ -116,6 +117,7 @@
 mod recent_choices;
 pub mod request_shape;
 pub mod retry_budget;
+pub mod retry_reports;
 pub mod retry_window;
 pub mod return_times;
 mod search;
@@ -172,7 +174,10 @@
 pub use rate_limit::{AnnouncedLimit, ServerRateLimit};
 pub use request_shape::RequestShape;
 pub use retry_budget::RetryBudget;
-pub use retry_window::{RetryLimit, RetrySharing, RetryWindow, SentCounts};
+pub use retry_reports::RetryReports;
+pub use retry_window::{
+    PeerReport, RetryLimit, RetrySharing, RetryWindow, SentCounts,
+};
 pub use return_times::ReturnTimes;
 pub use search_turns::{SearchTurns, TurnRequest};
 pub use stall_check::StallCheck;
--- a/crates/routing/src/retry_window.rs
+++ b/crates/routing/src/retry_window.rs
@@ -9,8 +9,18 @@
 //! others have borrowed, and the later the more entries there are
 //! ([`RetryLimit::report_delay_ms`]). In that time each entry borrows at most
 //! its quota of half of the remaining part, so that all entries together stay
-//! below the limit. An entry that restarts forgets its retries; the share that
-//! is neither distributed nor shared covers them.
+//! below the limit.
+//!
+//! A process that starts knows nothing of the retries of the one before. Within
+//! its first window, its quota grows with its age, so that any number of
+//! processes of an entry that follow each other use no more than a fixed share
+//! on top of the quota. It borrows only once it has heard the others for a
+//! window: what processes that have ended borrowed is in no report. A process
+//! that ended may have borrowed after its last report, so its part is kept
+//! free.
+//!
+//! The shares add up to less than the limit: `OWN_SHARE` times 1 +
+//! `STARTUP_SHARE`, and `SHARED_SHARE`.
 
 use std::collections::VecDeque;
 
@@ -18,8 +28,11 @@
 const CELL_MS: u64 = 250;
 /// Share of the limit that is distributed.
 const OWN_SHARE: f64 = 0.4;
+/// Share of an entry's quota that all its processes in their first window may
+/// use.
+const STARTUP_SHARE: f64 = 0.3;
 /// Share of the limit that all entries share.
-const SHARED_SHARE: f64 = 0.5;
+const SHARED_SHARE: f64 = 0.45;
 
 /// Share of the remaining part that all entries together may borrow before
 /// they have received each other's reports.
@@ -52,7 +65,43 @@
     /// not known.
     pub entries: Option<usize>,
     /// Reports of the others; `None` unless each of them was heard lately.
-    pub peers: Option<&'a [SentCounts]>,
+    pub peers: Option<&'a [PeerReport]>,
+    /// Time since this process started, in milliseconds.
+    pub process_age_ms: u64,
+}
+
+impl RetrySharing<'_> {
+    /// Share of its quota that a process of this age may use.
+    fn quota_share(&self, limit: &RetryLimit) -> f64 {
+        match self.process_age_ms < limit.window_ms {
+            true => {
+                let age = self.process_age_ms as f64 / limit.window_ms as f64;
+                STARTUP_SHARE * age
+            }
+            false => 1.0,
+        }
+    }
+
+    /// Whether the reports cover all that was borrowed within the window.
+    fn has_heard_for_a_window(&self, limit: &RetryLimit) -> bool {
+        self.process_age_ms >= limit.window_ms + limit.report_delay_ms
+    }
+}
+
+/// The last report of another process.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PeerReport {
+    /// What the process had sent within the window.
+    pub counts: SentCounts,
+    /// Time since the report was sent, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl PeerReport {
+    /// Whether another report of the process should have arrived since.
+    fn is_overdue(&self, limit: &RetryLimit) -> bool {
+        self.age_ms > limit.report_delay_ms
+    }
 }
 
 /// Retries that an entry may use whatever the others use.
@@ -121,9 +170,12 @@
     ) -> bool {
         let Some(entries) = sharing.entries else { return false };
         let counts = self.counts(limit, now_ms);
-        let quota = own_quota(limit, entries, &counts);
+        let quota =
+            sharing.quota_share(limit) * own_quota(limit, entries, &counts);
+        let peers =
+            sharing.peers.filter(|_| sharing.has_heard_for_a_window(limit));
         let is_allowed = f64::from(counts.retries) + 1.0 <= quota
-            || sharing.peers.is_some_and(|peers| {
+            || peers.is_some_and(|peers| {
                 self.borrow(limit, entries, peers, now_ms)
             });
         if is_allowed {
@@ -136,12 +188,13 @@
     pub fn remaining(
         &mut self,
         limit: &RetryLimit,
-        entries: Option<usize>,
+        sharing: &RetrySharing<'_>,
         now_ms: u64,
     ) -> f64 {
-        let Some(entries) = entries else { return 0.0 };
+        let Some(entries) = sharing.entries else { return 0.0 };
         let counts = self.counts(limit, now_ms);
-        let quota = own_quota(limit, entries, &counts);
+        let quota =
+            sharing.quota_share(limit) * own_quota(limit, entries, &counts);
         (quota - f64::from(counts.retries)).max(0.0)
     }
 
@@ -159,20 +212,23 @@
         &mut self,
         limit: &RetryLimit,
         entries: usize,
-        peers: &[SentCounts],
+        peers: &[PeerReport],
         now_ms: u64,
     ) -> bool {
         if peers.len() + 1 < entries {
             return false;
         }
         let counts = self.counts(limit, now_ms);
-        let all = || peers.iter().chain([&counts]);
+        let all = || peers.iter().map(|p| &p.counts).chain([&counts]);
         let requests: u32 = all().map(|s| s.requests).sum();
         let shared = SHARED_SHARE * limit.retries_for(f64::from(requests));
         let borrowed = |s: &SentCounts| {
             (f64::from(s.retries) - own_quota(limit, entries, s)).max(0.0)
         };
-        let left = shared - all().map(borrowed).sum::<f64>();
+        let ended = peers.iter().filter(|p| p.is_overdue(limit)).count();
+        let untold =
+            ended as f64 * BORROW_SHARE * shared / entries.max(1) as f64;
+        let left = shared - untold - all().map(borrowed).sum::<f64>();
         let quota = BORROW_SHARE * left / entries.max(1) as f64;
         let since_ms = now_ms.saturating_sub(self.borrowing.since_ms);
         if since_ms >= limit.report_delay_ms {
--- a/crates/routing/tests/retry_fleet.rs
+++ b/crates/routing/tests/retry_fleet.rs
@@ -1,10 +1,11 @@
 //! The limit on retries while entries end, stand still, read late or do not
 //! hear each other, in any order.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{collections::VecDeque, net::SocketAddr};
 
+use chestnutreach_membership::roster::{ListedEntry, Roster};
 use chestnutreach_routing::{
-    RetryLimit, RetrySharing, RetryWindow, SentCounts,
+    RetryLimit, RetryReports, RetrySharing, RetryWindow, SentCounts,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -79,9 +80,11 @@
     counts: SentCounts,
 }
 
-struct Report {
-    counts: SentCounts,
-    received_ms: u64,
+/// Service of all requests.
+const SERVICE: &str = "desk";
+
+fn address(entry: usize) -> SocketAddr {
+    ([10, 0, 0, 1], entry as u16).into()
 }
 
 /// A process of an entry, with what it knows of the others.
@@ -89,52 +92,54 @@
     boot_id: u64,
     started_ms: u64,
     window: RetryWindow,
-    reports: BTreeMap<u64, Report>,
-    heard_ms: Vec<Option<u64>>,
+    reports: RetryReports,
+    roster: Roster,
+    has_list: bool,
 }
 
 impl Process {
-    fn new(fleet: &Fleet, boot_id: u64, now_ms: u64) -> Process {
+    fn new(boot_id: u64, now_ms: u64) -> Process {
         Process {
             boot_id,
             started_ms: now_ms,
             window: RetryWindow::with_seed(boot_id),
-            reports: BTreeMap::new(),
-            heard_ms: vec![None; fleet.entries],
+            reports: RetryReports::new(),
+            roster: Roster::new(),
+            has_list: false,
         }
     }
 
     fn read(&mut self, message: &Message, now_ms: u64) {
-        self.heard_ms[message.from] = Some(now_ms);
-        let report = Report { counts: message.counts, received_ms: now_ms };
-        self.reports.insert(message.boot_id, report);
-        self.reports.retain(|_, r| now_ms - r.received_ms < WINDOW_MS);
+        self.roster.record_heard(address(message.from), now_ms);
+        self.reports.record(
+            message.boot_id,
+            now_ms,
+            [(SERVICE.to_owned(), message.counts)],
+            (WINDOW_MS, now_ms),
+        );
     }
 
-    fn limit(&self, fleet: &Fleet, now_ms: u64) -> RetryLimit {
-        let limit = fleet.limit();
-        let is_young = now_ms - self.started_ms < WINDOW_MS;
-        let share = if is_young { 0.25 } else { 1.0 };
-        RetryLimit {
-            ratio: limit.ratio * share,
-            free_retries: limit.free_retries * share,
-            ..limit
+    fn list_others(&mut self, fleet: &Fleet, own: usize, now_ms: u64) {
+        if self.has_list || now_ms < self.started_ms + DISCOVERY_MS {
+            return;
         }
+        self.has_list = true;
+        let others = (0..fleet.entries).filter(|entry| *entry != own);
+        let listed = others
+            .map(|entry| ListedEntry { address: address(entry), age_ms: 0 });
+        self.roster.apply_list(&listed.collect::<Vec<_>>(), 0, now_ms);
     }
 
     fn try_take(&mut self, fleet: &Fleet, own: usize, now_ms: u64) -> bool {
-        let limit = self.limit(fleet, now_ms);
-        let is_heard = |(entry, heard_ms): (usize, &Option<u64>)| {
-            entry == own
-                || heard_ms
-                    .is_some_and(|ms| now_ms - ms <= limit.report_delay_ms)
-        };
-        let are_all_heard = self.heard_ms.iter().enumerate().all(is_heard);
-        let counts: Vec<_> = self.reports.values().map(|r| r.counts).collect();
-        let has_list = now_ms - self.started_ms >= DISCOVERY_MS;
+        self.list_others(fleet, own, now_ms);
+        let limit = fleet.limit();
+        let within_ms = limit.report_delay_ms;
+        let reports =
+            self.reports.of_service(SERVICE, &self.roster, within_ms, now_ms);
         let sharing = RetrySharing {
-            entries: has_list.then_some(fleet.entries),
-            peers: are_all_heard.then_some(counts.as_slice()),
+            entries: self.roster.entry_count(),
+            peers: reports.as_deref(),
+            process_age_ms: now_ms - self.started_ms,
         };
         self.window.try_take(&limit, &sharing, now_ms)
     }
@@ -252,7 +257,7 @@
             if entry.process.is_none() && entry.down_until_ms <= now_ms {
                 let boot_id = self.next_boot_id;
                 self.next_boot_id += 1;
-                let process = Process::new(&self.fleet, boot_id, now_ms);
+                let process = Process::new(boot_id, now_ms);
                 entry.process = Some(process);
             }
         }
--- a/crates/routing/tests/retry_window.rs
+++ b/crates/routing/tests/retry_window.rs
@@ -1,7 +1,7 @@
 //! The limit on retries that all entries share.
 
 use chestnutreach_routing::{
-    RetryLimit, RetrySharing, RetryWindow, SentCounts,
+    PeerReport, RetryLimit, RetrySharing, RetryWindow, SentCounts,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -60,9 +60,9 @@
         }
     }
 
-    fn others(&self, own: usize) -> Vec<SentCounts> {
+    fn others(&self, own: usize) -> Vec<PeerReport> {
         let others = self.reported.iter().enumerate().filter(|t| t.0 != own);
-        others.map(|(_, counts)| *counts).collect()
+        others.map(|(_, counts)| report(*counts)).collect()
     }
 
     fn request(&mut self, entry: usize, now_ms: u64) {
@@ -99,9 +99,21 @@
     }
 }
 
+/// Age of a process that has heard the others for long.
+const GROWN_MS: u64 = 60_000;
+
+/// A report that was just sent.
+fn report(counts: SentCounts) -> PeerReport {
+    PeerReport { counts, age_ms: 0 }
+}
+
 /// Sharing with others of which each has reported.
-fn sharing(entries: usize, peers: &[SentCounts]) -> RetrySharing<'_> {
-    RetrySharing { entries: Some(entries), peers: Some(peers) }
+fn sharing(entries: usize, peers: &[PeerReport]) -> RetrySharing<'_> {
+    RetrySharing {
+        entries: Some(entries),
+        peers: Some(peers),
+        process_age_ms: GROWN_MS,
+    }
 }
 
 #[test]
@@ -179,6 +191,22 @@
     assert_eq!(taken, (0.4 * LIMIT.free_retries / 5.0) as usize);
 }
 
+/// Where many entries share little, each quota is a fraction of a retry.
+#[test]
+fn fractions_of_a_retry_are_rounded_in_proportion() {
+    let entries = 400;
+    let limit = RetryLimit { free_retries: 800.0, ..LIMIT };
+    let peers = vec![PeerReport::default(); entries - 1];
+    let sharing = sharing(entries, &peers);
+    let takes = |seed| {
+        let mut window = RetryWindow::with_seed(seed);
+        window.try_take(&limit, &sharing, 0)
+    };
+    let taken = (0..entries as u64).filter(|seed| takes(*seed)).count();
+    // Half of 0.45 of 800 for all entries together.
+    assert!((130..=230).contains(&taken), "{taken}");
+}
+
 #[test]
 fn retries_before_the_window_no_longer_count() {
     let mut window = RetryWindow::with_seed(1);
@@ -310,10 +338,16 @@
                     let are_all_heard = others.clone().all(|(_, of)| {
                         now_ms.saturating_sub(of.1) <= limit.report_delay_ms
                     });
-                    let counts: Vec<_> = others.map(|(_, of)| of.0).collect();
+                    let reports: Vec<_> = others
+                        .map(|(_, of)| PeerReport {
+                            counts: of.0,
+                            age_ms: now_ms.saturating_sub(of.1),
+                        })
+                        .collect();
                     let sharing = RetrySharing {
                         entries: Some(self.entries),
-                        peers: are_all_heard.then_some(counts.as_slice()),
+                        peers: are_all_heard.then_some(reports.as_slice()),
+                        process_age_ms: GROWN_MS,
                     };
                     let window = &mut fleet.windows[entry];
                     if window.try_take(&limit, &sharing, now_ms) {
