--- a/crates/direct/src/cluster/discovery.rs
+++ b/crates/direct/src/cluster/discovery.rs
@@ -304,7 +304,7 @@
     }
 
     fn own_address(&self) -> SocketAddr {
-        SocketAddr::new(self.core.settings.ip, peers::port(&self.core))
+        peers::own_address(&self.core)
     }
 }
 
--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -488,9 +488,17 @@
             .collect()
     }
 
-    /// Records an address from which this entry received its own message, so
-    /// that it does not count as another entry.
-    pub(crate) fn record_own_address(&self, address: SocketAddr) {
+    /// Records a message of this entry to itself, so that its address does not
+    /// count as another entry.
+    pub(crate) fn record_own_message(
+        &self,
+        address: SocketAddr,
+        state: &PeerState,
+    ) {
+        // Alerts state no time.
+        if state.sent_ms > 0 {
+            self.send_times().record_own(state.sent_ms, now_ms());
+        }
         self.own_addresses().insert(address);
         self.lock().remove(&address);
         self.roster().remove(address);
@@ -645,7 +653,7 @@
             peer.interconnect_used_ms = now_ms();
         }
         drop(peers);
-        self.roster().record_heard(from, now_ms());
+        self.roster().record_heard(from, sent_ms);
         self.record_introduced();
         if is_new_process || is_first_report {
             let name = format!("{}={from}/{}", state.vm, state.boot_id);
@@ -669,10 +677,14 @@
 
     /// When a state message was sent, on the clock of this process.
     fn sent_ms(&self, state: &PeerState) -> u64 {
-        let mut times = self.send_times.lock().expect("no holder panics");
+        let mut times = self.send_times();
         times.sent_ms(state.boot_id, state.sent_ms, now_ms())
     }
 
+    fn send_times(&self) -> MutexGuard<'_, SendTimes> {
+        self.send_times.lock().expect("no holder panics")
+    }
+
     /// Records the sent requests and the demand in a state message, and drops
     /// reports older than the window.
     pub(crate) fn record_sent(&self, state: &PeerState, window_ms: u64) {
@@ -684,7 +696,7 @@
         });
         self.retry_reports().record(
             state.boot_id,
-            now_ms,
+            self.sent_ms(state),
             counts,
             (window_ms, now_ms),
         );
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -58,6 +58,11 @@
     core.settings.internal_ports.0
 }
 
+/// Address of this entry for messages of others.
+pub(crate) fn own_address(core: &Core) -> SocketAddr {
+    SocketAddr::new(core.settings.ip, port(core))
+}
+
 /// Sends and receives messages until the process exits.
 pub(crate) async fn run(core: Arc<Core>, socket: Async<UdpSocket>) {
     let socket = Arc::new(socket);
@@ -116,7 +121,8 @@
 }
 
 /// The next peers to send the state to: several of this data centre, and fewer
-/// of the others.
+/// of the others. This entry is one of them: its own message shows how long
+/// messages wait until they are read.
 fn recipients(core: &Core, rounds: &mut [RoundRobin; 2]) -> Vec<SocketAddr> {
     let is_planner = core.is_planner.load(Relaxed);
     let batch = |(scope, rounds): (PeerScope, &mut RoundRobin)| {
@@ -129,7 +135,8 @@
     };
     let scopes =
         [PeerScope::SameDataCentre, PeerScope::OtherDataCentre].into_iter();
-    scopes.zip(rounds).flat_map(batch).collect()
+    let others = scopes.zip(rounds).flat_map(batch);
+    others.chain([own_address(core)]).collect()
 }
 
 /// Sends alerts to all peers at once. In turns like the state, an alert would
@@ -243,7 +250,8 @@
 
 fn handle_message(core: &Arc<Core>, from: SocketAddr, state: &PeerState) {
     if state.boot_id == core.boot_id {
-        return core.peers.record_own_address(from);
+        core.peers.record_own_message(from, state);
+        return;
     }
     if state.boot_id == 0 {
         return;
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -30,9 +30,9 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Member {
-    /// When the last message arrived, if any did.
+    /// When the last message was sent, if any arrived.
     heard_ms: Option<u64>,
-    /// When the last message arrived or the table listed it.
+    /// When the last message was sent or the table listed it.
     confirmed_ms: u64,
 }
 
@@ -50,11 +50,12 @@
         Roster::default()
     }
 
-    /// Records a message of an entry.
-    pub fn record_heard(&mut self, address: SocketAddr, now_ms: u64) {
+    /// Records a message of an entry, which was sent at `sent_ms`: one that
+    /// waited does not tell of the time at which it was read.
+    pub fn record_heard(&mut self, address: SocketAddr, sent_ms: u64) {
         let member = self.members.entry(address).or_default();
-        member.heard_ms = Some(now_ms);
-        member.confirmed_ms = now_ms;
+        member.heard_ms = Some(sent_ms);
+        member.confirmed_ms = member.confirmed_ms.max(sent_ms);
     }
 
     /// Applies a list that was read from the table `read_age_ms` ago, and
@@ -88,7 +89,7 @@
         self.read_ms.map(|_| self.members.len() + 1)
     }
 
-    /// Whether every other entry sent a message within a time.
+    /// Whether from every other entry a message was sent within a time.
     pub fn are_all_heard(&self, within_ms: u64, now_ms: u64) -> bool {
         let is_heard = |member: &Member| {
             let heard_ms = member.heard_ms;
--- a/crates/membership/src/send_times.rs
+++ b/crates/membership/src/send_times.rs
@@ -4,7 +4,9 @@
 //! link, and then tells of an old state. The clocks of two VMs agree in nothing
 //! but their rate. The message of a process that took the shortest time shows
 //! the offset between the two clocks, and any other is as old as it arrived
-//! later than that one.
+//! later than that one. Where all messages of a process waited, this shows
+//! nothing: a process therefore also sends messages to itself, which wait in
+//! its socket as long as the others.
 
 use std::collections::BTreeMap;
 
@@ -15,6 +17,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct SendTimes {
     offsets: BTreeMap<u64, ClockOffset>,
+    /// How long the last message of this process to itself took.
+    own_delay_ms: u64,
 }
 
 /// Least time on this clock minus that on the other, in milliseconds.
@@ -54,9 +58,13 @@
         SendTimes::default()
     }
 
+    /// Records a message of this process to itself.
+    pub fn record_own(&mut self, sent_ms: u64, now_ms: u64) {
+        self.own_delay_ms = now_ms.saturating_sub(sent_ms);
+    }
+
     /// When a message of a process was sent, on this clock. `stated_ms` is the
-    /// time on the clock of the sender; 0 if it states none, and the message
-    /// then counts as new.
+    /// time on the clock of the sender; 0 if it states none.
     pub fn sent_ms(
         &mut self,
         boot_id: u64,
@@ -64,7 +72,7 @@
         now_ms: u64,
     ) -> u64 {
         if stated_ms == 0 {
-            return now_ms;
+            return now_ms.saturating_sub(self.own_delay_ms);
         }
         let offset_ms = now_ms.wrapping_sub(stated_ms).cast_signed();
         let first = ClockOffset {
@@ -77,6 +85,7 @@
         }
         let offset = self.offsets.entry(boot_id).or_insert(first);
         offset.record(offset_ms, now_ms);
-        stated_ms.wrapping_add_signed(offset.least_ms()).min(now_ms)
+        let latest_ms = now_ms.saturating_sub(self.own_delay_ms);
+        stated_ms.wrapping_add_signed(offset.least_ms()).min(latest_ms)
     }
 }
--- a/crates/membership/tests/send_times.rs
+++ b/crates/membership/tests/send_times.rs
@@ -60,3 +60,14 @@
     assert_eq!(times.sent_ms(8, 5, 900), 900);
     assert_eq!(times.sent_ms(7, 105, 900), 110);
 }
+
+/// Where all messages wait, only those to itself show it.
+#[test]
+fn a_message_is_as_old_as_one_of_the_process_to_itself() {
+    let mut times = SendTimes::new();
+    times.record_own(3_000, 5_000);
+    assert_eq!(times.sent_ms(7, 100, 5_000), 3_000);
+    assert_eq!(times.sent_ms(7, 0, 5_000), 3_000);
+    times.record_own(5_000, 5_001);
+    assert_eq!(times.sent_ms(7, 3_200, 6_000), 5_999);
+}
--- a/crates/routing/tests/retry_fleet.rs
+++ b/crates/routing/tests/retry_fleet.rs
@@ -3,7 +3,10 @@
 
 use std::{collections::VecDeque, net::SocketAddr};
 
-use chestnutreach_membership::roster::{ListedEntry, Roster};
+use chestnutreach_membership::{
+    roster::{ListedEntry, Roster},
+    send_times::SendTimes,
+};
 use chestnutreach_routing::{
     RetryLimit, RetryReports, RetrySharing, RetryWindow, SentCounts,
 };
@@ -80,6 +83,8 @@
     counts: SentCounts,
 }
 
+/// Difference between the clocks of a sender and of the receiver.
+const SENDER_AHEAD_MS: u64 = 7_000_000;
 /// Service of all requests.
 const SERVICE: &str = "desk";
 
@@ -92,6 +97,7 @@
     boot_id: u64,
     started_ms: u64,
     window: RetryWindow,
+    send_times: SendTimes,
     reports: RetryReports,
     roster: Roster,
     has_list: bool,
@@ -103,6 +109,7 @@
             boot_id,
             started_ms: now_ms,
             window: RetryWindow::with_seed(boot_id),
+            send_times: SendTimes::new(),
             reports: RetryReports::new(),
             roster: Roster::new(),
             has_list: false,
@@ -110,10 +117,16 @@
     }
 
     fn read(&mut self, message: &Message, now_ms: u64) {
-        self.roster.record_heard(address(message.from), now_ms);
+        let Message { boot_id, sent_ms, .. } = *message;
+        if boot_id == self.boot_id {
+            return self.send_times.record_own(sent_ms, now_ms);
+        }
+        let stated_ms = sent_ms + SENDER_AHEAD_MS;
+        let sent_ms = self.send_times.sent_ms(boot_id, stated_ms, now_ms);
+        self.roster.record_heard(address(message.from), sent_ms);
         self.reports.record(
-            message.boot_id,
-            now_ms,
+            boot_id,
+            sent_ms,
             [(SERVICE.to_owned(), message.counts)],
             (WINDOW_MS, now_ms),
         );
@@ -279,7 +292,7 @@
             }
             let counts = process.window.counts(&limit, now_ms);
             let boot_id = process.boot_id;
-            for to in (0..self.entries.len()).filter(|to| *to != from) {
+            for to in 0..self.entries.len() {
                 let is_heard = self.do_hear(from, to, now_ms);
                 let inbox = &mut self.entries[to].inbox;
                 if is_heard && inbox.len() < SOCKET_MESSAGES {
