Tests: responses that end within their head are lost, for every reader

Another operator saw a 200 with a short body where an engine stopped within the head of its answer (MIXED, ORDER). It can't happen here: no reader returns a head without its last line. That had no test.

Each strict prefix of eight heads (length, chunks, until closed, none, 204, 503 not run, interim, bare line feeds), closed in order and reset, for the relay and for the client of the store, of other entries and of side processes, which tells each as lost, never as not sent.

--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -7,6 +7,7 @@
 mod cooldowns;
 mod crashing_parts;
 mod crashing_requests;
+mod cut_heads;
 mod engine_restarts;
 mod fault_free;
 mod faults;
--- a/crates/emulator/src/backend_servers.rs
+++ b/crates/emulator/src/backend_servers.rs
@@ -105,6 +105,8 @@
     pub omits_framing: bool,
     /// Share of streams that end within an event, in order.
     pub partial_event_rate: f64,
+    /// Share of requests that run and whose response ends within its head.
+    pub head_cut_rate: f64,
     /// Whether the server exits after half of the body of a plain response.
     pub exits_within_response: bool,
     /// Whether the response to another request precedes each response.
@@ -219,6 +221,7 @@
             failure_rate: 0.0,
             omits_framing: false,
             partial_event_rate: 0.0,
+            head_cut_rate: 0.0,
             exits_within_response: false,
             sends_foreign_response: false,
             has_closed_port: false,
--- a/crates/emulator/src/engines.rs
+++ b/crates/emulator/src/engines.rs
@@ -527,6 +527,10 @@
         push_header(&mut out, "content-length", &body.len().to_string());
     }
     push_notices(&mut out, backends, address, id);
+    if fastrand::f64() < server.head_cut_rate {
+        send_part(inbound, &out).await;
+        return false;
+    }
     out.extend_from_slice(b"\r\n");
     if server.exits_within_response {
         out.extend_from_slice(&body.as_bytes()[..body.len() / 2]);
@@ -539,6 +543,13 @@
     inbound.write(&out).await.is_ok() && !server.omits_framing
 }
 
+/// Sends some first bytes of a head without its last line.
+async fn send_part(inbound: &mut Inbound, head: &[u8]) {
+    let length = fastrand::usize(..head.len());
+    // The caller may have left.
+    let _ = inbound.write(&head[..length]).await;
+}
+
 /// Adds the headers with which a server announces its limit and its leaving.
 fn push_notices(
     out: &mut Vec<u8>,
@@ -612,6 +623,14 @@
         return false;
     }
     let resets = draw(|server| server.response_loss_rate);
+    if draw(|server| server.head_cut_rate) {
+        let head = stream_head(backends, address, id);
+        send_part(inbound, &head[..head.len() - 2]).await;
+        backends.update_server(address, |server| {
+            server.streams.remove(id);
+        });
+        return false;
+    }
     let keeps_connection =
         !resets && send_events(backends, address, inbound, request, id).await;
     backends.update_server(address, |server| {
