--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -16,6 +16,7 @@
 mod large_configuration;
 mod links;
 mod many_entries;
+mod odd_rows;
 mod rate_limits;
 mod retry_limit;
 mod soak;
