--- a/crates/daemon/tests/users_platform/odd_rows.rs
+++ b/crates/daemon/tests/users_platform/odd_rows.rs
@@ -1,6 +1,6 @@
 //! Rows of another writer in the tables that entries follow.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use chestnutreach_emulator::{
@@ -15,6 +15,10 @@
 const TABLES: [&str; 2] = ["servers", "chestnutreach-entries"];
 /// Time within which entries follow a change of the list of servers.
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// Interval at which servers write their rows.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+/// Time within which entries use a server that writes its row again.
+const RECOVERY_TIMEOUT: Duration = Duration::from_millis(6_000);
 
 /// A row as a server writes it, at an address where nobody listens.
 fn valid_row() -> Value {
@@ -162,3 +166,27 @@
         assert!(logs.contains("backend_row_unusable"), "no row was refused");
     });
 }
+
+/// A number too large in a row under the id of a running engine must not keep
+/// the engine from work once it has written its row again.
+#[test]
+fn an_engine_is_used_again_after_a_row_with_a_late_start_time() {
+    let site = Site { events: 10, ..Site::small() };
+    with_site(&site, async |running| {
+        let engines = running.backends.engines();
+        for engine in &engines {
+            let id = running.backends.server(*engine).unwrap().id;
+            let row = with_text("born", "18446744073709551615");
+            running.store.put_text("servers", &id, &row);
+        }
+        Timer::after(Duration::from_millis(500)).await;
+        let until = Instant::now() + RECOVERY_TIMEOUT;
+        while Instant::now() < until {
+            for engine in &engines {
+                running.backends.write_row(*engine);
+            }
+            Timer::after(HEARTBEAT).await;
+        }
+        play(running).await;
+    });
+}
