--- a/crates/direct/src/cluster/backend_rows.rs
+++ b/crates/direct/src/cluster/backend_rows.rs
@@ -134,6 +134,7 @@
     }
     let data_centre = core.data_centre_index(&backend.data_centre);
     let is_leaving = backend.state == BackendState::Draining;
+    let started_unix_ms = backend.started_unix_ms;
     let fleet = &core.fleet;
     match fleet.apply(backend, row.version, data_centre, is_full_read, log) {
         RowOutcome::Known if is_leaving => {
@@ -143,14 +144,53 @@
         // Streams must leave the previous incarnation, which has exited.
         RowOutcome::New => core.stream_subscribers.notify_all(),
         RowOutcome::EarlierStart => {
-            let error = "the row has no start time, or that of an earlier \
-                         process";
-            return log_unusable(core, row, error);
+            return handle_earlier_start(core, row, started_unix_ms);
         }
     }
     core.unusable_rows.remove(&row.key);
 }
 
+/// Ignores a row that states no start or an earlier one, until it is known to
+/// be that of the process that runs.
+fn handle_earlier_start(
+    core: &Arc<Core>,
+    row: &Row,
+    started_unix_ms: Option<u64>,
+) {
+    let heartbeat_ms = core.settings.heartbeat_ms;
+    let ignored_ms = core.fleet.record_earlier_start(
+        &row.key,
+        started_unix_ms,
+        heartbeat_ms,
+    );
+    match ignored_ms {
+        Some(0) => {
+            // The known process is that of a row that no server wrote, or of
+            // a clock that was set back.
+            core.fleet.remove(&row.key);
+            apply_row(core, row, false, &mut RowLog::default());
+        }
+        Some(ignored_ms) => {
+            log_unusable(core, row, "the row states an earlier start");
+            apply_current_later(core, &row.key, ignored_ms);
+        }
+        None => log_unusable(core, row, "the row states no start"),
+    }
+}
+
+/// Applies the row that a server has after a time.
+fn apply_current_later(core: &Arc<Core>, key: &str, wait_ms: u64) {
+    let (executor, core) = (core.executor.clone(), core.clone());
+    let key = key.to_owned();
+    let later = async move {
+        Timer::after(Duration::from_millis(wait_ms)).await;
+        if let Some(row) = core.feeds.backends.row(&key) {
+            apply_row(&core, &row, false, &mut RowLog::default());
+        }
+    };
+    executor.spawn(later).detach();
+}
+
 /// How long a row waits because the store has lost newer changes of it.
 fn deferral_ms(
     core: &Core,
--- a/crates/direct/src/cluster/engine.rs
+++ b/crates/direct/src/cluster/engine.rs
@@ -12,7 +12,9 @@
     },
 };
 
-use chestnutreach_membership::restored_row::ServerRow;
+use chestnutreach_membership::{
+    earlier_starts::EarlierStarts, restored_row::ServerRow,
+};
 pub(crate) use chestnutreach_routing::FailureEvidence;
 use chestnutreach_routing::{CircuitBreaker, UsageEstimate};
 use chestnutreach_site::{Backend, BackendState, LayerRange, StoreVersion};
@@ -79,6 +81,7 @@
     /// The row under the engine's id is not a valid backend row. The engine
     /// gets no new requests; running requests continue.
     pub(crate) is_row_unusable: bool,
+    pub(crate) earlier_starts: EarlierStarts,
     pub(crate) suspicion: Option<Suspicion>,
     /// Reported time relative to the typical time; above 1 for a slow engine.
     pub(crate) slowness: f64,
@@ -308,6 +311,7 @@
                 is_removed: false,
                 is_replaced: false,
                 is_row_unusable: false,
+                earlier_starts: EarlierStarts::default(),
                 suspicion: None,
                 slowness: 1.0,
                 backoff_until_ms: 0,
--- a/crates/direct/src/cluster/fleet.rs
+++ b/crates/direct/src/cluster/fleet.rs
@@ -180,6 +180,7 @@
             && start_order == StartOrder::Same
         {
             let mut state = engine.lock();
+            state.earlier_starts.clear();
             if row_version >= state.row_version {
                 state.apply_row(row, row_version);
             }
@@ -199,6 +200,20 @@
         RowOutcome::New
     }
 
+    /// Records a row that states an earlier start than the known process, and
+    /// returns how long it is to be ignored; `None` if it states no start or
+    /// the process is not known.
+    pub(crate) fn record_earlier_start(
+        &self,
+        id: &str,
+        started_unix_ms: Option<u64>,
+        heartbeat_ms: u64,
+    ) -> Option<u64> {
+        let (known, started_unix_ms) = (self.get(id)?, started_unix_ms?);
+        let starts = &mut known.lock().earlier_starts;
+        Some(starts.record(started_unix_ms, heartbeat_ms, now_ms()))
+    }
+
     /// Records that the row under an id is not a valid backend row. Returns
     /// true if this stops new work to an engine.
     pub(crate) fn mark_row_unusable(&self, id: &str) -> bool {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,6 +16,7 @@
 //! |---|---|
 //! | [`rendezvous`] | which entries a task is assigned to |
 //! | [`issuer`] | which entry grants a shared limit, and which share of it |
+//! | [`earlier_starts`] | rows of a server that state an earlier start |
 //! | [`feed_source`] | where an entry reads a feed of the store from |
 //! | [`gossip`] | interval of messages between entries, timeouts on silence |
 //! | [`newer_versions`] | configurations that others have and this entry lacks |
@@ -40,6 +41,7 @@
 //! assert_eq!(rendezvous::ranked(without_first, 7), assignees[1..]);
 //! ```
 
+pub mod earlier_starts;
 pub mod feed_source;
 pub mod gossip;
 pub mod issuer;
