--- a/crates/daemon/tests/users_platform/closed_ports.rs
+++ b/crates/daemon/tests/users_platform/closed_ports.rs
@@ -1,11 +1,12 @@
 //! Engines that close their port, or do not accept connections, and go on with
 //! the streams that they have.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use async_io::Timer;
 use chestnutreach_emulator::{load::Load, running::RunningSite, site::Site};
 use rstest::rstest;
+use serde_json::json;
 
 use crate::support::{assert_no_violation, stream_load, with_site};
 
@@ -22,6 +23,9 @@
     Full,
     /// The same, and no stream makes progress: the process stands still.
     FullAtStandstill,
+    /// The port is open, and a row of another writer states that a later
+    /// process has the engine's id.
+    OpenAndReplaced,
 }
 
 /// Affects the ports of the engines of the first stage one after another, each
@@ -32,7 +36,7 @@
         let first = running.backends.first_stage_engines();
         let open = first.into_iter().find(|engine| {
             let server = running.backends.server(*engine);
-            server.is_some_and(|s| !s.has_closed_port && !s.has_full_port)
+            server.is_some_and(|s| s.slowness < SLOWNESS)
         });
         if let Some(engine) = open {
             running.backends.update_server(engine, |server| {
@@ -41,21 +45,46 @@
                     PortFault::Full | PortFault::FullAtStandstill => {
                         server.has_full_port = true;
                     }
+                    PortFault::OpenAndReplaced => {}
                 }
                 server.slowness = match fault {
-                    PortFault::Closed | PortFault::Full => SLOWNESS,
+                    PortFault::Closed
+                    | PortFault::Full
+                    | PortFault::OpenAndReplaced => SLOWNESS,
                     PortFault::FullAtStandstill => STANDSTILL,
                 };
             });
+            if matches!(fault, PortFault::OpenAndReplaced) {
+                write_later_row(running, engine);
+            }
         }
     }
 }
 
+/// Writes a row with a later start under the id of an engine, at an address
+/// where nobody listens.
+fn write_later_row(running: &RunningSite, engine: SocketAddr) {
+    let Some(server) = running.backends.server(engine) else { return };
+    let row = json!({
+        "service": server.service,
+        "address": "127.0.0.1:9",
+        "zone": server.data_centre,
+        "slots": 64,
+        "state": "ready",
+        "seq": 1,
+        "born": server.started_unix_ms + 1_000,
+        "kind": "card",
+        "layers": null,
+    });
+    running.store.put("servers", &server.id, &row);
+}
+
 /// An engine that can't be reached any more may still run the stream.
 #[rstest]
 #[case::are_closed(PortFault::Closed)]
 #[case::are_full(PortFault::Full)]
 #[case::are_full_while_they_stand_still(PortFault::FullAtStandstill)]
+#[case::are_open_while_a_row_states_a_later_start(PortFault::OpenAndReplaced)]
 fn a_stream_runs_on_no_third_engine_while_two_run_it_whose_ports(
     #[case] fault: PortFault,
 ) {
