A later start under an engine's id does not prove that the engine exited (BUDGET)

Callers' users saw requests on more engines than their route allows.

Cause: a row with a later start under an id was the proof that the process in use had exited, so that its engine no longer counted against max-attempts. A row of another writer states what it likes.

Change: as with a refused connect, the connection of the run itself must have ended, which the kernel does with a process; else the check of silence decides.

--- a/crates/direct/src/cluster/exit_check.rs
+++ b/crates/direct/src/cluster/exit_check.rs
@@ -48,7 +48,8 @@
     let evidence = suspicion.map(|s| s.evidence);
     let needs_check = match detect_exit(evidence, *has_connection_ended) {
         ExitStatus::Exited => false,
-        _ if is_replaced => false,
+        // Another writer may have stored the row of the later process.
+        _ if is_replaced && *has_connection_ended => false,
         ExitStatus::Unknown => true,
         ExitStatus::Alive if is_removed => true,
         ExitStatus::Alive => return false,
