--- a/crates/routing/tests/retry_fleet.rs
+++ b/crates/routing/tests/retry_fleet.rs
@@ -15,8 +15,8 @@
 
 const WINDOW_MS: u64 = 10_000;
 const STEP_MS: u64 = 20;
-/// Datagrams that the socket of an entry holds.
-const SOCKET_MESSAGES: usize = 250;
+/// Messages of each other entry that the socket of an entry holds.
+const SOCKET_MESSAGES: usize = 10;
 /// Time from the start of a process until it has a list of the others.
 const DISCOVERY_MS: u64 = 200;
 /// When requests begin to fail.
@@ -52,6 +52,23 @@
     report_delay_ms: 1_100,
 };
 
+const FLEET_OF_87: Fleet = Fleet {
+    entries: 87,
+    free_retries: 400.0,
+    requests_per_s: 700.0,
+    wanted: 3.0,
+    report_interval_ms: 1_200,
+    report_delay_ms: 2_700,
+};
+const FLEET_OF_437: Fleet = Fleet {
+    entries: 437,
+    free_retries: 2_000.0,
+    requests_per_s: 1_000.0,
+    wanted: 2.0,
+    report_interval_ms: 6_000,
+    report_delay_ms: 12_300,
+};
+
 impl Fleet {
     fn limit(&self) -> RetryLimit {
         RetryLimit {
@@ -294,8 +311,9 @@
             let boot_id = process.boot_id;
             for to in 0..self.entries.len() {
                 let is_heard = self.do_hear(from, to, now_ms);
+                let most = SOCKET_MESSAGES * self.fleet.entries;
                 let inbox = &mut self.entries[to].inbox;
-                if is_heard && inbox.len() < SOCKET_MESSAGES {
+                if is_heard && inbox.len() < most {
                     let message =
                         Message { sent_ms: now_ms, from, boot_id, counts };
                     inbox.push_back(message);
@@ -390,8 +408,9 @@
     times.enumerate().map(|(round, at)| (at, trouble(round))).collect()
 }
 
+/// All entries of any fleet.
 fn all() -> Vec<usize> {
-    (0..FLEET_OF_23.entries).collect()
+    (0..FLEET_OF_437.entries).collect()
 }
 
 #[rstest]
@@ -412,16 +431,27 @@
 #[case::part_and_meet(again(2_000, |_| Trouble::Part(2, 1_000)))]
 fn retries_stay_within_the_limit_while_entries(
     #[case] troubles: Vec<(u64, Trouble)>,
-    #[values(FLEET_OF_5, FLEET_OF_23)] fleet: Fleet,
+    #[values(FLEET_OF_5, FLEET_OF_23, FLEET_OF_87)] fleet: Fleet,
 ) {
     let worst = Play::new(fleet).run(&troubles);
     println!("{} entries: {worst:?}", fleet.entries);
     assert!(worst.excess() <= 0.0, "{worst:?}");
 }
 
+#[rstest]
+#[case::are_killed_together(again(4_000, |_| Trouble::Kill(all(), 0)))]
+#[case::are_killed_in_turn(again(300, |round| Trouble::Kill(vec![round], 0)))]
+fn retries_stay_within_the_limit_while_437_entries(
+    #[case] troubles: Vec<(u64, Trouble)>,
+) {
+    let worst = Play::new(FLEET_OF_437).run(&troubles);
+    println!("437 entries: {worst:?}");
+    assert!(worst.excess() <= 0.0, "{worst:?}");
+}
+
 fn any_entries() -> impl Strategy<Value = Vec<usize>> {
     prop_oneof![
-        Just(all()),
+        Just((0..FLEET_OF_23.entries).collect()),
         prop::collection::vec(0_usize..23, 1..12),
         (0_usize..23).prop_map(|entry| vec![entry]),
     ]
