--- a/crates/daemon/tests/users_platform/closed_ports.rs
+++ b/crates/daemon/tests/users_platform/closed_ports.rs
@@ -100,5 +100,9 @@
         assert_no_violation(&report);
         let excess = report.requests_on_excess_servers();
         assert!(excess.is_empty(), "{excess:?}");
+        let logs = running.logs();
+        let suspected =
+            logs.lines().find(|line| line.contains("request_suspected"));
+        assert!(suspected.is_none(), "no server crashed: {suspected:?}");
     });
 }
