A crash under a stream needs the end of its connection (LOST)

Callers could be refused with a sound request: engines that closed their port, or of which a row states a later start, and that went on with their streams, counted as crashed under what had left them. Three such crashes quarantine a request and those with its part of the prompt.

Cause: a suspected first engine was enough, as it was for the limit of a route. Change: the connection of the run must have ended, which the kernel does with a process that crashes.

--- a/crates/direct/src/request/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -318,9 +318,9 @@
         let first = self.path.first_engine().clone();
         self.excluded.insert(first.incarnation.clone());
         self.cause = "resumed";
-        let may_have_crashed =
-            self.pace.run_progress.may_have_crashed_server(now_ms())
-                && (self.is_connection_lost || first.is_suspect());
+        // The kernel closes the connections of a process that crashes.
+        let may_have_crashed = self.is_connection_lost
+            && self.pace.run_progress.may_have_crashed_server(now_ms());
         let id = self.admitted.id_text();
         let run = LeftRun {
             engine: first.clone(),
