The first process of an entry has its whole quota of retries

Cause: a process took it that another one had run before it. Change: an entry lists itself on condition that it has no row. A row stays for minutes, and no retries are taken before it is written, so without one no process ran before within the window.

--- a/crates/direct/src/cluster/discovery.rs
+++ b/crates/direct/src/cluster/discovery.rs
@@ -7,7 +7,11 @@
 //! again at times, and those that read the table delete the rows of machines
 //! that are gone for good.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+};
 
 use async_io::Timer;
 use chestnutreach_adapter::store::{Row, StoreError};
@@ -111,7 +115,7 @@
             return;
         }
         self.must_list = true;
-        self.try_list_self().await;
+        self.list_self_at_start().await;
         self.is_met_before(plan.read_ms).await;
     }
 
@@ -259,24 +263,47 @@
         is_listed || is_renewal
     }
 
+    /// Writes this entry's row if there is none. An entry takes no retries
+    /// before it is listed, and its row stays for longer than their window: so
+    /// without a row there was no process before this one whose retries count.
+    async fn list_self_at_start(&mut self) {
+        let era = self.core.store.era().unwrap_or_default();
+        match self.write_row(Some(StoreVersion::new(era, 0))).await {
+            Ok(_) => self.core.is_first_process.store(true, Relaxed),
+            Err(StoreError::Conflict) => {
+                self.try_list_self().await;
+            }
+            // Written later, like any row that may be missing.
+            Err(_) => {}
+        }
+    }
+
     /// Writes this entry's row if it may be missing; false if that failed.
     async fn try_list_self(&mut self) -> bool {
         if !self.must_list {
             return true;
         }
+        self.write_row(None).await.is_ok()
+    }
+
+    async fn write_row(
+        &mut self,
+        expected: Option<StoreVersion>,
+    ) -> Result<StoreVersion, StoreError> {
         let address = self.own_address().to_string();
         let write = self.core.store.write_row(
             ENTRIES,
             &self.core.settings.vm,
-            None,
+            expected,
             address.as_bytes(),
             STORE_TIMEOUT,
         );
-        self.must_list = write.await.is_err();
+        let written = write.await;
+        self.must_list = written.is_err();
         if !self.must_list {
             self.listed_ms = now_ms();
         }
-        !self.must_list
+        written
     }
 
     fn is_renewal_due(&self) -> bool {
--- a/crates/routing/src/retry_window.rs
+++ b/crates/routing/src/retry_window.rs
@@ -11,8 +11,8 @@
 //! its quota of half of the remaining part, so that all entries together stay
 //! below the limit.
 //!
-//! A process that starts knows nothing of the retries of the one before. Within
-//! its first window, its quota grows with its age, so that any number of
+//! A process that starts knows nothing of the retries of the one before. Unless
+//! there was none, its quota grows with its age within its first window, so that any number of
 //! processes of an entry that follow each other use no more than a fixed share
 //! on top of the quota. It borrows only once it has heard the others for a
 //! window: what processes that have ended borrowed is in no report. A process
@@ -68,12 +68,15 @@
     pub peers: Option<&'a [PeerReport]>,
     /// Time since this process started, in milliseconds.
     pub process_age_ms: u64,
+    /// Whether another process of this entry may have sent retries within the
+    /// window before this one started.
+    pub has_predecessor: bool,
 }
 
 impl RetrySharing<'_> {
     /// Share of its quota that a process of this age may use.
     fn quota_share(&self, limit: &RetryLimit) -> f64 {
-        match self.process_age_ms < limit.window_ms {
+        match self.has_predecessor && self.process_age_ms < limit.window_ms {
             true => {
                 let age = self.process_age_ms as f64 / limit.window_ms as f64;
                 STARTUP_SHARE * age
