--- a/crates/daemon/tests/users_platform/odd_rows.rs
+++ b/crates/daemon/tests/users_platform/odd_rows.rs
@@ -4,7 +4,10 @@
 
 use async_io::Timer;
 use chestnutreach_emulator::{
-    caller::RequestKind, load::Load, running::RunningSite, site::Site,
+    caller::{Outcome, RequestKind, RequestSpec},
+    load::Load,
+    running::RunningSite,
+    site::Site,
 };
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -124,8 +127,7 @@
     };
     let report = running.run(&load, &[]).await;
     assert_no_violation(&report);
-    let is_unserved =
-        |o: &&chestnutreach_emulator::caller::Outcome| !o.is_served();
+    let is_unserved = |o: &&Outcome| !o.is_served();
     let unserved: Vec<_> =
         report.outcomes.iter().filter(is_unserved).collect();
     assert!(unserved.is_empty(), "{unserved:?}");
@@ -151,11 +153,7 @@
         // An entry that starts reads all of them at once.
         running.restart_entry(0);
         Timer::after(FOLLOW_TIMEOUT).await;
-        let spec = chestnutreach_emulator::caller::RequestSpec::new(
-            RequestKind::Stream,
-            "after",
-            10,
-        );
+        let spec = RequestSpec::new(RequestKind::Stream, "after", 10);
         let outcome = send_request(running, 0, &spec).await;
         assert!(outcome.is_served(), "{outcome:?}");
         for entry in 0..running.addresses.len() {
--- a/crates/daemon/tests/users_platform/soak.rs
+++ b/crates/daemon/tests/users_platform/soak.rs
@@ -32,6 +32,7 @@
 #[case(Seed { seed: 536_870_913, cause: "a part of prompts crashes engines" })]
 #[case(Seed { seed: 1_073_741_825, cause: "servers send without an end" })]
 #[case(Seed { seed: 2_147_483_649, cause: "entries do not hear each other" })]
+#[case(Seed { seed: 4_294_967_297, cause: "all entries fail at once" })]
 fn a_seeded_mix_of_faults_violates_no_invariant(#[case] seed: Seed) {
     let run = run_seed(executor(), Path::new(BINARY), seed.seed, None);
     let (report, violations) = async_io::block_on(run).unwrap();
--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -694,11 +694,13 @@
             let sent = SentCounts { requests: s.requests, retries: s.further };
             (s.service.clone(), sent)
         });
+        let sent_ms = self.sent_ms(state);
         self.retry_reports().record(
             state.boot_id,
-            self.sent_ms(state),
+            sent_ms,
             counts,
-            (window_ms, now_ms),
+            window_ms,
+            now_ms,
         );
         let demand = services
             .map(|s| (s.service.clone(), peer_demand::from_message(s)));
--- a/crates/routing/src/retry_reports.rs
+++ b/crates/routing/src/retry_reports.rs
@@ -35,7 +35,8 @@
         boot_id: u64,
         sent_ms: u64,
         counts: impl IntoIterator<Item = (String, SentCounts)>,
-        (window_ms, now_ms): (u64, u64),
+        window_ms: u64,
+        now_ms: u64,
     ) {
         let counts = counts.into_iter().collect();
         self.reports.insert(boot_id, Report { sent_ms, counts });
--- a/crates/routing/tests/retry_fleet.rs
+++ b/crates/routing/tests/retry_fleet.rs
@@ -147,7 +147,8 @@
             boot_id,
             sent_ms,
             [(SERVICE.to_owned(), message.counts)],
-            (WINDOW_MS, now_ms),
+            WINDOW_MS,
+            now_ms,
         );
     }
 
