Tests: each part of the retry limit after restarts is held on its own

With parts of the last changes taken out one by one on a scratch copy, three were not noticed: the share of a young process (1.0 in place of 0.3), what is kept free for processes that ended, and the question whether all were heard.

Two courses of the replay kill all entries once, while the quota has just been used; the two others have tests of their own, whose bounds follow from the shares.

--- a/crates/routing/tests/retry_fleet.rs
+++ b/crates/routing/tests/retry_fleet.rs
@@ -424,6 +424,12 @@
 #[case::are_killed_together_at_longer_intervals(
     again(4_000, |_| Trouble::Kill(all(), 0))
 )]
+#[case::are_killed_once_soon_after_failures_began(
+    vec![(FAILURES_FROM_MS + 1_500, Trouble::Kill(all(), 0))]
+)]
+#[case::are_killed_once_when_all_is_borrowed(
+    vec![(FAILURES_FROM_MS + 3_000, Trouble::Kill(all(), 0))]
+)]
 #[case::are_killed_in_turn(again(300, |round| Trouble::Kill(vec![round], 0)))]
 #[case::are_killed_in_turn_and_stay_down(
     again(1_300, |round| Trouble::Kill(vec![round], 1_000))
--- a/crates/routing/tests/retry_window.rs
+++ b/crates/routing/tests/retry_window.rs
@@ -208,6 +208,27 @@
     assert!((130..=230).contains(&taken), "{taken}");
 }
 
+/// What a process borrowed between its last report and its end is not told.
+#[test]
+fn what_ended_processes_could_borrow_is_kept_free() {
+    let taken = |ended: usize| {
+        let overdue = PeerReport { age_ms: 5_000, ..PeerReport::default() };
+        let mut peers = vec![PeerReport::default(); 4];
+        peers.extend(vec![overdue; ended]);
+        let sharing = sharing(5, &peers);
+        let limit = RetryLimit { free_retries: 400.0, ..LIMIT };
+        let mut window = RetryWindow::with_seed(1);
+        let is_taken = |_: &usize| window.try_take(&limit, &sharing, GROWN_MS);
+        (0..200).take_while(is_taken).count()
+    };
+    // 32 are the own quota, 0.4 of 80. Of 180 that are shared, less what is
+    // kept, a tenth of what is left may be borrowed, rounded at random: 16.4
+    // and, with 90 kept, 8.2.
+    assert!((48..=49).contains(&taken(0)), "{}", taken(0));
+    assert!((40..=41).contains(&taken(5)), "{}", taken(5));
+    assert_eq!(taken(10), 32);
+}
+
 #[test]
 fn retries_before_the_window_no_longer_count() {
     let mut window = RetryWindow::with_seed(1);
