One wait for a server's current row, one reading of a message's age

Found on reading the change again; behaviour stays: rows that wait and rows with an earlier start share apply_current_later; the time of sending is computed once a message; whether a process is the first of its entry stands with what is known of entries, and Core has as many fields as before; a changed row in tests is written by the emulator; an option stands after the description.

--- a/crates/daemon/tests/users_platform/closed_ports.rs
+++ b/crates/daemon/tests/users_platform/closed_ports.rs
@@ -65,18 +65,11 @@
 /// where nobody listens.
 fn write_later_row(running: &RunningSite, engine: SocketAddr) {
     let Some(server) = running.backends.server(engine) else { return };
-    let row = json!({
-        "service": server.service,
-        "address": "127.0.0.1:9",
-        "zone": server.data_centre,
-        "slots": 64,
-        "state": "ready",
-        "seq": 1,
-        "born": server.started_unix_ms + 1_000,
-        "kind": "card",
-        "layers": null,
+    running.backends.write_changed_row(engine, |row| {
+        row["address"] = json!("127.0.0.1:9");
+        row["born"] = json!(server.started_unix_ms + 1_000);
+        row["layers"] = json!(null);
     });
-    running.store.put("servers", &server.id, &row);
 }
 
 /// An engine that can't be reached any more may still run the stream.
--- a/crates/direct/src/cluster/backend_rows.rs
+++ b/crates/direct/src/cluster/backend_rows.rs
@@ -172,19 +172,25 @@
         }
         Some(ignored_ms) => {
             log_unusable(core, row, "the row states an earlier start");
-            apply_current_later(core, &row.key, ignored_ms);
+            apply_current_later(core, &row.key, ignored_ms, |_| true);
         }
         None => log_unusable(core, row, "the row states no start"),
     }
 }
 
-/// Applies the row that a server has after a time.
-fn apply_current_later(core: &Arc<Core>, key: &str, wait_ms: u64) {
+/// Applies the row that a server has after a time, if it is wanted then.
+fn apply_current_later(
+    core: &Arc<Core>,
+    key: &str,
+    wait_ms: u64,
+    is_wanted: impl FnOnce(&Row) -> bool + Send + 'static,
+) {
     let (executor, core) = (core.executor.clone(), core.clone());
     let key = key.to_owned();
     let later = async move {
         Timer::after(Duration::from_millis(wait_ms)).await;
-        if let Some(row) = core.feeds.backends.row(&key) {
+        let current = core.feeds.backends.row(&key);
+        if let Some(row) = current.filter(is_wanted) {
             apply_row(&core, &row, false, &mut RowLog::default());
         }
     };
@@ -220,16 +226,10 @@
             ("wait_ms", &wait_ms),
         ],
     );
-    let (executor, core) = (core.executor.clone(), core.clone());
-    let (key, version) = (row.key.clone(), row.version);
-    let later = async move {
-        Timer::after(Duration::from_millis(wait_ms)).await;
-        let current = core.feeds.backends.row(&key);
-        if let Some(row) = current.filter(|row| row.version == version) {
-            apply_row(&core, &row, false, &mut RowLog::default());
-        }
-    };
-    executor.spawn(later).detach();
+    let version = row.version;
+    apply_current_later(core, &row.key, wait_ms, move |current| {
+        current.version == version
+    });
 }
 
 /// Handles a row that is not a valid backend row. Another writer may have
--- a/crates/direct/src/cluster/discovery.rs
+++ b/crates/direct/src/cluster/discovery.rs
@@ -7,11 +7,7 @@
 //! again at times, and those that read the table delete the rows of machines
 //! that are gone for good.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering::Relaxed},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_io::Timer;
 use chestnutreach_adapter::store::{Row, StoreError};
@@ -269,7 +265,7 @@
     async fn list_self_at_start(&mut self) {
         let era = self.core.store.era().unwrap_or_default();
         match self.write_row(Some(StoreVersion::new(era, 0))).await {
-            Ok(_) => self.core.is_first_process.store(true, Relaxed),
+            Ok(_) => self.core.peers.record_first_process(),
             Err(StoreError::Conflict) => {
                 self.try_list_self().await;
             }
--- a/crates/direct/src/cluster/peer_table.rs
+++ b/crates/direct/src/cluster/peer_table.rs
@@ -58,6 +58,8 @@
     introduction: Subscribers,
     /// Whether this entry has read a list of the others.
     has_list: AtomicBool,
+    /// Whether no other process of this entry was listed when it started.
+    is_first_process: AtomicBool,
     /// Names of the entries found since the last call of `take_found`.
     found: Mutex<Vec<String>>,
     /// When another entry last reported that it holds the planner's lease.
@@ -607,6 +609,15 @@
         self.has_list.store(true, Relaxed);
     }
 
+    /// Whether no other process of this entry was listed when it started.
+    pub(crate) fn is_first_process(&self) -> bool {
+        self.is_first_process.load(Relaxed)
+    }
+
+    pub(crate) fn record_first_process(&self) {
+        self.is_first_process.store(true, Relaxed);
+    }
+
     pub(crate) fn record_introduced(&self) {
         if !self.is_introduced.swap(true, Relaxed) {
             self.introduction.notify_all();
@@ -622,13 +633,13 @@
         }
     }
 
-    /// Applies a state message.
+    /// Applies a state message that was sent at `sent_ms`.
     pub(crate) fn apply_state(
         &self,
         from: SocketAddr,
         state: &PeerState,
+        sent_ms: u64,
     ) -> StateOutcome {
-        let sent_ms = self.sent_ms(state);
         let mut peers = self.lock();
         let peer = peers.entry(from).or_default();
         let is_new_process = peer.boot_id != state.boot_id;
@@ -676,7 +687,7 @@
     }
 
     /// When a state message was sent, on the clock of this process.
-    fn sent_ms(&self, state: &PeerState) -> u64 {
+    pub(crate) fn sent_ms(&self, state: &PeerState) -> u64 {
         let mut times = self.send_times();
         times.sent_ms(state.boot_id, state.sent_ms, now_ms())
     }
@@ -687,14 +698,18 @@
 
     /// Records the sent requests and the demand in a state message, and drops
     /// reports older than the window.
-    pub(crate) fn record_sent(&self, state: &PeerState, window_ms: u64) {
+    pub(crate) fn record_sent(
+        &self,
+        state: &PeerState,
+        sent_ms: u64,
+        window_ms: u64,
+    ) {
         let now_ms = now_ms();
         let services = state.services.iter();
         let counts = services.clone().map(|s| {
             let sent = SentCounts { requests: s.requests, retries: s.further };
             (s.service.clone(), sent)
         });
-        let sent_ms = self.sent_ms(state);
         self.retry_reports().record(
             state.boot_id,
             sent_ms,
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -262,7 +262,8 @@
         apply_alert(core, state);
         return;
     }
-    match core.peers.apply_state(from, state) {
+    let sent_ms = core.peers.sent_ms(state);
+    match core.peers.apply_state(from, state, sent_ms) {
         StateOutcome::Stale => return,
         StateOutcome::Known => {}
         StateOutcome::New(old) => {
@@ -272,7 +273,8 @@
         }
     }
     core.record_peer_configuration(state.configuration);
-    core.peers.record_sent(state, core.settings.bounds.retry_window_ms);
+    let window_ms = core.settings.bounds.retry_window_ms;
+    core.peers.record_sent(state, sent_ms, window_ms);
     if state.is_planner {
         core.apply_moves(&state.open_moves);
     }
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -90,8 +90,6 @@
     /// Traffic of this entry's requests between data centres.
     pub(crate) interconnect: InterconnectTraffic,
     retries: ByService<RetryWindow>,
-    /// Whether no other process of this entry was listed when it started.
-    pub(crate) is_first_process: AtomicBool,
     first_event_waits: ByService<FirstEventWaits>,
     /// Requests that run or wait for capacity, by service.
     pub(crate) capacity_waits: Arc<ByService<CapacityWaits>>,
@@ -147,7 +145,6 @@
             peer_usage: PeerUsage::default(),
             interconnect: InterconnectTraffic::default(),
             retries: ByService::default(),
-            is_first_process: AtomicBool::new(false),
             first_event_waits: ByService::default(),
             capacity_waits: Arc::default(),
             capacity: Arc::default(),
@@ -373,7 +370,7 @@
             entries: self.peers.sharing_entries(),
             peers,
             process_age_ms: self.age_ms(),
-            has_predecessor: !self.is_first_process.load(Relaxed),
+            has_predecessor: !self.peers.is_first_process(),
         }
     }
 
--- a/crates/emulator/src/backend_servers/rows.rs
+++ b/crates/emulator/src/backend_servers/rows.rs
@@ -169,6 +169,15 @@
 
     /// Writes the server's row.
     pub fn write_row(&self, address: SocketAddr) {
+        self.write_changed_row(address, |_| {});
+    }
+
+    /// Writes the server's row with a change, as another writer may do.
+    pub fn write_changed_row(
+        &self,
+        address: SocketAddr,
+        change: impl FnOnce(&mut serde_json::Value),
+    ) {
         let Some(server) = self.server(address) else { return };
         let state = match server.status {
             ServerStatus::Draining => "draining",
@@ -187,6 +196,7 @@
             row["kind"] = json!("card");
             row["layers"] = layers_json(server.layers);
         }
+        change(&mut row);
         self.shared.store.put(TABLE, &server.id, &row);
     }
 }
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -44,13 +44,6 @@
         .subcommand_required(true)
         .subcommand(
             Command::new("run")
-                .arg(
-                    Arg::new("logs")
-                        .long("logs")
-                        .value_name("DIR")
-                        .value_parser(value_parser!(PathBuf))
-                        .help("Keep the logs of the entries"),
-                )
                 .about("Run an experiment")
                 .arg(
                     Arg::new("file")
@@ -71,6 +64,13 @@
                         .value_parser(value_parser!(PathBuf))
                         .help("Write a plot over time as SVG"),
                 )
+                .arg(
+                    Arg::new("logs")
+                        .long("logs")
+                        .value_name("DIR")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Keep the logs of the entries"),
+                )
                 .arg(binary.clone()),
         )
         .subcommand(
