--- a/crates/daemon/tests/users_platform/crash_points.rs
+++ b/crates/daemon/tests/users_platform/crash_points.rs
@@ -163,7 +163,7 @@
 }
 
 /// Kills all entries, and starts them again.
-async fn restart_all(running: &RunningSite) {
+pub(crate) async fn restart_all(running: &RunningSite) {
     let entries = running.addresses.len();
     (0..entries).for_each(|entry| running.restart_entry(entry));
     Timer::after(Duration::from_millis(100)).await;
--- a/crates/daemon/tests/users_platform/crashing_parts.rs
+++ b/crates/daemon/tests/users_platform/crashing_parts.rs
@@ -57,12 +57,12 @@
     max_crashes: usize,
 }
 
-fn crashing_part(number: u32) -> String {
+pub(crate) fn crashing_part(number: u32) -> String {
     format!("{CRASH_PART_PREFIX}{number:04x}")
 }
 
 /// A request with a crashing part; `number` tells it from all others.
-fn crashing_spec(
+pub(crate) fn crashing_spec(
     kind: RequestKind,
     other_parts: &[&str],
     part: &str,
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -77,7 +77,7 @@
         }
     }
 
-    /// Time from the first attempt to the deadline.
+    /// Usual time from the first attempt to the deadline.
     pub fn deadline(self) -> Duration {
         match self {
             RequestKind::Stream | RequestKind::UrgentStream => {
@@ -107,6 +107,8 @@
     pub shared_parts: Vec<String>,
     /// Length of the body, for requests that have one.
     pub body_bytes: usize,
+    /// Time from the first attempt to the deadline.
+    pub deadline: Duration,
     /// How long the caller waits beyond the deadline that it states.
     pub patience: Duration,
 }
@@ -123,6 +125,7 @@
             max_attempts: 2,
             shared_parts: Vec::new(),
             body_bytes: 5,
+            deadline: kind.deadline(),
             patience: Duration::ZERO,
         }
     }
@@ -223,7 +226,7 @@
         let entry = entries[(first_entry + index) % entries.len()];
         let id = format!("{:016x}", fastrand::u64(..));
         let sent_at = Instant::now();
-        let stated = spec.kind.deadline().saturating_sub(start.elapsed());
+        let stated = spec.deadline.saturating_sub(start.elapsed());
         let (end, retry_after) =
             attempt_once(spec, entry, &id, &mut progress).await;
         let will_retry =
@@ -242,8 +245,7 @@
         if !will_retry {
             break;
         }
-        let deadline = spec.kind.deadline();
-        let remaining = deadline.saturating_sub(start.elapsed());
+        let remaining = spec.deadline.saturating_sub(start.elapsed());
         let retry_after = retry_after.unwrap_or_default();
         Timer::after(retry_after.min(remaining / RETRY_AFTER_DIVISOR)).await;
     }
@@ -268,8 +270,7 @@
     id: &str,
     progress: &mut RequestProgress,
 ) -> (AttemptEnd, Option<Duration>) {
-    let deadline = spec.kind.deadline();
-    let remaining = deadline.saturating_sub(progress.start.elapsed());
+    let remaining = spec.deadline.saturating_sub(progress.start.elapsed());
     let bytes = request_bytes(spec, id, progress.events, remaining);
     let Ok(mut connection) = Outbound::connect(entry, CONNECT_TIMEOUT).await
     else {
@@ -480,7 +481,7 @@
     let limit = match spec.kind {
         RequestKind::Stream | RequestKind::UrgentStream => GAP_TIMEOUT,
         RequestKind::Idempotent | RequestKind::Once => {
-            spec.kind.deadline() + spec.patience
+            spec.deadline + spec.patience
         }
     };
     let work = async { Some(work.await) };
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -68,6 +68,10 @@
     pub retry_slack: f64,
     /// Timeout of the route for streams, in milliseconds.
     pub stream_timeout_ms: u64,
+    /// Timeout of the other routes, in milliseconds.
+    pub plain_timeout_ms: u64,
+    /// Time for which a stopping entry may serve, in seconds.
+    pub grace_s: u64,
     /// Interval between two rows of a server, as the settings state it, in
     /// milliseconds.
     pub heartbeat_ms: u64,
@@ -112,6 +116,8 @@
             plain_ms: 10,
             retry_slack: 200.0,
             stream_timeout_ms: 15_000,
+            plain_timeout_ms: 2_000,
+            grace_s: 5,
             heartbeat_ms: 400,
             drain_ms: 1_000,
             has_links: false,
@@ -203,7 +209,7 @@
                 "hostname": HOST,
                 "prefix": prefix,
                 "kind": kind,
-                "timeout-ms": 2_000,
+                "timeout-ms": self.plain_timeout_ms,
                 "target-latency-ms": 300,
                 "priority": 1,
                 "service": service,
@@ -305,7 +311,7 @@
 max-fds = 4100
 [bounds]
 drain-ms = {drain_ms}
-grace-s = 5
+grace-s = {grace_s}
 config-apply-ms = 2000
 strict-revoke = true
 revoke-ms = {revoke_ms}
@@ -325,6 +331,7 @@
             revoke_ms = self.revoke_ms,
             heartbeat_ms = self.heartbeat_ms,
             drain_ms = self.drain_ms,
+            grace_s = self.grace_s,
             inner = entry.inner,
             clients = entry.clients,
             ready = entry.ready,
