--- a/crates/direct/src/cluster/lost_runs.rs
+++ b/crates/direct/src/cluster/lost_runs.rs
@@ -375,6 +375,8 @@
         &[
             ("request", &run.request),
             ("fingerprint", &run.keys.request()),
+            ("parts", &run.parts),
+            ("suspicion", &run.suspicion.as_str()),
             ("backend", &run.engine.id),
             ("begun_ms", &begun_ms),
             ("attempt_events", &run.progress.events()),
--- a/crates/routing/src/quarantine/run_progress.rs
+++ b/crates/routing/src/quarantine/run_progress.rs
@@ -109,3 +109,13 @@
     /// have lasted.
     Weak,
 }
+
+impl RunSuspicion {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RunSuspicion::Strong => "strong",
+            RunSuspicion::Weak => "weak",
+        }
+    }
+}
