--- a/crates/daemon/tests/users_platform/part_crash_points.rs
+++ b/crates/daemon/tests/users_platform/part_crash_points.rs
@@ -95,7 +95,8 @@
 
     fn assert_limits_held(&self, calm_share: f64) {
         println!("{self:?}, {calm_share} in calm");
-        assert!(self.crashes >= 2, "{self:?}");
+        assert!(self.arrivals >= self.crashes, "{self:?}");
+        assert!(self.crashes >= 3, "{self:?}");
         assert!(self.late <= MAX_LATE_ARRIVALS, "{self:?}");
         assert!(self.harmless >= 20, "{self:?}");
         let share = self.at_first as f64 / self.harmless as f64;
@@ -168,9 +169,15 @@
 }
 
 /// Between two rounds the entries are in touch again.
-#[test]
-fn a_part_reaches_no_engine_after_all_entries_started_again() {
+#[rstest]
+#[case::before_the_head(CrashPoint::BeforeHead)]
+#[case::after_the_head(CrashPoint::AfterHead)]
+#[case::after_many_events(CrashPoint::AfterEvents(24))]
+fn a_part_reaches_no_engine_after_all_entries_started_again(
+    #[case] point: CrashPoint,
+) {
     with_site(&site(), async |running| {
+        running.backends.set_crash_plan(at(point).plan);
         let part = crashing_part(8);
         let entries = running.addresses.len();
         for round in 0..ROUNDS {
--- a/crates/daemon/tests/users_platform/stop_grace.rs
+++ b/crates/daemon/tests/users_platform/stop_grace.rs
@@ -42,6 +42,8 @@
             plain_servers: 4,
             plain_ms: self.plain_ms,
             plain_timeout_ms: 12_000,
+            // No attempt is abandoned for its duration.
+            plain_target_ms: 20_000,
             events: self.events,
             grace_s: self.grace_s,
             ..Site::small()
@@ -194,8 +196,6 @@
         assert!(seen.violations.is_empty(), "{seen:?}");
         assert!(seen.cut.is_empty(), "{seen:?}");
         assert!(seen.in_doubt.is_empty(), "{seen:?}");
-        if case.plain_ms < 6_000 {
-            assert!(seen.unserved.is_empty(), "{seen:?}");
-        }
+        assert!(seen.unserved.is_empty(), "{seen:?}");
     });
 }
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -70,6 +70,9 @@
     pub stream_timeout_ms: u64,
     /// Timeout of the other routes, in milliseconds.
     pub plain_timeout_ms: u64,
+    /// Target for the time to the response of the other routes, in
+    /// milliseconds.
+    pub plain_target_ms: u64,
     /// Time for which a stopping entry may serve, in seconds.
     pub grace_s: u64,
     /// Interval between two rows of a server, as the settings state it, in
@@ -117,6 +120,7 @@
             retry_slack: 200.0,
             stream_timeout_ms: 15_000,
             plain_timeout_ms: 2_000,
+            plain_target_ms: 300,
             grace_s: 5,
             heartbeat_ms: 400,
             drain_ms: 1_000,
@@ -210,7 +214,7 @@
                 "prefix": prefix,
                 "kind": kind,
                 "timeout-ms": self.plain_timeout_ms,
-                "target-latency-ms": 300,
+                "target-latency-ms": self.plain_target_ms,
                 "priority": 1,
                 "service": service,
                 "max-attempts": MAX_ATTEMPTS,
@@ -222,6 +226,7 @@
         stream["resumable"] = json!(true);
         stream["sticky"] = json!(true);
         stream["gap-target-ms"] = json!(200);
+        stream["target-latency-ms"] = json!(300);
         stream["timeout-ms"] = json!(self.stream_timeout_ms);
         let mut urgent = stream.clone();
         urgent["name"] = json!("r-urgent");
