Quarantine: parts of prompts are judged by the same crashes as requests

Callers saw: where a part of prompts crashes engines before the head or long after it, requests with the part went on to reach engines (397 arrivals more than 3 s after the fifth crash, 44 engines crashed), and harmless requests that share the first part were refused (0 of 70 served at the first attempt).

Cause: a crash counted against the parts only if the run had its head and was younger than 300 ms or 4 events. Whole requests had been given weak crashes at any point, their parts had not: two kinds of evidence, two rules. Bystanders that had just begun were suspected in place of the harmful part.

Now every lost run counts against its parts, by its point: crashes of runs that had just begun and of runs that waited or lasted are kept apart for each server, and a run voids those that it has passed, a completed one all late ones. Weak crashes make a suspect together (3 for a part), unless something else was at all of them and at more. A crash in a trial counts against a part only if that was suspect before the run. A resumed run counts as one that had lasted. A run ends when it is quarantined and has not passed the crashes.

Replaced: that a crash of a run that had lasted speaks against the request alone stated the fault; a table by points, requests and survivors takes its place.

--- a/crates/direct/src/cluster/suspects.rs
+++ b/crates/direct/src/cluster/suspects.rs
@@ -82,6 +82,8 @@
     pub(crate) failed_ms: u64,
     pub(crate) suspicion: RunSuspicion,
     pub(crate) is_in_trial: bool,
+    /// Whether the run went on with a stream that had events already.
+    pub(crate) is_resumed: bool,
 }
 
 /// A trial by this entry, which ends when the guard is dropped.
@@ -200,6 +202,32 @@
         verdict == Verdict::Free
     }
 
+    /// Whether a run that came to a point has passed all crashes under a
+    /// fingerprint.
+    pub(crate) fn has_passed(
+        &self,
+        fingerprint: Fingerprint,
+        point: RunPoint,
+    ) -> bool {
+        self.lock().suspects.has_passed(fingerprint, point)
+    }
+
+    /// Whether a run that came to a point has passed all crashes for which the
+    /// request is a suspect.
+    pub(crate) fn has_passed_all(
+        &self,
+        keys: &RequestKeys,
+        point: RunPoint,
+    ) -> bool {
+        let state = self.lock();
+        let suspects = &state.suspects;
+        let now_ms = now_ms();
+        keys.iter().all(|key| {
+            suspects.fingerprint_verdict(key, now_ms) == Verdict::Free
+                || suspects.has_passed(key, point)
+        })
+    }
+
     pub(crate) fn verdict(&self, keys: &RequestKeys) -> Verdict {
         self.lock().suspects.verdict(keys, now_ms())
     }
@@ -339,6 +367,7 @@
         is_in_trial: run.is_in_trial,
         point: run.progress.point(run.failed_ms),
         suspicion: run.suspicion,
+        is_resumed: run.is_resumed,
         attempt: short_hash(&run.request),
     };
     let changes = core.suspects.update(keys.iter(), |suspects, now_ms| {
@@ -396,38 +425,43 @@
 }
 
 /// Records that a run of a request completed, which voids its crashes.
-pub(crate) fn record_completed(core: &Core, request: Fingerprint, id: &str) {
-    let clear =
-        |suspects: &mut Suspects, now_ms| suspects.clear(request, now_ms);
-    if let Some(change) = core.suspects.update_one(request, clear) {
-        announce_cleared(core, &change, id, "completed");
-    }
+pub(crate) fn record_completed(core: &Core, keys: &RequestKeys, id: &str) {
+    record_harmless(core, keys, id, "completed", |suspects, now_ms| {
+        suspects.record_completed(keys, now_ms)
+    });
 }
 
 /// Records that a run did not crash its engine when it began, which voids the
-/// crashes under the parts of its prompt.
+/// crashes of such runs under the parts of its prompt.
 pub(crate) fn record_begun(core: &Core, keys: &RequestKeys, id: &str) {
-    let changes = core.suspects.update(keys.parts(), |suspects, now_ms| {
+    record_harmless(core, keys, id, "lasted", |suspects, now_ms| {
         suspects.record_begun(keys, now_ms)
     });
-    for change in changes {
-        announce_cleared(core, &change, id, "lasted");
-    }
 }
 
 /// Records that a run of a request came to a point, which voids the crashes
 /// at points before.
 pub(crate) fn record_progress(
     core: &Core,
-    request: Fingerprint,
+    keys: &RequestKeys,
     point: RunPoint,
     id: &str,
 ) {
-    let change = core.suspects.update_one(request, |suspects, now_ms| {
-        suspects.record_progress(request, point, now_ms)
+    record_harmless(core, keys, id, "lasted", |suspects, now_ms| {
+        suspects.record_progress(keys, point, now_ms)
     });
-    if let Some(change) = change {
-        announce_cleared(core, &change, id, "lasted");
+}
+
+/// Voids crashes and announces the fingerprints that `void` returns.
+fn record_harmless(
+    core: &Core,
+    keys: &RequestKeys,
+    id: &str,
+    cause: &str,
+    void: impl FnOnce(&mut Suspects, u64) -> Vec<Fingerprint>,
+) {
+    for change in core.suspects.update(keys.iter(), void) {
+        announce_cleared(core, &change, id, cause);
     }
 }
 
--- a/crates/direct/src/request/isolation.rs
+++ b/crates/direct/src/request/isolation.rs
@@ -66,6 +66,8 @@
     admitted: &'a AdmittedRequest,
     /// Computed only if there is any suspect.
     keys: OnceLock<RequestKeys>,
+    /// Whether the present run goes on with a stream that had events already.
+    is_resumed: bool,
     /// Whether the present run did not crash its engine when it began.
     has_run_survived: bool,
     /// Whether the present run has come well past the points at which engines
@@ -91,6 +93,7 @@
             request,
             admitted,
             keys: OnceLock::new(),
+            is_resumed: false,
             has_run_survived: false,
             has_run_passed: false,
             has_just_crashed: false,
@@ -117,18 +120,21 @@
         parts.collect::<Vec<&str>>().join(",")
     }
 
-    /// Records that a run begins.
-    pub(crate) fn begin_run(&mut self) {
+    /// Records that a run begins, or goes on with a stream that had events
+    /// already.
+    pub(crate) fn begin_run(&mut self, is_resumed: bool) {
+        self.is_resumed = is_resumed;
         self.has_run_survived = false;
         self.has_run_passed = false;
     }
 
-    /// Whether the present run must end, because the request is quarantined. A
-    /// run that has lasted crashes no engine by the parts of its prompt.
-    pub(crate) fn must_end_run(&self) -> bool {
+    /// Whether the present run must end, because the request is quarantined
+    /// and the run may still crash its engine.
+    pub(crate) fn must_end_run(&self, progress: RunProgress) -> bool {
         match self.verdict() {
             Verdict::Quarantined { cause, .. } => {
-                !self.has_run_survived || cause == self.fingerprint()
+                let point = progress.point(now_ms());
+                !self.core.suspects.has_passed(cause, point)
             }
             Verdict::Free | Verdict::Suspect { .. } => false,
         }
@@ -210,7 +216,7 @@
         if !self.has_run_survived {
             suspects::record_begun(self.core, self.keys(), id);
         }
-        suspects::record_completed(self.core, self.fingerprint(), id);
+        suspects::record_completed(self.core, self.keys(), id);
     }
 
     /// Records how far the present run has come. Returns whether it has come
@@ -221,25 +227,26 @@
             return false;
         }
         let is_first = !std::mem::replace(&mut self.has_run_survived, true);
-        if self.has_run_passed || self.core.suspects.is_empty() {
+        if self.core.suspects.is_empty() {
             return true;
         }
         if !is_first && !progress.events().is_multiple_of(PROGRESS_STEP) {
-            return false;
+            return self.has_run_passed;
         }
         let id = self.admitted.id_text();
         if is_first {
             suspects::record_begun(self.core, self.keys(), id);
         }
-        let request = self.fingerprint();
         let point = progress.point(now_ms);
-        suspects::record_progress(self.core, request, point, id);
-        self.has_run_passed = self.core.suspects.is_free(request);
+        suspects::record_progress(self.core, self.keys(), point, id);
+        self.has_run_passed =
+            self.core.suspects.has_passed_all(self.keys(), point);
         self.has_run_passed
     }
 
     /// Records that the engine ended the connection of a run, and checks
-    /// whether it crashed. A run that has lasted does not wait for that.
+    /// whether it crashed. A run that has lasted waits for that only if there
+    /// are suspects: the crash may be the one that makes it one.
     pub(crate) async fn record_lost_run(
         &mut self,
         engine: &Arc<Engine>,
@@ -250,7 +257,8 @@
         let suspicion = progress.suspicion(now_ms);
         let run = self.failed_run(engine, progress, suspicion, is_in_trial);
         let decided = lost_runs::report(self.core, run);
-        if progress.has_survived(now_ms) && !is_in_trial {
+        let has_lasted = progress.has_survived(now_ms) && !is_in_trial;
+        if has_lasted && self.core.suspects.is_empty() {
             return;
         }
         self.await_decision(decided).await;
@@ -328,6 +336,7 @@
             failed_ms: now_ms(),
             suspicion,
             is_in_trial,
+            is_resumed: self.is_resumed,
         }
     }
 
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -57,7 +57,7 @@
         let first = self.path.first_engine().clone();
         let caller = inbound.stream().clone();
         self.pace.begin_attempt();
-        self.suspicion.begin_run();
+        self.suspicion.begin_run(self.last_event_id.is_some());
         self.is_connection_lost = false;
         let connect =
             Outbound::connect(first.address, exchange::CONNECT_TIMEOUT);
--- a/crates/direct/src/request/stream/supervise.rs
+++ b/crates/direct/src/request/stream/supervise.rs
@@ -166,7 +166,7 @@
     /// Checks for the cause of a stall and reroutes the stream around it;
     /// false if the stream must leave its first engine.
     async fn check_stream(&mut self) -> bool {
-        if self.suspicion.must_end_run() {
+        if self.suspicion.must_end_run(self.pace.run_progress) {
             self.leave_reason = "the request is quarantined";
             return false;
         }
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -7,14 +7,15 @@
 //!
 //! A request therefore has several fingerprints
 //! ([`Fingerprint`](crate::Fingerprint)): its own, and those of the parts of
-//! its prompt ([`RequestKeys`]). All of them become suspects if the request had
-//! only just begun on a server that crashed ([`RunProgress`]). A request with
-//! a suspect runs in a trial ([`Trials`]): one for each suspect at a time in
-//! the whole fleet, on a server where no other request is on trial. A run that
-//! survives voids the crashes before it under all that the request has, so
-//! what harmless requests share is a suspect for some milliseconds only.
-//! Crashes in trials lead to quarantine ([`Suspects`]), in which requests with
-//! the fingerprint are refused.
+//! its prompt ([`RequestKeys`]). A crash counts against all of them, wherever
+//! the run was: one crash makes a suspect if the run had only just begun
+//! ([`RunProgress`]), else several do. A request with a suspect runs in a trial
+//! ([`Trials`]): one for each suspect at a time in the whole fleet, on a server
+//! where no other request is on trial. A run that comes past the point of a
+//! crash voids it under all that the request has, so what harmless requests
+//! share is a suspect for some milliseconds only. Crashes in trials lead to
+//! quarantine ([`Suspects`]), in which requests with the fingerprint are
+//! refused.
 //!
 //! A crash under a harmful part also counts against what other requests on
 //! the server have. Their suspects are ignored once the part is quarantined,
--- a/crates/routing/src/quarantine/crash_record.rs
+++ b/crates/routing/src/quarantine/crash_record.rs
@@ -20,6 +20,9 @@
 /// Attempts of callers that must have crashed a server in a trial, if the runs
 /// had not just begun.
 const LATE_TRIAL_ATTEMPTS: usize = 2;
+/// Score needed for the quarantine of a part, if the runs had not just begun:
+/// each server counts 1, and each request that crashed one in a trial.
+const LATE_PART_SCORE: usize = 7;
 /// Limit on doublings of the quarantine, one for each crash after one.
 const MAX_DOUBLINGS: usize = 2;
 /// How long a suspect is kept, and what was quarantined after its quarantine.
@@ -95,12 +98,22 @@
     }
 }
 
-/// Crashes by short hash of the server's incarnation.
+/// Which runs a crash speaks against.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct CrashKey {
+    /// Short hash of the server's incarnation.
+    server: u32,
+    /// Whether the runs had lasted. Several runs on a server may have a part,
+    /// and a run that begins clears only those that had just begun.
+    had_lasted: bool,
+}
+
+/// Crashes under one fingerprint.
 #[derive(Clone, Debug)]
 pub(super) struct CrashRecord {
     is_part: bool,
-    crashes: BTreeMap<u32, Crash>,
-    /// Number of crashes that count.
+    crashes: BTreeMap<CrashKey, Crash>,
+    /// Number of servers whose crashes count.
     count: usize,
     /// Whether one of them makes a suspect by itself.
     is_strong: bool,
@@ -124,15 +137,21 @@
         }
     }
 
-    /// Servers whose crashes count.
+    /// Servers whose crashes count; a server may come twice.
     pub(super) fn servers(&self) -> impl Iterator<Item = u32> {
         self.valid().map(|(server, _)| server)
     }
 
+    /// Known crashes of a server.
+    fn at(&self, server: u32) -> impl Iterator<Item = &Crash> {
+        let key = |had_lasted| CrashKey { server, had_lasted };
+        self.crashes.range(key(false)..=key(true)).map(|(_, crash)| crash)
+    }
+
     fn valid(&self) -> impl Iterator<Item = (u32, &Crash)> {
         let crashes = self.crashes.iter();
         let valid = crashes.filter(|(_, crash)| !crash.is_void);
-        valid.map(|(server, crash)| (*server, crash))
+        valid.map(|(key, crash)| (key.server, crash))
     }
 
     /// Number of crashes that count.
@@ -158,7 +177,7 @@
 
     /// Whether the crash of a server counts.
     pub(super) fn has_valid(&self, server: u32) -> bool {
-        self.crashes.get(&server).is_some_and(|crash| !crash.is_void)
+        self.at(server).any(|crash| !crash.is_void)
     }
 
     /// Trials in which a server crashed: server and trial.
@@ -172,8 +191,8 @@
         if !self.has_trial {
             return None;
         }
-        let trial = self.crashes.get(&server)?.trial;
-        (trial != 0).then_some(trial)
+        let mut trials = self.at(server).map(|crash| crash.trial);
+        trials.find(|trial| *trial != 0)
     }
 
     /// Whether the crashes are evidence against requests of an account.
@@ -202,15 +221,17 @@
             trials.iter().map(|(_server, trial)| *trial).collect();
         let requests = requests.len();
         let min_requests = if self.is_part { PART_TRIAL_REQUESTS } else { 1 };
-        let is_quarantined = requests >= min_requests
-            && (self.has_early_score(&trials)
-                || self.has_score_of_attempts(&trials));
-        if !is_quarantined {
+        let has_early_score = self.has_early_score(&trials);
+        let has_late_score = match self.is_part {
+            true => self.count + requests >= LATE_PART_SCORE,
+            false => self.has_score_of_attempts(&trials),
+        };
+        if requests < min_requests || !(has_early_score || has_late_score) {
             return None;
         }
         let is_on_probation = self.is_part
             && requests < SURVIVED_PART_TRIAL_REQUESTS
-            && self.crashes.len() > self.count;
+            && self.has_survived_crash(!has_early_score);
         let length_ms = match is_on_probation {
             true => PROBATION_MS,
             false => {
@@ -240,14 +261,23 @@
     /// one in a trial. A long run may meet several servers that fail by
     /// themselves, but not each copy of it.
     fn has_score_of_attempts(&self, trials: &[(u32, u32)]) -> bool {
-        let attempt =
-            |(server, _): &(u32, u32)| Some(self.crashes.get(server)?.attempt);
+        let in_trials = self.valid().filter(|(server, crash)| {
+            trials.contains(&(*server, crash.trial))
+        });
         let attempts: BTreeSet<u32> =
-            trials.iter().filter_map(attempt).collect();
+            in_trials.map(|(_, crash)| crash.attempt).collect();
         attempts.len() >= LATE_TRIAL_ATTEMPTS
             && self.count + trials.len() >= QUARANTINE_SCORE
     }
 
+    /// Whether a run has passed a known crash of runs that had lasted, or of
+    /// those that had not.
+    fn has_survived_crash(&self, had_lasted: bool) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes
+            .any(|(key, crash)| crash.is_void && key.had_lasted == had_lasted)
+    }
+
     /// Whether enough crashes happened in trials for a quarantine.
     pub(super) fn has_quarantine_score(&self) -> bool {
         self.until_ms.is_some()
@@ -267,7 +297,10 @@
     }
 
     fn update_count(&mut self) {
-        self.count = self.valid().count();
+        let mut last = None;
+        let is_new = |server: &u32| last.replace(*server) != Some(*server);
+        // The crashes are in the order of their servers.
+        self.count = self.servers().filter(is_new).count();
         let is_strong = self.valid().any(|(_, crash)| !crash.is_weak);
         self.is_strong = is_strong;
         self.has_trial = self.crashes.values().any(|crash| crash.trial != 0);
@@ -282,13 +315,15 @@
     }
 
     fn merge(&mut self, server: u32, crash: Crash) -> bool {
-        match self.crashes.entry(server) {
+        let had_lasted = self.is_part && !crash.point.is_early();
+        let key = CrashKey { server, had_lasted };
+        match self.crashes.entry(key) {
             Entry::Vacant(vacant) => {
                 vacant.insert(crash);
                 while self.crashes.len() > MAX_CRASHES {
                     self.evict_oldest();
                 }
-                self.crashes.contains_key(&server)
+                self.crashes.contains_key(&key)
             }
             Entry::Occupied(mut occupied) => {
                 let known = occupied.get_mut();
@@ -308,12 +343,12 @@
     }
 
     fn evict_oldest(&mut self) {
-        let age = |(server, crash): (&u32, &Crash)| {
-            (!crash.is_void, crash.at_ms, *server)
+        let age = |(key, crash): (&CrashKey, &Crash)| {
+            (!crash.is_void, crash.at_ms, *key)
         };
         let oldest = self.crashes.iter().map(age).min();
-        if let Some((_, _, server)) = oldest {
-            self.crashes.remove(&server);
+        if let Some((_, _, key)) = oldest {
+            self.crashes.remove(&key);
         }
     }
 
@@ -323,27 +358,71 @@
         point.passes(self.farthest_point()) && self.void()
     }
 
+    /// Voids the known crashes of runs that had just begun; true if any
+    /// counted.
+    pub(super) fn void_early(&mut self) -> bool {
+        self.void_where(|_, crash| crash.is_early())
+    }
+
+    /// Voids the known crashes of runs that waited or lasted and had come less
+    /// far than `point`; true if any counted.
+    pub(super) fn void_late_before(&mut self, point: RunPoint) -> bool {
+        self.void_where(|_, crash| !crash.is_early() && point.passes(crash))
+    }
+
+    /// Voids the known crashes of runs that had lasted; true if any counted.
+    pub(super) fn void_late(&mut self) -> bool {
+        self.void_where(|_, crash| !crash.is_early())
+    }
+
+    /// Whether a run that came to a point has passed all crashes that count.
+    pub(super) fn is_passed(&self, point: RunPoint) -> bool {
+        self.valid().all(|(_, crash)| point.passes(crash.point))
+    }
+
+    /// Whether a server other than `server` crashed before a time, at a point
+    /// that a run has not passed.
+    pub(super) fn has_crash_ahead(
+        &self,
+        server: u32,
+        point: RunPoint,
+        before_ms: u64,
+    ) -> bool {
+        self.valid().any(|(other, crash)| {
+            other != server
+                && crash.at_ms <= before_ms
+                && !point.passes(crash.point)
+        })
+    }
+
     /// Voids the known crashes; true if any counted.
     pub(super) fn void(&mut self) -> bool {
+        self.void_where(|_, _| true)
+    }
+
+    fn void_where(
+        &mut self,
+        is_meant: impl Fn(CrashKey, RunPoint) -> bool,
+    ) -> bool {
         let mut is_changed = false;
-        for crash in self.crashes.values_mut() {
-            is_changed |= !std::mem::replace(&mut crash.is_void, true);
+        for (key, crash) in &mut self.crashes {
+            if is_meant(*key, crash.point) {
+                is_changed |= !std::mem::replace(&mut crash.is_void, true);
+            }
         }
         self.update_count();
         is_changed
     }
 
-    /// Voids the crash of one server; true if it counted.
+    /// Voids the crashes of one server; true if any counted.
     pub(super) fn void_server(&mut self, server: u32) -> bool {
-        let Some(crash) = self.crashes.get_mut(&server) else { return false };
-        let is_changed = !std::mem::replace(&mut crash.is_void, true);
-        self.update_count();
-        is_changed
+        self.void_where(|key, _| key.server == server)
     }
 
     pub(super) fn reports(&self, now_ms: u64) -> Vec<CrashReport> {
-        let report =
-            |(server, crash): (&u32, &Crash)| crash.to_report(*server, now_ms);
+        let report = |(key, crash): (&CrashKey, &Crash)| {
+            crash.to_report(key.server, now_ms)
+        };
         self.crashes.iter().map(report).collect()
     }
 }
--- a/crates/routing/src/quarantine/run_progress.rs
+++ b/crates/routing/src/quarantine/run_progress.rs
@@ -26,6 +26,14 @@
         }
     }
 
+    /// This point, or a later one at which a run no longer has just begun.
+    pub(super) fn at_least_lasted(self) -> RunPoint {
+        self.max(RunPoint {
+            age_ms: MIN_SURVIVAL_MS,
+            events: MIN_SURVIVAL_EVENTS,
+        })
+    }
+
     /// Whether a run that came to this point has just begun.
     pub fn is_early(self) -> bool {
         !self.passes(RunPoint::default())
--- a/crates/routing/src/quarantine/suspects.rs
+++ b/crates/routing/src/quarantine/suspects.rs
@@ -26,6 +26,8 @@
 
 /// Crashes that make a suspect if none does so by itself.
 const MIN_WEAK_CRASHES: usize = 2;
+/// The same for a part of a prompt, which more of the runs on a server have.
+const MIN_WEAK_PART_CRASHES: usize = 3;
 
 /// A crash of a server during a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -38,6 +40,8 @@
     pub point: RunPoint,
     /// How much the crash speaks against the run.
     pub suspicion: RunSuspicion,
+    /// Whether the run went on with a stream that had events already.
+    pub is_resumed: bool,
     /// Short hash of the id of the caller's attempt.
     pub attempt: u32,
 }
@@ -103,7 +107,7 @@
         now_ms: u64,
     ) -> Verdict {
         let verdict = self.verdict_of(key, record, now_ms);
-        if verdict == Verdict::Free || self.is_bystander(key, record) {
+        if verdict == Verdict::Free || self.is_bystander(keys, key, record) {
             return Verdict::Free;
         }
         let others = self.records.iter().filter(|(other, record)| {
@@ -126,15 +130,22 @@
         }
     }
 
-    /// Whether another request was at all crashes of a request, and at more,
-    /// so that this one is more likely to have been beside it. Only asked
-    /// where no crash makes a suspect by itself.
-    fn is_bystander(&self, key: Fingerprint, record: &CrashRecord) -> bool {
-        if key.is_part() || record.is_strong() {
+    /// Whether something that a request does not have was at all crashes of
+    /// one of its fingerprints, and at more, so that this one is more likely to
+    /// have been beside it. Only asked where no crash makes a suspect by
+    /// itself.
+    fn is_bystander(
+        &self,
+        keys: &RequestKeys,
+        key: Fingerprint,
+        record: &CrashRecord,
+    ) -> bool {
+        if record.is_strong() {
             return false;
         }
-        let mut others =
-            self.records.iter().filter(|(other, _)| !other.is_part());
+        let mut others = self.records.iter().filter(|(other, _)| {
+            !keys.contains(**other) && (key.is_part() || !other.is_part())
+        });
         others.any(|(_, other)| {
             other.count() > record.count() && record.is_covered_by(other)
         })
@@ -167,7 +178,11 @@
         now_ms: u64,
     ) -> Verdict {
         let crashes = record.count();
-        let min = if record.is_strong() { 1 } else { MIN_WEAK_CRASHES };
+        let min = match (record.is_strong(), cause.is_part()) {
+            (true, _) => 1,
+            (false, false) => MIN_WEAK_CRASHES,
+            (false, true) => MIN_WEAK_PART_CRASHES,
+        };
         if crashes < min {
             return Verdict::Free;
         }
@@ -209,60 +224,120 @@
             is_in_trial,
             point: RunPoint::default(),
             suspicion: RunSuspicion::Strong,
+            is_resumed: false,
             attempt: 0,
         };
         self.record_run_crash(keys, crash, now_ms)
     }
 
     /// Records that a server crashed during a run; returns the fingerprints
-    /// whose records changed. Parts of a prompt are suspects only if the run
-    /// had just begun: the parts of all that wait or last are those of nearly
-    /// all requests.
+    /// whose records changed.
     pub fn record_run_crash(
         &mut self,
         keys: &RequestKeys,
         run: RunCrash,
         now_ms: u64,
     ) -> Vec<Fingerprint> {
-        let is_weak = !run.is_in_trial && run.suspicion == RunSuspicion::Weak;
-        let crash = Crash {
-            at_ms: now_ms,
-            trial: if run.is_in_trial { keys.trial_id() } else { 0 },
-            account: keys.account(),
-            is_void: false,
-            is_weak,
-            point: run.point,
-            attempt: run.attempt,
+        let mut changed = Vec::new();
+        for key in keys.iter() {
+            let is_on_trial =
+                run.is_in_trial && self.may_explain(key, &run, now_ms);
+            // What crashes a server late crashes the one that resumes early.
+            let point = match key.is_part() && run.is_resumed {
+                true => run.point.at_least_lasted(),
+                false => run.point,
+            };
+            let crash = Crash {
+                at_ms: now_ms,
+                trial: if is_on_trial { keys.trial_id() } else { 0 },
+                account: keys.account(),
+                is_void: false,
+                is_weak: !is_on_trial && run.suspicion == RunSuspicion::Weak,
+                point,
+                attempt: run.attempt,
+            };
+            if self.apply(key, [(run.server, crash)], now_ms) {
+                changed.push(key);
+            }
+        }
+        changed
+    }
+
+    /// Whether a crash of a run in a trial is what crashes before it under a
+    /// fingerprint led to expect. A trial because of one fingerprint shows
+    /// nothing about a part that was no suspect, or whose crashes the run has
+    /// passed.
+    fn may_explain(
+        &self,
+        key: Fingerprint,
+        run: &RunCrash,
+        now_ms: u64,
+    ) -> bool {
+        let begun_ms = now_ms.saturating_sub(run.point.age_ms);
+        let is_expected = |record: &CrashRecord| {
+            record.has_crash_ahead(run.server, run.point, begun_ms)
         };
-        let has_just_begun = run.suspicion == RunSuspicion::Strong;
-        let suspected =
-            keys.iter().filter(|key| has_just_begun || *key == keys.request());
-        let changed = suspected
-            .filter(|key| self.apply(*key, [(run.server, crash)], now_ms));
-        changed.collect()
+        !key.is_part() || self.records.get(&key).is_some_and(is_expected)
     }
 
     /// Records that a run did not crash its server when it began, which voids
-    /// the known crashes under the parts of its prompt; returns the
-    /// fingerprints whose records changed.
+    /// the known crashes of such runs under the parts of its prompt; returns
+    /// the fingerprints whose records changed.
     pub fn record_begun(
         &mut self,
         keys: &RequestKeys,
         now_ms: u64,
     ) -> Vec<Fingerprint> {
-        keys.parts().filter(|key| self.clear(*key, now_ms)).collect()
+        self.void_parts(keys, now_ms, CrashRecord::void_early)
     }
 
-    /// Records that a run of a request came to a point, which voids the known
-    /// crashes at points before; true if any counted.
+    /// Records that a run came to a point, which voids the known crashes at
+    /// points before; returns the fingerprints whose records changed.
     pub fn record_progress(
         &mut self,
-        request: Fingerprint,
+        keys: &RequestKeys,
         point: RunPoint,
         now_ms: u64,
-    ) -> bool {
+    ) -> Vec<Fingerprint> {
+        let void = |record: &mut CrashRecord| record.void_late_before(point);
+        let mut changed = self.void_parts(keys, now_ms, void);
         let void = |record: &mut CrashRecord| record.void_passed(point);
-        self.void_by(request, now_ms, void)
+        let request = keys.request();
+        if self.void_by(request, now_ms, void) {
+            changed.push(request);
+        }
+        changed
+    }
+
+    /// Records that a run completed, which voids the crashes of the request,
+    /// and those of runs that had lasted under the parts of its prompt; returns
+    /// the fingerprints whose records changed.
+    pub fn record_completed(
+        &mut self,
+        keys: &RequestKeys,
+        now_ms: u64,
+    ) -> Vec<Fingerprint> {
+        let mut changed =
+            self.void_parts(keys, now_ms, CrashRecord::void_late);
+        if self.clear(keys.request(), now_ms) {
+            changed.push(keys.request());
+        }
+        changed
+    }
+
+    fn void_parts(
+        &mut self,
+        keys: &RequestKeys,
+        now_ms: u64,
+        void: impl Fn(&mut CrashRecord) -> bool,
+    ) -> Vec<Fingerprint> {
+        keys.parts().filter(|key| self.void_by(*key, now_ms, &void)).collect()
+    }
+
+    /// Whether a run that came to a point has passed all crashes under a
+    /// fingerprint.
+    pub fn has_passed(&self, key: Fingerprint, point: RunPoint) -> bool {
+        self.records.get(&key).is_none_or(|record| record.is_passed(point))
     }
 
     /// Voids the crash of a server that has not crashed after all; returns the
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -116,7 +116,7 @@
     assert_eq!(suspects.verdict(&keys(REQUEST), NOW_MS), suspect(2));
     let (age_ms, events) = case.reached;
     let point = RunPoint { age_ms, events };
-    suspects.record_progress(REQUEST, point, NOW_MS);
+    suspects.record_progress(&keys(REQUEST), point, NOW_MS);
     let verdict = suspects.verdict(&keys(REQUEST), NOW_MS);
     assert_eq!(verdict == Verdict::Free, case.is_cleared);
     suspects.clear(REQUEST, NOW_MS);
@@ -130,6 +130,7 @@
         is_in_trial: false,
         point,
         suspicion: RunSuspicion::Weak,
+        is_resumed: false,
         attempt: 0,
     }
 }
--- a/crates/routing/tests/quarantine_parts.rs
+++ b/crates/routing/tests/quarantine_parts.rs
@@ -135,24 +135,158 @@
     assert_eq!(severity(verdict), "quarantined");
 }
 
-/// A run that had lasted was past the processing of its prompt.
+fn late(server: u32, is_in_trial: bool) -> RunCrash {
+    RunCrash {
+        server,
+        is_in_trial,
+        point: RunPoint { age_ms: 600, events: 20 },
+        suspicion: RunSuspicion::Weak,
+        is_resumed: false,
+        attempt: server,
+    }
+}
+
+/// Crashes of runs that had lasted, under different requests.
+struct LateCrashes {
+    requests: u64,
+    /// How far a run of another request with the part has come since.
+    survivor: Option<RunPoint>,
+    verdict: &'static str,
+}
+
+#[rstest]
+#[case::of_one_request(LateCrashes {
+    requests: 1, survivor: None, verdict: "suspect",
+})]
+#[case::of_four_requests(LateCrashes {
+    requests: 4, survivor: None, verdict: "quarantined",
+})]
+#[case::of_two_requests(LateCrashes {
+    requests: 2, survivor: None, verdict: "suspect",
+})]
+#[case::before_a_run_that_began(LateCrashes {
+    requests: 4,
+    survivor: Some(RunPoint { age_ms: 400, events: 12 }),
+    verdict: "quarantined",
+})]
+#[case::before_a_run_that_lasted_longer(LateCrashes {
+    requests: 4,
+    survivor: Some(RunPoint { age_ms: 1_200, events: 40 }),
+    verdict: "free",
+})]
+fn crashes_of_runs_that_had_lasted_speak_against_their_parts(
+    #[case] case: LateCrashes,
+) {
+    let mut suspects = Suspects::new();
+    for server in 1..=4 {
+        let number = u64::from(server) % case.requests;
+        let keys = request(number, &[harmful(), common()]);
+        let at_ms = NOW_MS + u64::from(server) * 1_000;
+        suspects.record_run_crash(&keys, late(server, server > 1), at_ms);
+    }
+    if let Some(point) = case.survivor {
+        let keys = request(70, &[harmful(), common()]);
+        suspects.record_begun(&keys, NOW_MS);
+        suspects.record_progress(&keys, point, NOW_MS);
+    }
+    let other = request(60, &[harmful(), common()]);
+    assert_eq!(severity(suspects.verdict(&other, NOW_MS)), case.verdict);
+}
+
+/// A run that begins shows nothing about crashes after the begin, also where a
+/// resumed run crashed its server early.
 #[test]
-fn a_crash_of_a_run_that_had_lasted_speaks_against_the_request_alone() {
+fn runs_that_begin_do_not_shorten_the_quarantine_of_a_part_that_crashes_late()
+{
     let mut suspects = Suspects::new();
-    let keys = request(1, &[harmful(), common()]);
+    suspects.record_crash(&request(40, &[harmful()]), 40, false, NOW_MS);
+    suspects.record_begun(&request(41, &[harmful()]), NOW_MS);
+    for server in 1..=5 {
+        let keys = request(u64::from(server) % 2, &[harmful()]);
+        let at_ms = NOW_MS + u64::from(server) * 1_000;
+        suspects.record_run_crash(&keys, late(server, server > 3), at_ms);
+    }
+    let later_ms = NOW_MS + 5_000 + PROBATION_MS;
+    let verdict = suspects.verdict(&request(60, &[harmful()]), later_ms);
+    assert_eq!(severity(verdict), "quarantined");
+}
+
+/// What crashes a server late crashes the one that resumes the stream early.
+#[test]
+fn a_run_that_begins_does_not_clear_a_part_of_a_resumed_run() {
+    let mut suspects = Suspects::new();
+    let resumed = RunCrash {
+        point: RunPoint { age_ms: 40, events: 0 },
+        suspicion: RunSuspicion::Strong,
+        is_resumed: true,
+        ..late(1, false)
+    };
+    suspects.record_run_crash(&request(1, &[harmful()]), resumed, NOW_MS);
+    suspects.record_begun(&request(2, &[harmful()]), NOW_MS);
+    let other = request(60, &[harmful()]);
+    assert_eq!(severity(suspects.verdict(&other, NOW_MS)), "suspect");
+}
+
+#[test]
+fn a_completed_run_voids_the_late_crashes_of_its_parts() {
+    let mut suspects = Suspects::new();
+    for server in 1..=3 {
+        let keys = request(u64::from(server), &[common()]);
+        suspects.record_run_crash(&keys, late(server, false), NOW_MS);
+    }
+    let other = request(60, &[common()]);
+    assert_eq!(severity(suspects.verdict(&other, NOW_MS)), "suspect");
+    suspects.record_completed(&request(70, &[common()]), NOW_MS);
+    assert_eq!(suspects.verdict(&other, NOW_MS), Verdict::Free);
+}
+
+/// Few crashes under many runs that waited or lasted tell nothing of any.
+#[test]
+fn two_crashes_make_no_suspect_of_what_was_beside_them() {
+    let mut suspects = Suspects::new();
+    for server in 1..=2 {
+        let keys = request(u64::from(server), &[harmless()]);
+        suspects.record_run_crash(&keys, late(server, false), NOW_MS);
+    }
+    let other = request(60, &[harmless()]);
+    assert_eq!(suspects.verdict(&other, NOW_MS), Verdict::Free);
+}
+
+#[test]
+fn what_was_at_more_crashes_explains_those_of_runs_beside_it() {
+    let mut suspects = Suspects::new();
+    let beside = request(50, &[harmless()]);
     for server in 1..=4 {
-        let crash = RunCrash {
-            server,
-            is_in_trial: server > 2,
-            point: RunPoint { age_ms: 600, events: 20 },
-            suspicion: RunSuspicion::Weak,
-            attempt: server,
-        };
-        suspects.record_run_crash(&keys, crash, NOW_MS);
+        let keys = request(u64::from(server), &[harmful()]);
+        suspects.record_run_crash(&keys, late(server, false), NOW_MS);
+        if server < 4 {
+            suspects.record_run_crash(&beside, late(server, false), NOW_MS);
+        }
     }
-    assert_eq!(severity(suspects.verdict(&keys, NOW_MS)), "quarantined");
-    let other = request(2, &[harmful(), common()]);
+    let other = request(60, &[harmless()]);
     assert_eq!(suspects.verdict(&other, NOW_MS), Verdict::Free);
+    let other = request(61, &[harmful()]);
+    assert_eq!(severity(suspects.verdict(&other, NOW_MS)), "suspect");
+}
+
+/// The trial lasted for the sake of another part.
+#[test]
+fn a_crash_in_a_trial_does_not_count_against_a_part_that_was_passed() {
+    let mut suspects = Suspects::new();
+    for server in 1..=3 {
+        let keys = request(u64::from(server), &[common(), harmful()]);
+        if server > 1 {
+            let survivor = request(80, &[common()]);
+            suspects.record_completed(&survivor, NOW_MS);
+        }
+        let at_ms = NOW_MS + u64::from(server) * 1_000;
+        suspects.record_run_crash(&keys, late(server, server > 1), at_ms);
+    }
+    let report = suspects.report_of(common(), NOW_MS).expect("it is kept");
+    assert!(report.crashes.iter().all(|crash| crash.trial == 0));
+    let report = suspects.report_of(harmful(), NOW_MS).expect("it is kept");
+    let trials = report.crashes.iter().filter(|crash| crash.trial != 0);
+    assert_eq!(trials.count(), 2);
 }
 
 /// A resumed run processes its prompt again.
@@ -161,7 +295,7 @@
     let mut suspects = crashed();
     let keys = request(1, &[harmful(), common()]);
     let point = RunPoint { age_ms: 300, events: 4 };
-    suspects.record_progress(keys.request(), point, NOW_MS);
+    suspects.record_progress(&keys, point, NOW_MS);
     assert_eq!(severity(suspects.verdict(&keys, NOW_MS)), "quarantined");
     let without_parts = request(1, &[]);
     assert_eq!(suspects.verdict(&without_parts, NOW_MS), Verdict::Free);
--- a/crates/routing/tests/quarantine_replay.rs
+++ b/crates/routing/tests/quarantine_replay.rs
@@ -366,8 +366,25 @@
         }
     }
 
+    /// The harmful part of a request that was submitted before the part turned
+    /// harmful, and begins to run after that.
+    fn turned_harmful(&self, keys: &RequestKeys) -> Option<Fingerprint> {
+        let Crashing::Parts { count, was_harmless: true, .. } =
+            self.setup.crashing
+        else {
+            return None;
+        };
+        if self.now_ms < self.start_ms + TURNS_HARMFUL_MS {
+            return None;
+        }
+        let mut parts = (0..count).map(harmful_part);
+        parts.find(|part| keys.contains(*part))
+    }
+
     fn dispatch_one(&mut self, mut waiting: PendingRequest) {
         let entry = waiting.entry;
+        let turned = self.turned_harmful(&waiting.request.keys);
+        waiting.request.harmful = waiting.request.harmful.or(turned);
         match (self.verdict(&waiting), waiting.trial.take()) {
             (Verdict::Quarantined { .. }, trial) => {
                 if let Some((suspect, _)) = trial {
@@ -553,10 +570,10 @@
         if self.setup.policy == Policy::CrashCount {
             return;
         }
-        let request = attempt.request.keys.request();
         let suspects = &mut self.entries[entry].suspects;
-        if suspects.clear(request, self.now_ms) {
-            self.report_suspect(entry, request);
+        let keys = &attempt.request.keys;
+        for key in suspects.record_completed(keys, self.now_ms) {
+            self.report_suspect(entry, key);
         }
     }
 
@@ -572,14 +589,11 @@
         }
         let now_ms = self.now_ms;
         let suspects = &mut self.entries[entry].suspects;
-        let request = keys.request();
         let mut changed = Vec::new();
         if is_first {
             changed = suspects.record_begun(keys, now_ms);
         }
-        if suspects.record_progress(request, point, now_ms) {
-            changed.push(request);
-        }
+        changed.extend(suspects.record_progress(keys, point, now_ms));
         for key in changed {
             self.report_suspect(entry, key);
         }
@@ -591,8 +605,7 @@
         for attempt in &mut self.running {
             let Some(trial) = attempt.trial else { continue };
             let suspects = &self.entries[attempt.entry].suspects;
-            let request = attempt.request.keys.request();
-            let verdict = suspects.fingerprint_verdict(request, self.now_ms);
+            let verdict = suspects.verdict(&attempt.request.keys, self.now_ms);
             if attempt.has_survived && verdict == Verdict::Free {
                 attempt.trial = None;
                 passed.push((attempt.entry, trial));
@@ -634,6 +647,7 @@
             is_in_trial,
             point: attempt.run.point(now_ms),
             suspicion: attempt.run.suspicion(now_ms),
+            is_resumed: false,
             attempt: attempt.request.attempt,
         };
         let suspects = &mut self.entries[entry].suspects;
@@ -911,6 +925,72 @@
     }
 }
 
+/// Parts that crash their servers at other points than the begin.
+struct PartPointCase {
+    crash_time: CrashTime,
+    per_s: f64,
+    entries: usize,
+    servers: usize,
+}
+
+#[rstest]
+#[case::before_the_head(PartPointCase {
+    crash_time: CrashTime::BeforeHead, per_s: 4.0, entries: 5, servers: 39,
+})]
+#[case::late(PartPointCase {
+    crash_time: CrashTime::Late, per_s: 4.0, entries: 5, servers: 39,
+})]
+#[case::seldom_before_the_head(PartPointCase {
+    crash_time: CrashTime::BeforeHead, per_s: 1.0, entries: 5, servers: 39,
+})]
+#[case::seldom_late(PartPointCase {
+    crash_time: CrashTime::Late, per_s: 1.0, entries: 5, servers: 39,
+})]
+#[case::often_before_the_head(PartPointCase {
+    crash_time: CrashTime::BeforeHead, per_s: 20.0, entries: 5, servers: 39,
+})]
+#[case::often_late(PartPointCase {
+    crash_time: CrashTime::Late, per_s: 20.0, entries: 5, servers: 39,
+})]
+#[case::few_servers_before_the_head(PartPointCase {
+    crash_time: CrashTime::BeforeHead, per_s: 4.0, entries: 4, servers: 12,
+})]
+#[case::few_servers_late(PartPointCase {
+    crash_time: CrashTime::Late, per_s: 4.0, entries: 5, servers: 18,
+})]
+#[case::many_entries_before_the_head(PartPointCase {
+    crash_time: CrashTime::BeforeHead, per_s: 8.0, entries: 23, servers: 56,
+})]
+#[case::many_entries_late(PartPointCase {
+    crash_time: CrashTime::Late, per_s: 8.0, entries: 23, servers: 56,
+})]
+fn parts_that_crash_servers_at_any_point_are_quarantined_and_no_others(
+    #[case] case: PartPointCase,
+) {
+    for seed in 0..SEEDS {
+        let setup = Setup {
+            crash_time: case.crash_time,
+            entries: case.entries,
+            servers: case.servers,
+            ..of_part(case.per_s, false, false)
+        };
+        let simulation = Simulation::new(setup, seed).simulate();
+        let part = harmful_part(0);
+        let crashes = simulation.crashes[&part].len();
+        let late = simulation.late_arrivals(part, CONVERGENCE_MS);
+        let share = simulation.harmless_share(part);
+        let refused = simulation.harmless_refused.len();
+        println!(
+            "seed {seed}: {crashes} crashed, {late} late, {share} soon, \
+             {refused} harmless refused"
+        );
+        assert!(crashes >= 3, "seed {seed}");
+        assert!(late <= MAX_LATE, "seed {seed}");
+        assert!(share >= 0.95, "seed {seed}");
+        simulation.assert_few_harmless_refused(seed);
+    }
+}
+
 #[rstest]
 #[case::one_at_a_time(PartCase {
     setup: of_part(2.0, false, false), max_crashes: 3.5, is_known_by_all: true,
