Stop: take only requests that can end within the grace period, and answer the rest

Cause: requests were taken for 2.6 s whatever they took and whatever the grace was, and the process exited 0.35 s before the end of the grace with requests in progress. Whether a connection closes was decided when its request began, so that one from before the signal stayed open until the exit.

Now the times follow from the grace (routing::StopSchedule); a request is taken, and sent, only if its deadline or the longest recent duration on its route fits; else 503 with a Retry-After of 0. What still runs at the end gets its final answer: 503 if it was not sent, else 502; a stream that has begun is cut. A connection closes with the response that is written after the signal, and the process ends once all are closed. The store, if silent, delays no stop. `Core` has 35 fields (37 before).

--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -217,7 +217,7 @@
         crossing_kilobytes_per_s: (core.interconnect.own_bytes_per_s() / 1e3)
             as u32,
         resigned: core.released_lease_number.load(Relaxed),
-        is_stopping: core.stopping_for_ms().is_some(),
+        is_stopping: core.stop.has_begun(),
         open_moves: core.open_moves(),
         data_centre: core.settings.data_centre.clone(),
         feed_port: core.feed_port.load(Relaxed).into(),
--- a/crates/direct/src/cluster/permits/round.rs
+++ b/crates/direct/src/cluster/permits/round.rs
@@ -56,7 +56,7 @@
     ) -> IssuerView<'v> {
         IssuerView {
             own: self.core.boot_id,
-            is_leaving: self.core.stopping_for_ms().is_some(),
+            is_leaving: self.core.stop.has_begun(),
             live: &self.live,
             known_count: self.peer_count,
             choices,
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -36,6 +36,7 @@
         connection_control::ConnectionControl,
         interconnect::InterconnectTraffic, queue::PathQueues,
     },
+    stop::EntryStop,
     subscribers::Subscribers,
 };
 
@@ -98,11 +99,8 @@
     pub(crate) connections: ConnectionControl,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) readiness: Arc<Readiness>,
-    /// When the stop began; 0 while the entry runs.
-    stopping_ms: AtomicU64,
-    pub(crate) in_flight: AtomicUsize,
-    /// Closes when the entry stops.
-    pub(crate) closing: async_channel::Receiver<()>,
+    /// The planned stop, and what it waits for.
+    pub(crate) stop: EntryStop,
     pub(crate) is_planner: AtomicBool,
     /// Orders that were issued and have no visible effect yet.
     pub(crate) pending_orders: AtomicUsize,
@@ -118,7 +116,6 @@
     pub(crate) fn new(
         settings: NodeSettings,
         executor: Arc<Executor<'static>>,
-        closing: async_channel::Receiver<()>,
     ) -> Core {
         let metrics = Metrics::new("entry", &settings.vm);
         let conditions = [NEEDS_CONFIGURATION, NEEDS_BACKENDS];
@@ -151,9 +148,7 @@
             connections: ConnectionControl::default(),
             metrics: Arc::new(metrics),
             readiness: Arc::new(Readiness::new(&conditions)),
-            stopping_ms: AtomicU64::new(0),
-            in_flight: AtomicUsize::new(0),
-            closing,
+            stop: EntryStop::new(settings.bounds.grace_ms),
             is_planner: AtomicBool::new(false),
             pending_orders: AtomicUsize::new(0),
             moves: Mutex::default(),
@@ -213,6 +208,10 @@
         *row_in_force = row_version;
         self.configuration_age.record_in_force(new.version);
         self.metrics.manifest_generation.set(new.version as i64);
+        self.stop.retain_routes(|name| {
+            let mut routes = new.routes.values().flatten();
+            routes.any(|route| route.name == name)
+        });
         self.configuration.store(Some(new));
         self.readiness.clear(NEEDS_CONFIGURATION);
         self.configuration_subscribers.notify_all();
@@ -305,18 +304,6 @@
         true
     }
 
-    pub(crate) fn begin_stop(&self) {
-        self.stopping_ms.store(now_ms(), Relaxed);
-    }
-
-    /// Time since the stop began; `None` while the entry runs.
-    pub(crate) fn stopping_for_ms(&self) -> Option<u64> {
-        match self.stopping_ms.load(Relaxed) {
-            0 => None,
-            since_ms => Some(now_ms().saturating_sub(since_ms)),
-        }
-    }
-
     pub(crate) fn retry_limit(&self) -> RetryLimit {
         let bounds = &self.settings.bounds;
         RetryLimit {
@@ -468,7 +455,7 @@
     pub(crate) fn is_deputy_planner(&self) -> bool {
         let now_ms = now_ms();
         now_ms.saturating_sub(self.started_ms) >= MIN_DEPUTY_UPTIME_MS
-            && self.stopping_for_ms().is_none()
+            && !self.stop.has_begun()
             && !self.peers.has_planner(now_ms)
             && self.peers.has_lowest_boot_id(self.boot_id, now_ms)
     }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -33,13 +33,14 @@
 const RESERVED_DESCRIPTORS: usize = 600;
 /// File descriptors per request: the caller's connection and the engine's.
 const DESCRIPTORS_PER_REQUEST: usize = 2;
-/// Requests that still run are aborted this long before the grace ends.
-const ABORT_MARGIN_MS: u64 = 350;
+/// Time in which the final answers are sent and connections close.
+const FINAL_ANSWERS_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval between checks of the requests in flight during a stop.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Minimum duration of a stop: callers that connected just before the port
-/// closed still send their requests.
-const MIN_STOP_MS: u64 = callers::ACCEPT_WHILE_STOPPING_MS + 100;
+/// Minimum time from the end of the accept period to the end of the process:
+/// callers that connected just before the port closed still send their
+/// requests.
+const MIN_LAST_WAIT_MS: u64 = 100;
 /// Concurrent connections of the load balancer.
 const MAX_READY_CONNECTIONS: usize = 64;
 
@@ -68,7 +69,6 @@
 pub struct DirectEntry {
     core: Arc<Core>,
     lease: Arc<Lease>,
-    stop: async_channel::Sender<()>,
 }
 
 impl DirectEntry {
@@ -84,8 +84,7 @@
         metrics_port: Option<u16>,
         executor: Arc<Executor<'static>>,
     ) -> Result<DirectEntry, StartError> {
-        let (stop, closing) = async_channel::bounded(1);
-        let core = Arc::new(Core::new(settings, executor, closing));
+        let core = Arc::new(Core::new(settings, executor));
         let settings = &core.settings;
         let callers = listen("clients", settings.clients_address)?;
         let ready = listen("readiness", settings.ready_address)?;
@@ -143,38 +142,55 @@
                 ("boot_id", &core.boot_id),
             ],
         );
-        Ok(DirectEntry { core, lease, stop })
+        Ok(DirectEntry { core, lease })
     }
 
-    /// Stops accepting requests, waits within the grace for requests in flight
-    /// and aborts the remaining ones. Returns how many were aborted.
+    /// Stops accepting requests, waits within the grace period for requests in
+    /// progress, and gives the remaining ones their final answers. Returns how
+    /// many these were.
     pub async fn stop(self, cause: &str) -> usize {
         let core = &self.core;
-        core.begin_stop();
+        core.stop.begin();
         core.readiness.block(IS_STOPPING, cause);
         core.metrics.is_draining.set(1);
-        let in_flight = core.in_flight.load(Relaxed);
         emit(
             Event::DaemonStopping,
-            &[("cause", &cause), ("in_flight", &in_flight)],
+            &[("cause", &cause), ("in_flight", &core.stop.in_flight())],
         );
-        self.lease.release(core).await;
-        self.stop.close();
-        let grace_ms = core.settings.bounds.grace_ms;
-        let limit_ms = grace_ms.saturating_sub(ABORT_MARGIN_MS);
-        loop {
-            let elapsed_ms = core.stopping_for_ms().unwrap_or(0);
-            let open = core.in_flight.load(Relaxed);
-            let is_done = open == 0 && elapsed_ms >= MIN_STOP_MS;
-            if is_done || elapsed_ms >= limit_ms {
-                emit(
-                    Event::DaemonStopped,
-                    &[("cut", &open), ("elapsed_ms", &elapsed_ms)],
-                );
-                return open;
-            }
-            Timer::after(POLL_INTERVAL).await;
-        }
+        // The store may not answer; the stop does not wait for it.
+        let release = {
+            let (core, lease) = (core.clone(), self.lease.clone());
+            async move { lease.release(&core).await }
+        };
+        let release = core.executor.spawn(release);
+        let schedule = core.stop.schedule();
+        let until_ms = schedule.accept_until_ms() + MIN_LAST_WAIT_MS;
+        let end_ms = schedule.final_answers_ms();
+        wait_until(core, |core, elapsed_ms| {
+            let is_done = core.stop.is_idle() && elapsed_ms >= until_ms;
+            (is_done && release.is_finished()) || elapsed_ms >= end_ms
+        })
+        .await;
+        let cut = core.stop.in_flight();
+        core.stop.end();
+        let limit = async {
+            Timer::after(FINAL_ANSWERS_TIMEOUT).await;
+        };
+        wait_until(core, |core, _| core.stop.is_idle()).or(limit).await;
+        let elapsed_ms = core.stop.elapsed_ms().unwrap_or(0);
+        emit(
+            Event::DaemonStopped,
+            &[("cut", &cut), ("elapsed_ms", &elapsed_ms)],
+        );
+        cut
+    }
+}
+
+/// Waits until a condition on the entry and the time since the stop began
+/// holds.
+async fn wait_until(core: &Core, is_met: impl Fn(&Core, u64) -> bool) {
+    while !is_met(core, core.stop.elapsed_ms().unwrap_or(0)) {
+        Timer::after(POLL_INTERVAL).await;
     }
 }
 
@@ -224,11 +240,10 @@
 /// Waits until a stop has lasted so long that the load balancer no longer sends
 /// callers.
 async fn accept_period_ends(core: &Core) {
-    // Nothing is sent over this channel; `recv` returns when it closes.
-    let _ = core.closing.recv().await;
-    let elapsed_ms = core.stopping_for_ms().unwrap_or(0);
-    let remaining_ms =
-        callers::ACCEPT_WHILE_STOPPING_MS.saturating_sub(elapsed_ms);
+    core.stop.wait_for_begin().await;
+    let elapsed_ms = core.stop.elapsed_ms().unwrap_or(0);
+    let until_ms = core.stop.schedule().accept_until_ms();
+    let remaining_ms = until_ms.saturating_sub(elapsed_ms);
     Timer::after(Duration::from_millis(remaining_ms)).await;
 }
 
@@ -318,7 +333,7 @@
     serde_json::json!({
         "vm": core.settings.vm,
         "data_centre": core.settings.data_centre,
-        "is_stopping": core.stopping_for_ms().is_some(),
+        "is_stopping": core.stop.has_begun(),
         "store_lost_ms": core.store_unavailable_ms(),
         "orders_waiting": core.pending_orders.load(Relaxed),
         "retries": retries,
@@ -335,7 +350,7 @@
         "suspects": core.suspects.status(),
         "permits": core.permits.status(),
         "shares": core.capacity.status(core),
-        "in_flight": core.in_flight.load(Relaxed),
+        "in_flight": core.stop.in_flight(),
         "connection_limit": core.connections.limit(),
         "backends": engines,
     })
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -37,6 +37,7 @@
 mod placement;
 mod rate;
 mod request;
+mod stop;
 mod subscribers;
 
 pub use entry::{DirectEntry, StartError};
--- a/crates/direct/src/request/admit.rs
+++ b/crates/direct/src/request/admit.rs
@@ -1,6 +1,9 @@
 //! Admission: checks the route, access key and deadline of a request.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering::Relaxed},
+};
 
 use chestnutreach_adapter::caller;
 use chestnutreach_http::relay::RelayRequest;
@@ -35,6 +38,8 @@
     caller_deadline_ms: u64,
     pub(crate) configuration: u64,
     pub(crate) configuration_age_ms: u64,
+    /// Whether the request was sent to a backend server.
+    is_sent: AtomicBool,
 }
 
 impl AdmittedRequest {
@@ -54,6 +59,16 @@
         Attempts::new(self.route.kind.allows_retry(), max_attempts, counted)
     }
 
+    /// Records that the request is sent to a backend server.
+    pub(crate) fn record_sent(&self) {
+        self.is_sent.store(true, Relaxed);
+    }
+
+    /// Whether the request was sent to a backend server.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.is_sent.load(Relaxed)
+    }
+
     pub(crate) fn id_text(&self) -> &str {
         self.id.as_deref().unwrap_or("")
     }
@@ -115,6 +130,7 @@
         caller_deadline_ms,
         configuration: configuration.version,
         configuration_age_ms: core.confirmed_age_ms(),
+        is_sent: AtomicBool::new(false),
         route,
         service,
     })
--- a/crates/direct/src/request/callers.rs
+++ b/crates/direct/src/request/callers.rs
@@ -1,13 +1,10 @@
 //! Serves the connections of callers.
 
-use std::{
-    net::TcpStream,
-    sync::{Arc, atomic::Ordering::Relaxed},
-    time::Duration,
-};
+use std::{net::TcpStream, sync::Arc, time::Duration};
 
 use async_io::{Async, Timer};
 use chestnutreach_adapter::caller;
+use chestnutreach_http::head::RequestError;
 use chestnutreach_http::relay::{
     Inbound, InboundError, InboundLimits, RelayRequest,
 };
@@ -20,27 +17,24 @@
     core::Core,
     request::{
         admit::{self, AdmissionError, AdmittedRequest, admit},
-        outcome::{ConnectionAction, RequestSummary, refuse},
+        outcome::{ConnectionAction, RequestSummary, is_last_request, refuse},
         plain,
         response::{self, ErrorReason},
         stream,
     },
 };
 
+/// Why a request is refused that was not received whole when the entry stops.
+const STOPPING: &str = "the entry is stopping";
 /// Time in which a body must arrive after its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long idle connections stay open after a stop begins, since a request
-/// may be in transit.
-const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(1_000);
-/// How long new requests are accepted after a stop begins: the load balancer
-/// needs two checks to send callers elsewhere. The port closes afterwards.
-pub(crate) const ACCEPT_WHILE_STOPPING_MS: u64 = 2_600;
 
 /// Serves the requests of a connection one after another.
 pub(crate) async fn serve(core: Arc<Core>, socket: Async<TcpStream>) {
     let Ok(mut inbound) = Inbound::new(socket) else {
         return;
     };
+    let _counted = core.stop.count_connection();
     core.metrics.caller_connections.inc();
     match serve_requests(&core, &mut inbound).await {
         ConnectionAction::KeepAlive | ConnectionAction::Close => {
@@ -63,10 +57,9 @@
             Err(InboundError::Closed)
         };
         let closing = async {
-            // Nothing is sent over this channel; `recv` returns when it
-            // closes.
-            let _ = core.closing.recv().await;
-            Timer::after(CLOSE_IDLE_AFTER).await;
+            core.stop.wait_for_begin().await;
+            let idle_ms = core.stop.idle_left_ms();
+            Timer::after(Duration::from_millis(idle_ms)).await;
             Err(InboundError::Closed)
         };
         let bytes = inbound.wait_for_bytes().or(idle).or(closing);
@@ -75,13 +68,17 @@
         }
         // Counted from the first bytes on, so that a stop waits for requests
         // that are still being received.
-        let _in_flight = InFlightGuard::new(core);
+        let _in_flight = core.stop.count_request();
         // Held until the request has ended.
         let mut held = PoolShare::new(&core.fleet.request_memory);
         let mut may_hold = |bytes| held.try_resize(bytes).is_ok();
-        let received = inbound
-            .receive_within(&inbound_limits(&limits), &mut may_hold)
-            .await;
+        let inbound_limits = inbound_limits(&limits);
+        let receive = inbound.receive_within(&inbound_limits, &mut may_hold);
+        let ending = async {
+            core.stop.wait_for_end().await;
+            Err(InboundError::Refused(RequestError::new(503, STOPPING)))
+        };
+        let received = receive.or(ending).await;
         match received {
             Ok(request) => match handle(core, inbound, &request).await {
                 ConnectionAction::KeepAlive => {}
@@ -117,49 +114,73 @@
     request: &RelayRequest,
 ) -> ConnectionAction {
     let started_ms = crate::clock::now_ms();
-    let is_last_request =
-        request.wants_close || core.stopping_for_ms().is_some();
-    let admitted = match core.stopping_for_ms() {
-        Some(ms) if ms > ACCEPT_WHILE_STOPPING_MS => {
+    let admitted = match core.stop.refuses_all() {
+        true => {
             let reason = ErrorReason::Stopping;
             Err(AdmissionError { reason, configuration: 0 })
         }
-        _ => {
+        false => {
             wait_for_first_configuration(core, request).await;
             admit(core, request, started_ms)
         }
     };
-    let (summary, action) = match &admitted {
-        Ok(admitted) if admitted.route.kind.is_stream() => {
-            stream::relay(core, inbound, request, admitted, is_last_request)
-                .await
-        }
-        Ok(admitted) => {
-            plain::relay(core, inbound, request, admitted, is_last_request)
-                .await
-        }
-        Err(error) => {
-            refuse(inbound, request, error.reason, is_last_request).await
-        }
+    let writes = inbound.write_count();
+    let relayed = relay(core, inbound, request, &admitted);
+    let relayed = async { Some(relayed.await) };
+    let ending = async {
+        core.stop.wait_for_end().await;
+        None
+    };
+    let (summary, action) = match relayed.or(ending).await {
+        Some(ended) => ended,
+        None if inbound.write_count() > writes => end_begun_response(),
+        None => end_unanswered(inbound, request, &admitted).await,
     };
     record_end(core, request, admitted.as_ref(), &summary, started_ms);
     action
 }
 
-/// Counts a request as in flight until dropped.
-struct InFlightGuard<'a>(&'a Core);
-
-impl InFlightGuard<'_> {
-    fn new(core: &Core) -> InFlightGuard<'_> {
-        core.in_flight.fetch_add(1, Relaxed);
-        InFlightGuard(core)
+async fn relay(
+    core: &Arc<Core>,
+    inbound: &mut Inbound,
+    request: &RelayRequest,
+    admitted: &Result<AdmittedRequest, AdmissionError>,
+) -> (RequestSummary, ConnectionAction) {
+    match admitted {
+        Ok(admitted) if admitted.route.kind.is_stream() => {
+            stream::relay(core, inbound, request, admitted).await
+        }
+        Ok(admitted) => plain::relay(core, inbound, request, admitted).await,
+        Err(error) => {
+            let is_last = is_last_request(core, request);
+            refuse(inbound, request, error.reason, is_last).await
+        }
     }
 }
 
-impl Drop for InFlightGuard<'_> {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Relaxed);
-    }
+/// Ends a response that the entry has begun and can't complete before it stops.
+/// The caller can resume a stream elsewhere.
+fn end_begun_response() -> (RequestSummary, ConnectionAction) {
+    let summary = RequestSummary {
+        outcome: "failed",
+        reason: ErrorReason::Stopping.as_str().to_owned(),
+        ..RequestSummary::default()
+    };
+    (summary, ConnectionAction::Abort)
+}
+
+/// Ends a request without a response when the entry stops.
+async fn end_unanswered(
+    inbound: &mut Inbound,
+    request: &RelayRequest,
+    admitted: &Result<AdmittedRequest, AdmissionError>,
+) -> (RequestSummary, ConnectionAction) {
+    let is_sent = admitted.as_ref().is_ok_and(AdmittedRequest::is_sent);
+    let reason = match is_sent {
+        true => ErrorReason::ResponseLost,
+        false => ErrorReason::Stopping,
+    };
+    refuse(inbound, request, reason, true).await
 }
 
 /// Lets a request that arrived while the process started wait for the first
@@ -228,4 +249,7 @@
     let service = core.metrics.service(&admitted.service.name);
     let elapsed = Duration::from_millis(elapsed_ms);
     service.record_request_ended(summary.outcome, "", elapsed);
+    if summary.status == 200 {
+        core.stop.record_duration(&admitted.route.name, elapsed_ms);
+    }
 }
--- a/crates/direct/src/request/connection_control.rs
+++ b/crates/direct/src/request/connection_control.rs
@@ -51,7 +51,7 @@
 /// Whether a new connection is served here, and not left to another entry.
 pub(crate) fn try_accept(core: &Core) -> bool {
     let control = &core.connections;
-    let in_flight = core.in_flight.load(Relaxed);
+    let in_flight = core.stop.in_flight();
     let is_accepted = control.lock().try_accept(in_flight);
     if !is_accepted {
         control.unlogged.fetch_add(1, Relaxed);
@@ -99,7 +99,7 @@
     let mut sample = LoadSample {
         lag_ms: lag.as_millis() as u64,
         link_share: link_mbps.map_or(0.0, |mbps| sent_mbps / mbps),
-        in_flight: core.in_flight.load(Relaxed),
+        in_flight: core.stop.in_flight(),
         ..LoadSample::default()
     };
     if sample.is_overloaded() {
--- a/crates/direct/src/request/outcome.rs
+++ b/crates/direct/src/request/outcome.rs
@@ -3,8 +3,9 @@
 use chestnutreach_adapter::caller;
 use chestnutreach_http::relay::{Inbound, RelayRequest};
 
-use crate::request::response::{
-    ErrorReason, default_retry_after_ms, error_response,
+use crate::{
+    core::Core,
+    request::response::{ErrorReason, default_retry_after_ms, error_response},
 };
 
 /// What happens to the caller's connection after a response.
@@ -44,6 +45,11 @@
     pub(crate) max_gap_ms: u64,
 }
 
+/// Whether the connection closes after the response that is sent now.
+pub(crate) fn is_last_request(core: &Core, request: &RelayRequest) -> bool {
+    request.wants_close || core.stop.has_begun()
+}
+
 /// Sends an error response of the entry.
 pub(crate) async fn refuse(
     inbound: &mut Inbound,
@@ -51,7 +57,11 @@
     reason: ErrorReason,
     is_last_request: bool,
 ) -> (RequestSummary, ConnectionAction) {
-    let retry_after_ms = default_retry_after_ms();
+    let retry_after_ms = match reason {
+        // Another entry serves the request.
+        ErrorReason::Stopping => 0,
+        _ => default_retry_after_ms(),
+    };
     refuse_with_retry_after(
         inbound,
         request,
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -35,7 +35,8 @@
         exchange::{self, BackendHeaders, HeldBody},
         isolation::{RequestSuspicion, Trial},
         outcome::{
-            ConnectionAction, RequestSummary, refuse, refuse_with_retry_after,
+            ConnectionAction, RequestSummary, is_last_request, refuse,
+            refuse_with_retry_after,
         },
         response::{
             ErrorReason, Framing, default_retry_after_ms, forwarded_head,
@@ -99,18 +100,20 @@
     inbound: &mut Inbound,
     request: &RelayRequest,
     admitted: &AdmittedRequest,
-    is_last_request: bool,
 ) -> (RequestSummary, ConnectionAction) {
     let mut plain_request = PlainRequest::new(core, request, admitted);
     plain_request.record_capacity_request();
     while let Some((engine, trial)) = plain_request.next_engine().await {
+        if !core.stop.may_send(admitted) {
+            plain_request.refusal = Some((ErrorReason::Stopping, 0));
+            break;
+        }
         let result = plain_request.attempt(inbound, &engine, trial).await;
         if plain_request.handle_result(result) {
             break;
         }
     }
-    let (mut summary, action) =
-        plain_request.respond(inbound, is_last_request).await;
+    let (mut summary, action) = plain_request.respond(inbound).await;
     summary.attempts = plain_request.attempts.count();
     (summary, action)
 }
@@ -218,8 +221,8 @@
     async fn respond(
         &mut self,
         inbound: &mut Inbound,
-        is_last_request: bool,
     ) -> (RequestSummary, ConnectionAction) {
+        let is_last_request = is_last_request(self.core, self.request);
         if self.is_caller_disconnected {
             let outcome = "caller_gone";
             return (
@@ -497,6 +500,7 @@
     context: &AttemptContext<'_>,
     remaining_ms: u64,
 ) {
+    admitted.record_sent();
     core.metrics.service(&admitted.service.name).attempts.inc();
     let waited_ms = now_ms().saturating_sub(admitted.received_ms);
     emit(
--- a/crates/direct/src/request/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -32,7 +32,8 @@
         exchange::HeldBody,
         isolation::{RequestSuspicion, Trial},
         outcome::{
-            ConnectionAction, RequestSummary, refuse, refuse_with_retry_after,
+            ConnectionAction, RequestSummary, is_last_request, refuse,
+            refuse_with_retry_after,
         },
         path::Path,
         response::{ErrorReason, Framing, forwarded_head, guarantees_not_run},
@@ -85,7 +86,6 @@
     request: &'a RelayRequest,
     admitted: &'a AdmittedRequest,
     model: &'a Model,
-    is_last_request: bool,
     /// Tokens of the prompt and of the expected answer.
     tokens: u64,
     demand: StreamDemand,
@@ -137,16 +137,11 @@
     inbound: &mut Inbound,
     request: &RelayRequest,
     admitted: &AdmittedRequest,
-    is_last_request: bool,
 ) -> (RequestSummary, ConnectionAction) {
     let Some(model) = &admitted.service.model else {
-        return refuse(
-            inbound,
-            request,
-            ErrorReason::NoBackend,
-            is_last_request,
-        )
-        .await;
+        let is_last = is_last_request(core, request);
+        let reason = ErrorReason::NoBackend;
+        return refuse(inbound, request, reason, is_last).await;
     };
     let tokens = needed_tokens(request, model);
     let account = admitted.account.as_deref().unwrap_or("");
@@ -155,7 +150,6 @@
         request,
         admitted,
         model,
-        is_last_request,
         tokens,
         demand: StreamDemand {
             class: admitted.class,
@@ -232,6 +226,9 @@
             };
             let found = async { Some(self.find_path().await) };
             match found.or(disconnected).await {
+                Some(true) if self.is_sent_too_late() => {
+                    return self.give_up(inbound).await;
+                }
                 Some(true) => {}
                 Some(false) => return self.give_up(inbound).await,
                 // Nothing may be sent for a caller that has disconnected.
@@ -367,7 +364,16 @@
     async fn finish(&mut self, inbound: &mut Inbound) -> ConnectionAction {
         self.summary.outcome = "completed";
         let is_sent = inbound.write(LAST_CHUNK).await.is_ok();
-        ConnectionAction::after_response(is_sent, self.is_last_request)
+        ConnectionAction::after_response(is_sent, self.is_last_request())
+    }
+
+    /// Whether the entry stops before a stream that begins now ends.
+    fn is_sent_too_late(&self) -> bool {
+        !self.is_head_sent && !self.core.stop.may_send(self.admitted)
+    }
+
+    fn is_last_request(&self) -> bool {
+        is_last_request(self.core, self.request)
     }
 
     /// Ends a stream that can't be continued.
@@ -378,6 +384,9 @@
         let reason =
             match ErrorReason::for_exhausted(may_have_run, remaining_ms) {
                 _ if let Some((reason, _)) = refusal => reason,
+                ErrorReason::NoBackend if self.is_sent_too_late() => {
+                    ErrorReason::Stopping
+                }
                 ErrorReason::NoBackend
                     if self.cooldown_retry_after_ms.is_some() =>
                 {
@@ -395,6 +404,7 @@
         }
         let retry_after_ms = match (refusal, self.cooldown_retry_after_ms) {
             (Some((_, remaining_ms)), _) => remaining_ms,
+            (None, _) if reason == ErrorReason::Stopping => 0,
             (None, Some(retry_after_ms)) => retry_after_ms,
             (None, None) => self.retry_after_ms(),
         };
@@ -403,7 +413,7 @@
             self.request,
             reason,
             retry_after_ms,
-            self.is_last_request,
+            self.is_last_request(),
         )
         .await;
         self.summary.outcome = summary.outcome;
@@ -422,12 +432,12 @@
             return self.give_up(inbound).await;
         }
         let framing = Framing::Length(body.len());
-        let mut bytes = forwarded_head(head, framing, self.is_last_request);
+        let mut bytes = forwarded_head(head, framing, self.is_last_request());
         bytes.extend_from_slice(body);
         self.summary.outcome = "failed";
         self.summary.status = head.status;
         self.summary.reason = "engine".to_owned();
         let is_sent = inbound.write(&bytes).await.is_ok();
-        ConnectionAction::after_response(is_sent, self.is_last_request)
+        ConnectionAction::after_response(is_sent, self.is_last_request())
     }
 }
--- a/crates/direct/src/request/stream/attempt.rs
+++ b/crates/direct/src/request/stream/attempt.rs
@@ -215,7 +215,8 @@
         let mut out = Vec::new();
         self.last_id_of_run = None;
         if !self.is_head_sent {
-            out = forwarded_head(head, Framing::Chunked, self.is_last_request);
+            out =
+                forwarded_head(head, Framing::Chunked, self.is_last_request());
         }
         // An engine that never pauses does not let the supervision look at the
         // time.
--- a/crates/direct/src/request/stream/logging.rs
+++ b/crates/direct/src/request/stream/logging.rs
@@ -14,6 +14,7 @@
 
 impl Stream<'_> {
     pub(super) fn record_sent(&self) {
+        self.admitted.record_sent();
         self.record_interconnect_traffic(self.path.interconnect_hops());
         let none = Path::default();
         self.path.record_prefill(self.model, self.tokens, &none, now_ms());
--- a/crates/http/src/relay/inbound.rs
+++ b/crates/http/src/relay/inbound.rs
@@ -80,6 +80,7 @@
 pub struct Inbound {
     stream: SharedStream,
     reader: MessageReader,
+    write_count: u64,
 }
 
 impl Inbound {
@@ -91,7 +92,7 @@
     pub fn new(socket: Async<TcpStream>) -> io::Result<Inbound> {
         let stream = SharedStream::new(socket)?;
         let reader = MessageReader::new(stream.clone());
-        Ok(Inbound { stream, reader })
+        Ok(Inbound { stream, reader, write_count: 0 })
     }
 
     /// The socket, which shows when the caller disconnects.
@@ -190,9 +191,15 @@
     ///
     /// The caller has disconnected.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.write_count += 1;
         self.stream.write_all(bytes).await
     }
 
+    /// Number of writes that have begun.
+    pub fn write_count(&self) -> u64 {
+        self.write_count
+    }
+
     /// Closes the connection at once, even within a body.
     pub fn abort(&self) {
         self.stream.shut_down();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,6 +28,7 @@
 //! | [`mod@cooldown_wait`] | whether a request waits for servers in cooldown |
 //! | [`connection_limit`] | which new connections are left to other entries |
 //! | [`startup_wait`] | how long a request waits for a configuration |
+//! | [`stop_schedule`] | what a stopping entry does until its process ends |
 //! | [`first_event_wait`] | whether the first event of a stream is overdue |
 //! | [`stall_check`] | when a stream without events is checked |
 //! | [`attempts`] | whether a request may be sent to another server |
@@ -126,6 +127,7 @@
 pub mod slot_queue;
 pub mod stall_check;
 pub mod startup_wait;
+pub mod stop_schedule;
 pub mod throughput;
 pub mod usage_estimate;
 
@@ -183,5 +185,6 @@
 pub use search_turns::{SearchTurns, TurnRequest};
 pub use stall_check::StallCheck;
 pub use startup_wait::StartupWait;
+pub use stop_schedule::{StopSchedule, UsualDuration};
 pub use throughput::{TokenMix, throughput_bound};
 pub use usage_estimate::UsageEstimate;
