--- a/crates/daemon/tests/users_platform/part_crash_points.rs
+++ b/crates/daemon/tests/users_platform/part_crash_points.rs
@@ -72,7 +72,7 @@
     fn new(running: &RunningSite, part: &str, report: &Report) -> Seen {
         let seen = running.backends.observations();
         let crashes = seen.crashes_of(part);
-        let counted = crashes.iter().take(COUNTED_FROM_CRASH).last();
+        let counted = crashes.iter().take(COUNTED_FROM_CRASH).next_back();
         let from = counted.map(|at| *at + 2 * PROPAGATION_LIMIT);
         let is_later = |outcome: &&Outcome| {
             from.is_some_and(|from| outcome.attempts[0].sent_at > from)
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `cluster` | state of the store, the backend servers and the peers |
 //! | `placement` | planner lease and placement orders |
 //! | `core` | state shared by the tasks of an entry |
+//! | `stop` | the planned stop, and what it waits for |
 //! | [`clock`] | the clock of an entry |
 //! | `by_service`, `subscribers`, `rate` | utilities |
 //!
--- a/crates/direct/src/stop.rs
+++ b/crates/direct/src/stop.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::BTreeMap,
     sync::{
-        Mutex,
+        Mutex, MutexGuard,
         atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed},
     },
 };
@@ -122,9 +122,7 @@
         self.lock().retain(|route, _| is_kept(route));
     }
 
-    fn lock(
-        &self,
-    ) -> std::sync::MutexGuard<'_, BTreeMap<String, UsualDuration>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, UsualDuration>> {
         self.durations.lock().expect("no holder panics")
     }
 
