Parts of prompts: tests of the crashes that a run clears, and of those that a trial explains

Three parts of the fix could be taken out without a test that fails: crashes of young and old runs kept apart for each server, and that a trial explains crashes of other servers before the run only.

--- a/crates/routing/tests/quarantine_parts.rs
+++ b/crates/routing/tests/quarantine_parts.rs
@@ -289,6 +289,60 @@
     assert_eq!(trials.count(), 2);
 }
 
+/// Two runs with a part are on each server that crashes, one of which had just
+/// begun.
+#[test]
+fn a_run_that_begins_clears_only_the_runs_that_had_just_begun() {
+    let mut suspects = Suspects::new();
+    for server in 1..=3 {
+        let number = u64::from(server);
+        let young = request(number, &[harmful()]);
+        suspects.record_crash(&young, server, false, NOW_MS);
+        let old = request(10 + number, &[harmful()]);
+        suspects.record_run_crash(&old, late(server, false), NOW_MS);
+    }
+    suspects.record_begun(&request(40, &[harmful()]), NOW_MS);
+    let verdict = suspects.verdict(&request(60, &[harmful()]), NOW_MS);
+    assert_eq!(severity(verdict), "suspect");
+    suspects.record_completed(&request(40, &[harmful()]), NOW_MS);
+    let verdict = suspects.verdict(&request(60, &[harmful()]), NOW_MS);
+    assert_eq!(verdict, Verdict::Free);
+}
+
+/// What crashed beside a run in a trial.
+struct Beside {
+    server: u32,
+    /// Time from that crash to the crash of the run.
+    before_ms: u64,
+    is_counted_as_trial: bool,
+}
+
+#[rstest]
+#[case::the_same_server(Beside {
+    server: 1, before_ms: 0, is_counted_as_trial: false,
+})]
+#[case::another_server_meanwhile(Beside {
+    server: 2, before_ms: 100, is_counted_as_trial: false,
+})]
+#[case::another_server_before(Beside {
+    server: 2, before_ms: 2_000, is_counted_as_trial: true,
+})]
+fn a_crash_in_a_trial_counts_against_a_part_that_was_suspect_before(
+    #[case] beside: Beside,
+) {
+    let mut suspects = Suspects::new();
+    let other = request(50, &[common()]);
+    let point = RunPoint { age_ms: 2_500, events: 70 };
+    let crash = RunCrash { point, ..late(beside.server, false) };
+    suspects.record_run_crash(&other, crash, NOW_MS);
+    let keys = request(1, &[common(), harmful()]);
+    let at_ms = NOW_MS + beside.before_ms;
+    suspects.record_run_crash(&keys, late(1, true), at_ms);
+    let report = suspects.report_of(common(), at_ms).expect("it is kept");
+    let is_trial = report.crashes.iter().any(|crash| crash.trial != 0);
+    assert_eq!(is_trial, beside.is_counted_as_trial);
+}
+
 /// A resumed run processes its prompt again.
 #[test]
 fn a_request_whose_run_lasted_is_still_known_by_its_parts() {
