--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -384,8 +384,9 @@
         ["held_bytes", "count"],
         "Requests were refused unread: bodies hold too much memory.";
     RunLost = 953, "run_lost", Info,
-        ["request", "fingerprint", "backend", "begun_ms", "attempt_events",
-         "is_in_trial", "conclusion", "evidence", "checked_ms"],
+        ["request", "fingerprint", "parts", "suspicion", "backend",
+         "begun_ms", "attempt_events", "is_in_trial", "conclusion",
+         "evidence", "checked_ms"],
         "A backend server ended the connection of a run before its response.";
     SuspectsRead = 954, "suspects_read", Info, ["rows", "unusable"],
         "The store told of requests that crash backend servers.";
