--- a/crates/routing/src/quarantine/crash_record.rs
+++ b/crates/routing/src/quarantine/crash_record.rs
@@ -364,8 +364,8 @@
         self.void_where(|_, crash| crash.is_early())
     }
 
-    /// Voids the known crashes of runs that waited or lasted and had come less
-    /// far than `point`; true if any counted.
+    /// Voids the known crashes of runs that had lasted, if `point` is well past
+    /// them; true if any counted.
     pub(super) fn void_late_before(&mut self, point: RunPoint) -> bool {
         self.void_where(|_, crash| !crash.is_early() && point.passes(crash))
     }
