--- a/crates/daemon/tests/users_platform/stop_grace.rs
+++ b/crates/daemon/tests/users_platform/stop_grace.rs
@@ -65,6 +65,8 @@
             plain_target_ms: 20_000,
             events: self.events,
             grace_s: self.grace_s,
+            // The keys stay fresh while the store is silent.
+            revoke_ms: 60_000,
             ..Site::small()
         }
     }
