Quarantine: a crash beside a trial blocks no harmless part

Cause: a trial counted against a fingerprint whatever else ran at the engine. Streams that lose their engine are sent on before the crash is known; a harmless request with the first part of their prompts was on trial at an engine that one of these crashed. No run with the first part was allowed again that could have cleared it.

Now a trial does not count if something that was not on trial had just begun beside it and explains all the crashes as well.

--- a/crates/daemon/tests/users_platform/crashing_parts.rs
+++ b/crates/daemon/tests/users_platform/crashing_parts.rs
@@ -213,11 +213,14 @@
         };
         let played = running.run(&harmless, &[]);
         let crashing = send_with_part(running, &load, &part);
-        futures_lite::future::zip(played, crashing).await;
+        let (_, mut outcomes) =
+            futures_lite::future::zip(played, crashing).await;
         let mut ids = BTreeSet::new();
         for stream in begun {
             let outcome = stream.await;
-            ids.extend(outcome.attempts.into_iter().map(|a| a.id));
+            let attempts = outcome.attempts.iter();
+            ids.extend(attempts.map(|attempt| attempt.id.clone()));
+            outcomes.push(outcome);
         }
         let crashes = running.backends.observations().crashes_of(&part).len();
         assert!(crashes >= 3, "{crashes} engines crashed");
@@ -233,6 +236,7 @@
         };
         let late = logs.iter().filter(is_sent_late).count();
         assert_eq!(late, 0, "{crashes} engines crashed");
+        assert_only_refused(running, &outcomes);
     });
 }
 
--- a/crates/routing/src/quarantine/crash_record.rs
+++ b/crates/routing/src/quarantine/crash_record.rs
@@ -175,11 +175,25 @@
         self.servers().all(|server| other.has_valid(server))
     }
 
+    /// Whether all crashes that count here count in `other` as well, and say as
+    /// much there.
+    pub(super) fn is_explained_by(&self, other: &CrashRecord) -> bool {
+        self.is_covered_by(other)
+            && self.servers().all(|server| {
+                !self.is_strong_at(server) || other.is_strong_at(server)
+            })
+    }
+
     /// Whether the crash of a server counts.
     pub(super) fn has_valid(&self, server: u32) -> bool {
         self.at(server).any(|crash| !crash.is_void)
     }
 
+    /// Whether the crash of a server counts and makes a suspect by itself.
+    pub(super) fn is_strong_at(&self, server: u32) -> bool {
+        self.at(server).any(|crash| !crash.is_void && !crash.is_weak)
+    }
+
     /// Trials in which a server crashed: server and trial.
     pub(super) fn trials(&self) -> impl Iterator<Item = (u32, u32)> {
         let in_trials = self.valid().filter(|(_, crash)| crash.trial != 0);
--- a/crates/routing/src/quarantine/suspects.rs
+++ b/crates/routing/src/quarantine/suspects.rs
@@ -192,6 +192,7 @@
         }
         let sole_trials = record.trials().filter(|(server, trial)| {
             !self.is_other_on_trial(*server, *trial)
+                && !self.is_other_beside_trial(record, *server, *trial)
         });
         match record.quarantined_until_ms(sole_trials) {
             Some(until_ms) if now_ms < until_ms => {
@@ -210,6 +211,23 @@
         })
     }
 
+    /// Whether something that was not on trial at a server explains its crash
+    /// and all others under a fingerprint as well. It may have been sent there
+    /// before it was a suspect.
+    fn is_other_beside_trial(
+        &self,
+        record: &CrashRecord,
+        server: u32,
+        trial: u32,
+    ) -> bool {
+        let mut others = self.records.values();
+        others.any(|other| {
+            other.trial_at(server) != Some(trial)
+                && other.is_strong_at(server)
+                && record.is_explained_by(other)
+        })
+    }
+
     /// Records that a server crashed under a request that had just begun;
     /// returns the fingerprints whose records changed.
     pub fn record_crash(
--- a/crates/routing/tests/quarantine_parts.rs
+++ b/crates/routing/tests/quarantine_parts.rs
@@ -361,6 +361,107 @@
     assert_eq!(is_trial, beside.is_counted_as_trial);
 }
 
+/// A harmless run in a trial whose server crashes under a run beside it.
+struct TrialBeside {
+    /// Parts of the prompts that crash servers.
+    crashing: Vec<Fingerprint>,
+    /// Whether the run beside the trial had just begun.
+    has_just_begun: bool,
+    /// Whether the part of the run beside was at the crashes before.
+    was_there_before: bool,
+    /// Whether another harmless run crashes in a trial with nothing beside it.
+    has_other_trial: bool,
+    /// Whether a server crashes under a run with both parts that lasted.
+    has_late_crash: bool,
+    verdict: &'static str,
+}
+
+#[rstest]
+#[case::of_a_run_that_may_be_the_cause(TrialBeside {
+    crashing: vec![common(), harmful()],
+    has_just_begun: true,
+    was_there_before: true,
+    has_other_trial: false,
+    has_late_crash: false,
+    verdict: "suspect",
+})]
+#[case::before_a_crash_of_a_run_that_lasted(TrialBeside {
+    crashing: vec![common(), harmful()],
+    has_just_begun: true,
+    was_there_before: true,
+    has_other_trial: false,
+    has_late_crash: true,
+    verdict: "suspect",
+})]
+#[case::of_a_run_that_waits_or_lasted(TrialBeside {
+    crashing: vec![common(), harmful()],
+    has_just_begun: false,
+    was_there_before: true,
+    has_other_trial: false,
+    has_late_crash: false,
+    verdict: "quarantined",
+})]
+#[case::of_a_run_with_another_part(TrialBeside {
+    crashing: vec![common(), harmful()],
+    has_just_begun: true,
+    was_there_before: false,
+    has_other_trial: false,
+    has_late_crash: false,
+    verdict: "quarantined",
+})]
+#[case::of_a_run_with_the_same_parts(TrialBeside {
+    crashing: vec![common()],
+    has_just_begun: true,
+    was_there_before: true,
+    has_other_trial: false,
+    has_late_crash: false,
+    verdict: "quarantined",
+})]
+#[case::before_a_trial_without_it(TrialBeside {
+    crashing: vec![common(), harmful()],
+    has_just_begun: true,
+    was_there_before: true,
+    has_other_trial: true,
+    has_late_crash: false,
+    verdict: "quarantined",
+})]
+fn a_crash_beside_a_trial_blocks_no_harmless_request(
+    #[case] case: TrialBeside,
+) {
+    let mut suspects = Suspects::new();
+    for server in 1..=2 {
+        let keys = request(u64::from(server), &case.crashing);
+        suspects.record_crash(&keys, server, false, NOW_MS);
+        suspects.record_crash(&keys, server, server > 1, NOW_MS);
+    }
+    let beside = match case.was_there_before {
+        true => request(3, &case.crashing),
+        false => request(3, &[common(), harmless()]),
+    };
+    let crash = match case.has_just_begun {
+        true => RunCrash {
+            point: RunPoint::default(),
+            suspicion: RunSuspicion::Strong,
+            ..late(3, false)
+        },
+        false => late(3, false),
+    };
+    suspects.record_run_crash(&beside, crash, NOW_MS + 10);
+    let harmless_run = request(4, &[common()]);
+    suspects.record_crash(&harmless_run, 3, true, NOW_MS + 10);
+    if case.has_other_trial {
+        let harmless_run = request(5, &[common()]);
+        suspects.record_crash(&harmless_run, 4, true, NOW_MS + 20);
+    }
+    if case.has_late_crash {
+        let keys = request(6, &case.crashing);
+        suspects.record_run_crash(&keys, late(5, false), NOW_MS + 20);
+    }
+    let other = request(60, &[common()]);
+    let verdict = suspects.verdict(&other, NOW_MS + 30);
+    assert_eq!(severity(verdict), case.verdict);
+}
+
 /// A resumed run processes its prompt again.
 #[test]
 fn a_request_whose_run_lasted_is_still_known_by_its_parts() {
