Plain requests: a slow answer is no failure; hedges beside the first attempt

Callers saw: where all servers of a plain service take as long as the route's target or longer, most idempotent requests got 502 although each would have been answered; with one server slow or silent a few did.

Cause: an idempotent attempt was dropped after 0.9 of the target, counted as its server's failure, and repeated; where the retry limit forbade the repeat the request ended with 502.

Now the first attempt goes on until the deadline. A hedge is sent beside it when the wait exceeds 1.5 times what the other server's answers usually take (a streaming quantile for each server and route, at least 0.3 of the target); the first whole answer wins. Hedges have a bucket of three in 100 requests inside the retry limit. After four times the usual time a server counts as silent and its hedges are limited as retries are. A wait that we ended is no failure of its server. Servers three times slower than the fastest go last, but for one request in 64. A library for the quantile was not used: two lines of state follow changes within some twenty answers, a sketch keeps old ones.

--- a/crates/daemon/tests/users_platform/main.rs
+++ b/crates/daemon/tests/users_platform/main.rs
@@ -21,6 +21,7 @@
 mod part_crash_points;
 mod rate_limits;
 mod retry_limit;
+mod slow_answers;
 mod soak;
 mod stop_grace;
 mod stops;
--- a/crates/direct/src/cluster/engine.rs
+++ b/crates/direct/src/cluster/engine.rs
@@ -16,7 +16,7 @@
     earlier_starts::EarlierStarts, restored_row::ServerRow,
 };
 pub(crate) use chestnutreach_routing::FailureEvidence;
-use chestnutreach_routing::{CircuitBreaker, UsageEstimate};
+use chestnutreach_routing::{AnswerTimes, CircuitBreaker, UsageEstimate};
 use chestnutreach_site::{Backend, BackendState, LayerRange, StoreVersion};
 
 use crate::{
@@ -112,6 +112,8 @@
     pub(crate) report_requested_ms: u64,
     /// Consecutive failures.
     pub(crate) failures: u32,
+    /// What its answers to plain requests take, by route.
+    pub(crate) answer_times: BTreeMap<String, AnswerTimes>,
     /// Orders that the engine had begun, by its last report.
     pub(crate) orders_begun: u64,
     /// Usage that other entries reported, by boot id.
@@ -126,6 +128,21 @@
 }
 
 impl EngineState {
+    /// Updates what answers to requests of a route take.
+    pub(crate) fn update_answer_times(
+        &mut self,
+        route: &str,
+        update: impl FnOnce(&mut AnswerTimes),
+    ) {
+        match self.answer_times.get_mut(route) {
+            Some(times) => update(times),
+            None => {
+                let times = self.answer_times.entry(route.to_owned());
+                update(times.or_default());
+            }
+        }
+    }
+
     /// Time since the engine began to drain, or `None` if the engine serves.
     pub(crate) fn leaving_ms(&self, now_ms: u64) -> Option<u64> {
         let since_ms = self.leaving_since_ms?;
@@ -331,6 +348,7 @@
                 slowness_received_ms: 0,
                 report_requested_ms: 0,
                 failures: 0,
+                answer_times: BTreeMap::new(),
                 orders_begun: 0,
                 peer_usage: BTreeMap::new(),
                 leaving_since_ms: None,
@@ -437,6 +455,11 @@
             && self.notices.try_take_permit(request, now_ms)
     }
 
+    /// What answers to requests of a route usually take.
+    pub(crate) fn usual_answer_ms(&self, route: &str) -> Option<u64> {
+        self.lock().answer_times.get(route)?.usual_ms()
+    }
+
     pub(crate) fn is_suspect(&self) -> bool {
         let state = self.lock();
         state.is_removed || state.suspicion.is_some()
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -16,8 +16,8 @@
 };
 use chestnutreach_protocol::peers::OpenMove;
 use chestnutreach_routing::{
-    CapacityWaits, FirstEventWaits, PeerReport, RetryLimit, RetrySharing,
-    RetryWindow, SentCounts,
+    CapacityWaits, FirstEventWaits, HedgeBudget, PeerReport, RetryLimit,
+    RetrySharing, RetryWindow, SentCounts,
 };
 use chestnutreach_site::{Configuration, Limits, NodeSettings, StoreVersion};
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
@@ -91,6 +91,7 @@
     /// Traffic of this entry's requests between data centres.
     pub(crate) interconnect: InterconnectTraffic,
     retries: ByService<RetryWindow>,
+    hedges: ByService<HedgeBudget>,
     first_event_waits: ByService<FirstEventWaits>,
     /// Requests that run or wait for capacity, by service.
     pub(crate) capacity_waits: Arc<ByService<CapacityWaits>>,
@@ -142,6 +143,7 @@
             peer_usage: PeerUsage::default(),
             interconnect: InterconnectTraffic::default(),
             retries: ByService::default(),
+            hedges: ByService::default(),
             first_event_waits: ByService::default(),
             capacity_waits: Arc::default(),
             capacity: Arc::default(),
@@ -208,10 +210,14 @@
         *row_in_force = row_version;
         self.configuration_age.record_in_force(new.version);
         self.metrics.manifest_generation.set(new.version as i64);
-        self.stop.retain_routes(|name| {
+        let has_route = |name: &str| {
             let mut routes = new.routes.values().flatten();
             routes.any(|route| route.name == name)
-        });
+        };
+        self.stop.retain_routes(has_route);
+        for engine in self.fleet.all() {
+            engine.lock().answer_times.retain(|name, _| has_route(name));
+        }
         self.configuration.store(Some(new));
         self.readiness.clear(NEEDS_CONFIGURATION);
         self.configuration_subscribers.notify_all();
@@ -321,6 +327,7 @@
             window.record_request(&limit, now_ms());
         };
         self.retries.update(service, record);
+        self.hedges.update(service, HedgeBudget::record_request);
     }
 
     /// Requests and retries that this entry sent in the window, by service.
@@ -356,6 +363,17 @@
         self.retries.update(service, take)
     }
 
+    /// Takes one hedge at a service. A silent server counts as failed, and its
+    /// hedges are limited as retries are.
+    pub(crate) fn try_take_hedge(
+        &self,
+        service: &str,
+        is_silent: bool,
+    ) -> bool {
+        (is_silent || self.hedges.update(service, HedgeBudget::try_take))
+            && self.try_take_retry(service)
+    }
+
     fn retry_sharing<'a>(
         &self,
         peers: Option<&'a [PeerReport]>,
--- a/crates/direct/src/request/plain/search.rs
+++ b/crates/direct/src/request/plain/search.rs
@@ -10,6 +10,7 @@
 use async_io::Timer;
 use chestnutreach_routing::{
     CapacityRequest, CapacityWait, CapacityWaits, PermitDemand, TurnRequest,
+    hedging::is_outlier,
 };
 use futures_lite::FutureExt as _;
 
@@ -31,6 +32,8 @@
 const SEARCH_INTERVAL: Duration = Duration::from_millis(15);
 /// Maximum wait for a backend server as a fraction of the route's target.
 const MAX_WAIT_SHARE: f64 = 0.8;
+/// One in so many requests may go to a server that is far slower than others.
+const OUTLIER_REQUESTS: u32 = 64;
 /// Tokens that a plain request counts for; all plain requests count the same.
 const REQUEST_TOKENS: u64 = 1;
 
@@ -148,6 +151,17 @@
         }
     }
 
+    /// The least busy server that accepts requests and was not tried.
+    pub(super) fn untried_engine(&self) -> Option<Arc<Engine>> {
+        let candidates = Candidates {
+            core: self.core,
+            admitted: self.admitted,
+            tried: &self.tried,
+            is_permit_needed: true,
+        };
+        candidates.least_busy_without_trial()
+    }
+
     /// Whether all usable servers are in cooldown for longer than the request
     /// may wait.
     fn is_refused_for_cooldown(&mut self, until_ms: u64) -> bool {
@@ -259,12 +273,30 @@
     /// The least busy server that is not in a set of short hashes.
     fn least_busy(&self, excluded: &BTreeSet<u32>) -> Option<Arc<Engine>> {
         let own = self.core.own_data_centre_index();
+        let usable = self.usable(excluded);
+        let least_ms = usable.iter().filter_map(|e| self.usual_ms(e)).min();
         let rank = |e: &Arc<Engine>| {
             let slots = u64::from(e.lock().row.slots.max(1));
             let load = e.first_count() * 100 / slots;
-            (e.lock().failures.min(3), load, e.data_centre != own)
+            let failures = e.lock().failures.min(3);
+            (failures, self.goes_last(e, least_ms), load, e.data_centre != own)
         };
-        self.usable(excluded).into_iter().min_by_key(rank)
+        usable.into_iter().min_by_key(rank)
+    }
+
+    /// What answers of a server to such requests usually take.
+    fn usual_ms(&self, engine: &Engine) -> Option<u64> {
+        engine.usual_answer_ms(&self.admitted.route.name)
+    }
+
+    /// Whether a server is far slower than the others. Few requests still go
+    /// there, so that the entry sees when it is no longer.
+    fn goes_last(&self, engine: &Engine, least_ms: Option<u64>) -> bool {
+        let target_ms = self.admitted.route.target_ms;
+        let is_slow = self.usual_ms(engine).zip(least_ms).is_some_and(
+            |(usual_ms, least_ms)| is_outlier(target_ms, usual_ms, least_ms),
+        );
+        is_slow && fastrand::u32(..OUTLIER_REQUESTS) != 0
     }
 
     /// Servers that accept requests and were not tried.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`chain`], [`mod@explain`] | choice of a chain, and its explanation |
 //! | [`layer_path`] | which engines run which layers of a request |
 //! | [`usage_estimate`] | usage of entries that have not reported yet |
+//! | [`hedging`] | when a second attempt is sent beside one without an answer |
 //! | [`interconnect`] | quota of an entry for the interconnect |
 //! | [`throughput`] | upper bound on the tokens per second of a fleet |
 //! | [`priority`], [`fair_queue`] | order in which requests are served |
@@ -99,6 +100,7 @@
 pub mod fleet;
 mod fleet_error;
 pub mod fleet_fill;
+pub mod hedging;
 pub mod interconnect;
 pub mod layer_path;
 pub mod live_state;
@@ -158,6 +160,7 @@
 pub use first_event_wait::FirstEventWaits;
 pub use fleet::{BackendIndex, BackendSpec, Fleet};
 pub use fleet_error::{FleetError, FleetFinding};
+pub use hedging::{AnswerTimes, HedgeBudget};
 pub use interconnect::{InterconnectLimits, InterconnectQuota};
 pub use layer_path::{LayerHolder, PathRequest, PathStage, find_path};
 pub use live_state::{LiveState, LoadReport, Presence, RequestOutcome};
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -393,6 +393,9 @@
     SuspectRowFailed = 955, "suspect_row_failed", Warn,
         ["fingerprint", "error"],
         "The store's row of a request that crashes servers did not change.";
+    HedgeEnded = 956, "hedge_ended", Info,
+        ["request", "service", "backend", "waited_ms", "usual_ms", "outcome"],
+        "A second attempt beside one without an answer ended or was denied.";
 }
 
 impl Event {
--- a/crates/telemetry/src/metrics/children.rs
+++ b/crates/telemetry/src/metrics/children.rs
@@ -43,6 +43,12 @@
     pub attempts: IntCounter,
     /// Retries denied by the retry budget.
     pub retries_denied: IntCounter,
+    /// Attempts sent beside one without an answer.
+    pub hedges_sent: IntCounter,
+    /// Hedges whose answer came first.
+    pub hedges_won: IntCounter,
+    /// Hedges denied by a limit.
+    pub hedges_denied: IntCounter,
     /// Requests resumed after a failure.
     pub requests_resumed: IntCounter,
     /// Tokens delivered to callers.
@@ -116,6 +122,9 @@
     requests_within_target: IntCounterVec,
     attempts: IntCounterVec,
     retries_denied: IntCounterVec,
+    hedges_sent: IntCounterVec,
+    hedges_won: IntCounterVec,
+    hedges_denied: IntCounterVec,
     requests_resumed: IntCounterVec,
     tokens_delivered: IntCounterVec,
     time_to_first_token: HistogramVec,
@@ -168,6 +177,21 @@
                 SERVICE_LABEL,
                 "Retries that the budget of the service did not allow.",
             ),
+            hedges_sent: r.counters(
+                "hedges_sent_total",
+                SERVICE_LABEL,
+                "Attempts sent beside one without an answer.",
+            ),
+            hedges_won: r.counters(
+                "hedges_won_total",
+                SERVICE_LABEL,
+                "Hedges whose answer came first.",
+            ),
+            hedges_denied: r.counters(
+                "hedges_denied_total",
+                SERVICE_LABEL,
+                "Hedges that a limit did not allow.",
+            ),
             requests_resumed: r.counters(
                 "requests_resumed_total",
                 SERVICE_LABEL,
@@ -231,6 +255,9 @@
                 .with_label_values(labels),
             attempts: self.attempts.with_label_values(labels),
             retries_denied: self.retries_denied.with_label_values(labels),
+            hedges_sent: self.hedges_sent.with_label_values(labels),
+            hedges_won: self.hedges_won.with_label_values(labels),
+            hedges_denied: self.hedges_denied.with_label_values(labels),
             requests_resumed: self.requests_resumed.with_label_values(labels),
             tokens_delivered: self.tokens_delivered.with_label_values(labels),
             time_to_first_token: self
