Quarantine: no trial follows one whose end is not known yet

Callers saw: a plain request that crashes its server, which is back under its id within 20 ms behind a held port, crashed 8 servers where 6 are allowed.

Cause: only the server's next row proves such a crash. Until then the lost run counted as one that had not crashed its server, and its trial ended, so that the same request had a second trial, and other copies theirs.

--- a/crates/direct/src/cluster/lost_runs.rs
+++ b/crates/direct/src/cluster/lost_runs.rs
@@ -116,8 +116,20 @@
 struct LostRun {
     run: FailedRun,
     lost_ms: u64,
-    /// Receives whether the server crashed.
-    decided: Sender<bool>,
+    /// Receives what is known first, and closes once all is decided.
+    finding: Sender<Finding>,
+}
+
+/// What a request whose run was lost learns of its server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Finding {
+    /// The process has exited, or does not answer.
+    Crashed,
+    /// Nothing shows that the process has exited.
+    Runs,
+    /// A process with its id runs, which may be a later one: its row will
+    /// tell.
+    Unproven,
 }
 
 impl LostRun {
@@ -125,9 +137,9 @@
         now_ms().saturating_sub(self.lost_ms)
     }
 
-    fn decide(&self, has_crashed: bool) {
-        // Only the first decision is awaited, and not by all requests.
-        let _ = self.decided.try_send(has_crashed);
+    fn tell(&self, finding: Finding) {
+        // Only the first finding is awaited, and not by all requests.
+        let _ = self.finding.try_send(finding);
     }
 }
 
@@ -159,11 +171,11 @@
 }
 
 /// Reports a run whose connection its server ended. Returns a channel that
-/// receives whether the server crashed, as far as that is known soon.
-pub(crate) fn report(core: &Arc<Core>, run: FailedRun) -> Receiver<bool> {
-    let (decided, receiver) = async_channel::bounded(1);
+/// receives what is known soon, and closes once all is decided.
+pub(crate) fn report(core: &Arc<Core>, run: FailedRun) -> Receiver<Finding> {
+    let (finding, receiver) = async_channel::bounded(1);
     let engine = run.engine.clone();
-    let lost = LostRun { run, lost_ms: now_ms(), decided };
+    let lost = LostRun { run, lost_ms: now_ms(), finding };
     if engine.lost_runs.add(lost) {
         let judge = Judge {
             core: core.clone(),
@@ -269,7 +281,7 @@
             self.conclude(&lost, Conclusion::Withdrawn, "an answer");
         }
         for lost in std::mem::take(&mut self.open) {
-            lost.decide(false);
+            lost.tell(Finding::Runs);
             self.running.push(lost);
         }
         let mut state = self.engine.lock();
@@ -280,7 +292,7 @@
     fn record_same_id(&mut self) {
         self.unanswered.clear();
         for lost in std::mem::take(&mut self.open) {
-            lost.decide(false);
+            lost.tell(Finding::Unproven);
             self.unproven.push(lost);
         }
         self.engine.lock().backoff_until_ms = 0;
@@ -315,7 +327,7 @@
         let waiting = self.open.iter();
         waiting
             .filter(|lost| lost.age_ms() >= MAX_WAIT_MS)
-            .for_each(|lost| lost.decide(false));
+            .for_each(|lost| lost.tell(Finding::Runs));
         let is_old = |lost: &mut LostRun| lost.age_ms() >= MAX_OPEN_MS;
         let old = self.open.extract_if(.., is_old);
         let mut old: Vec<LostRun> = old.collect();
@@ -353,10 +365,12 @@
         match conclusion {
             Conclusion::Crashed | Conclusion::Unanswered => {
                 suspects::record_crash(core, run);
-                lost.decide(true);
+                lost.tell(Finding::Crashed);
             }
             Conclusion::Withdrawn => suspects::withdraw_crash(core, run),
-            Conclusion::Runs | Conclusion::Leaving => lost.decide(false),
+            Conclusion::Runs | Conclusion::Leaving => {
+                lost.tell(Finding::Runs);
+            }
         }
     }
 }
--- a/crates/direct/src/request/isolation.rs
+++ b/crates/direct/src/request/isolation.rs
@@ -23,7 +23,7 @@
     clock::now_ms,
     cluster::{
         engine::Engine,
-        lost_runs,
+        lost_runs::{self, Finding},
         suspects::{self, FailedRun, TrialGuard},
     },
     core::Core,
@@ -76,6 +76,9 @@
     /// Whether an engine has just crashed under the request, and the reports
     /// of other entries about that crash may still be in transit.
     has_just_crashed: bool,
+    /// Closes once it is known whether the engine of the last trial crashed;
+    /// `None` if that is known.
+    unproven_trial: Option<Receiver<Finding>>,
     /// Number of engines that crashed under the request in trials.
     trial_crashes: u32,
     /// Whether the entry spends no other engine on the request.
@@ -97,6 +100,7 @@
             has_run_survived: false,
             has_run_passed: false,
             has_just_crashed: false,
+            unproven_trial: None,
             trial_crashes: 0,
             is_given_up: false,
         }
@@ -256,12 +260,12 @@
         let now_ms = now_ms();
         let suspicion = progress.suspicion(now_ms);
         let run = self.failed_run(engine, progress, suspicion, is_in_trial);
-        let decided = lost_runs::report(self.core, run);
+        let finding = lost_runs::report(self.core, run);
         let has_lasted = progress.has_survived(now_ms) && !is_in_trial;
         if has_lasted && self.core.suspects.is_empty() {
             return;
         }
-        self.await_decision(decided).await;
+        self.await_finding(finding, is_in_trial).await;
         if is_in_trial && self.has_just_crashed {
             self.trial_crashes += 1;
             // A run with events did not crash its engine when it began to
@@ -279,13 +283,34 @@
         is_in_trial: bool,
     ) {
         let run = self.plain_run(engine, is_in_trial);
-        let decided = lost_runs::report(self.core, run);
-        self.await_decision(decided).await;
+        let finding = lost_runs::report(self.core, run);
+        self.await_finding(finding, is_in_trial).await;
         self.is_given_up |= is_in_trial && self.has_just_crashed;
     }
 
-    async fn await_decision(&mut self, decided: Receiver<bool>) {
-        self.has_just_crashed = decided.recv().await.unwrap_or(false);
+    async fn await_finding(
+        &mut self,
+        receiver: Receiver<Finding>,
+        is_in_trial: bool,
+    ) {
+        let finding = receiver.recv().await.unwrap_or(Finding::Runs);
+        self.has_just_crashed = finding == Finding::Crashed;
+        if is_in_trial && finding == Finding::Unproven {
+            // Another trial would not know the result of this one.
+            self.is_given_up = true;
+            self.unproven_trial = Some(receiver);
+        }
+    }
+
+    /// Ends a trial, once it is known whether its engine crashed.
+    pub(crate) fn end_trial(&mut self, trial: Trial) {
+        let Some(unproven) = self.unproven_trial.take() else { return };
+        let wait = async move {
+            // Nothing more is sent; the channel closes with the decision.
+            while unproven.recv().await.is_ok() {}
+            drop(trial);
+        };
+        self.core.executor.spawn(wait).detach();
     }
 
     /// Records that the entry abandoned a run that has not lasted. The run may
--- a/crates/direct/src/request/plain/race.rs
+++ b/crates/direct/src/request/plain/race.rs
@@ -104,7 +104,19 @@
         engine: &Arc<Engine>,
         trial: Option<Trial>,
     ) -> AttemptResult {
-        let is_in_trial = trial.is_some();
+        let result = self.run_attempts(inbound, engine, trial.is_some()).await;
+        if let Some(trial) = trial {
+            self.suspicion.end_trial(trial);
+        }
+        result
+    }
+
+    async fn run_attempts(
+        &mut self,
+        inbound: &Inbound,
+        engine: &Arc<Engine>,
+        is_in_trial: bool,
+    ) -> AttemptResult {
         let caller = inbound.stream().clone();
         let mut attempts = vec![self.begin_attempt(engine)];
         let mut plan = self.first_plan(is_in_trial);
--- a/crates/direct/src/request/stream.rs
+++ b/crates/direct/src/request/stream.rs
@@ -264,7 +264,9 @@
                 }
             }
             self.release_path();
-            self.trial = None;
+            if let Some(trial) = self.trial.take() {
+                self.suspicion.end_trial(trial);
+            }
             self.pace.run_progress = RunProgress::new();
         }
     }
