Hedges: waits for a server without an answer are a bound, not its usual time

Callers would see: where a caller leaves or a hedge is cancelled after 2 ms, a server that has not answered yet counted as one whose answers take 2 ms, so that all others were held for far slower, and hedges were due too early.

Now such waits only bound the time from below: the server may be an outlier, and is no measure for others. Found by reading.

--- a/crates/direct/src/request/plain/search.rs
+++ b/crates/direct/src/request/plain/search.rs
@@ -9,8 +9,8 @@
 
 use async_io::Timer;
 use chestnutreach_routing::{
-    CapacityRequest, CapacityWait, CapacityWaits, PermitDemand, TurnRequest,
-    hedging::is_outlier,
+    AnswerTimes, CapacityRequest, CapacityWait, CapacityWaits, PermitDemand,
+    TurnRequest, hedging::is_outlier,
 };
 use futures_lite::FutureExt as _;
 
@@ -293,8 +293,13 @@
     /// there, so that the entry sees when it is no longer.
     fn goes_last(&self, engine: &Engine, least_ms: Option<u64>) -> bool {
         let target_ms = self.admitted.route.target_ms;
-        let is_slow = self.usual_ms(engine).zip(least_ms).is_some_and(
-            |(usual_ms, least_ms)| is_outlier(target_ms, usual_ms, least_ms),
+        let state = engine.lock();
+        let times = state.answer_times.get(&self.admitted.route.name);
+        let min_usual_ms = times.and_then(AnswerTimes::min_usual_ms);
+        let is_slow = min_usual_ms.zip(least_ms).is_some_and(
+            |(min_usual_ms, least_ms)| {
+                is_outlier(target_ms, min_usual_ms, least_ms)
+            },
         );
         is_slow && fastrand::u32(..OUTLIER_REQUESTS) != 0
     }
--- a/crates/routing/src/hedging.rs
+++ b/crates/routing/src/hedging.rs
@@ -33,34 +33,50 @@
 /// Streaming estimate of a quantile of the time to an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AnswerTimes {
-    usual_ms: Option<f64>,
+    /// The estimate; without an answer the longest wait for one.
+    estimate_ms: Option<f64>,
+    has_answer: bool,
 }
 
 impl AnswerTimes {
     /// What most answers take; `None` before the first.
     pub fn usual_ms(&self) -> Option<u64> {
-        self.usual_ms.map(|ms| ms.ceil() as u64)
+        self.min_usual_ms().filter(|_| self.has_answer)
+    }
+
+    /// What most answers take at least; `None` if none was waited for.
+    pub fn min_usual_ms(&self) -> Option<u64> {
+        self.estimate_ms.map(|ms| ms.ceil() as u64)
     }
 
     /// Records the time to an answer.
     pub fn record(&mut self, took_ms: u64) {
         let took_ms = took_ms.max(1) as f64;
-        let usual_ms = self.usual_ms.unwrap_or(took_ms);
-        let next_ms = match took_ms > usual_ms {
-            true => took_ms.min(usual_ms * (1.0 + STEP * USUAL_QUANTILE)),
-            false => {
-                took_ms.max(usual_ms * (1.0 - STEP * (1.0 - USUAL_QUANTILE)))
-            }
-        };
-        self.usual_ms = Some(next_ms);
+        let known_ms = self.estimate_ms.filter(|_| self.has_answer);
+        self.estimate_ms = Some(next_estimate_ms(known_ms, took_ms));
+        self.has_answer = true;
     }
 
     /// Records a wait that ended before the answer. It counts as an answer
     /// that took longer; a shorter wait says nothing.
     pub fn record_unanswered(&mut self, waited_ms: u64) {
-        if self.usual_ms.is_none_or(|usual_ms| waited_ms as f64 > usual_ms) {
-            self.record(waited_ms);
+        let waited_ms = waited_ms as f64;
+        let estimate_ms = self.estimate_ms.unwrap_or(0.0);
+        if waited_ms <= estimate_ms {
+            return;
         }
+        self.estimate_ms = match self.has_answer {
+            true => Some(next_estimate_ms(self.estimate_ms, waited_ms)),
+            false => Some(waited_ms),
+        };
+    }
+}
+
+fn next_estimate_ms(known_ms: Option<f64>, took_ms: f64) -> f64 {
+    let Some(known_ms) = known_ms else { return took_ms };
+    match took_ms > known_ms {
+        true => took_ms.min(known_ms * (1.0 + STEP * USUAL_QUANTILE)),
+        false => took_ms.max(known_ms * (1.0 - STEP * (1.0 - USUAL_QUANTILE))),
     }
 }
 
@@ -85,10 +101,10 @@
     waited_ms as f64 >= late_ms.max(UNKNOWN_TARGET_SHARE * target_ms as f64)
 }
 
-/// Whether a server is far slower than the fastest one of its service, whose
-/// answers usually take `least_ms`.
-pub fn is_outlier(target_ms: u64, usual_ms: u64, least_ms: u64) -> bool {
-    let usual_ms = usual_ms as f64;
+/// Whether a server whose answers take at least `min_usual_ms` is far slower
+/// than the fastest one of its service, whose answers take `least_ms`.
+pub fn is_outlier(target_ms: u64, min_usual_ms: u64, least_ms: u64) -> bool {
+    let usual_ms = min_usual_ms as f64;
     usual_ms > OUTLIER_FACTOR * least_ms as f64
         && usual_ms > MIN_TARGET_SHARE * target_ms as f64
 }
--- a/crates/routing/tests/hedging.rs
+++ b/crates/routing/tests/hedging.rs
@@ -74,12 +74,18 @@
     assert_eq!(times, before);
 }
 
+/// A short wait for a server that has not answered must not make it look fast.
 #[test]
-fn a_server_that_only_let_others_wait_has_a_usual_time() {
+fn waits_for_a_server_without_an_answer_are_only_a_bound() {
     let mut times = AnswerTimes::default();
+    assert_eq!(times.min_usual_ms(), None);
+    for waited_ms in [2, 700, 5] {
+        times.record_unanswered(waited_ms);
+    }
     assert_eq!(times.usual_ms(), None);
-    times.record_unanswered(700);
-    assert_eq!(times.usual_ms(), Some(700));
+    assert_eq!(times.min_usual_ms(), Some(700));
+    times.record(40);
+    assert_eq!(times.usual_ms(), Some(40));
 }
 
 /// When a hedge is due.
