--- a/crates/routing/src/quarantine/suspects.rs
+++ b/crates/routing/src/quarantine/suspects.rs
@@ -222,7 +222,8 @@
     ) -> bool {
         let mut others = self.records.values();
         others.any(|other| {
-            other.trial_at(server) != Some(trial)
+            other.count() >= record.count()
+                && other.trial_at(server) != Some(trial)
                 && other.is_strong_at(server)
                 && record.is_explained_by(other)
         })
