Quarantine: a run beside a trial counts for parts only

The fault that was seen concerns a part that all prompts share: wrongly quarantined, it refuses everybody. For whole requests the rule is not needed, since only copies of one request would be refused, and it was not seen; their decisions are as on again.

--- a/crates/routing/src/quarantine/suspects.rs
+++ b/crates/routing/src/quarantine/suspects.rs
@@ -192,7 +192,8 @@
         }
         let sole_trials = record.trials().filter(|(server, trial)| {
             !self.is_other_on_trial(*server, *trial)
-                && !self.is_other_beside_trial(record, *server, *trial)
+                && !(cause.is_part()
+                    && self.is_other_beside_trial(record, *server, *trial))
         });
         match record.quarantined_until_ms(sole_trials) {
             Some(until_ms) if now_ms < until_ms => {
