Quarantine: trials are judged only where all of them would suffice

No change of behaviour. For each verdict on a suspect all its trials were compared with all records; now not where they can make no quarantine, and what explains a part's crashes as well is searched once for all of its trials.

--- a/crates/routing/src/quarantine/suspects.rs
+++ b/crates/routing/src/quarantine/suspects.rs
@@ -3,8 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::{
-    CrashReport, QUARANTINE_CRASHES, RequestKeys, RunPoint, RunSuspicion,
-    Verdict,
+    CrashReport, RequestKeys, RunPoint, RunSuspicion, Verdict,
     crash_record::{Crash, CrashRecord},
 };
 use crate::Fingerprint;
@@ -187,13 +186,18 @@
             return Verdict::Free;
         }
         let suspect = Verdict::Suspect { cause, crashes };
-        if crashes < QUARANTINE_CRASHES {
+        // Fewer trials make no quarantine where all of them don't.
+        if !record.has_quarantine_score() {
             return suspect;
         }
+        // A part that is refused wrongly concerns far more requests.
+        let rivals = match cause.is_part() {
+            true => self.rivals(record),
+            false => Vec::new(),
+        };
         let sole_trials = record.trials().filter(|(server, trial)| {
             !self.is_other_on_trial(*server, *trial)
-                && !(cause.is_part()
-                    && self.is_other_beside_trial(record, *server, *trial))
+                && !is_rival_beside_trial(&rivals, *server, *trial)
         });
         match record.quarantined_until_ms(sole_trials) {
             Some(until_ms) if now_ms < until_ms => {
@@ -212,22 +216,13 @@
         })
     }
 
-    /// Whether something that was not on trial at a server explains its crash
-    /// and all others under a fingerprint as well. It may have been sent there
-    /// before it was a suspect.
-    fn is_other_beside_trial(
-        &self,
-        record: &CrashRecord,
-        server: u32,
-        trial: u32,
-    ) -> bool {
-        let mut others = self.records.values();
-        others.any(|other| {
-            other.count() >= record.count()
-                && other.trial_at(server) != Some(trial)
-                && other.is_strong_at(server)
-                && record.is_explained_by(other)
-        })
+    /// Records that explain all crashes of one as well, itself among them.
+    fn rivals(&self, record: &CrashRecord) -> Vec<&CrashRecord> {
+        let others = self.records.values();
+        let is_rival = |other: &&CrashRecord| {
+            other.count() >= record.count() && record.is_explained_by(other)
+        };
+        others.filter(is_rival).collect()
     }
 
     /// Records that a server crashed under a request that had just begun;
@@ -517,6 +512,18 @@
     }
 }
 
+/// Whether a rival that was not on trial at a server may have crashed it by
+/// itself. It may have been sent there before it was a suspect.
+fn is_rival_beside_trial(
+    rivals: &[&CrashRecord],
+    server: u32,
+    trial: u32,
+) -> bool {
+    rivals.iter().any(|rival| {
+        rival.trial_at(server) != Some(trial) && rival.is_strong_at(server)
+    })
+}
+
 fn report(
     fingerprint: Fingerprint,
     record: &CrashRecord,
