direct: one container for values by service and by route

No change of behaviour. Durations for the stop and times to answers were kept in maps that repeated ByService; it serves both now, under the name ByName, and has retain. Times to answers have their own lock in place of that of the engine's state. The candidates of a plain request are put together in one place of two.

--- a/crates/direct/src/by_service.rs
+++ b/crates/direct/src/by_name.rs
@@ -1,41 +1,41 @@
-//! Per-service state, keyed by service name.
+//! State for each service or route, keyed by its name.
 
 use std::{
     collections::BTreeMap,
     sync::{Mutex, MutexGuard},
 };
 
-/// One value per service, created by its first update.
+/// One value per name, created by its first update.
 #[derive(Debug, Default)]
-pub(crate) struct ByService<T> {
+pub(crate) struct ByName<T> {
     values: Mutex<BTreeMap<String, T>>,
 }
 
-impl<T: Default> ByService<T> {
-    /// Updates the value of a service.
+impl<T: Default> ByName<T> {
+    /// Updates the value of a name.
     pub(crate) fn update<R>(
         &self,
-        service: &str,
+        name: &str,
         update: impl FnOnce(&mut T) -> R,
     ) -> R {
         let mut values = self.lock();
         // `entry` would copy the name, and this runs for every request.
-        match values.get_mut(service) {
+        match values.get_mut(name) {
             Some(value) => update(value),
-            None => update(values.entry(service.to_owned()).or_default()),
+            None => update(values.entry(name.to_owned()).or_default()),
         }
     }
 
-    /// Reads the value of a service; `None` before its first update.
+    /// Reads the value of a name; `None` before its first update.
     pub(crate) fn read<R>(
         &self,
-        service: &str,
+        name: &str,
         read: impl FnOnce(&T) -> R,
     ) -> Option<R> {
-        self.lock().get(service).map(read)
+        self.lock().get(name).map(read)
     }
 
-    /// Applies a function to each value; the results with the service names.
+    /// Applies a function to each value; the results with the names.
     pub(crate) fn map_each<R>(
         &self,
         mut map: impl FnMut(&mut T) -> R,
@@ -46,6 +46,11 @@
         values.iter_mut().map(named).collect()
     }
 
+    /// Removes the values of other names than these.
+    pub(crate) fn retain(&self, is_kept: impl Fn(&str) -> bool) {
+        self.lock().retain(|name, _| is_kept(name));
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, T>> {
         self.values.lock().expect("no holder panics")
     }
--- a/crates/direct/src/cluster/engine.rs
+++ b/crates/direct/src/cluster/engine.rs
@@ -20,6 +20,7 @@
 use chestnutreach_site::{Backend, BackendState, LayerRange, StoreVersion};
 
 use crate::{
+    by_name::ByName,
     clock::now_ms,
     cluster::{lost_runs::LostRuns, notices::Notices},
     rate::Rate,
@@ -72,6 +73,8 @@
     pub(crate) notices: Notices,
     /// Runs whose connections the engine ended.
     pub(crate) lost_runs: LostRuns,
+    /// What its answers to plain requests take, by route.
+    pub(crate) answer_times: ByName<AnswerTimes>,
     state: Mutex<EngineState>,
 }
 
@@ -112,8 +115,6 @@
     pub(crate) report_requested_ms: u64,
     /// Consecutive failures.
     pub(crate) failures: u32,
-    /// What its answers to plain requests take, by route.
-    pub(crate) answer_times: BTreeMap<String, AnswerTimes>,
     /// Orders that the engine had begun, by its last report.
     pub(crate) orders_begun: u64,
     /// Usage that other entries reported, by boot id.
@@ -128,21 +129,6 @@
 }
 
 impl EngineState {
-    /// Updates what answers to requests of a route take.
-    pub(crate) fn update_answer_times(
-        &mut self,
-        route: &str,
-        update: impl FnOnce(&mut AnswerTimes),
-    ) {
-        match self.answer_times.get_mut(route) {
-            Some(times) => update(times),
-            None => {
-                let times = self.answer_times.entry(route.to_owned());
-                update(times.or_default());
-            }
-        }
-    }
-
     /// Time since the engine began to drain, or `None` if the engine serves.
     pub(crate) fn leaving_ms(&self, now_ms: u64) -> Option<u64> {
         let since_ms = self.leaving_since_ms?;
@@ -330,6 +316,7 @@
             circuit: CircuitBreaker::new(),
             notices: Notices::default(),
             lost_runs: LostRuns::default(),
+            answer_times: ByName::default(),
             state: Mutex::new(EngineState {
                 row,
                 row_version,
@@ -348,7 +335,6 @@
                 slowness_received_ms: 0,
                 report_requested_ms: 0,
                 failures: 0,
-                answer_times: BTreeMap::new(),
                 orders_begun: 0,
                 peer_usage: BTreeMap::new(),
                 leaving_since_ms: None,
@@ -457,7 +443,7 @@
 
     /// What answers to requests of a route usually take.
     pub(crate) fn usual_answer_ms(&self, route: &str) -> Option<u64> {
-        self.lock().answer_times.get(route)?.usual_ms()
+        self.answer_times.read(route, AnswerTimes::usual_ms).flatten()
     }
 
     pub(crate) fn is_suspect(&self) -> bool {
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -23,7 +23,7 @@
 use chestnutreach_telemetry::{Event, Metrics, Readiness, emit};
 
 use crate::{
-    by_service::ByService,
+    by_name::ByName,
     clock::now_ms,
     cluster::{
         alerts::Alerts, configuration_age::ConfigurationAge, feeds::Feeds,
@@ -90,11 +90,11 @@
     pub(crate) peer_usage: PeerUsage,
     /// Traffic of this entry's requests between data centres.
     pub(crate) interconnect: InterconnectTraffic,
-    retries: ByService<RetryWindow>,
-    hedges: ByService<HedgeBudget>,
-    first_event_waits: ByService<FirstEventWaits>,
+    retries: ByName<RetryWindow>,
+    hedges: ByName<HedgeBudget>,
+    first_event_waits: ByName<FirstEventWaits>,
     /// Requests that run or wait for capacity, by service.
-    pub(crate) capacity_waits: Arc<ByService<CapacityWaits>>,
+    pub(crate) capacity_waits: Arc<ByName<CapacityWaits>>,
     /// Admission of streams by the demand at all entries.
     pub(crate) capacity: Arc<CapacityControl>,
     pub(crate) connections: ConnectionControl,
@@ -142,9 +142,9 @@
             permits: PermitTable::default(),
             peer_usage: PeerUsage::default(),
             interconnect: InterconnectTraffic::default(),
-            retries: ByService::default(),
-            hedges: ByService::default(),
-            first_event_waits: ByService::default(),
+            retries: ByName::default(),
+            hedges: ByName::default(),
+            first_event_waits: ByName::default(),
             capacity_waits: Arc::default(),
             capacity: Arc::default(),
             connections: ConnectionControl::default(),
@@ -216,7 +216,7 @@
         };
         self.stop.retain_routes(has_route);
         for engine in self.fleet.all() {
-            engine.lock().answer_times.retain(|name, _| has_route(name));
+            engine.answer_times.retain(has_route);
         }
         self.configuration.store(Some(new));
         self.readiness.clear(NEEDS_CONFIGURATION);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,7 +16,7 @@
 //! | `core` | state shared by the tasks of an entry |
 //! | `stop` | the planned stop, and what it waits for |
 //! | [`clock`] | the clock of an entry |
-//! | `by_service`, `subscribers`, `rate` | utilities |
+//! | `by_name`, `subscribers`, `rate` | utilities |
 //!
 //! # Example
 //!
@@ -30,7 +30,7 @@
 //! assert!(splitter.has_partial());
 //! ```
 
-mod by_service;
+mod by_name;
 pub mod clock;
 mod cluster;
 mod core;
--- a/crates/direct/src/request/capacity_control.rs
+++ b/crates/direct/src/request/capacity_control.rs
@@ -21,7 +21,7 @@
 };
 use chestnutreach_site::Model;
 
-use crate::{by_service::ByService, clock::now_ms, core::Core};
+use crate::{by_name::ByName, clock::now_ms, core::Core};
 
 mod inputs;
 mod report;
@@ -138,7 +138,7 @@
 /// Admission of the streams of all services.
 #[derive(Debug, Default)]
 pub(crate) struct CapacityControl {
-    by_service: ByService<Control>,
+    by_service: ByName<Control>,
 }
 
 impl CapacityControl {
--- a/crates/direct/src/request/plain/race.rs
+++ b/crates/direct/src/request/plain/race.rs
@@ -304,7 +304,7 @@
             | AttemptResult::ResponseLost => {}
         };
         let route = &self.admitted.route.name;
-        engine.lock().update_answer_times(route, record);
+        engine.answer_times.update(route, record);
     }
 
     /// Records what an attempt shows about crashes: after a response the
--- a/crates/direct/src/request/plain/search.rs
+++ b/crates/direct/src/request/plain/search.rs
@@ -119,13 +119,8 @@
     /// Searches for a backend server that accepts requests, and takes its
     /// permit if one is needed.
     async fn search(&self, is_first_search: bool) -> SearchResult {
-        let candidates = |is_permit_needed| Candidates {
-            core: self.core,
-            admitted: self.admitted,
-            tried: &self.tried,
-            is_permit_needed,
-        };
-        let Some(engine) = candidates(false).least_busy_without_trial() else {
+        let Some(engine) = self.candidates(false).least_busy_without_trial()
+        else {
             return SearchResult::NotFound;
         };
         if engine.try_admit(self.permit_key, now_ms()) {
@@ -139,13 +134,13 @@
         {
             return SearchResult::Found(engine);
         }
-        let other = candidates(true).least_busy_without_trial();
+        let other = self.candidates(true).least_busy_without_trial();
         match other {
             Some(other) if other.try_admit(self.permit_key, now_ms()) => {
                 SearchResult::Found(other)
             }
             _ => {
-                self.request_any_permit(&candidates(false));
+                self.request_any_permit(&self.candidates(false));
                 SearchResult::PermitNeeded
             }
         }
@@ -153,13 +148,16 @@
 
     /// The least busy server that accepts requests and was not tried.
     pub(super) fn untried_engine(&self) -> Option<Arc<Engine>> {
-        let candidates = Candidates {
+        self.candidates(true).least_busy_without_trial()
+    }
+
+    fn candidates(&self, is_permit_needed: bool) -> Candidates<'_> {
+        Candidates {
             core: self.core,
             admitted: self.admitted,
             tried: &self.tried,
-            is_permit_needed: true,
-        };
-        candidates.least_busy_without_trial()
+            is_permit_needed,
+        }
     }
 
     /// Whether all usable servers are in cooldown for longer than the request
@@ -293,10 +291,10 @@
     /// there, so that the entry sees when it is no longer.
     fn goes_last(&self, engine: &Engine, least_ms: Option<u64>) -> bool {
         let target_ms = self.admitted.route.target_ms;
-        let state = engine.lock();
-        let times = state.answer_times.get(&self.admitted.route.name);
-        let min_usual_ms = times.and_then(AnswerTimes::min_usual_ms);
-        let is_slow = min_usual_ms.zip(least_ms).is_some_and(
+        let route = &self.admitted.route.name;
+        let min_usual_ms =
+            engine.answer_times.read(route, AnswerTimes::min_usual_ms);
+        let is_slow = min_usual_ms.flatten().zip(least_ms).is_some_and(
             |(min_usual_ms, least_ms)| {
                 is_outlier(target_ms, min_usual_ms, least_ms)
             },
--- a/crates/direct/src/request/queue.rs
+++ b/crates/direct/src/request/queue.rs
@@ -11,7 +11,7 @@
     Priority, PushErrorReason, SearchTurns, TurnRequest,
 };
 
-use crate::{by_service::ByService, clock::now_ms};
+use crate::{by_name::ByName, clock::now_ms};
 
 /// Maximum number of queued tokens per service: what the engines of the
 /// largest deployment prefill and generate within the maximum wait, 1.5 s at
@@ -27,7 +27,7 @@
 /// The queues of an entry, by service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PathQueues {
-    by_service: Arc<ByService<Queue>>,
+    by_service: Arc<ByName<Queue>>,
 }
 
 #[derive(Debug)]
--- a/crates/direct/src/request/running_tokens.rs
+++ b/crates/direct/src/request/running_tokens.rs
@@ -4,11 +4,11 @@
 
 use chestnutreach_routing::CapacityWaits;
 
-use crate::{by_service::ByService, clock::now_ms};
+use crate::{by_name::ByName, clock::now_ms};
 
 /// The tokens of a running request, which count until this value is dropped.
 pub(crate) struct RunningTokens {
-    waits: Arc<ByService<CapacityWaits>>,
+    waits: Arc<ByName<CapacityWaits>>,
     service: String,
     tokens: u64,
 }
@@ -16,7 +16,7 @@
 impl RunningTokens {
     /// Records that a request found capacity.
     pub(crate) fn begin(
-        waits: &Arc<ByService<CapacityWaits>>,
+        waits: &Arc<ByName<CapacityWaits>>,
         service: &str,
         account: &str,
         tokens: u64,
--- a/crates/direct/src/stop.rs
+++ b/crates/direct/src/stop.rs
@@ -1,18 +1,12 @@
 //! The planned stop of an entry: which requests it still takes, what is in
 //! progress, and when the rest gets its final answers.
 
-use std::{
-    collections::BTreeMap,
-    sync::{
-        Mutex, MutexGuard,
-        atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed},
-    },
-};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
 
 use async_channel::{Receiver, Sender};
 use chestnutreach_routing::{StopSchedule, UsualDuration};
 
-use crate::{clock::now_ms, request::admit::AdmittedRequest};
+use crate::{by_name::ByName, clock::now_ms, request::admit::AdmittedRequest};
 
 /// How long a connection may stay idle late in a stop.
 const LATE_IDLE_MS: u64 = 200;
@@ -28,7 +22,7 @@
     begun: Occurrence,
     ending: Occurrence,
     /// What requests take, by route.
-    durations: Mutex<BTreeMap<String, UsualDuration>>,
+    durations: ByName<UsualDuration>,
 }
 
 impl EntryStop {
@@ -41,7 +35,7 @@
             connections: AtomicUsize::new(0),
             begun: Occurrence::new(),
             ending: Occurrence::new(),
-            durations: Mutex::default(),
+            durations: ByName::default(),
         }
     }
 
@@ -98,32 +92,21 @@
     /// Whether a request that is sent now ends before the entry stops.
     pub(crate) fn may_send(&self, admitted: &AdmittedRequest) -> bool {
         let Some(elapsed_ms) = self.elapsed_ms() else { return true };
-        let usual = self.lock().get(&admitted.route.name).copied();
-        let usual_ms = usual.and_then(|usual| usual.ms());
+        let usual_ms =
+            self.durations.read(&admitted.route.name, UsualDuration::ms);
+        let usual_ms = usual_ms.flatten();
         let deadline_in_ms = admitted.remaining_ms(now_ms());
         self.schedule.can_end(elapsed_ms, deadline_in_ms, usual_ms)
     }
 
     /// Records what a complete request of a route took.
     pub(crate) fn record_duration(&self, route: &str, took_ms: u64) {
-        let mut durations = self.lock();
-        match durations.get_mut(route) {
-            Some(usual) => usual.record(took_ms),
-            None => {
-                let mut usual = UsualDuration::default();
-                usual.record(took_ms);
-                durations.insert(route.to_owned(), usual);
-            }
-        }
+        self.durations.update(route, |usual| usual.record(took_ms));
     }
 
     /// Removes the routes that a configuration no longer has.
     pub(crate) fn retain_routes(&self, is_kept: impl Fn(&str) -> bool) {
-        self.lock().retain(|route, _| is_kept(route));
-    }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, UsualDuration>> {
-        self.durations.lock().expect("no holder panics")
+        self.durations.retain(is_kept);
     }
 
     /// Number of requests in progress.
