Plain requests: streams add nothing to the bucket of hedges

The bucket was filled at the admission of every request, under a lock; no stream has a hedge. Now plain requests fill it. An attempt that is dropped since the caller left was called superseded; it is called cancelled.

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -327,6 +327,10 @@
             window.record_request(&limit, now_ms());
         };
         self.retries.update(service, record);
+    }
+
+    /// Counts a plain request, which adds to the hedges of its service.
+    pub(crate) fn record_plain_request(&self, service: &str) {
         self.hedges.update(service, HedgeBudget::record_request);
     }
 
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -68,6 +68,7 @@
 ) -> (RequestSummary, ConnectionAction) {
     let mut plain_request = PlainRequest::new(core, request, admitted);
     plain_request.record_capacity_request();
+    core.record_plain_request(&admitted.service.name);
     while let Some((engine, trial)) = plain_request.next_engine().await {
         if !core.stop.may_send(admitted) {
             plain_request.refusal = Some((ErrorReason::Stopping, 0));
@@ -148,7 +149,7 @@
             AttemptResult::NotRun => self.attempts.record_not_run(),
             AttemptResult::ResponseLost
             | AttemptResult::TimedOut
-            | AttemptResult::Superseded => {}
+            | AttemptResult::Cancelled => {}
         }
         self.admitted.remaining_ms(now_ms()) == 0 || !self.attempts.may_retry()
     }
--- a/crates/direct/src/request/plain/attempt.rs
+++ b/crates/direct/src/request/plain/attempt.rs
@@ -40,8 +40,8 @@
     /// There was no response by the deadline; the request may have run.
     TimedOut,
     CallerDisconnected,
-    /// Another attempt answered first; the request may have run.
-    Superseded,
+    /// The entry no longer waits for it; the request may have run.
+    Cancelled,
 }
 
 impl AttemptResult {
--- a/crates/direct/src/request/plain/race.rs
+++ b/crates/direct/src/request/plain/race.rs
@@ -87,7 +87,7 @@
 
     fn of(result: &AttemptResult) -> HedgeOutcome {
         match result {
-            AttemptResult::Superseded | AttemptResult::CallerDisconnected => {
+            AttemptResult::Cancelled | AttemptResult::CallerDisconnected => {
                 HedgeOutcome::Lost
             }
             result if result.is_final() => HedgeOutcome::Won,
@@ -253,7 +253,7 @@
         is_in_trial: bool,
     ) {
         for attempt in attempts {
-            let end = AttemptResult::Superseded.into();
+            let end = AttemptResult::Cancelled.into();
             self.end_attempt(attempt, end, is_in_trial).await;
         }
     }
@@ -295,7 +295,7 @@
         let record = |times: &mut AnswerTimes| match result {
             result if result.is_final() => times.record(waited_ms),
             AttemptResult::TimedOut
-            | AttemptResult::Superseded
+            | AttemptResult::Cancelled
             | AttemptResult::CallerDisconnected => {
                 times.record_unanswered(waited_ms);
             }
@@ -327,7 +327,7 @@
             }
             AttemptResult::TimedOut
             | AttemptResult::CallerDisconnected
-            | AttemptResult::Superseded => {
+            | AttemptResult::Cancelled => {
                 suspicion.record_abandoned_request(engine, is_in_trial);
             }
             AttemptResult::Responded(..) | AttemptResult::NotRun => {}
@@ -390,7 +390,7 @@
     let mut state = engine.lock();
     let is_failure = match result {
         AttemptResult::Responded(head, _) => head.status >= 500,
-        AttemptResult::CallerDisconnected | AttemptResult::Superseded => {
+        AttemptResult::CallerDisconnected | AttemptResult::Cancelled => {
             return;
         }
         AttemptResult::NotRun if state.is_in_cooldown(now_ms()) => return,
