Tests: crash plans and rounds of restarts in one place

Assertions and bounds are as before. Tests of whole requests and of parts each had the plans, the rounds in which all entries start again and the count of late arrivals; the cases of slow answers repeated one bound in each.

--- a/crates/daemon/tests/users_platform/crash_points.rs
+++ b/crates/daemon/tests/users_platform/crash_points.rs
@@ -115,13 +115,20 @@
     Seen::new(running, &spec.token, &report.outcomes)
 }
 
+pub(crate) fn plan_at(point: CrashPoint) -> CrashPlan {
+    CrashPlan { point, ..CrashPlan::default() }
+}
+
+pub(crate) fn plan_coming_back(keeps_id: bool, holds_port: bool) -> CrashPlan {
+    CrashPlan { keeps_id, holds_port, ..CrashPlan::default() }
+}
+
 fn at(point: CrashPoint) -> CrashCase {
-    let plan = CrashPlan { point, ..CrashPlan::default() };
-    CrashCase { plan, ..CrashCase::default() }
+    CrashCase { plan: plan_at(point), ..CrashCase::default() }
 }
 
 fn coming_back(keeps_id: bool, holds_port: bool) -> CrashCase {
-    let plan = CrashPlan { keeps_id, holds_port, ..CrashPlan::default() };
+    let plan = plan_coming_back(keeps_id, holds_port);
     CrashCase { plan, ..CrashCase::default() }
 }
 
@@ -163,7 +170,7 @@
 }
 
 /// Kills all entries, and starts them again.
-pub(crate) async fn restart_all(running: &RunningSite) {
+async fn restart_all(running: &RunningSite) {
     let entries = running.addresses.len();
     (0..entries).for_each(|entry| running.restart_entry(entry));
     Timer::after(Duration::from_millis(100)).await;
@@ -173,28 +180,51 @@
     }
 }
 
+/// Sends a request to two entries in each round, and starts all entries again.
 /// Between two rounds the entries are in touch again.
+pub(crate) async fn send_in_rounds(
+    running: &RunningSite,
+    rounds: usize,
+    spec: impl Fn(usize, usize) -> RequestSpec,
+) {
+    let entries = running.addresses.len();
+    for round in 0..rounds {
+        for entry in [round, round + 1] {
+            let spec = spec(round, entry);
+            send_request(running, entry % entries, &spec).await;
+        }
+        restart_all(running).await;
+        Timer::after(PROPAGATION_LIMIT).await;
+    }
+}
+
+/// Fails if more than a few requests that crash servers arrived later than the
+/// propagation limit after a crash.
+pub(crate) fn assert_few_late(
+    running: &RunningSite,
+    token: &str,
+    counted_from_crash: usize,
+) {
+    let seen = running.backends.observations();
+    let crashes = seen.crashes_of(token).len();
+    let late = seen.arrivals_after_crash(
+        token,
+        counted_from_crash,
+        PROPAGATION_LIMIT,
+    );
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} late, {crashes} crashed");
+    assert!(crashes >= 3, "{crashes} crashed");
+}
+
 #[test]
 fn a_request_reaches_no_server_after_all_entries_started_again() {
     with_site(&site(), async |running| {
-        let entries = running.addresses.len();
         let spec = crashing(RequestKind::Stream, 1);
         // Rows of other writers name no request.
         running.store.put_text(TABLE, "not a fingerprint", "x");
         running.store.put_text(TABLE, "0000000000000007", "x");
-        for round in 0..ROUNDS {
-            for entry in [round, round + 1] {
-                send_request(running, entry % entries, &spec).await;
-            }
-            restart_all(running).await;
-            Timer::after(PROPAGATION_LIMIT).await;
-        }
-        let seen = running.backends.observations();
-        let crashes = seen.crashes_of(&spec.token).len();
-        let late =
-            seen.arrivals_after_crash(&spec.token, 3, PROPAGATION_LIMIT);
-        assert!(late <= MAX_LATE_ARRIVALS, "{late} late, {crashes} crashed");
-        assert!(crashes >= 3, "{crashes} crashed");
+        send_in_rounds(running, ROUNDS, |_, _| spec.clone()).await;
+        assert_few_late(running, &spec.token, 3);
     });
 }
 
--- a/crates/daemon/tests/users_platform/part_crash_points.rs
+++ b/crates/daemon/tests/users_platform/part_crash_points.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use async_io::Timer;
 use chestnutreach_emulator::{
     backend_servers::{CrashPlan, CrashPoint},
     caller::{Outcome, RequestKind, RequestSpec},
@@ -16,10 +15,12 @@
 use rstest::rstest;
 
 use crate::{
-    crash_points::restart_all,
+    crash_points::{
+        assert_few_late, plan_at, plan_coming_back, send_in_rounds,
+    },
     crashing_parts::{crashing_part, crashing_spec},
     crashing_requests::{MAX_LATE_ARRIVALS, PROPAGATION_LIMIT, site},
-    support::{send_at_rate, send_request, stream_load, with_site},
+    support::{send_at_rate, stream_load, with_site},
 };
 
 /// How long requests with the part are sent.
@@ -47,12 +48,11 @@
 }
 
 fn at(point: CrashPoint) -> PartCase {
-    PartCase::new(CrashPlan { point, ..CrashPlan::default() })
+    PartCase::new(plan_at(point))
 }
 
 fn coming_back(keeps_id: bool, holds_port: bool) -> PartCase {
-    let plan = CrashPlan { keeps_id, holds_port, ..CrashPlan::default() };
-    PartCase::new(plan)
+    PartCase::new(plan_coming_back(keeps_id, holds_port))
 }
 
 /// What was seen of a part that crashes engines.
@@ -168,7 +168,6 @@
     assert_case_holds(&site(), &case);
 }
 
-/// Between two rounds the entries are in touch again.
 #[rstest]
 #[case::before_the_head(CrashPoint::BeforeHead)]
 #[case::after_the_head(CrashPoint::AfterHead)]
@@ -177,27 +176,13 @@
     #[case] point: CrashPoint,
 ) {
     with_site(&site(), async |running| {
-        running.backends.set_crash_plan(at(point).plan);
+        running.backends.set_crash_plan(plan_at(point));
         let part = crashing_part(8);
-        let entries = running.addresses.len();
-        for round in 0..ROUNDS {
-            for entry in [round, round + 1] {
-                let number = 10 * round + entry;
-                let spec = spec(running, &part, number);
-                send_request(running, entry % entries, &spec).await;
-            }
-            restart_all(running).await;
-            Timer::after(PROPAGATION_LIMIT).await;
-        }
-        let seen = running.backends.observations();
-        let crashes = seen.crashes_of(&part).len();
-        let late = seen.arrivals_after_crash(
-            &part,
-            COUNTED_FROM_CRASH,
-            PROPAGATION_LIMIT,
-        );
-        assert!(late <= MAX_LATE_ARRIVALS, "{late} late, {crashes} crashed");
-        assert!(crashes >= 3, "{crashes} crashed");
+        let spec_of = |round: usize, entry: usize| {
+            spec(running, &part, 10 * round + entry)
+        };
+        send_in_rounds(running, ROUNDS, spec_of).await;
+        assert_few_late(running, &part, COUNTED_FROM_CRASH);
     });
 }
 
--- a/crates/daemon/tests/users_platform/slow_answers.rs
+++ b/crates/daemon/tests/users_platform/slow_answers.rs
@@ -19,6 +19,10 @@
 const PERIOD: Duration = Duration::from_secs(8);
 /// Share of the requests of each kind that is served.
 const MIN_SERVED_SHARE: f64 = 0.99;
+/// Repeats in a hundred requests where all servers are alike.
+const MAX_REPEATS_PERCENT: f64 = 2.0;
+/// The same where one server of three is slow or silent.
+const MAX_REPEATS_PERCENT_WITH_ONE_BAD: f64 = 8.0;
 
 /// A site with few free retries.
 fn site(plain_ms: u64) -> Site {
@@ -65,38 +69,36 @@
     assert_eq!(outcomes.iter().filter(is_given_up).count(), 0, "{ends:?}");
 }
 
-/// Runs beyond the first of each request, in a hundred requests.
-fn repeats_percent(running: &RunningSite, outcomes: &[Outcome]) -> f64 {
+/// Fails if there were more runs beyond the first of each request, in a hundred
+/// requests.
+fn assert_few_repeats(
+    running: &RunningSite,
+    outcomes: &[Outcome],
+    max_percent: f64,
+) {
     let seen = running.backends.observations();
     let ids = outcomes.iter().flat_map(|o| &o.attempts).map(|a| &a.id);
     let runs = ids.filter_map(|id| seen.run_counts.get(id));
     let repeats: usize =
         runs.map(|count| (*count as usize).saturating_sub(1)).sum();
-    100.0 * repeats as f64 / outcomes.len() as f64
-}
-
-/// What requests take at each of three servers, all alike.
-struct SlowCase {
-    plain_ms: u64,
-    max_repeats_percent: f64,
+    let percent = 100.0 * repeats as f64 / outcomes.len() as f64;
+    println!("{percent} repeats in 100");
+    assert!(percent <= max_percent, "{percent}");
 }
 
+/// All servers take as long.
 #[rstest]
-#[case::half_the_target(SlowCase { plain_ms: 150, max_repeats_percent: 2.0 })]
-#[case::the_target(SlowCase { plain_ms: 300, max_repeats_percent: 2.0 })]
-#[case::above_the_target(SlowCase { plain_ms: 390, max_repeats_percent: 2.0 })]
-#[case::twice_the_target(SlowCase { plain_ms: 600, max_repeats_percent: 2.0 })]
-#[case::four_times_the_target(SlowCase {
-    plain_ms: 1_200, max_repeats_percent: 2.0,
-})]
-fn answers_later_than_the_target_are_no_failures(#[case] case: SlowCase) {
+#[case::half_the_target(150)]
+#[case::the_target(300)]
+#[case::above_the_target(390)]
+#[case::twice_the_target(600)]
+#[case::four_times_the_target(1_200)]
+fn answers_later_than_the_target_are_no_failures(#[case] plain_ms: u64) {
     let kinds = [RequestKind::Idempotent, RequestKind::Once];
-    with_site(&site(case.plain_ms), async |running| {
+    with_site(&site(plain_ms), async |running| {
         let outcomes = send(running, &kinds).await;
         assert_served(&outcomes, &kinds);
-        let percent = repeats_percent(running, &outcomes);
-        println!("{percent} repeats in 100");
-        assert!(percent <= case.max_repeats_percent, "{percent}");
+        assert_few_repeats(running, &outcomes, MAX_REPEATS_PERCENT);
     });
 }
 
@@ -114,8 +116,7 @@
         running.backends.update_server(first, slow_down);
         let outcomes = send(running, &kinds).await;
         assert_served(&outcomes, &kinds);
-        let percent = repeats_percent(running, &outcomes);
-        println!("{percent} repeats in 100");
-        assert!(percent <= 8.0, "{percent}");
+        let max_percent = MAX_REPEATS_PERCENT_WITH_ONE_BAD;
+        assert_few_repeats(running, &outcomes, max_percent);
     });
 }
